--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of damaskbay."""
--- /dev/null
+++ b/damaskbay/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control layer for service call graphs."""
--- /dev/null
+++ b/damaskbay/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports, one folder for each integration."""
--- /dev/null
+++ b/damaskbay/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The damaskbay command line."""
--- /dev/null
+++ b/damaskbay/client/__init__.py
@@ -0,0 +1,1 @@
+"""Library for callers."""
--- /dev/null
+++ b/damaskbay/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' set: models at the border, frozen data classes inside."""
--- /dev/null
+++ b/damaskbay/config/objects.py
@@ -0,0 +1,119 @@
+"""Frozen data classes of one accepted configuration set."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Access(Enum):
+    """Who may call a route."""
+
+    OPEN = "open"
+    KEYED = "keyed"
+
+
+class WhenUnproven(Enum):
+    """What a route does while the set cannot be proven fresh."""
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+
+
+class LimitScope(Enum):
+    """What a limit counts: all calls of its routes, or each workspace's."""
+
+    ROUTE = "route"
+    WORKSPACE = "workspace"
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A tenant. Rate in requests/s and burst in requests, over the whole fleet."""
+
+    name: str
+    rate_per_s: float
+    burst: int
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """A caller's key: SHA-256 digest in hex, never the secret."""
+
+    name: str
+    digest: str
+    workspace: str
+    expires_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Priority:
+    """A class of importance. Rank 0 is shed last."""
+
+    name: str
+    rank: int
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """A further rate (requests/s) and burst (requests) that routes refer to."""
+
+    name: str
+    rate_per_s: float
+    burst: int
+    scope: LimitScope = LimitScope.ROUTE
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """The backend servers that answer to one name."""
+
+    name: str
+    slots_per_server: int
+    connections_per_server: int
+    other_domains: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """
+    What is called, where it goes and on which terms.
+
+    `host` "*" matches every host; empty `methods` match every method. `calls`
+    names the routes that this route's backend servers may call. Times in
+    seconds. `retries` is the allowance of the whole call tree.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    methods: frozenset[str]
+    pool: str
+    access: Access
+    idempotent: bool
+    deadline_s: float
+    priority: str
+    retries: int = 0
+    limits: tuple[str, ...] = ()
+    calls: tuple[str, ...] = ()
+    when_unproven: WhenUnproven = WhenUnproven.REFUSE
+    unproven_after_s: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigSet:
+    """
+    One whole set, checked. Collections are named by their key.
+
+    `version` is that of the platform's head record, `digest` the SHA-256 of the
+    canonical document in hex.
+    """
+
+    version: int
+    digest: str
+    workspaces_by_name: Mapping[str, Workspace] = field(default_factory=dict)
+    keys_by_digest: Mapping[str, Key] = field(default_factory=dict)
+    routes_by_name: Mapping[str, Route] = field(default_factory=dict)
+    priorities_by_name: Mapping[str, Priority] = field(default_factory=dict)
+    limits_by_name: Mapping[str, Limit] = field(default_factory=dict)
+    pools_by_name: Mapping[str, Pool] = field(default_factory=dict)
--- /dev/null
+++ b/damaskbay/const.py
@@ -0,0 +1,16 @@
+"""Names and sizes that every package shares."""
+
+from typing import Final
+
+HEADER_KEY: Final = "Damaskbay-Key"
+HEADER_DEADLINE: Final = "Damaskbay-Deadline-Ms"
+HEADER_REQUEST_ID: Final = "Damaskbay-Request-Id"
+HEADER_IDEMPOTENT: Final = "Damaskbay-Idempotent"
+HEADER_CALL_TOKEN: Final = "Damaskbay-Call-Token"
+HEADER_OUTCOME: Final = "Damaskbay-Outcome"
+HEADER_REASON: Final = "Damaskbay-Reason"
+HEADER_CALL_ID: Final = "Damaskbay-Call-Id"
+
+MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+MAX_CALL_DEPTH: Final = 9
+MAX_PLATFORM_VALUE_BYTES: Final = 1_000_000
--- /dev/null
+++ b/damaskbay/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions only: no sockets, threads, clocks or logging."""
--- /dev/null
+++ b/damaskbay/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a home in one layer."""
--- /dev/null
+++ b/damaskbay/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces between the decisions and the outside."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol, checked state by state."""
