--- a/damaskbay/ports/fleet.py
+++ b/damaskbay/ports/fleet.py
@@ -40,6 +40,16 @@
     local: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class MemberView:
+    """A live daemon, whether or not its backend server takes work."""
+
+    instance: str
+    incarnation: int
+    failure_domain: str
+    address: PeerAddress
+
+
 class Membership(Protocol):
     """Knows the backend servers. Safe from any thread, never blocks."""
 
@@ -51,6 +61,10 @@
         """Return one server, whatever its state, or None where it is unknown."""
         ...
 
+    def members(self) -> tuple[MemberView, ...]:
+        """Return the live daemons of the own failure domain, this one included."""
+        ...
+
     def announce(
         self, *, pool: str, state: ServerState, slots: int, load: float
     ) -> None:
