--- /dev/null
+++ b/damaskbay/adapters/backend_http/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the local backend server by `http.client`."""
--- /dev/null
+++ b/damaskbay/adapters/backend_http/client.py
@@ -0,0 +1,289 @@
+"""Calls to the local backend server over kept-alive connections."""
+
+import http.client
+import logging
+import socket
+import threading
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Self
+
+from damaskbay.adapters.backend_http.const import (
+    CONNECT_TIMEOUT_S,
+    IDLE_CONNECTION_S,
+    READ_CHUNK_BYTES,
+)
+from damaskbay.adapters.backend_http.exceptions import (
+    AnswerCutShortError,
+    AnswerTooLargeError,
+)
+from damaskbay.const import HEADER_CALL_TOKEN, HEADER_DEADLINE, MAX_BODY_BYTES
+from damaskbay.core.call import Answer, Headers, Request
+from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.helpers.cancellation import Cancellation
+from damaskbay.helpers.clock import monotonic_s
+from damaskbay.helpers.http_headers import without, without_hop_by_hop
+
+_LOGGER = logging.getLogger(__name__)
+
+_LENGTH_HEADERS = frozenset({"content-length", "host", "expect"})
+
+
+@dataclass(frozen=True, slots=True)
+class BackendHttpOptions:
+    """Where the backend server listens and what it bears. Times in seconds."""
+
+    host: str
+    port: int
+    max_connections: int
+    max_body_bytes: int = MAX_BODY_BYTES
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
+    idle_connection_s: float = IDLE_CONNECTION_S
+
+
+class _Connection(http.client.HTTPConnection):
+    """A connection that knows whether a byte of the current request was written."""
+
+    wrote = False
+    idle_since = 0.0
+
+    def connect(self) -> None:
+        super().connect()
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def send(self, data: object) -> None:
+        if self.sock is None:
+            self.connect()
+        self.wrote = True
+        super().send(data)  # type: ignore[arg-type]
+
+
+class HttpBackendServer:
+    """
+    The local backend server (port: BackendServer), safe from any thread.
+
+    Never opens more than `max_connections`. A connection carries one request at
+    a time; one that failed, was cancelled or went past its deadline is closed.
+    """
+
+    def __init__(
+        self,
+        options: BackendHttpOptions,
+        *,
+        clock: Callable[[], float] = monotonic_s,
+    ) -> None:
+        self._options = options
+        self._clock = clock
+        self._idle: deque[_Connection] = deque()
+        self._room = threading.BoundedSemaphore(options.max_connections)
+        self._closed = False
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._closed = True
+        while self._idle:
+            self._idle.pop().close()
+
+    def call(
+        self,
+        request: Request,
+        *,
+        call_token: str,
+        deadline: float,
+        cancellation: Cancellation,
+    ) -> Answer | Refusal:
+        """Send once; see ports.backend.BackendServer."""
+        if not self._room.acquire(timeout=max(0.0, deadline - self._clock())):
+            return not_run(Reason.DEADLINE_PASSED, detail="no free connection")
+        try:
+            return self._call(request, call_token, deadline, cancellation)
+        finally:
+            self._room.release()
+
+    def _call(
+        self,
+        request: Request,
+        call_token: str,
+        deadline: float,
+        cancellation: Cancellation,
+    ) -> Answer | Refusal:
+        opened = self._open(deadline)
+        if isinstance(opened, Refusal):
+            return opened
+        abort = _Abort(opened)
+        cancellation.on_cancel(abort)
+        try:
+            if cancellation.cancelled:
+                return not_run(Reason.CANCELLED)
+            answer = self._exchange(opened, request, call_token, deadline)
+        finally:
+            cancellation.forget(abort)
+        if cancellation.cancelled:
+            opened.close()
+            return unknown(Reason.CANCELLED)
+        return answer
+
+    def _open(self, deadline: float) -> _Connection | Refusal:
+        """Return a usable connection, connected, with nothing written yet."""
+        while self._idle:
+            connection = self._idle.pop()
+            idle_s = self._clock() - connection.idle_since
+            if idle_s < self._options.idle_connection_s and _is_quiet(connection):
+                return connection
+            connection.close()
+        wait_s = min(self._options.connect_timeout_s, deadline - self._clock())
+        if wait_s <= 0:
+            return not_run(Reason.DEADLINE_PASSED)
+        options = self._options
+        connection = _Connection(options.host, options.port, timeout=wait_s)
+        try:
+            connection.connect()
+        except OSError as error:
+            connection.close()
+            return not_run(Reason.BACKEND_SERVER_FAILED, detail=_name_of(error))
+        return connection
+
+    def _exchange(
+        self,
+        connection: _Connection,
+        request: Request,
+        call_token: str,
+        deadline: float,
+    ) -> Answer | Refusal:
+        connection.wrote = False
+        try:
+            remaining_s = deadline - self._clock()
+            if remaining_s <= 0:
+                self._keep(connection)
+                return not_run(Reason.DEADLINE_PASSED)
+            connection.sock.settimeout(remaining_s)
+            headers = self._headers(request, call_token, remaining_s)
+            _write(connection, request, headers)
+            return self._read(connection, deadline)
+        except TimeoutError:
+            connection.close()
+            return _refuse(connection, Reason.DEADLINE_PASSED, "no answer in time")
+        except AnswerTooLargeError:
+            connection.close()
+            return unknown(Reason.ANSWER_INCOMPLETE, detail="answer over the limit")
+        except (AnswerCutShortError, http.client.IncompleteRead):
+            connection.close()
+            return unknown(Reason.ANSWER_INCOMPLETE)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            connection.close()
+            return _refuse(connection, Reason.BACKEND_SERVER_FAILED, _name_of(error))
+
+    def _headers(
+        self, request: Request, call_token: str, remaining_s: float
+    ) -> Headers:
+        passed = without(without_hop_by_hop(request.headers), _LENGTH_HEADERS)
+        return (
+            ("Host", request.host),
+            *passed,
+            (HEADER_CALL_TOKEN, call_token),
+            (HEADER_DEADLINE, str(max(1, int(remaining_s * 1000)))),
+        )
+
+    def _read(self, connection: _Connection, deadline: float) -> Answer:
+        response = connection.getresponse()
+        body = self._read_body(connection, response, deadline)
+        headers = without_hop_by_hop(tuple(response.getheaders()))
+        if response.will_close:
+            connection.close()
+        else:
+            self._keep(connection)
+        return Answer(response.status, headers, body)
+
+    def _read_body(
+        self,
+        connection: _Connection,
+        response: http.client.HTTPResponse,
+        deadline: float,
+    ) -> bytes:
+        declared = response.length
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            remaining_s = deadline - self._clock()
+            if remaining_s <= 0:
+                raise TimeoutError
+            if connection.sock is not None:
+                connection.sock.settimeout(remaining_s)
+            chunk = response.read(READ_CHUNK_BYTES)
+            if not chunk:
+                break
+            size += len(chunk)
+            if size > self._options.max_body_bytes:
+                raise AnswerTooLargeError
+            chunks.append(chunk)
+        if declared is not None and size != declared:
+            raise AnswerCutShortError
+        return b"".join(chunks)
+
+    def _keep(self, connection: _Connection) -> None:
+        if self._closed:
+            connection.close()
+            return
+        connection.idle_since = self._clock()
+        self._idle.append(connection)
+
+
+class _Abort:
+    """Ends a blocked exchange from another thread."""
+
+    def __init__(self, connection: _Connection) -> None:
+        self._connection = connection
+
+    def __call__(self) -> None:
+        sock = self._connection.sock
+        if sock is None:
+            return
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            _LOGGER.debug("backend: connection was closed already.")
+
+
+def _write(connection: _Connection, request: Request, headers: Headers) -> None:
+    connection.putrequest(
+        request.method, request.target, skip_host=True, skip_accept_encoding=True
+    )
+    for name, value in headers:
+        connection.putheader(name, value)
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        connection.putheader("Content-Length", str(len(request.body)))
+    connection.endheaders(request.body or None)
+
+
+def _is_quiet(connection: _Connection) -> bool:
+    """Tell whether an idle connection is open and has nothing to read."""
+    sock = connection.sock
+    if sock is None:
+        return False
+    sock.settimeout(0)
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def _refuse(connection: _Connection, reason: Reason, detail: str) -> Refusal:
+    if connection.wrote:
+        return unknown(reason, detail=detail)
+    return not_run(reason, detail=detail)
+
+
+def _name_of(error: BaseException) -> str:
+    return type(error).__name__
--- /dev/null
+++ b/damaskbay/helpers/keys.py
@@ -0,0 +1,64 @@
+"""Callers' keys: made here, published as digests, found wherever they stand."""
+
+import base64
+import binascii
+import hashlib
+import re
+import secrets
+from typing import Final
+from urllib.parse import unquote_plus
+
+KEY_PREFIX: Final = "dk_"
+KEY_RANDOM_BYTES: Final = 32
+_KEY_PATTERN: Final = re.compile(KEY_PREFIX + r"[A-Za-z0-9_-]{43}")
+_BASIC_PREFIX: Final = "basic "
+
+
+def new_key_secret() -> str:
+    """Return a new secret of high entropy."""
+    return KEY_PREFIX + secrets.token_urlsafe(KEY_RANDOM_BYTES)
+
+
+def digest_of(secret: str) -> str:
+    """Return the SHA-256 digest in hex that the operators' set holds."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def holds_key(text: str, presented: str | None) -> bool:
+    """
+    Tell whether a text carries a key, plain, percent-encoded or in Basic form.
+
+    `presented` is the key that came with the request, whatever its shape.
+    """
+    forms = (text, unquote_plus(text), _basic_text(text))
+    return any(_holds_plain(form, presented) for form in forms)
+
+
+def body_holds_key(body: bytes, presented: str | None) -> bool:
+    """Tell whether a body carries a key in plain form."""
+    if presented and presented.encode() in body:
+        return True
+    prefix = KEY_PREFIX.encode()
+    if prefix not in body:
+        return False
+    return _KEY_PATTERN.search(body.decode("latin-1")) is not None
+
+
+def redact(text: str) -> str:
+    """Return the text with every key replaced, for logs."""
+    return _KEY_PATTERN.sub(KEY_PREFIX + "[redacted]", text)
+
+
+def _holds_plain(text: str, presented: str | None) -> bool:
+    if presented and presented in text:
+        return True
+    return KEY_PREFIX in text and _KEY_PATTERN.search(text) is not None
+
+
+def _basic_text(value: str) -> str:
+    if not value.lower().startswith(_BASIC_PREFIX):
+        return ""
+    try:
+        return base64.b64decode(value[len(_BASIC_PREFIX) :]).decode("latin-1")
+    except (binascii.Error, ValueError):
+        return ""
