--- a/damaskbay/adapters/backend_http/client.py
+++ b/damaskbay/adapters/backend_http/client.py
@@ -47,6 +47,7 @@
     """A connection that knows whether a byte of the current request was written."""
 
     wrote = False
+    reusable = False
     idle_since = 0.0
 
     def connect(self) -> None:
@@ -127,9 +128,13 @@
             answer = self._exchange(opened, request, call_token, deadline)
         finally:
             cancellation.forget(abort)
-        if cancellation.cancelled:
-            opened.close()
-            return unknown(Reason.CANCELLED)
+            aborted = abort.disarm()
+            if opened.reusable and not aborted:
+                self._keep(opened)
+            else:
+                opened.close()
+        if aborted and isinstance(answer, Refusal):
+            return _refuse(opened, Reason.CANCELLED, "")
         return answer
 
     def _open(self, deadline: float) -> _Connection | Refusal:
@@ -160,26 +165,23 @@
         deadline: float,
     ) -> Answer | Refusal:
         connection.wrote = False
+        connection.reusable = False
         try:
             remaining_s = deadline - self._clock()
             if remaining_s <= 0:
-                self._keep(connection)
+                connection.reusable = True
                 return not_run(Reason.DEADLINE_PASSED)
             connection.sock.settimeout(remaining_s)
             headers = self._headers(request, call_token, remaining_s)
             _write(connection, request, headers)
             return self._read(connection, deadline)
         except TimeoutError:
-            connection.close()
             return _refuse(connection, Reason.DEADLINE_PASSED, "no answer in time")
         except AnswerTooLargeError:
-            connection.close()
             return unknown(Reason.ANSWER_INCOMPLETE, detail="answer over the limit")
         except (AnswerCutShortError, http.client.IncompleteRead):
-            connection.close()
             return unknown(Reason.ANSWER_INCOMPLETE)
         except (OSError, http.client.HTTPException, ValueError) as error:
-            connection.close()
             return _refuse(connection, Reason.BACKEND_SERVER_FAILED, _name_of(error))
 
     def _headers(
@@ -197,10 +199,7 @@
         response = connection.getresponse()
         body = self._read_body(connection, response, deadline)
         headers = without_hop_by_hop(tuple(response.getheaders()))
-        if response.will_close:
-            connection.close()
-        else:
-            self._keep(connection)
+        connection.reusable = not response.will_close
         return Answer(response.status, headers, body)
 
     def _read_body(
@@ -210,6 +209,8 @@
         deadline: float,
     ) -> bytes:
         declared = response.length
+        if declared is None and not response.chunked:
+            raise AnswerCutShortError
         chunks: list[bytes] = []
         size = 0
         while True:
@@ -238,19 +239,28 @@
 
 
 class _Abort:
-    """Ends a blocked exchange from another thread."""
+    """Ends a blocked exchange from another thread, until it is disarmed."""
 
     def __init__(self, connection: _Connection) -> None:
-        self._connection = connection
+        self._connection: _Connection | None = connection
+        self._lock = threading.Lock()
+        self._aborted = False
 
     def __call__(self) -> None:
-        sock = self._connection.sock
-        if sock is None:
-            return
-        try:
-            sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            _LOGGER.debug("backend: connection was closed already.")
+        with self._lock:
+            if self._connection is None or self._connection.sock is None:
+                return
+            self._aborted = True
+            try:
+                self._connection.sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                _LOGGER.debug("backend: connection was closed already.")
+
+    def disarm(self) -> bool:
+        """Let go of the connection; tell whether it was aborted before."""
+        with self._lock:
+            self._connection = None
+            return self._aborted
 
 
 def _write(connection: _Connection, request: Request, headers: Headers) -> None:
--- /dev/null
+++ b/damaskbay/core/identify.py
@@ -0,0 +1,97 @@
+"""Who calls, which route, on which terms: the context of a root call."""
+
+import hashlib
+from dataclasses import dataclass
+from typing import Protocol
+
+from damaskbay.config.objects import Access, ConfigSet, Key, Route
+from damaskbay.core.call import CallContext
+from damaskbay.core.outcome import Reason, Refusal, not_run
+
+
+class RouteMatcher(Protocol):
+    """Finds the route of a request."""
+
+    def match(self, host: str, method: str, path: str) -> Route | None:
+        """Return the route, or None where none matches."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Credentials:
+    """
+    What came with a root call. `deadline_s` is the caller's wish in seconds.
+
+    `idempotent` is the caller's own mark, None where it made none.
+    """
+
+    key: str | None = None
+    deadline_s: float | None = None
+    request_id: str | None = None
+    idempotent: bool | None = None
+
+
+def identify_root(
+    config: ConfigSet,
+    route: Route,
+    credentials: Credentials,
+    *,
+    call_id: str,
+    now: float,
+    wall_now: float,
+) -> CallContext | Refusal:
+    """
+    Return the context of a root call or the reason why it may not run.
+
+    `now` is in seconds of the monotonic clock, `wall_now` in seconds since 1970.
+    """
+    key = find_key(config, credentials.key, wall_now=wall_now)
+    if isinstance(key, Refusal):
+        if route.access is not Access.OPEN:
+            return key
+        key = None
+    idempotent = route.idempotent and credentials.idempotent is not False
+    deadline_s = route.deadline_s
+    if credentials.deadline_s is not None:
+        deadline_s = min(deadline_s, credentials.deadline_s)
+    return CallContext(
+        call_id=call_id,
+        workspace=key.workspace if key else "",
+        priority_rank=config.priorities_by_name[route.priority].rank,
+        deadline=now + deadline_s,
+        route=route.name,
+        pool=route.pool,
+        idempotent=idempotent,
+        retry_tokens=route.retries,
+        request_id=credentials.request_id,
+        config_version=config.version,
+        key_name=key.name if key else None,
+    )
+
+
+def find_key(
+    config: ConfigSet, secret: str | None, *, wall_now: float
+) -> Key | Refusal:
+    """Return the key object that a secret belongs to."""
+    if not secret:
+        return not_run(Reason.KEY_MISSING)
+    digest = hashlib.sha256(secret.encode()).hexdigest()
+    key = config.keys_by_digest.get(digest)
+    if key is None:
+        return not_run(Reason.KEY_UNKNOWN)
+    if key.expires_at is not None and key.expires_at <= wall_now:
+        return not_run(Reason.KEY_WITHDRAWN, detail="the key has expired")
+    return key
+
+
+def still_allowed(
+    config: ConfigSet, key_names: frozenset[str], context: CallContext
+) -> Refusal | None:
+    """Refuse a waiting call whose key, workspace or route has been withdrawn."""
+    if context.route not in config.routes_by_name:
+        return not_run(Reason.NO_ROUTE, detail="the route was withdrawn")
+    if context.key_name is not None and context.key_name not in key_names:
+        return not_run(Reason.KEY_WITHDRAWN)
+    if context.workspace and context.workspace not in config.workspaces_by_name:
+        return not_run(Reason.KEY_WITHDRAWN, detail="the workspace was withdrawn")
+    return None
--- /dev/null
+++ b/damaskbay/daemon/messages.py
@@ -0,0 +1,158 @@
+"""Messages of calls between daemons."""
+
+from dataclasses import dataclass
+
+from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
+from damaskbay.core.outcome import Outcome, Reason, Refusal
+from damaskbay.helpers.messages import message
+
+
+@message("call")
+@dataclass(frozen=True, slots=True)
+class CallMessage:
+    """
+    A call on its way to the daemon that is to run it.
+
+    `remaining_s` is the time left in seconds. With `owned` the receiver owns the
+    request id: it makes the call as its first daemon instead of running it.
+    """
+
+    call_id: str
+    workspace: str
+    priority_rank: int
+    remaining_s: float
+    route: str
+    pool: str
+    idempotent: bool
+    depth: int
+    retry_tokens: int
+    request_id: str | None
+    config_version: int
+    key_name: str | None
+    method: str
+    host: str
+    target: str
+    headers: Headers
+    body: bytes
+    owned: bool = False
+
+
+@message("call.answer")
+@dataclass(frozen=True, slots=True)
+class AnswerMessage:
+    """A whole answer on its way back."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    attempts: int
+    retry_tokens_left: int
+    admission_level: int | None
+    served_by: str
+
+
+@message("call.refusal")
+@dataclass(frozen=True, slots=True)
+class RefusalMessage:
+    """A refusal on its way back."""
+
+    reason: Reason
+    outcome: Outcome
+    retry_after_s: float | None
+    detail: str
+    attempts: int
+    retry_tokens_left: int
+    admission_level: int | None
+    served_by: str
+
+
+def to_call_message(
+    context: CallContext, request: Request, *, now: float, owned: bool = False
+) -> CallMessage:
+    """Return the message that hands a call on; its deadline becomes time left."""
+    return CallMessage(
+        call_id=context.call_id,
+        workspace=context.workspace,
+        priority_rank=context.priority_rank,
+        remaining_s=max(0.0, context.deadline - now),
+        route=context.route,
+        pool=context.pool,
+        idempotent=context.idempotent,
+        depth=context.depth,
+        retry_tokens=context.retry_tokens,
+        request_id=context.request_id,
+        config_version=context.config_version,
+        key_name=context.key_name,
+        method=request.method,
+        host=request.host,
+        target=request.target,
+        headers=request.headers,
+        body=request.body,
+        owned=owned,
+    )
+
+
+def context_of(call: CallMessage, *, now: float) -> CallContext:
+    """Return the context of a received call, with a deadline of this machine."""
+    return CallContext(
+        call_id=call.call_id,
+        workspace=call.workspace,
+        priority_rank=call.priority_rank,
+        deadline=now + call.remaining_s,
+        route=call.route,
+        pool=call.pool,
+        idempotent=call.idempotent,
+        depth=call.depth,
+        retry_tokens=call.retry_tokens,
+        request_id=call.request_id,
+        config_version=call.config_version,
+        key_name=call.key_name,
+    )
+
+
+def request_of(call: CallMessage) -> Request:
+    """Return the request of a received call."""
+    return Request(call.method, call.host, call.target, call.headers, call.body)
+
+
+def to_result_message(result: CallResult) -> AnswerMessage | RefusalMessage:
+    """Return the message that carries a result back."""
+    outcome = result.result
+    if isinstance(outcome, Answer):
+        return AnswerMessage(
+            outcome.status,
+            outcome.headers,
+            outcome.body,
+            result.attempts,
+            result.retry_tokens_left,
+            result.admission_level,
+            result.served_by,
+        )
+    return RefusalMessage(
+        outcome.reason,
+        outcome.outcome,
+        outcome.retry_after_s,
+        outcome.detail,
+        result.attempts,
+        result.retry_tokens_left,
+        result.admission_level,
+        result.served_by,
+    )
+
+
+def result_of(reply: AnswerMessage | RefusalMessage) -> CallResult:
+    """Return the result that a message carries."""
+    outcome: Answer | Refusal
+    if isinstance(reply, AnswerMessage):
+        outcome = Answer(reply.status, reply.headers, reply.body)
+    else:
+        outcome = Refusal(
+            reply.reason, reply.outcome, reply.retry_after_s, reply.detail
+        )
+    return CallResult(
+        outcome,
+        reply.attempts,
+        reply.retry_tokens_left,
+        reply.admission_level,
+        reply.served_by,
+    )
