--- a/damaskbay/core/identify.py
+++ b/damaskbay/core/identify.py
@@ -45,11 +45,10 @@
 
     `now` is in seconds of the monotonic clock, `wall_now` in seconds since 1970.
     """
-    key = find_key(config, credentials.key, wall_now=wall_now)
-    if isinstance(key, Refusal):
-        if route.access is not Access.OPEN:
-            return key
-        key = None
+    found = find_key(config, credentials.key, wall_now=wall_now)
+    if isinstance(found, Refusal) and route.access is not Access.OPEN:
+        return found
+    key = None if isinstance(found, Refusal) else found
     idempotent = route.idempotent and credentials.idempotent is not False
     deadline_s = route.deadline_s
     if credentials.deadline_s is not None:
