--- /dev/null
+++ b/damaskbay/core/retry/const.py
@@ -0,0 +1,28 @@
+"""Constants of retries."""
+
+from damaskbay.core.outcome import Reason
+
+BACK_OFF_BASE_S = 0.02
+BACK_OFF_MAX_S = 1.0
+MIN_TIME_LEFT_S = 0.01
+
+BUDGET_SHARE = 0.1
+BUDGET_MIN_PER_S = 1.0
+BUDGET_MAX_RETRIES = 100.0
+
+STATUS_SERVER_SHEDS = 503
+
+RETRIED_ELSEWHERE = frozenset(
+    {
+        Reason.OVERLOADED,
+        Reason.QUEUE_FULL,
+        Reason.DEADLINE_TOO_SHORT,
+        Reason.BACKEND_SERVER_DRAINING,
+        Reason.BACKEND_SERVER_FAILED,
+        Reason.PEER_UNREACHABLE,
+        Reason.PEER_LOST,
+        Reason.ANSWER_INCOMPLETE,
+        Reason.REQUEST_OWNER_GONE,
+        Reason.SHUTTING_DOWN,
+    }
+)
