--- /dev/null
+++ b/damaskbay/core/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rate and burst of a workspace, counted once over the whole fleet."""
--- /dev/null
+++ b/damaskbay/core/rates/bucket.py
@@ -0,0 +1,122 @@
+"""The token bucket of one holder, with the tokens that others spend for it."""
+
+from dataclasses import dataclass
+
+from damaskbay.core.rates.const import MILLIS
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """
+    A holder's part of one bucket.
+
+    Rate in thousandths of a token per second, burst in thousandths of a token.
+    """
+
+    rate_millis: int
+    burst_millis: int
+
+    def within(self, other: "Share") -> "Share":
+        """Return the smaller of both, rate and burst each."""
+        return Share(
+            min(self.rate_millis, other.rate_millis),
+            min(self.burst_millis, other.burst_millis),
+        )
+
+
+NO_SHARE = Share(0, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    count: int
+    lapses_at: float
+
+
+class HolderBucket:
+    """
+    Accrues tokens at the share's rate, never more than its burst.
+
+    Tokens that were granted to a daemon count against the burst until the
+    daemon closes the grant or the grant lapses, so that all tokens that can
+    still be spent never exceed the share's burst.
+    """
+
+    def __init__(self, share: Share, level: float, now: float) -> None:
+        self.share = share
+        self._level = min(level, share.burst_millis / MILLIS)
+        self._at = now
+        self._grants_by_id: dict[str, _Grant] = {}
+        self._outstanding = 0
+
+    @property
+    def outstanding(self) -> int:
+        """Return the tokens granted and neither closed nor lapsed."""
+        return self._outstanding
+
+    def level(self, now: float) -> float:
+        """Return the tokens that can be granted now."""
+        self._lapse(now)
+        self._accrue(now)
+        return self._level
+
+    def grant(self, grant_id: str, count: int, lapses_at: float, now: float) -> int:
+        """Move up to `count` whole tokens out and return how many."""
+        if grant_id in self._grants_by_id:
+            return 0
+        granted = min(count, int(self.level(now)))
+        if granted <= 0:
+            return 0
+        self._level -= granted
+        self._outstanding += granted
+        self._grants_by_id[grant_id] = _Grant(granted, lapses_at)
+        return granted
+
+    def close(self, grant_id: str, unused: int, now: float) -> None:
+        """Take a grant's unused tokens back; the others were spent."""
+        self._lapse(now)
+        grant = self._grants_by_id.pop(grant_id, None)
+        if grant is None:
+            return
+        self._accrue(now)
+        self._outstanding -= grant.count
+        self._add(min(max(unused, 0), grant.count))
+
+    def set_share(self, share: Share, now: float) -> None:
+        """Go on with another share; tokens above its burst are lost."""
+        self._accrue(now)
+        self.share = share
+        self._add(0)
+
+    def add_tokens(self, count: float, now: float) -> None:
+        """Take in tokens that were moved here with a share."""
+        self._accrue(now)
+        self._add(count)
+
+    def remove_tokens(self, limit: float, now: float) -> float:
+        """Move at most `limit` tokens out and return how many."""
+        taken = min(limit, self.level(now))
+        self._level -= taken
+        return taken
+
+    def _accrue(self, now: float) -> None:
+        elapsed_s = max(0.0, now - self._at)
+        self._at = max(self._at, now)
+        self._add(elapsed_s * self.share.rate_millis / MILLIS)
+
+    def _add(self, count: float) -> None:
+        room = self.share.burst_millis / MILLIS - self._outstanding
+        self._level = max(0.0, min(self._level + count, room))
+
+    def _lapse(self, now: float) -> None:
+        """Forget the tokens of grants whose daemons surely dropped them."""
+        lapsed = [
+            grant_id
+            for grant_id, grant in self._grants_by_id.items()
+            if grant.lapses_at <= now
+        ]
+        if not lapsed:
+            return
+        self._accrue(now)
+        for grant_id in lapsed:
+            self._outstanding -= self._grants_by_id.pop(grant_id).count
