Speak to peers over proven msgpack streams

Cause: daemons have no way to exchange typed messages. Change: adapters/peer_stream implements ports.peer.PeerLink: one thread owns all peer sockets; mutual HMAC proof over both hellos and the role; bounded frames, queues, streams and requests; pings only where something waits for a byte; a failure is NOT_SENT only when no byte of the frame left. core/http_status maps each refusal's reason to its HTTP status.

--- /dev/null
+++ b/damaskbay/adapters/peer_stream/__init__.py
@@ -0,0 +1,6 @@
+"""Streams of msgpack frames between daemons, proven by a shared secret."""
+
+from damaskbay.adapters.peer_stream.options import PeerStreamOptions, PeerStreamStats
+from damaskbay.adapters.peer_stream.streams import PeerStreams
+
+__all__ = ["PeerStreamOptions", "PeerStreamStats", "PeerStreams"]
--- /dev/null
+++ b/damaskbay/adapters/peer_stream/client.py
@@ -0,0 +1,266 @@
+"""The requesting side: streams opened on demand and the requests under way."""
+
+import errno
+import heapq
+import socket
+import ssl
+from collections.abc import Sequence
+from concurrent.futures import Future, InvalidStateError
+from dataclasses import dataclass, field
+from typing import Any
+
+from damaskbay.adapters.peer_stream.exceptions import FrameError
+from damaskbay.adapters.peer_stream.frames import Frame, FrameKind
+from damaskbay.adapters.peer_stream.options import PeerStreamOptions, PeerStreamStats
+from damaskbay.adapters.peer_stream.outbox import Outgoing
+from damaskbay.adapters.peer_stream.pool import StreamPool
+from damaskbay.adapters.peer_stream.proof import Handshake, Role
+from damaskbay.adapters.peer_stream.stream import PeerStream, StreamState
+from damaskbay.helpers.messages import BadMessage, unpack
+from damaskbay.ports.peer import (
+    PeerAddress,
+    PeerFailure,
+    PeerIdentity,
+    PeerProblem,
+)
+
+
+@dataclass(slots=True, eq=False)
+class OutgoingRequest:
+    """A request from its call to its end. `deadline` is in the loop's seconds."""
+
+    correlation_id: int
+    peer: PeerAddress
+    payload: bytes
+    deadline: float
+    future: "Future[Any]" = field(default_factory=Future)
+    stream: PeerStream | None = None
+    frame: Outgoing | None = None
+
+    def end(self, result: Any) -> None:
+        """Hand the caller its result; a cancelled future takes none."""
+        try:
+            self.future.set_result(result)
+        except InvalidStateError:
+            return
+
+    def fail(self, problem: PeerProblem, detail: str) -> None:
+        """Hand the caller a failure, as NOT_SENT where no byte had left."""
+        if self.frame is None or not self.frame.started:
+            problem = PeerProblem.NOT_SENT
+        self.end(PeerFailure(problem, detail))
+
+
+class RequestingSide:
+    """Opens streams and matches answers to requests. Used by the loop only."""
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        secrets: Sequence[bytes],
+        pool: StreamPool,
+        options: PeerStreamOptions,
+        stats: PeerStreamStats,
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        self._identity = identity
+        self._secrets = secrets
+        self._pool = pool
+        self._options = options
+        self._stats = stats
+        self._tls = tls
+        self._streams_by_address: dict[PeerAddress, PeerStream] = {}
+        self._requests_by_id: dict[int, OutgoingRequest] = {}
+        self._ids_by_stream: dict[PeerStream, set[int]] = {}
+        self._deadlines: list[tuple[float, int]] = []
+        self._paused_until: dict[PeerAddress, float] = {}
+
+    def request(self, request: OutgoingRequest, now: float) -> None:
+        """Send a request, or fail it at once."""
+        if request.future.cancelled():
+            return
+        if len(self._requests_by_id) >= self._options.max_requests:
+            request.fail(PeerProblem.NOT_SENT, "too many requests are waiting")
+            return
+        stream = self._stream_for(request.peer, len(request.payload), now)
+        if isinstance(stream, str):
+            request.fail(PeerProblem.NOT_SENT, stream)
+            return
+        self._track(request, stream)
+        if stream.liveness.ping_with_request(now):
+            self._pool.put(stream, FrameKind.PING)
+        request.frame = self._pool.put(
+            stream, FrameKind.REQUEST, request.correlation_id, request.payload
+        )
+        stream.used_at = now
+        self._stats.requests_sent += 1
+
+    def send(self, peer: PeerAddress, payload: bytes, now: float) -> None:
+        """Send without an answer, or drop."""
+        stream = self._stream_for(peer, len(payload), now)
+        if isinstance(stream, str):
+            self._stats.sends_dropped += 1
+            return
+        stream.used_at = now
+        self._pool.put(stream, FrameKind.SEND, payload=payload)
+
+    def cancel(self, request: OutgoingRequest) -> None:
+        """Take back a request whose future was cancelled."""
+        if self._requests_by_id.get(request.correlation_id) is request:
+            self._stats.requests_cancelled += 1
+            self._give_up(request)
+
+    def on_frame(self, stream: PeerStream, frame: Frame, now: float) -> None:
+        """Match an answer to its request on the same stream."""
+        if frame.kind is FrameKind.GOODBYE:
+            self._leave(stream)
+            return
+        if frame.kind not in (FrameKind.ANSWER, FrameKind.REJECTED, FrameKind.DROPPED):
+            raise FrameError(f"{frame.kind.name} from an acceptor")
+        request = self._requests_by_id.get(frame.correlation_id)
+        if request is None or request.stream is not stream:
+            self._stats.answers_stray += 1
+            return
+        self._untrack(request)
+        if frame.kind is FrameKind.ANSWER:
+            request.end(self._answer(frame.payload))
+        elif frame.kind is FrameKind.REJECTED:
+            detail = frame.payload.decode("ascii", "replace")
+            request.end(PeerFailure(PeerProblem.REJECTED, detail))
+        else:
+            request.fail(PeerProblem.LOST, "the answer could not be sent")
+        stream.used_at = now
+
+    def on_end(self, stream: PeerStream, now: float, detail: str) -> None:
+        """Fail the requests of a stream that has ended."""
+        self._leave(stream)
+        if not stream.was_proven:
+            self._paused_until[stream.address] = now + self._options.reconnect_pause_s
+        for correlation_id in tuple(self._ids_by_stream.get(stream, ())):
+            request = self._requests_by_id[correlation_id]
+            self._untrack(request)
+            request.fail(PeerProblem.LOST, detail)
+        self._ids_by_stream.pop(stream, None)
+
+    def busy(self, stream: PeerStream) -> bool:
+        """Tell whether requests wait for answers on a stream."""
+        return bool(self._ids_by_stream.get(stream))
+
+    def next_due(self) -> float:
+        """Return the time of the next request's deadline."""
+        return self._deadlines[0][0] if self._deadlines else float("inf")
+
+    def tick(self, now: float) -> None:
+        """End requests whose time is up, and streams that nobody uses."""
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, correlation_id = heapq.heappop(self._deadlines)
+            request = self._requests_by_id.get(correlation_id)
+            if request is not None:
+                self._stats.requests_timed_out += 1
+                self._give_up(request)
+                request.fail(PeerProblem.TIMEOUT, "no answer in time")
+        for stream in self._pool.of(self):
+            self._end_unused(stream, now)
+        for address, until in tuple(self._paused_until.items()):
+            if until <= now:
+                del self._paused_until[address]
+
+    def _end_unused(self, stream: PeerStream, now: float) -> None:
+        if self.busy(stream) or stream.queued_bytes:
+            return
+        if stream.leaving:
+            self._pool.end(stream, now, "replaced")
+        elif now - stream.used_at > self._options.idle_close_s:
+            self._stats.streams_idle_closed += 1
+            self._pool.end(stream, now, "idle")
+
+    def _give_up(self, request: OutgoingRequest) -> None:
+        """Forget a request; the peer is told unless no byte of it had left."""
+        stream, frame = request.stream, request.frame
+        self._untrack(request)
+        if stream is None or frame is None or stream.state is StreamState.ENDED:
+            return
+        if not stream.withdraw(frame):
+            self._pool.put(stream, FrameKind.CANCEL, request.correlation_id)
+
+    def _track(self, request: OutgoingRequest, stream: PeerStream) -> None:
+        request.stream = stream
+        self._requests_by_id[request.correlation_id] = request
+        self._ids_by_stream[stream].add(request.correlation_id)
+        heapq.heappush(self._deadlines, (request.deadline, request.correlation_id))
+        self._stats.requests = len(self._requests_by_id)
+
+    def _untrack(self, request: OutgoingRequest) -> None:
+        del self._requests_by_id[request.correlation_id]
+        if request.stream is not None:
+            self._ids_by_stream[request.stream].discard(request.correlation_id)
+        self._stats.requests = len(self._requests_by_id)
+        deadlines = self._deadlines
+        while deadlines and deadlines[0][1] not in self._requests_by_id:
+            heapq.heappop(deadlines)
+
+    def _answer(self, payload: bytes) -> Any:
+        item = unpack(payload, max_bytes=self._options.max_frame_bytes)
+        if isinstance(item, BadMessage):
+            return PeerFailure(PeerProblem.LOST, f"bad answer: {item.detail}")
+        return item
+
+    def _leave(self, stream: PeerStream) -> None:
+        """Keep new requests off a stream."""
+        stream.leaving = True
+        if self._streams_by_address.get(stream.address) is stream:
+            del self._streams_by_address[stream.address]
+
+    def _stream_for(self, peer: PeerAddress, size: int, now: float) -> PeerStream | str:
+        """Return the stream to use, or why there is none."""
+        stream = self._streams_by_address.get(peer)
+        if stream is not None and stream.liveness.suspect(now):
+            self._stats.streams_suspect += 1
+            self._leave(stream)
+            stream = None
+        if stream is None:
+            return self._open(peer, now)
+        if stream.queued_bytes + size > self._options.max_queue_bytes:
+            return "the stream's queue is full"
+        return stream
+
+    def _open(self, peer: PeerAddress, now: float) -> PeerStream | str:
+        if self._paused_until.get(peer, now) > now:
+            return "the peer could not be reached just now"
+        if len(self._pool) >= self._options.max_streams and not self._make_room(now):
+            return "too many streams"
+        try:
+            sock = self._connect(peer)
+        except OSError as error:
+            self._stats.streams_failed += 1
+            return f"connect failed: {error}"
+        handshake = Handshake(Role.INITIATOR, self._identity, self._secrets)
+        stream = PeerStream(sock, peer, handshake, self._options, self._stats, now)
+        self._streams_by_address[peer] = stream
+        self._ids_by_stream[stream] = set()
+        self._pool.add(stream, self)
+        self._stats.streams_opened += 1
+        return stream
+
+    def _connect(self, peer: PeerAddress) -> socket.socket:
+        family = socket.AF_INET6 if ":" in peer.host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex((peer.host, peer.port))
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            raise OSError(code, errno.errorcode.get(code, "connect"))
+        if self._tls is not None:
+            return self._tls.wrap_socket(sock, do_handshake_on_connect=False)
+        return sock
+
+    def _make_room(self, now: float) -> bool:
+        """End the unused stream that was used longest ago."""
+        unused = [s for s in self._pool.of(self) if not self.busy(s)]
+        if not unused:
+            return False
+        oldest = min(unused, key=lambda stream: stream.used_at)
+        self._stats.streams_idle_closed += 1
+        self._pool.end(oldest, now, "room for another")
+        return True
--- /dev/null
+++ b/damaskbay/adapters/peer_stream/liveness.py
@@ -0,0 +1,64 @@
+"""Decides when a stream is pinged, suspect or silent."""
+
+from enum import Enum
+
+from damaskbay.adapters.peer_stream.options import PeerStreamOptions
+
+
+class Verdict(Enum):
+    """What is due on a stream."""
+
+    ALIVE = "alive"
+    PING = "ping"
+    SILENT = "silent"
+
+
+class Liveness:
+    """
+    Follows the bytes heard on one stream.
+
+    A ping is answered by the task that owns the peer's socket, so that an
+    unanswered one tells of the path and never of a slow request.
+    """
+
+    def __init__(self, options: PeerStreamOptions, now: float) -> None:
+        self._options = options
+        self._heard_at = now
+        self._ping_at: float | None = None
+
+    def heard(self, now: float) -> None:
+        """Take note of bytes from the peer."""
+        self._heard_at = now
+        self._ping_at = None
+
+    def ping_with_request(self, now: float) -> bool:
+        """Tell whether a request that is sent now needs a ping beside it."""
+        if self._ping_at is not None:
+            return False
+        if now - self._heard_at < self._options.heartbeat_s:
+            return False
+        self._ping_at = now
+        return True
+
+    def suspect(self, now: float) -> bool:
+        """Tell whether new requests should avoid the stream."""
+        limit_s = self._options.suspect_heartbeats * self._options.heartbeat_s
+        return self._ping_at is not None and now - self._ping_at > limit_s
+
+    def forgive(self, now: float) -> None:
+        """Start the wait anew, after this process itself was paused."""
+        if self._ping_at is not None:
+            self._ping_at = now
+
+    def due(self, now: float, *, busy: bool) -> Verdict:
+        """Return what is due; `busy` while requests are under way."""
+        if self._ping_at is not None:
+            limit_s = self._options.silent_heartbeats * self._options.heartbeat_s
+            late = now - self._ping_at > limit_s
+            return Verdict.SILENT if late else Verdict.ALIVE
+        options = self._options
+        pause_s = options.heartbeat_s if busy else options.idle_heartbeat_s
+        if now - self._heard_at < pause_s:
+            return Verdict.ALIVE
+        self._ping_at = now
+        return Verdict.PING
--- /dev/null
+++ b/damaskbay/adapters/peer_stream/outbox.py
@@ -0,0 +1,88 @@
+"""The bounded queue of frames that wait to be written to one stream."""
+
+import socket
+import ssl
+from collections import deque
+from dataclasses import dataclass
+
+from damaskbay.adapters.peer_stream.const import FRAMES_PER_SEND
+
+
+@dataclass(slots=True, eq=False)
+class Outgoing:
+    """A frame to send; `started` once a byte of it may have left the process."""
+
+    data: bytes
+    started: bool = False
+
+
+class Outbox:
+    """Frames in order. Writes what the socket takes, never blocks."""
+
+    def __init__(self) -> None:
+        self.queued_bytes = 0
+        self._frames: deque[Outgoing] = deque()
+        self._offset = 0
+
+    def __bool__(self) -> bool:
+        return bool(self._frames)
+
+    def put(self, frame: Outgoing) -> None:
+        """Queue a frame."""
+        self._frames.append(frame)
+        self.queued_bytes += len(frame.data)
+
+    def withdraw(self, frame: Outgoing) -> bool:
+        """Take a frame back; return False where a byte of it may have left."""
+        if frame.started:
+            return False
+        try:
+            self._frames.remove(frame)
+        except ValueError:
+            return False
+        self.queued_bytes -= len(frame.data)
+        return True
+
+    def move_to(self, other: "Outbox") -> None:
+        """Hand over all frames, none of which has started."""
+        while self._frames:
+            other.put(self._frames.popleft())
+        self.queued_bytes = 0
+
+    def flush(self, sock: socket.socket) -> int:
+        """Write until the socket takes no more; return the bytes; raise OSError."""
+        total = 0
+        while self._frames:
+            try:
+                sent = self._write(sock)
+            except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
+                break
+            self._advance(sent)
+            total += sent
+        return total
+
+    def _write(self, sock: socket.socket) -> int:
+        head = self._frames[0]
+        if isinstance(sock, ssl.SSLSocket):
+            # A record may be half written when the socket takes no more.
+            head.started = True
+            return sock.send(memoryview(head.data)[self._offset :])
+        if len(self._frames) == 1:
+            return sock.send(memoryview(head.data)[self._offset :])
+        count = min(FRAMES_PER_SEND, len(self._frames))
+        parts = [memoryview(self._frames[index].data) for index in range(count)]
+        parts[0] = parts[0][self._offset :]
+        return sock.sendmsg(parts)
+
+    def _advance(self, sent: int) -> None:
+        while sent:
+            head = self._frames[0]
+            head.started = True
+            left = len(head.data) - self._offset
+            if sent < left:
+                self._offset += sent
+                return
+            sent -= left
+            self._offset = 0
+            self._frames.popleft()
+            self.queued_bytes -= len(head.data)
--- /dev/null
+++ b/damaskbay/adapters/peer_stream/server.py
@@ -0,0 +1,298 @@
+"""The answering side: the listener, the streams it accepts, the running requests."""
+
+import contextlib
+import logging
+import selectors
+import socket
+import ssl
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from damaskbay.adapters.peer_stream.const import CONTROL_RESERVE_BYTES
+from damaskbay.adapters.peer_stream.exceptions import FrameError
+from damaskbay.adapters.peer_stream.frames import Frame, FrameKind
+from damaskbay.adapters.peer_stream.options import PeerStreamOptions, PeerStreamStats
+from damaskbay.adapters.peer_stream.pool import StreamPool
+from damaskbay.adapters.peer_stream.proof import Handshake, Role
+from damaskbay.adapters.peer_stream.stream import PeerStream
+from damaskbay.helpers.messages import BadMessage, pack, unpack
+from damaskbay.ports.peer import Handler, PeerAddress, PeerIdentity
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, eq=False)
+class IncomingRequest:
+    """A request that runs here; `open` until it is answered or cancelled."""
+
+    stream: PeerStream
+    correlation_id: int
+    open: bool = True
+    cancelled: bool = False
+    on_cancel: list[Callable[[], None]] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerCommand:
+    """Send an answer, packed by the thread that gave it."""
+
+    request: IncomingRequest
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class OnCancelCommand:
+    """Call back when the request is cancelled."""
+
+    request: IncomingRequest
+    callback: Callable[[], None]
+
+
+class Post(Protocol):
+    """Queues a command for the loop."""
+
+    def __call__(self, command: Any) -> bool:
+        """Return False where the loop takes no more."""
+        ...
+
+
+class StreamResponder:
+    """Answers one request; safe from any thread."""
+
+    __slots__ = ("_post", "_request")
+
+    def __init__(self, request: IncomingRequest, post: Post) -> None:
+        self._request = request
+        self._post = post
+
+    def answer(self, message: Any) -> None:
+        """Send the answer; a second one is dropped."""
+        if self._request.open:
+            self._post(AnswerCommand(self._request, pack(message)))
+
+    def on_cancel(self, callback: Callable[[], None]) -> None:
+        """Call back on the loop's thread when the request is cancelled."""
+        self._post(OnCancelCommand(self._request, callback))
+
+
+class _NoResponder:
+    """Stands in where the sender wants no answer."""
+
+    def answer(self, message: Any) -> None:
+        """Drop the answer."""
+
+    def on_cancel(self, callback: Callable[[], None]) -> None:
+        """Ignore: nothing can be cancelled."""
+
+
+class AnsweringSide:
+    """Accepts streams and hands requests to handlers. Used by the loop only."""
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        secrets: Sequence[bytes],
+        pool: StreamPool,
+        options: PeerStreamOptions,
+        stats: PeerStreamStats,
+        tls: ssl.SSLContext | None,
+        post: Post,
+    ) -> None:
+        self._identity = identity
+        self._secrets = secrets
+        self._pool = pool
+        self._options = options
+        self._stats = stats
+        self._tls = tls
+        self._post = post
+        self._handlers: dict[type[Any], Handler] = {}
+        self._running: dict[PeerStream, dict[int, IncomingRequest]] = {}
+        self._listener: socket.socket | None = None
+        self._selector: selectors.BaseSelector | None = None
+        self.draining = False
+
+    def register(self, message_type: type[Any], handler: Handler) -> None:
+        """Handle messages of one type."""
+        self._handlers[message_type] = handler
+
+    def listen(
+        self, address: PeerAddress, selector: selectors.BaseSelector
+    ) -> PeerAddress:
+        """Open the listener; return its address with the port it got."""
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        listener = socket.create_server(
+            (address.host, address.port), family=family, backlog=self._options.backlog
+        )
+        listener.setblocking(False)
+        selector.register(listener, selectors.EVENT_READ, self._accept)
+        self._listener = listener
+        self._selector = selector
+        host, port = listener.getsockname()[:2]
+        return PeerAddress(host, port)
+
+    def close_listener(self) -> None:
+        """Take no new streams."""
+        if self._listener is not None and self._selector is not None:
+            self._selector.unregister(self._listener)
+            self._listener.close()
+            self._listener = None
+
+    def drain(self) -> None:
+        """Take no new streams and requests; running ones go on."""
+        self.draining = True
+        self.close_listener()
+        for stream in self._pool.of(self):
+            self._pool.put(stream, FrameKind.GOODBYE)
+
+    @property
+    def drained(self) -> bool:
+        """Tell whether nothing runs and every answer is written."""
+        return not any(self._running.values()) and not any(
+            stream.queued_bytes for stream in self._pool.of(self) if stream.proven
+        )
+
+    def answer(self, command: AnswerCommand) -> None:
+        """Send an answer, or tell the peer that it cannot be sent."""
+        request = command.request
+        if not request.open:
+            return
+        self._close(request)
+        stream, size = request.stream, len(command.payload)
+        queued = stream.queued_bytes
+        room = self._options.max_queue_bytes - queued
+        if size <= min(room, self._options.max_frame_bytes - CONTROL_RESERVE_BYTES):
+            self._pool.put(
+                stream, FrameKind.ANSWER, request.correlation_id, command.payload
+            )
+            return
+        self._stats.answers_dropped += 1
+        self._pool.put(stream, FrameKind.DROPPED, request.correlation_id)
+
+    def add_on_cancel(self, command: OnCancelCommand) -> None:
+        """Keep the callback, or call at once where the request is cancelled."""
+        if command.request.open:
+            command.request.on_cancel.append(command.callback)
+        elif command.request.cancelled:
+            self._call(command.callback)
+
+    def on_frame(self, stream: PeerStream, frame: Frame, now: float) -> None:
+        """Handle a request, a one-way message or a cancellation."""
+        stream.used_at = now
+        if frame.kind is FrameKind.REQUEST:
+            self._run(stream, frame)
+        elif frame.kind is FrameKind.SEND:
+            self._handle_one_way(stream, frame)
+        elif frame.kind is FrameKind.CANCEL:
+            request = self._running_on(stream).get(frame.correlation_id)
+            if request is not None:
+                self._cancel(request)
+        else:
+            raise FrameError(f"{frame.kind.name} from an initiator")
+
+    def on_end(self, stream: PeerStream, now: float, detail: str) -> None:
+        """Cancel what runs for a peer that is gone."""
+        for request in tuple(self._running_on(stream).values()):
+            self._cancel(request)
+        self._running.pop(stream, None)
+
+    def busy(self, stream: PeerStream) -> bool:
+        """Tell whether requests of a stream are running."""
+        return bool(self._running.get(stream))
+
+    def _running_on(self, stream: PeerStream) -> dict[int, IncomingRequest]:
+        return self._running.setdefault(stream, {})
+
+    def _accept(self, _events: int, now: float) -> None:
+        if self._listener is None:
+            return
+        with contextlib.suppress(BlockingIOError, ConnectionError):
+            while True:
+                sock, name = self._listener.accept()
+                self._take(sock, PeerAddress(name[0], name[1]), now)
+
+    def _take(self, sock: socket.socket, address: PeerAddress, now: float) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if len(self._pool) >= self._options.max_streams:
+            self._stats.streams_refused += 1
+            sock.close()
+            return
+        self._shed_unproven(now)
+        if self._tls is not None:
+            sock = self._tls.wrap_socket(
+                sock, server_side=True, do_handshake_on_connect=False
+            )
+        handshake = Handshake(Role.ACCEPTOR, self._identity, self._secrets)
+        stream = PeerStream(sock, address, handshake, self._options, self._stats, now)
+        self._pool.add(stream, self)
+        self._stats.streams_accepted += 1
+
+    def _shed_unproven(self, now: float) -> None:
+        """End the oldest unproven stream where there are too many."""
+        unproven = [s for s in self._pool.of(self) if not s.proven]
+        if len(unproven) >= self._options.max_unproven_streams:
+            self._stats.streams_refused += 1
+            self._pool.end(unproven[0], now, "too many unproven streams")
+
+    def _run(self, stream: PeerStream, frame: Frame) -> None:
+        running = self._running_on(stream)
+        if frame.correlation_id in running:
+            raise FrameError("correlation id is in use")
+        request = IncomingRequest(stream, frame.correlation_id)
+        if self.draining:
+            self._reject(request, "draining")
+            return
+        if len(running) >= self._options.max_running_per_stream:
+            self._reject(request, "too many running requests")
+            return
+        message = unpack(frame.payload, max_bytes=self._options.max_frame_bytes)
+        handler = self._handlers.get(type(message))
+        if isinstance(message, BadMessage) or handler is None:
+            self._reject(request, "no handler for this message")
+            return
+        self._stats.requests_received += 1
+        running[frame.correlation_id] = request
+        try:
+            handler(stream.identity, message, StreamResponder(request, self._post))
+        except Exception:
+            _LOGGER.exception("peer stream: handler failed.")
+            if request.open:
+                self._close(request)
+                self._pool.put(stream, FrameKind.DROPPED, request.correlation_id)
+
+    def _handle_one_way(self, stream: PeerStream, frame: Frame) -> None:
+        message = unpack(frame.payload, max_bytes=self._options.max_frame_bytes)
+        handler = self._handlers.get(type(message))
+        if isinstance(message, BadMessage) or handler is None:
+            self._stats.messages_rejected += 1
+            return
+        try:
+            handler(stream.identity, message, _NoResponder())
+        except Exception:
+            _LOGGER.exception("peer stream: handler failed.")
+
+    def _reject(self, request: IncomingRequest, detail: str) -> None:
+        self._stats.messages_rejected += 1
+        self._pool.put(
+            request.stream,
+            FrameKind.REJECTED,
+            request.correlation_id,
+            detail.encode("ascii"),
+        )
+
+    def _close(self, request: IncomingRequest) -> None:
+        request.open = False
+        self._running_on(request.stream).pop(request.correlation_id, None)
+
+    def _cancel(self, request: IncomingRequest) -> None:
+        request.cancelled = True
+        self._close(request)
+        for callback in request.on_cancel:
+            self._call(callback)
+
+    def _call(self, callback: Callable[[], None]) -> None:
+        try:
+            callback()
+        except Exception:
+            _LOGGER.exception("peer stream: cancel callback failed.")
--- /dev/null
+++ b/damaskbay/adapters/peer_stream/stream.py
@@ -0,0 +1,199 @@
+"""One stream: a non-blocking socket, its handshake, its queue and its liveness."""
+
+import selectors
+import socket
+import ssl
+from collections.abc import Iterator
+from enum import Enum
+
+from damaskbay.adapters.peer_stream.const import RECEIVE_BYTES
+from damaskbay.adapters.peer_stream.exceptions import FrameError, PeerStreamError
+from damaskbay.adapters.peer_stream.frames import (
+    Frame,
+    FrameKind,
+    FrameReader,
+    encode,
+)
+from damaskbay.adapters.peer_stream.liveness import Liveness
+from damaskbay.adapters.peer_stream.options import PeerStreamOptions, PeerStreamStats
+from damaskbay.adapters.peer_stream.outbox import Outbox, Outgoing
+from damaskbay.adapters.peer_stream.proof import Handshake, Role
+from damaskbay.ports.peer import PeerAddress, PeerIdentity
+
+
+class StreamState(Enum):
+    """How far a stream has come."""
+
+    CONNECTING = "connecting"
+    SECURING = "securing"
+    PROVING = "proving"
+    PROVEN = "proven"
+    ENDED = "ended"
+
+
+class PeerStream:
+    """
+    One stream. Only the task that owns it may touch it.
+
+    Frames given before the proof are held back, so that no byte of them leaves
+    before the peer is proven. `leaving` tells that no new request may use it.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        address: PeerAddress,
+        handshake: Handshake,
+        options: PeerStreamOptions,
+        stats: PeerStreamStats,
+        now: float,
+    ) -> None:
+        self.sock = sock
+        self.address = address
+        self.opened_at = now
+        self.used_at = now
+        self.leaving = False
+        self.was_proven = False
+        self.liveness = Liveness(options, now)
+        self.state = (
+            StreamState.CONNECTING
+            if handshake.role is Role.INITIATOR
+            else StreamState.SECURING
+        )
+        self._handshake = handshake
+        self._options = options
+        self._stats = stats
+        self._reader = FrameReader()
+        self._outbox = Outbox()
+        self._held = Outbox()
+        self._interest = selectors.EVENT_WRITE
+
+    @property
+    def role(self) -> Role:
+        """Return this end's role."""
+        return self._handshake.role
+
+    @property
+    def identity(self) -> PeerIdentity:
+        """Return who the proven peer is."""
+        if self._handshake.identity is None:
+            raise PeerStreamError("not proven")
+        return self._handshake.identity
+
+    @property
+    def proven(self) -> bool:
+        """Tell whether both ends have proven themselves."""
+        return self.state is StreamState.PROVEN
+
+    @property
+    def queued_bytes(self) -> int:
+        """Return the bytes that wait to be written."""
+        return self._outbox.queued_bytes + self._held.queued_bytes
+
+    @property
+    def interest(self) -> int:
+        """Return the selector events that the stream waits for."""
+        if self.state in (StreamState.CONNECTING, StreamState.SECURING):
+            return self._interest
+        if self._outbox:
+            return selectors.EVENT_READ | selectors.EVENT_WRITE
+        return selectors.EVENT_READ
+
+    def put(
+        self, kind: FrameKind, correlation_id: int = 0, payload: bytes = b""
+    ) -> Outgoing:
+        """Queue a frame; it leaves on the next flush after the proof."""
+        frame = Outgoing(encode(kind, correlation_id, payload))
+        (self._outbox if self.proven else self._held).put(frame)
+        return frame
+
+    def withdraw(self, frame: Outgoing) -> bool:
+        """Take a frame back; return False where a byte of it may have left."""
+        return self._outbox.withdraw(frame) or self._held.withdraw(frame)
+
+    def flush(self) -> None:
+        """Write what the socket takes; raise OSError."""
+        if self._outbox:
+            self._stats.bytes_sent += self._outbox.flush(self.sock)
+
+    def pump(self, events: int, now: float, buffer: bytearray) -> Iterator[Frame]:
+        """
+        Go on after the selector's events; yield the proven peer's frames.
+
+        Raises OSError and PeerStreamError where the stream cannot go on.
+        """
+        if self.state is StreamState.CONNECTING:
+            self._connected()
+        if self.state is StreamState.SECURING and not self._secured():
+            return
+        if not events & selectors.EVENT_READ:
+            return
+        while self._receive(now, buffer):
+            yield from self._frames()
+            if not self._has_more():
+                return
+
+    def close(self) -> None:
+        """Close the socket; what is queued stays unsent."""
+        self.state = StreamState.ENDED
+        self.sock.close()
+
+    def _connected(self) -> None:
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, "connect failed")
+        self.state = StreamState.SECURING
+
+    def _secured(self) -> bool:
+        if isinstance(self.sock, ssl.SSLSocket):
+            try:
+                self.sock.do_handshake()
+            except ssl.SSLWantReadError:
+                self._interest = selectors.EVENT_READ
+                return False
+            except ssl.SSLWantWriteError:
+                self._interest = selectors.EVENT_WRITE
+                return False
+        self.state = StreamState.PROVING
+        self._say(self._handshake.start())
+        return True
+
+    def _receive(self, now: float, buffer: bytearray) -> bool:
+        try:
+            count = self.sock.recv_into(buffer, RECEIVE_BYTES)
+        except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
+            return False
+        if count == 0:
+            raise PeerStreamError("closed by the peer")
+        self._stats.bytes_received += count
+        self.liveness.heard(now)
+        with memoryview(buffer) as view:
+            self._reader.feed(view[:count])
+        return True
+
+    def _has_more(self) -> bool:
+        """Tell whether TLS holds bytes that no selector will report."""
+        return isinstance(self.sock, ssl.SSLSocket) and self.sock.pending() > 0
+
+    def _frames(self) -> Iterator[Frame]:
+        while (frame := self._reader.next()) is not None:
+            if self.state is StreamState.PROVING:
+                self._say(self._handshake.handle(frame))
+                if self._handshake.proven:
+                    self._become_proven()
+            elif frame.kind is FrameKind.PING:
+                self.put(FrameKind.PONG)
+            elif frame.kind in (FrameKind.HELLO, FrameKind.PROOF):
+                raise FrameError(f"{frame.kind.name} after proof")
+            elif frame.kind is not FrameKind.PONG:
+                yield frame
+
+    def _become_proven(self) -> None:
+        self.state = StreamState.PROVEN
+        self.was_proven = True
+        self._reader.max_bytes = self._options.max_frame_bytes
+        self._held.move_to(self._outbox)
+
+    def _say(self, data: bytes) -> None:
+        if data:
+            self._outbox.put(Outgoing(data))
--- /dev/null
+++ b/damaskbay/core/http_status.py
@@ -0,0 +1,44 @@
+"""HTTP statuses of refusals."""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Final
+
+from damaskbay.core.outcome import Reason, Refusal
+
+_STATUS_BY_REASON: Final[Mapping[Reason, HTTPStatus]] = {
+    Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
+    Reason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.NO_CONFIGURATION: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.CONFIGURATION_UNPROVEN: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.NO_ROUTE: HTTPStatus.NOT_FOUND,
+    Reason.KEY_MISSING: HTTPStatus.UNAUTHORIZED,
+    Reason.KEY_UNKNOWN: HTTPStatus.UNAUTHORIZED,
+    Reason.KEY_WITHDRAWN: HTTPStatus.UNAUTHORIZED,
+    Reason.CALL_TOKEN_UNKNOWN: HTTPStatus.UNAUTHORIZED,
+    Reason.CALL_TOO_DEEP: HTTPStatus.LOOP_DETECTED,
+    Reason.RATE_EXCEEDED: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.SHARE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.QUEUE_FULL: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.DEADLINE_TOO_SHORT: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.DEADLINE_PASSED: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.CANCELLED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.NO_BACKEND_SERVER: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.BACKEND_SERVER_DRAINING: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.BACKEND_SERVER_FAILED: HTTPStatus.BAD_GATEWAY,
+    Reason.PEER_UNREACHABLE: HTTPStatus.BAD_GATEWAY,
+    Reason.PEER_LOST: HTTPStatus.BAD_GATEWAY,
+    Reason.ANSWER_INCOMPLETE: HTTPStatus.BAD_GATEWAY,
+    Reason.ALREADY_RUNNING: HTTPStatus.CONFLICT,
+    Reason.REQUEST_ID_NOT_ISSUED: HTTPStatus.BAD_REQUEST,
+    Reason.REQUEST_ID_EXPIRED: HTTPStatus.GONE,
+    Reason.REQUEST_OWNER_GONE: HTTPStatus.GONE,
+    Reason.SHUTTING_DOWN: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.INTERNAL_ERROR: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+
+
+def status_of(refusal: Refusal) -> int:
+    """Return the HTTP status that carries a refusal to its caller."""
+    return int(_STATUS_BY_REASON[refusal.reason])
