Add the configuration document: models, whole check, matching, deltas

Cause: daemons and operators need one set that is read, checked and told apart by digest in the same way everywhere. Change: pydantic models of each kind, one check that lists every fault of shape and of sense, a digest over 64 buckets of canonical objects so that a change of one object hashes one bucket anew, deltas with a digest check, and a route table that reads dictionaries and gives no route to ambiguous paths. Conclusion: the change of one key in a set of 1 MB is a delta of less than 2 KB.

--- /dev/null
+++ b/damaskbay/config/check.py
@@ -0,0 +1,161 @@
+"""The check of a whole set: every fault at once."""
+
+from collections import defaultdict
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from typing import Any
+
+from damaskbay.config.canonical import to_plain, to_text
+from damaskbay.config.check_routes import route_problems
+from damaskbay.config.const import MAX_OBJECT_BYTES, MAX_PROBLEMS
+from damaskbay.config.document import Change, Document, dict_of, make_document
+from damaskbay.config.exceptions import Problem, Problems
+from damaskbay.config.objects import Key, Kind, Pool, Priority, Route
+from damaskbay.config.parsing import ObjectsByKind, read_shape
+
+_ROUTE_KINDS = frozenset({Kind.ROUTES, Kind.PRIORITIES, Kind.LIMITS, Kind.POOLS})
+
+
+def read_checked(data: bytes | dict[str, Any]) -> Document | Problems:
+    """
+    Read and check a document; return it, or every fault of shape and of sense.
+
+    An object with a fault of shape still counts as named, so that one fault does
+    not bring further ones.
+    """
+    shape = read_shape(data)
+    problems = list(shape.problems)
+    names = {
+        kind: by_name.keys() | shape.broken[kind]
+        for kind, by_name in shape.objects.items()
+    }
+    problems.extend(_sense_problems(shape.objects, names))
+    if problems:
+        return _bounded(problems)
+    return make_document(shape.objects)
+
+
+def check(document: Document) -> Problems:
+    """Return every fault of how the objects fit together; empty: none."""
+    objects = {kind: dict_of(document, kind) for kind in Kind}
+    names = {kind: by_name.keys() for kind, by_name in objects.items()}
+    return _bounded(_sense_problems(objects, names))
+
+
+def check_changed(
+    before: Document, after: Document, changes: Collection[Change]
+) -> Problems:
+    """
+    Check a document that came from a checked one by some changes.
+
+    Finds what `check(after)` finds. Looks only at the changed keys where no
+    other kind changed, since nothing refers to a key.
+    """
+    kinds = {change.kind for change in changes}
+    removed_workspace = any(
+        change.kind is Kind.WORKSPACES and change.item is None for change in changes
+    )
+    if (
+        removed_workspace
+        or kinds & _ROUTE_KINDS
+        or len(changes) > len(before.keys_by_name)
+    ):
+        return check(after)
+    changed = [change.item for change in changes if change.item is not None]
+    keys = [item for item in changed if isinstance(item, Key)]
+    problems = list(_workspace_problems(keys, after.workspaces_by_name.keys()))
+    if keys:
+        digests = {key.digest for key in keys}
+        same = (key for key in after.keys_by_name.values() if key.digest in digests)
+        problems.extend(_digest_problems(same))
+    return _bounded(problems)
+
+
+def _sense_problems(
+    objects: ObjectsByKind, names: Mapping[Kind, Collection[str]]
+) -> Iterator[Problem]:
+    keys = objects[Kind.KEYS]
+    yield from _workspace_problems(keys.values(), names[Kind.WORKSPACES])
+    yield from _digest_problems(keys.values())
+    yield from _rank_problems(objects[Kind.PRIORITIES].values())
+    yield from _pool_problems(objects[Kind.POOLS].values())
+    yield from route_problems(objects, names)
+    yield from _size_problems(objects[Kind.ROUTES].values())
+
+
+def _workspace_problems(
+    keys: Iterable[Key], workspaces: Collection[str]
+) -> Iterator[Problem]:
+    for key in keys:
+        if key.workspace not in workspaces:
+            yield Problem(
+                Kind.KEYS.value,
+                key.name,
+                "workspace",
+                f"there is no workspace {key.workspace!r}",
+                "Name one that stands in the set, or add it.",
+            )
+
+
+def _digest_problems(keys: Iterable[Key]) -> Iterator[Problem]:
+    first_by_digest: dict[str, str] = {}
+    for key in keys:
+        first = first_by_digest.setdefault(key.digest, key.name)
+        if first != key.name:
+            yield Problem(
+                Kind.KEYS.value,
+                key.name,
+                "digest",
+                f"the key {first!r} has the same digest",
+                "Make a new key, or remove one of the two.",
+            )
+
+
+def _rank_problems(priorities: Iterable[Priority]) -> Iterator[Problem]:
+    names_by_rank: dict[int, list[str]] = defaultdict(list)
+    for priority in priorities:
+        names_by_rank[priority.rank].append(priority.name)
+    for rank, names in names_by_rank.items():
+        for name in names[1:]:
+            yield Problem(
+                Kind.PRIORITIES.value,
+                name,
+                "rank",
+                f"the priority {names[0]!r} has the rank {rank} too",
+                "Give each priority a rank of its own.",
+            )
+
+
+def _pool_problems(pools: Iterable[Pool]) -> Iterator[Problem]:
+    for pool in pools:
+        if pool.connections_per_server < pool.slots_per_server:
+            yield Problem(
+                Kind.POOLS.value,
+                pool.name,
+                "connections_per_server",
+                f"{pool.connections_per_server} connections can't fill "
+                f"{pool.slots_per_server} slots",
+                "Allow at least one connection for each slot.",
+            )
+
+
+def _size_problems(routes: Iterable[Route]) -> Iterator[Problem]:
+    for item in routes:
+        size = len(to_text(to_plain(item)))
+        if size > MAX_OBJECT_BYTES:
+            yield Problem(
+                Kind.ROUTES.value,
+                item.name,
+                "",
+                f"has {size} bytes, the limit is {MAX_OBJECT_BYTES}",
+                "Shorten its lists.",
+            )
+
+
+def _bounded(problems: Iterable[Problem]) -> Problems:
+    """Return the problems in a steady order, up to a limit."""
+    ordered = sorted(set(problems), key=_order)
+    return tuple(ordered[:MAX_PROBLEMS])
+
+
+def _order(problem: Problem) -> tuple[str, str, str, str]:
+    return problem.object_kind, problem.name, problem.field, problem.what
--- /dev/null
+++ b/damaskbay/config/check_routes.py
@@ -0,0 +1,188 @@
+"""The check of routes: references, overlaps, call chains, retries and limits."""
+
+from collections import defaultdict
+from collections.abc import Collection, Iterator, Mapping
+
+from damaskbay.config.call_graph import chain_lengths, cycles, reach
+from damaskbay.config.exceptions import Problem
+from damaskbay.config.matching import normal_prefix
+from damaskbay.config.objects import Access, Kind, Limit, LimitScope, Route
+from damaskbay.config.parsing import ObjectsByKind
+from damaskbay.const import MAX_CALL_DEPTH
+
+_Routes = Mapping[str, Route]
+
+
+def route_problems(
+    objects: ObjectsByKind, names: Mapping[Kind, Collection[str]]
+) -> Iterator[Problem]:
+    """Yield the faults of routes; `names` holds broken objects' names too."""
+    routes: _Routes = objects[Kind.ROUTES]
+    limits: Mapping[str, Limit] = objects[Kind.LIMITS]
+    for route in routes.values():
+        yield from _reference_problems(route, names)
+        yield from _callee_problems(route, routes)
+    yield from _overlap_problems(routes)
+    yield from _chain_problems(routes)
+    yield from _retry_problems(routes)
+    yield from _limit_problems(routes, limits)
+
+
+def _problem(route: Route, field: str, what: str, mend: str) -> Problem:
+    return Problem(Kind.ROUTES.value, route.name, field, what, mend)
+
+
+def _reference_problems(
+    route: Route, names: Mapping[Kind, Collection[str]]
+) -> Iterator[Problem]:
+    references = (
+        ("pool", Kind.POOLS, (route.pool,)),
+        ("priority", Kind.PRIORITIES, (route.priority,)),
+        ("limits", Kind.LIMITS, route.limits),
+        ("calls", Kind.ROUTES, route.calls),
+    )
+    for field, kind, named in references:
+        for name in named:
+            if name not in names[kind]:
+                yield _problem(
+                    route,
+                    field,
+                    f"there is no {name!r} among the {kind.value}",
+                    "Name one that stands in the set, or add it.",
+                )
+
+
+def _callee_problems(route: Route, routes: _Routes) -> Iterator[Problem]:
+    for name in route.calls:
+        callee = routes.get(name)
+        if callee is None:
+            continue
+        if route.deadline_s < callee.deadline_s:
+            yield _problem(
+                route,
+                "deadline_s",
+                f"{route.deadline_s:g} s is shorter than the {callee.deadline_s:g} s "
+                f"of {name!r}, which it calls",
+                f"Raise it to {callee.deadline_s:g}, or shorten that of {name!r}.",
+            )
+        if route.access is Access.OPEN and callee.access is Access.KEYED:
+            yield _problem(
+                route,
+                "calls",
+                f"the open route calls the keyed route {name!r}, "
+                "for which its calls have no workspace",
+                f"Make this route keyed, or {name!r} open.",
+            )
+
+
+def _overlap_problems(routes: _Routes) -> Iterator[Problem]:
+    routes_by_place: dict[tuple[str, str], list[Route]] = defaultdict(list)
+    for route in routes.values():
+        place = (route.host, normal_prefix(route.path_prefix))
+        routes_by_place[place].append(route)
+    for same_place in routes_by_place.values():
+        first_by_method: dict[str, Route] = {}
+        for route in same_place:
+            yield from _shared_methods(route, first_by_method, same_place)
+
+
+def _shared_methods(
+    route: Route, first_by_method: dict[str, Route], same_place: list[Route]
+) -> Iterator[Problem]:
+    """Yield one problem for each other route that takes some of the methods."""
+    others: dict[str, set[str]] = defaultdict(set)
+    for method in route.methods:
+        first = first_by_method.setdefault(method, route)
+        if first is not route:
+            others[first.name].add(method)
+    for other in same_place:
+        if other is route:
+            break
+        if not other.methods or not route.methods:
+            others[other.name].add("every method")
+    for name, methods in others.items():
+        yield _problem(
+            route,
+            "path_prefix",
+            f"matches the same host and path as {name!r} for "
+            + ", ".join(sorted(methods)),
+            "Change the host, the path prefix or the methods of one of them.",
+        )
+
+
+def _chain_problems(routes: _Routes) -> Iterator[Problem]:
+    in_cycles: set[str] = set()
+    for cycle in cycles(routes):
+        in_cycles.update(cycle)
+        path = " -> ".join((*cycle, cycle[0]))
+        yield _problem(
+            routes[cycle[0]],
+            "calls",
+            f"the calls go round in a circle: {path}",
+            "Remove one of these calls.",
+        )
+    for name, length in chain_lengths(routes, in_cycles).items():
+        if length == MAX_CALL_DEPTH + 1:
+            yield _problem(
+                routes[name],
+                "calls",
+                f"starts a chain of {length} calls, the limit is {MAX_CALL_DEPTH}",
+                "Shorten the chain.",
+            )
+
+
+def _retry_problems(routes: _Routes) -> Iterator[Problem]:
+    for route in routes.values():
+        if route.idempotent or route.retries == 0:
+            continue
+        if not any(routes[name].idempotent for name in reach(route.name, routes)):
+            yield _problem(
+                route,
+                "retries",
+                "the route is not idempotent and calls no idempotent route, "
+                "so that nothing may be sent again",
+                "Set retries to 0, or mark the route as idempotent if it is.",
+            )
+
+
+def _limit_problems(routes: _Routes, limits: Mapping[str, Limit]) -> Iterator[Problem]:
+    routes_by_limit: dict[str, set[str]] = defaultdict(set)
+    for route in routes.values():
+        for name in route.limits:
+            routes_by_limit[name].add(route.name)
+    for route in routes.values():
+        known = [limits[name] for name in route.limits if name in limits]
+        for limit in known:
+            if limit.scope is LimitScope.WORKSPACE and route.access is Access.OPEN:
+                yield _problem(
+                    route,
+                    "limits",
+                    f"{limit.name!r} counts each workspace's calls, "
+                    "but the route is open to all",
+                    "Make the route keyed, or use a limit of scope 'route'.",
+                )
+        yield from _idle_limits(route, known, routes_by_limit)
+
+
+def _idle_limits(
+    route: Route, known: list[Limit], routes_by_limit: Mapping[str, set[str]]
+) -> Iterator[Problem]:
+    """Yield the limits that a tighter one keeps from ever counting."""
+    for loose in known:
+        for tight in known:
+            if (
+                loose.name != tight.name
+                and loose.scope is tight.scope
+                and loose.rate_per_s >= tight.rate_per_s
+                and loose.burst >= tight.burst
+                and (loose.rate_per_s, loose.burst, loose.name)
+                > (tight.rate_per_s, tight.burst, tight.name)
+                and routes_by_limit[loose.name] <= routes_by_limit[tight.name]
+            ):
+                yield _problem(
+                    route,
+                    "limits",
+                    f"{loose.name!r} never holds anything back, "
+                    f"since {tight.name!r} is as tight or tighter",
+                    f"Remove {loose.name!r}, or give the two other figures.",
+                )
--- /dev/null
+++ b/damaskbay/config/const.py
@@ -0,0 +1,26 @@
+"""Sizes and bounds of a configuration set."""
+
+from typing import Final
+
+DOCUMENT_FORMAT: Final = 1
+MAX_DOCUMENT_BYTES: Final = 16 * 1024 * 1024
+PART_COUNT: Final = 64
+"""Buckets that the objects of a set are spread over by the digest of their name."""
+
+MAX_OBJECTS: Final = 100_000
+MAX_OBJECT_BYTES: Final = 16 * 1024
+MAX_NAME_LENGTH: Final = 64
+MAX_PATH_LENGTH: Final = 256
+MAX_ROUTE_CALLS: Final = 64
+MAX_ROUTE_LIMITS: Final = 8
+MAX_ROUTE_METHODS: Final = 16
+MAX_PRIORITY_RANK: Final = 63
+MAX_RETRIES: Final = 10
+MAX_RATE_PER_S: Final = 10_000_000.0
+MAX_BURST: Final = 100_000_000
+MAX_WEIGHT: Final = 1000.0
+MAX_SLOTS: Final = 100_000
+MAX_DEADLINE_S: Final = 600.0
+MAX_UNPROVEN_AFTER_S: Final = 7 * 86_400.0
+MAX_PROBLEMS: Final = 1000
+ANY_HOST: Final = "*"
--- /dev/null
+++ b/damaskbay/config/matching.py
@@ -0,0 +1,106 @@
+"""From host, method and path to a route, by reads of dictionaries."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+from damaskbay.config.const import ANY_HOST, MAX_PATH_LENGTH
+from damaskbay.config.objects import ConfigSet, Route
+
+_UNSAFE_IN_SEGMENT = frozenset("/\\\x00")
+
+
+@dataclass(frozen=True, slots=True)
+class _HostTable:
+    routes_by_prefix: dict[str, tuple[Route, ...]]
+    max_depth: int
+
+
+class RouteTable:
+    """
+    Finds the route of a request.
+
+    An exact host goes before "*", then the longest path prefix (by whole
+    segments) whose methods fit. A path that a backend server could take for
+    another one (dot segments, empty segments, an encoded slash) has no route,
+    so that nobody gets past a keyed route by way of an open one.
+    """
+
+    def __init__(self, config: ConfigSet) -> None:
+        self._routes_by_name = config.routes_by_name
+        by_host: dict[str, list[Route]] = defaultdict(list)
+        for route in config.routes_by_name.values():
+            by_host[route.host].append(route)
+        self._tables_by_host = {
+            host: _table(routes) for host, routes in by_host.items()
+        }
+
+    def refreshed(self, config: ConfigSet) -> "RouteTable":
+        """Return a table for this set: the same one where no route changed."""
+        if config.routes_by_name is self._routes_by_name:
+            return self
+        return RouteTable(config)
+
+    def match(self, host: str, method: str, path: str) -> Route | None:
+        """Return the route; `path` is as sent and may still hold a query."""
+        segments = _safe_path(path)
+        if segments is None:
+            return None
+        for name in (_plain_host(host), ANY_HOST):
+            table = self._tables_by_host.get(name)
+            if table is None:
+                continue
+            for prefix in _prefixes(segments, table.max_depth):
+                for route in table.routes_by_prefix.get(prefix, ()):
+                    if not route.methods or method in route.methods:
+                        return route
+        return None
+
+
+def normal_prefix(path_prefix: str) -> str:
+    """Return the prefix without a closing slash; "" matches every path."""
+    return path_prefix.rstrip("/")
+
+
+def _table(routes: list[Route]) -> _HostTable:
+    by_prefix: dict[str, tuple[Route, ...]] = {}
+    for route in routes:
+        prefix = normal_prefix(route.path_prefix)
+        by_prefix[prefix] = (*by_prefix.get(prefix, ()), route)
+    return _HostTable(by_prefix, max(prefix.count("/") for prefix in by_prefix))
+
+
+def _plain_host(host: str) -> str:
+    """Return the host in lower case, without its port and closing dot."""
+    name = host.lower()
+    if name.startswith("["):
+        return name[: name.find("]") + 1]
+    return name.partition(":")[0].rstrip(".")
+
+
+def _safe_path(path: str) -> list[str] | None:
+    """Return the decoded segments, or None where the path is ambiguous."""
+    plain = path.partition("?")[0].partition("#")[0]
+    if not plain.startswith("/"):
+        return None
+    segments = plain[1:].split("/")
+    if "%" in plain:
+        segments = [unquote(segment) for segment in segments]
+    if segments[-1] == "":
+        segments.pop()
+    for segment in segments:
+        name = segment.partition(";")[0]
+        if name in {"", ".", ".."} or not _UNSAFE_IN_SEGMENT.isdisjoint(segment):
+            return None
+    return segments
+
+
+def _prefixes(segments: list[str], max_depth: int) -> Iterator[str]:
+    """Yield the prefixes of a path, longest first, down to the empty one."""
+    count = min(len(segments), max_depth)
+    prefix = "".join(f"/{segment[:MAX_PATH_LENGTH]}" for segment in segments[:count])
+    for number in range(count, -1, -1):
+        yield prefix
+        if number:
+            prefix = prefix[: prefix.rfind("/")]
--- a/damaskbay/config/objects.py
+++ b/damaskbay/config/objects.py
@@ -5,6 +5,17 @@
 from enum import Enum
 
 
+class Kind(Enum):
+    """The kinds of objects, named as in the document."""
+
+    WORKSPACES = "workspaces"
+    KEYS = "keys"
+    PRIORITIES = "priorities"
+    LIMITS = "limits"
+    POOLS = "pools"
+    ROUTES = "routes"
+
+
 class Access(Enum):
     """Who may call a route."""
 
@@ -100,13 +111,16 @@
     unproven_after_s: float = 5.0
 
 
+ConfigObject = Workspace | Key | Priority | Limit | Pool | Route
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigSet:
     """
     One whole set, checked. Collections are named by their key.
 
-    `version` is that of the platform's head record, `digest` the SHA-256 of the
-    canonical document in hex.
+    `version` is that of the platform's head record, `digest` that of the document
+    (see config.document) in hex.
     """
 
     version: int
--- /dev/null
+++ b/tests/config/test_delta.py
@@ -0,0 +1,146 @@
+"""Tests of config.delta and config.document."""
+
+import dataclasses
+import json
+import random
+import unittest
+from typing import Any
+
+from damaskbay.config.canonical import to_plain
+from damaskbay.config.check import check, check_changed, read_checked
+from damaskbay.config.delta import apply_delta, changes_between, make_delta
+from damaskbay.config.document import (
+    EMPTY,
+    Document,
+    canonical_bytes,
+    parse_document,
+    to_json,
+)
+from damaskbay.config.exceptions import DeltaFailure, DeltaProblem
+from damaskbay.config.models import CLASSES_BY_KIND, MODELS_BY_KIND
+from damaskbay.config.objects import Kind
+from tests.common import function_suite
+from tests.config.common import SAMPLE, digest, document, large_plain, sample
+
+MAX_ONE_KEY_DELTA_BYTES = 2000
+
+
+def test_defaults_are_the_same_in_models_and_objects() -> None:
+    """What a document leaves out is what the canonical form leaves out."""
+    for kind, model in MODELS_BY_KIND.items():
+        for item in dataclasses.fields(CLASSES_BY_KIND[kind]):
+            if item.name != "name" and item.default is not dataclasses.MISSING:
+                assert model.model_fields[item.name].default == item.default
+
+
+def test_a_delta_leads_to_the_same_set() -> None:
+    """Any one change, there and back, also from the empty set."""
+    one = document()
+    for other in (
+        document(keys__new={"digest": digest("new"), "workspace": "south"}),
+        document(routes__file__deadline_s=7),
+        document(priorities__mid={"rank": 3}, routes__home__priority="mid"),
+        EMPTY,
+    ):
+        for old, new in ((one, other), (other, one)):
+            result = apply_delta(old, make_delta(old, new))
+            assert isinstance(result, Document)
+            assert result == new
+
+
+def test_the_change_of_one_key_is_small_and_keeps_the_rest() -> None:
+    """In a set of about 1 MB; collections without a change stay the same objects."""
+    plain = large_plain(pools=100, routes=1000, keys=8000)
+    old = parse_document(json.dumps(plain).encode())
+    plain["keys"]["k7"]["workspace"] = "w9"
+    new = parse_document(json.dumps(plain).encode())
+    assert isinstance(old, Document) and isinstance(new, Document)
+    assert old.size_bytes > 900_000
+    delta = make_delta(old, new)
+    assert delta.size_bytes < MAX_ONE_KEY_DELTA_BYTES
+    result = apply_delta(old, delta)
+    assert isinstance(result, Document) and result.digest == new.digest
+    assert result.routes_by_name is old.routes_by_name
+    assert sum(a is not b for a, b in zip(old.parts, result.parts, strict=True)) == 1
+
+
+def _problem(old: Document, new: Document, **changes: Any) -> DeltaProblem:
+    delta = dataclasses.replace(make_delta(old, new), **changes)
+    result = apply_delta(old, delta)
+    assert isinstance(result, DeltaFailure)
+    return result.problem
+
+
+def test_what_is_not_applied() -> None:
+    """Another base, another digest, an invalid object and a set with a fault."""
+    old, new = document(), document(routes__file__deadline_s=7)
+    assert _problem(new, old, base_digest=old.digest) is DeltaProblem.OTHER_BASE
+    assert _problem(old, new, digest=old.digest) is DeltaProblem.DIGEST_MISMATCH
+    change = make_delta(old, new).changes[0]
+    for bad in (
+        dataclasses.replace(change, kind="rooms"),
+        dataclasses.replace(change, body="{"),
+        dataclasses.replace(change, body="null"),
+        dataclasses.replace(change, name="No Name"),
+    ):
+        assert _problem(old, new, changes=(bad,)) is DeltaProblem.INVALID
+
+
+def test_a_dangling_reference_is_not_applied() -> None:
+    """A set that was never checked by its publisher is found out."""
+    old = document()
+    for changes in (
+        {"keys__south-1__workspace": "gone"},
+        {"routes__file__pool": "gone"},
+        {"keys__south-1__digest": digest("one")},
+    ):
+        new = parse_document(sample(**changes))
+        assert isinstance(new, Document)
+        assert _problem(old, new) is DeltaProblem.INVALID, changes
+
+
+def test_checking_the_change_finds_what_checking_the_whole_finds() -> None:
+    """Random edits, some of them faulty."""
+    drawn = random.Random(3)
+    old = document()
+    for _ in range(300):
+        plain = sample()
+        for _ in range(drawn.randint(1, 3)):
+            _edit(plain, drawn)
+        new = parse_document(plain)
+        assert isinstance(new, Document)
+        changes = tuple(changes_between(old, new))
+        assert check_changed(old, new, changes) == check(new)
+
+
+def _edit(plain: dict[str, Any], drawn: random.Random) -> None:
+    number = drawn.randrange(6)
+    workspace = drawn.choice(["north", "south", "gone"])
+    if number == 0:
+        secret = drawn.choice(["one", "two", "three"])
+        plain["keys"]["n"] = {"digest": digest(secret), "workspace": workspace}
+    elif number == 1:
+        plain["keys"].pop("north-1", None)
+    elif number == 2:
+        plain["workspaces"].pop(workspace, None)
+    elif number == 3:
+        plain["workspaces"]["north"] = {"rate_per_s": 1, "burst": 1}
+    elif number == 4:
+        plain["routes"].pop("record", None)
+    else:
+        plain["pools"].pop("book", None)
+
+
+def test_a_document_comes_back_as_it_went() -> None:
+    """The canonical bytes read as the same set."""
+    one = document()
+    again = read_checked(canonical_bytes(one))
+    assert again == one
+    assert to_json(one)["pools"] == SAMPLE["pools"]
+    route = one.routes_by_name["home"]
+    assert "retries" not in to_plain(route) and Kind.ROUTES.value == "routes"
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
