Admit calls to a backend server by priority and fair share

Cause: a backend server that takes all that comes serves nobody in a surge. Change: AdmissionController keeps a limit learned from latency below the slots, a short queue by priority rank, then weighted fair share, costliest tree first, newest first once the queue stands, and refuses what can't end in time. An admission level for the answers follows what was started of the arrivals. Conclusion: when a call is refused for capacity, no less important call waits, none has started since it came and all slots of the limit are taken (hypothesis). Taking the least important rank first, or dropping the most important one from a full queue, was tried by hand: the property test fails.

--- /dev/null
+++ b/damaskbay/core/admission/controller.py
@@ -0,0 +1,209 @@
+"""Admission of calls to one backend server."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from damaskbay.core.admission.const import (
+    QUEUE_PER_SLOT,
+    QUEUE_SHORTEST,
+    QUEUE_WAIT_SHARE,
+    RETRY_AFTER_MAX_S,
+    RETRY_AFTER_S,
+    TRICKLE_S,
+)
+from damaskbay.core.admission.latency import LatencyEstimate
+from damaskbay.core.admission.level import LevelMeter
+from damaskbay.core.admission.limit import ConcurrencyLimit, GradientLimit, Sample
+from damaskbay.core.admission.queue import Entry, Waiting, WaitingQueue
+from damaskbay.core.outcome import Reason, Refusal, not_run
+
+LimitFactory = Callable[[int, float], ConcurrencyLimit]
+"""Makes a limit from slots and the present time in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionOptions:
+    """
+    What admission to one backend server goes by.
+
+    `slots` is the ceiling of calls at once. The queue holds `queue_per_slot`
+    calls for each slot, and a call waits in it for at most `wait_share` of the
+    time it had left when it came.
+    """
+
+    slots: int
+    queue_per_slot: float = QUEUE_PER_SLOT
+    wait_share: float = QUEUE_WAIT_SHARE
+    limit: LimitFactory = GradientLimit
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Send the call to the backend server now."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Answer the call with this refusal; it has not run."""
+
+    ticket: int
+    refusal: Refusal
+
+
+Decision = Start | Refuse
+
+
+class AdmissionController:
+    """
+    Decides which calls run, wait or are refused at one backend server.
+
+    When a call is refused for want of capacity, no call of a less important rank
+    waits here, none has started since it came, and as many calls run as the limit
+    allows. Calls that already run aren't stopped for it.
+
+    Every method that returns decisions returns all that became due; each
+    offered ticket gets one Start or Refuse unless it is withdrawn. Times are in
+    seconds of one monotonic clock.
+    """
+
+    def __init__(self, options: AdmissionOptions, rng: Random, now: float) -> None:
+        self._options = options
+        self._rng = rng
+        self._limit = options.limit(options.slots, now)
+        self._slots = options.slots
+        self._queue = WaitingQueue()
+        self._latency = LatencyEstimate()
+        self._level = LevelMeter(now)
+        self._running: set[int] = set()
+        self._trickled_at = now - TRICKLE_S
+        self._turned_away = 0.0
+        self._counted_at = now
+
+    @property
+    def running(self) -> int:
+        """Return the number of calls that run."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of calls that wait."""
+        return len(self._queue)
+
+    @property
+    def limit(self) -> int:
+        """Return the present limit of calls at once."""
+        return self._limit.value()
+
+    def has_room(self) -> bool:
+        """Tell whether a call would start at once."""
+        return not self._queue and self.running < self.limit
+
+    def offer(self, item: Waiting, now: float) -> tuple[Decision, ...]:
+        """Ask for admission of a call."""
+        context = item.context
+        self._level.offered(context.priority_rank)
+        left_s = context.deadline - now
+        wait_until = now + left_s * self._options.wait_share
+        self._queue.push(Entry(item, now, wait_until))
+        return self._settle(now)
+
+    def finish(self, ticket: int, sample: Sample, now: float) -> tuple[Decision, ...]:
+        """Take note that a started call has ended; a second time is ignored."""
+        if ticket not in self._running:
+            return ()
+        self._limit.observe(sample, self.running, now)
+        self._running.discard(ticket)
+        if not sample.cancelled:
+            self._latency.add(sample.latency_s, now)
+        return self._settle(now)
+
+    def withdraw(self, ticket: int, now: float) -> tuple[Decision, ...]:
+        """Forget a call that waits; nothing is decided on it any more."""
+        self._queue.remove(ticket)
+        return self._settle(now)
+
+    def expire(self, now: float) -> tuple[Decision, ...]:
+        """Refuse what has waited too long; call several times a second."""
+        decisions: list[Decision] = []
+        for entry in self._queue.from_last():
+            refusal = self._passed(entry, now) or self._waited(entry, now)
+            if refusal is not None:
+                decisions.append(self._refuse(entry, refusal, now))
+        self._queue.forget_idle()
+        return (*decisions, *self._settle(now))
+
+    def level(self, now: float) -> int:
+        """Return the admission level that rides back on answers."""
+        self._level.update(now, slots_free=self.has_room())
+        return self._level.value()
+
+    def set_slots(self, slots: int, now: float) -> tuple[Decision, ...]:
+        """Change the ceiling of calls at once."""
+        self._slots = slots
+        self._limit.set_slots(slots)
+        return self._settle(now)
+
+    def _settle(self, now: float) -> tuple[Decision, ...]:
+        decisions: list[Decision] = []
+        while self._queue and self.running < self.limit:
+            decisions.append(self._decide_next(now))
+        while len(self._queue) > self._queue_length():
+            refusal = self._capacity(Reason.QUEUE_FULL)
+            decisions.append(self._refuse(self._queue.last(now), refusal, now))
+        self._level.update(now, slots_free=self.has_room())
+        return tuple(decisions)
+
+    def _decide_next(self, now: float) -> Decision:
+        entry = self._queue.next(now)
+        refusal = self._passed(entry, now) or self._too_short(entry, now)
+        if refusal is not None:
+            return self._refuse(entry, refusal, now)
+        self._queue.started(entry, now)
+        self._running.add(entry.item.ticket)
+        self._level.started()
+        return Start(entry.item.ticket)
+
+    def _passed(self, entry: Entry, now: float) -> Refusal | None:
+        if now >= entry.item.context.deadline:
+            return not_run(Reason.DEADLINE_PASSED)
+        return None
+
+    def _waited(self, entry: Entry, now: float) -> Refusal | None:
+        """Refuse what has waited long, but nothing before less important calls."""
+        if now < entry.wait_until or entry.rank < self._queue.last_rank():
+            return None
+        return self._capacity(Reason.OVERLOADED)
+
+    def _too_short(self, entry: Entry, now: float) -> Refusal | None:
+        """Refuse what can't end in time, but let one through now and then."""
+        if now + self._latency.seconds(now) <= entry.item.context.deadline:
+            return None
+        if now - self._trickled_at >= TRICKLE_S:
+            self._trickled_at = now
+            return None
+        return not_run(Reason.DEADLINE_TOO_SHORT)
+
+    def _refuse(self, entry: Entry, refusal: Refusal, now: float) -> Refuse:
+        self._queue.remove(entry.item.ticket)
+        if now > entry.arrived_at or refusal.reason is Reason.QUEUE_FULL:
+            self._level.refused()
+        self._count_refusal(now)
+        return Refuse(entry.item.ticket, refusal)
+
+    def _count_refusal(self, now: float) -> None:
+        elapsed_s = now - self._counted_at
+        self._counted_at = now
+        self._turned_away *= 0.5**elapsed_s
+        self._turned_away += 1.0
+
+    def _capacity(self, reason: Reason) -> Refusal:
+        """Return a refusal whose time to return is spread over the backlog."""
+        rounds = self._turned_away / max(1, self._slots)
+        longest_s = min(RETRY_AFTER_MAX_S, RETRY_AFTER_S * (1.0 + rounds))
+        return not_run(reason, retry_after_s=self._rng.uniform(0.5, 1.5) * longest_s)
+
+    def _queue_length(self) -> int:
+        return max(QUEUE_SHORTEST, int(self._options.queue_per_slot * self.limit))
--- /dev/null
+++ b/tests/core/admission/test_controller.py
@@ -0,0 +1,218 @@
+"""Tests of core.admission.controller."""
+
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings, strategies as st
+
+from damaskbay.core.admission import Decision, Refuse, Sample, Start
+from damaskbay.core.outcome import Reason
+from tests.common import function_suite
+from tests.core.admission.common import call, make_controller, refusals, starts
+
+SLOTS = 2
+CAPACITY_REASONS = (Reason.QUEUE_FULL, Reason.OVERLOADED)
+
+Step = tuple[str, int, int, int, float]
+
+random_steps = st.lists(
+    st.tuples(
+        st.sampled_from(["offer", "offer", "offer", "finish", "withdraw", "expire"]),
+        st.integers(0, 3),
+        st.integers(0, 2),
+        st.integers(0, 30),
+        st.floats(0.0, 0.3),
+    ),
+    max_size=80,
+)
+
+
+class History:
+    """Runs random steps and checks each decision against those before it."""
+
+    def __init__(self) -> None:
+        self.controller = make_controller(SLOTS)
+        self.rank_by_ticket: dict[int, int] = {}
+        self.waiting: list[int] = []
+        self.running: list[int] = []
+
+    def run(self, steps: list[Step]) -> None:
+        """Run the steps, each some time after the one before."""
+        now = 0.0
+        for kind, rank, workspace, pick, wait_s in steps:
+            now += wait_s
+            if kind == "offer":
+                self.offer(rank, f"w{workspace}", now + 0.2 + pick / 10, now)
+            elif kind == "finish" and self.running:
+                ticket = self.running.pop(pick % len(self.running))
+                self.check(self.controller.finish(ticket, Sample(0.05), now))
+            elif kind == "withdraw" and self.waiting:
+                ticket = self.waiting.pop(pick % len(self.waiting))
+                self.check(self.controller.withdraw(ticket, now))
+            else:
+                self.check(self.controller.expire(now))
+
+    def offer(self, rank: int, workspace: str, deadline: float, now: float) -> None:
+        """Offer a new call."""
+        ticket = len(self.rank_by_ticket)
+        self.rank_by_ticket[ticket] = rank
+        self.waiting.append(ticket)
+        item = call(ticket, rank=rank, workspace=workspace, deadline=deadline)
+        self.check(self.controller.offer(item, now))
+
+    def check(self, decisions: tuple[Decision, ...]) -> None:
+        """Take decisions one by one, as the daemon does."""
+        for decision in decisions:
+            self.waiting.remove(decision.ticket)
+            rank = self.rank_by_ticket[decision.ticket]
+            others = [self.rank_by_ticket[item] for item in self.waiting]
+            if isinstance(decision, Start):
+                self.running.append(decision.ticket)
+                assert rank <= min(others, default=rank)
+            elif decision.refusal.reason in CAPACITY_REASONS:
+                assert rank >= max(others, default=rank)
+                assert len(self.running) == SLOTS
+            assert len(self.running) <= SLOTS
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(random_steps)
+def test_important_calls_are_shed_last(steps: list[Step]) -> None:
+    """
+    Nothing less important starts before a call, or stays when it is refused.
+
+    Every ticket gets one decision at most, and no more run than there are slots.
+    """
+    History().run(steps)
+
+
+def test_arriving_important_call_displaces_a_waiting_one() -> None:
+    """With slots and queue full of browsing, a filing takes a place."""
+    controller = make_controller(1)
+    for ticket in range(5):
+        controller.offer(call(ticket, rank=2), 0.0)
+    decisions = controller.offer(call(9, rank=0), 0.0)
+    assert refusals(decisions) == [4]
+    assert isinstance(decisions[0], Refuse)
+    assert decisions[0].refusal.not_run
+    assert decisions[0].refusal.retry_after_s is not None
+    assert starts(controller.finish(0, Sample(0.1), 0.1)) == [9]
+
+
+def test_small_workspace_beside_one_at_five_times_its_rate() -> None:
+    """Two workspaces of one weight get one slot each in turn, however many ask."""
+    controller = make_controller(1, queue_per_slot=20.0)
+    for ticket in range(100):
+        name = "small" if ticket % 6 == 0 else "large"
+        controller.offer(call(ticket, workspace=name), 0.0)
+    served: Counter[str] = Counter()
+    running = 0
+    for step in range(8):
+        (running,) = starts(controller.finish(running, Sample(0.1), 0.1 * step))
+        served["small" if running % 6 == 0 else "large"] += 1
+    assert served == {"small": 4, "large": 4}
+
+
+def test_weights_share_the_slots() -> None:
+    """A workspace of weight 3 gets three times the slots of one of weight 1."""
+    controller = make_controller(1, queue_per_slot=100.0)
+    controller.offer(call(0, workspace="other"), 0.0)
+    for ticket in range(1, 81):
+        name, weight = ("a", 3.0) if ticket % 2 else ("b", 1.0)
+        controller.offer(call(ticket, workspace=name, weight=weight), 0.0)
+    served: Counter[int] = Counter()
+    running = 0
+    for _ in range(20):
+        (running,) = starts(controller.finish(running, Sample(0.001), 0.0))
+        served[running % 2] += 1
+    assert served == {1: 15, 0: 5}
+
+
+def test_tree_that_cost_much_goes_first() -> None:
+    """Within a workspace's priority the deeper call starts before a new tree."""
+    controller = make_controller(1)
+    controller.offer(call(0), 0.0)
+    controller.offer(call(1), 0.0)
+    controller.offer(call(2, cost=4), 0.0)
+    assert starts(controller.finish(0, Sample(0.1), 0.1)) == [2]
+
+
+def test_newest_first_once_the_queue_stands() -> None:
+    """When calls had to wait for some time, the freshest has the best chance."""
+    controller = make_controller(1, queue_per_slot=10.0)
+    for ticket in range(9):
+        controller.offer(call(ticket), 0.0)
+    order = [starts(controller.finish(0, Sample(0.1), 0.1))[0]]
+    for step in range(2, 5):
+        finished = controller.finish(order[-1], Sample(0.1), 0.1 * step)
+        order.append(starts(finished)[0])
+    assert order == [1, 8, 7, 6]
+
+
+def test_work_that_cannot_end_in_time_does_not_start() -> None:
+    """A call whose deadline is nearer than the usual latency is refused."""
+    controller = make_controller(1)
+    for ticket in range(10):
+        controller.offer(call(ticket), 0.0)
+        controller.finish(ticket, Sample(0.5), 0.0)
+    assert starts(controller.offer(call(10, deadline=0.3), 0.1)) == [10], "a trial"
+    controller.finish(10, Sample(0.5), 0.12)
+    (decision,) = controller.offer(call(11, deadline=0.3), 0.15)
+    assert isinstance(decision, Refuse)
+    assert decision.refusal.reason is Reason.DEADLINE_TOO_SHORT
+    assert decision.refusal.not_run
+
+
+def test_slow_spell_does_not_keep_every_call_out() -> None:
+    """A stalled server's latency is forgotten, though no call meets it."""
+    controller = make_controller(1)
+    controller.offer(call(0), 0.0)
+    controller.finish(0, Sample(10.0), 10.0)
+    started = 0
+    for ticket in range(1, 200):
+        now = 10.0 + ticket * 0.05
+        begun = starts(controller.offer(call(ticket, deadline=now + 1.0), now))
+        for item in begun:
+            started += 1
+            controller.finish(item, Sample(0.01), now)
+    assert started >= 150
+
+
+def test_passed_deadline_in_the_queue() -> None:
+    """A call that waited past its deadline is refused as not run."""
+    controller = make_controller(1)
+    controller.offer(call(0), 0.0)
+    controller.offer(call(1, deadline=1.0), 0.0)
+    decisions = controller.expire(1.0)
+    assert refusals(decisions) == [1]
+    assert isinstance(decisions[0], Refuse)
+    assert decisions[0].refusal.reason is Reason.DEADLINE_PASSED
+    assert decisions[0].refusal.not_run
+
+
+def test_retry_after_spreads() -> None:
+    """Refused callers are sent back at different times, later the more there are."""
+    controller = make_controller(1)
+    waits: list[float] = []
+    for ticket in range(60):
+        for decision in controller.offer(call(ticket), 0.0):
+            if isinstance(decision, Refuse):
+                waits.append(decision.refusal.retry_after_s or 0.0)
+    assert len({round(item, 3) for item in waits}) > 50
+    assert max(waits) > 5 * min(waits)
+
+
+def test_slots_can_change_while_calls_wait() -> None:
+    """More slots start what waits; fewer let what runs end."""
+    controller = make_controller(1)
+    for ticket in range(3):
+        controller.offer(call(ticket), 0.0)
+    assert starts(controller.set_slots(2, 0.0)) == [1]
+    controller.set_slots(1, 0.0)
+    assert starts(controller.finish(0, Sample(0.1), 0.1)) == []
+    assert starts(controller.finish(1, Sample(0.1), 0.1)) == [2]
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
