Choose backend servers by measured outcomes and refuse early

Cause: round robin sends to what is full, cold or failing, and reported health and load lag or mislead. Change: Router takes the local server while it has room, then the own failure domain, then the better of two by own outstanding work, admission level and successes. Reported load only breaks ties and fades. Outliers are ejected, never more than half of a pool, and come back by single idempotent calls and a slow start. Ingress refuses by the levels that answers carried, which age out. Conclusion: tests bring about lying load, failing, cold and replaced servers.

--- /dev/null
+++ b/damaskbay/core/routing/router.py
@@ -0,0 +1,226 @@
+"""Choice of the backend server for a call, and early refusal."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from damaskbay.core.call import CallContext
+from damaskbay.core.outcome import Reason, Refusal, not_run
+from damaskbay.core.routing.const import (
+    DOMAIN_ROOM_SHARE,
+    EARLY_RETRY_AFTER_MAX_S,
+    EARLY_RETRY_AFTER_S,
+    EJECTED_MOST_SHARE,
+    FORGET_AFTER_S,
+    LOCAL_ROOM_SHARE,
+    PASS_LOWEST,
+)
+from damaskbay.core.routing.health import Health, RouteOutcome
+from damaskbay.ports.fleet import ServerState, ServerView
+
+
+@dataclass(frozen=True, slots=True)
+class RouterOptions:
+    """What a daemon's routing goes by."""
+
+    failure_domain: str
+
+
+class Router:
+    """
+    Chooses among the servers of a pool by what this daemon measured itself.
+
+    The local server goes first while it has room, then the own failure domain,
+    then the others where the pool allows them. Reported load only breaks ties
+    and fades. Not safe for threads; times in seconds of one monotonic clock.
+    """
+
+    def __init__(self, options: RouterOptions, rng: Random) -> None:
+        self._options = options
+        self._rng = rng
+        self._by_instance: dict[str, Health] = {}
+
+    def choose(
+        self,
+        servers: Sequence[ServerView],
+        context: CallContext,
+        *,
+        excluded: frozenset[str] = frozenset(),
+        now: float,
+        other_domains: bool = True,
+        local_room: bool | None = None,
+    ) -> ServerView | Refusal:
+        """
+        Return the server to send a call to, or a refusal where there is none.
+
+        `other_domains` is what the pool allows. `local_room` is what the gate of
+        the local backend server says, None where it is not at hand.
+        """
+        allowed = [
+            view
+            for view in self._allowed(servers, other_domains)
+            if view.instance not in excluded
+        ]
+        if not allowed:
+            return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=self._wait_s(1.0))
+        self._look(allowed, now)
+        trickle = self._trickle(allowed, context, now)
+        if trickle is not None:
+            return trickle
+        usable = self._usable(allowed)
+        local = next((view for view in usable if view.local), None)
+        if local is not None and self._has_room(local, context, now, local_room):
+            return local
+        return self._pick(self._nearest(usable, context, now), context, now)
+
+    def started(self, instance: str, now: float) -> None:
+        """Count a call that is sent to a chosen server."""
+        health = self._by_instance.get(instance)
+        if health is not None:
+            health.started(now)
+
+    def finished(self, instance: str, outcome: RouteOutcome, now: float) -> None:
+        """Count the end of a call; each `started` needs one."""
+        health = self._by_instance.get(instance)
+        if health is None:
+            return
+        health.finished(outcome, now)
+        if health.failing() and not health.ejected():
+            health.eject(now, self._rng)
+
+    def early_refusal(
+        self,
+        servers: Sequence[ServerView],
+        context: CallContext,
+        now: float,
+        *,
+        other_domains: bool = True,
+    ) -> Refusal | None:
+        """
+        Refuse a call that the pool's servers would most likely refuse.
+
+        Goes by the admission levels that answers carried, which fade. A small
+        part of the calls of the least important rank that still passes goes
+        through in any case, so that recovery is seen. A call tree that has
+        already cost much is refused less often than a new one.
+        """
+        allowed = self._allowed(servers, other_domains)
+        if not allowed:
+            return None
+        share = self._pass_share(allowed, context.priority_rank, now)
+        if share <= 0.0:
+            above = self._pass_share(allowed, context.priority_rank - 1, now)
+            share = PASS_LOWEST if above >= 1.0 else 0.0
+        kept = share ** (1.0 / (1 + context.depth))
+        if self._rng.random() < kept:
+            return None
+        return not_run(Reason.OVERLOADED, retry_after_s=self._wait_s(share))
+
+    def forget(self, now: float) -> None:
+        """Drop what is known of servers not seen for long; call now and then."""
+        self._by_instance = {
+            instance: health
+            for instance, health in self._by_instance.items()
+            if health.outstanding or now - health.seen_at < FORGET_AFTER_S
+        }
+
+    def _allowed(
+        self, servers: Sequence[ServerView], other_domains: bool
+    ) -> list[ServerView]:
+        own = self._options.failure_domain
+        return [
+            view
+            for view in servers
+            if view.state is ServerState.READY
+            and (other_domains or view.failure_domain == own)
+        ]
+
+    def _look(self, servers: Sequence[ServerView], now: float) -> None:
+        for view in servers:
+            health = self._by_instance.get(view.instance)
+            if health is None or health.incarnation != view.incarnation:
+                self._by_instance[view.instance] = Health(view, now)
+            else:
+                health.look(view, now)
+
+    def _trickle(
+        self, servers: Sequence[ServerView], context: CallContext, now: float
+    ) -> ServerView | None:
+        """Return an ejected server that is due for a real call, if any."""
+        if not context.idempotent:
+            return None
+        for view in servers:
+            if self._by_instance[view.instance].trickle_due(now):
+                return view
+        return None
+
+    def _usable(self, servers: list[ServerView]) -> list[ServerView]:
+        """Leave out ejected servers, but never more than a share of the pool."""
+        ejected = [
+            view for view in servers if self._by_instance[view.instance].ejected()
+        ]
+        if len(ejected) > EJECTED_MOST_SHARE * len(servers):
+            return servers
+        return [view for view in servers if view not in ejected]
+
+    def _has_room(
+        self,
+        local: ServerView,
+        context: CallContext,
+        now: float,
+        local_room: bool | None,
+    ) -> bool:
+        health = self._by_instance[local.instance]
+        if local_room is not None:
+            return local_room
+        if health.pass_share(context.priority_rank, now) < 1.0:
+            return False
+        return health.occupancy(local, now) <= LOCAL_ROOM_SHARE
+
+    def _nearest(
+        self, servers: list[ServerView], context: CallContext, now: float
+    ) -> list[ServerView]:
+        """Return the own domain's servers with room, all where there is none."""
+        own = self._options.failure_domain
+        rank = context.priority_rank
+        near = []
+        for view in servers:
+            health = self._by_instance[view.instance]
+            if view.failure_domain == own and (
+                health.score(view, rank, now) <= DOMAIN_ROOM_SHARE
+            ):
+                near.append(view)
+        return near or servers
+
+    def _pick(
+        self, servers: list[ServerView], context: CallContext, now: float
+    ) -> ServerView:
+        """Return the better of two servers taken at random."""
+        if len(servers) == 1:
+            return servers[0]
+        first, second = self._rng.sample(servers, 2)
+        rank = context.priority_rank
+        if self._score(second, rank, now) < self._score(first, rank, now):
+            return second
+        return first
+
+    def _score(self, view: ServerView, rank: int, now: float) -> float:
+        return self._by_instance[view.instance].score(view, rank, now)
+
+    def _pass_share(
+        self, servers: Sequence[ServerView], rank: int, now: float
+    ) -> float:
+        """Return the share of calls of a rank that the servers can take together."""
+        total = 0.0
+        slots = 0
+        for view in servers:
+            health = self._by_instance.get(view.instance)
+            weight = max(1, view.slots)
+            total += weight * (health.pass_share(rank, now) if health else 1.0)
+            slots += weight
+        return total / slots
+
+    def _wait_s(self, share: float) -> float:
+        """Return a time to return, spread wider the less can pass."""
+        longest_s = min(EARLY_RETRY_AFTER_MAX_S, EARLY_RETRY_AFTER_S / max(share, 0.01))
+        return self._rng.uniform(0.5, 1.5) * longest_s
--- /dev/null
+++ b/tests/core/routing/test_router.py
@@ -0,0 +1,232 @@
+"""Tests of core.routing."""
+
+import unittest
+from collections import Counter
+from collections.abc import Sequence
+
+from hypothesis import given, settings, strategies as st
+
+from damaskbay.core.outcome import Reason, Refusal
+from damaskbay.core.routing import FailureKind, Router
+from damaskbay.ports.fleet import ServerState, ServerView
+from tests.common import function_suite
+from tests.core.common import make_context
+from tests.core.routing.common import make_router, outcome, server
+
+SERVERS = tuple(server(f"s{number}") for number in range(4))
+FAILURES = list(FailureKind)
+
+
+def choose(
+    router: Router, servers: Sequence[ServerView], now: float, *, rank: int = 1
+) -> str:
+    """Return the instance of a choice that must be found."""
+    context = make_context(priority_rank=rank)
+    view = router.choose(servers, context, now=now)
+    assert isinstance(view, ServerView)
+    return view.instance
+
+
+def spread(
+    router: Router, servers: Sequence[ServerView], calls: int = 400, *, now: float = 0.0
+) -> Counter[str]:
+    """Send calls that all stay out; return how many each server has."""
+    chosen: Counter[str] = Counter()
+    for _ in range(calls):
+        instance = choose(router, servers, now)
+        router.started(instance, now)
+        chosen[instance] += 1
+    return chosen
+
+
+def fail(router: Router, instance: str, now: float, times: int = 5) -> None:
+    """Let calls to one server fail."""
+    for _ in range(times):
+        router.started(instance, now)
+        router.finished(instance, outcome(failure=FailureKind.LOST), now)
+
+
+def test_local_server_goes_first_while_it_has_room() -> None:
+    """The local server gets calls until it is nearly full, then others do too."""
+    router = make_router()
+    servers = (server("here", local=True), *SERVERS[1:])
+    chosen = spread(router, servers, 20)
+    assert chosen["here"] >= 6
+    assert len(chosen) == 4
+
+
+def test_own_failure_domain_goes_first() -> None:
+    """Another domain gets calls only once the own one is full, and if allowed."""
+    servers = (server("near"), server("far", failure_domain="b"))
+    assert spread(make_router(), servers, 7) == {"near": 7}
+    assert spread(make_router(), servers, 16)["far"] >= 5
+    far = make_router().choose(
+        servers[1:], make_context(), now=0.0, other_domains=False
+    )
+    assert isinstance(far, Refusal)
+    assert far.reason is Reason.NO_BACKEND_SERVER
+    assert far.not_run
+
+
+def test_draining_and_excluded_servers_get_nothing() -> None:
+    """A leaving server and one that just failed are not chosen."""
+    leaving = server("leaving", state=ServerState.DRAINING)
+    router = make_router()
+    for _ in range(50):
+        view = router.choose(
+            (leaving, *SERVERS), make_context(), excluded=frozenset({"s0"}), now=0.0
+        )
+        assert isinstance(view, ServerView)
+        assert view.instance not in ("leaving", "s0")
+
+
+def test_lying_load_does_not_move_traffic() -> None:
+    """Servers that report no load while others report full ones get no flood."""
+    servers = tuple(
+        server(f"s{number}", slots=330, load=0.0 if number == 0 else 1.0)
+        for number in range(4)
+    )
+    chosen = spread(make_router(), servers, 400)
+    assert chosen["s0"] <= 130
+
+
+def test_measured_outcomes_win_over_reported_ones() -> None:
+    """A server that reports ready and idle but fails is ejected, then tried again."""
+    router = make_router()
+    assert choose(router, SERVERS, 0.0)
+    fail(router, "s0", 0.0)
+    assert "s0" not in spread(router, SERVERS, 100, now=0.1)
+
+
+def test_recovery_by_a_trickle_of_real_calls() -> None:
+    """An ejected server gets single calls, and its share back after successes."""
+    router = make_router()
+    choose(router, SERVERS, 0.0)
+    fail(router, "s0", 0.0)
+    now = 1.5
+    for _ in range(3):
+        assert choose(router, SERVERS, now) == "s0"
+        router.started("s0", now)
+        assert choose(router, SERVERS, now) != "s0", "one at a time"
+        router.finished("s0", outcome(), now)
+        now += 0.3
+    chosen = spread(router, SERVERS, 200, now=now)
+    assert 0 < chosen["s0"] < 40, "slow start after the trickle"
+    assert spread(router, SERVERS, 200, now=now + 20.0)["s0"] >= 40
+
+
+def test_a_call_that_must_run_once_is_no_trickle() -> None:
+    """A non-idempotent call is not spent on trying a server that was failing."""
+    router = make_router()
+    choose(router, SERVERS, 0.0)
+    fail(router, "s0", 0.0)
+    context = make_context(idempotent=False)
+    for _ in range(50):
+        view = router.choose(SERVERS, context, now=5.0)
+        assert isinstance(view, ServerView)
+        assert view.instance != "s0"
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    st.integers(1, 5),
+    st.lists(
+        st.tuples(st.integers(0, 4), st.sampled_from(FAILURES), st.floats(0.0, 2.0)),
+        max_size=60,
+    ),
+)
+def test_ejection_never_empties_a_pool(
+    count: int, failures: list[tuple[int, FailureKind, float]]
+) -> None:
+    """Whatever fails, a pool with a ready server has one to choose."""
+    servers = [server(f"s{number}") for number in range(count)]
+    router = make_router()
+    now = 0.0
+    for number, failure, wait_s in failures:
+        now += wait_s
+        choose(router, servers, now)
+        instance = f"s{number % count}"
+        router.started(instance, now)
+        router.finished(instance, outcome(failure=failure), now)
+        assert choose(router, servers, now)
+
+
+def test_cold_server_starts_slowly() -> None:
+    """A server that was just replaced gets few calls, and its share later."""
+    cold = server("cold", slots=330, ready_at=0.0)
+    servers = (cold, *(server(f"s{number}", slots=330) for number in range(3)))
+    early = spread(make_router(), servers, 200, now=1.0)
+    late = spread(make_router(), servers, 200, now=11.0)
+    assert early["cold"] <= 20
+    assert 30 <= late["cold"] <= 70
+
+
+def test_replaced_server_at_the_same_name_is_new() -> None:
+    """Failures of an older incarnation do not count against the next."""
+    router = make_router()
+    choose(router, SERVERS, 0.0)
+    fail(router, "s0", 0.0)
+    fresh = (server("s0", incarnation=2), *SERVERS[1:])
+    assert spread(router, fresh, 100)["s0"] >= 15
+
+
+def saturate(router: Router, level: int, now: float) -> None:
+    """Let each server's answer carry an admission level."""
+    choose(router, SERVERS, now)
+    for view in SERVERS:
+        router.started(view.instance, now)
+        router.finished(view.instance, outcome(level=level), now)
+
+
+def refused_share(
+    router: Router, now: float, *, rank: int, depth: int = 0, calls: int = 400
+) -> float:
+    """Return the share of calls that are refused early."""
+    context = make_context(priority_rank=rank, depth=depth)
+    refused = sum(
+        router.early_refusal(SERVERS, context, now) is not None for _ in range(calls)
+    )
+    return refused / calls
+
+
+def test_early_refusal_by_priority() -> None:
+    """At a level of 1,300 rank 0 passes, three in ten of rank 1 and no rank 2."""
+    router = make_router()
+    saturate(router, 1300, 0.0)
+    assert refused_share(router, 0.0, rank=0) == 0.0
+    assert 0.6 <= refused_share(router, 0.0, rank=1) <= 0.8
+    assert refused_share(router, 0.0, rank=2) == 1.0
+    assert refused_share(router, 0.0, rank=1, depth=4) < 0.4
+
+
+def test_levels_age_out() -> None:
+    """A level that no answer renews is forgotten."""
+    router = make_router()
+    saturate(router, 100, 0.0)
+    assert refused_share(router, 0.0, rank=2) == 1.0
+    assert refused_share(router, 2.0, rank=2) == 0.0
+
+
+def test_next_rank_goes_on_trying() -> None:
+    """Where just one rank is shed wholly, a few of its calls still pass."""
+    router = make_router()
+    saturate(router, 2000, 0.0)
+    assert 0.9 <= refused_share(router, 0.0, rank=2) < 1.0
+
+
+def test_early_refusal_is_true_and_says_when_to_return() -> None:
+    """It is surely not run, and its wait is spread."""
+    router = make_router()
+    saturate(router, 0, 0.0)
+    waits = set()
+    for _ in range(20):
+        refusal = router.early_refusal(SERVERS, make_context(priority_rank=2), 0.0)
+        assert refusal is not None
+        assert refusal.not_run
+        waits.add(refusal.retry_after_s)
+    assert len(waits) == 20
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
