Share rate and burst over the fleet by a ledger of moved tokens

Cause: one local bucket a daemon allows the rate once per daemon. Change: a ledger per group of buckets in the platform, written by compare-and-swap; holders per failure domain and group with a validity of their own clock; daemons that get small lots of tokens on demand and give the rest back. Open proposals count for no more than the smallest share until decided.

--- a/damaskbay/core/rates/const.py
+++ b/damaskbay/core/rates/const.py
@@ -4,3 +4,46 @@
 
 MILLIS: Final = 1000
 """Thousandths of a token in one token; ledgers count in whole thousandths."""
+
+LEDGER_KEY_PREFIX: Final = "rates/group/"
+LEDGER_FORMAT: Final = 1
+
+DEFAULT_GROUPS: Final = 16
+DEFAULT_VALIDITY_S: Final = 900.0
+DEFAULT_MARGIN_S: Final = 10.0
+DEFAULT_RENEW_S: Final = 15.0
+DEFAULT_POLL_S: Final = 2.0
+DEFAULT_WRITE_GAP_S: Final = 0.2
+DEFAULT_HEADROOM: Final = 1.5
+DEFAULT_FLOOR_SHARE: Final = 1 / 16
+DEFAULT_FLOOR_IDLE_S: Final = 3600.0
+DEFAULT_DEMAND_DECAY_S: Final = 60.0
+DEFAULT_STEP_DOWN_S: Final = 3.0
+DEFAULT_CLAIM_WAIT_S: Final = 0.15
+
+CALL_RETRY_S: Final = 1.0
+"""Pause after a platform call that failed."""
+
+TOKEN_VALIDITY_S: Final = 1.0
+TOKEN_MARGIN_S: Final = 0.5
+GRANT_PART: Final = 4
+"""A prefetch takes at most this part (one in N) of the holder's level."""
+
+SILENT_RENEWALS: Final = 3
+CONTACT_POLLS: Final = 4
+"""Polls that may fail before an observer's waiting starts anew."""
+SHRINK_FACTOR: Final = 1.5
+"""A share is lowered unasked only when it is larger than needed by this factor."""
+
+NEED_GRID: Final = 1.1
+"""Needs are rounded up to powers of this."""
+UNMET_LATELY_S: Final = 30.0
+
+PREFETCH_S: Final = 0.5
+IDLE_LOT_S: Final = 0.6
+STOCK_DECAY_S: Final = 2.0
+BLOCK_MIN_S: Final = 0.02
+BLOCK_MAX_S: Final = 0.25
+ASK_TIMEOUT_S: Final = 0.25
+HOLDER_AVOID_S: Final = 2.0
+MAX_NEEDED_TOKENS: Final = 10_000
--- a/damaskbay/core/rates/names.py
+++ b/damaskbay/core/rates/names.py
@@ -20,6 +20,21 @@
     version: int
 
 
+def newer(first: Total | None, second: Total | None) -> Total | None:
+    """Return the total of the newer set; the first one where they are equal."""
+    if first is None or second is None:
+        return first or second
+    return second if second.version > first.version else first
+
+
+def same_terms(first: Total, second: Total) -> bool:
+    """Tell whether two totals allow the same."""
+    return (first.rate_millis, first.burst_millis) == (
+        second.rate_millis,
+        second.burst_millis,
+    )
+
+
 def bucket_names(
     config: ConfigSet, workspace: str, limits: tuple[str, ...]
 ) -> tuple[str, ...] | None:
--- a/damaskbay/daemon/rates.py
+++ b/damaskbay/daemon/rates.py
@@ -1,27 +1,28 @@
 """The gate that counts root calls against rate and burst."""
 
-import threading
+import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from contextlib import suppress
 from types import TracebackType
 from typing import Self
 
 from damaskbay.core.outcome import Reason, Refusal, not_run
-from damaskbay.core.rates.bucket import HolderBucket, Share
-from damaskbay.core.rates.const import MILLIS
-from damaskbay.core.rates.names import Total, bucket_names, total_of
+from damaskbay.core.rates.names import bucket_names
+from damaskbay.core.rates.options import ShareOptions
+from damaskbay.core.rates.stock import Stock
+from damaskbay.daemon.rates_ledger import LedgerStore
+from damaskbay.daemon.rates_stock import SharedStock, Waiter
+from damaskbay.daemon.rates_task import Leave, NewSet, RateTask, Wake
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.fleet import ConfigSource, Membership
 from damaskbay.ports.peer import PeerIdentity, PeerLink
 from damaskbay.ports.platform import Platform
 
+RateOptions = ShareOptions
 
-@dataclass(frozen=True, slots=True)
-class RateOptions:
-    """What an operator may set of the counting. Times in seconds."""
-
-    groups: int = 16
-    validity_s: float = 900.0
+MAX_WAIT_S = 0.5
+LEAVE_TIMEOUT_S = 4.0
 
 
 class RateService:
@@ -35,15 +36,28 @@
         link: PeerLink,
         membership: Membership,
         config: ConfigSource,
-        options: RateOptions | None = None,
+        options: ShareOptions | None = None,
         clock: Callable[[], float] = monotonic_s,
     ) -> None:
+        terms = options or ShareOptions()
+        rng = random.Random(f"{identity.instance}/{identity.incarnation}")
         self._config = config
         self._clock = clock
-        self._lock = threading.Lock()
-        self._buckets_by_name: dict[str, tuple[Total, HolderBucket]] = {}
+        self._stock = SharedStock(Stock(terms.token_validity_s, rng))
+        self._task = RateTask(
+            identity=identity,
+            store=LedgerStore(platform),
+            link=link,
+            membership=membership,
+            config=config,
+            stock=self._stock,
+            options=terms,
+            clock=clock,
+        )
 
     def __enter__(self) -> Self:
+        self._task.__enter__()
+        self._config.subscribe(lambda _: self._on_new_set())
         return self
 
     def __exit__(
@@ -52,7 +66,11 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        pass
+        """Give all shares back, for a bounded time, and end the task."""
+        self._task.post(Leave())
+        with suppress(FutureTimeoutError):
+            self._task.left.result(LEAVE_TIMEOUT_S)
+        self._task.__exit__(exc_type, exc, traceback)
 
     def acquire(
         self, workspace: str, limits: tuple[str, ...], *, deadline: float, now: float
@@ -64,26 +82,17 @@
         names = bucket_names(state.config, workspace, limits)
         if names is None:
             return not_run(Reason.RATE_EXCEEDED, detail="unknown workspace or limit")
-        with self._lock:
-            buckets = []
-            for name in names:
-                total = total_of(state.config, name)
-                assert total is not None
-                buckets.append(self._bucket(name, total, now))
-            for bucket in buckets:
-                if bucket.level(now) < 1:
-                    wait_s = MILLIS / max(1, bucket.share.rate_millis)
-                    return not_run(Reason.RATE_EXCEEDED, retry_after_s=wait_s)
-            for bucket in buckets:
-                bucket.remove_tokens(1, now)
-        return None
+        taken = self._stock.acquire(names, self._clock())
+        if isinstance(taken, Waiter):
+            return self._wait(taken, deadline - now)
+        return taken
+
+    def _wait(self, waiter: Waiter, left_s: float) -> Refusal | None:
+        self._task.post(Wake())
+        try:
+            return waiter.future.result(max(0.0, min(left_s, MAX_WAIT_S)))
+        except FutureTimeoutError:
+            return self._stock.give_up(waiter)
 
-    def _bucket(self, name: str, total: Total, now: float) -> HolderBucket:
-        share = Share(total.rate_millis, total.burst_millis)
-        known = self._buckets_by_name.get(name)
-        if known is None:
-            known = (total, HolderBucket(share, share.burst_millis / MILLIS, now))
-            self._buckets_by_name[name] = known
-        if known[1].share != share:
-            known[1].set_share(share, now)
-        return known[1]
+    def _on_new_set(self) -> None:
+        self._task.post(NewSet())
--- /dev/null
+++ b/damaskbay/daemon/rates_ledger.py
@@ -0,0 +1,74 @@
+"""Reads and writes ledgers in the platform."""
+
+import logging
+
+from damaskbay.const import MAX_PLATFORM_VALUE_BYTES
+from damaskbay.core.rates.codec import BadLedger, decode_ledger, encode_ledger
+from damaskbay.core.rates.const import LEDGER_KEY_PREFIX
+from damaskbay.core.rates.ledger import GroupLedger
+from damaskbay.core.rates.node import (
+    CallResult,
+    LedgerCall,
+    NoEffect,
+    Stands,
+    Unresolved,
+    WriteLedger,
+    Wrote,
+)
+from damaskbay.ports.platform import (
+    Conflict,
+    Entry,
+    Platform,
+    PlatformFailure,
+    PlatformProblem,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+CALL_TIMEOUT_S = 2.0
+
+
+class LedgerStore:
+    """Turns calls of the holders into calls of the platform. Blocks."""
+
+    def __init__(self, platform: Platform) -> None:
+        self._platform = platform
+
+    def run(self, call: LedgerCall) -> CallResult:
+        """Make one call; every failure is a value."""
+        key = f"{LEDGER_KEY_PREFIX}{call.group}"
+        if isinstance(call, WriteLedger):
+            return self._write(key, call)
+        found = self._platform.get(key, timeout_s=CALL_TIMEOUT_S)
+        if isinstance(found, PlatformFailure):
+            return NoEffect()
+        return _stands(found)
+
+    def _write(self, key: str, call: WriteLedger) -> CallResult:
+        value = encode_ledger(call.proposal.ledger)
+        if len(value) > MAX_PLATFORM_VALUE_BYTES:
+            _LOGGER.error("rates: ledger too large. %s: %d bytes", key, len(value))
+            return NoEffect()
+        result = self._platform.compare_and_swap(
+            key,
+            value,
+            expected_revision=call.proposal.expected_revision,
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        if isinstance(result, Entry):
+            return Wrote(result.revision)
+        if isinstance(result, Conflict):
+            return _stands(result.current)
+        if result.problem is PlatformProblem.ANSWER_LOST:
+            return Unresolved()
+        return NoEffect()
+
+
+def _stands(entry: Entry | None) -> CallResult:
+    if entry is None:
+        return Stands(GroupLedger(), 0)
+    ledger = decode_ledger(entry.value)
+    if isinstance(ledger, BadLedger):
+        _LOGGER.error("rates: ledger unreadable. %s: %s", entry.key, ledger.detail)
+        return Unresolved()
+    return Stands(ledger, entry.revision)
