Write requests and answers from the calling thread where the stream is free

Cause: each request and each answer crossed to the link's thread only to be written: two thread wake-ups of six in a round trip. Change: a frame is written without blocking by the thread that made it when nothing is queued before it; the link's thread learns of it by a command that does not wake it and that it handles before any answer. TLS streams keep to the one thread.

--- a/damaskbay/adapters/peer_stream/client.py
+++ b/damaskbay/adapters/peer_stream/client.py
@@ -86,14 +86,26 @@
         if isinstance(stream, str):
             request.fail(PeerProblem.NOT_SENT, stream)
             return
-        self._track(request, stream)
-        if stream.liveness.ping_with_request(now):
-            self._pool.put(stream, FrameKind.PING)
+        self._track(request, stream, now)
         request.frame = self._pool.put(
             stream, FrameKind.REQUEST, request.correlation_id, request.payload
         )
-        stream.used_at = now
-        self._stats.requests_sent += 1
+
+    def ready_stream(self, peer: PeerAddress, now: float) -> PeerStream | None:
+        """Return a stream that may take a request at once; from any thread."""
+        stream = self._streams_by_address.get(peer)
+        if stream is None or stream.liveness.suspect(now):
+            return None
+        full = self._stats.requests >= self._options.max_requests
+        return None if full else stream
+
+    def track(self, request: OutgoingRequest, stream: PeerStream, now: float) -> None:
+        """Take over a request that its own thread writes to the stream."""
+        if stream.state is StreamState.ENDED:
+            request.stream = stream
+            request.fail(PeerProblem.LOST, "the stream ended")
+            return
+        self._track(request, stream, now)
 
     def send(self, peer: PeerAddress, payload: bytes, now: float) -> None:
         """Send without an answer, or drop."""
@@ -183,12 +195,15 @@
         if not stream.withdraw(frame):
             self._pool.put(stream, FrameKind.CANCEL, request.correlation_id)
 
-    def _track(self, request: OutgoingRequest, stream: PeerStream) -> None:
+    def _track(self, request: OutgoingRequest, stream: PeerStream, now: float) -> None:
         request.stream = stream
         self._requests_by_id[request.correlation_id] = request
         self._ids_by_stream[stream].add(request.correlation_id)
         heapq.heappush(self._deadlines, (request.deadline, request.correlation_id))
         self._stats.requests = len(self._requests_by_id)
+        self._stats.requests_sent += 1
+        stream.liveness.asked(now)
+        stream.used_at = now
 
     def _untrack(self, request: OutgoingRequest) -> None:
         del self._requests_by_id[request.correlation_id]
--- a/damaskbay/adapters/peer_stream/liveness.py
+++ b/damaskbay/adapters/peer_stream/liveness.py
@@ -24,6 +24,7 @@
     def __init__(self, options: PeerStreamOptions, now: float) -> None:
         self._options = options
         self._heard_at = now
+        self._asked_at = now
         self._ping_at: float | None = None
 
     def heard(self, now: float) -> None:
@@ -31,14 +32,9 @@
         self._heard_at = now
         self._ping_at = None
 
-    def ping_with_request(self, now: float) -> bool:
-        """Tell whether a request that is sent now needs a ping beside it."""
-        if self._ping_at is not None:
-            return False
-        if now - self._heard_at < self._options.heartbeat_s:
-            return False
-        self._ping_at = now
-        return True
+    def asked(self, now: float) -> None:
+        """Take note of a request that was sent; the peer gets time to answer."""
+        self._asked_at = now
 
     def suspect(self, now: float) -> bool:
         """Tell whether new requests should avoid the stream."""
@@ -58,7 +54,7 @@
             return Verdict.SILENT if late else Verdict.ALIVE
         options = self._options
         pause_s = options.heartbeat_s if busy else options.idle_heartbeat_s
-        if now - self._heard_at < pause_s:
+        if now - max(self._heard_at, self._asked_at) < pause_s:
             return Verdict.ALIVE
         self._ping_at = now
         return Verdict.PING
--- a/damaskbay/adapters/peer_stream/loop.py
+++ b/damaskbay/adapters/peer_stream/loop.py
@@ -44,6 +44,7 @@
         self._max_commands = max_commands
         self._commands: deque[Any] = deque()
         self._sleeping = False
+        self._sleeping_until = 0.0
         self._stopping = False
         self._selector = selectors.DefaultSelector()
         self._executor = ThreadPoolExecutor(1, thread_name_prefix=name)
@@ -82,6 +83,12 @@
             self._wake()
         return True
 
+    def post_quietly(self, command: Any, due: float) -> None:
+        """Queue a command that need not be handled before `due` or an event."""
+        self._commands.append(command)
+        if due < self._sleeping_until:
+            self._wake()
+
     @property
     def full(self) -> bool:
         """Tell whether so many commands wait that new work must be refused."""
@@ -114,25 +121,32 @@
     def _run(self) -> None:
         next_tick = self.clock() + self._tick_s
         while not self._stopping:
-            self._wait(min(next_tick, self.next_due()))
-            self._work()
-            self._guard(self.settle)
+            self._round(min(next_tick, self.next_due()))
             now = self.clock()
             if now >= min(next_tick, self.next_due()):
                 self._guard(self.tick, now, max(0.0, now - next_tick))
                 self._guard(self.settle)
                 next_tick = now + self._tick_s
-        self._work()
         self._guard(self.stopped)
 
-    def _wait(self, until: float) -> None:
+    def _round(self, until: float) -> None:
+        """
+        Wait, then handle the commands, then the events.
+
+        A command that was queued before its frame was written is handled before
+        the answer to that frame.
+        """
+        self._sleeping_until = until
         self._sleeping = True
         wait_s = 0.0 if self._commands else max(0.0, until - self.clock())
         events = self._selector.select(wait_s)
         self._sleeping = False
+        self._work()
         now = self.clock()
         for key, mask in events:
             self._guard(key.data, mask, now)
+        self._work()
+        self._guard(self.settle)
 
     def _work(self) -> None:
         now = self.clock()
--- a/damaskbay/adapters/peer_stream/outbox.py
+++ b/damaskbay/adapters/peer_stream/outbox.py
@@ -21,6 +21,7 @@
 
     def __init__(self) -> None:
         self.queued_bytes = 0
+        self.sent_bytes = 0
         self._frames: deque[Outgoing] = deque()
         self._offset = 0
 
@@ -49,17 +50,15 @@
             other.put(self._frames.popleft())
         self.queued_bytes = 0
 
-    def flush(self, sock: socket.socket) -> int:
-        """Write until the socket takes no more; return the bytes; raise OSError."""
-        total = 0
+    def flush(self, sock: socket.socket) -> None:
+        """Write until the socket takes no more; raise OSError."""
         while self._frames:
             try:
                 sent = self._write(sock)
             except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
                 break
             self._advance(sent)
-            total += sent
-        return total
+            self.sent_bytes += sent
 
     def _write(self, sock: socket.socket) -> int:
         head = self._frames[0]
--- a/damaskbay/adapters/peer_stream/pool.py
+++ b/damaskbay/adapters/peer_stream/pool.py
@@ -78,6 +78,10 @@
         self._dirty.add(stream)
         return stream.put(kind, correlation_id, payload)
 
+    def touch(self, stream: PeerStream) -> None:
+        """Write to a stream when the round settles."""
+        self._dirty.add(stream)
+
     def settle(self, now: float) -> None:
         """Write to the streams that have something queued."""
         while self._dirty:
@@ -101,6 +105,7 @@
     def tick(self, now: float, late_s: float) -> None:
         """Ping what is quiet, end what is silent or not proven in time."""
         for stream, side in tuple(self._sides.items()):
+            self._stats.bytes_sent += stream.take_sent_bytes()
             if not stream.proven:
                 if now - stream.opened_at > self._options.handshake_timeout_s:
                     self._stats.streams_failed += 1
@@ -124,6 +129,7 @@
         self._dirty.discard(stream)
         self._selector.unregister(stream.sock)
         stream.close()
+        self._stats.bytes_sent += stream.take_sent_bytes()
         self._stats.streams = len(self._sides)
         side.on_end(stream, now, detail)
 
--- a/damaskbay/adapters/peer_stream/server.py
+++ b/damaskbay/adapters/peer_stream/server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import math
 import selectors
 import socket
 import ssl
@@ -9,10 +10,11 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from damaskbay.adapters.peer_stream.const import CONTROL_RESERVE_BYTES
+from damaskbay.adapters.peer_stream.const import CONTROL_RESERVE_BYTES, MAX_DIRECT_BYTES
 from damaskbay.adapters.peer_stream.exceptions import FrameError
-from damaskbay.adapters.peer_stream.frames import Frame, FrameKind
+from damaskbay.adapters.peer_stream.frames import Frame, FrameKind, encode
 from damaskbay.adapters.peer_stream.options import PeerStreamOptions, PeerStreamStats
+from damaskbay.adapters.peer_stream.outbox import Outgoing
 from damaskbay.adapters.peer_stream.pool import StreamPool
 from damaskbay.adapters.peer_stream.proof import Handshake, Role
 from damaskbay.adapters.peer_stream.stream import PeerStream
@@ -41,6 +43,20 @@
     payload: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class AnsweredCommand:
+    """The answer was written by the thread that gave it."""
+
+    request: IncomingRequest
+
+
+@dataclass(frozen=True, slots=True)
+class FlushCommand:
+    """Write what the socket did not take at once."""
+
+    stream: PeerStream
+
+
 @dataclass(frozen=True, slots=True)
 class OnCancelCommand:
     """Call back when the request is cancelled."""
@@ -49,31 +65,58 @@
     callback: Callable[[], None]
 
 
-class Post(Protocol):
-    """Queues a command for the loop."""
+class Mailbox(Protocol):
+    """Takes commands for the loop; safe from any thread."""
 
-    def __call__(self, command: Any) -> bool:
-        """Return False where the loop takes no more."""
+    def post(self, command: Any) -> bool:
+        """Queue a command; return False where the loop has stopped."""
+        ...
+
+    def post_quietly(self, command: Any, due: float) -> None:
+        """Queue a command that need not be handled before `due` or an event."""
         ...
 
 
 class StreamResponder:
     """Answers one request; safe from any thread."""
 
-    __slots__ = ("_post", "_request")
+    __slots__ = ("_mailbox", "_request")
 
-    def __init__(self, request: IncomingRequest, post: Post) -> None:
+    def __init__(self, request: IncomingRequest, mailbox: Mailbox) -> None:
         self._request = request
-        self._post = post
+        self._mailbox = mailbox
 
     def answer(self, message: Any) -> None:
         """Send the answer; a second one is dropped."""
-        if self._request.open:
-            self._post(AnswerCommand(self._request, pack(message)))
+        if not self._request.open:
+            return
+        payload = pack(message)
+        if not self._answer_now(payload):
+            self._mailbox.post(AnswerCommand(self._request, payload))
 
     def on_cancel(self, callback: Callable[[], None]) -> None:
         """Call back on the loop's thread when the request is cancelled."""
-        self._post(OnCancelCommand(self._request, callback))
+        self._mailbox.post(OnCancelCommand(self._request, callback))
+
+    def _answer_now(self, payload: bytes) -> bool:
+        """Write the answer from the calling thread where its stream is free."""
+        request = self._request
+        if len(payload) > MAX_DIRECT_BYTES:
+            return False
+        frame = Outgoing(encode(FrameKind.ANSWER, request.correlation_id, payload))
+        if not request.stream.send_now(frame, self._announce):
+            return False
+        if request.stream.queued_bytes:
+            self._mailbox.post(FlushCommand(request.stream))
+        return True
+
+    def _announce(self) -> bool:
+        request = self._request
+        if not request.open:
+            return False
+        request.open = False
+        self._mailbox.post_quietly(AnsweredCommand(request), math.inf)
+        return True
 
 
 class _NoResponder:
@@ -97,7 +140,7 @@
         options: PeerStreamOptions,
         stats: PeerStreamStats,
         tls: ssl.SSLContext | None,
-        post: Post,
+        mailbox: Mailbox,
     ) -> None:
         self._identity = identity
         self._secrets = secrets
@@ -105,7 +148,7 @@
         self._options = options
         self._stats = stats
         self._tls = tls
-        self._post = post
+        self._mailbox = mailbox
         self._handlers: dict[type[Any], Handler] = {}
         self._running: dict[PeerStream, dict[int, IncomingRequest]] = {}
         self._listener: socket.socket | None = None
@@ -169,6 +212,10 @@
         self._stats.answers_dropped += 1
         self._pool.put(stream, FrameKind.DROPPED, request.correlation_id)
 
+    def answered(self, request: IncomingRequest) -> None:
+        """Forget a request whose answer was written by its own thread."""
+        self._forget(request)
+
     def add_on_cancel(self, command: OnCancelCommand) -> None:
         """Keep the callback, or call at once where the request is cancelled."""
         if command.request.open:
@@ -184,7 +231,7 @@
         elif frame.kind is FrameKind.SEND:
             self._handle_one_way(stream, frame)
         elif frame.kind is FrameKind.CANCEL:
-            request = self._running_on(stream).get(frame.correlation_id)
+            request = self._running[stream].get(frame.correlation_id)
             if request is not None:
                 self._cancel(request)
         else:
@@ -192,17 +239,14 @@
 
     def on_end(self, stream: PeerStream, now: float, detail: str) -> None:
         """Cancel what runs for a peer that is gone."""
-        for request in tuple(self._running_on(stream).values()):
+        for request in tuple(self._running[stream].values()):
             self._cancel(request)
-        self._running.pop(stream, None)
+        del self._running[stream]
 
     def busy(self, stream: PeerStream) -> bool:
         """Tell whether requests of a stream are running."""
         return bool(self._running.get(stream))
 
-    def _running_on(self, stream: PeerStream) -> dict[int, IncomingRequest]:
-        return self._running.setdefault(stream, {})
-
     def _accept(self, _events: int, now: float) -> None:
         if self._listener is None:
             return
@@ -225,6 +269,7 @@
             )
         handshake = Handshake(Role.ACCEPTOR, self._identity, self._secrets)
         stream = PeerStream(sock, address, handshake, self._options, self._stats, now)
+        self._running[stream] = {}
         self._pool.add(stream, self)
         self._stats.streams_accepted += 1
 
@@ -236,7 +281,7 @@
             self._pool.end(unproven[0], now, "too many unproven streams")
 
     def _run(self, stream: PeerStream, frame: Frame) -> None:
-        running = self._running_on(stream)
+        running = self._running[stream]
         if frame.correlation_id in running:
             raise FrameError("correlation id is in use")
         request = IncomingRequest(stream, frame.correlation_id)
@@ -254,7 +299,7 @@
         self._stats.requests_received += 1
         running[frame.correlation_id] = request
         try:
-            handler(stream.identity, message, StreamResponder(request, self._post))
+            handler(stream.identity, message, StreamResponder(request, self._mailbox))
         except Exception:
             _LOGGER.exception("peer stream: handler failed.")
             if request.open:
@@ -283,9 +328,17 @@
 
     def _close(self, request: IncomingRequest) -> None:
         request.open = False
-        self._running_on(request.stream).pop(request.correlation_id, None)
+        self._forget(request)
+
+    def _forget(self, request: IncomingRequest) -> None:
+        running = self._running.get(request.stream)
+        if running is not None:
+            running.pop(request.correlation_id, None)
 
     def _cancel(self, request: IncomingRequest) -> None:
+        if not request.open:
+            self._forget(request)
+            return
         request.cancelled = True
         self._close(request)
         for callback in request.on_cancel:
--- a/damaskbay/adapters/peer_stream/stream.py
+++ b/damaskbay/adapters/peer_stream/stream.py
@@ -1,9 +1,11 @@
 """One stream: a non-blocking socket, its handshake, its queue and its liveness."""
 
+import contextlib
 import selectors
 import socket
 import ssl
-from collections.abc import Iterator
+import threading
+from collections.abc import Callable, Iterator
 from enum import Enum
 
 from damaskbay.adapters.peer_stream.const import RECEIVE_BYTES
@@ -33,7 +35,9 @@
 
 class PeerStream:
     """
-    One stream. Only the task that owns it may touch it.
+    One stream. Only the task that owns it may touch it, but for `send_now`.
+
+    The lock guards the outbox and the write that follows, which never blocks.
 
     Frames given before the proof are held back, so that no byte of them leaves
     before the peer is proven. `leaving` tells that no new request may use it.
@@ -66,6 +70,9 @@
         self._reader = FrameReader()
         self._outbox = Outbox()
         self._held = Outbox()
+        self._lock = threading.Lock()
+        self._secure = isinstance(sock, ssl.SSLSocket)
+        self._counted_bytes = 0
         self._interest = selectors.EVENT_WRITE
 
     @property
@@ -104,17 +111,48 @@
     ) -> Outgoing:
         """Queue a frame; it leaves on the next flush after the proof."""
         frame = Outgoing(encode(kind, correlation_id, payload))
-        (self._outbox if self.proven else self._held).put(frame)
+        with self._lock:
+            (self._outbox if self.proven else self._held).put(frame)
         return frame
 
+    def send_now(self, frame: Outgoing, announce: Callable[[], bool]) -> bool:
+        """
+        Write from the calling thread where nothing is queued; never blocks.
+
+        Returns False where the owning task has to send the frame. Otherwise
+        `announce` was called before the first byte left, and where it returned
+        True the frame is written; what the socket did not take stays queued.
+        """
+        if self._secure or not self._lock.acquire(blocking=False):
+            return False
+        try:
+            if not self.proven or self.leaving or self._outbox:
+                return False
+            if announce():
+                self._outbox.put(frame)
+                with contextlib.suppress(OSError):
+                    self._outbox.flush(self.sock)
+            return True
+        finally:
+            self._lock.release()
+
     def withdraw(self, frame: Outgoing) -> bool:
         """Take a frame back; return False where a byte of it may have left."""
-        return self._outbox.withdraw(frame) or self._held.withdraw(frame)
+        with self._lock:
+            return self._outbox.withdraw(frame) or self._held.withdraw(frame)
 
     def flush(self) -> None:
         """Write what the socket takes; raise OSError."""
         if self._outbox:
-            self._stats.bytes_sent += self._outbox.flush(self.sock)
+            with self._lock:
+                self._outbox.flush(self.sock)
+
+    def take_sent_bytes(self) -> int:
+        """Return the bytes written since the last call."""
+        sent = self._outbox.sent_bytes
+        count = sent - self._counted_bytes
+        self._counted_bytes = sent
+        return count
 
     def pump(self, events: int, now: float, buffer: bytearray) -> Iterator[Frame]:
         """
@@ -135,8 +173,9 @@
 
     def close(self) -> None:
         """Close the socket; what is queued stays unsent."""
-        self.state = StreamState.ENDED
-        self.sock.close()
+        with self._lock:
+            self.state = StreamState.ENDED
+            self.sock.close()
 
     def _connected(self) -> None:
         error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -189,11 +228,13 @@
                 yield frame
 
     def _become_proven(self) -> None:
-        self.state = StreamState.PROVEN
-        self.was_proven = True
         self._reader.max_bytes = self._options.max_frame_bytes
-        self._held.move_to(self._outbox)
+        with self._lock:
+            self._held.move_to(self._outbox)
+            self.state = StreamState.PROVEN
+        self.was_proven = True
 
     def _say(self, data: bytes) -> None:
         if data:
-            self._outbox.put(Outgoing(data))
+            with self._lock:
+                self._outbox.put(Outgoing(data))
--- a/damaskbay/adapters/peer_stream/streams.py
+++ b/damaskbay/adapters/peer_stream/streams.py
@@ -14,16 +14,22 @@
 from damaskbay.adapters.peer_stream.client import OutgoingRequest, RequestingSide
 from damaskbay.adapters.peer_stream.const import (
     CONTROL_RESERVE_BYTES,
+    MAX_DIRECT_BYTES,
     MIN_SECRET_BYTES,
 )
+from damaskbay.adapters.peer_stream.frames import FrameKind, encode
 from damaskbay.adapters.peer_stream.loop import SocketLoop
 from damaskbay.adapters.peer_stream.options import PeerStreamOptions, PeerStreamStats
+from damaskbay.adapters.peer_stream.outbox import Outgoing
 from damaskbay.adapters.peer_stream.pool import StreamPool
 from damaskbay.adapters.peer_stream.server import (
     AnswerCommand,
+    AnsweredCommand,
     AnsweringSide,
+    FlushCommand,
     OnCancelCommand,
 )
+from damaskbay.adapters.peer_stream.stream import PeerStream
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.messages import pack
 from damaskbay.ports.peer import (
@@ -49,6 +55,12 @@
     request: OutgoingRequest
 
 
+@dataclass(frozen=True, slots=True)
+class _Track:
+    request: OutgoingRequest
+    stream: PeerStream
+
+
 @dataclass(frozen=True, slots=True)
 class _Drain:
     done: "Future[None]"
@@ -92,13 +104,18 @@
             identity, secrets, self._pool, options, self._stats, client_tls
         )
         self._in = AnsweringSide(
-            identity, secrets, self._pool, options, self._stats, server_tls, self.post
+            identity, secrets, self._pool, options, self._stats, server_tls, self
         )
         self._drains: list[Future[None]] = []
         self._steps: dict[type[Any], Callable[[Any, float], None]] = {
             OutgoingRequest: self._out.request,
             AnswerCommand: lambda command, _: self._in.answer(command),
+            AnsweredCommand: lambda command, _: self._in.answered(command.request),
             OnCancelCommand: lambda command, _: self._in.add_on_cancel(command),
+            _Track: lambda track, now: self._out.track(
+                track.request, track.stream, now
+            ),
+            FlushCommand: lambda flush, _: self._pool.touch(flush.stream),
             _Send: lambda send, now: self._out.send(send.peer, send.payload, now),
             _Cancel: lambda cancel, _: self._out.cancel(cancel.request),
             _Drain: lambda drain, _: self._drain(drain),
@@ -122,12 +139,14 @@
         Cancelling the future sends a cancellation to the peer.
         """
         payload = pack(message)
-        deadline = self.clock() + timeout_s
-        request = OutgoingRequest(next(self._ids), peer, payload, deadline)
+        now = self.clock()
+        request = OutgoingRequest(next(self._ids), peer, payload, now + timeout_s)
         if len(payload) > self._max_payload:
             request.fail(PeerProblem.NOT_SENT, "the message is too large")
-        elif self.full or not self.post(request):
+        elif self.full:
             request.fail(PeerProblem.NOT_SENT, "the link takes no more")
+        elif not self._send_now(request, now) and not self.post(request):
+            request.fail(PeerProblem.NOT_SENT, "the link has stopped")
         else:
             step = functools.partial(self._on_done, request)
             request.future.add_done_callback(step)
@@ -167,6 +186,8 @@
         """Fail a request that came too late to be sent."""
         if isinstance(command, OutgoingRequest):
             command.fail(PeerProblem.NOT_SENT, "the link has stopped")
+        elif isinstance(command, _Track):
+            command.request.fail(PeerProblem.LOST, "the link has stopped")
 
     def settle(self) -> None:
         """Write what the round queued."""
@@ -193,6 +214,26 @@
             for stream in self._pool.of(side):
                 self._pool.end(stream, now, "the link has stopped")
 
+    def _send_now(self, request: OutgoingRequest, now: float) -> bool:
+        """Write a request from the calling thread where its stream is free."""
+        stream = self._out.ready_stream(request.peer, now)
+        if stream is None or len(request.payload) > MAX_DIRECT_BYTES:
+            return False
+        frame = Outgoing(
+            encode(FrameKind.REQUEST, request.correlation_id, request.payload)
+        )
+
+        def announce() -> bool:
+            request.frame = frame
+            self.post_quietly(_Track(request, stream), request.deadline)
+            return True
+
+        if not stream.send_now(frame, announce):
+            return False
+        if stream.queued_bytes:
+            self.post(FlushCommand(stream))
+        return True
+
     def _drain(self, drain: _Drain) -> None:
         self._in.drain()
         self._drains.append(drain.done)
