Know the members of a failure domain by gossip

Cause: requests need live backend servers without a list of them and without a call to the platform for each change. Change: a SWIM style state machine without I/O (probes, indirect probes, suspicion, refutation by version, incarnations that displace by instance and by address, news sent at once and on probes, table digests compared over peer streams), datagrams proven by HMAC-SHA256 with a replay window, and the task that carries both. Tests: crash, reported failure, drain within 2 s over 300 members, planned stop, one-way cut, deaf member, paused member, replaced daemon, halves that merge, all in virtual time. Conclusion: servers() answers with the own failure domain's servers.

--- /dev/null
+++ b/damaskbay/adapters/gossip_udp/codec.py
@@ -0,0 +1,94 @@
+"""Packets as bytes: msgpack behind a keyed digest, with a sequence number."""
+
+import hmac
+from typing import Any
+
+import msgpack
+
+from damaskbay.adapters.gossip_udp.const import (
+    MAC_BYTES,
+    MAC_CONTEXT,
+    MAX_DATAGRAM_BYTES,
+)
+from damaskbay.adapters.gossip_udp.exceptions import DatagramProblem
+from damaskbay.adapters.gossip_udp.replay import ReplayFilter
+from damaskbay.core.membership.entry import MemberEntry
+from damaskbay.core.membership.packets import Ack, IndirectPing, Packet, Ping, Rumor
+from damaskbay.core.membership.wire import entry_from, entry_values
+from damaskbay.ports.peer import PeerAddress
+
+_PING, _INDIRECT_PING, _ACK, _RUMOR = range(4)
+
+
+class PacketCodec:
+    """Encodes own packets and decodes those of others, each at most once."""
+
+    def __init__(self, secret: bytes) -> None:
+        self._key = hmac.digest(secret, MAC_CONTEXT, "sha256")
+        self._sequence = 0
+        self._replays = ReplayFilter()
+
+    def encode(self, packet: Packet) -> bytes:
+        """Return the datagram; news that do not fit are left out."""
+        updates = packet.updates
+        while True:
+            data = self._encode(packet, updates)
+            if len(data) <= MAX_DATAGRAM_BYTES or not updates:
+                return data
+            updates = updates[:-1]
+
+    def decode(self, data: bytes) -> Packet | DatagramProblem:
+        """Return the packet, or why the datagram is dropped."""
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return DatagramProblem.TOO_LARGE
+        mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
+        if not hmac.compare_digest(mac, self._mac(body)):
+            return DatagramProblem.UNPROVEN
+        try:
+            sequence, values = msgpack.unpackb(body)
+            packet = _packet(values)
+        except (ValueError, TypeError, msgpack.exceptions.UnpackException):
+            return DatagramProblem.MALFORMED
+        sender = packet.sender
+        if not isinstance(sequence, int):
+            return DatagramProblem.MALFORMED
+        if not self._replays.fresh(sender.instance, sender.incarnation, sequence):
+            return DatagramProblem.REPLAYED
+        return packet
+
+    def _encode(self, packet: Packet, updates: tuple[MemberEntry, ...]) -> bytes:
+        self._sequence += 1
+        body: bytes = msgpack.packb([self._sequence, _values(packet, updates)])
+        return self._mac(body) + body
+
+    def _mac(self, body: bytes) -> bytes:
+        return hmac.digest(self._key, body, "sha256")[:MAC_BYTES]
+
+
+def _values(packet: Packet, updates: tuple[MemberEntry, ...]) -> list[Any]:
+    entries = [entry_values(entry) for entry in (packet.sender, *updates)]
+    match packet:
+        case Ping():
+            return [_PING, entries, packet.probe]
+        case IndirectPing():
+            target = packet.target
+            return [_INDIRECT_PING, entries, packet.probe, target.host, target.port]
+        case Ack():
+            return [_ACK, entries, packet.probe]
+        case Rumor():
+            return [_RUMOR, entries]
+
+
+def _packet(values: Any) -> Packet:
+    kind, rows, *rest = values
+    sender, *updates = (entry_from(row) for row in rows)
+    match kind, rest:
+        case 0, [int(probe)]:
+            return Ping(sender, probe, tuple(updates))
+        case 1, [int(probe), str(host), int(port)] if 0 < port < 2**16:
+            return IndirectPing(sender, probe, PeerAddress(host, port), tuple(updates))
+        case 2, [int(probe)]:
+            return Ack(sender, probe, tuple(updates))
+        case 3, []:
+            return Rumor(sender, tuple(updates))
+    raise ValueError("no packet of a known kind")
--- /dev/null
+++ b/damaskbay/adapters/gossip_udp/const.py
@@ -0,0 +1,8 @@
+"""Bounds of the datagrams."""
+
+MAX_DATAGRAM_BYTES = 1_400
+MAC_BYTES = 16
+MAC_CONTEXT = b"damaskbay gossip 1"
+RECEIVE_WAIT_S = 0.2
+WINDOW_DATAGRAMS = 64
+MAX_SENDERS = 8_000
--- /dev/null
+++ b/damaskbay/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of one failure domain: who lives, decided without any I/O."""
--- /dev/null
+++ b/damaskbay/core/membership/options.py
@@ -0,0 +1,32 @@
+"""Times and sizes of the membership protocol."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipOptions:
+    """
+    Times in seconds, sizes in bytes.
+
+    A daemon sends one probe each `probe_period_s`; a probe without an answer for
+    `direct_timeout_s` goes through `indirect_probes` others, and makes its target
+    suspect after `probe_timeout_s`. A suspect is dead after `suspicion_s`. News
+    go at once to `rumor_fanout` members within `rumor_bytes_per_s`, and ride on
+    probes `retransmit_factor` times the binary logarithm of the members.
+    """
+
+    probe_period_s: float = 1.0
+    direct_timeout_s: float = 0.3
+    probe_timeout_s: float = 1.0
+    indirect_probes: int = 3
+    suspicion_s: float = 3.0
+    avoid_s: float = 2.0
+    rumor_fanout: int = 5
+    rumor_bytes_per_s: float = 6_000.0
+    rumor_burst_bytes: float = 24_000.0
+    retransmit_factor: int = 3
+    updates_bytes: int = 900
+    sync_period_s: float = 10.0
+    reconnect_period_s: float = 5.0
+    pause_s: float = 2.0
+    tombstone_s: float = 3_600.0
--- /dev/null
+++ b/damaskbay/core/membership/table.py
@@ -0,0 +1,155 @@
+"""The entries of one failure domain, merged by the order of their facts."""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from damaskbay.core.membership.const import (
+    DIGEST_BUCKETS,
+    DIGEST_BYTES,
+    MAX_MEMBERS,
+)
+from damaskbay.core.membership.entry import MemberEntry, Status
+from damaskbay.ports.fleet import ServerState
+from damaskbay.ports.peer import PeerAddress
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """An entry with when it changed and when its server was first seen ready."""
+
+    entry: MemberEntry
+    changed_at: float
+    ready_at: float
+
+
+class MemberTable:
+    """Entries by instance, and which of them changed since they were last read."""
+
+    def __init__(self, failure_domain: str) -> None:
+        self.by_instance: dict[str, Record] = {}
+        self._changed: set[str] = set()
+        self._failure_domain = failure_domain
+        self._instance_by_address: dict[PeerAddress, str] = {}
+
+    def apply(self, entry: MemberEntry, now: float) -> tuple[MemberEntry, ...]:
+        """
+        Merge one entry; return the entries that are news, none where it is old.
+
+        A daemon at the address of an older one displaces it, and an older one
+        that comes back at an address that was taken since is ignored.
+        """
+        known = self.by_instance.get(entry.instance)
+        if known is None and not self._admits(entry):
+            return ()
+        if known is not None and entry.fact <= known.entry.fact:
+            return ()
+        displaced = self._displace(entry, now) if entry.live else ()
+        if displaced is None:
+            return ()
+        self._store(entry, known, now)
+        return (entry, *displaced)
+
+    def hint_load(self, entry: MemberEntry) -> None:
+        """Take the load that a daemon says of itself."""
+        known = self.by_instance.get(entry.instance)
+        if known is None or known.entry.fact != entry.fact:
+            return
+        if known.entry.load != entry.load:
+            self.by_instance[entry.instance] = replace(known, entry=entry)
+            self._changed.add(entry.instance)
+
+    def take_changed(self) -> set[str]:
+        """Return the instances that changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
+
+    def mark_changed(self, instance: str) -> None:
+        """Note that callers will see an instance otherwise."""
+        self._changed.add(instance)
+
+    def restore(self, entry: MemberEntry, now: float) -> None:
+        """Put an earlier entry back in place of what was concluded from it."""
+        self._store(entry, self.by_instance.get(entry.instance), now)
+
+    def live(self) -> list[MemberEntry]:
+        """Return the entries of daemons that are not dead."""
+        return [item.entry for item in self.by_instance.values() if item.entry.live]
+
+    def purge(self, now: float, *, tombstone_s: float) -> None:
+        """Forget daemons that have been dead for `tombstone_s`."""
+        old = [
+            item.entry
+            for item in self.by_instance.values()
+            if not item.entry.live and now - item.changed_at >= tombstone_s
+        ]
+        for entry in old:
+            del self.by_instance[entry.instance]
+            self._changed.add(entry.instance)
+            if self._instance_by_address.get(entry.address) == entry.instance:
+                del self._instance_by_address[entry.address]
+
+    def digests(self) -> tuple[bytes, ...]:
+        """Return one digest of the live entries for each bucket of instances."""
+        sums = [0] * DIGEST_BUCKETS
+        for entry in self.live():
+            text = f"{entry.instance}\0{entry.incarnation}\0{entry.version}"
+            sums[bucket_of(entry.instance)] ^= _number(text)
+        return tuple(item.to_bytes(DIGEST_BYTES, "big") for item in sums)
+
+    def in_buckets(self, buckets: Iterable[int]) -> tuple[MemberEntry, ...]:
+        """Return the entries of some buckets but those held for crashed."""
+        wanted = frozenset(buckets)
+        return tuple(
+            item.entry
+            for item in self.by_instance.values()
+            if bucket_of(item.entry.instance) in wanted and _told(item.entry)
+        )
+
+    def _admits(self, entry: MemberEntry) -> bool:
+        own_domain = entry.failure_domain == self._failure_domain
+        return own_domain and len(self.by_instance) < MAX_MEMBERS
+
+    def _displace(
+        self, entry: MemberEntry, now: float
+    ) -> tuple[MemberEntry, ...] | None:
+        """Return the entries made dead, or None where a newer one is there."""
+        instance = self._instance_by_address.get(entry.address, entry.instance)
+        known = self.by_instance.get(instance)
+        if instance == entry.instance or known is None:
+            return ()
+        if known.entry.incarnation > entry.incarnation:
+            return None
+        if not known.entry.live:
+            return ()
+        dead = replace(known.entry, status=Status.DEAD)
+        self._store(dead, known, now)
+        return (dead,)
+
+    def _store(self, entry: MemberEntry, known: Record | None, now: float) -> None:
+        ready_at = now
+        if known is not None and _same_ready_server(known.entry, entry):
+            ready_at = known.ready_at
+        self.by_instance[entry.instance] = Record(entry, now, ready_at)
+        if entry.live:
+            self._instance_by_address[entry.address] = entry.instance
+        self._changed.add(entry.instance)
+
+
+def bucket_of(instance: str) -> int:
+    """Return the digest bucket of an instance."""
+    return _number(instance) % DIGEST_BUCKETS
+
+
+def _told(entry: MemberEntry) -> bool:
+    return entry.live or entry.state is ServerState.GONE
+
+
+def _number(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def _same_ready_server(before: MemberEntry, after: MemberEntry) -> bool:
+    same = before.incarnation == after.incarnation
+    return same and before.state is ServerState.READY is after.state
--- /dev/null
+++ b/tests/adapters/gossip_udp/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of adapters.gossip_udp."""
