--- /dev/null
+++ b/bench/overload_ours.py
@@ -0,0 +1,337 @@
+"""The product's decisions, driven in virtual time over fake backend servers."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+from bench.overload_fleet import HOP_S, Fleet
+from bench.overload_load import LOST_SHARE, Request
+from bench.virtual_time import FakeServer, Job
+from damaskbay.core.admission import (
+    AdmissionController,
+    AdmissionOptions,
+    Decision,
+    Sample,
+    Start,
+    Waiting,
+)
+from damaskbay.core.call import Answer, CallContext, CallResult
+from damaskbay.core.call_tree import CallTree
+from damaskbay.core.outcome import Reason, Refusal, unknown
+from damaskbay.core.retry import RetryBudget, RetryBudgetOptions, decide_retry, split
+from damaskbay.core.routing import FailureKind, RouteOutcome, Router, RouterOptions
+from damaskbay.ports.fleet import ServerView
+
+TICK_S = 0.05
+STATUS_OK = 200
+STATUS_NESTED_FAILED = 502
+
+Done = Callable[[CallResult], None]
+
+
+class Daemon:
+    """The decisions of one daemon beside one fake backend server."""
+
+    def __init__(self, fleet: Fleet, view: ServerView, server: FakeServer) -> None:
+        rng = fleet.rng
+        options = AdmissionOptions(server.slots, limit=fleet.policy.limit)
+        self.fleet = fleet
+        self.view = view
+        self.server = server
+        self.router = Router(RouterOptions(view.failure_domain), Random(rng.random()))
+        self.controller = AdmissionController(options, Random(rng.random()), 0.0)
+        self.tree = CallTree()
+        self.budget_by_pool = {
+            pool.name: RetryBudget(RetryBudgetOptions(), 0.0)
+            for pool in fleet.topology.pools
+        }
+        self._attempts_by_ticket: dict[int, Attempt] = {}
+        self._last_ticket = 0
+        fleet.events.after(TICK_S, self.tick)
+
+    def admit(self, attempt: "Attempt") -> None:
+        """Take an attempt that has arrived, unless it was cancelled on the way."""
+        if attempt.ended:
+            return
+        self._last_ticket += 1
+        attempt.ticket = self._last_ticket
+        self._attempts_by_ticket[attempt.ticket] = attempt
+        context = attempt.context
+        item = Waiting(attempt.ticket, context, cost=context.depth)
+        self.apply(self.controller.offer(item, self.fleet.events.now))
+
+    def apply(self, decisions: tuple[Decision, ...]) -> None:
+        """Carry out decisions."""
+        for decision in decisions:
+            attempt = self._attempts_by_ticket[decision.ticket]
+            if isinstance(decision, Start):
+                attempt.run()
+            else:
+                del self._attempts_by_ticket[decision.ticket]
+                attempt.reply(decision.refusal, attempt.context.retry_tokens)
+
+    def finish(self, attempt: "Attempt", sample: Sample) -> None:
+        """Free the slot of an attempt."""
+        del self._attempts_by_ticket[attempt.ticket]
+        now = self.fleet.events.now
+        self.apply(self.controller.finish(attempt.ticket, sample, now))
+
+    def withdraw(self, attempt: "Attempt") -> None:
+        """Forget a waiting attempt."""
+        if self._attempts_by_ticket.pop(attempt.ticket, None) is not None:
+            now = self.fleet.events.now
+            self.apply(self.controller.withdraw(attempt.ticket, now))
+
+    def tick(self) -> None:
+        """Let waiting attempts expire."""
+        self.apply(self.controller.expire(self.fleet.events.now))
+        self.fleet.events.after(TICK_S, self.tick)
+
+
+class Call:
+    """One call at the daemon that sends it: choice, attempts and retries."""
+
+    def __init__(
+        self, daemon: Daemon, request: Request, context: CallContext, done: Done
+    ) -> None:
+        self.daemon = daemon
+        self.request = request
+        self.context = context
+        self.tokens = context.retry_tokens
+        self.sends = 0
+        self.ended = False
+        self._done = done
+        self._attempt: Attempt | None = None
+        self._sent_at = 0.0
+
+    def begin(self) -> None:
+        """Refuse early or send."""
+        now = self.daemon.fleet.events.now
+        servers = self.daemon.fleet.views_by_pool[self.context.pool]
+        refusal = self.daemon.router.early_refusal(servers, self.context, now)
+        if refusal is not None:
+            self._end(CallResult(refusal, 0, self.tokens))
+            return
+        self._send(frozenset())
+
+    def cancel(self) -> None:
+        """Give the call up, and all below it."""
+        if self.ended:
+            return
+        self.ended = True
+        attempt = self._attempt
+        if attempt is None:
+            return
+        now = self.daemon.fleet.events.now
+        outcome = RouteOutcome(now - self._sent_at, None, FailureKind.CANCELLED)
+        self.daemon.router.finished(attempt.target.view.instance, outcome, now)
+        self.daemon.fleet.events.after(attempt.hop_s, attempt.cancel)
+
+    def _send(self, excluded: frozenset[str]) -> None:
+        fleet = self.daemon.fleet
+        now = fleet.events.now
+        view = self.daemon.router.choose(
+            fleet.views_by_pool[self.context.pool],
+            self.context,
+            excluded=excluded,
+            now=now,
+        )
+        if isinstance(view, Refusal):
+            self._end(CallResult(view, 0, self.tokens))
+            return
+        parts = split(
+            self.tokens, nested=fleet.next_pool(self.context.pool) is not None
+        )
+        self.tokens = parts.kept
+        self.sends += 1
+        self.request.attempts += 1
+        self._sent_at = now
+        self.daemon.router.started(view.instance, now)
+        target = fleet.daemons_by_instance[view.instance]
+        hop_s = 0.0 if target is self.daemon else HOP_S
+        context = replace(self.context, retry_tokens=parts.moved)
+        self._attempt = Attempt(self, target, context, hop_s)
+        fleet.events.after(hop_s, target.admit, self._attempt)
+
+    def answered(self, attempt: "Attempt", result: CallResult) -> None:
+        """Take what an attempt brought."""
+        if self.ended:
+            return
+        self._attempt = None
+        now = self.daemon.fleet.events.now
+        instance = attempt.target.view.instance
+        failure = _failure(result.result)
+        outcome = RouteOutcome(now - self._sent_at, result.admission_level, failure)
+        self.daemon.router.finished(instance, outcome, now)
+        self.tokens += result.retry_tokens_left
+        budget = self.daemon.budget_by_pool[self.context.pool]
+        if isinstance(result.result, Answer):
+            budget.succeeded()
+        retry = decide_retry(
+            replace(result, served_by=instance),
+            self.context,
+            budget,
+            self.tokens,
+            self.sends,
+            now,
+            self.daemon.fleet.rng,
+        )
+        if retry is None:
+            self._end(replace(result, retry_tokens_left=self.tokens))
+            return
+        self.tokens -= 1
+        excluded = frozenset({retry.excluded})
+        self.daemon.fleet.events.after(retry.delay_s, self._again, excluded)
+
+    def _again(self, excluded: frozenset[str]) -> None:
+        if not self.ended:
+            self._send(excluded)
+
+    def _end(self, result: CallResult) -> None:
+        self.ended = True
+        self._done(result)
+
+
+class Attempt:
+    """One send of a call, at the target daemon."""
+
+    def __init__(
+        self, call: Call, target: Daemon, context: CallContext, hop_s: float
+    ) -> None:
+        self.call = call
+        self.target = target
+        self.context = context
+        self.hop_s = hop_s
+        self.ticket = 0
+        self.ended = False
+        self._job: Job | None = None
+        self._token = ""
+        self._nested: Call | None = None
+        self._nested_from = 0.0
+        self._nested_s = 0.0
+
+    def run(self) -> None:
+        """Start at the backend server."""
+        if self.context.depth == 0:
+            self.call.request.runs += 1
+        else:
+            self.call.request.deep_runs += 1
+        self._token = f"{self.target.view.instance}-{self.ticket}"
+        self.target.tree.open(self.context, self._token)
+        self._job = self.target.server.begin()
+        self.target.server.work(self._job, self._worked)
+
+    def cancel(self) -> None:
+        """Stop waiting or running, and all that was called."""
+        if self.ended:
+            return
+        self.ended = True
+        if self._job is None:
+            self.target.withdraw(self)
+            return
+        if self._nested is not None:
+            self._nested.cancel()
+        self._free(cancelled=True)
+
+    def _worked(self) -> None:
+        fleet = self.target.fleet
+        pool = fleet.next_pool(self.context.pool)
+        if pool is None:
+            self._finish(Answer(STATUS_OK))
+            return
+        now = fleet.events.now
+        route = fleet.route(pool, idempotent=self.context.idempotent)
+        context = self.target.tree.child_context(self._token, route, now)
+        if isinstance(context, Refusal):
+            self._finish(Answer(STATUS_NESTED_FAILED))
+            return
+        self.target.tree.started(self._token, 1, context)
+        self._nested_from = now
+        self._nested = Call(
+            self.target, self.call.request, context, self._nested_answered
+        )
+        self._nested.begin()
+
+    def _nested_answered(self, result: CallResult) -> None:
+        fleet = self.target.fleet
+        self._nested_s = fleet.events.now - self._nested_from
+        self.target.tree.finished(self._token, 1, result.retry_tokens_left)
+        whole = isinstance(result.result, Answer) and result.result.status == STATUS_OK
+        self._finish(Answer(STATUS_OK if whole else STATUS_NESTED_FAILED))
+
+    def _finish(self, answer: Answer) -> None:
+        tokens = self._free(cancelled=False)
+        if self.target.fleet.rng.random() < LOST_SHARE:
+            self.call.request.lost = True
+            self.reply(unknown(Reason.PEER_LOST), 0)
+            return
+        self.reply(answer, tokens)
+
+    def _free(self, *, cancelled: bool) -> int:
+        """Free the slot; return the retry tokens left."""
+        assert self._job is not None
+        self.ended = True
+        held_s = self.target.server.end(self._job)
+        self.call.request.held_s += held_s
+        closed = self.target.tree.close(self._token)
+        sample = Sample(held_s, cancelled=cancelled, nested_s=self._nested_s)
+        self.target.finish(self, sample)
+        return closed.retry_tokens_left
+
+    def reply(self, result: Answer | Refusal, tokens: int) -> None:
+        """Send back an answer or a refusal, with the admission level."""
+        self.ended = True
+        events = self.target.fleet.events
+        level = self.target.controller.level(events.now)
+        lost = isinstance(result, Refusal) and result.reason is Reason.PEER_LOST
+        answer = CallResult(
+            result,
+            retry_tokens_left=tokens,
+            admission_level=None if lost else level,
+        )
+        events.after(self.hop_s, self.call.answered, self, answer)
+
+
+class OurSystem:
+    """Daemons and fake servers of one topology, as callers see them."""
+
+    def __init__(self, fleet: Fleet, servers: list[FakeServer]) -> None:
+        self._fleet = fleet
+        for server in servers:
+            view = fleet.view(server)
+            fleet.daemons_by_instance[server.instance] = Daemon(fleet, view, server)
+
+    def submit(self, request: Request, ended: Callable[[Request, bool], None]) -> None:
+        """Send a request to any daemon of the first pool."""
+        fleet = self._fleet
+        view = fleet.rng.choice(fleet.views_by_pool[fleet.topology.pools[0].name])
+        context = fleet.root_context(request)
+
+        def done(result: CallResult) -> None:
+            answer = result.result
+            whole = isinstance(answer, Answer) and answer.status == STATUS_OK
+            if whole:
+                request.answered_at = fleet.events.now
+            not_run = isinstance(answer, Refusal) and answer.not_run
+            ended(request, request.idempotent or not_run)
+
+        call = Call(fleet.daemons_by_instance[view.instance], request, context, done)
+        left_s = request.deadline - fleet.events.now
+        fleet.events.after(left_s, self._hang_up, call, request, ended)
+        call.begin()
+
+    def _hang_up(
+        self, call: Call, request: Request, ended: Callable[[Request, bool], None]
+    ) -> None:
+        if not call.ended:
+            call.cancel()
+            ended(request, False)
+
+
+def _failure(result: Answer | Refusal) -> FailureKind | None:
+    """Return what a result says of the server."""
+    if isinstance(result, Answer):
+        return None
+    if result.reason is Reason.PEER_LOST:
+        return FailureKind.LOST
+    return FailureKind.REFUSED
