Run non-idempotent requests at most once by issued ids

Cause: a caller that repeats a request must not make it run again. Without the random process number, the floor, the owner check, or the kept state, a test of tests/core/test_at_most_once.py fails.

--- /dev/null
+++ b/bench/at_most_once.py
@@ -0,0 +1,81 @@
+"""Time and memory of the decisions that keep requests at most once."""
+
+import argparse
+import json
+import random
+import sys
+import time
+import tracemalloc
+from typing import Any, Final
+
+from damaskbay.core.at_most_once import AtMostOnceOptions, RequestOwner, Run
+from damaskbay.core.call import Answer
+
+IDS: Final = 50_000
+QUICK_IDS: Final = 5_000
+SECRET: Final = b"bench peer secret"
+ANSWER: Final = Answer(201, (("Content-Type", "text/plain"),), b"x" * 100)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the bench; print JSON or a table."""
+    parser = argparse.ArgumentParser(prog="at_most_once", description=__doc__)
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", action="store_true")
+    options = parser.parse_args(arguments)
+    ids = QUICK_IDS if options.quick else IDS
+    result = {"ids": ids, **_measure(ids, options.seed), "seed": options.seed}
+    if options.json:
+        print(json.dumps(result, indent=2))
+    else:
+        for name, value in result.items():
+            print(f"{name:24}{value}")
+    return 0
+
+
+def _measure(count: int, seed: int) -> dict[str, Any]:
+    owner = RequestOwner(
+        "instance-0001",
+        1,
+        (SECRET,),
+        random.Random(seed),
+        AtMostOnceOptions(max_ids=count, max_issue=count),
+    )
+    issue_s, ids = _timed(lambda: owner.issue(count, 0.0))
+    tracemalloc.start()
+    for request_id in ids:
+        owner.begin(request_id, request_id.encode()[:32], 0.0)
+        owner.finish(request_id, ANSWER, 0.0)
+    kept_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {
+        "issue_us": round(issue_s / count * 1e6, 2),
+        "begin_and_finish_us": round(_run_s(count, seed) / count * 1e6, 2),
+        "memory_bytes_per_id": round(kept_bytes / count),
+    }
+
+
+def _run_s(count: int, seed: int) -> float:
+    """Return the seconds of running all ids, without the memory's tracing."""
+    options = AtMostOnceOptions(max_ids=count, max_issue=count)
+    owner = RequestOwner("instance-0001", 1, (SECRET,), random.Random(seed), options)
+    ids = owner.issue(count, 0.0)
+
+    def run() -> None:
+        for request_id in ids:
+            if not isinstance(owner.begin(request_id, b"", 0.0), Run):
+                raise RuntimeError("an id did not run")
+            owner.finish(request_id, ANSWER, 0.0)
+
+    return _timed(run)[0]
+
+
+def _timed(step: Any) -> tuple[float, Any]:
+    started_at = time.perf_counter()
+    result = step()
+    return time.perf_counter() - started_at, result
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/damaskbay/core/at_most_once_ids.py
@@ -0,0 +1,88 @@
+"""Request ids: signed references to the daemon that issued them."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+import struct
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from damaskbay.core.call import Request
+from damaskbay.core.outcome import Reason, Refusal, not_run
+
+MAX_REQUEST_ID_CHARACTERS: Final = 512
+
+_LABEL: Final = b"damaskbay request id 1"
+_MAC_BYTES: Final = 16
+_NUMBERS: Final = struct.Struct(">QQQQ")
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerRef:
+    """
+    What a request id says, once its signature is proven.
+
+    `instance`, `incarnation` and the random `process` name the one process that
+    may run the request. `sequence` counts the ids of that process, `issued_ms`
+    is in milliseconds of its monotonic clock.
+    """
+
+    instance: str
+    incarnation: int
+    process: int
+    sequence: int
+    issued_ms: int
+
+
+def sign_request_id(secret: bytes, ref: OwnerRef) -> str:
+    """Return the text of a request id."""
+    numbers = _NUMBERS.pack(ref.incarnation, ref.process, ref.sequence, ref.issued_ms)
+    content = numbers + ref.instance.encode()
+    text = base64.urlsafe_b64encode(_mac(secret, content) + content)
+    return text.decode("ascii").rstrip("=")
+
+
+def parse_request_id(secrets: Sequence[bytes], text: str) -> OwnerRef | Refusal:
+    """
+    Return the reference in a request id.
+
+    Any of the secrets may have signed it. A text that nobody issued is refused
+    as `not_run`: no daemon ever runs it.
+    """
+    data = _decode(text)
+    mac, content = data[:_MAC_BYTES], data[_MAC_BYTES:]
+    matches = [hmac.compare_digest(mac, _mac(key, content)) for key in secrets]
+    if not any(matches):
+        return not_run(
+            Reason.REQUEST_ID_NOT_ISSUED, detail="the request id was never issued"
+        )
+    numbers = _NUMBERS.unpack_from(content)
+    instance = content[_NUMBERS.size :].decode()
+    return OwnerRef(instance, *numbers)
+
+
+def fingerprint_of(workspace: str, request: Request) -> bytes:
+    """Return the digest that tells a repeat from another request."""
+    digest = hashlib.sha256()
+    parts = (workspace, request.method, request.host, request.target)
+    for part in (*(item.encode() for item in parts), request.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def _decode(text: str) -> bytes:
+    """Return the bytes of the text, none where it is no base64."""
+    if len(text) > MAX_REQUEST_ID_CHARACTERS:
+        return b""
+    padding = "=" * (-len(text) % 4)
+    try:
+        return base64.b64decode(text + padding, altchars=b"-_", validate=True)
+    except (binascii.Error, ValueError):
+        return b""
+
+
+def _mac(secret: bytes, content: bytes) -> bytes:
+    return hmac.digest(secret, _LABEL + content, "sha256")[:_MAC_BYTES]
--- /dev/null
+++ b/tests/core/test_at_most_once.py
@@ -0,0 +1,219 @@
+"""Tests of core.at_most_once: no request id runs twice, whatever happens."""
+
+import random
+import unittest
+
+from hypothesis import given, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from damaskbay.core.at_most_once import AtMostOnceOptions, RequestOwner, Run
+from damaskbay.core.at_most_once_ids import (
+    OwnerRef,
+    fingerprint_of,
+    parse_request_id,
+    sign_request_id,
+)
+from damaskbay.core.call import Answer, Request
+from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
+from tests.common import function_suite
+
+SECRET = b"an old peer secret"
+NEW_SECRET = b"a newer peer secret"
+PRINT = b"fingerprint"
+SMALL = AtMostOnceOptions(validity_s=60.0, max_ids=4, max_answer_bytes=2_000)
+DAEMONS = ("a", "b", "c")
+
+
+def owner(options: AtMostOnceOptions = SMALL, secret: bytes = SECRET) -> RequestOwner:
+    """Return an owner of instance "a"."""
+    return RequestOwner("a", 1, (secret,), random.Random(1), options)
+
+
+class Fleet(RuleBasedStateMachine):
+    """
+    Daemons that crash and forget, callers that repeat, results that get lost.
+
+    `runs` counts the runs of each id that may have reached a backend server.
+    """
+
+    @initialize()
+    def start(self) -> None:
+        """Start the daemons, all with the same incarnation number."""
+        self.rng = random.Random(7)
+        self.now = 0.0
+        self.runs: dict[str, int] = {}
+        self.first_answers: dict[str, Answer] = {}
+        self.ids: list[str] = []
+        self.running: list[tuple[RequestOwner, str]] = []
+        self.owners = {name: self._new_owner(name) for name in DAEMONS}
+
+    def _new_owner(self, name: str) -> RequestOwner:
+        return RequestOwner(name, 1, (SECRET,), self.rng, SMALL)
+
+    @rule(name=st.sampled_from(DAEMONS), count=st.integers(1, 3))
+    def issue(self, name: str, count: int) -> None:
+        """Issue ids, most of which are used later or never."""
+        self.ids.extend(self.owners[name].issue(count, self.now))
+
+    @rule(choice=st.integers(0, 30))
+    def send(self, choice: int) -> None:
+        """Send one of the ids to any daemon, which forwards it to its owner."""
+        if not self.ids:
+            return
+        request_id = self.ids[choice % len(self.ids)]
+        ref = parse_request_id((SECRET,), request_id)
+        assert isinstance(ref, OwnerRef)
+        process = self.owners[ref.instance]
+        result = process.begin(request_id, PRINT, self.now)
+        if isinstance(result, Run):
+            self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            assert self.runs[request_id] == 1, "ran twice"
+            self.running.append((process, request_id))
+        elif isinstance(result, Answer):
+            assert result == self.first_answers[request_id]
+        elif result.not_run:
+            raise AssertionError("an id that may have run was called not_run")
+
+    @rule(
+        choice=st.integers(0, 30),
+        end=st.sampled_from(["answer", "lost", "not_run", "unknown", "paused"]),
+    )
+    def end(self, choice: int, end: str) -> None:
+        """End a run; its process may be gone, paused past every validity."""
+        if not self.running:
+            return
+        process, request_id = self.running.pop(choice % len(self.running))
+        if end == "lost":
+            return
+        result: Answer | Refusal = Answer(200, body=bytes(choice * 50))
+        if end == "not_run":
+            self.runs[request_id] -= 1
+            result = not_run(Reason.OVERLOADED)
+        elif end == "unknown":
+            result = unknown(Reason.PEER_LOST)
+        elif isinstance(result, Answer):
+            self.first_answers[request_id] = result
+        self.now += 100.0 if end == "paused" else 0.0
+        process.finish(request_id, result, self.now)
+
+    @rule(name=st.sampled_from(DAEMONS))
+    def crash(self, name: str) -> None:
+        """Restart a daemon, even with the incarnation number it had."""
+        self.owners[name] = self._new_owner(name)
+
+    @rule(seconds=st.floats(0.0, 40.0))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.now += seconds
+
+    def teardown(self) -> None:
+        """Check the bounds of what is remembered."""
+        for process in self.owners.values():
+            assert len(process) <= SMALL.max_ids
+            assert process.answer_bytes <= SMALL.max_answer_bytes
+
+
+def test_no_id_runs_twice() -> None:
+    """Sends, repeats, losses, crashes, pauses and full memory in any order."""
+    run_state_machine_as_test(
+        Fleet,
+        settings=settings(
+            max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+        ),
+    )
+
+
+def test_repeat_gets_the_first_answer_or_already_running() -> None:
+    """The three answers to a repeat."""
+    process = owner()
+    (request_id,) = process.issue(1, 0.0)
+    assert process.begin(request_id, PRINT, 1.0) == Run(request_id)
+    running = process.begin(request_id, PRINT, 2.0)
+    assert isinstance(running, Refusal)
+    assert running.reason is Reason.ALREADY_RUNNING
+    assert running.outcome is Outcome.UNKNOWN
+    process.finish(request_id, Answer(201, body=b"done"), 3.0)
+    assert process.begin(request_id, PRINT, 4.0) == Answer(201, body=b"done")
+    process.finish(request_id, Answer(500), 5.0)
+    assert process.begin(request_id, PRINT, 6.0) == Answer(201, body=b"done")
+
+
+def test_unknown_stays_unknown_and_not_run_may_run() -> None:
+    """Only a run that surely did not happen is repeated."""
+    process = owner()
+    first, second = process.issue(2, 0.0)
+    for request_id in (first, second):
+        assert process.begin(request_id, PRINT, 0.0) == Run(request_id)
+    process.finish(first, unknown(Reason.PEER_LOST), 1.0)
+    process.finish(second, not_run(Reason.OVERLOADED), 1.0)
+    assert process.begin(first, PRINT, 2.0) == unknown(Reason.PEER_LOST)
+    assert process.begin(second, PRINT, 2.0) == Run(second)
+
+
+def test_another_request_under_the_same_id() -> None:
+    """An id belongs to its first request and workspace."""
+    process = owner()
+    (request_id,) = process.issue(1, 0.0)
+    request = Request("POST", "host", "/draws", body=b"one")
+    prints = {
+        fingerprint_of("flock", request),
+        fingerprint_of("other", request),
+        fingerprint_of("flock", Request("POST", "host", "/draws", body=b"two")),
+    }
+    assert len(prints) == 3
+    results = [process.begin(request_id, item, 0.0) for item in sorted(prints)]
+    assert results[0] == Run(request_id)
+    for result in results[1:]:
+        assert isinstance(result, Refusal)
+        assert result.reason is Reason.BAD_REQUEST
+
+
+@given(st.text(max_size=200))
+@settings(derandomize=True)
+def test_ids_that_were_never_issued(text: str) -> None:
+    """Any text of a caller's own making is refused as not run."""
+    result = owner().begin(text, PRINT, 0.0)
+    assert isinstance(result, Refusal)
+    assert result.reason is Reason.REQUEST_ID_NOT_ISSUED
+    assert result.not_run
+
+
+def test_changed_id_is_not_issued() -> None:
+    """No character of an id can be changed to make another one."""
+    (request_id,) = owner().issue(1, 0.0)
+    for place in range(len(request_id) - 1):
+        other = "A" if request_id[place] != "A" else "B"
+        changed = request_id[:place] + other + request_id[place + 1 :]
+        assert isinstance(parse_request_id((SECRET,), changed), Refusal)
+
+
+def test_secret_rotation_keeps_ids() -> None:
+    """An id signed by an older secret that is still accepted stays good."""
+    ref = OwnerRef("a", 1, 2, 3, 4)
+    old = sign_request_id(SECRET, ref)
+    assert parse_request_id((NEW_SECRET, SECRET), old) == ref
+    assert isinstance(parse_request_id((NEW_SECRET,), old), Refusal)
+
+
+def test_full_memory_and_expiry_give_unknown() -> None:
+    """An id that may be forgotten never runs, used before or not."""
+    process = owner()
+    ids = process.issue(6, 0.0)
+    for request_id in ids[1:]:
+        assert process.begin(request_id, PRINT, 0.0) == Run(request_id)
+    late = process.issue(1, 30.0)[0]
+    for request_id, now in ((ids[0], 1.0), (ids[1], 1.0), (late, 91.0)):
+        result = process.begin(request_id, PRINT, now)
+        assert result == unknown(
+            Reason.REQUEST_ID_EXPIRED, detail="the request id is too old"
+        )
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
