Follow rate and spikes of demand with the shares, and count against one bucket

Cause: a share that followed a slowly decaying need kept demand that had moved to another domain waiting; sudden spikes found the burst with others. Change: rate and burst of a share each follow a need that others press down to a max-min fair part within seconds, and a longer one that is kept while nobody lacks anything. Prefetching that finds nothing waits before it asks again.

--- a/damaskbay/core/rates/codec.py
+++ b/damaskbay/core/rates/codec.py
@@ -17,7 +17,9 @@
 from damaskbay.core.rates.names import Total
 
 _Holder = tuple[str, NonNegativeInt, NonNegativeFloat]
-_Holding = tuple[NonNegativeInt, NonNegativeInt, NonNegativeInt, NonNegativeInt]
+_Holding = tuple[
+    NonNegativeInt, NonNegativeInt, NonNegativeInt, NonNegativeInt, NonNegativeInt
+]
 _Bucket = tuple[
     str,
     NonNegativeInt,
@@ -80,7 +82,8 @@
             index_by_id[holder],
             holding.share.rate_millis,
             holding.share.burst_millis,
-            holding.need_millis,
+            holding.need.rate_millis,
+            holding.need.burst_millis,
         )
         for holder, holding in sorted(record.holdings_by_holder.items())
     ]
@@ -98,7 +101,7 @@
 
 def _record(item: _Bucket, ids: list[str]) -> BucketRecord:
     holdings = {
-        ids[index]: Holding(Share(rate, burst), need)
-        for index, rate, burst, need in item[6]
+        ids[index]: Holding(Share(rate, burst), Share(need_rate, need_burst))
+        for index, rate, burst, need_rate, need_burst in item[6]
     }
     return BucketRecord(Total(item[1], item[2], item[3]), item[4], item[5], holdings)
--- a/damaskbay/core/rates/const.py
+++ b/damaskbay/core/rates/const.py
@@ -12,14 +12,15 @@
 DEFAULT_VALIDITY_S: Final = 900.0
 DEFAULT_MARGIN_S: Final = 10.0
 DEFAULT_RENEW_S: Final = 15.0
-DEFAULT_POLL_S: Final = 2.0
+DEFAULT_POLL_S: Final = 1.0
 DEFAULT_WRITE_GAP_S: Final = 0.2
 DEFAULT_HEADROOM: Final = 1.5
 DEFAULT_FLOOR_SHARE: Final = 1 / 16
 DEFAULT_FLOOR_IDLE_S: Final = 3600.0
-DEFAULT_DEMAND_DECAY_S: Final = 60.0
+DEFAULT_DEMAND_DECAY_S: Final = 3.0
+DEFAULT_KEEP_DECAY_S: Final = 600.0
 DEFAULT_STEP_DOWN_S: Final = 3.0
-DEFAULT_CLAIM_WAIT_S: Final = 0.15
+DEFAULT_CLAIM_WAIT_S: Final = 0.3
 
 CALL_RETRY_S: Final = 1.0
 """Pause after a platform call that failed."""
@@ -37,9 +38,11 @@
 
 NEED_GRID: Final = 1.1
 """Needs are rounded up to powers of this."""
-UNMET_LATELY_S: Final = 30.0
+NEED_CHANGE: Final = 1.5
+"""A need that changed by this factor is worth a write of its own."""
 
 PREFETCH_S: Final = 0.5
+PREFETCH_RETRY_S: Final = 0.25
 IDLE_LOT_S: Final = 0.6
 STOCK_DECAY_S: Final = 2.0
 BLOCK_MIN_S: Final = 0.02
--- a/damaskbay/core/rates/demand.py
+++ b/damaskbay/core/rates/demand.py
@@ -41,6 +41,36 @@
         self._started_at = now
 
 
+class Spike:
+    """
+    Follows how many tokens requests take beside a steady rate.
+
+    That is the depth of a bucket that drains at the rate; the deepest counts and
+    decays slowly.
+    """
+
+    def __init__(self, decay_s: float, now: float) -> None:
+        self._decay_s = decay_s
+        self._at = now
+        self._depth = 0.0
+        self._deepest = 0.0
+
+    def add(self, count: int, drain_per_s: float, most: float, now: float) -> None:
+        """Count requests; the depth is never above `most`."""
+        if count <= 0:
+            return
+        self._deepest = self.tokens(now)
+        drained = max(0.0, now - self._at) * drain_per_s
+        self._at = now
+        self._depth = min(max(0.0, self._depth - drained) + count, most)
+        self._deepest = max(self._deepest, self._depth)
+
+    def tokens(self, now: float) -> float:
+        """Return the tokens to reckon with."""
+        elapsed_s = max(0.0, now - self._at)
+        return self._deepest * math.exp(-elapsed_s / self._decay_s)
+
+
 def fair_parts(total: int, needs_by_holder: Mapping[str, int]) -> dict[str, int]:
     """
     Split a total max-min fairly: small needs in full, the rest in equal parts.
--- a/damaskbay/core/rates/holder.py
+++ b/damaskbay/core/rates/holder.py
@@ -1,18 +1,23 @@
 """The holder of one group: its buckets, its part of the ledger, its next write."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from damaskbay.core.rates.bucket import NO_SHARE, HolderBucket, Share
-from damaskbay.core.rates.const import CONTACT_POLLS, GRANT_PART, MILLIS, UNMET_LATELY_S
-from damaskbay.core.rates.demand import Demand
+from damaskbay.core.rates.const import (
+    CONTACT_POLLS,
+    GRANT_PART,
+    MILLIS,
+    NEED_CHANGE,
+)
+from damaskbay.core.rates.demand import Demand, Spike
 from damaskbay.core.rates.holding import Claims, Proposal, Settled
 from damaskbay.core.rates.ledger import GroupLedger, LedgerDraft
 from damaskbay.core.rates.names import Total, newer, same_terms
 from damaskbay.core.rates.options import ShareOptions
 from damaskbay.core.rates.planner import (
     Need,
-    need_millis,
+    need_share,
     silent_holders,
     target_share,
 )
@@ -21,6 +26,24 @@
 TotalOf = Callable[[str], Total | None]
 
 
+class _Followed:
+    """Rate and spikes of the requests for one bucket, over one length of time."""
+
+    def __init__(self, decay_s: float, now: float) -> None:
+        self.rate = Demand(decay_s, now)
+        self._spike = Spike(decay_s, now)
+
+    def add(self, count: int, drain_per_s: float, most: float, now: float) -> None:
+        """Count requests."""
+        self.rate.add(count, now)
+        self._spike.add(count, drain_per_s, most, now)
+
+    def need(self, total: Total, options: ShareOptions, now: float) -> Share:
+        """Return what serves the like again."""
+        rate, spike = self.rate.rate_per_s(now), self._spike.tokens(now)
+        return need_share(rate, spike, total, options)
+
+
 @dataclass(slots=True)
 class _Held:
     """
@@ -31,11 +54,16 @@
     """
 
     bucket: HolderBucket
-    demand: Demand
+    demand: "_Followed"
+    kept_demand: "_Followed"
     total: Total | None = None
     sized_for: Total | None = None
-    unmet_tokens: int = 0
-    unmet_at: float = float("-inf")
+    unmet_by_grant: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def unmet_tokens(self) -> int:
+        """Return the tokens asked for in vain since the last write."""
+        return sum(self.unmet_by_grant.values())
 
 
 class _Writing:
@@ -114,14 +142,18 @@
             lapses_at += self._options.token_margin_s
             count = max(needed, min(wanted, spread))
             granted = held.bucket.grant(grant_id, count, lapses_at, now)
+        held.unmet_by_grant.pop(grant_id, None)
         if granted < needed:
-            held.unmet_tokens = max(held.unmet_tokens, needed - granted)
-            held.unmet_at = now
+            held.unmet_by_grant[grant_id] = needed - granted
         return granted
 
     def count(self, bucket: str, requests: int, now: float) -> None:
         """Take note of requests that asked for the bucket at some daemon."""
-        self._held(bucket, now).demand.add(requests, now)
+        held = self._held(bucket, now)
+        drain_per_s = held.bucket.share.rate_millis / MILLIS
+        most = held.total.burst_millis / MILLIS if held.total else requests
+        held.demand.add(requests, drain_per_s, most, now)
+        held.kept_demand.add(requests, drain_per_s, most, now)
 
     def close(self, bucket: str, grant_id: str, unused: int, now: float) -> None:
         """Take unused tokens of a grant back."""
@@ -159,7 +191,7 @@
         if not writing.worth_it:
             return None
         for held in self._held_by_bucket.values():
-            held.unmet_tokens = 0
+            held.unmet_by_grant.clear()
         sequence = self.claims.next_sequence()
         validity_s = self._options.validity_s
         writing.draft.renew(self.holder_id, sequence, validity_s)
@@ -212,8 +244,9 @@
     def _held(self, bucket: str, now: float) -> _Held:
         held = self._held_by_bucket.get(bucket)
         if held is None:
-            demand = Demand(self._options.demand_decay_s, now)
-            held = _Held(HolderBucket(NO_SHARE, 0, now), demand)
+            demand = _Followed(self._options.demand_decay_s, now)
+            kept = _Followed(self._options.keep_decay_s, now)
+            held = _Held(HolderBucket(NO_SHARE, 0, now), demand, kept)
             self._held_by_bucket[bucket] = held
         return held
 
@@ -279,17 +312,17 @@
             moved, tokens = writing.draft.claim(name, self.holder_id, missing)
             writing.taken_by_bucket[name] = tokens
             writing.worth_it = writing.worth_it or moved != NO_SHARE
-        if writing.draft.need_of(name, self.holder_id) != need.rate_millis:
-            writing.draft.set_need(name, self.holder_id, need.rate_millis)
+        told = writing.draft.need_of(name, self.holder_id)
+        writing.draft.set_need(name, self.holder_id, need.now)
+        if _differ(told, need.now):
             writing.worth_it = True
 
     def _need(self, held: _Held, total: Total, now: float) -> Need:
-        rate = need_millis(held.demand.rate_per_s(now), total, self._options)
         return Need(
-            rate,
+            held.demand.need(total, self._options, now),
+            held.kept_demand.need(total, self._options, now),
             held.unmet_tokens,
-            unmet_lately=now - held.unmet_at < UNMET_LATELY_S,
-            used_lately=now - held.demand.last_at < self._options.floor_idle_s,
+            used_lately=now - held.demand.rate.last_at < self._options.floor_idle_s,
         )
 
     def _lower(
@@ -327,3 +360,10 @@
     if total >= sized_for:
         return value
     return value * total // sized_for
+
+
+def _differ(told: Share, need: Share) -> bool:
+    """Tell whether a need differs enough from what was told to cost a write."""
+    rates = (told.rate_millis, need.rate_millis)
+    bursts = (told.burst_millis, need.burst_millis)
+    return any(max(pair) > min(pair) * NEED_CHANGE for pair in (rates, bursts))
--- a/damaskbay/core/rates/ledger.py
+++ b/damaskbay/core/rates/ledger.py
@@ -16,10 +16,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Holding:
-    """One holder's share of a bucket and the rate it needs, in thousandths/s."""
+    """One holder's share of a bucket and what it needs."""
 
     share: Share
-    need_millis: int = 0
+    need: Share = NO_SHARE
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,18 +136,18 @@
         record = self._held(record, holder, share)
         self._put(bucket, replace(record, spare_millis=spare))
 
-    def set_need(self, bucket: str, holder: str, need_millis: int) -> None:
-        """Tell the others what rate the holder needs."""
+    def set_need(self, bucket: str, holder: str, need: Share) -> None:
+        """Tell the others what the holder needs."""
         record = self._buckets_by_name[bucket]
         holding = record.holdings_by_holder.get(holder, Holding(NO_SHARE))
         holdings = dict(record.holdings_by_holder)
-        holdings[holder] = replace(holding, need_millis=need_millis)
+        holdings[holder] = replace(holding, need=need)
         self._buckets_by_name[bucket] = replace(record, holdings_by_holder=holdings)
 
-    def need_of(self, bucket: str, holder: str) -> int:
-        """Return the rate that the holder's record says it needs."""
+    def need_of(self, bucket: str, holder: str) -> Share:
+        """Return what the holder's record says it needs."""
         holding = self._buckets_by_name[bucket].holdings_by_holder.get(holder)
-        return holding.need_millis if holding else 0
+        return holding.need if holding else NO_SHARE
 
     def remove_holder(self, holder: str) -> None:
         """Free all shares of a holder, without tokens."""
--- a/damaskbay/core/rates/planner.py
+++ b/damaskbay/core/rates/planner.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from damaskbay.core.rates.bucket import Share
+from damaskbay.core.rates.bucket import NO_SHARE, Share
 from damaskbay.core.rates.const import (
     MILLIS,
     NEED_GRID,
@@ -12,7 +12,7 @@
     SILENT_RENEWALS,
 )
 from damaskbay.core.rates.demand import fair_parts
-from damaskbay.core.rates.ledger import BucketRecord
+from damaskbay.core.rates.ledger import BucketRecord, Holding
 from damaskbay.core.rates.names import Total
 from damaskbay.core.rates.options import ShareOptions
 from damaskbay.core.rates.view import LedgerView
@@ -23,28 +23,28 @@
     """
     What a holder needs of one bucket now.
 
-    `rate_millis` in thousandths/s with headroom; `unmet_tokens` were asked for
-    in vain since the last write; `unmet_lately` keeps a burst that was claimed
-    for such; `used_lately` earns the floor.
+    `now` with headroom, which others may press it down to a fair part of; `keep`
+    likewise of a longer time, not given up unasked; `unmet_tokens` were asked for
+    in vain since the last write; `used_lately` earns the floor.
     """
 
-    rate_millis: int
+    now: Share
+    keep: Share
     unmet_tokens: int = 0
-    unmet_lately: bool = False
     used_lately: bool = False
 
 
-def need_millis(rate_per_s: float, total: Total, options: ShareOptions) -> int:
+def need_share(
+    rate_per_s: float, spike_tokens: float, total: Total, options: ShareOptions
+) -> Share:
     """
-    Return the rate to ask for with headroom, in thousandths/s, at most the total.
+    Return what to ask for with headroom, at most the total.
 
     Rounded up to a coarse grid, so that small changes cost no write.
     """
-    wanted = rate_per_s * options.headroom * MILLIS
-    if wanted < 1:
-        return 0
-    steps = math.ceil(math.log(wanted, NEED_GRID))
-    return min(int(NEED_GRID**steps), total.rate_millis)
+    rate = _on_grid(rate_per_s * options.headroom * MILLIS)
+    burst = -(-_on_grid(spike_tokens * MILLIS) // MILLIS) * MILLIS
+    return Share(min(rate, total.rate_millis), min(burst, total.burst_millis))
 
 
 def target_share(
@@ -58,73 +58,82 @@
     """
     Return the share that the holder should have next.
 
-    While the live holders' needs fit, each gets its need and keeps somewhat
-    more than that; else each gets its max-min fair part.
+    Rate and burst each: while the live holders' needs fit, each gets its need
+    and keeps somewhat more than that; else each gets its max-min fair part.
     """
-    needs = _live_needs(record, holder, need, silent)
-    locked = sum(record.share_of(other).rate_millis for other in silent)
-    available = max(0, record.total.rate_millis - locked)
-    part = fair_parts(available, needs)[holder]
-    if _pressed(record, needs, available):
-        return Share(part, _burst_for(part, record))
-    return _unpressed(record, holder, need, part, options)
-
-
-def _live_needs(
-    record: BucketRecord, holder: str, need: Need, silent: frozenset[str]
-) -> dict[str, int]:
-    needs = {
-        other: holding.need_millis
+    live = {
+        other: holding
         for other, holding in record.holdings_by_holder.items()
         if other not in silent
     }
-    needs[holder] = need.rate_millis
-    return needs
-
-
-def _pressed(record: BucketRecord, needs: Mapping[str, int], available: int) -> bool:
-    """Tell whether someone lacks what the free part cannot give."""
-    if sum(needs.values()) > available:
-        return True
-    lacking = [
-        max(0, needed - record.share_of(holder).rate_millis)
-        for holder, needed in needs.items()
-    ]
-    if sum(lacking) > record.free.rate_millis:
-        return True
-    without_token = [
-        holder
-        for holder, needed in needs.items()
-        if needed and record.share_of(holder).burst_millis < MILLIS
-    ]
-    return len(without_token) * MILLIS > record.free.burst_millis
+    own = live.get(holder, Holding(NO_SHARE))
+    live[holder] = Holding(own.share, need.now)
+    floor_share = options.floor_share if need.used_lately else 0.0
+    rate = _Part(
+        total=record.total.rate_millis,
+        free=record.free.rate_millis,
+        held_by_holder={name: item.share.rate_millis for name, item in live.items()},
+        need_by_holder={name: item.need.rate_millis for name, item in live.items()},
+        floor=int(record.total.rate_millis * floor_share),
+        keep=need.keep.rate_millis,
+    )
+    burst = _Part(
+        total=record.total.burst_millis,
+        free=record.free.burst_millis,
+        held_by_holder={name: item.share.burst_millis for name, item in live.items()},
+        need_by_holder={name: item.need.burst_millis for name, item in live.items()},
+        floor=_whole(record.total.burst_millis * floor_share, up=True),
+        keep=need.keep.burst_millis,
+    )
+    tokens = _whole(burst.target(holder, need.unmet_tokens * MILLIS))
+    return Share(rate.target(holder, 0), tokens)
 
 
-def _unpressed(
-    record: BucketRecord, holder: str, need: Need, part: int, options: ShareOptions
-) -> Share:
-    current = record.share_of(holder)
-    floor = int(record.total.rate_millis * options.floor_share)
-    rate = max(part, floor) if need.used_lately else part
-    if rate <= current.rate_millis <= rate * SHRINK_FACTOR:
-        rate = current.rate_millis
-    burst = _burst_for(rate, record)
-    if rate >= current.rate_millis and need.unmet_lately:
-        burst = max(burst, current.burst_millis)
-    if need.unmet_tokens:
-        free = record.free.burst_millis
-        claimed = max(need.unmet_tokens * MILLIS, free // 2)
-        burst = max(burst, current.burst_millis + min(claimed, free))
-    return Share(rate, min(burst, record.total.burst_millis))
-
-
-def _burst_for(rate: int, record: BucketRecord) -> int:
-    """Size the burst with the rate, in whole tokens, at least one if any."""
-    if rate <= 0:
+@dataclass(frozen=True, slots=True)
+class _Part:
+    """Either rate or burst of one bucket, in thousandths."""
+
+    total: int
+    free: int
+    held_by_holder: Mapping[str, int]
+    need_by_holder: Mapping[str, int]
+    floor: int
+    keep: int
+
+    def target(self, holder: str, unmet: int) -> int:
+        """Return what the holder should have next."""
+        available = min(self.free + sum(self.held_by_holder.values()), self.total)
+        part = fair_parts(available, self.need_by_holder)[holder]
+        if self._pressed():
+            return part
+        current = self.held_by_holder[holder]
+        wanted = max(part, self.floor)
+        if unmet:
+            claimed = max(unmet, self.free // 2)
+            wanted = max(wanted, current + min(claimed, self.free))
+        if wanted >= current:
+            return wanted
+        return min(current, max(int(wanted * SHRINK_FACTOR), self.keep))
+
+    def _pressed(self) -> bool:
+        """Tell whether someone lacks what the free part cannot give."""
+        lacking = (
+            max(0, need - self.held_by_holder[holder])
+            for holder, need in self.need_by_holder.items()
+        )
+        return sum(lacking) > self.free
+
+
+def _on_grid(millis: float) -> int:
+    if millis < 1:
         return 0
-    total = record.total
-    tokens = total.burst_millis * rate // total.rate_millis // MILLIS
-    return min(max(1, tokens) * MILLIS, total.burst_millis)
+    return int(NEED_GRID ** math.ceil(math.log(millis, NEED_GRID)))
+
+
+def _whole(millis: float, *, up: bool = False) -> int:
+    """Round to whole tokens."""
+    tokens = math.ceil(millis / MILLIS) if up else int(millis // MILLIS)
+    return tokens * MILLIS
 
 
 def silent_holders(
--- a/damaskbay/core/rates/stock.py
+++ b/damaskbay/core/rates/stock.py
@@ -11,6 +11,7 @@
     BLOCK_MIN_S,
     IDLE_LOT_S,
     MAX_NEEDED_TOKENS,
+    PREFETCH_RETRY_S,
     PREFETCH_S,
     STOCK_DECAY_S,
 )
@@ -36,6 +37,7 @@
     lots: deque[_Lot] = field(default_factory=deque)
     asking: bool = False
     blocked_until: float = float("-inf")
+    prefetch_at: float = float("-inf")
     exceeded: bool = False
     retry_after_s: float = 0.0
     requests: int = 0
@@ -123,7 +125,9 @@
         if grant.count > 0:
             lot = _Lot(grant.grant_number, holder, grant.count, now, expires_at)
             stocked.lots.append(lot)
-        elif needed > 0:
+        else:
+            stocked.prefetch_at = now + PREFETCH_RETRY_S
+        if grant.count == 0 and needed > 0:
             stocked.exceeded = grant.exceeded
             stocked.retry_after_s = grant.retry_after_s
             block_s = min(max(grant.retry_after_s, BLOCK_MIN_S), BLOCK_MAX_S)
@@ -172,7 +176,8 @@
         count = stocked.count(now)
         needed = min(max(0, waiting - count), MAX_NEEDED_TOKENS)
         ahead = int(stocked.demand.rate_per_s(now) * PREFETCH_S)
-        if needed == 0 and count >= (ahead + 1) // 2:
+        low = count < (ahead + 1) // 2 and now >= stocked.prefetch_at
+        if needed == 0 and not low:
             return None
         self._grant_number += 1
         requests = stocked.requests
--- a/damaskbay/daemon/rates_task.py
+++ b/damaskbay/daemon/rates_task.py
@@ -162,8 +162,7 @@
 
     def tick(self, now: float) -> None:
         """Do what is due."""
-        if self._table.update(self._membership.members()):
-            self._node.set_roles(self._table.roles())
+        self._learn_members()
         self._send_closes(now)
         self._deliver(self._node.due_answers(now), now)
         self._send_asks(now)
@@ -172,6 +171,11 @@
             _LOGGER.info("rates: shares given back.")
             self.left.set_result(None)
 
+    def holder_instance(self, bucket: str, now: float) -> str:
+        """Return the instance that this daemon would ask for a bucket's tokens."""
+        holder = self._table.holder(group_of(bucket, self._options.groups), now)
+        return holder.instance if holder else self._own_id.rpartition("/")[0]
+
     def _total_of(self, bucket: str) -> Total | None:
         state = self._config.state()
         if state is None:
@@ -179,9 +183,14 @@
         gone = Total(0, 0, state.config.version)
         return total_of(state.config, bucket) or gone
 
+    def _learn_members(self) -> None:
+        if self._table.update(self._membership.members()):
+            self._node.set_roles(self._table.roles())
+
     def _send_asks(self, now: float) -> None:
         if self._leaving:
             return
+        self._learn_members()
         asks_by_instance: dict[str, list[BucketAsk]] = {}
         members_by_instance: dict[str, MemberView | None] = {}
         for ask in self._stock.due_asks(now):
