--- /dev/null
+++ b/damaskbay/helpers/http_exchange.py
@@ -0,0 +1,116 @@
+"""One HTTP exchange over `http.client`: whole answers, truthful about writes."""
+
+import http.client
+import socket
+import ssl
+from collections.abc import Callable
+from typing import Final
+
+from damaskbay.core.call import Answer, Headers
+
+READ_CHUNK_BYTES: Final = 65_536
+
+_METHODS_WITH_BODY: Final = frozenset({"POST", "PUT", "PATCH"})
+
+
+class AnswerCutShortError(Exception):
+    """The answer ended before its declared length, or declares none."""
+
+
+class AnswerTooLargeError(Exception):
+    """The answer's body exceeds the limit."""
+
+
+class Connection(http.client.HTTPConnection):
+    """
+    A kept-alive connection, over TLS where a context is given.
+
+    `wrote` tells whether a byte of the current request may have been written,
+    `reusable` whether another request may follow, `idle_since` is in seconds.
+    """
+
+    wrote = False
+    reusable = False
+    idle_since = 0.0
+
+    def __init__(
+        self, host: str, port: int, *, timeout_s: float, tls: ssl.SSLContext | None
+    ) -> None:
+        super().__init__(host, port, timeout=timeout_s)
+        self._tls = tls
+
+    def connect(self) -> None:
+        """Connect; raise OSError."""
+        super().connect()
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._tls is not None:
+            self.sock = self._tls.wrap_socket(self.sock, server_hostname=self.host)
+
+    def send(self, data: object) -> None:
+        """Write; a connection is never made here, so that `wrote` is true."""
+        if self.sock is None:
+            raise ConnectionError("not connected")
+        self.wrote = True
+        super().send(data)  # type: ignore[arg-type]
+
+    def is_quiet(self) -> bool:
+        """Tell whether the connection is open and has nothing to read."""
+        if self.sock is None:
+            return False
+        self.sock.settimeout(0)
+        try:
+            if isinstance(self.sock, ssl.SSLSocket):
+                self.sock.recv(1)
+            else:
+                self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, ssl.SSLWantReadError):
+            return True
+        except OSError:
+            return False
+        return False
+
+
+def write_request(
+    connection: Connection, method: str, target: str, headers: Headers, body: bytes
+) -> None:
+    """Write a request whole; `headers` hold the host and no length."""
+    connection.putrequest(method, target, skip_host=True, skip_accept_encoding=True)
+    for name, value in headers:
+        connection.putheader(name, value)
+    if body or method in _METHODS_WITH_BODY:
+        connection.putheader("Content-Length", str(len(body)))
+    connection.endheaders(body or None)
+
+
+def read_answer(
+    connection: Connection, deadline: float, clock: Callable[[], float], max_bytes: int
+) -> Answer:
+    """
+    Read an answer whole; raise where it is not.
+
+    `deadline` is in the clock's seconds. Raises TimeoutError,
+    AnswerCutShortError, AnswerTooLargeError, OSError and HTTPException.
+    """
+    response = connection.getresponse()
+    declared = response.length
+    if declared is None and not response.chunked:
+        raise AnswerCutShortError
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        remaining_s = deadline - clock()
+        if remaining_s <= 0:
+            raise TimeoutError
+        if connection.sock is not None:
+            connection.sock.settimeout(remaining_s)
+        chunk = response.read(READ_CHUNK_BYTES)
+        if not chunk:
+            break
+        size += len(chunk)
+        if size > max_bytes:
+            raise AnswerTooLargeError
+        chunks.append(chunk)
+    if declared is not None and size != declared:
+        raise AnswerCutShortError
+    connection.reusable = not response.will_close
+    return Answer(response.status, tuple(response.getheaders()), b"".join(chunks))
--- /dev/null
+++ b/tests/client/test_client.py
@@ -0,0 +1,218 @@
+"""Tests of client: truthful outcomes whatever happens on the connection."""
+
+import socket
+import threading
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from damaskbay.client import DaemonAddress
+from damaskbay.core.call import Answer
+from damaskbay.core.outcome import Outcome, Reason, Refusal
+from tests.client.common import (
+    DEADLINE_S,
+    HOST,
+    Reply,
+    client,
+    daemon,
+    refused,
+    whole,
+)
+from tests.common import function_suite
+
+TWO_IDS = whole(b'{"request_ids":["id-1","id-2"],"valid_s":600}')
+
+
+def nobody() -> DaemonAddress:
+    """Return an address where nobody listens."""
+    with socket.create_server((HOST, 0)) as listener:
+        return DaemonAddress(HOST, listener.getsockname()[1])
+
+
+def refusal(result: object) -> Refusal:
+    """Return the result, which must be a refusal."""
+    assert isinstance(result, Refusal), result
+    return result
+
+
+def test_connection_is_reused_and_marks_are_sent() -> None:
+    """Calls share one connection; key, deadline and marks are headers."""
+    with daemon(lambda *_: whole()) as one, client(one.address) as caller:
+        for _ in range(3):
+            answer = caller.call(
+                "POST",
+                "/draws?x=1",
+                host="draw-book",
+                body=b"12",
+                deadline_s=DEADLINE_S,
+                request_id="id-9",
+                idempotent=False,
+            )
+            assert isinstance(answer, Answer)
+            assert answer.body == b"ok"
+    assert one.connections == 1
+    head = one.heads[0]
+    assert head.startswith("POST /draws?x=1 HTTP/1.1\r\n")
+    for line in ("Host: draw-book", "Damaskbay-Key: a-caller-key"):
+        assert line in head
+    assert "Damaskbay-Request-Id: id-9" in head
+    assert "Damaskbay-Idempotent: false" in head
+    assert "Damaskbay-Deadline-Ms: " in head
+
+
+def test_not_run_is_sent_again_after_retry_after() -> None:
+    """A refusal as not run is repeated, no sooner than the daemon asks."""
+
+    def script(number: int, _head: str) -> Reply:
+        if number < 3:
+            return refused("not_run", "overloaded", retry_after="2")
+        return whole()
+
+    sleeps: list[float] = []
+    with daemon(script) as one, client(one.address, sleeps=sleeps) as caller:
+        result = caller.call("POST", "/", host="h", deadline_s=DEADLINE_S)
+    assert isinstance(result, Answer)
+    assert len(sleeps) == 2
+    assert all(2.0 <= pause_s <= 2.6 for pause_s in sleeps)
+
+
+def test_retry_after_beyond_the_deadline_ends_the_call() -> None:
+    """The refusal comes back at once, with the time to wait."""
+    reply = refused("not_run", "rate_exceeded", 429, retry_after="60")
+    with daemon(lambda *_: reply) as one, client(one.address) as caller:
+        result = refusal(caller.call("GET", "/", host="h", deadline_s=DEADLINE_S))
+    assert len(one.heads) == 1
+    assert result.reason is Reason.RATE_EXCEEDED
+    assert result.not_run
+    assert result.retry_after_s == 60.0
+    assert result.detail == "for people"
+
+
+def test_final_refusals_are_not_sent_again() -> None:
+    """A withdrawn key stays withdrawn."""
+    reply = refused("not_run", "key_withdrawn", 401)
+    with daemon(lambda *_: reply) as one, client(one.address) as caller:
+        caller.call("GET", "/", host="h", deadline_s=DEADLINE_S, idempotent=True)
+    assert len(one.heads) == 1
+
+
+def test_unreachable_daemons_are_not_run_and_avoided() -> None:
+    """Another address takes over; with none left the call has not run."""
+    gone = nobody()
+    with daemon(lambda *_: whole()) as one:
+        with client(gone, one.address) as caller:
+            for _ in range(5):
+                result = caller.call("POST", "/", host="h", deadline_s=DEADLINE_S)
+                assert isinstance(result, Answer)
+    with client(gone) as caller:
+        result = caller.call("POST", "/", host="h", deadline_s=DEADLINE_S)
+        assert refusal(result).reason is Reason.PEER_UNREACHABLE
+        assert refusal(result).not_run
+
+
+@given(cut=st.integers(0, 200), idempotent=st.booleans())
+@settings(derandomize=True, deadline=None, max_examples=60)
+def test_answer_cut_at_any_byte(cut: int, idempotent: bool) -> None:
+    """A cut answer never passes for whole; one send where it must not run twice."""
+    data = whole(b"x" * 100, X="y").data
+
+    def script(_number: int, _head: str) -> Reply:
+        return Reply(data[:cut], keep=False)
+
+    with daemon(script) as one, client(one.address) as caller:
+        result = caller.call(
+            "POST", "/", host="h", deadline_s=DEADLINE_S, idempotent=idempotent
+        )
+    if cut >= len(data):
+        assert isinstance(result, Answer)
+        return
+    assert refusal(result).outcome is Outcome.UNKNOWN
+    assert len(one.heads) == (4 if idempotent else 1)
+
+
+def test_kept_connection_that_dies_after_the_write() -> None:
+    """It is unknown, and sent again only where a request id guards it."""
+
+    def script(number: int, _head: str) -> Reply:
+        return Reply(b"", keep=False) if number == 2 else whole()
+
+    for request_id in (None, "id-1"):
+        with daemon(script) as one, client(one.address) as caller:
+            caller.call("GET", "/", host="h", deadline_s=DEADLINE_S)
+            result = caller.call(
+                "POST", "/", host="h", deadline_s=DEADLINE_S, request_id=request_id
+            )
+        if request_id is None:
+            assert refusal(result).outcome is Outcome.UNKNOWN
+            assert len(one.heads) == 2
+        else:
+            assert isinstance(result, Answer)
+            assert len(one.heads) == 3
+
+
+def test_not_run_after_unknown_stays_unknown() -> None:
+    """The later refusal says nothing of the send before it."""
+
+    def script(number: int, _head: str) -> Reply:
+        if number == 1:
+            return Reply(b"", keep=False)
+        return refused("not_run", "rate_exceeded", 429)
+
+    with daemon(script) as one, client(one.address) as caller:
+        result = caller.call(
+            "GET", "/", host="h", deadline_s=DEADLINE_S, idempotent=True
+        )
+    assert refusal(result).outcome is Outcome.UNKNOWN
+
+
+def test_answer_without_length_is_incomplete() -> None:
+    """An answer that ends with its connection cannot be known to be whole."""
+    reply = Reply(b"HTTP/1.1 200 OK\r\n\r\nbody", keep=False)
+    with daemon(lambda *_: reply) as one, client(one.address) as caller:
+        result = caller.call("POST", "/", host="h", deadline_s=DEADLINE_S)
+    assert refusal(result).reason is Reason.ANSWER_INCOMPLETE
+
+
+def test_no_answer_in_time() -> None:
+    """A silent daemon costs no more than the deadline."""
+    ended = threading.Event()
+
+    def script(_number: int, _head: str) -> Reply:
+        ended.wait(DEADLINE_S)
+        return Reply(b"", keep=False)
+
+    with daemon(script) as one, client(one.address) as caller:
+        result = caller.call("POST", "/", host="h", deadline_s=0.1)
+        ended.set()
+    assert refusal(result).reason is Reason.DEADLINE_PASSED
+    assert refusal(result).outcome is Outcome.UNKNOWN
+
+
+def test_request_ids_come_in_batches_and_go_to_their_issuer() -> None:
+    """One fetch serves several requests; each goes to the daemon that issued it."""
+
+    def script(number: int, head: str) -> Reply:
+        if number == 2:
+            return Reply(b"", keep=False)
+        return TWO_IDS if "/.damaskbay/request-ids?count=" in head else whole()
+
+    with daemon(script) as one, daemon(script) as two:
+        addresses = (one.address, two.address)
+        with client(*addresses, avoid_s=0.0, max_attempts=1) as caller:
+            ids = [caller.new_request_id(deadline_s=DEADLINE_S) for _ in range(2)]
+            issuer, other = (one, two) if one.heads else (two, one)
+            caller.call("GET", "/lost", host="h", deadline_s=DEADLINE_S)
+            caller.call("GET", "/moved", host="h", deadline_s=DEADLINE_S)
+            assert len(other.heads) == 1
+            for item in ids:
+                assert isinstance(item, str)
+                caller.call(
+                    "POST", "/", host="h", deadline_s=DEADLINE_S, request_id=item
+                )
+    assert len(other.heads) == 1
+    assert len(issuer.heads) == 4
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
