Refuse early in fair shares between workspaces

Cause: the ingress shed a rank at one chance for all, so a small workspace lost as much as the one whose demand brought the overload. Change: it counts recent calls by pool, rank and workspace; workspaces that ask for little pass whole, the others share the rest by weight.

--- a/damaskbay/core/routing/router.py
+++ b/damaskbay/core/routing/router.py
@@ -15,6 +15,7 @@
     LOCAL_ROOM_SHARE,
     PASS_LOWEST,
 )
+from damaskbay.core.routing.demand import DemandMeter
 from damaskbay.core.routing.health import Health, RouteOutcome
 from damaskbay.ports.fleet import ServerState, ServerView
 
@@ -39,6 +40,7 @@
         self._options = options
         self._rng = rng
         self._by_instance: dict[str, Health] = {}
+        self._demand = DemandMeter()
 
     def choose(
         self,
@@ -94,6 +96,7 @@
         context: CallContext,
         now: float,
         *,
+        weight: float = 1.0,
         other_domains: bool = True,
     ) -> Refusal | None:
         """
@@ -101,8 +104,9 @@
 
         Goes by the admission levels that answers carried, which fade. A small
         part of the calls of the least important rank that still passes goes
-        through in any case, so that recovery is seen. A call tree that has
-        already cost much is refused less often than a new one.
+        through in any case, so that recovery is seen. Within a rank, workspaces
+        get fair shares by `weight` of what passes. A call tree that has already
+        cost much is refused less often than a new one.
         """
         allowed = self._allowed(servers, other_domains)
         if not allowed:
@@ -111,7 +115,14 @@
         if share <= 0.0:
             above = self._pass_share(allowed, context.priority_rank - 1, now)
             share = PASS_LOWEST if above >= 1.0 else 0.0
-        kept = share ** (1.0 / (1 + context.depth))
+        kept = self._demand.pass_share(
+            context.pool,
+            context.priority_rank,
+            context.workspace,
+            weight=weight,
+            share=share ** (1.0 / (1 + context.depth)),
+            now=now,
+        )
         if self._rng.random() < kept:
             return None
         return not_run(Reason.OVERLOADED, retry_after_s=self._wait_s(share))
