Let early refusal shed the bulk and the queue decide the margin

Cause: the level aimed at just what the server starts; early refusal is noisy and late, so slots stood free, and it knows less than the queue. Change: arrivals of up to half more than what starts are left to the queue, which keeps priority and fair share exactly; levels rise in doubling steps in any window without refusals.

--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -137,7 +137,7 @@
 
     def level(self, now: float) -> int:
         """Return the admission level that rides back on answers."""
-        self._level.update(now, slots_free=self.has_room())
+        self._level.update(now)
         return self._level.value()
 
     def set_slots(self, slots: int, now: float) -> tuple[Decision, ...]:
@@ -153,7 +153,7 @@
         while len(self._queue) > self._queue_length():
             refusal = self._capacity(Reason.QUEUE_FULL)
             decisions.append(self._refuse(self._queue.last(now), refusal, now))
-        self._level.update(now, slots_free=self.has_room())
+        self._level.update(now)
         return tuple(decisions)
 
     def _decide_next(self, now: float) -> Decision:
--- a/damaskbay/core/admission/level.py
+++ b/damaskbay/core/admission/level.py
@@ -2,7 +2,7 @@
 
 from damaskbay.core.admission.const import (
     LEVEL_FIRST_RAISE,
-    LEVEL_HEADROOM_SHARE,
+    LEVEL_HEADROOM,
     LEVEL_HOLD_S,
     LEVEL_LONGEST_WINDOW_S,
     LEVEL_LOWEST,
@@ -27,10 +27,11 @@
 
 class LevelMeter:
     """
-    Finds the level at which arrivals just keep the server busy.
+    Finds the level at which rather too many calls arrive than too few.
 
-    Refusals for capacity lower it to what was started of the arrivals seen; a
-    window without any raises it, faster and faster while slots stay free.
+    The queue decides exactly who runs, so early refusal only sheds the bulk: the
+    level is lowered where arrivals exceed starts by more than the headroom, left
+    alone where some are refused, and raised, faster and faster, where none are.
     """
 
     def __init__(self, now: float) -> None:
@@ -57,7 +58,7 @@
         """Count a refusal for want of capacity."""
         self._refused += 1
 
-    def update(self, now: float, *, slots_free: bool) -> None:
+    def update(self, now: float) -> None:
         """Move the level when a window is over; call at least a few times a second."""
         elapsed_s = now - self._since
         if elapsed_s < LEVEL_WINDOW_S:
@@ -68,7 +69,7 @@
         if self._refused:
             self._lower(now)
         elif self._level != OPEN_LEVEL:
-            self._lift(slots_free)
+            self._lift()
         self._begin(now)
 
     def _begin(self, now: float) -> None:
@@ -81,12 +82,14 @@
         self._raise = LEVEL_FIRST_RAISE
         if now < self._held_until:
             return
-        self._held_until = now + LEVEL_HOLD_S
-        self._level = max(LEVEL_LOWEST, min(self._level, self._cut()))
+        cut = self._cut()
+        if cut < self._level:
+            self._held_until = now + LEVEL_HOLD_S
+            self._level = max(LEVEL_LOWEST, cut)
 
     def _cut(self) -> int:
-        """Return the level whose part of the arrivals equals what was started."""
-        wanted = self._started * LEVEL_HEADROOM_SHARE
+        """Return the level whose part of the arrivals is the starts and headroom."""
+        wanted = self._started * LEVEL_HEADROOM + 1.0
         for rank, count in sorted(self._offered_by_rank.items()):
             if count > wanted:
                 share = pass_share(self._level, rank) * wanted / count
@@ -94,11 +97,8 @@
             wanted -= count
         return self._level
 
-    def _lift(self, slots_free: bool) -> None:
-        if slots_free:
-            self._raise = min(2 * self._raise, LEVEL_STEPS_PER_RANK)
-        else:
-            self._raise = LEVEL_FIRST_RAISE
+    def _lift(self) -> None:
         self._level += self._raise
+        self._raise = min(2 * self._raise, LEVEL_STEPS_PER_RANK)
         if self._level >= (self._highest_rank + 1) * LEVEL_STEPS_PER_RANK:
             self._level = OPEN_LEVEL
