Spread configuration sets by relays, trees and polls

Cause: a watch per daemon would cost the platform 10,000 waiting calls, and a daemon has to know how surely its set is the newest. Change: two daemons of a failure domain, by rendezvous hash and with a lease each, watch the head. New sets go as deltas through a tree over the live members; each daemon polls a parent in a flat tree, in turns for both relays, which repairs lost pushes and carries the age of the newest proof. A set is taken only whole, checked, with the promised digest and a higher version. Ages count from when the peer was asked, so that no pause makes a proof younger. Relays without a proof ask the other failure domains, which feed them or agree on an outage. Tests: relay ends without a word, relay paused past its lease, lost lease answer, lost pushes, long outage, fresh daemon in an outage, cut domain, domain that lost only the platform, broken head. Conclusion: the source of sets is a Protocol; the stored sets plug in there.

--- /dev/null
+++ b/damaskbay/core/dissemination/__init__.py
@@ -0,0 +1,1 @@
+"""Spreading of configuration sets, decided without any I/O."""
--- /dev/null
+++ b/tests/core/dissemination/test_dissemination.py
@@ -0,0 +1,202 @@
+"""Tests of the decisions about who relays, what is taken and what is fresh."""
+
+import unittest
+from dataclasses import replace
+from functools import partial
+
+from hypothesis import given, settings, strategies as st
+
+from damaskbay.config.delta import make_delta
+from damaskbay.config.document import Document, parse_document
+from damaskbay.core.dissemination.freshness import Freshness, Proof, ReachBoard
+from damaskbay.core.dissemination.holder import Holder, Offer
+from damaskbay.core.dissemination.lease import HeldLease
+from damaskbay.core.dissemination.messages import Parts, Push
+from damaskbay.core.dissemination.order import FleetOrder
+from damaskbay.core.dissemination.parts import missing_parts
+from damaskbay.ports.fleet import MemberView
+from damaskbay.ports.peer import PeerAddress
+from tests.common import function_suite
+from tests.config.common import document, sample
+
+
+def _members(count: int) -> tuple[MemberView, ...]:
+    names = sorted(f"i{index}" for index in range(count))
+    ports = enumerate(names, start=1_000)
+    return tuple(
+        MemberView(name, 1, "d1", PeerAddress("127.0.0.1", port))
+        for port, name in ports
+    )
+
+
+def _orders(count: int) -> dict[str, FleetOrder]:
+    members = _members(count)
+    orders = {item.instance: FleetOrder(item.instance, "x", 2) for item in members}
+    for order in orders.values():
+        order.update(members)
+    return orders
+
+
+@settings(derandomize=True, max_examples=30)
+@given(st.integers(1, 90), st.integers(1, 5), st.randoms(use_true_random=False))
+def test_tree_reaches_each_member_once(count: int, fanout: int, rng: object) -> None:
+    """From any root each other member has one parent, whose child it is."""
+    orders = _orders(count)
+    root = f"i{count // 2}"
+    reached = [
+        (name, child.instance)
+        for name, order in orders.items()
+        for child in order.children(root, fanout)
+    ]
+    assert sorted(child for _, child in reached) == sorted(set(orders) - {root})
+    for parent, child in reached:
+        asked = orders[child].parent(root, fanout)
+        assert asked is not None
+        assert asked.instance == parent
+    assert orders[root].parent(root, fanout) is None
+
+
+def test_all_agree_on_the_leaders() -> None:
+    """The leaders follow from the members alone; one that goes is replaced."""
+    orders = _orders(20)
+    leaders = {tuple(item.instance for item in o.leaders) for o in orders.values()}
+    assert len(leaders) == 1
+    assert sum(order.leads for order in orders.values()) == 2
+    first, second = leaders.pop()
+    order = orders["i3"]
+    order.update(tuple(item for item in _members(20) if item.instance != first))
+    assert order.leaders[0].instance == second
+
+
+def test_lease_counts_from_the_request() -> None:
+    """A holder trusts a lease from before it asked, less the margin."""
+    lease = HeldLease(lease_s=10, margin_s=1)
+    assert not lease.holds(0)
+    lease.granted(asked_at=5)
+    assert lease.holds(13.9)
+    assert not lease.holds(14)
+
+
+def _holder(version: int = 1) -> Holder:
+    holder = Holder()
+    assert holder.offer(version, document()) is Offer.TAKEN
+    return holder
+
+
+def _changed(rate: int) -> Document:
+    return document(workspaces__north__rate_per_s=rate)
+
+
+def test_version_never_goes_back() -> None:
+    """Whatever way an older version comes, it is not taken."""
+    holder = _holder(5)
+    older = _changed(7)
+    push = Push("i1", 4, make_delta(document(), older))
+    assert holder.offer(5, older) is Offer.OLD
+    assert holder.offer_push(push) is Offer.OLD
+    assert holder.offer_parts(missing_parts(older, 3, ())) is Offer.OLD
+    assert holder.config is not None
+    assert holder.config.workspaces_by_name["north"].rate_per_s == 100
+
+
+def test_push_of_what_changed() -> None:
+    """A delta for the set at hand is taken, one for another set needs a pull."""
+    holder = _holder()
+    delta = make_delta(document(), _changed(7))
+    assert holder.offer_push(Push("i1", 2, delta)) is Offer.TAKEN
+    assert holder.config is not None
+    assert holder.config.workspaces_by_name["north"].rate_per_s == 7
+    assert holder.offer_push(Push("i1", 3, delta)) is Offer.OTHER_BASE
+    assert Holder().offer_push(Push("i1", 3, delta)) is Offer.OTHER_BASE
+
+
+def test_digest_is_verified() -> None:
+    """What does not lead to the promised digest is refused and reported."""
+    holder = _holder()
+    delta = make_delta(document(), _changed(7))
+    wrong = replace(delta, digest="0" * 64)
+    assert holder.offer_push(Push("i1", 2, wrong)) is Offer.INVALID
+    parts = missing_parts(_changed(7), 2, ())
+    assert holder.offer_parts(replace(parts, digest="0" * 64)) is Offer.INVALID
+    assert holder.version == 1
+    assert "version 2" in holder.problem
+
+
+def test_set_is_checked_again() -> None:
+    """A set with a dangling reference is refused though its digest is right."""
+    holder = _holder()
+    dangling = parse_document(sample(**{"keys__north-1__workspace": "nobody"}))
+    assert isinstance(dangling, Document)
+    whole = missing_parts(dangling, 2, ())
+    assert holder.offer_parts(whole) is Offer.INVALID
+    push = Push("i1", 2, make_delta(document(), dangling))
+    assert holder.offer_push(push) is Offer.INVALID
+    assert holder.version == 1
+
+
+def test_half_a_set_is_refused() -> None:
+    """A fresh daemon takes a set only whole."""
+    whole = missing_parts(document(), 2, ())
+    half = replace(whole, numbers=whole.numbers[:-1], bodies=whole.bodies[:-1])
+    assert Holder().offer_parts(half) is Offer.INVALID
+
+
+def test_only_missing_parts_are_sent() -> None:
+    """One changed object costs one part."""
+    holder = _holder()
+    parts = missing_parts(_changed(7), 2, holder.part_digests())
+    assert len(parts.numbers) == 1
+    assert holder.offer_parts(parts) is Offer.TAKEN
+
+
+@settings(derandomize=True, max_examples=50)
+@given(st.lists(st.tuples(st.integers(-5, 70), st.binary(max_size=20)), max_size=4))
+def test_hostile_parts_are_refused(items: list[tuple[int, bytes]]) -> None:
+    """Any parts are a value and leave the set in force."""
+    holder = _holder()
+    numbers = tuple(number for number, _ in items)
+    bodies = tuple(body for _, body in items)
+    holder.offer_parts(Parts(2, "d", numbers, bodies))
+    assert holder.version == 1
+
+
+def test_proof_of_an_older_set_counts_only_with_it() -> None:
+    """A proof for a set above the one in force proves nothing here."""
+    freshness = Freshness()
+    assert not freshness.prove(Proof(3, 50.0), held_version=2)
+    assert freshness.proof_age_s(60) is None
+    assert freshness.prove(Proof(2, 40.0), held_version=3)
+    freshness.prove(Proof(2, 30.0), held_version=3)
+    assert freshness.proof_age_s(60) == 20
+
+
+def test_outage_ends_with_a_newer_proof() -> None:
+    """News of an outage hold for a time and until the platform is reached."""
+    freshness = Freshness()
+    freshness.note_outage(10)
+    assert freshness.outage_age_s(12, valid_s=5) == 2
+    assert freshness.outage_age_s(15, valid_s=5) is None
+    freshness.prove(Proof(0, 11), held_version=0)
+    assert freshness.outage_age_s(12, valid_s=5) is None
+
+
+def test_silent_domain_is_no_outage_for_all() -> None:
+    """Only where every known domain says so, nobody reaches the platform."""
+    board = ReachBoard(outage_after_s=1.5, valid_s=3)
+    for_all = partial(board.outage_for_all, proven_at=5)
+    assert for_all([], 10)
+    assert not for_all(["d2"], 10)
+    board.heard("d2", 9, proof_age_s=None)
+    board.heard("d3", 9, proof_age_s=0.2)
+    assert for_all(["d2"], 10)
+    assert not for_all(["d2", "d3"], 10)
+    board.heard("d3", 10, proof_age_s=2)
+    assert for_all(["d2", "d3"], 11)
+    assert not board.outage_for_all(["d2", "d3"], 11, proven_at=9)
+    assert not for_all(["d2", "d3"], 12.5)
+    assert board.unreachable(["d2", "d3"], 12.5) == ("d2",)
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
--- /dev/null
+++ b/tests/daemon/config_common.py
@@ -0,0 +1,196 @@
+"""Configuration services of a few failure domains in one process."""
+
+from collections.abc import Iterator, Mapping
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field
+
+from damaskbay.config.document import Document
+from damaskbay.core.dissemination.options import DisseminationOptions
+from damaskbay.daemon.config_messages import Head, SetInvalid, SourceUnavailable
+from damaskbay.daemon.config_service import ConfigService
+from damaskbay.ports.fleet import MemberView, ServerState, ServerView
+from damaskbay.ports.peer import PeerAddress, PeerIdentity
+from damaskbay.ports.platform import Entry, PlatformFailure
+from damaskbay.stand_ins.memory_platform import MemoryPlatform
+from tests.config.common import document
+from tests.daemon.fake_link import FakeLink, Switchboard
+
+HEAD_KEY = "test/head"
+OPTIONS = DisseminationOptions(
+    poll_period_s=0.05,
+    watch_s=0.05,
+    retry_s=0.05,
+    lease_s=0.8,
+    lease_renew_s=0.2,
+    lease_margin_s=0.2,
+    outage_after_s=0.3,
+    outage_valid_s=1.0,
+    reach_valid_s=0.6,
+)
+
+
+@dataclass
+class TestSets:
+    """Accepted documents by version, behind a head in the platform."""
+
+    __test__ = False
+    platform: MemoryPlatform
+    document_by_version: dict[int, Document] = field(default_factory=dict)
+
+    def publish(self, version: int, *, rate: int = 100, broken: bool = False) -> None:
+        """Accept a new set; a broken one has a head and nothing behind it."""
+        if not broken:
+            accepted = document(workspaces__north__rate_per_s=rate)
+            self.document_by_version[version] = accepted
+        current = self.platform.get(HEAD_KEY, timeout_s=1)
+        revision = current.revision if isinstance(current, Entry) else 0
+        self.platform.compare_and_swap(
+            HEAD_KEY, str(version).encode(), expected_revision=revision, timeout_s=1
+        )
+
+
+@dataclass
+class TestSource:
+    """Implements SetSource for one daemon."""
+
+    __test__ = False
+    sets: TestSets
+    platform: MemoryPlatform
+
+    def watch(
+        self, *, after_revision: int, timeout_s: float
+    ) -> Head | SourceUnavailable | None:
+        """Wait for a newer head."""
+        entry = self.platform.watch(
+            HEAD_KEY, after_revision=after_revision, timeout_s=timeout_s
+        )
+        if isinstance(entry, PlatformFailure):
+            return SourceUnavailable()
+        return None if entry is None else Head(entry.revision, int(entry.value), "")
+
+    def load(
+        self, head: Head, held: Document | None, *, timeout_s: float
+    ) -> Document | SourceUnavailable | SetInvalid:
+        """Return the set of a head."""
+        found = self.sets.document_by_version.get(head.version)
+        return found or SetInvalid("a part is missing")
+
+
+@dataclass
+class FixedMembers:
+    """Implements what the configuration service asks of the membership."""
+
+    own_domain: str
+    by_domain: dict[str, tuple[MemberView, ...]]
+
+    def members(self) -> tuple[MemberView, ...]:
+        """Return the daemons of the own failure domain."""
+        return self.by_domain[self.own_domain]
+
+    def contacts_by_domain(self) -> Mapping[str, tuple[PeerAddress, ...]]:
+        """Return two daemons of each other failure domain."""
+        return {
+            domain: tuple(item.address for item in members[:2])
+            for domain, members in self.by_domain.items()
+            if domain != self.own_domain
+        }
+
+    def servers(self, pool: str) -> tuple[ServerView, ...]:
+        """Return no servers."""
+        return ()
+
+    def by_instance(self, instance: str) -> ServerView | None:
+        """Return no server."""
+        return None
+
+    def announce(
+        self, *, pool: str, state: ServerState, slots: int, load: float
+    ) -> None:
+        """Take nothing."""
+
+    def suspect(self, instance: str, incarnation: int) -> None:
+        """Take nothing."""
+
+
+class Fleet:
+    """Services by instance; each is started by `start`."""
+
+    def __init__(self, stack: ExitStack, counts: dict[str, int]) -> None:
+        self.platform = MemoryPlatform()
+        self.sets = TestSets(self.platform)
+        self.board = Switchboard()
+        self.services_by_instance: dict[str, ConfigService] = {}
+        self.members_by_domain = {
+            domain: tuple(
+                MemberView(
+                    f"{domain}-{index}",
+                    1,
+                    domain,
+                    PeerAddress(f"127.0.{place}.1", 2_000 + index),
+                )
+                for index in range(count)
+            )
+            for place, (domain, count) in enumerate(counts.items())
+        }
+        self._stack = stack
+        stack.callback(self.board.executor.shutdown)
+
+    def start(self, *instances: str) -> None:
+        """Start some daemons, or all without names."""
+        for domain, members in self.members_by_domain.items():
+            for member in members:
+                if not instances or member.instance in instances:
+                    self._start(domain, member)
+
+    def leave(self, instance: str) -> None:
+        """Take a daemon off everybody's list of members."""
+        domain = instance.split("-")[0]
+        left = (
+            item for item in self.members_by_domain[domain] if item.instance != instance
+        )
+        self.members_by_domain[domain] = tuple(left)
+
+    def cut(self, domain: str) -> None:
+        """Cut a domain off from the others and from the platform."""
+        inside = {item.address for item in self.members_by_domain[domain]}
+        self.board.cut = lambda one, other: (one in inside) != (other in inside)
+        names = frozenset(item.instance for item in self.members_by_domain[domain])
+        self.platform.inject(cut_clients=names)
+
+    def heal(self) -> None:
+        """End a cut."""
+        self.board.cut = lambda _one, _other: False
+        self.platform.inject(cut_clients=frozenset())
+
+    def versions(self, domain: str = "") -> set[int]:
+        """Return the versions in force in a domain, or everywhere."""
+        states = [
+            service.state()
+            for name, service in self.services_by_instance.items()
+            if name.startswith(domain)
+        ]
+        return {0 if state is None else state.config.version for state in states}
+
+    def _start(self, domain: str, member: MemberView) -> None:
+        identity = PeerIdentity(member.instance, 1, domain)
+        platform = self.platform.client(member.instance)
+        members = FixedMembers(domain, self.members_by_domain)
+        service = ConfigService(
+            identity,
+            platform=platform,
+            link=FakeLink(self.board, member.address, identity),
+            membership=members,
+            contacts=members,
+            source=TestSource(self.sets, platform),
+            options=OPTIONS,
+            seed=len(self.services_by_instance),
+        )
+        self.services_by_instance[member.instance] = service
+        self._stack.enter_context(service)
+
+
+@contextmanager
+def fleet(**counts: int) -> Iterator[Fleet]:
+    """Provide daemons of some failure domains, not yet started."""
+    with ExitStack() as stack:
+        yield Fleet(stack, counts)
--- /dev/null
+++ b/tests/daemon/test_config_service.py
@@ -0,0 +1,252 @@
+"""Failures while sets are spread: relays, platform, cuts, lost messages."""
+
+import unittest
+from functools import partial
+from typing import Any
+
+from damaskbay.config.document import Document
+from damaskbay.core.dissemination.messages import Push, Status
+from damaskbay.core.dissemination.order import rank
+from damaskbay.daemon.config_messages import Loaded, PeerAnswer
+from damaskbay.daemon.config_relay import RELAY_PURPOSE, ConfigRelay
+from damaskbay.daemon.config_service import ConfigService
+from damaskbay.ports.peer import PeerIdentity
+from tests.common import function_suite
+from tests.daemon.config_common import (
+    OPTIONS,
+    FixedMembers,
+    Fleet,
+    TestSource,
+    fleet,
+)
+from tests.daemon.test_membership import wait_until
+
+
+def _relays(running: Fleet, domain: str) -> list[str]:
+    members = running.members_by_domain[domain]
+    return [item.instance for item in rank(members, RELAY_PURPOSE)[:2]]
+
+
+def _in_force(running: Fleet, version: int) -> bool:
+    return running.versions() == {version}
+
+
+def _outage_for_all(service: ConfigService) -> bool:
+    state = service.state()
+    return state is not None and state.outage_for_all
+
+
+def _proof_age_s(service: ConfigService) -> float:
+    state = service.state()
+    return float("inf") if state is None else service.clock() - state.proven_at
+
+
+def test_new_sets_are_in_force_everywhere() -> None:
+    """Each accepted set reaches all daemons; few of them watch the platform."""
+    with fleet(east=8, west=5) as running:
+        running.start()
+        for version in (1, 2, 5):
+            running.sets.publish(version, rate=version)
+            wait_until(partial(_in_force, running, version))
+        by_client = running.platform.counters.by_client
+        watching = {name for name, calls in by_client.items() if name and calls}
+        expected = {*_relays(running, "east"), *_relays(running, "west")}
+        assert watching == expected
+        services = running.services_by_instance.values()
+        wait_until(lambda: all(_proof_age_s(item) < 1 for item in services))
+
+
+def test_lost_pushes_are_repaired() -> None:
+    """Without a single push every daemon gets the set by asking."""
+    with fleet(east=9) as running:
+        running.start()
+        for link in running.board.link_by_address.values():
+            link.register(Push, lambda *_: None)
+        running.sets.publish(1)
+        wait_until(lambda: running.versions() == {1})
+        running.sets.publish(2, rate=3)
+        wait_until(lambda: running.versions() == {2})
+
+
+def test_subscribers_hear_of_each_newer_set() -> None:
+    """A callback gets the set in force and those after it."""
+    with fleet(east=1) as running:
+        running.start()
+        heard: list[int] = []
+        service = running.services_by_instance["east-0"]
+        service.subscribe(lambda config: heard.append(config.version))
+        running.sets.publish(1)
+        wait_until(lambda: heard == [1])
+        running.sets.publish(2, rate=5)
+        wait_until(lambda: heard == [1, 2])
+
+
+def test_relay_that_stops_is_replaced() -> None:
+    """A relay that ends without a word only delays the next set."""
+    with fleet(east=6) as running:
+        running.start()
+        running.sets.publish(1)
+        wait_until(lambda: running.versions() == {1})
+        lost = _relays(running, "east")[0]
+        service = running.services_by_instance.pop(lost)
+        service._relay._lease.release = lambda: None  # type: ignore[method-assign]
+        service.__exit__(None, None, None)
+        running.leave(lost)
+        running.sets.publish(2, rate=2)
+        wait_until(lambda: running.versions() == {2})
+        wait_until(
+            lambda: (
+                sum(
+                    item.report().relay
+                    for item in running.services_by_instance.values()
+                )
+                == 2
+            )
+        )
+
+
+def test_relay_paused_past_its_lease_tells_nothing() -> None:
+    """What a relay read before a pause is thrown away after it."""
+    with fleet(east=1) as running:
+        posted: list[object] = []
+        now = 100.0
+        platform = running.platform.client("east-0")
+
+        class PausedSource(TestSource):
+            """Pauses for long while a set is read."""
+
+            def load(self, *_: Any, **__: Any) -> Document:
+                nonlocal now
+                now += pause_s
+                return running.sets.document_by_version[1]
+
+        def post_up(item: object) -> bool:
+            posted.append(item)
+            return True
+
+        relay = ConfigRelay(
+            PeerIdentity("east-0", 1, "east"),
+            platform=platform,
+            source=PausedSource(running.sets, platform),
+            membership=FixedMembers("east", running.members_by_domain),
+            options=OPTIONS,
+            post_up=post_up,
+            clock=lambda: now,
+        )
+        running.sets.publish(1)
+        pause_s = OPTIONS.lease_s
+        relay.tick(now)
+        assert not posted
+        pause_s = 0.1
+        relay.tick(now)
+        assert isinstance(posted[0], Loaded)
+
+
+def test_pause_makes_no_proof_younger() -> None:
+    """A proof counts from when it was asked for, however late its answer."""
+    with fleet(east=2) as running:
+        running.start()
+        service = running.services_by_instance["east-0"]
+        running.platform.inject(outage=True)
+        answer = Status(0, "east", 0.5, None)
+        address = running.members_by_domain["east"][1].address
+        asked_at = service.clock() + 50
+        service.post(PeerAnswer(address, "east", asked_at, answer))
+        wait_until(lambda: service._freshness.proven_at > service.clock() + 40)
+        assert service._freshness.proven_at == asked_at - 0.5
+
+
+def test_lease_answer_lost() -> None:
+    """A lease whose answer was lost is held once and known by reading."""
+    with fleet(east=1) as running:
+        running.platform.inject(lose_answers=1)
+        running.start()
+        service = running.services_by_instance["east-0"]
+        wait_until(lambda: service.report().relay)
+        held = running.platform.list("damaskbay/relays/", timeout_s=1)
+        assert isinstance(held, tuple)
+        assert len(held) == 1
+
+
+def test_long_outage_is_seen_by_all_and_ends() -> None:
+    """All domains agree that nobody reaches the platform, until one does."""
+    with fleet(east=4, west=3) as running:
+        running.start()
+        running.sets.publish(1)
+        wait_until(lambda: running.versions() == {1})
+        running.platform.inject(outage=True)
+        services = list(running.services_by_instance.values())
+        wait_until(lambda: all(_outage_for_all(item) for item in services))
+        running.platform.inject(outage=False)
+        running.sets.publish(2, rate=9)
+        wait_until(lambda: running.versions() == {2})
+        wait_until(lambda: not any(_outage_for_all(item) for item in services))
+
+
+def test_fresh_daemon_in_an_outage_gets_the_set_of_its_peers() -> None:
+    """A daemon that starts while the platform is away asks its peers."""
+    with fleet(east=5) as running:
+        running.start("east-0", "east-1", "east-2", "east-3")
+        running.sets.publish(3)
+        wait_until(lambda: running.versions() == {3})
+        running.platform.inject(outage=True)
+        running.start("east-4")
+        wait_until(lambda: running.versions() == {3})
+
+
+def test_cut_off_domain_knows_that_it_may_be_behind() -> None:
+    """A domain that is cut off keeps its set, unproven, and no outage for all."""
+    with fleet(east=3, west=3) as running:
+        running.start()
+        running.sets.publish(1)
+        wait_until(lambda: running.versions() == {1})
+        running.cut("west")
+        running.sets.publish(2, rate=4)
+        wait_until(lambda: running.versions("east") == {2})
+        west = running.services_by_instance["west-0"]
+        wait_until(lambda: _proof_age_s(west) > 3 * OPTIONS.outage_after_s)
+        assert running.versions("west") == {1}
+        assert not _outage_for_all(west)
+        running.heal()
+        wait_until(lambda: running.versions() == {2})
+        wait_until(lambda: _proof_age_s(west) < 1)
+
+
+def test_domain_without_the_platform_is_fed_by_others() -> None:
+    """A domain that only lost the platform gets sets and proofs by the others."""
+    with fleet(east=3, west=3) as running:
+        running.start()
+        running.sets.publish(1)
+        wait_until(lambda: running.versions() == {1})
+        names = frozenset(item.instance for item in running.members_by_domain["west"])
+        running.platform.inject(cut_clients=names)
+        running.sets.publish(2, rate=4)
+        wait_until(lambda: running.versions() == {2})
+        west = running.services_by_instance["west-2"]
+        start = west.clock()
+        wait_until(lambda: west.clock() - _proof_age_s(west) > start + 1)
+
+
+def test_broken_head_keeps_the_last_good_set() -> None:
+    """A head without its set is reported; the last good set stays and is newest."""
+    with fleet(east=3) as running:
+        running.start()
+        running.sets.publish(1)
+        wait_until(lambda: running.versions() == {1})
+        running.sets.publish(2, broken=True)
+        services = running.services_by_instance.values()
+        wait_until(lambda: any(item.report().problem for item in services))
+        start = next(iter(services)).clock()
+        wait_until(
+            lambda: all(
+                item.clock() - _proof_age_s(item) > start + 0.5 for item in services
+            )
+        )
+        assert running.versions() == {1}
+        running.sets.publish(3, rate=8)
+        wait_until(lambda: running.versions() == {3})
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
