--- /dev/null
+++ b/damaskbay/adapters/caller_http/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter for callers: HTTP by `waitress`."""
--- /dev/null
+++ b/damaskbay/adapters/caller_http/application.py
@@ -0,0 +1,155 @@
+"""The WSGI application that callers and backend servers speak to."""
+
+import http
+import json
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any
+from urllib.parse import parse_qs
+
+from damaskbay.adapters.caller_http.const import (
+    ISSUE_PATH,
+    MAX_ISSUED_IDS,
+    OWN_PREFIX,
+)
+from damaskbay.adapters.caller_http.exceptions import BadHeaderError
+from damaskbay.adapters.caller_http.hang_up import HangUpWatcher
+from damaskbay.adapters.caller_http.reading import read_call
+from damaskbay.const import HEADER_CALL_ID, HEADER_OUTCOME, HEADER_REASON
+from damaskbay.core.call import Answer, Headers
+from damaskbay.core.http_status import status_of
+from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.helpers.cancellation import Cancellation
+from damaskbay.helpers.http_headers import without_hop_by_hop
+from damaskbay.ports.caller import CallerService, ServedCall
+
+_LOGGER = logging.getLogger(__name__)
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Environ = dict[str, Any]
+
+_WITHOUT_BODY = frozenset({204, 304})
+
+
+class CallerApplication:
+    """Reads a call, has it served, writes the answer or the refusal."""
+
+    def __init__(self, service: CallerService, hang_ups: HangUpWatcher) -> None:
+        self._service = service
+        self._hang_ups = hang_ups
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request (PEP 3333)."""
+        try:
+            if environ["PATH_INFO"].startswith(OWN_PREFIX):
+                return self._own_path(environ, start_response)
+            return self._call(environ, start_response)
+        except BadHeaderError as error:
+            refusal = not_run(Reason.BAD_REQUEST, detail=str(error))
+            return _write_refusal(refusal, "", environ, start_response)
+        except Exception:
+            _LOGGER.exception("edge: call failed.")
+            refusal = unknown(Reason.INTERNAL_ERROR)
+            return _write_refusal(refusal, "", environ, start_response)
+
+    def _call(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        call = read_call(environ)
+        cancellation = Cancellation()
+        with self._hang_ups.watch(
+            environ["waitress.client_disconnected"], cancellation
+        ):
+            served = self._service.serve(call, cancellation)
+        return _write(served, environ, start_response)
+
+    def _own_path(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        if environ["PATH_INFO"] != ISSUE_PATH:
+            refusal = not_run(Reason.NO_ROUTE)
+            return _write_refusal(refusal, "", environ, start_response)
+        if environ["REQUEST_METHOD"] != "POST":
+            refusal = not_run(Reason.BAD_REQUEST, detail="use POST")
+            return _write_refusal(refusal, "", environ, start_response)
+        count = parse_qs(environ.get("QUERY_STRING", "")).get("count", ["1"])[0]
+        if not (count.isascii() and count.isdigit() and 0 < len(count) < 6):
+            refusal = not_run(Reason.BAD_REQUEST, detail="count: a whole number")
+            return _write_refusal(refusal, "", environ, start_response)
+        issued = self._service.issue_request_ids(
+            max(1, min(int(count), MAX_ISSUED_IDS))
+        )
+        document = {
+            "request_ids": list(issued.request_ids),
+            "valid_s": issued.valid_s,
+        }
+        return _write_json(200, document, (), environ, start_response)
+
+
+def _write(
+    served: ServedCall, environ: Environ, start_response: StartResponse
+) -> Iterable[bytes]:
+    result = served.result.result
+    if isinstance(result, Refusal):
+        return _write_refusal(result, served.call_id, environ, start_response)
+    return _write_answer(result, served.call_id, environ, start_response)
+
+
+def _write_answer(
+    answer: Answer, call_id: str, environ: Environ, start_response: StartResponse
+) -> Iterable[bytes]:
+    headers = list(without_hop_by_hop(answer.headers))
+    headers.append((HEADER_CALL_ID, call_id))
+    bodiless = answer.status in _WITHOUT_BODY or environ["REQUEST_METHOD"] == "HEAD"
+    names = {name.lower() for name, _ in headers}
+    if "content-length" not in names and not bodiless:
+        headers.append(("Content-Length", str(len(answer.body))))
+    start_response(_status_line(answer.status), headers)
+    return [] if bodiless else [answer.body]
+
+
+def _write_refusal(
+    refusal: Refusal, call_id: str, environ: Environ, start_response: StartResponse
+) -> Iterable[bytes]:
+    headers = [
+        (HEADER_OUTCOME, refusal.outcome.value),
+        (HEADER_REASON, refusal.reason.value),
+    ]
+    if call_id:
+        headers.append((HEADER_CALL_ID, call_id))
+    if refusal.retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, round(refusal.retry_after_s)))))
+    document = {
+        "outcome": refusal.outcome.value,
+        "reason": refusal.reason.value,
+        "detail": refusal.detail,
+        "retry_after_s": refusal.retry_after_s,
+    }
+    return _write_json(
+        status_of(refusal), document, tuple(headers), environ, start_response
+    )
+
+
+def _write_json(
+    status: int,
+    document: dict[str, Any],
+    extra: Headers,
+    environ: Environ,
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    body = json.dumps(document).encode()
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        *extra,
+    ]
+    start_response(_status_line(status), headers)
+    return [] if environ["REQUEST_METHOD"] == "HEAD" else [body]
+
+
+def _status_line(status: int) -> str:
+    try:
+        phrase = http.HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    return f"{status} {phrase}"
--- /dev/null
+++ b/tests/adapters/caller_http/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of caller_http."""
