Carry calls from the edge to a backend server and back

Change: ingress, dispatch with retries, target with admission, at-most-once owners, calls from peers. Found by the tests: a call cancelled in the queue never ended; mended.

--- a/damaskbay/core/call.py
+++ b/damaskbay/core/call.py
@@ -1,6 +1,6 @@
 """A call as it travels: request, answer and the context of its call tree."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from damaskbay.core.outcome import Refusal
 
@@ -63,6 +63,7 @@
     How one call ended, with what flows back to the caller's side.
 
     `admission_level` is the target's current level (see core.admission);
+    `backend_s` is what the backend server took, in seconds;
     `attempts` counts sends in the whole subtree; `retry_tokens_left` are handed
     back to the parent.
     """
@@ -72,4 +73,4 @@
     retry_tokens_left: int = 0
     admission_level: int | None = None
     served_by: str = ""
-    trace: tuple[str, ...] = field(default=())
+    backend_s: float | None = None
--- /dev/null
+++ b/damaskbay/daemon/ingress.py
@@ -0,0 +1,225 @@
+"""Where a call enters: who, which route, which rate; then on to a server."""
+
+import threading
+import uuid
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from damaskbay.config.objects import Access, Route
+from damaskbay.core.call import Answer, CallContext, CallResult
+from damaskbay.core.edge import EdgeRoom
+from damaskbay.core.freshness import may_serve
+from damaskbay.core.identify import Credentials, RouteMatcher, identify_root
+from damaskbay.core.outcome import Reason, Refusal, not_run
+from damaskbay.core.scrub import scrub
+from damaskbay.daemon.calls import CallRegistry
+from damaskbay.daemon.dispatch import Dispatcher, Outgoing
+from damaskbay.daemon.once import OnceService
+from damaskbay.helpers.cancellation import Cancellation
+from damaskbay.ports.caller import IncomingCall, IssuedIds, ServedCall
+from damaskbay.ports.fleet import ConfigSource, ConfigState, RateGate
+from damaskbay.ports.metrics import CallObserver
+
+
+class RouteSource(Protocol):
+    """Gives the route table of the set in force."""
+
+    def matcher(self, state: ConfigState) -> RouteMatcher:
+        """Return the table that belongs to a set."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class IngressParts:
+    """What the ingress works with."""
+
+    config: ConfigSource
+    routes: RouteSource
+    rates: RateGate
+    dispatcher: Dispatcher
+    calls: CallRegistry
+    once: OnceService
+    observer: CallObserver
+    room: EdgeRoom
+
+
+class Ingress:
+    """Serves callers and the local backend server (port: CallerService)."""
+
+    def __init__(
+        self,
+        parts: IngressParts,
+        *,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._parts = parts
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._lock = threading.Lock()
+        self._inside = 0
+        self._draining = False
+
+    @property
+    def inside(self) -> int:
+        """Return the number of calls under way."""
+        return self._inside
+
+    def drain(self) -> None:
+        """Refuse new root calls; nested calls of running requests still pass."""
+        self._draining = True
+
+    def issue_request_ids(self, count: int) -> IssuedIds:
+        """Issue ids for requests that must run at most once."""
+        return self._parts.once.issue(count)
+
+    def serve(self, call: IncomingCall, cancellation: Cancellation) -> ServedCall:
+        """Serve one call to its end."""
+        began = self._clock()
+        call_id = uuid.uuid4().hex
+        with self._entered():
+            if call.call_token is None:
+                context, result = self._serve_root(call, call_id, cancellation)
+            else:
+                context, result = self._serve_nested(call, cancellation)
+        if context is not None:
+            call_id = context.call_id
+        self._parts.observer.call_ended(
+            context, result, took_s=self._clock() - began, call_id=call_id
+        )
+        return ServedCall(call_id, result)
+
+    @contextmanager
+    def _entered(self) -> Iterator[None]:
+        with self._lock:
+            self._inside += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._inside -= 1
+
+    def _serve_root(
+        self, call: IncomingCall, call_id: str, cancellation: Cancellation
+    ) -> tuple[CallContext | None, CallResult]:
+        now = self._clock()
+        if self._draining:
+            return None, refused(not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0))
+        state = self._parts.config.state()
+        if state is None:
+            return None, refused(not_run(Reason.NO_CONFIGURATION, retry_after_s=1.0))
+        route = self._route(state, call)
+        if isinstance(route, Refusal):
+            return None, refused(route)
+        context = self._root_context(state, route, call, call_id, now)
+        if isinstance(context, Refusal):
+            return None, refused(context)
+        refusal = self._admit_root(state, route, context, now)
+        if refusal is not None:
+            return context, refused(refusal)
+        return context, self._send(call, context, route, cancellation)
+
+    def _route(self, state: ConfigState, call: IncomingCall) -> Route | Refusal:
+        request = call.request
+        path = request.target.partition("?")[0]
+        matcher = self._parts.routes.matcher(state)
+        route = matcher.match(request.host, request.method, path)
+        return route if route is not None else not_run(Reason.NO_ROUTE)
+
+    def _root_context(
+        self,
+        state: ConfigState,
+        route: Route,
+        call: IncomingCall,
+        call_id: str,
+        now: float,
+    ) -> CallContext | Refusal:
+        credentials = Credentials(
+            call.key, call.deadline_s, call.request_id, call.idempotent
+        )
+        return identify_root(
+            state.config,
+            route,
+            credentials,
+            call_id=call_id,
+            now=now,
+            wall_now=self._wall_clock(),
+        )
+
+    def _admit_root(
+        self, state: ConfigState, route: Route, context: CallContext, now: float
+    ) -> Refusal | None:
+        if context.deadline <= now:
+            return not_run(Reason.DEADLINE_PASSED)
+        refusal = may_serve(route, state, now)
+        if refusal is not None:
+            return refusal
+        refusal = self._parts.room.refuse(self._inside - 1, context.priority_rank)
+        if refusal is not None:
+            return refusal
+        if route.access is Access.OPEN and not context.workspace and not route.limits:
+            return None
+        return self._parts.rates.acquire(
+            context.workspace, route.limits, deadline=context.deadline, now=now
+        )
+
+    def _send(
+        self,
+        call: IncomingCall,
+        context: CallContext,
+        route: Route,
+        cancellation: Cancellation,
+    ) -> CallResult:
+        request = scrub(call.request, call.key)
+        if isinstance(request, Refusal):
+            return refused(request)
+        outgoing = Outgoing(context, request, cancellation, leaf=not route.calls)
+        if context.request_id is not None and not context.idempotent:
+            return self._parts.once.run(outgoing)
+        return self._parts.dispatcher.dispatch(outgoing)
+
+    def _serve_nested(
+        self, call: IncomingCall, cancellation: Cancellation
+    ) -> tuple[CallContext | None, CallResult]:
+        token = call.call_token or ""
+        state = self._parts.config.state()
+        if state is None:
+            return None, refused(not_run(Reason.NO_CONFIGURATION))
+        route = self._route(state, call)
+        if isinstance(route, Refusal):
+            return None, refused(route)
+        nested = self._parts.calls.begin_nested(token, route, cancellation)
+        if isinstance(nested, Refusal):
+            return None, refused(nested)
+        context = _with_claims(nested.context, call, self._clock())
+        result = refused(not_run(Reason.INTERNAL_ERROR))
+        try:
+            result = self._send(call, context, route, cancellation)
+        finally:
+            self._parts.calls.finished(nested, result.retry_tokens_left)
+        return context, result
+
+
+def _with_claims(context: CallContext, call: IncomingCall, now: float) -> CallContext:
+    """Apply what a nested call asks for; it can only narrow what it inherits."""
+    deadline = context.deadline
+    if call.deadline_s is not None:
+        deadline = min(deadline, now + call.deadline_s)
+    return replace(
+        context,
+        deadline=deadline,
+        idempotent=context.idempotent and call.idempotent is not False,
+        request_id=call.request_id,
+    )
+
+
+def refused(refusal: Refusal) -> CallResult:
+    """Return the result of a call that was refused before it was sent."""
+    return CallResult(refusal, attempts=0)
+
+
+def succeeded(result: CallResult) -> bool:
+    """Tell whether a call brought a whole answer."""
+    return isinstance(result.result, Answer)
--- a/damaskbay/daemon/messages.py
+++ b/damaskbay/daemon/messages.py
@@ -49,6 +49,7 @@
     retry_tokens_left: int
     admission_level: int | None
     served_by: str
+    backend_s: float | None
 
 
 @message("call.refusal")
@@ -127,6 +128,7 @@
             result.retry_tokens_left,
             result.admission_level,
             result.served_by,
+            result.backend_s,
         )
     return RefusalMessage(
         outcome.reason,
@@ -143,8 +145,10 @@
 def result_of(reply: AnswerMessage | RefusalMessage) -> CallResult:
     """Return the result that a message carries."""
     outcome: Answer | Refusal
+    backend_s: float | None = None
     if isinstance(reply, AnswerMessage):
         outcome = Answer(reply.status, reply.headers, reply.body)
+        backend_s = reply.backend_s
     else:
         outcome = Refusal(
             reply.reason, reply.outcome, reply.retry_after_s, reply.detail
@@ -155,4 +159,5 @@
         reply.retry_tokens_left,
         reply.admission_level,
         reply.served_by,
+        backend_s,
     )
--- /dev/null
+++ b/damaskbay/daemon/peer_calls.py
@@ -0,0 +1,119 @@
+"""Calls that other daemons send here."""
+
+import logging
+import threading
+from collections.abc import Callable
+from concurrent.futures import Executor
+from typing import Any
+
+from damaskbay.core.call import CallResult
+from damaskbay.core.outcome import Reason, not_run, unknown
+from damaskbay.daemon.dispatch import Outgoing
+from damaskbay.daemon.messages import (
+    CallMessage,
+    context_of,
+    request_of,
+    to_result_message,
+)
+from damaskbay.daemon.once import OnceService
+from damaskbay.daemon.target import Target, TargetCall
+from damaskbay.helpers.cancellation import Cancellation
+from damaskbay.ports.peer import PeerIdentity, PeerLink, Responder
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class PeerCalls:
+    """
+    Takes calls from proven streams, never blocking the stream's thread.
+
+    At most `max_calls` are under way; more are refused at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: Target,
+        once: OnceService,
+        executor: Executor,
+        max_calls: int,
+        pool: str,
+        clock: Callable[[], float],
+    ) -> None:
+        self._target = target
+        self._once = once
+        self._executor = executor
+        self._max_calls = max_calls
+        self._pool = pool
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._under_way = 0
+
+    @property
+    def under_way(self) -> int:
+        """Return the number of calls from peers that have no answer yet."""
+        return self._under_way
+
+    def register(self, link: PeerLink) -> None:
+        """Handle the messages of calls; before the link starts."""
+        link.register(CallMessage, self._handle)
+
+    def _handle(self, sender: PeerIdentity, call: Any, responder: Responder) -> None:
+        cancellation = Cancellation()
+        responder.on_cancel(cancellation.cancel)
+        if not self._enter():
+            refusal = not_run(Reason.OVERLOADED, detail="too many calls from peers")
+            responder.answer(
+                to_result_message(CallResult(refusal, 0, call.retry_tokens))
+            )
+            return
+
+        def done(result: CallResult) -> None:
+            self._leave()
+            responder.answer(to_result_message(result))
+
+        if call.owned:
+            self._executor.submit(self._run_owned, call, cancellation, done)
+            return
+        self._start(call, cancellation, done)
+
+    def _start(
+        self,
+        call: CallMessage,
+        cancellation: Cancellation,
+        done: Callable[[CallResult], None],
+    ) -> None:
+        if call.pool != self._pool:
+            refusal = not_run(Reason.NO_BACKEND_SERVER, detail="another pool")
+            done(CallResult(refusal, 0, call.retry_tokens))
+            return
+        context = context_of(call, now=self._clock())
+        target_call = TargetCall(context, request_of(call), cancellation)
+        self._target.submit(target_call, done)
+
+    def _run_owned(
+        self,
+        call: CallMessage,
+        cancellation: Cancellation,
+        done: Callable[[CallResult], None],
+    ) -> None:
+        context = context_of(call, now=self._clock())
+        try:
+            result = self._once.run_owned(
+                Outgoing(context, request_of(call), cancellation, leaf=True)
+            )
+        except Exception:
+            _LOGGER.exception("peer calls: owned call failed.")
+            result = CallResult(unknown(Reason.INTERNAL_ERROR))
+        done(result)
+
+    def _enter(self) -> bool:
+        with self._lock:
+            if self._under_way >= self._max_calls:
+                return False
+            self._under_way += 1
+            return True
+
+    def _leave(self) -> None:
+        with self._lock:
+            self._under_way -= 1
--- /dev/null
+++ b/damaskbay/daemon/target.py
@@ -0,0 +1,172 @@
+"""Run calls on the local backend server once admission lets them start."""
+
+import logging
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
+from dataclasses import dataclass, field
+
+from damaskbay.core.admission import Sample
+from damaskbay.core.call import Answer, CallContext, CallResult, Request
+from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.daemon.admission import AdmissionGate, Ticket
+from damaskbay.daemon.calls import CallRegistry
+from damaskbay.helpers.cancellation import Cancellation
+from damaskbay.ports.backend import BackendServer
+
+_LOGGER = logging.getLogger(__name__)
+
+FIRST_SERVER_ERROR = 500
+QUEUE_GRACE_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCall:
+    """One call that this daemon is to run beside its backend server."""
+
+    context: CallContext
+    request: Request
+    cancellation: Cancellation = field(default_factory=Cancellation)
+
+
+class Target:
+    """Admission, then one exchange with the backend server. Any thread may call."""
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        gate: AdmissionGate,
+        backend: BackendServer,
+        calls: CallRegistry,
+        executor: Executor,
+        weight_of: Callable[[str], float],
+        clock: Callable[[], float],
+        observe_wait: Callable[[CallContext, float], None],
+    ) -> None:
+        self._instance = instance
+        self._gate = gate
+        self._backend = backend
+        self._calls = calls
+        self._executor = executor
+        self._weight_of = weight_of
+        self._clock = clock
+        self._observe_wait = observe_wait
+
+    def has_room(self) -> bool:
+        """Tell whether a call could start at once."""
+        return self._gate.has_room()
+
+    def run(self, call: TargetCall) -> CallResult:
+        """Run a call to its end on this thread."""
+        admitted, ticket = self._admit(call)
+        wait_s = call.context.deadline - self._clock() + QUEUE_GRACE_S
+        try:
+            refusal = admitted.result(max(0.0, wait_s))
+        except TimeoutError:
+            refusal = not_run(Reason.DEADLINE_PASSED, detail="waited in the queue")
+            if not ticket.cancel():
+                refusal = admitted.result()
+        if refusal is not None:
+            return self._refused(call, refusal)
+        return self._execute(call, ticket)
+
+    def submit(self, call: TargetCall, done: Callable[[CallResult], None]) -> None:
+        """Run a call without blocking; `done` is called on some thread."""
+        admitted, ticket = self._admit(call)
+
+        def proceed(future: "Future[Refusal | None]") -> None:
+            refusal = future.result()
+            if refusal is not None:
+                done(self._refused(call, refusal))
+                return
+            self._executor.submit(self._execute_and_tell, call, ticket, done)
+
+        admitted.add_done_callback(proceed)
+
+    def _admit(self, call: TargetCall) -> tuple["Future[Refusal | None]", Ticket]:
+        """Offer the call; the future holds None once it may start."""
+        admitted: Future[Refusal | None] = Future()
+        offered_at = self._clock()
+
+        def start() -> None:
+            self._observe_wait(call.context, self._clock() - offered_at)
+            admitted.set_result(None)
+
+        ticket = self._gate.submit(
+            call.context,
+            weight=self._weight_of(call.context.workspace),
+            cost=call.context.depth,
+            start=start,
+            refuse=admitted.set_result,
+        )
+
+        def withdraw() -> None:
+            if ticket.cancel():
+                admitted.set_result(not_run(Reason.CANCELLED))
+
+        call.cancellation.on_cancel(withdraw)
+        return admitted, ticket
+
+    def _execute_and_tell(
+        self,
+        call: TargetCall,
+        ticket: Ticket,
+        done: Callable[[CallResult], None],
+    ) -> None:
+        try:
+            result = self._execute(call, ticket)
+        except Exception:
+            _LOGGER.exception("target: call failed.")
+            result = CallResult(
+                unknown(Reason.INTERNAL_ERROR), served_by=self._instance
+            )
+        done(result)
+
+    def _execute(self, call: TargetCall, ticket: Ticket) -> CallResult:
+        token = self._calls.open(call.context)
+
+        def void_token() -> None:
+            self._calls.cancel(token)
+
+        call.cancellation.on_cancel(void_token)
+        began = self._clock()
+        outcome: Answer | Refusal = unknown(Reason.INTERNAL_ERROR)
+        try:
+            outcome = self._backend.call(
+                call.request,
+                call_token=token,
+                deadline=call.context.deadline,
+                cancellation=call.cancellation,
+            )
+        finally:
+            call.cancellation.forget(void_token)
+            closed = self._calls.close(token)
+            backend_s = self._clock() - began
+            ticket.finish(
+                Sample(
+                    backend_s,
+                    succeeded=_succeeded(outcome),
+                    cancelled=call.cancellation.cancelled,
+                    nested_s=closed.nested_s,
+                )
+            )
+        return CallResult(
+            outcome,
+            retry_tokens_left=closed.retry_tokens_left,
+            admission_level=self._gate.level(),
+            served_by=self._instance,
+            backend_s=backend_s,
+        )
+
+    def _refused(self, call: TargetCall, refusal: Refusal) -> CallResult:
+        return CallResult(
+            refusal,
+            attempts=0,
+            retry_tokens_left=call.context.retry_tokens,
+            admission_level=self._gate.level(),
+            served_by=self._instance,
+        )
+
+
+def _succeeded(outcome: Answer | Refusal) -> bool:
+    return isinstance(outcome, Answer) and outcome.status < FIRST_SERVER_ERROR
--- /dev/null
+++ b/tests/daemon/common.py
@@ -0,0 +1,437 @@
+"""A request path of several daemons in one process, over a link that can fail."""
+
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from damaskbay.config.matching import RouteTable
+from damaskbay.config.objects import (
+    Access,
+    ConfigSet,
+    Key,
+    Pool,
+    Priority,
+    Route,
+    Workspace,
+)
+from damaskbay.core.admission import AdmissionOptions
+from damaskbay.core.at_most_once import RequestOwner
+from damaskbay.core.call import Answer, CallContext, CallResult, Request
+from damaskbay.core.edge import EdgeRoom
+from damaskbay.core.outcome import Reason, Refusal, unknown
+from damaskbay.core.routing import Router, RouterOptions
+from damaskbay.daemon.admission import AdmissionGate
+from damaskbay.daemon.calls import CallRegistry
+from damaskbay.daemon.dispatch import Dispatcher, PeerCaller
+from damaskbay.daemon.ingress import Ingress, IngressParts
+from damaskbay.daemon.once import OnceService
+from damaskbay.daemon.peer_calls import PeerCalls
+from damaskbay.daemon.rules import CurrentRules
+from damaskbay.daemon.target import Target
+from damaskbay.helpers.cancellation import Cancellation
+from damaskbay.helpers.clock import monotonic_s
+from damaskbay.helpers.keys import digest_of
+from damaskbay.ports.caller import IncomingCall
+from damaskbay.ports.fleet import ConfigState, MemberView, ServerState, ServerView
+from damaskbay.ports.peer import (
+    Handler,
+    PeerAddress,
+    PeerFailure,
+    PeerIdentity,
+    PeerProblem,
+)
+
+SECRET = "dk_test"
+PEER_SECRETS = (b"p" * 32,)
+DOMAIN = "domain-a"
+POOL = "campo"
+SLOTS = 16
+WAIT_S = 10.0
+
+
+class Fault(Enum):
+    """What happens to the next message on the link."""
+
+    NONE = "none"
+    NOT_SENT = "not_sent"
+    LOST_BEFORE_HANDLING = "lost_before_handling"
+    LOST_AFTER_HANDLING = "lost_after_handling"
+
+
+@dataclass(slots=True)
+class Network:
+    """Connects links by address; faults are taken from the front of the list."""
+
+    handlers_by_address: dict[PeerAddress, dict[type[Any], Handler]] = field(
+        default_factory=dict
+    )
+    faults: list[Fault] = field(default_factory=list)
+
+    def next_fault(self) -> Fault:
+        """Return what happens to the next message."""
+        return self.faults.pop(0) if self.faults else Fault.NONE
+
+
+class _FakeResponder:
+    def __init__(self, future: "Future[Any]", *, lose: bool) -> None:
+        self._future = future
+        self._lose = lose
+        self._lock = threading.Lock()
+
+    def answer(self, message: Any) -> None:
+        with self._lock:
+            if self._future.done():
+                return
+            if self._lose:
+                message = PeerFailure(PeerProblem.LOST)
+            self._future.set_result(message)
+
+    def on_cancel(self, callback: Callable[[], None]) -> None:
+        self._future.add_done_callback(
+            lambda future: callback() if future.cancelled() else None
+        )
+
+
+class FakeLink:
+    """One daemon's end of the network (port: PeerLink)."""
+
+    def __init__(
+        self, identity: PeerIdentity, address: PeerAddress, network: Network
+    ) -> None:
+        self._identity = identity
+        self._network = network
+        self._handlers: dict[type[Any], Handler] = {}
+        network.handlers_by_address[address] = self._handlers
+
+    def register(self, message_type: type[Any], handler: Handler) -> None:
+        self._handlers[message_type] = handler
+
+    def send(self, peer: PeerAddress, message: Any) -> None:
+        raise NotImplementedError
+
+    def request(
+        self, peer: PeerAddress, message: Any, *, timeout_s: float
+    ) -> "Future[Any]":
+        future: Future[Any] = Future()
+        fault = self._network.next_fault()
+        handlers = self._network.handlers_by_address.get(peer)
+        if handlers is None or fault is Fault.NOT_SENT:
+            future.set_result(PeerFailure(PeerProblem.NOT_SENT))
+            return future
+        if fault is Fault.LOST_BEFORE_HANDLING:
+            future.set_result(PeerFailure(PeerProblem.LOST))
+            return future
+        responder = _FakeResponder(future, lose=fault is Fault.LOST_AFTER_HANDLING)
+        handlers[type(message)](self._identity, message, responder)
+        return future
+
+
+class FakeBackend:
+    """A backend server that counts runs and fails where a test wants it to."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.runs_by_target: dict[str, int] = {}
+        self.outcomes: list[Answer | Refusal] = []
+        self.work_s = 0.0
+        self.during: Callable[[Request, str], None] | None = None
+        self._lock = threading.Lock()
+
+    def call(
+        self,
+        request: Request,
+        *,
+        call_token: str,
+        deadline: float,
+        cancellation: Cancellation,
+    ) -> Answer | Refusal:
+        """Run once, unless the next outcome says that it did not."""
+        with self._lock:
+            outcome = self.outcomes.pop(0) if self.outcomes else None
+            if isinstance(outcome, Refusal) and outcome.not_run:
+                return outcome
+            count = self.runs_by_target.get(request.target, 0) + 1
+            self.runs_by_target[request.target] = count
+        if self.during is not None:
+            self.during(request, call_token)
+        if self.work_s:
+            ended = threading.Event()
+            cancellation.on_cancel(ended.set)
+            if ended.wait(self.work_s):
+                return unknown(Reason.CANCELLED)
+        return outcome or Answer(200, (), f"{self.name} {count}".encode())
+
+
+class FakeMembership:
+    """Knows all servers at once (port: Membership)."""
+
+    def __init__(self) -> None:
+        self.servers_by_instance: dict[str, ServerView] = {}
+        self.suspected: list[str] = []
+
+    def servers(self, pool: str) -> tuple[ServerView, ...]:
+        return tuple(
+            view
+            for view in self.servers_by_instance.values()
+            if view.pool == pool and view.state is ServerState.READY
+        )
+
+    def by_instance(self, instance: str) -> ServerView | None:
+        return self.servers_by_instance.get(instance)
+
+    def members(self) -> tuple[MemberView, ...]:
+        return ()
+
+    def announce(
+        self, *, pool: str, state: ServerState, slots: int, load: float
+    ) -> None:
+        raise NotImplementedError
+
+    def suspect(self, instance: str, incarnation: int) -> None:
+        self.suspected.append(instance)
+
+
+class FakeConfig:
+    """Holds a set that tests change (port: ConfigSource)."""
+
+    def __init__(self, config: ConfigSet) -> None:
+        self.config = config
+
+    def state(self) -> ConfigState | None:
+        return ConfigState(self.config, proven_at=monotonic_s())
+
+    def subscribe(self, callback: Callable[[ConfigSet], None]) -> None:
+        callback(self.config)
+
+    def matcher(self, state: ConfigState) -> RouteTable:
+        return RouteTable(state.config)
+
+
+class FakeRates:
+    """Admits all unless a test gives a refusal (port: RateGate)."""
+
+    def __init__(self) -> None:
+        self.refusal: Refusal | None = None
+        self.acquired: list[str] = []
+
+    def acquire(
+        self, workspace: str, limits: tuple[str, ...], *, deadline: float, now: float
+    ) -> Refusal | None:
+        self.acquired.append(workspace)
+        return self.refusal
+
+
+class Observed:
+    """Remembers ended calls (port: CallObserver)."""
+
+    def __init__(self) -> None:
+        self.ended: list[CallResult] = []
+
+    def call_ended(
+        self,
+        context: CallContext | None,
+        result: CallResult,
+        *,
+        took_s: float,
+        call_id: str,
+    ) -> None:
+        self.ended.append(result)
+
+    def queue_waited(self, context: CallContext, waited_s: float) -> None:
+        return
+
+
+def sample_config() -> ConfigSet:
+    """Return a set with an idempotent, a non-idempotent and an open route."""
+
+    def route(name: str, *, idempotent: bool, access: Access = Access.KEYED) -> Route:
+        return Route(
+            name,
+            "*",
+            f"/{name}/",
+            frozenset(),
+            POOL,
+            access,
+            idempotent,
+            WAIT_S,
+            "high" if not idempotent else "low",
+            2 if idempotent else 0,
+        )
+
+    routes = [
+        route("read", idempotent=True),
+        route("file", idempotent=False),
+        route("open", idempotent=True, access=Access.OPEN),
+    ]
+    return ConfigSet(
+        version=1,
+        digest="1",
+        workspaces_by_name={"w": Workspace("w", 10.0, 5)},
+        keys_by_digest={digest_of(SECRET): Key("k", digest_of(SECRET), "w")},
+        routes_by_name={item.name: item for item in routes},
+        priorities_by_name={"high": Priority("high", 0), "low": Priority("low", 1)},
+        pools_by_name={POOL: Pool(POOL, SLOTS, SLOTS)},
+    )
+
+
+@dataclass(slots=True)
+class PathDaemon:
+    """The request path of one daemon."""
+
+    identity: PeerIdentity
+    ingress: Ingress
+    backend: FakeBackend
+    gate: AdmissionGate
+    calls: CallRegistry
+    observed: Observed
+
+    def call(
+        self,
+        target: str = "/read/x",
+        *,
+        method: str = "GET",
+        key: str | None = SECRET,
+        request_id: str | None = None,
+        idempotent: bool | None = None,
+        call_token: str | None = None,
+        deadline_s: float | None = None,
+        cancellation: Cancellation | None = None,
+    ) -> Answer | Refusal:
+        """Serve one call as if a caller had sent it."""
+        incoming = IncomingCall(
+            Request(method, "campo", target),
+            key=key,
+            call_token=call_token,
+            deadline_s=deadline_s,
+            request_id=request_id,
+            idempotent=idempotent,
+        )
+        served = self.ingress.serve(incoming, cancellation or Cancellation())
+        return served.result.result
+
+
+@dataclass(slots=True)
+class Path:
+    """Several daemons of one failure domain that share fakes."""
+
+    network: Network
+    membership: FakeMembership
+    config: FakeConfig
+    rates: FakeRates
+    executor: ThreadPoolExecutor
+    daemons_by_instance: dict[str, PathDaemon] = field(default_factory=dict)
+
+    def start(self, instance: str, *, incarnation: int = 1) -> PathDaemon:
+        """Start a daemon; one of the same name is replaced, as after a crash."""
+        port = 1000 + sum(map(ord, instance))
+        address = PeerAddress("127.0.0.1", port)
+        identity = PeerIdentity(instance, incarnation, DOMAIN)
+        link = FakeLink(identity, address, self.network)
+        daemon = self._build(identity, link)
+        self.daemons_by_instance[instance] = daemon
+        self.membership.servers_by_instance[instance] = ServerView(
+            instance,
+            incarnation,
+            DOMAIN,
+            address,
+            POOL,
+            ServerState.READY,
+            SLOTS,
+            ready_at=monotonic_s() - WAIT_S,
+        )
+        return daemon
+
+    def _build(self, identity: PeerIdentity, link: FakeLink) -> PathDaemon:
+        clock = monotonic_s
+        rng = random.Random(1)
+        rules = CurrentRules(self.config)
+        backend = FakeBackend(identity.instance)
+        observed = Observed()
+        gate = AdmissionGate(
+            AdmissionOptions(slots=SLOTS), rng=rng, still_allowed=rules.still_allowed
+        )
+        calls = CallRegistry(clock)
+        target = Target(
+            instance=identity.instance,
+            gate=gate,
+            backend=backend,
+            calls=calls,
+            executor=self.executor,
+            weight_of=rules.weight_of,
+            clock=clock,
+            observe_wait=observed.queue_waited,
+        )
+        peers = PeerCaller(link, clock)
+        dispatcher = Dispatcher(
+            instance=identity.instance,
+            membership=self.membership,
+            router=Router(RouterOptions(DOMAIN), rng),
+            target=target,
+            peers=peers,
+            clock=clock,
+            rng=rng,
+            other_domains=rules.other_domains,
+        )
+        once = OnceService(
+            identity=identity,
+            owner=RequestOwner(
+                identity.instance,
+                identity.incarnation,
+                PEER_SECRETS,
+                random.Random(identity.incarnation),
+            ),
+            secrets=PEER_SECRETS,
+            dispatcher=dispatcher,
+            peers=peers,
+            membership=self.membership,
+            clock=clock,
+        )
+        PeerCalls(
+            target=target,
+            once=once,
+            executor=self.executor,
+            max_calls=100,
+            pool=POOL,
+            clock=clock,
+        ).register(link)
+        parts = IngressParts(
+            config=self.config,
+            routes=self.config,
+            rates=self.rates,
+            dispatcher=dispatcher,
+            calls=calls,
+            once=once,
+            observer=observed,
+            room=EdgeRoom(100),
+        )
+        ingress = Ingress(parts, clock=clock, wall_clock=time.time)
+        return PathDaemon(identity, ingress, backend, gate, calls, observed)
+
+    def runs(self, target: str) -> int:
+        """Return how often a target ran on any backend server."""
+        return sum(
+            daemon.backend.runs_by_target.get(target, 0)
+            for daemon in self.daemons_by_instance.values()
+        )
+
+
+@contextmanager
+def request_path(*instances: str) -> Iterator[Path]:
+    """Give the request path of some daemons."""
+    with ThreadPoolExecutor(32) as executor:
+        path = Path(
+            Network(),
+            FakeMembership(),
+            FakeConfig(sample_config()),
+            FakeRates(),
+            executor,
+        )
+        for instance in instances:
+            path.start(instance)
+        yield path
--- /dev/null
+++ b/tests/daemon/test_request_path.py
@@ -0,0 +1,266 @@
+"""Tests of the request path: what is refused, what runs, and how often."""
+
+import threading
+import time
+import unittest
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+
+from hypothesis import given, settings, strategies as st
+
+from damaskbay.core.call import Answer, Request
+from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
+from damaskbay.helpers.cancellation import Cancellation
+from damaskbay.helpers.clock import monotonic_s
+from tests.common import function_suite
+from tests.daemon.common import (
+    SLOTS,
+    WAIT_S,
+    Fault,
+    PathDaemon,
+    request_path,
+)
+
+POLL_S = 0.005
+_FAULTS = st.lists(st.sampled_from(list(Fault)), max_size=4)
+_BACKEND_OUTCOMES = st.lists(
+    st.sampled_from(
+        [
+            not_run(Reason.BACKEND_SERVER_FAILED),
+            unknown(Reason.BACKEND_SERVER_FAILED),
+            unknown(Reason.ANSWER_INCOMPLETE),
+            Answer(500),
+            Answer(200),
+        ]
+    ),
+    max_size=4,
+)
+
+
+def _id(daemon: PathDaemon) -> str:
+    return daemon.ingress.issue_request_ids(1).request_ids[0]
+
+
+def test_an_answer_comes_from_the_pool() -> None:
+    """A call entering anywhere is run by some backend server of the pool."""
+    with request_path("a", "b") as path:
+        outcome = path.daemons_by_instance["a"].call("/read/1")
+        assert isinstance(outcome, Answer)
+        assert path.runs("/read/1") == 1
+
+
+def test_refused_before_sending_is_not_run_and_runs_nowhere() -> None:
+    """No key, unknown key, no route, over the rate: nothing reaches a backend."""
+    with request_path("a") as path:
+        daemon = path.daemons_by_instance["a"]
+        cases = [
+            (daemon.call("/read/1", key=None), Reason.KEY_MISSING),
+            (daemon.call("/read/1", key="dk_other"), Reason.KEY_UNKNOWN),
+            (daemon.call("/nowhere"), Reason.NO_ROUTE),
+            (daemon.call("/read/1", call_token="guess"), Reason.CALL_TOKEN_UNKNOWN),
+        ]
+        path.rates.refusal = not_run(Reason.RATE_EXCEEDED)
+        cases.append((daemon.call("/read/1"), Reason.RATE_EXCEEDED))
+        for outcome, reason in cases:
+            assert isinstance(outcome, Refusal)
+            assert outcome.reason is reason
+            assert outcome.not_run
+        assert daemon.backend.runs_by_target == {}
+
+
+def test_open_routes_cost_no_workspace_anything() -> None:
+    """An open route runs without a key and spends nobody's rate."""
+    with request_path("a") as path:
+        outcome = path.daemons_by_instance["a"].call("/open/1", key=None)
+        assert isinstance(outcome, Answer)
+        assert path.rates.acquired == []
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    _FAULTS,
+    _BACKEND_OUTCOMES,
+    st.lists(st.sampled_from("abc"), min_size=1, max_size=5),
+    st.booleans(),
+)
+def test_a_request_id_runs_at_most_once(
+    faults: list[Fault],
+    outcomes: list[Answer | Refusal],
+    entries: list[str],
+    crash: bool,
+) -> None:
+    """Whatever fails, wherever repeats enter, whoever restarts: one run at most."""
+    with request_path("a", "b", "c") as path:
+        request_id = _id(path.daemons_by_instance["a"])
+        path.network.faults = list(faults)
+        for daemon in path.daemons_by_instance.values():
+            daemon.backend.outcomes = list(outcomes)
+        backends = [daemon.backend for daemon in path.daemons_by_instance.values()]
+        for number, entry in enumerate(entries):
+            if crash and number == 1:
+                path.start("a", incarnation=2)
+            daemon = path.daemons_by_instance[entry]
+            outcome = daemon.call("/file/1", method="POST", request_id=request_id)
+            ran = sum(item.runs_by_target.get("/file/1", 0) for item in backends)
+            if isinstance(outcome, Refusal) and outcome.not_run:
+                assert ran == 0
+        for daemon in path.daemons_by_instance.values():
+            if daemon.backend not in backends:
+                backends.append(daemon.backend)
+        assert sum(item.runs_by_target.get("/file/1", 0) for item in backends) <= 1
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(_FAULTS, _BACKEND_OUTCOMES)
+def test_not_run_is_true_and_non_idempotent_is_sent_once(
+    faults: list[Fault], outcomes: list[Answer | Refusal]
+) -> None:
+    """Without an id too: one send that may run; `not_run` only when none did."""
+    with request_path("a", "b", "c") as path:
+        path.network.faults = list(faults)
+        for daemon in path.daemons_by_instance.values():
+            daemon.backend.outcomes = list(outcomes)
+        for entry in ("a", "b"):
+            outcome = path.daemons_by_instance[entry].call(f"/file/{entry}")
+            ran = path.runs(f"/file/{entry}")
+            assert ran <= 1
+            if isinstance(outcome, Refusal) and outcome.not_run:
+                assert ran == 0
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(_FAULTS, _BACKEND_OUTCOMES)
+def test_idempotent_attempts_are_bounded(
+    faults: list[Fault], outcomes: list[Answer | Refusal]
+) -> None:
+    """A route with two retries makes at most three attempts."""
+    with request_path("a", "b", "c") as path:
+        path.network.faults = list(faults)
+        for daemon in path.daemons_by_instance.values():
+            daemon.backend.outcomes = list(outcomes)
+        outcome = path.daemons_by_instance["a"].call("/read/1")
+        ran = path.runs("/read/1")
+        assert ran <= 3
+        if isinstance(outcome, Refusal) and outcome.not_run:
+            assert ran == 0
+
+
+def test_concurrent_repeats_run_once() -> None:
+    """Repeats that arrive while the first one runs are told so."""
+    with request_path("a", "b") as path:
+        request_id = _id(path.daemons_by_instance["a"])
+        for daemon in path.daemons_by_instance.values():
+            daemon.backend.work_s = 0.05
+
+        def send(entry: str) -> Answer | Refusal:
+            daemon = path.daemons_by_instance[entry]
+            return daemon.call("/file/1", request_id=request_id)
+
+        with ThreadPoolExecutor(8) as callers:
+            outcomes = list(callers.map(send, "abababab"))
+        assert path.runs("/file/1") == 1
+        refused = [item for item in outcomes if isinstance(item, Refusal)]
+        assert all(item.outcome is Outcome.UNKNOWN for item in refused)
+        assert any(isinstance(item, Answer) for item in outcomes)
+
+
+def test_withdrawn_key_stops_a_queued_call() -> None:
+    """A call that waits for a slot when its key is withdrawn never runs."""
+    with request_path("a") as path:
+        daemon = path.daemons_by_instance["a"]
+        release = threading.Event()
+
+        def during(request: Request, token: str) -> None:
+            release.wait(WAIT_S)
+
+        daemon.backend.during = during
+        with ThreadPoolExecutor(SLOTS + 1) as callers:
+            running = []
+            while daemon.gate.has_room():
+                running.append(callers.submit(daemon.call, "/read/run"))
+                _wait_until(lambda: daemon.gate.running() == len(running))
+            waiting = callers.submit(daemon.call, "/read/wait")
+            _wait_until(lambda: daemon.ingress.inside == len(running) + 1)
+            config = path.config.config
+            path.config.config = replace(config, version=2, keys_by_digest={})
+            release.set()
+            outcome = waiting.result(WAIT_S)
+            for future in running:
+                future.result(WAIT_S)
+        assert isinstance(outcome, Refusal)
+        assert outcome.not_run
+        assert path.runs("/read/wait") == 0
+
+
+def _wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; the caller's assertions tell where it never came."""
+    limit = monotonic_s() + WAIT_S
+    while not condition() and monotonic_s() < limit:
+        time.sleep(POLL_S)
+
+
+def test_nested_call_needs_no_key_and_inherits() -> None:
+    """A backend server calls on with its call token, and only while it runs."""
+    with request_path("a") as path:
+        daemon = path.daemons_by_instance["a"]
+        outcomes: list[Answer | Refusal] = []
+        tokens: list[str] = []
+
+        def during(request: Request, token: str) -> None:
+            if request.target == "/read/outer":
+                tokens.append(token)
+                outcomes.append(daemon.call("/read/inner", key=None, call_token=token))
+
+        daemon.backend.during = during
+        assert isinstance(daemon.call("/read/outer"), Answer)
+        assert isinstance(outcomes[0], Answer), outcomes
+        assert path.rates.acquired == ["w"]
+        late = daemon.call("/read/inner", key=None, call_token=tokens[0])
+        assert isinstance(late, Refusal)
+        assert late.reason is Reason.CALL_TOKEN_UNKNOWN
+
+
+def test_hang_up_cancels_the_whole_subtree() -> None:
+    """When the caller goes, the nested call ends too, on another daemon."""
+    with request_path("a", "b") as path:
+        outer = path.daemons_by_instance["a"]
+        nested: list[Answer | Refusal] = []
+        cancellation = Cancellation()
+
+        def during(request: Request, token: str) -> None:
+            if request.target != "/read/outer":
+                return
+            for daemon in path.daemons_by_instance.values():
+                daemon.backend.work_s = WAIT_S
+            timer = threading.Timer(0.05, cancellation.cancel)
+            timer.start()
+            owner = path.daemons_by_instance
+            holder = next(item for item in owner.values() if len(item.calls))
+            nested.append(holder.call("/read/inner", key=None, call_token=token))
+
+        for daemon in path.daemons_by_instance.values():
+            daemon.backend.during = during
+        outcome = outer.call("/read/outer", cancellation=cancellation)
+        assert isinstance(outcome, Refusal)
+        assert isinstance(nested[0], Refusal)
+        assert nested[0].reason is Reason.CANCELLED
+        assert all(len(item.calls) == 0 for item in path.daemons_by_instance.values())
+
+
+def test_unreachable_peer_is_suspected_and_passed_over() -> None:
+    """A call goes to the next server; the membership hears of the first."""
+    with request_path("a", "b", "c") as path:
+        del path.network.handlers_by_address[
+            path.membership.servers_by_instance["b"].address
+        ]
+        del path.membership.servers_by_instance["a"]
+        for _ in range(5):
+            outcome = path.daemons_by_instance["a"].call("/read/1")
+            assert isinstance(outcome, Answer)
+        assert set(path.membership.suspected) <= {"b"}
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
