--- /dev/null
+++ b/damaskbay/adapters/operator_http/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter for operators: metrics, health, status, explanations, announcements."""
--- /dev/null
+++ b/damaskbay/adapters/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter for metrics: OpenTelemetry with a Prometheus exporter."""
--- /dev/null
+++ b/damaskbay/adapters/telemetry/exceptions.py
@@ -0,0 +1,5 @@
+"""Errors of the metrics adapter."""
+
+
+class TelemetryError(Exception):
+    """Base of the adapter's errors."""
--- /dev/null
+++ b/damaskbay/helpers/logs.py
@@ -0,0 +1,83 @@
+"""Set up logging: text or JSON lines, keys redacted, storms counted."""
+
+import logging
+import sys
+import threading
+from collections.abc import Callable
+from typing import Final
+
+from pythonjsonlogger.json import JsonFormatter
+
+from damaskbay.helpers.clock import monotonic_s
+from damaskbay.helpers.keys import redact
+
+TEXT_FORMAT: Final = "%(asctime)s %(levelname)s %(message)s"
+JSON_FORMAT: Final = "%(asctime)s %(levelname)s %(name)s %(message)s"
+MAX_REMEMBERED_MESSAGES: Final = 1000
+
+
+class StormFilter(logging.Filter):
+    """Lets `lines_per_s` of each message through and counts the others."""
+
+    def __init__(
+        self, lines_per_s: float, clock: Callable[[], float] = monotonic_s
+    ) -> None:
+        super().__init__()
+        self._lines_per_s = lines_per_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._windows: dict[tuple[str, str], tuple[float, int]] = {}
+        self.dropped = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Tell whether the record may pass."""
+        key = (record.name, str(record.msg))
+        now = self._clock()
+        with self._lock:
+            began, count = self._windows.get(key, (now, 0))
+            if now - began >= 1.0:
+                self._report(record, count)
+                began, count = now, 0
+            if len(self._windows) >= MAX_REMEMBERED_MESSAGES:
+                self._windows.clear()
+            self._windows[key] = (began, count + 1)
+            if count >= self._lines_per_s:
+                self.dropped += 1
+                return False
+        return True
+
+    def _report(self, record: logging.LogRecord, count: int) -> None:
+        left_out = count - int(self._lines_per_s)
+        if left_out > 0:
+            record.msg = f"{record.msg} ({left_out} more like this left out.)"
+
+
+class RedactFilter(logging.Filter):
+    """Replaces callers' keys in messages and their arguments."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Redact the record; it always passes."""
+        record.msg = redact(record.getMessage())
+        record.args = ()
+        if record.exc_info and not record.exc_text:
+            formatted = logging.Formatter().formatException(record.exc_info)
+            record.exc_text = redact(formatted)
+            record.exc_info = None
+        return True
+
+
+def set_up_logging(*, level: str, log_format: str, lines_per_s: float) -> StormFilter:
+    """Send all logs to standard error; return the filter that counts storms."""
+    handler = logging.StreamHandler(sys.stderr)
+    if log_format == "json":
+        handler.setFormatter(JsonFormatter(JSON_FORMAT))
+    else:
+        handler.setFormatter(logging.Formatter(TEXT_FORMAT))
+    storms = StormFilter(lines_per_s)
+    handler.addFilter(storms)
+    handler.addFilter(RedactFilter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+    return storms
