--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,23 @@
+"""Run one measurement: `python -m bench NAME [--json] [--seed N] [--quick]`."""
+
+import importlib
+import sys
+
+NAMES = ("latency", "config", "rates", "control", "overload", "hop", "capacity")
+EXIT_USAGE = 2
+
+
+def main() -> int:
+    """Hand the arguments to the named measurement."""
+    if len(sys.argv) < 2 or sys.argv[1] not in NAMES:
+        print(
+            f"usage: script/bench {{{','.join(NAMES)}}} [--json] [--seed N] [--quick]"
+        )
+        return EXIT_USAGE
+    module = importlib.import_module(f"bench.{sys.argv[1]}")
+    result: int = module.main(sys.argv[2:])
+    return result
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,188 @@
+"""A small fleet on this machine, from a published set to a graceful stop."""
+
+import signal
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from bench.fleet import HOST, Fleet, FleetError, Server, ServerPlan, fleet
+from bench.sets import sample_set, secrets_for
+from damaskbay.client import Client, ClientOptions, DaemonAddress
+from damaskbay.core.call import Answer
+from damaskbay.core.outcome import Refusal
+from damaskbay.stand_ins.backend import HEADER_NESTED, HEADER_WORK_MS
+
+SLOTS = 8
+WORK_MS = "50"
+SURGE_THREADS = 64
+SURGE_S = 4.0
+DEADLINE_S = 5.0
+WITHDRAWN_WITHIN_S = 7.0
+POLL_S = 0.05
+
+
+class DemoError(RuntimeError):
+    """A step of the demonstration did not show what it should."""
+
+
+def main() -> int:
+    """Run all steps and tell how each went."""
+    secrets = secrets_for(["fitters", "wells"])
+    plans = [
+        ServerPlan(f"{pool}-{domain}", f"domain-{domain}", pool, slots=SLOTS)
+        for pool in ("lookup", "ledger")
+        for domain in ("a", "b")
+    ]
+    document = sample_set(
+        ["lookup", "ledger"], secrets_by_workspace=secrets, slots=SLOTS
+    )
+    document["routes"]["lookup-read"]["calls"] = ["ledger-read"]
+    try:
+        say("starting a platform, 4 backend servers and 4 daemons in 2 domains")
+        with fleet(plans, document) as running:
+            say("set 1 is published and in force everywhere")
+            for step in (_whole_answer, _nested, _once, _withdrawn, _surge, _stop):
+                step(running, document, secrets)
+    except (DemoError, FleetError) as error:
+        print(f"demo: FAILED: {error}")
+        return 1
+    print("demo: success")
+    return 0
+
+
+def say(text: str) -> None:
+    """Print one line of the account."""
+    print(f"demo: {text}", flush=True)
+
+
+def _client(server: Server, secret: str) -> Client:
+    address = DaemonAddress(HOST, server.caller_port)
+    return Client([address], secret, ClientOptions(max_attempts=1))
+
+
+def _call(client: Client, method: str, path: str, **options: Any) -> Answer | Refusal:
+    return client.call(method, path, host="demo", deadline_s=DEADLINE_S, **options)
+
+
+def _whole_answer(
+    running: Fleet, document: dict[str, Any], secrets: dict[str, str]
+) -> None:
+    server = running.servers_by_instance["lookup-a"]
+    with _client(server, secrets["fitters"]) as client:
+        for path in ("/lookup/nosing", "/ledger/nosing"):
+            answer = _call(client, "GET", path)
+            if not isinstance(answer, Answer):
+                raise DemoError(f"{path} was refused: {answer}")
+            say(f"GET {path} at lookup-a: {answer.status} {answer.body.decode()}")
+
+
+def _nested(running: Fleet, document: dict[str, Any], secrets: dict[str, str]) -> None:
+    server = running.servers_by_instance["lookup-b"]
+    with _client(server, secrets["fitters"]) as client:
+        headers = ((HEADER_NESTED, "/ledger/inner"),)
+        answer = _call(client, "GET", "/lookup/outer", headers=headers)
+    if not isinstance(answer, Answer) or b"[200]" not in answer.body:
+        raise DemoError(f"the nested call failed: {answer}")
+    say("a backend server called on through its daemon, without any key: 200")
+
+
+def _once(running: Fleet, document: dict[str, Any], secrets: dict[str, str]) -> None:
+    first = running.servers_by_instance["lookup-a"]
+    second = running.servers_by_instance["ledger-b"]
+    with (
+        _client(first, secrets["fitters"]) as here,
+        _client(second, secrets["fitters"]) as there,
+    ):
+        request_id = here.new_request_id(deadline_s=DEADLINE_S)
+        if isinstance(request_id, Refusal):
+            raise DemoError(f"no request id: {request_id}")
+        path = "/ledger/file/certificate-1"
+        one = _call(here, "POST", path, body=b"certificate", request_id=request_id)
+        two = _call(there, "POST", path, body=b"certificate", request_id=request_id)
+    if not isinstance(one, Answer) or one != two:
+        raise DemoError(f"a repeat did not give the first answer: {one}, {two}")
+    say("a filing sent twice, to two daemons, ran once; both got the same answer")
+
+
+def _withdrawn(
+    running: Fleet, document: dict[str, Any], secrets: dict[str, str]
+) -> None:
+    without = {**document, "keys": dict(document["keys"])}
+    del without["keys"]["wells-key"]
+    server = running.servers_by_instance["ledger-a"]
+    with _client(server, secrets["wells"]) as client:
+        if not isinstance(_call(client, "GET", "/ledger/x"), Answer):
+            raise DemoError("a key was refused before it was withdrawn")
+        running.publish(without)
+        began = time.monotonic()
+        while isinstance(_call(client, "GET", "/ledger/x"), Answer):
+            if time.monotonic() - began > WITHDRAWN_WITHIN_S:
+                raise DemoError("a withdrawn key still works")
+            time.sleep(POLL_S)
+    took_s = time.monotonic() - began
+    say(f"a key was withdrawn: refused {took_s:.2f} s after the set was accepted")
+
+
+def _surge(running: Fleet, document: dict[str, Any], secrets: dict[str, str]) -> None:
+    """Send far more bulk work than fits, with a few critical calls among it."""
+    servers = [running.servers_by_instance[f"ledger-{name}"] for name in ("a", "b")]
+    outcomes: Counter[str] = Counter()
+    lock = threading.Lock()
+    end = time.monotonic() + SURGE_S
+
+    def send(number: int) -> None:
+        kind = "critical" if number % 8 == 0 else "bulk"
+        path = "/ledger/file/x" if kind == "critical" else "/ledger/bulk/x"
+        server = servers[number % len(servers)]
+        with _client(server, secrets["fitters"]) as client:
+            while time.monotonic() < end:
+                outcome = _call(
+                    client, "GET", path, headers=((HEADER_WORK_MS, WORK_MS),)
+                )
+                name = "answered" if isinstance(outcome, Answer) else "refused"
+                with lock:
+                    outcomes[f"{kind} {name}"] += 1
+                if name == "refused":
+                    time.sleep(POLL_S)
+
+    _together(send)
+    say(f"surge of {SURGE_THREADS} callers on 2 x {SLOTS} slots: {dict(outcomes)}")
+    if outcomes["bulk refused"] == 0:
+        raise DemoError("the surge shed no bulk work")
+    if outcomes["critical refused"] > 0:
+        raise DemoError("a critical request was shed")
+
+
+def _together(send: Callable[[int], None]) -> None:
+    threads = [
+        threading.Thread(target=send, args=(number,)) for number in range(SURGE_THREADS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def _stop(running: Fleet, document: dict[str, Any], secrets: dict[str, str]) -> None:
+    """Stop one daemon gracefully while calls go on."""
+    server = running.servers_by_instance["ledger-a"]
+    refused: list[Refusal] = []
+    answered = 0
+    with _client(running.servers_by_instance["lookup-a"], secrets["fitters"]) as client:
+        running.signal_daemon("ledger-a", signal.SIGTERM)
+        while server.daemon is not None and server.daemon.poll() is None:
+            outcome = _call(client, "GET", "/ledger/x")
+            if isinstance(outcome, Refusal):
+                refused.append(outcome)
+            else:
+                answered += 1
+    if refused:
+        raise DemoError(f"a graceful stop cut {len(refused)} calls: {refused[0]}")
+    say(f"ledger-a stopped gracefully while {answered} calls went on, none cut")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
