--- a/damaskbay/adapters/peer_stream/liveness.py
+++ b/damaskbay/adapters/peer_stream/liveness.py
@@ -26,6 +26,7 @@
         self._heard_at = now
         self._asked_at = now
         self._ping_at: float | None = None
+        self._quiet_pings = 0
 
     def heard(self, now: float) -> None:
         """Take note of bytes from the peer."""
@@ -33,8 +34,15 @@
         self._ping_at = None
 
     def asked(self, now: float) -> None:
-        """Take note of a request that was sent; the peer gets time to answer."""
-        self._asked_at = now
+        """
+        Take note of a request that was sent; the peer gets time to answer.
+
+        Only the first one since the last byte counts: later ones must not put
+        off the ping.
+        """
+        if self._asked_at <= self._heard_at:
+            self._asked_at = now
+        self._quiet_pings = 0
 
     def suspect(self, now: float) -> bool:
         """Tell whether new requests should avoid the stream."""
@@ -53,8 +61,15 @@
             late = now - self._ping_at > limit_s
             return Verdict.SILENT if late else Verdict.ALIVE
         options = self._options
-        pause_s = options.heartbeat_s if busy else options.idle_heartbeat_s
+        pause_s = self._busy_pause_s() if busy else options.idle_heartbeat_s
         if now - max(self._heard_at, self._asked_at) < pause_s:
             return Verdict.ALIVE
         self._ping_at = now
+        self._quiet_pings = self._quiet_pings + 1 if busy else 0
         return Verdict.PING
+
+    def _busy_pause_s(self) -> float:
+        """Return the pause before a ping; it doubles while requests run on."""
+        options = self._options
+        pause_s: float = options.heartbeat_s * 2.0 ** min(self._quiet_pings, 16)
+        return min(pause_s, options.busy_heartbeat_max_s)
--- a/damaskbay/adapters/peer_stream/options.py
+++ b/damaskbay/adapters/peer_stream/options.py
@@ -11,9 +11,10 @@
     Limits and times; times in seconds.
 
     A stream with requests under way that brings no byte for `heartbeat_s` is
-    pinged. It is suspect, so that new requests take a new stream, when the ping
-    is unanswered for `suspect_heartbeats`, and closed after `silent_heartbeats`.
-    Streams without requests are pinged every `idle_heartbeat_s`.
+    pinged, then at pauses that double up to `busy_heartbeat_max_s`. It is
+    suspect, so that new requests take a new stream, when a ping is unanswered
+    for `suspect_heartbeats`, and closed after `silent_heartbeats`. Streams
+    without requests are pinged every `idle_heartbeat_s`.
     """
 
     max_frame_bytes: int = MAX_BODY_BYTES + 1024 * 1024
@@ -26,6 +27,7 @@
     handshake_timeout_s: float = 2.0
     reconnect_pause_s: float = 0.05
     heartbeat_s: float = 0.25
+    busy_heartbeat_max_s: float = 1.0
     suspect_heartbeats: float = 1.0
     silent_heartbeats: float = 4.0
     idle_heartbeat_s: float = 5.0
