Exchange servers between failure domains by delegates

Cause: a pool may have servers in other failure domains only, and 10,000 servers may not be told to everybody. Change: the first three daemons of a domain keep their addresses in the platform and ask one contact of each other domain for what changed since its last answer; others ask their delegates for the pools that calls go to, at most 64. Of each pool a domain tells four servers, others to each asking domain. Changes are told at once to who asked lately; the next question repairs lost news. A daemon that knows nobody joins by the contacts. Conclusion: servers() names own servers first, then samples of other domains.

--- a/damaskbay/core/dissemination/order.py
+++ b/damaskbay/core/dissemination/order.py
@@ -5,6 +5,9 @@
 
 from damaskbay.ports.fleet import MemberView
 
+LEADER_PURPOSE = "leaders"
+"""Relays and delegates are the first of one order, so that they are the same few."""
+
 _DIGEST_BYTES = 8
 
 
--- a/damaskbay/core/membership/options.py
+++ b/damaskbay/core/membership/options.py
@@ -13,6 +13,11 @@
     suspect after `probe_timeout_s`. A suspect is dead after `suspicion_s`. News
     go at once to `rumor_fanout` members within `rumor_bytes_per_s`, and ride on
     probes `retransmit_factor` times the binary logarithm of the members.
+
+    `delegates` daemons of a failure domain speak for it. They keep their addresses
+    in the platform every `contact_period_s`, ask the others every
+    `summary_period_s` and tell changes at once to who asked in the last
+    `subscription_s`. A domain that is silent for `domain_lost_s` is left out.
     """
 
     probe_period_s: float = 1.0
@@ -30,3 +35,9 @@
     reconnect_period_s: float = 5.0
     pause_s: float = 2.0
     tombstone_s: float = 3_600.0
+    delegates: int = 3
+    contact_period_s: float = 20.0
+    summary_period_s: float = 4.0
+    subscription_s: float = 15.0
+    domain_lost_s: float = 30.0
+    wanted_s: float = 120.0
--- a/damaskbay/core/membership/swim.py
+++ b/damaskbay/core/membership/swim.py
@@ -66,7 +66,10 @@
 
     def set_seeds(self, seeds: Iterable[PeerAddress]) -> None:
         """Set the gossip addresses to try when nobody or not all are known."""
+        before = self._seeds
         self._seeds = tuple(seed for seed in seeds if seed != self.own.gossip)
+        if set(self._seeds) - set(before):
+            self._next_reconnect = self._last_tick
 
     def announce(
         self, *, pool: str, state: ServerState, slots: int, load: float, now: float
--- a/damaskbay/daemon/config_relay.py
+++ b/damaskbay/daemon/config_relay.py
@@ -9,7 +9,7 @@
 from damaskbay.core.dissemination.freshness import Proof
 from damaskbay.core.dissemination.lease import HeldLease
 from damaskbay.core.dissemination.options import DisseminationOptions
-from damaskbay.core.dissemination.order import FleetOrder
+from damaskbay.core.dissemination.order import LEADER_PURPOSE, FleetOrder
 from damaskbay.daemon.config_messages import (
     Head,
     Loaded,
@@ -28,7 +28,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-RELAY_PURPOSE = "config-relay"
 KEY_PREFIX = "damaskbay/relays"
 
 
@@ -56,7 +55,7 @@
         self._source = source
         self._membership = membership
         self._post_up = post_up
-        self._order = FleetOrder(identity.instance, RELAY_PURPOSE, options.relays)
+        self._order = FleetOrder(identity.instance, LEADER_PURPOSE, options.relays)
         self._lease = PlatformLease(
             platform,
             keys=tuple(
--- a/damaskbay/daemon/config_service.py
+++ b/damaskbay/daemon/config_service.py
@@ -12,7 +12,7 @@
 from damaskbay.core.dissemination.holder import Holder, Offer
 from damaskbay.core.dissemination.messages import Parts, Poll, Pull, Push, Status
 from damaskbay.core.dissemination.options import DisseminationOptions
-from damaskbay.core.dissemination.order import FleetOrder
+from damaskbay.core.dissemination.order import LEADER_PURPOSE, FleetOrder
 from damaskbay.daemon.config_messages import (
     ConfigReport,
     Contacts,
@@ -25,7 +25,7 @@
     Subscription,
 )
 from damaskbay.daemon.config_polling import Polling
-from damaskbay.daemon.config_relay import RELAY_PURPOSE, ConfigRelay
+from damaskbay.daemon.config_relay import ConfigRelay
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.task import Task
 from damaskbay.ports.fleet import ConfigState, Membership
@@ -66,7 +66,7 @@
         self._reach = ReachBoard(
             outage_after_s=options.outage_after_s, valid_s=options.reach_valid_s
         )
-        self._order = FleetOrder(identity.instance, RELAY_PURPOSE, options.relays)
+        self._order = FleetOrder(identity.instance, LEADER_PURPOSE, options.relays)
         self._polling = Polling(identity, self._order, contacts, options, Random(seed))
         self._relay = ConfigRelay(
             identity,
--- a/damaskbay/daemon/membership.py
+++ b/damaskbay/daemon/membership.py
@@ -1,14 +1,18 @@
 """The task that keeps the membership of this daemon's failure domain."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from concurrent.futures import Future
-from dataclasses import dataclass
 from random import Random
 from types import TracebackType
 from typing import Any, Self
 
 from damaskbay.adapters.gossip_udp import GossipSocket, PacketCodec
+from damaskbay.core.membership.contacts import (
+    ContactBook,
+    pack_contacts,
+    unpack_contacts,
+)
 from damaskbay.core.membership.entry import MemberEntry, Status
 from damaskbay.core.membership.options import MembershipOptions
 from damaskbay.core.membership.packets import (
@@ -20,9 +24,20 @@
     Rumor,
 )
 from damaskbay.core.membership.swim import Swim
-from damaskbay.core.membership.sync import Digests, Entries
+from damaskbay.core.membership.sync import AskServers, Digests, Entries, Servers
 from damaskbay.core.membership.views import Views
 from damaskbay.core.membership.wire import pack_entries, unpack_entries
+from damaskbay.daemon.membership_contacts import ContactKeeper
+from damaskbay.daemon.membership_exchange import DomainExchange
+from damaskbay.daemon.membership_messages import (
+    Announcement,
+    CallFailed,
+    ContactsRead,
+    PeerAsked,
+    ServersAnswered,
+    ServersTold,
+    SyncAnswered,
+)
 from damaskbay.helpers.task import Task
 from damaskbay.ports.fleet import MemberView, ServerState, ServerView
 from damaskbay.ports.peer import PeerAddress, PeerIdentity, PeerLink, Responder
@@ -33,32 +48,6 @@
 _SYNC_TIMEOUT_S = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Announcement:
-    pool: str
-    state: ServerState
-    slots: int
-    load: float
-
-
-@dataclass(frozen=True, slots=True)
-class _Failed:
-    instance: str
-    incarnation: int
-
-
-@dataclass(frozen=True, slots=True)
-class _SyncAsked:
-    digests: Digests
-    responder: Responder
-
-
-@dataclass(frozen=True, slots=True)
-class _SyncAnswered:
-    address: PeerAddress
-    answer: Any
-
-
 class MembershipService(Task):
     """
     Implements ports.fleet.Membership; a context manager.
@@ -84,7 +73,6 @@
         super().__init__("membership")
         self.identity = identity
         self._link = link
-        self._platform = platform
         self._socket = GossipSocket(gossip, PacketCodec(secret), self._post_packet)
         own = MemberEntry(
             identity.instance,
@@ -96,13 +84,39 @@
             PeerAddress(gossip.host, self._socket.port),
         )
         options = options or MembershipOptions()
-        self._swim = Swim(own, options, Random(seed), self.clock())
-        self._swim.set_seeds(seeds)
+        rng = Random(seed)
+        self._swim = Swim(own, options, rng, self.clock())
+        self._seeds = tuple(seeds)
+        self._swim.set_seeds(self._seeds)
+        self._book = ContactBook(identity.failure_domain)
         self._views = Views()
         self._was_displaced = False
+        self._exchange = DomainExchange(
+            own,
+            own_servers=lambda pool: self._views.entries(pool, self._swim),
+            link=link,
+            book=self._book,
+            options=options,
+            rng=rng,
+            post=self.post,
+        )
+        self._contacts: ContactKeeper | None = None
+        if platform is not None:
+            self._contacts = ContactKeeper(
+                own,
+                platform=platform,
+                members=self.members,
+                post_up=self.post,
+                options=options,
+                rng=Random(seed),
+            )
         self._show()
-        link.register(Digests, self._post_digests)
-        link.register(Entries, self._post_entries)
+        for message_type in (Digests, AskServers):
+            link.register(message_type, self._post_question)
+        link.register(Entries, lambda _peer, entries, _: self._post(entries))
+        link.register(
+            Servers, lambda _peer, servers, _: self._post(ServersTold(servers))
+        )
 
     @property
     def gossip(self) -> PeerAddress:
@@ -121,7 +135,10 @@
 
     def __enter__(self) -> Self:
         self._socket.__enter__()
-        return super().__enter__()
+        super().__enter__()
+        if self._contacts is not None:
+            self._contacts.__enter__()
+        return self
 
     def __exit__(
         self,
@@ -129,48 +146,65 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        if self._contacts is not None:
+            self._contacts.__exit__(exc_type, exc, traceback)
         super().__exit__(exc_type, exc, traceback)
         self._send(self._swim.leave(self.clock()))
         self._socket.__exit__(exc_type, exc, traceback)
 
     def servers(self, pool: str) -> tuple[ServerView, ...]:
-        """Return the servers of a pool that may get new work."""
-        return self._views.servers_by_pool.get(pool, ())
+        """
+        Return the servers of a pool that may get new work.
+
+        Those of the own failure domain come first, then a few of each other one.
+        """
+        own = self._views.servers_by_pool.get(pool, ())
+        return own + self._exchange.servers(pool)
 
     def by_instance(self, instance: str) -> ServerView | None:
         """Return one server, whatever its state, or None where it is unknown."""
-        return self._views.by_instance.get(instance)
+        own = self._views.by_instance.get(instance)
+        return own or self._exchange.by_instance(instance)
 
     def members(self) -> tuple[MemberView, ...]:
         """Return the live daemons of the own failure domain, this one included."""
         return self._views.members
 
+    def contacts_by_domain(self) -> Mapping[str, tuple[PeerAddress, ...]]:
+        """Return the addresses of a few daemons of each other failure domain."""
+        return self._book.addresses_by_domain
+
     def announce(
         self, *, pool: str, state: ServerState, slots: int, load: float
     ) -> None:
         """Take what the local backend server says of itself."""
-        self.post(_Announcement(pool, state, slots, load))
+        self.post(Announcement(pool, state, slots, load))
 
     def suspect(self, instance: str, incarnation: int) -> None:
         """Take note that a call to this daemon failed on the way."""
-        self.post(_Failed(instance, incarnation))
+        self.post(CallFailed(instance, incarnation))
 
     def handle(self, message: Any, now: float) -> None:
         """Handle one message."""
         match message:
             case Ping() | IndirectPing() | Ack() | Rumor():
                 self._send(self._swim.receive(message, now))
-            case _Announcement():
+            case Announcement():
                 self._announce(message, now)
-            case _Failed():
-                failed = self._swim.suspect(message.instance, message.incarnation, now)
-                self._send(failed)
-            case _SyncAsked():
-                self._answer_sync(message)
-            case _SyncAnswered():
+            case CallFailed():
+                self._avoid(message, now)
+            case PeerAsked():
+                self._answer(message, now)
+            case SyncAnswered():
                 self._take_answer(message, now)
             case Entries():
                 self._merge(message, now)
+            case ServersAnswered():
+                self._exchange.take_answer(message, now)
+            case ServersTold():
+                self._exchange.take(message.servers, now)
+            case ContactsRead():
+                self._take_contacts(message)
         self._show()
 
     def tick(self, now: float) -> None:
@@ -180,8 +214,9 @@
         if target is not None:
             self._sync(target)
         self._show()
+        self._exchange.tick(self._views.members, now)
 
-    def _announce(self, message: _Announcement, now: float) -> None:
+    def _announce(self, message: Announcement, now: float) -> None:
         outgoing = self._swim.announce(
             pool=message.pool,
             state=message.state,
@@ -191,35 +226,66 @@
         )
         self._send(outgoing)
 
+    def _avoid(self, failed: CallFailed, now: float) -> None:
+        if self._views.by_instance.get(failed.instance) is None:
+            self._exchange.avoid(failed.instance, now)
+            return
+        self._send(self._swim.suspect(failed.instance, failed.incarnation, now))
+
+    def _take_contacts(self, message: ContactsRead) -> None:
+        self._book.merge(message.contacts)
+        own = (
+            item.gossip
+            for item in message.contacts
+            if item.failure_domain == self.identity.failure_domain
+        )
+        self._swim.set_seeds((*self._seeds, *own))
+
     def _sync(self, target: MemberEntry) -> None:
-        digests = Digests(self.identity.failure_domain, self._swim.table.digests())
+        digests = Digests(
+            self.identity.failure_domain,
+            self._swim.table.digests(),
+            self._book.digest(),
+        )
         future = self._link.request(target.address, digests, timeout_s=_SYNC_TIMEOUT_S)
         future.add_done_callback(lambda done: self._post_answer(target, done))
 
     def _post_answer(self, target: MemberEntry, future: Future[Any]) -> None:
         if not future.cancelled():
-            self.post(_SyncAnswered(target.address, future.result()))
+            self.post(SyncAnswered(target.address, future.result()))
+
+    def _answer(self, asked: PeerAsked, now: float) -> None:
+        match asked.message:
+            case Digests():
+                self._answer_sync(asked.message, asked.responder)
+            case AskServers():
+                self._exchange.answer(asked.message, asked.responder, now)
 
-    def _answer_sync(self, asked: _SyncAsked) -> None:
-        if asked.digests.failure_domain != self.identity.failure_domain:
+    def _answer_sync(self, asked: Digests, responder: Responder) -> None:
+        if asked.failure_domain != self.identity.failure_domain:
             return
         own = self._swim.table.digests()
-        pairs = enumerate(zip(own, asked.digests.digests, strict=False))
+        pairs = enumerate(zip(own, asked.digests, strict=False))
         buckets = tuple(index for index, (ours, theirs) in pairs if ours != theirs)
-        asked.responder.answer(self._entries(buckets))
+        same_contacts = asked.contacts_digest == self._book.digest()
+        responder.answer(self._entries(buckets, contacts=not same_contacts))
 
-    def _take_answer(self, message: _SyncAnswered, now: float) -> None:
+    def _take_answer(self, message: SyncAnswered, now: float) -> None:
         answer = message.answer
         if not isinstance(answer, Entries):
             self._swim.sync_failed(now)
             return
-        if not answer.buckets:
-            return
-        self._link.send(message.address, self._entries(answer.buckets))
-        self._merge(answer, now)
-
-    def _entries(self, buckets: tuple[int, ...]) -> Entries:
-        return Entries(buckets, pack_entries(self._swim.table.in_buckets(buckets)))
+        differs = bool(answer.contacts)
+        if answer.buckets or differs:
+            back = self._entries(answer.buckets, contacts=differs)
+            self._link.send(message.address, back)
+            self._merge(answer, now)
+
+    def _entries(self, buckets: tuple[int, ...], *, contacts: bool) -> Entries:
+        entries = pack_entries(self._swim.table.in_buckets(buckets))
+        return Entries(
+            buckets, entries, pack_contacts(self._book.all()) if contacts else b""
+        )
 
     def _merge(self, message: Entries, now: float) -> None:
         entries = unpack_entries(message.entries)
@@ -227,13 +293,15 @@
             _LOGGER.warning("membership: malformed entries dropped.")
             return
         self._swim.merge(entries, now)
+        if message.contacts:
+            self._book.merge(unpack_contacts(message.contacts) or ())
 
     def _send(self, outgoing: Iterable[Outgoing]) -> None:
         for item in outgoing:
             self._socket.send(item)
 
     def _show(self) -> None:
-        self._views.refresh(self._swim)
+        self._exchange.touch(self._views.refresh(self._swim))
         if self._swim.displaced and not self._was_displaced:
             self._was_displaced = True
             _LOGGER.error("membership: a newer process has taken this instance.")
@@ -241,12 +309,10 @@
     def _post_packet(self, packet: Packet) -> None:
         self.post(packet)
 
-    def _post_digests(
-        self, _peer: PeerIdentity, message: Digests, responder: Responder
-    ) -> None:
-        self.post(_SyncAsked(message, responder))
+    def _post(self, message: Any) -> None:
+        self.post(message)
 
-    def _post_entries(
-        self, _peer: PeerIdentity, message: Entries, _responder: Responder
+    def _post_question(
+        self, _peer: PeerIdentity, message: Any, responder: Responder
     ) -> None:
-        self.post(message)
+        self.post(PeerAsked(message, responder))
--- a/tests/daemon/test_config_service.py
+++ b/tests/daemon/test_config_service.py
@@ -6,9 +6,9 @@
 
 from damaskbay.config.document import Document
 from damaskbay.core.dissemination.messages import Push, Status
-from damaskbay.core.dissemination.order import rank
+from damaskbay.core.dissemination.order import LEADER_PURPOSE, rank
 from damaskbay.daemon.config_messages import Loaded, PeerAnswer
-from damaskbay.daemon.config_relay import RELAY_PURPOSE, ConfigRelay
+from damaskbay.daemon.config_relay import ConfigRelay
 from damaskbay.daemon.config_service import ConfigService
 from damaskbay.ports.peer import PeerIdentity
 from tests.common import function_suite
@@ -24,7 +24,7 @@
 
 def _relays(running: Fleet, domain: str) -> list[str]:
     members = running.members_by_domain[domain]
-    return [item.instance for item in rank(members, RELAY_PURPOSE)[:2]]
+    return [item.instance for item in rank(members, LEADER_PURPOSE)[:2]]
 
 
 def _in_force(running: Fleet, version: int) -> bool:
--- a/tests/daemon/test_membership.py
+++ b/tests/daemon/test_membership.py
@@ -5,9 +5,13 @@
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 
+from damaskbay.core.membership.contacts import CONTACT_PREFIX
+from damaskbay.core.membership.directory import SAMPLE_SERVERS
+from damaskbay.core.membership.options import MembershipOptions
 from damaskbay.daemon.membership import MembershipService
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress, PeerIdentity
+from damaskbay.stand_ins.memory_platform import MemoryPlatform
 from tests.common import function_suite
 from tests.daemon.fake_link import FakeLink, Switchboard
 
@@ -22,28 +26,62 @@
         time.sleep(0.02)
 
 
+OPTIONS = MembershipOptions(avoid_s=0.4, contact_period_s=0.3, summary_period_s=0.3)
+
+
+class Running:
+    """Services by instance, started one by one."""
+
+    def __init__(self, stack: ExitStack) -> None:
+        self.board = Switchboard()
+        self.platform = MemoryPlatform()
+        self.by_instance: dict[str, MembershipService] = {}
+        self._stack = stack
+        stack.callback(self.board.executor.shutdown)
+
+    def start(
+        self,
+        instance: str,
+        *,
+        domain: str = "d1",
+        pool: str = "p",
+        seed_by: str | None = None,
+    ) -> MembershipService:
+        """Start a service beside a ready server."""
+        index = len(self.by_instance)
+        identity = PeerIdentity(instance, 1, domain)
+        address = PeerAddress("127.0.0.1", 7_000 + index)
+        service = MembershipService(
+            identity,
+            address,
+            PeerAddress("127.0.0.1", 0),
+            secret=b"s" * 32,
+            link=FakeLink(self.board, address, identity),
+            platform=self.platform.client(instance),
+            options=OPTIONS,
+            seeds=[self.by_instance[seed_by].gossip] if seed_by else [],
+            seed=index,
+        )
+        self.by_instance[instance] = self._stack.enter_context(service)
+        service.announce(pool=pool, state=ServerState.READY, slots=4, load=0.1)
+        return service
+
+
+@contextmanager
+def starting() -> Iterator[Running]:
+    """Provide services of any failure domain, ended at exit."""
+    with ExitStack() as stack:
+        yield Running(stack)
+
+
 @contextmanager
 def services(count: int) -> Iterator[list[MembershipService]]:
     """Run services of one failure domain that join by the first."""
-    board = Switchboard()
-    with ExitStack() as stack:
-        stack.callback(board.executor.shutdown)
-        started: list[MembershipService] = []
+    with starting() as running:
         for index in range(count):
-            identity = PeerIdentity(f"i{index}", 1, "d1")
-            address = PeerAddress("127.0.0.1", 7_000 + index)
-            service = MembershipService(
-                identity,
-                address,
-                PeerAddress("127.0.0.1", 0),
-                secret=b"s" * 32,
-                link=FakeLink(board, address, identity),
-                seeds=[started[0].gossip] if started else [],
-                seed=index,
-            )
-            started.append(stack.enter_context(service))
-            service.announce(pool="p", state=ServerState.READY, slots=4, load=0.1)
-        yield started
+            seed_by = "i0" if index else None
+            running.start(f"i{index}", seed_by=seed_by)
+        yield list(running.by_instance.values())
 
 
 def test_services_find_each_other_and_see_one_leave() -> None:
@@ -69,6 +107,55 @@
         wait_until(lambda: len(running[0].servers("p")) == 3)
 
 
+def test_contacts_in_the_platform_are_enough_to_join() -> None:
+    """A service without a seed finds its failure domain by the platform."""
+    with starting() as running:
+        first = running.start("i0")
+        second = running.start("i1")
+        wait_until(lambda: len(first.members()) == 2 == len(second.members()))
+        found = running.platform.list(CONTACT_PREFIX, timeout_s=1)
+        assert isinstance(found, tuple)
+        assert len(found) <= OPTIONS.delegates
+
+
+def test_servers_of_other_domains_are_found_on_demand() -> None:
+    """A pool of another domain is known after it was asked for, and its drain."""
+    with starting() as running:
+        for index in range(5):
+            running.start(f"e{index}", domain="east", seed_by="e0" if index else None)
+        for index in range(6):
+            seed_by = "w0" if index else None
+            running.start(f"w{index}", domain="west", pool="q", seed_by=seed_by)
+        east = [running.by_instance[f"e{index}"] for index in range(5)]
+        wait_until(
+            lambda: all(len(item.servers("q")) == SAMPLE_SERVERS for item in east)
+        )
+        assert {view.failure_domain for view in east[0].servers("q")} == {"west"}
+        drained = east[0].servers("q")[0].instance
+        leaving = running.by_instance[drained]
+        leaving.announce(pool="q", state=ServerState.DRAINING, slots=4, load=0)
+        wait_until(lambda: all(drained not in _instances(item) for item in east))
+        wait_until(
+            lambda: all(len(item.servers("q")) == SAMPLE_SERVERS for item in east)
+        )
+
+
+def test_failed_call_to_another_domain_is_remembered_for_a_time() -> None:
+    """A server of another domain is left out after a failed call, then tried."""
+    with starting() as running:
+        east = running.start("e0", domain="east")
+        running.start("w0", domain="west", pool="q")
+        running.start("w1", domain="west", pool="q", seed_by="w0")
+        wait_until(lambda: _instances(east) == {"w0", "w1"})
+        east.suspect("w0", 1)
+        wait_until(lambda: _instances(east) == {"w1"})
+        wait_until(lambda: _instances(east) == {"w0", "w1"})
+
+
+def _instances(service: MembershipService) -> set[str]:
+    return {view.instance for view in service.servers("q")}
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
