Open peer streams over TLS

Cause: a non-blocking socket was wrapped after its connect had begun, which leaves it without a TLS state; no test spoke TLS. Change: wrap first, then connect. Tests pass bodies over the size of a record and of the socket's buffers, and refuse another certificate and plain bytes.

--- a/damaskbay/adapters/peer_stream/client.py
+++ b/damaskbay/adapters/peer_stream/client.py
@@ -262,12 +262,14 @@
         sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._tls is not None:
+            sock = self._tls.wrap_socket(
+                sock, server_hostname=peer.host, do_handshake_on_connect=False
+            )
         code = sock.connect_ex((peer.host, peer.port))
         if code not in (0, errno.EINPROGRESS):
             sock.close()
             raise OSError(code, errno.errorcode.get(code, "connect"))
-        if self._tls is not None:
-            return self._tls.wrap_socket(sock, do_handshake_on_connect=False)
         return sock
 
     def _make_room(self, now: float) -> bool:
--- /dev/null
+++ b/tests/adapters/peer_stream/test_tls.py
@@ -0,0 +1,56 @@
+"""Tests of adapters.peer_stream over TLS."""
+
+import ssl
+import unittest
+from pathlib import Path
+
+from damaskbay.ports.peer import PeerProblem
+from tests.adapters.peer_stream.common import (
+    WAIT_S,
+    Ask,
+    Tell,
+    eventually,
+    link,
+    raw_initiator,
+)
+from tests.common import function_suite
+
+DATA = Path(__file__).parent / "data"
+
+
+def context(side: int, own: str = "peer.pem") -> ssl.SSLContext:
+    """Return a context that shows one certificate and trusts `peer.pem` only."""
+    made = ssl.SSLContext(side)
+    made.load_cert_chain(DATA / own)
+    made.load_verify_locations(DATA / "peer.pem")
+    made.verify_mode = ssl.CERT_REQUIRED
+    return made
+
+
+def test_requests_of_any_size_pass_over_tls() -> None:
+    """Bodies larger than a record and than the socket's buffers pass whole."""
+    server = context(ssl.PROTOCOL_TLS_SERVER)
+    client = context(ssl.PROTOCOL_TLS_CLIENT)
+    with link("a", client_tls=client) as a, link("b", server_tls=server) as b:
+        asks = [Ask(number, bytes(number**3 * 10)) for number in range(40)]
+        futures = [a.request(b.address, ask, timeout_s=WAIT_S) for ask in asks]
+        answers = [future.result() for future in futures]
+        assert answers == [Tell(ask.number, ask.body) for ask in asks]
+
+
+def test_a_stranger_is_refused() -> None:
+    """Neither a peer with another certificate nor one without TLS gets in."""
+    server = context(ssl.PROTOCOL_TLS_SERVER)
+    stranger = context(ssl.PROTOCOL_TLS_CLIENT, "stranger.pem")
+    with link("b", server_tls=server) as b, link("a", client_tls=stranger) as a:
+        result = a.request(b.address, Ask(1), timeout_s=WAIT_S).result()
+        assert result.problem is PeerProblem.NOT_SENT
+        with raw_initiator(b) as plain:
+            plain.sock.sendall(plain.handshake.start() * 10)
+            assert eventually(lambda: b.stats().streams_failed == 2)
+        assert b.stats().requests_received == 0
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
