Serve the platform stand-in over HTTP and add its client

Cause: daemons are processes of their own and reach the platform over the network. A failure is 'unavailable' for a write only where no connection was made or the service says that it had no effect, else 'answer lost'. Conclusion: both adapters pass the same contract tests, faults included.

--- /dev/null
+++ b/damaskbay/adapters/platform_http/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service over HTTP."""
--- /dev/null
+++ b/damaskbay/adapters/platform_http/const.py
@@ -0,0 +1,34 @@
+"""Paths, headers and times of the platform's HTTP interface."""
+
+from typing import Final
+
+PATH_ENTRY: Final = "/v1/entry"
+PATH_LIST: Final = "/v1/entries"
+PATH_WATCH: Final = "/v1/watch"
+
+QUERY_KEY: Final = "key"
+QUERY_PREFIX: Final = "prefix"
+QUERY_EXPECTED: Final = "expected_revision"
+QUERY_AFTER: Final = "after_revision"
+QUERY_LEASE: Final = "lease_s"
+QUERY_TIMEOUT: Final = "timeout_s"
+
+HEADER_REVISION: Final = "Platform-Revision"
+HEADER_CLIENT: Final = "Platform-Client"
+HEADER_NO_EFFECT: Final = "Platform-No-Effect"
+"""Set on an error answer where the call surely had no effect."""
+
+STATUS_OK: Final = 200
+STATUS_NOTHING: Final = 204
+STATUS_CONFLICT: Final = 409
+STATUS_TOO_LARGE: Final = 413
+STATUS_BUSY: Final = 429
+STATUS_UNAVAILABLE: Final = 503
+
+MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+READ_BYTES: Final = 64 * 1024
+MAX_IDLE_CONNECTIONS: Final = 8
+MAX_IDLE_S: Final = 15.0
+MAX_CONNECT_S: Final = 2.0
+WATCH_MARGIN_S: Final = 0.5
+"""How much earlier than the caller's time-out the service is to answer a watch."""
--- /dev/null
+++ b/damaskbay/adapters/platform_http/models.py
@@ -0,0 +1,21 @@
+"""Validated models of the platform's JSON answers."""
+
+from pydantic import Base64Bytes, BaseModel, ConfigDict, Field
+
+
+class EntryModel(BaseModel):
+    """One entry; the value travels as Base64."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    key: str
+    value: Base64Bytes
+    revision: int = Field(gt=0)
+
+
+class ListModel(BaseModel):
+    """All entries under a prefix, in key order."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    entries: tuple[EntryModel, ...]
--- /dev/null
+++ b/tests/adapters/test_platform_http.py
@@ -0,0 +1,261 @@
+"""Contract of both platform adapters, and the HTTP client's own failures."""
+
+import socket
+import time
+import unittest
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack, contextmanager
+from dataclasses import asdict
+from http.client import HTTPConnection
+
+from hypothesis import given, settings, strategies as st
+
+from damaskbay.adapters.platform_http.client import HttpPlatform
+from damaskbay.const import MAX_PLATFORM_VALUE_BYTES
+from damaskbay.ports.platform import (
+    Conflict,
+    Entry,
+    Platform,
+    PlatformFailure,
+    PlatformProblem,
+)
+from damaskbay.stand_ins.memory_platform import MemoryPlatform
+from damaskbay.stand_ins.platform import PlatformServer
+from damaskbay.stand_ins.platform_faults import Faults
+from tests.common import function_suite
+
+TIMEOUT_S = 5.0
+HOST = "127.0.0.1"
+
+
+@contextmanager
+def _platforms() -> Iterator[list[tuple[MemoryPlatform, Platform]]]:
+    """Yield each adapter with the store behind it."""
+    with ExitStack() as stack:
+        memory = MemoryPlatform()
+        server = stack.enter_context(PlatformServer())
+        http = stack.enter_context(HttpPlatform(HOST, server.port, name="c"))
+        yield [(memory, memory.client("c")), (server.platform, http)]
+
+
+def _put(platform: Platform, key: str, value: bytes, revision: int = 0) -> object:
+    return platform.compare_and_swap(
+        key, value, expected_revision=revision, timeout_s=TIMEOUT_S
+    )
+
+
+def _problem(result: object) -> PlatformProblem:
+    assert isinstance(result, PlatformFailure), result
+    return result.problem
+
+
+def test_compare_and_swap() -> None:
+    """A write needs the right revision; revisions only grow, also after a delete."""
+    with _platforms() as platforms:
+        for _, platform in platforms:
+            key = "a/b ü?&"
+            first = _put(platform, key, b"\x001")
+            assert isinstance(first, Entry)
+            assert platform.get(key, timeout_s=TIMEOUT_S) == first
+            assert _put(platform, key, b"2") == Conflict(first)
+            second = _put(platform, key, b"2", first.revision)
+            assert isinstance(second, Entry) and second.revision > first.revision
+            assert _put(platform, "none", b"", 7) == Conflict(None)
+            for revision, result in (
+                (first.revision, Conflict(second)),
+                (second.revision, second),
+                (second.revision, None),
+            ):
+                assert result == platform.delete(
+                    key, expected_revision=revision, timeout_s=TIMEOUT_S
+                )
+            third = _put(platform, key, b"")
+            assert isinstance(third, Entry) and third.revision > second.revision
+
+
+def test_list_and_sizes() -> None:
+    """Entries come in key order; a value over the limit is refused."""
+    with _platforms() as platforms:
+        for _, platform in platforms:
+            largest = b"x" * MAX_PLATFORM_VALUE_BYTES
+            written = [_put(platform, key, largest) for key in ("p/a", "p/b", "q")]
+            assert platform.list("p/", timeout_s=TIMEOUT_S) == tuple(written[:2])
+            result = _put(platform, "p/c", largest + b"x")
+            assert _problem(result) is PlatformProblem.VALUE_TOO_LARGE
+
+
+def test_a_lease_lapses() -> None:
+    """An entry that is not written again in time is gone."""
+    with _platforms() as platforms:
+        for _, platform in platforms:
+            for lease_s, stands in ((0.01, False), (60.0, True)):
+                written = platform.compare_and_swap(
+                    f"lease/{lease_s}",
+                    b"1",
+                    expected_revision=0,
+                    lease_s=lease_s,
+                    timeout_s=TIMEOUT_S,
+                )
+                assert isinstance(written, Entry)
+                time.sleep(0.02)
+                entry = platform.get(written.key, timeout_s=TIMEOUT_S)
+                assert (entry is not None) is stands
+
+
+def test_watch() -> None:
+    """A watch answers at once, on the next change, or when its time is up."""
+    with _platforms() as platforms, ThreadPoolExecutor(1) as pool:
+        for store, platform in platforms:
+            first = _put(platform, "a", b"1")
+            assert isinstance(first, Entry)
+            seen = platform.watch("a", after_revision=0, timeout_s=TIMEOUT_S)
+            assert seen == first
+            assert platform.watch("a", after_revision=1, timeout_s=0.05) is None
+            waiting = pool.submit(
+                platform.watch, "a", after_revision=1, timeout_s=TIMEOUT_S
+            )
+            while store.counters.waiting == 0:
+                time.sleep(0.001)
+            second = _put(platform, "a", b"2", first.revision)
+            assert waiting.result() == second
+            assert store.counters.watches == 3
+
+
+def test_faults_mean_the_same_over_http() -> None:
+    """Outage, cut, lost answer, dropped write, busy and slow."""
+    with _platforms() as platforms:
+        for store, platform in platforms:
+            unreachable = (Faults(outage=True), Faults(cut_clients=frozenset({"c"})))
+            for faults in unreachable:
+                with store.fault(**asdict(faults)):
+                    result = _put(platform, "a", b"1")
+                    assert _problem(result) is PlatformProblem.UNAVAILABLE
+            for name, stands in (("lose_answers", True), ("drop_writes", False)):
+                store.inject(**{name: 1})
+                result = _put(platform, name, b"1")
+                assert _problem(result) is PlatformProblem.ANSWER_LOST
+                entry = platform.get(name, timeout_s=TIMEOUT_S)
+                assert isinstance(entry, Entry) is stands
+            with store.fault(max_writes_per_s=0):
+                assert _problem(_put(platform, "b", b"1")) is PlatformProblem.BUSY
+            with store.fault(delay_s=0.1):
+                result = platform.compare_and_swap(
+                    "c", b"1", expected_revision=0, timeout_s=0.03
+                )
+                assert _problem(result) is PlatformProblem.ANSWER_LOST
+                read = platform.get("c", timeout_s=0.03)
+                assert _problem(read) is PlatformProblem.UNAVAILABLE
+            time.sleep(0.1)
+            assert isinstance(platform.get("c", timeout_s=TIMEOUT_S), Entry)
+
+
+def test_nobody_listens() -> None:
+    """A refused connection surely had no effect, for a write too."""
+    with socket.socket() as unused:
+        unused.bind((HOST, 0))
+        with HttpPlatform(HOST, unused.getsockname()[1]) as platform:
+            assert _problem(_put(platform, "a", b"1")) is PlatformProblem.UNAVAILABLE
+
+
+def test_a_restarted_service_is_found_again() -> None:
+    """A kept-alive connection that the service closed is not used again."""
+    store = MemoryPlatform()
+    with ExitStack() as first:
+        port = first.enter_context(PlatformServer(store)).port
+        with HttpPlatform(HOST, port) as platform:
+            assert isinstance(_put(platform, "a", b"1"), Entry)
+            first.close()
+            with PlatformServer(store, port=port):
+                assert isinstance(_put(platform, "b", b"1"), Entry)
+
+
+class _Script:
+    """A listener that gives each connection the next of some scripted answers."""
+
+    def __init__(self, answers: list[bytes | None]) -> None:
+        self.answers = answers
+        self.listener = socket.create_server((HOST, 0))
+        self.listener.settimeout(TIMEOUT_S)
+        self.port = self.listener.getsockname()[1]
+        self.kept: list[socket.socket] = []
+
+    def run(self) -> None:
+        """Answer once per connection and close it; None: stay silent."""
+        for answer in self.answers:
+            connection = self.listener.accept()[0]
+            self.kept.append(connection)
+            connection.settimeout(TIMEOUT_S)
+            connection.recv(65_536)
+            if answer is not None:
+                connection.sendall(answer)
+                connection.shutdown(socket.SHUT_WR)
+
+
+@contextmanager
+def _scripted(answers: list[bytes | None]) -> Iterator[HttpPlatform]:
+    script = _Script(answers)
+    with script.listener, ThreadPoolExecutor(1) as pool:
+        running = pool.submit(script.run)
+        with HttpPlatform(HOST, script.port) as platform:
+            yield platform
+        running.result()
+    for connection in script.kept:
+        connection.close()
+
+
+def test_a_silent_connection_is_replaced() -> None:
+    """The call on it ends in time; the next one opens another connection."""
+    whole = b"HTTP/1.1 200 OK\r\nPlatform-Revision: 4\r\nContent-Length: 1\r\n\r\nx"
+    with _scripted([None, whole]) as platform:
+        read = platform.get("a", timeout_s=0.05)
+        assert _problem(read) is PlatformProblem.UNAVAILABLE
+        assert platform.get("a", timeout_s=TIMEOUT_S) == Entry("a", b"x", 4)
+
+
+def test_an_answer_that_is_not_whole_is_no_answer() -> None:
+    """Cut short, without a revision, or an error that does not say `no effect`."""
+    for answer in (
+        b"HTTP/1.1 200 OK\r\nPlatform-Revision: 4\r\nContent-Length: 9\r\n\r\nx",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+        b"HTTP/1.1 200 OK\r\nPlatform-Revision: -4\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        b"",
+    ):
+        with _scripted([answer, answer]) as platform:
+            read = platform.get("a", timeout_s=TIMEOUT_S)
+            assert _problem(read) is PlatformProblem.UNAVAILABLE, answer
+            written = _put(platform, "a", b"1")
+            assert _problem(written) is PlatformProblem.ANSWER_LOST, answer
+
+
+_PIECES = st.sampled_from(
+    [b"HTTP/1.1 ", b"200 ", b"204 ", b"409 ", b"\r\n", b"\r\n\r\n", b"Content-Length: ",
+     b"Platform-Revision: ", b"Transfer-Encoding: chunked\r\n", b"5", b"-1", b"zz"]
+)  # fmt: skip
+
+
+@settings(derandomize=True, max_examples=80, deadline=None)
+@given(st.lists(st.one_of(_PIECES, st.binary(max_size=10)), max_size=12).map(b"".join))
+def test_any_answer_gives_a_value(answer: bytes) -> None:
+    """No bytes from the service raise an exception."""
+    with _scripted([answer, answer]) as platform:
+        platform.list("a", timeout_s=1.0)
+        written = _put(platform, "a", b"1")
+        assert isinstance(written, Entry | Conflict | PlatformFailure)
+
+
+def test_bad_requests_get_a_clear_answer() -> None:
+    """The stand-in refuses what the interface does not know and lives on."""
+    with PlatformServer() as server, HttpPlatform(HOST, server.port) as platform:
+        for target in ("/", "/v1/entry?key=a&expected_revision=x", "/v1/entry?other=1"):
+            connection = HTTPConnection(HOST, server.port, timeout=TIMEOUT_S)
+            connection.request("PUT", target, b"1")
+            assert connection.getresponse().status in {400, 404}
+            connection.close()
+        assert platform.get("a", timeout_s=TIMEOUT_S) is None
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
