Test TLS over a connect that does not end at once

Change: a test with a full backlog. A fault in a stream's own code now ends that stream instead of leaving it to the selector. Conclusion: test_a_connect_that_takes_its_time fails with the old order.

--- a/damaskbay/adapters/peer_stream/pool.py
+++ b/damaskbay/adapters/peer_stream/pool.py
@@ -1,5 +1,6 @@
 """All streams of one task: waits for them, writes to them, ends them."""
 
+import logging
 import selectors
 import ssl
 from functools import partial
@@ -17,6 +18,8 @@
 from damaskbay.adapters.peer_stream.outbox import Outgoing
 from damaskbay.adapters.peer_stream.stream import PeerStream
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class Side(Protocol):
     """What is done with the frames of a stream: one side each for both roles."""
@@ -145,6 +148,9 @@
                     return
         except (OSError, PeerStreamError) as error:
             self._fail(stream, now, error)
+        except Exception:
+            _LOGGER.exception("peer stream: stream failed.")
+            self.end(stream, now, "internal error")
 
     def _fail(
         self, stream: PeerStream, now: float, error: OSError | PeerStreamError
--- a/tests/adapters/peer_stream/test_tls.py
+++ b/tests/adapters/peer_stream/test_tls.py
@@ -1,11 +1,15 @@
 """Tests of adapters.peer_stream over TLS."""
 
+import dataclasses
+import socket
 import ssl
 import unittest
+from contextlib import ExitStack
 from pathlib import Path
 
-from damaskbay.ports.peer import PeerProblem
+from damaskbay.ports.peer import PeerAddress, PeerProblem
 from tests.adapters.peer_stream.common import (
+    FAST,
     WAIT_S,
     Ask,
     Tell,
@@ -51,6 +55,27 @@
         assert b.stats().requests_received == 0
 
 
+def test_a_connect_that_takes_its_time() -> None:
+    """TLS starts also where the connect has not ended at once."""
+    options = dataclasses.replace(FAST, handshake_timeout_s=WAIT_S)
+    tls = context(ssl.PROTOCOL_TLS_CLIENT)
+    with ExitStack() as stack:
+        listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        listener.listen(0)
+        listener.settimeout(WAIT_S)
+        name = listener.getsockname()
+        stack.enter_context(socket.create_connection(name))
+        a = stack.enter_context(link("a", options=options, client_tls=tls))
+        a.request(PeerAddress(*name), Ask(1), timeout_s=WAIT_S)
+        assert eventually(lambda: a.stats().streams == 1)
+        stack.enter_context(listener.accept()[0])
+        late = stack.enter_context(listener.accept()[0])
+        server = context(ssl.PROTOCOL_TLS_SERVER)
+        late.settimeout(WAIT_S)
+        secured = stack.enter_context(server.wrap_socket(late, server_side=True))
+        assert secured.getpeercert()
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
