--- a/damaskbay/config/const.py
+++ b/damaskbay/config/const.py
@@ -24,3 +24,19 @@
 MAX_UNPROVEN_AFTER_S: Final = 7 * 86_400.0
 MAX_PROBLEMS: Final = 1000
 ANY_HOST: Final = "*"
+
+HEAD_KEY: Final = "damaskbay/config/head"
+PARTS_PREFIX: Final = "damaskbay/config/parts/"
+HISTORY_PREFIX: Final = "damaskbay/config/history/"
+PENDING_PREFIX: Final = "damaskbay/config/pending/"
+HISTORY_VERSIONS: Final = 50
+"""Versions before the one in force that can still be shown."""
+
+MAX_WHOLE_BYTES: Final = 64 * 1024
+"""A set up to this size is stored as one value, a larger one part by part."""
+
+MAX_INLINE_DELTA_BYTES: Final = 16 * 1024
+MAX_AUTHOR_LENGTH: Final = 200
+CALL_TIMEOUT_S: Final = 5.0
+PUBLISH_TIMEOUT_S: Final = 30.0
+RETRY_PAUSE_S: Final = 0.1
--- a/damaskbay/config/exceptions.py
+++ b/damaskbay/config/exceptions.py
@@ -46,3 +46,58 @@
     problem: DeltaProblem
     detail: str = ""
     problems: Problems = ()
+
+
+class LoadProblem(Enum):
+    """Why a set could not be read from the platform."""
+
+    UNAVAILABLE = "unavailable"
+    DAMAGED_HEAD = "damaged_head"
+    MISSING_PART = "missing_part"
+    DAMAGED_PART = "damaged_part"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadFailure:
+    """
+    A head or a set that could not be read; there is never half a set.
+
+    `revision` is the platform's of a record that is damaged, else 0.
+    """
+
+    problem: LoadProblem
+    detail: str = ""
+    problems: Problems = ()
+    revision: int = 0
+
+
+class PublishProblem(Enum):
+    """Why nothing was published."""
+
+    UNAVAILABLE = "unavailable"
+    INVALID = "invalid"
+    TOO_LARGE = "too_large"
+    UNREADABLE_HEAD = "unreadable_head"
+
+
+@dataclass(frozen=True, slots=True)
+class PublishFailure:
+    """Nothing was published; what stood in force still does."""
+
+    problem: PublishProblem
+    detail: str = ""
+    problems: Problems = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PublishUnknown:
+    """
+    The answer was lost and could not be read back in time.
+
+    The set may be published or not. Publishing again with the same publish id
+    settles it and never publishes twice.
+    """
+
+    publish_id: str
+    detail: str = ""
