Let a request id carry its owner's address

Ruled out: the membership, which is bounded on purpose. Change: the signed id names the peer address of its owner.

--- a/damaskbay/core/at_most_once.py
+++ b/damaskbay/core/at_most_once.py
@@ -14,6 +14,7 @@
 )
 from damaskbay.core.call import Answer
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.ports.peer import PeerAddress
 
 _PROCESS_BITS = 64
 _ANSWER_OVERHEAD_BYTES = 256
@@ -73,12 +74,14 @@
         incarnation: int,
         secrets: Sequence[bytes],
         rng: random.Random,
+        address: PeerAddress,
         options: AtMostOnceOptions | None = None,
     ) -> None:
         self.options = options or AtMostOnceOptions()
         self._instance = instance
         self._incarnation = incarnation
         self._secrets = tuple(secrets)
+        self._address = address
         self._process = rng.getrandbits(_PROCESS_BITS)
         self._last_sequence = 0
         self._floor_sequence = 0
@@ -154,6 +157,7 @@
             self._process,
             self._last_sequence,
             issued_ms,
+            self._address,
         )
         return sign_request_id(self._secrets[0], ref)
 
--- a/damaskbay/core/at_most_once_ids.py
+++ b/damaskbay/core/at_most_once_ids.py
@@ -11,6 +11,7 @@
 
 from damaskbay.core.call import Request
 from damaskbay.core.outcome import Reason, Refusal, not_run
+from damaskbay.ports.peer import PeerAddress
 
 MAX_REQUEST_ID_CHARACTERS: Final = 512
 
@@ -25,8 +26,9 @@
     What a request id says, once its signature is proven.
 
     `instance`, `incarnation` and the random `process` name the one process that
-    may run the request. `sequence` counts the ids of that process, `issued_ms`
-    is in milliseconds of its monotonic clock.
+    may run the request, `address` is where it listens for peers. `sequence`
+    counts the ids of that process, `issued_ms` is in milliseconds of its
+    monotonic clock.
     """
 
     instance: str
@@ -34,12 +36,14 @@
     process: int
     sequence: int
     issued_ms: int
+    address: PeerAddress
 
 
 def sign_request_id(secret: bytes, ref: OwnerRef) -> str:
     """Return the text of a request id."""
     numbers = _NUMBERS.pack(ref.incarnation, ref.process, ref.sequence, ref.issued_ms)
-    content = numbers + ref.instance.encode()
+    names = f"{ref.instance} {ref.address.host} {ref.address.port}"
+    content = numbers + names.encode()
     text = base64.urlsafe_b64encode(_mac(secret, content) + content)
     return text.decode("ascii").rstrip("=")
 
@@ -58,9 +62,10 @@
         return not_run(
             Reason.REQUEST_ID_NOT_ISSUED, detail="the request id was never issued"
         )
-    numbers = _NUMBERS.unpack_from(content)
-    instance = content[_NUMBERS.size :].decode()
-    return OwnerRef(instance, *numbers)
+    incarnation, process, sequence, issued_ms = _NUMBERS.unpack_from(content)
+    instance, host, port = content[_NUMBERS.size :].decode().split(" ")
+    address = PeerAddress(host, int(port))
+    return OwnerRef(instance, incarnation, process, sequence, issued_ms, address)
 
 
 def fingerprint_of(workspace: str, request: Request) -> bytes:
--- a/damaskbay/daemon/once.py
+++ b/damaskbay/daemon/once.py
@@ -13,7 +13,6 @@
 from damaskbay.core.outcome import Reason, Refusal, unknown
 from damaskbay.daemon.dispatch import Dispatcher, Outgoing, PeerCaller
 from damaskbay.ports.caller import IssuedIds
-from damaskbay.ports.fleet import Membership
 from damaskbay.ports.peer import PeerIdentity
 
 
@@ -32,7 +31,6 @@
         secrets: tuple[bytes, ...],
         dispatcher: Dispatcher,
         peers: PeerCaller,
-        membership: Membership,
         clock: Callable[[], float],
     ) -> None:
         self._identity = identity
@@ -40,7 +38,6 @@
         self._secrets = secrets
         self._dispatcher = dispatcher
         self._peers = peers
-        self._membership = membership
         self._clock = clock
         self._lock = threading.Lock()
 
@@ -79,11 +76,8 @@
 
     def _hand_to_owner(self, outgoing: Outgoing, ref: OwnerRef) -> CallResult:
         """Ask the owner; without its word an earlier run can't be ruled out."""
-        server = self._membership.by_instance(ref.instance)
-        if server is None or server.incarnation != ref.incarnation:
-            return CallResult(unknown(Reason.REQUEST_OWNER_GONE), attempts=0)
         result = self._peers.call(
-            server.address,
+            ref.address,
             outgoing.context,
             outgoing.request,
             outgoing.cancellation,
