--- a/damaskbay/core/membership/swim.py
+++ b/damaskbay/core/membership/swim.py
@@ -333,7 +333,9 @@
         return outgoing
 
     def _rumors(self, now: float) -> list[Outgoing]:
-        others = self._others() if self._rumor_bytes > 0 else []
+        if not self._updates.fresh or self._rumor_bytes <= 0:
+            return []
+        others = self._others()
         if not others:
             return []
         fresh = self._updates.take_fresh(limit_bytes=self._options.updates_bytes)
--- a/damaskbay/core/membership/updates.py
+++ b/damaskbay/core/membership/updates.py
@@ -18,6 +18,11 @@
     def __init__(self) -> None:
         self._by_instance: dict[str, _Pending] = {}
 
+    @property
+    def fresh(self) -> bool:
+        """Tell whether there are news that no rumor has told yet."""
+        return any(not item.rumored for item in self._by_instance.values())
+
     def add(self, entry: MemberEntry) -> None:
         """Queue news; an older entry of the same instance is dropped."""
         self._by_instance[entry.instance] = _Pending(entry)
