--- a/damaskbay/daemon/config_messages.py
+++ b/damaskbay/daemon/config_messages.py
@@ -76,7 +76,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LoadProblem:
+class UnusableHead:
     """A relay found a head that it can't use."""
 
     detail: str
--- a/damaskbay/daemon/config_relay.py
+++ b/damaskbay/daemon/config_relay.py
@@ -13,11 +13,11 @@
 from damaskbay.daemon.config_messages import (
     Head,
     Loaded,
-    LoadProblem,
     Proven,
     SetInvalid,
     SetSource,
     SourceUnavailable,
+    UnusableHead,
 )
 from damaskbay.daemon.platform_lease import PlatformLease
 from damaskbay.helpers.clock import monotonic_s
@@ -70,6 +70,7 @@
         )
         self._head: Head | None = None
         self._loaded_version = 0
+        self._newest_known = True
         self._document: Document | None = None
         self._next_renewal = 0.0
         self._next_try = 0.0
@@ -109,6 +110,7 @@
         self._head = None
         self._document = None
         self._loaded_version = 0
+        self._newest_known = True
 
     def _renew(self, now: float) -> None:
         if self._lease.renew():
@@ -134,11 +136,8 @@
 
     def _take(self, head: Head, asked_at: float) -> None:
         """Load the set of a newer head."""
-        if head.problem:
-            self._skip(head, head.problem)
-            return
-        if head.version <= self._loaded_version:
-            self._skip(head, f"the version went back to {head.version}")
+        if head.problem or head.version <= self._loaded_version:
+            self._skip(head, head.problem or f"back to version {head.version}")
             return
         loaded = self._source.load(
             head, self._document, timeout_s=self._options.load_timeout_s
@@ -146,25 +145,36 @@
         if not self._lease.holds():
             return
         match loaded:
+            case Document():
+                self._load(head, loaded, asked_at)
             case SourceUnavailable():
                 self._pause()
             case SetInvalid():
-                self._skip(head, loaded.detail)
-            case Document() as document:
-                self._head = head
-                self._loaded_version = head.version
-                self._document = document
-                proof = Proof(head.version, asked_at)
-                self._post_up(Loaded(head.version, document, proof))
+                self._skip(head, f"version {head.version}: {loaded.detail}")
+
+    def _load(self, head: Head, document: Document, asked_at: float) -> None:
+        self._head = head
+        self._loaded_version = head.version
+        self._document = document
+        self._newest_known = True
+        proof = Proof(head.version, asked_at)
+        self._post_up(Loaded(head.version, document, proof))
 
     def _skip(self, head: Head, problem: str) -> None:
-        """Leave a head that no set follows from; the last good set is the newest."""
+        """
+        Leave a head that no set follows from.
+
+        The set at hand is still the newest accepted one only if that head came
+        right after it.
+        """
         self._head = head
+        self._newest_known = head.version == self._loaded_version + 1
         _LOGGER.error("config: head unusable: %s.", problem)
-        self._post_up(LoadProblem(problem))
+        self._post_up(UnusableHead(problem))
 
     def _prove(self, at: float) -> None:
-        self._post_up(Proven(Proof(self._loaded_version, at)))
+        if self._newest_known:
+            self._post_up(Proven(Proof(self._loaded_version, at)))
 
     def _pause(self) -> None:
         self._next_try = self.clock() + self._options.retry_s
--- a/damaskbay/daemon/config_service.py
+++ b/damaskbay/daemon/config_service.py
@@ -17,15 +17,16 @@
     ConfigReport,
     Contacts,
     Loaded,
-    LoadProblem,
     PeerAnswer,
     PeerMessage,
     Proven,
     SetSource,
     Subscription,
+    UnusableHead,
 )
 from damaskbay.daemon.config_polling import Polling
 from damaskbay.daemon.config_relay import ConfigRelay
+from damaskbay.daemon.config_source import PlatformSetSource
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.task import Task
 from damaskbay.ports.fleet import ConfigState, Membership
@@ -39,8 +40,8 @@
     """
     Implements ports.fleet.ConfigSource; a context manager.
 
-    `source` reads accepted sets; `contacts` names daemons of other failure
-    domains.
+    `source` reads accepted sets, by default those in the platform; `contacts`
+    names daemons of other failure domains.
     """
 
     def __init__(
@@ -50,7 +51,7 @@
         platform: Platform,
         link: PeerLink,
         membership: Membership,
-        source: SetSource,
+        source: SetSource | None = None,
         contacts: Contacts | None = None,
         options: DisseminationOptions | None = None,
         seed: int | None = None,
@@ -71,7 +72,7 @@
         self._relay = ConfigRelay(
             identity,
             platform=platform,
-            source=source,
+            source=source or PlatformSetSource(platform),
             membership=membership,
             options=options,
             post_up=self.post,
@@ -131,7 +132,7 @@
                 self._freshness.prove(message.proof, self._holder.version)
             case Proven():
                 self._freshness.prove(message.proof, self._holder.version)
-            case LoadProblem():
+            case UnusableHead():
                 self._load_problem = message.detail
             case PeerMessage():
                 self._handle_peer(message, now)
--- a/tests/daemon/config_common.py
+++ b/tests/daemon/config_common.py
@@ -2,20 +2,25 @@
 
 from collections.abc import Iterator, Mapping
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass, field
-
-from damaskbay.config.document import Document
+from dataclasses import dataclass
+
+from damaskbay.config.const import HEAD_KEY
+from damaskbay.config.head import HeadRecord, read_record
+from damaskbay.config.publishing import (
+    Publication,
+    Published,
+    Publisher,
+    new_publish_id,
+)
 from damaskbay.core.dissemination.options import DisseminationOptions
-from damaskbay.daemon.config_messages import Head, SetInvalid, SourceUnavailable
 from damaskbay.daemon.config_service import ConfigService
 from damaskbay.ports.fleet import MemberView, ServerState, ServerView
 from damaskbay.ports.peer import PeerAddress, PeerIdentity
-from damaskbay.ports.platform import Entry, PlatformFailure
+from damaskbay.ports.platform import Entry
 from damaskbay.stand_ins.memory_platform import MemoryPlatform
 from tests.config.common import document
 from tests.daemon.fake_link import FakeLink, Switchboard
 
-HEAD_KEY = "test/head"
 OPTIONS = DisseminationOptions(
     poll_period_s=0.05,
     watch_s=0.05,
@@ -29,51 +34,40 @@
 )
 
 
-@dataclass
-class TestSets:
-    """Accepted documents by version, behind a head in the platform."""
-
-    __test__ = False
-    platform: MemoryPlatform
-    document_by_version: dict[int, Document] = field(default_factory=dict)
-
-    def publish(self, version: int, *, rate: int = 100, broken: bool = False) -> None:
-        """Accept a new set; a broken one has a head and nothing behind it."""
-        if not broken:
-            accepted = document(workspaces__north__rate_per_s=rate)
-            self.document_by_version[version] = accepted
-        current = self.platform.get(HEAD_KEY, timeout_s=1)
-        revision = current.revision if isinstance(current, Entry) else 0
-        self.platform.compare_and_swap(
-            HEAD_KEY, str(version).encode(), expected_revision=revision, timeout_s=1
-        )
-
-
-@dataclass
-class TestSource:
-    """Implements SetSource for one daemon."""
-
-    __test__ = False
-    sets: TestSets
-    platform: MemoryPlatform
-
-    def watch(
-        self, *, after_revision: int, timeout_s: float
-    ) -> Head | SourceUnavailable | None:
-        """Wait for a newer head."""
-        entry = self.platform.watch(
-            HEAD_KEY, after_revision=after_revision, timeout_s=timeout_s
+class Operator:
+    """Publishes small sets in the platform."""
+
+    def __init__(self, platform: MemoryPlatform) -> None:
+        self._platform = platform
+        self._publisher = Publisher(platform)
+        self.version = 0
+
+    def publish(self) -> int:
+        """Publish the next set; return its version."""
+        accepted = document(workspaces__north__rate_per_s=self.version + 1)
+        publication = Publication(accepted, "test", self.version, new_publish_id())
+        result = self._publisher.publish(publication)
+        assert isinstance(result, Published), result
+        self.version = result.record.version
+        return self.version
+
+    def write_broken_head(self, *, version: int) -> None:
+        """Put a head there whose parts are missing."""
+        entry = self._platform.get(HEAD_KEY, timeout_s=1)
+        assert isinstance(entry, Entry)
+        record = read_record(entry)
+        assert isinstance(record, HeadRecord)
+        changes = {"version": version, "packs": ("0" * 64,), "delta": None}
+        broken = record.model_copy(update={**changes, "digest": "1" * 64})
+        self.write_head(broken.to_bytes())
+
+    def write_head(self, value: bytes) -> None:
+        """Put any bytes where the head is."""
+        entry = self._platform.get(HEAD_KEY, timeout_s=1)
+        assert isinstance(entry, Entry)
+        self._platform.compare_and_swap(
+            HEAD_KEY, value, expected_revision=entry.revision, timeout_s=1
         )
-        if isinstance(entry, PlatformFailure):
-            return SourceUnavailable()
-        return None if entry is None else Head(entry.revision, int(entry.value), "")
-
-    def load(
-        self, head: Head, held: Document | None, *, timeout_s: float
-    ) -> Document | SourceUnavailable | SetInvalid:
-        """Return the set of a head."""
-        found = self.sets.document_by_version.get(head.version)
-        return found or SetInvalid("a part is missing")
 
 
 @dataclass
@@ -117,7 +111,7 @@
 
     def __init__(self, stack: ExitStack, counts: dict[str, int]) -> None:
         self.platform = MemoryPlatform()
-        self.sets = TestSets(self.platform)
+        self.operator = Operator(self.platform)
         self.board = Switchboard()
         self.services_by_instance: dict[str, ConfigService] = {}
         self.members_by_domain = {
@@ -181,7 +175,6 @@
             link=FakeLink(self.board, member.address, identity),
             membership=members,
             contacts=members,
-            source=TestSource(self.sets, platform),
             options=OPTIONS,
             seed=len(self.services_by_instance),
         )
--- a/tests/daemon/test_config_service.py
+++ b/tests/daemon/test_config_service.py
@@ -4,19 +4,18 @@
 from functools import partial
 from typing import Any
 
-from damaskbay.config.document import Document
 from damaskbay.core.dissemination.messages import Push, Status
 from damaskbay.core.dissemination.order import LEADER_PURPOSE, rank
 from damaskbay.daemon.config_messages import Loaded, PeerAnswer
 from damaskbay.daemon.config_relay import ConfigRelay
 from damaskbay.daemon.config_service import ConfigService
+from damaskbay.daemon.config_source import PlatformSetSource
 from damaskbay.ports.peer import PeerIdentity
 from tests.common import function_suite
 from tests.daemon.config_common import (
     OPTIONS,
     FixedMembers,
     Fleet,
-    TestSource,
     fleet,
 )
 from tests.daemon.test_membership import wait_until
@@ -45,8 +44,8 @@
     """Each accepted set reaches all daemons; few of them watch the platform."""
     with fleet(east=8, west=5) as running:
         running.start()
-        for version in (1, 2, 5):
-            running.sets.publish(version, rate=version)
+        for _ in range(3):
+            version = running.operator.publish()
             wait_until(partial(_in_force, running, version))
         by_client = running.platform.counters.by_client
         watching = {name for name, calls in by_client.items() if name and calls}
@@ -62,9 +61,9 @@
         running.start()
         for link in running.board.link_by_address.values():
             link.register(Push, lambda *_: None)
-        running.sets.publish(1)
+        running.operator.publish()
         wait_until(lambda: running.versions() == {1})
-        running.sets.publish(2, rate=3)
+        running.operator.publish()
         wait_until(lambda: running.versions() == {2})
 
 
@@ -75,9 +74,9 @@
         heard: list[int] = []
         service = running.services_by_instance["east-0"]
         service.subscribe(lambda config: heard.append(config.version))
-        running.sets.publish(1)
+        running.operator.publish()
         wait_until(lambda: heard == [1])
-        running.sets.publish(2, rate=5)
+        running.operator.publish()
         wait_until(lambda: heard == [1, 2])
 
 
@@ -85,14 +84,14 @@
     """A relay that ends without a word only delays the next set."""
     with fleet(east=6) as running:
         running.start()
-        running.sets.publish(1)
+        running.operator.publish()
         wait_until(lambda: running.versions() == {1})
         lost = _relays(running, "east")[0]
         service = running.services_by_instance.pop(lost)
         service._relay._lease.release = lambda: None  # type: ignore[method-assign]
         service.__exit__(None, None, None)
         running.leave(lost)
-        running.sets.publish(2, rate=2)
+        running.operator.publish()
         wait_until(lambda: running.versions() == {2})
         wait_until(
             lambda: (
@@ -112,13 +111,13 @@
         now = 100.0
         platform = running.platform.client("east-0")
 
-        class PausedSource(TestSource):
+        class PausedSource(PlatformSetSource):
             """Pauses for long while a set is read."""
 
-            def load(self, *_: Any, **__: Any) -> Document:
+            def load(self, *arguments: Any, **named: Any) -> Any:
                 nonlocal now
                 now += pause_s
-                return running.sets.document_by_version[1]
+                return super().load(*arguments, **named)
 
         def post_up(item: object) -> bool:
             posted.append(item)
@@ -127,13 +126,13 @@
         relay = ConfigRelay(
             PeerIdentity("east-0", 1, "east"),
             platform=platform,
-            source=PausedSource(running.sets, platform),
+            source=PausedSource(platform),
             membership=FixedMembers("east", running.members_by_domain),
             options=OPTIONS,
             post_up=post_up,
             clock=lambda: now,
         )
-        running.sets.publish(1)
+        running.operator.publish()
         pause_s = OPTIONS.lease_s
         relay.tick(now)
         assert not posted
@@ -172,13 +171,13 @@
     """All domains agree that nobody reaches the platform, until one does."""
     with fleet(east=4, west=3) as running:
         running.start()
-        running.sets.publish(1)
+        running.operator.publish()
         wait_until(lambda: running.versions() == {1})
         running.platform.inject(outage=True)
         services = list(running.services_by_instance.values())
         wait_until(lambda: all(_outage_for_all(item) for item in services))
         running.platform.inject(outage=False)
-        running.sets.publish(2, rate=9)
+        running.operator.publish()
         wait_until(lambda: running.versions() == {2})
         wait_until(lambda: not any(_outage_for_all(item) for item in services))
 
@@ -187,21 +186,21 @@
     """A daemon that starts while the platform is away asks its peers."""
     with fleet(east=5) as running:
         running.start("east-0", "east-1", "east-2", "east-3")
-        running.sets.publish(3)
-        wait_until(lambda: running.versions() == {3})
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {1})
         running.platform.inject(outage=True)
         running.start("east-4")
-        wait_until(lambda: running.versions() == {3})
+        wait_until(lambda: running.versions() == {1})
 
 
 def test_cut_off_domain_knows_that_it_may_be_behind() -> None:
     """A domain that is cut off keeps its set, unproven, and no outage for all."""
     with fleet(east=3, west=3) as running:
         running.start()
-        running.sets.publish(1)
+        running.operator.publish()
         wait_until(lambda: running.versions() == {1})
         running.cut("west")
-        running.sets.publish(2, rate=4)
+        running.operator.publish()
         wait_until(lambda: running.versions("east") == {2})
         west = running.services_by_instance["west-0"]
         wait_until(lambda: _proof_age_s(west) > 3 * OPTIONS.outage_after_s)
@@ -216,11 +215,11 @@
     """A domain that only lost the platform gets sets and proofs by the others."""
     with fleet(east=3, west=3) as running:
         running.start()
-        running.sets.publish(1)
+        running.operator.publish()
         wait_until(lambda: running.versions() == {1})
         names = frozenset(item.instance for item in running.members_by_domain["west"])
         running.platform.inject(cut_clients=names)
-        running.sets.publish(2, rate=4)
+        running.operator.publish()
         wait_until(lambda: running.versions() == {2})
         west = running.services_by_instance["west-2"]
         start = west.clock()
@@ -231,9 +230,9 @@
     """A head without its set is reported; the last good set stays and is newest."""
     with fleet(east=3) as running:
         running.start()
-        running.sets.publish(1)
+        running.operator.publish()
         wait_until(lambda: running.versions() == {1})
-        running.sets.publish(2, broken=True)
+        running.operator.write_broken_head(version=2)
         services = running.services_by_instance.values()
         wait_until(lambda: any(item.report().problem for item in services))
         start = next(iter(services)).clock()
@@ -243,8 +242,22 @@
             )
         )
         assert running.versions() == {1}
-        running.sets.publish(3, rate=8)
-        wait_until(lambda: running.versions() == {3})
+        running.operator.write_head(b"half")
+        west = next(iter(services))
+        wait_until(lambda: _proof_age_s(west) > 3 * OPTIONS.outage_after_s)
+        assert running.versions() == {1}
+
+
+def test_broken_head_that_skips_versions_proves_nothing() -> None:
+    """What may have been accepted in between is not known, so nothing is proven."""
+    with fleet(east=2) as running:
+        running.start()
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {1})
+        running.operator.write_broken_head(version=3)
+        service = running.services_by_instance["east-0"]
+        wait_until(lambda: _proof_age_s(service) > 3 * OPTIONS.outage_after_s)
+        assert running.versions() == {1}
 
 
 def load_tests(*_: object) -> unittest.TestSuite:
