--- a/damaskbay/cli/const.py
+++ b/damaskbay/cli/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-COMMANDS: Final[tuple[str, ...]] = ("status", "explain", "backend")
+COMMANDS: Final[tuple[str, ...]] = ("daemon", "status", "explain", "backend")
 """Modules of damaskbay.cli, one per sub-command, in the order of the help."""
 
 EXIT_OK: Final = 0
