Tell a slow server from a crowded one before cutting its limit

Cause: the limit was cut whenever latency rose. A server slowed by something else lost slots for nothing and got them back late; at the start the first samples were only the quick calls, so that the baseline was too low. Change: windows count all calls that end. Latency that rose by more than the calls at once explain becomes the baseline, and a cut that did not help is undone. A cut that helped leaves a ceiling that is tried again slowly.

--- a/bench/virtual_time.py
+++ b/bench/virtual_time.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 WORK_SHAPE = 4.0
+CROWDED_POWER = 1.5
 
 
 class Events:
@@ -44,8 +45,8 @@
     """
     A backend server: work takes as long as drawn, times its slowness.
 
-    Work gets slower once more than `knee` requests run, so that running more
-    brings nothing.
+    Work gets slower once more than `knee` requests run, by so much that running
+    more brings less.
     """
 
     def __init__(
@@ -78,7 +79,7 @@
     def work(self, job: Job, then: Callable[..., None], *args: Any) -> None:
         """Work for a drawn time, then go on unless the job was cancelled."""
         drawn_s = self._rng.gammavariate(WORK_SHAPE, self._mean_s / WORK_SHAPE)
-        crowded = max(1.0, self.running / self._knee)
+        crowded = max(1.0, self.running / self._knee) ** CROWDED_POWER
         self._events.after(
             drawn_s * self.slowness * crowded, self._go_on, job, then, args
         )
--- a/damaskbay/core/admission/limit.py
+++ b/damaskbay/core/admission/limit.py
@@ -1,20 +1,25 @@
 """Concurrency limits of a backend server, learned from its latency."""
 
 from dataclasses import dataclass
-from math import sqrt
 from typing import Protocol
 
 from damaskbay.core.admission.const import (
-    CUT_HELPED_SHARE,
-    CUT_LARGEST_SHARE,
+    CROWDED_POWER,
+    CUT_LEAST_SHARE,
+    CUT_MOST_SHARE,
     FAILED_CUT_SHARE,
     FAILED_SHARE,
     LATENCY_DRIFT_SHARE,
+    LATENCY_FALL_SHARE,
     LATENCY_TOLERANCE,
     LIMIT_LOWEST,
+    LIMIT_PROBE_SHARE,
+    LIMIT_RAISE_SHARE,
     LIMIT_START_SHARE,
     LIMIT_WINDOW_S,
     LIMIT_WINDOW_SAMPLES,
+    SAME_RUNNING_SHARE,
+    SLOW_WINDOWS,
 )
 
 
@@ -74,30 +79,40 @@
 
 @dataclass(slots=True)
 class _Window:
-    """Samples of calls that all started under the present limit."""
+    """
+    Samples of calls that ended since a time.
+
+    All that end are counted, whenever they started: those that both started and
+    ended within a short time would only be the quick ones.
+    """
 
     since: float
     count: int = 0
     failed: int = 0
     total_s: float = 0.0
+    total_running: int = 0
     most_running: int = 0
 
-    def add(self, sample: Sample, running: int, now: float) -> None:
-        if now - sample.latency_s < self.since:
-            return
+    def add(self, sample: Sample, running: int) -> None:
         self.count += 1
         self.failed += 0 if sample.succeeded else 1
         self.total_s += sample.own_s
+        self.total_running += running
         self.most_running = max(self.most_running, running)
 
-    def complete(self, now: float) -> bool:
-        enough = self.count >= LIMIT_WINDOW_SAMPLES
-        return enough and now - self.since >= LIMIT_WINDOW_S
+    def complete(self, now: float, limit: float) -> bool:
+        if self.count < max(LIMIT_WINDOW_SAMPLES, int(limit)):
+            return False
+        return now - self.since >= max(LIMIT_WINDOW_S, 2.0 * self.mean_s)
 
     @property
     def mean_s(self) -> float:
         return self.total_s / self.count
 
+    @property
+    def mean_running(self) -> float:
+        return self.total_running / self.count
+
     @property
     def fails(self) -> bool:
         return self.failed > FAILED_SHARE * self.count
@@ -122,13 +137,16 @@
 
     def observe(self, sample: Sample, running: int, now: float) -> None:
         """Learn from a call that has ended; `running` counted it."""
-        if sample.cancelled:
+        if sample.cancelled or now < self._window.since:
             return
-        self._window.add(sample, running, now)
-        if self._window.complete(now):
-            window = self._window
-            self._window = _Window(now)
-            self._learn(window)
+        self._window.add(sample, running)
+        if not self._window.complete(now, self._limit):
+            return
+        window = self._window
+        before = self._limit
+        self._learn(window)
+        settled_s = 0.0 if self._limit == before else window.mean_s
+        self._window = _Window(now + settled_s)
 
     def _learn(self, window: _Window) -> None:
         raise NotImplementedError
@@ -142,59 +160,102 @@
 
 class GradientLimit(_LearnedLimit):
     """
-    Cuts by how far latency stands above its baseline, and undoes useless cuts.
+    Cuts by how far latency stands above its baseline at fewer calls at once.
 
-    A cut after which latency stays where it was did not help: the server is slow
-    for another reason, so the limit goes back and the baseline moves.
+    Latency that rose by more than the calls at once can explain has another
+    cause, which a cut would not mend: it becomes the baseline. So does latency
+    that a cut did not bring down by half of what it should, and the cut is undone.
     """
 
     def __init__(self, slots: int, now: float) -> None:
         super().__init__(slots, now)
         self._baseline_s = 0.0
+        self._baseline_running = 1.0
+        self._ceiling = float(slots)
         self._cut_from = 0.0
         self._cut_at_s = 0.0
         self._slow_start = True
+        self._slow_windows = 0
 
     def _learn(self, window: _Window) -> None:
         mean_s = window.mean_s
         if not self._baseline_s:
-            self._baseline_s = mean_s
+            self._rebase(window)
         slow = mean_s > LATENCY_TOLERANCE * self._baseline_s
+        self._slow_windows = self._slow_windows + 1 if slow else 0
         if window.fails:
             self._slow_start = False
             self._set(self._limit * FAILED_CUT_SHARE)
-        elif slow and self._cut_from and mean_s > CUT_HELPED_SHARE * self._cut_at_s:
-            self._undo(mean_s)
-        elif slow:
-            self._cut(mean_s)
-        else:
-            self._cut_from = 0.0
+        elif not slow:
+            self._accept_cut()
             self._raise(window)
-        self._follow(mean_s)
+        elif not self._explained(window) or not self._helped(mean_s):
+            self._set(max(self._limit, self._cut_from))
+            self._rebase(window)
+        elif self._slow_windows >= SLOW_WINDOWS:
+            self._cut(mean_s)
+        self._follow(window)
+
+    def _explained(self, window: _Window) -> bool:
+        """Tell whether more calls at once can be why latency has risen."""
+        crowded = max(1.0, window.mean_running / self._baseline_running)
+        rise = float(crowded**CROWDED_POWER)
+        return window.mean_s <= LATENCY_TOLERANCE * rise * self._baseline_s
+
+    def _helped(self, mean_s: float) -> bool:
+        """Tell whether the last cut, if there was one, brought latency down."""
+        if not self._cut_from:
+            return True
+        expected = self._limit / self._cut_from
+        return mean_s < (1.0 + expected) / 2.0 * self._cut_at_s
 
     def _cut(self, mean_s: float) -> None:
         self._slow_start = False
         self._cut_from = self._limit
         self._cut_at_s = mean_s
         share = LATENCY_TOLERANCE * self._baseline_s / mean_s
-        self._set(self._limit * max(CUT_LARGEST_SHARE, share))
+        self._set(self._limit * min(CUT_LEAST_SHARE, max(CUT_MOST_SHARE, share)))
 
-    def _undo(self, mean_s: float) -> None:
-        self._set(self._cut_from)
-        self._baseline_s = mean_s
+    def _rebase(self, window: _Window) -> None:
+        self._baseline_s = window.mean_s
+        self._baseline_running = max(1.0, window.mean_running)
         self._cut_from = 0.0
 
     def _raise(self, window: _Window) -> None:
         if not self._used(window):
             return
-        step = self._limit if self._slow_start else max(1.0, sqrt(self._limit))
-        self._set(self._limit + step)
+        if self._slow_start:
+            self._set(2.0 * self._limit)
+            return
+        room = max(0.0, self._ceiling - self._limit)
+        self._ceiling = min(
+            self._slots, self._ceiling + self._slots * LIMIT_PROBE_SHARE
+        )
+        self._set(
+            self._limit + LIMIT_RAISE_SHARE * room + LIMIT_PROBE_SHARE * self._slots
+        )
+
+    def _accept_cut(self) -> None:
+        """Stay below where a cut has helped, but for slow attempts."""
+        if self._cut_from:
+            self._ceiling = (self._limit + self._cut_from) / 2.0
+            self._cut_from = 0.0
 
-    def _follow(self, mean_s: float) -> None:
-        if mean_s < self._baseline_s:
-            self._baseline_s = (self._baseline_s + mean_s) / 2
+    def _follow(self, window: _Window) -> None:
+        """
+        Move the baseline towards lower latency fast, towards higher slowly.
+
+        Latency at clearly more calls at once does not count as a higher baseline.
+        """
+        running = max(1.0, window.mean_running)
+        if window.mean_s < self._baseline_s:
+            gain = LATENCY_FALL_SHARE
+        elif running <= SAME_RUNNING_SHARE * self._baseline_running:
+            gain = LATENCY_DRIFT_SHARE
         else:
-            self._baseline_s += LATENCY_DRIFT_SHARE * (mean_s - self._baseline_s)
+            return
+        self._baseline_s += gain * (window.mean_s - self._baseline_s)
+        self._baseline_running += gain * (running - self._baseline_running)
 
 
 class AimdLimit(_LearnedLimit):
