Add the operators' sub-commands: check, publish, show, diff, history, keys, platform

Cause: operators drive the system only by publishing sets. Tests for what was found by taking mechanisms out: removal of an old value that is needed again, a head that names another set's values, idle connections after a time-out. Conclusion: nothing is merged or overwritten silently; a secret is printed once.

--- a/damaskbay/adapters/platform_http/connections.py
+++ b/damaskbay/adapters/platform_http/connections.py
@@ -51,6 +51,11 @@
         self._clock = clock
         self._idle: deque[tuple[float, HTTPConnection]] = deque()
 
+    @property
+    def idle_count(self) -> int:
+        """Return how many connections wait for a call."""
+        return len(self._idle)
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
@@ -71,7 +76,7 @@
             if isinstance(error, TimeoutError):
                 self.close()
             raise
-        if reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        if reusable and self.idle_count < MAX_IDLE_CONNECTIONS:
             self._idle.append((self._clock(), connection))
         else:
             connection.close()
--- a/damaskbay/cli/const.py
+++ b/damaskbay/cli/const.py
@@ -2,7 +2,19 @@
 
 from typing import Final
 
-COMMANDS: Final[tuple[str, ...]] = ("daemon", "status", "explain", "backend")
+COMMANDS: Final[tuple[str, ...]] = (
+    "daemon",
+    "check",
+    "publish",
+    "show",
+    "diff",
+    "history",
+    "keys",
+    "status",
+    "explain",
+    "backend",
+    "platform",
+)
 """Modules of damaskbay.cli, one per sub-command, in the order of the help."""
 
 EXIT_OK: Final = 0
--- /dev/null
+++ b/damaskbay/cli/keys.py
@@ -0,0 +1,107 @@
+"""`damaskbay keys`: grant and withdraw callers' keys."""
+
+import argparse
+import hashlib
+import json
+import secrets
+import sys
+from typing import Any
+
+from damaskbay.cli.const import EXIT_INVALID, EXIT_OK, EXIT_UNKNOWN
+from damaskbay.cli.documents import print_problems
+from damaskbay.cli.platform_option import (
+    Stop,
+    add_platform_option,
+    open_platform,
+    read_record,
+    read_set,
+    stoppable,
+)
+from damaskbay.cli.publishing import EXIT_CODES, add_author_option, publish
+from damaskbay.config.document import Document
+from damaskbay.config.objects import Kind
+from damaskbay.config.override import Override, apply_overrides
+from damaskbay.config.publishing import Publication, new_publish_id
+from damaskbay.config.store import ConfigStore
+from damaskbay.ports.platform import Platform
+
+SECRET_BYTES = 32
+
+
+def add_parser(commands: Any) -> None:
+    """Add the sub-command with its own two."""
+    parser = commands.add_parser(
+        "keys",
+        help="grant or withdraw a caller's key",
+        description="Grant or withdraw a caller's key by publishing the changed set.",
+    )
+    actions = parser.add_subparsers(dest="action", metavar="ACTION", required=True)
+    new = actions.add_parser(
+        "new",
+        help="make a key and publish its digest",
+        description="Make a key. Its secret is printed once and kept nowhere.",
+        epilog=f"example: damaskbay keys new site-7 --workspace north; {EXIT_CODES}",
+    )
+    new.add_argument("--workspace", required=True)
+    new.add_argument("--expires-at", type=float, help="seconds since 1970 UTC")
+    new.set_defaults(run=stoppable("keys", run_new))
+    withdraw = actions.add_parser(
+        "withdraw",
+        help="withdraw a key",
+        description="Take a key out of the set.",
+        epilog=f"example: damaskbay keys withdraw site-7; {EXIT_CODES}",
+    )
+    withdraw.set_defaults(run=stoppable("keys", run_withdraw))
+    for action in (new, withdraw):
+        action.add_argument("name", help="the key's name in the set")
+        add_author_option(action)
+        add_platform_option(action)
+        action.add_argument("--json", action="store_true")
+
+
+def run_new(options: argparse.Namespace) -> int:
+    """Publish the digest of a new key and print its secret."""
+    secret = secrets.token_urlsafe(SECRET_BYTES)
+    digest = hashlib.sha256(secret.encode()).hexdigest()
+    settings = [f"digest={json.dumps(digest)}"]
+    settings.append(f"workspace={json.dumps(options.workspace)}")
+    if options.expires_at is not None:
+        settings.append(f"expires_at={options.expires_at}")
+    with open_platform(options) as platform:
+        if _exists(platform, options.name):
+            message = f"there is a key {options.name!r}: choose another name"
+            raise Stop(message, EXIT_INVALID)
+        code = _publish(options, platform, tuple(settings))
+    if code in {EXIT_OK, EXIT_UNKNOWN}:
+        where = sys.stderr if options.json else sys.stdout
+        print(f"Secret of {options.name}, shown only here: {secret}", file=where)
+    return code
+
+
+def run_withdraw(options: argparse.Namespace) -> int:
+    """Publish the set without the key."""
+    with open_platform(options) as platform:
+        return _publish(options, platform, ())
+
+
+def _exists(platform: Platform, name: str) -> bool:
+    store = ConfigStore(platform)
+    return name in read_set(store, read_record(store, None)).keys_by_name
+
+
+def _publish(
+    options: argparse.Namespace, platform: Platform, settings: tuple[str, ...]
+) -> int:
+    store = ConfigStore(platform)
+    record = read_record(store, None)
+    base = read_set(store, record)
+    place = f"{Kind.KEYS.value}/{options.name}"
+    result = apply_overrides(base, [Override(place, settings)])
+    if not isinstance(result, Document):
+        print_problems(result, as_json=options.json)
+        raise Stop("nothing was published", EXIT_INVALID)
+    version = 0 if record is None else record.version
+    publication = Publication(
+        result, options.author, version, new_publish_id(), base=base
+    )
+    return publish(platform, publication, as_json=options.json)
--- /dev/null
+++ b/damaskbay/cli/platform.py
@@ -0,0 +1,49 @@
+"""`damaskbay platform`: serve the stand-in for the platform."""
+
+import argparse
+import signal
+import threading
+from typing import Any
+
+from damaskbay.cli.const import EXIT_FAILED, EXIT_OK
+from damaskbay.cli.platform_option import Stop, stoppable
+from damaskbay.stand_ins.platform import DEFAULT_THREADS, PlatformServer
+
+
+def add_parser(commands: Any) -> None:
+    """Add the sub-command."""
+    parser = commands.add_parser(
+        "platform",
+        help="serve a stand-in for the platform's key-value service",
+        description=(
+            "Serve the stand-in until SIGTERM. It keeps everything in memory. Its "
+            "faults are read and set at /v1/faults, its calls counted at /v1/counters."
+        ),
+        epilog="example: damaskbay platform --port 7400",
+    )
+    parser.add_argument("--host", default="127.0.0.1", help="IP number")
+    parser.add_argument("--port", type=int, default=0, help="default: any free one")
+    parser.add_argument(
+        "--threads",
+        type=int,
+        default=DEFAULT_THREADS,
+        help="calls at once, waiting watches among them",
+    )
+    parser.set_defaults(run=stoppable("platform", run))
+
+
+def run(options: argparse.Namespace) -> int:
+    """Serve until a signal."""
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    try:
+        server = PlatformServer(
+            host=options.host, port=options.port, threads=options.threads
+        )
+    except OSError as error:
+        raise Stop(f"can't listen: {error}", EXIT_FAILED) from error
+    with server:
+        print(f"platform: listens on {server.host}:{server.port}.", flush=True)
+        stop.wait()
+    return EXIT_OK
--- /dev/null
+++ b/damaskbay/cli/platform_option.py
@@ -0,0 +1,105 @@
+"""The option that names the platform, and reading sets from it."""
+
+import argparse
+import os
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from damaskbay.adapters.platform_http.client import HttpPlatform
+from damaskbay.cli.const import EXIT_FAILED, EXIT_INVALID, EXIT_UNAVAILABLE
+from damaskbay.cli.operator_client import parse_address
+from damaskbay.config.document import EMPTY, Document
+from damaskbay.config.exceptions import LoadFailure, LoadProblem
+from damaskbay.config.head import HeadRecord
+from damaskbay.config.store import ConfigStore, Head
+from damaskbay.ports.peer import PeerAddress
+
+ENVIRONMENT_VARIABLE = "DAMASKBAY_PLATFORM"
+CLIENT_NAME = "damaskbay-cli"
+
+Run = Callable[[argparse.Namespace], int]
+
+
+class Stop(Exception):  # noqa: N818
+    """Ends a sub-command with a message and an exit code."""
+
+    def __init__(self, message: str, exit_code: int) -> None:
+        super().__init__(message)
+        self.exit_code = exit_code
+
+
+def add_platform_option(parser: argparse.ArgumentParser) -> None:
+    """Add `--platform`."""
+    parser.add_argument(
+        "--platform",
+        metavar="HOST:PORT",
+        type=_address,
+        default=os.environ.get(ENVIRONMENT_VARIABLE),
+        help=f"the platform's address (default: ${ENVIRONMENT_VARIABLE})",
+    )
+
+
+@contextmanager
+def open_platform(options: argparse.Namespace) -> Iterator[HttpPlatform]:
+    """Yield a client of the platform that the options name."""
+    address: PeerAddress | None = options.platform
+    if address is None:
+        message = f"give --platform HOST:PORT or set ${ENVIRONMENT_VARIABLE}"
+        raise Stop(message, EXIT_UNAVAILABLE)
+    with HttpPlatform(address.host, address.port, name=CLIENT_NAME) as platform:
+        yield platform
+
+
+def stoppable(name: str, run: Run) -> Run:
+    """Return the sub-command so that a Stop prints its message and ends it."""
+
+    def guarded(options: argparse.Namespace) -> int:
+        try:
+            return run(options)
+        except Stop as stop:
+            print(f"{name}: {stop}", file=sys.stderr)
+            return stop.exit_code
+
+    return guarded
+
+
+def read_record(store: ConfigStore, version: int | None) -> HeadRecord | None:
+    """Return the record of a version (None: the one in force), None without any."""
+    if version == 0:
+        return None
+    if version is None:
+        head = store.read_head()
+        if isinstance(head, LoadFailure):
+            raise _stop(head)
+        return head.record if isinstance(head, Head) else None
+    record = store.read_version(version)
+    if isinstance(record, LoadFailure):
+        raise _stop(record)
+    if record is None:
+        raise Stop(f"there is no version {version}, or no longer", EXIT_FAILED)
+    return record
+
+
+def read_set(store: ConfigStore, record: HeadRecord | None) -> Document:
+    """Return the set of a record; without a record the empty set."""
+    if record is None:
+        return EMPTY
+    document = store.load(record)
+    if isinstance(document, LoadFailure):
+        raise _stop(document)
+    return document
+
+
+def _stop(failure: LoadFailure) -> Stop:
+    code = EXIT_INVALID
+    if failure.problem is LoadProblem.UNAVAILABLE:
+        code = EXIT_UNAVAILABLE
+    return Stop(f"{failure.problem.value}: {failure.detail}", code)
+
+
+def _address(text: str) -> PeerAddress:
+    address = parse_address(text)
+    if address is None:
+        raise argparse.ArgumentTypeError(f"{text!r} is not HOST:PORT")
+    return address
--- /dev/null
+++ b/damaskbay/cli/publish.py
@@ -0,0 +1,120 @@
+"""`damaskbay publish`: put a set, or changes of single objects, in force."""
+
+import argparse
+from typing import Any
+
+from damaskbay.cli.const import EXIT_INVALID, EXIT_USAGE
+from damaskbay.cli.documents import print_problems, read_file
+from damaskbay.cli.platform_option import (
+    Stop,
+    add_platform_option,
+    open_platform,
+    read_record,
+    read_set,
+    stoppable,
+)
+from damaskbay.cli.publishing import EXIT_CODES, add_author_option, publish
+from damaskbay.config.document import Document
+from damaskbay.config.override import Override, apply_overrides
+from damaskbay.config.publishing import Publication, new_publish_id
+from damaskbay.config.store import ConfigStore
+from damaskbay.ports.platform import Platform
+
+
+def add_parser(commands: Any) -> None:
+    """Add the sub-command."""
+    parser = commands.add_parser(
+        "publish",
+        help="publish a configuration set or change single objects",
+        description=(
+            "Publish a whole set from a file on top of the version that it is based "
+            "on, or override single objects of the set in force. The whole result is "
+            "checked; racing publishers never overwrite each other."
+        ),
+        epilog=(
+            "examples: damaskbay publish set.json --expect-version 0; "
+            "damaskbay publish --override routes/lookup deadline_s=2 retries=1; "
+            f"damaskbay publish --remove limits/old; {EXIT_CODES}"
+        ),
+    )
+    parser.add_argument("file", nargs="?", help='JSON file, "-" for standard input')
+    parser.add_argument(
+        "--override",
+        nargs="+",
+        action="append",
+        default=[],
+        metavar=("KIND/NAME", "FIELD=VALUE"),
+        help="set fields of one object; may be given several times",
+    )
+    parser.add_argument("--remove", action="append", default=[], metavar="KIND/NAME")
+    parser.add_argument(
+        "--expect-version",
+        type=int,
+        help="the version to follow (default: the file's based_on_version, else 0; "
+        "for overrides the one in force)",
+    )
+    parser.add_argument("--publish-id", help="settle an earlier unknown outcome")
+    add_author_option(parser)
+    add_platform_option(parser)
+    parser.add_argument("--json", action="store_true")
+    parser.set_defaults(run=stoppable("publish", run))
+
+
+def run(options: argparse.Namespace) -> int:
+    """Publish the file or the overrides."""
+    overrides = _overrides(options)
+    if (options.file is None) == (not overrides):
+        raise Stop("name a file, or --override and --remove", EXIT_USAGE)
+    with open_platform(options) as platform:
+        if overrides:
+            publication = _from_overrides(options, overrides, platform)
+        else:
+            publication = _from_file(options)
+        return publish(platform, publication, as_json=options.json)
+
+
+def _overrides(options: argparse.Namespace) -> list[Override]:
+    overrides = [Override(place) for place in options.remove]
+    for place, *settings in options.override:
+        if not settings:
+            raise Stop(f"--override {place}: give FIELD=VALUE", EXIT_USAGE)
+        overrides.append(Override(place, tuple(settings)))
+    return overrides
+
+
+def _from_file(options: argparse.Namespace) -> Publication:
+    read = read_file(options.file, as_json=options.json)
+    expected = options.expect_version
+    if expected is None:
+        expected = read.based_on_version or 0
+    return _publication(options, read.document, expected)
+
+
+def _from_overrides(
+    options: argparse.Namespace, overrides: list[Override], platform: Platform
+) -> Publication:
+    store = ConfigStore(platform)
+    record = read_record(store, options.expect_version)
+    base = read_set(store, record)
+    result = apply_overrides(base, overrides)
+    if not isinstance(result, Document):
+        print_problems(result, as_json=options.json)
+        raise Stop(f"{len(result)} faults in the resulting set", EXIT_INVALID)
+    version = 0 if record is None else record.version
+    return _publication(options, result, version, base)
+
+
+def _publication(
+    options: argparse.Namespace,
+    document: Document,
+    expected: int,
+    base: Document | None = None,
+) -> Publication:
+    return Publication(
+        document,
+        options.author,
+        expected,
+        options.publish_id or new_publish_id(),
+        again=options.publish_id is not None,
+        base=base,
+    )
--- a/damaskbay/config/check.py
+++ b/damaskbay/config/check.py
@@ -10,7 +10,7 @@
 from damaskbay.config.document import Change, Document, dict_of, make_document
 from damaskbay.config.exceptions import Problem, Problems
 from damaskbay.config.objects import Key, Kind, Pool, Priority, Route
-from damaskbay.config.parsing import ObjectsByKind, read_shape
+from damaskbay.config.parsing import ObjectsByKind, Shape, read_shape
 
 _ROUTE_KINDS = frozenset({Kind.ROUTES, Kind.PRIORITIES, Kind.LIMITS, Kind.POOLS})
 
@@ -22,7 +22,18 @@
     An object with a fault of shape still counts as named, so that one fault does
     not bring further ones.
     """
+    return read_checked_with_base(data)[0]
+
+
+def read_checked_with_base(
+    data: bytes | dict[str, Any],
+) -> tuple[Document | Problems, int | None]:
+    """Do as `read_checked`; return the version that the document is based on too."""
     shape = read_shape(data)
+    return _finish(shape), shape.based_on_version
+
+
+def _finish(shape: Shape) -> Document | Problems:
     problems = list(shape.problems)
     names = {
         kind: by_name.keys() | shape.broken[kind]
--- a/damaskbay/config/models.py
+++ b/damaskbay/config/models.py
@@ -132,6 +132,9 @@
     model_config = ConfigDict(title="damaskbay configuration set")
 
     format: int = Field(default=const.DOCUMENT_FORMAT, ge=1, le=const.DOCUMENT_FORMAT)
+    based_on_version: int | None = Field(
+        default=None, ge=0, description="The version that this set was made from."
+    )
     workspaces: dict[Name, WorkspaceModel] = {}
     keys: dict[Name, KeyModel] = {}
     priorities: dict[Name, PriorityModel] = {}
--- /dev/null
+++ b/damaskbay/config/override.py
@@ -0,0 +1,80 @@
+"""Changes of single objects, named as operators name them."""
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from damaskbay.config.canonical import to_plain
+from damaskbay.config.check import check_changed
+from damaskbay.config.document import Change, Document, change_document
+from damaskbay.config.exceptions import Problem, Problems
+from damaskbay.config.objects import Kind
+from damaskbay.config.parsing import read_object
+
+
+@dataclass(frozen=True, slots=True)
+class Override:
+    """
+    Fields to set on one object, each as FIELD=VALUE; without any it is removed.
+
+    `place` is KIND/NAME. A value is JSON where it reads as JSON, else text;
+    an empty value takes the field away, so that its default holds. An object
+    that does not exist yet is made.
+    """
+
+    place: str
+    settings: tuple[str, ...] = ()
+
+
+def apply_overrides(
+    document: Document, overrides: Sequence[Override]
+) -> Document | Problems:
+    """Return the whole checked set after the overrides, or every fault of it."""
+    changes: list[Change] = []
+    problems: list[Problem] = []
+    changed = document
+    for override in overrides:
+        change = _change(changed, override)
+        if isinstance(change, Change):
+            changes.append(change)
+            changed = change_document(changed, [change])
+        else:
+            problems.extend(change)
+    if problems:
+        return tuple(problems)
+    return check_changed(document, changed, changes) or changed
+
+
+def _change(document: Document, override: Override) -> Change | Problems:
+    kind_name, _, name = override.place.partition("/")
+    try:
+        kind = Kind(kind_name)
+    except ValueError:
+        known = ", ".join(kind.value for kind in Kind)
+        what = f"{kind_name!r} is no kind of object"
+        return (Problem("", override.place, "", what, f"Use one of {known}."),)
+    existing = document.objects(kind).get(name)
+    if not override.settings:
+        if existing is None:
+            what = "there is no such object to remove"
+            return (Problem(kind_name, name, "", what, "Correct the name."),)
+        return Change(kind, name, None)
+    plain = {} if existing is None else to_plain(existing)
+    for setting in override.settings:
+        field, equals, text = setting.partition("=")
+        if not equals:
+            what = f"{setting!r} is not FIELD=VALUE"
+            return (Problem(kind_name, name, "", what, "Write FIELD=VALUE."),)
+        plain.pop(field, None)
+        if text:
+            plain[field] = _value(text)
+    item = read_object(kind, name, plain)
+    return item if isinstance(item, tuple) else Change(kind, name, item)
+
+
+def _value(text: str) -> Any:
+    try:
+        return json.loads(text)
+    except (ValueError, RecursionError):
+        return text
--- a/damaskbay/config/parsing.py
+++ b/damaskbay/config/parsing.py
@@ -17,6 +17,7 @@
 
 _NAME = TypeAdapter(Name)
 _FORMAT_FIELD = "format"
+_BASE_FIELD = "based_on_version"
 _MENDS_BY_ERROR = {
     "missing": "Add the field.",
     "extra_forbidden": "Remove the field or correct its name.",
@@ -25,13 +26,18 @@
 
 @dataclass(slots=True)
 class Shape:
-    """What could be read, with its problems. Broken objects are only named."""
+    """
+    What could be read, with its problems. Broken objects are only named.
+
+    `based_on_version` is what the document says that it was made from.
+    """
 
     objects: ObjectsByKind = field(default_factory=lambda: {kind: {} for kind in Kind})
     broken: dict[Kind, set[str]] = field(
         default_factory=lambda: {kind: set() for kind in Kind}
     )
     problems: list[Problem] = field(default_factory=list)
+    based_on_version: int | None = None
 
 
 def read_shape(data: bytes | dict[str, Any]) -> Shape:
@@ -103,6 +109,13 @@
             what = f"the format {_short(section)} is not known"
             shape.problems.append(_whole(what, f"Write {DOCUMENT_FORMAT}."))
         return
+    if name == _BASE_FIELD:
+        if type(section) is not int or section < 0:
+            what = f"{_BASE_FIELD} is {_short(section)}, not a version"
+            shape.problems.append(_whole(what, "Write a number, or remove it."))
+        else:
+            shape.based_on_version = section
+        return
     try:
         kind = Kind(name)
     except ValueError:
--- a/damaskbay/config/publishing.py
+++ b/damaskbay/config/publishing.py
@@ -75,7 +75,8 @@
     """
     What one operator publishes, on top of which version (0: on nothing).
 
-    `again` tells that this publish id may have been sent before.
+    `again` tells that this publish id may have been sent before. `base` is the
+    set of the expected version where it is at hand, which spares reading it.
     """
 
     document: Document
@@ -83,6 +84,7 @@
     expected_version: int
     publish_id: str
     again: bool = False
+    base: Document | None = None
 
 
 def new_publish_id() -> str:
@@ -204,7 +206,9 @@
 
     def _make_record(self, publication: Publication, head: Head | None) -> HeadRecord:
         document = publication.document
-        before = EMPTY if head is None else self._store.load(head.record)
+        before: Document | LoadFailure | None = EMPTY
+        if head is not None:
+            before = self._store.load(head.record, publication.base)
         delta = None
         if isinstance(before, Document):
             made = make_delta(before, document)
--- a/tests/adapters/test_platform_http.py
+++ b/tests/adapters/test_platform_http.py
@@ -12,7 +12,9 @@
 from hypothesis import given, settings, strategies as st
 
 from damaskbay.adapters.platform_http.client import HttpPlatform
+from damaskbay.adapters.platform_http.connections import Connections, RawCall
 from damaskbay.const import MAX_PLATFORM_VALUE_BYTES
+from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.platform import (
     Conflict,
     Entry,
@@ -213,6 +215,27 @@
         assert platform.get("a", timeout_s=TIMEOUT_S) == Entry("a", b"x", 4)
 
 
+def test_a_timeout_gives_up_every_idle_connection() -> None:
+    """What went silent on one path may have lost track of the others too."""
+    with PlatformServer() as server, ThreadPoolExecutor(1) as pool:
+        connections = Connections(HOST, server.port, monotonic_s)
+        watch = RawCall("GET", "/v1/watch?key=a&timeout_s=0.1", {})
+        get = RawCall("GET", "/v1/entry?key=a", {})
+        waiting = pool.submit(connections.call, watch, monotonic_s() + TIMEOUT_S)
+        while server.platform.counters.waiting == 0:
+            time.sleep(0.001)
+        connections.call(get, monotonic_s() + TIMEOUT_S)
+        waiting.result()
+        assert connections.idle_count == 2
+        server.platform.inject(delay_s=0.2)
+        try:
+            connections.call(get, monotonic_s() + 0.02)
+        except TimeoutError:
+            assert connections.idle_count == 0
+        else:
+            raise AssertionError("an answer came in time")
+
+
 def test_an_answer_that_is_not_whole_is_no_answer() -> None:
     """Cut short, without a revision, or an error that does not say `no effect`."""
     for answer in (
--- a/tests/config/test_publishing.py
+++ b/tests/config/test_publishing.py
@@ -139,15 +139,16 @@
 
 
 class _HeadFaults(MemoryPlatform):
-    """Runs a step right after a swap of the head took effect, and loses its answer."""
+    """Runs a step right after a swap of the head took effect; may lose its answer."""
 
     after_swap: Any = None
+    lose_answer = True
 
     def compare_and_swap(self, key: str, value: bytes, **options: Any) -> Any:
         if key != HEAD_KEY or self.after_swap is None:
             return super().compare_and_swap(key, value, **options)
         step, self.after_swap = self.after_swap, None
-        self.inject(lose_answers=1)
+        self.inject(lose_answers=int(self.lose_answer))
         result = super().compare_and_swap(key, value, **options)
         step()
         return result
@@ -237,6 +238,30 @@
     assert _load(platform) in contents
 
 
+def test_an_old_value_is_not_removed_once_it_is_needed_again() -> None:
+    """Another publisher takes up an old set between a swap and its removal."""
+    platform = _HeadFaults()
+    for number in range(HISTORY_VERSIONS + 2):
+        _publish(platform, _version(number), number)
+    newest = HISTORY_VERSIONS + 2
+    platform.lose_answer = False
+    platform.after_swap = lambda: _publish(platform, _version(0), newest + 1)
+    assert isinstance(_publish(platform, _version(400), newest), Published)
+    assert _head(platform).record.version == newest + 2
+    assert _load(platform) == _version(0)
+
+
+def test_a_head_whose_values_are_another_set_gives_none() -> None:
+    """The digest of the whole set counts, not of its values alone."""
+    platform = MemoryPlatform()
+    _publish(platform, _version(0), 0)
+    record = _head(platform).record
+    other = record.model_copy(update={"digest": digest("other")})
+    result = ConfigStore(platform).load(other)
+    assert isinstance(result, LoadFailure)
+    assert result.problem is LoadProblem.DAMAGED_PART
+
+
 def _damage(platform: MemoryPlatform, key: str, value: bytes | None) -> None:
     entry = platform.get(key, timeout_s=TIMEOUT_S)
     assert isinstance(entry, Entry)
