Keep connections to the platform alive where there is no entry

Cause: waitress closes the connection of each 204, so that a client that asked for an absent entry opened a new connection every time. Change: the answer is a 404 with a header that marks it, so that a wrong address is not taken for an absent entry. The test of the removal of an old value now takes up the very value that is about to go.

--- a/damaskbay/adapters/platform_http/client.py
+++ b/damaskbay/adapters/platform_http/client.py
@@ -164,7 +164,7 @@
     """Return the entry; `problem` is what an unknown answer means for this call."""
     if isinstance(answer, PlatformFailure):
         return answer
-    if answer.status == const.STATUS_NOTHING:
+    if _is_absent(answer):
         return None
     if answer.status != const.STATUS_OK:
         return _failure_of(answer, problem)
@@ -174,6 +174,11 @@
     return Entry(key, answer.body, revision)
 
 
+def _is_absent(answer: RawAnswer) -> bool:
+    marked = const.HEADER_ABSENT.lower() in answer.headers
+    return marked and answer.status == const.STATUS_NOTHING
+
+
 def _conflict_of(key: str, answer: RawAnswer) -> Conflict | PlatformFailure:
     if answer.status != const.STATUS_CONFLICT:
         return _failure_of(answer, PlatformProblem.ANSWER_LOST)
--- a/damaskbay/adapters/platform_http/const.py
+++ b/damaskbay/adapters/platform_http/const.py
@@ -15,11 +15,14 @@
 
 HEADER_REVISION: Final = "Platform-Revision"
 HEADER_CLIENT: Final = "Platform-Client"
+HEADER_ABSENT: Final = "Platform-Absent"
+"""Set where there is no entry, or none newer: any other 404 is a wrong address."""
+
 HEADER_NO_EFFECT: Final = "Platform-No-Effect"
 """Set on an error answer where the call surely had no effect."""
 
 STATUS_OK: Final = 200
-STATUS_NOTHING: Final = 204
+STATUS_NOTHING: Final = 404
 STATUS_CONFLICT: Final = 409
 STATUS_TOO_LARGE: Final = 413
 STATUS_BUSY: Final = 429
--- a/damaskbay/stand_ins/platform.py
+++ b/damaskbay/stand_ins/platform.py
@@ -135,9 +135,7 @@
     ) -> Iterable[bytes]:
         reply = _answer(platform, environ)
         length = len(reply.body) + (_MISSING_BYTES if reply.cut_short else 0)
-        headers = [*reply.headers.items()]
-        if reply.status != const.STATUS_NOTHING:
-            headers.append(("Content-Length", str(length)))
+        headers = [*reply.headers.items(), ("Content-Length", str(length))]
         phrase = HTTPStatus(reply.status).phrase
         start_response(f"{reply.status} {phrase}", headers)
         return [reply.body]
@@ -239,11 +237,13 @@
 
 def _reply(result: Entry | Conflict | PlatformFailure | None) -> _Reply:
     if result is None:
-        return _Reply(const.STATUS_NOTHING)
+        return _Reply(const.STATUS_NOTHING, {const.HEADER_ABSENT: "1"})
     if isinstance(result, Entry):
         headers = {const.HEADER_REVISION: str(result.revision)}
         return _Reply(const.STATUS_OK, headers, result.value)
     if isinstance(result, Conflict):
+        if result.current is None:
+            return _Reply(const.STATUS_CONFLICT)
         current = _reply(result.current)
         return _Reply(const.STATUS_CONFLICT, current.headers, current.body)
     status = _STATUS_BY_PROBLEM.get(result.problem)
--- a/tests/adapters/test_platform_http.py
+++ b/tests/adapters/test_platform_http.py
@@ -243,6 +243,7 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
         b"HTTP/1.1 200 OK\r\nPlatform-Revision: -4\r\nContent-Length: 0\r\n\r\n",
         b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n",
         b"",
     ):
         with _scripted([answer, answer]) as platform:
@@ -253,7 +254,7 @@
 
 
 _PIECES = st.sampled_from(
-    [b"HTTP/1.1 ", b"200 ", b"204 ", b"409 ", b"\r\n", b"\r\n\r\n", b"Content-Length: ",
+    [b"HTTP/1.1 ", b"200 ", b"404 ", b"409 ", b"\r\n", b"\r\n\r\n", b"Content-Length: ",
      b"Platform-Revision: ", b"Transfer-Encoding: chunked\r\n", b"5", b"-1", b"zz"]
 )  # fmt: skip
 
--- a/tests/config/test_publishing.py
+++ b/tests/config/test_publishing.py
@@ -245,10 +245,10 @@
         _publish(platform, _version(number), number)
     newest = HISTORY_VERSIONS + 2
     platform.lose_answer = False
-    platform.after_swap = lambda: _publish(platform, _version(0), newest + 1)
+    platform.after_swap = lambda: _publish(platform, _version(1), newest + 1)
     assert isinstance(_publish(platform, _version(400), newest), Published)
     assert _head(platform).record.version == newest + 2
-    assert _load(platform) == _version(0)
+    assert _load(platform) == _version(1)
 
 
 def test_a_head_whose_values_are_another_set_gives_none() -> None:
