Let contacts lapse and speak for all domains only where they are known

Cause: a failure domain that is no more stayed a contact for ever, so that no outage was one for all; a domain that never learned of others took a cut for an outage. Change: contacts have a lease of 10 minutes, and a newer reading replaces the older one whole; without any reading no outage is claimed. The failure tests of the configuration service have a module of their own.

--- a/damaskbay/core/membership/contacts.py
+++ b/damaskbay/core/membership/contacts.py
@@ -19,8 +19,8 @@
     """
     Where to reach one daemon of a failure domain.
 
-    A domain has a few, one in each `slot`; of one slot the higher `revision`, that
-    of the platform's entry, is the newer one.
+    A domain has a few, one in each `slot`. `revision` is that of the platform's
+    entry.
     """
 
     failure_domain: str
@@ -29,52 +29,59 @@
     address: PeerAddress
     gossip: PeerAddress
 
+    @property
+    def place(self) -> tuple[str, int]:
+        """Return what no two contacts have in common."""
+        return (self.failure_domain, self.slot)
+
 
 _Values = tuple[str, int, int, str, int, str, int]
 _LIST_ADAPTER: TypeAdapter[list[_Values]] = TypeAdapter(list[_Values])
 
 
 class ContactBook:
-    """The newest contact of each slot of each failure domain."""
+    """
+    The newest reading of all contacts.
 
-    def __init__(self, own_domain: str) -> None:
-        self._own_domain = own_domain
-        self._by_slot: dict[tuple[str, int], Contact] = {}
-        self._digest = b""
+    `addresses_by_domain` is empty while nothing was ever read.
+    """
+
+    def __init__(self) -> None:
         self.addresses_by_domain: dict[str, tuple[PeerAddress, ...]] = {}
+        self._contacts: tuple[Contact, ...] = ()
+        self._digest = b""
 
-    def merge(self, contacts: Iterable[Contact]) -> None:
-        """Take the newer ones."""
-        changed = False
-        for contact in contacts:
-            place = (contact.failure_domain, contact.slot)
-            known = self._by_slot.get(place)
-            if known is None and len(self._by_slot) >= MAX_CONTACTS:
-                continue
-            if known is None or contact.revision > known.revision:
-                self._by_slot[place] = contact
-                changed = True
-        if changed:
-            self._refresh()
+    def take(self, contacts: Iterable[Contact]) -> None:
+        """
+        Take a whole reading if it is newer than the one at hand.
+
+        The one with the highest revision is newer: the platform counts up with
+        each write of any contact, and each is written again and again.
+        """
+        reading = tuple(sorted(contacts, key=lambda item: item.place))
+        if _newest(reading) <= _newest(self._contacts):
+            return
+        self._contacts = reading
+        packed = pack_contacts(reading)
+        self._digest = hashlib.blake2b(packed, digest_size=DIGEST_BYTES).digest()
+        by_domain: dict[str, list[PeerAddress]] = {}
+        for contact in reading:
+            by_domain.setdefault(contact.failure_domain, []).append(contact.address)
+        self.addresses_by_domain = {
+            domain: tuple(addresses) for domain, addresses in by_domain.items()
+        }
 
     def all(self) -> tuple[Contact, ...]:
         """Return all contacts in a fixed order."""
-        return tuple(self._by_slot[place] for place in sorted(self._by_slot))
+        return self._contacts
 
     def digest(self) -> bytes:
-        """Return what tells two books apart."""
+        """Return what tells two readings apart."""
         return self._digest
 
-    def _refresh(self) -> None:
-        packed = pack_contacts(self.all())
-        self._digest = hashlib.blake2b(packed, digest_size=DIGEST_BYTES).digest()
-        by_domain: dict[str, list[PeerAddress]] = {}
-        for contact in self.all():
-            if contact.failure_domain != self._own_domain:
-                by_domain.setdefault(contact.failure_domain, []).append(contact.address)
-        self.addresses_by_domain = {
-            domain: tuple(addresses) for domain, addresses in by_domain.items()
-        }
+
+def _newest(contacts: Iterable[Contact]) -> int:
+    return max((contact.revision for contact in contacts), default=0)
 
 
 def pack_contacts(contacts: Iterable[Contact]) -> bytes:
--- a/damaskbay/core/membership/exchange.py
+++ b/damaskbay/core/membership/exchange.py
@@ -170,6 +170,7 @@
         return [
             self._question(domain, addresses, ())
             for domain, addresses in by_domain.items()
+            if domain != self._own.failure_domain
         ]
 
     def _ask_delegate(self, now: float) -> list[Question]:
--- a/damaskbay/core/membership/options.py
+++ b/damaskbay/core/membership/options.py
@@ -15,9 +15,10 @@
     probes `retransmit_factor` times the binary logarithm of the members.
 
     `delegates` daemons of a failure domain speak for it. They keep their addresses
-    in the platform every `contact_period_s`, ask the others every
-    `summary_period_s` and tell changes at once to who asked in the last
-    `subscription_s`. A domain that is silent for `domain_lost_s` is left out.
+    in the platform under `contact_lease_s`, read all of them every
+    `contact_period_s`, ask the other domains every `summary_period_s` and tell
+    changes at once to who asked in the last `subscription_s`. A domain that is
+    silent for `domain_lost_s` is left out.
     """
 
     probe_period_s: float = 1.0
@@ -37,6 +38,8 @@
     tombstone_s: float = 3_600.0
     delegates: int = 3
     contact_period_s: float = 20.0
+    contact_renew_s: float = 180.0
+    contact_lease_s: float = 600.0
     summary_period_s: float = 4.0
     subscription_s: float = 15.0
     domain_lost_s: float = 30.0
--- a/damaskbay/daemon/config_messages.py
+++ b/damaskbay/daemon/config_messages.py
@@ -52,10 +52,10 @@
 
 
 class Contacts(Protocol):
-    """Knows daemons of other failure domains. Safe from any thread."""
+    """Knows a few daemons of each failure domain. Safe from any thread."""
 
     def contacts_by_domain(self) -> Mapping[str, tuple[PeerAddress, ...]]:
-        """Return peer addresses by each other failure domain."""
+        """Return peer addresses, the own domain's too; empty while unknown."""
         ...
 
 
--- a/damaskbay/daemon/config_polling.py
+++ b/damaskbay/daemon/config_polling.py
@@ -33,7 +33,7 @@
         self,
         identity: PeerIdentity,
         order: FleetOrder,
-        contacts: Contacts | None,
+        contacts: Contacts,
         options: DisseminationOptions,
         rng: Random,
     ) -> None:
@@ -57,11 +57,13 @@
         targets = [] if member is None else [_target(member)]
         return targets + (self._in_other_domains() if ask_domains else [])
 
-    def domains(self) -> tuple[str, ...]:
-        """Return the other failure domains that are known."""
-        if self._contacts is None:
-            return ()
-        return tuple(self._contacts.contacts_by_domain())
+    def domains(self) -> tuple[str, ...] | None:
+        """Return the other failure domains, None while it is unknown which."""
+        by_domain = self._contacts.contacts_by_domain()
+        if not by_domain:
+            return None
+        own = self._identity.failure_domain
+        return tuple(domain for domain in by_domain if domain != own)
 
     def failed(self, address: PeerAddress) -> None:
         """Take note that a daemon did not answer."""
@@ -98,13 +100,11 @@
         return self._rng.choice(others) if others else None
 
     def _in_other_domains(self) -> list[PollTarget]:
-        if self._contacts is None:
-            return []
         by_domain = self._contacts.contacts_by_domain()
         return [
             PollTarget(addresses[self._turn % len(addresses)], domain)
             for domain, addresses in by_domain.items()
-            if addresses
+            if addresses and domain != self._identity.failure_domain
         ]
 
 
--- a/damaskbay/daemon/config_service.py
+++ b/damaskbay/daemon/config_service.py
@@ -52,7 +52,7 @@
         link: PeerLink,
         membership: Membership,
         source: SetSource | None = None,
-        contacts: Contacts | None = None,
+        contacts: Contacts,
         options: DisseminationOptions | None = None,
         seed: int | None = None,
         clock: Callable[[], float] = monotonic_s,
@@ -111,7 +111,7 @@
     def report(self) -> ConfigReport:
         """Return what `status` tells; safe from any thread."""
         now = self.clock()
-        domains = self._polling.domains()
+        domains = self._polling.domains() or ()
         holder, state = self._holder, self._state
         return ConfigReport(
             holder.version,
@@ -167,6 +167,8 @@
             return
         proven_at = self._freshness.proven_at
         domains = self._polling.domains()
+        if domains is None:
+            return
         if self._reach.outage_for_all(domains, now, proven_at=proven_at):
             self._freshness.note_outage(now)
 
--- a/damaskbay/daemon/membership.py
+++ b/damaskbay/daemon/membership.py
@@ -88,7 +88,7 @@
         self._swim = Swim(own, options, rng, self.clock())
         self._seeds = tuple(seeds)
         self._swim.set_seeds(self._seeds)
-        self._book = ContactBook(identity.failure_domain)
+        self._book = ContactBook()
         self._views = Views()
         self._was_displaced = False
         self._exchange = DomainExchange(
@@ -171,7 +171,7 @@
         return self._views.members
 
     def contacts_by_domain(self) -> Mapping[str, tuple[PeerAddress, ...]]:
-        """Return the addresses of a few daemons of each other failure domain."""
+        """Return a few daemons of each failure domain; empty while unknown."""
         return self._book.addresses_by_domain
 
     def announce(
@@ -233,10 +233,10 @@
         self._send(self._swim.suspect(failed.instance, failed.incarnation, now))
 
     def _take_contacts(self, message: ContactsRead) -> None:
-        self._book.merge(message.contacts)
+        self._book.take(message.contacts)
         own = (
             item.gossip
-            for item in message.contacts
+            for item in message.seeds
             if item.failure_domain == self.identity.failure_domain
         )
         self._swim.set_seeds((*self._seeds, *own))
@@ -294,7 +294,7 @@
             return
         self._swim.merge(entries, now)
         if message.contacts:
-            self._book.merge(unpack_contacts(message.contacts) or ())
+            self._book.take(unpack_contacts(message.contacts) or ())
 
     def _send(self, outgoing: Iterable[Outgoing]) -> None:
         for item in outgoing:
--- a/damaskbay/daemon/membership_contacts.py
+++ b/damaskbay/daemon/membership_contacts.py
@@ -30,7 +30,8 @@
     Reads all contacts and writes the own one, while this daemon is a delegate.
 
     A daemon that knows nobody reads them too, so that it can join. Contacts are
-    hints: nothing breaks where one is old, so they need no lease.
+    hints: nothing breaks where one is old. Their lease is long and lets those of a
+    failure domain go that is no more.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         self._rng = rng
         self._order = FleetOrder(own.instance, LEADER_PURPOSE, options.delegates)
         self._next_read = 0.0
+        self._next_renewal = 0.0
         self._was_leading = False
 
     def handle(self, message: Any, now: float) -> None:
@@ -70,8 +72,8 @@
         if contacts is None:
             self._next_read = now + 2 * _TICK_S
             return
-        written = self._write(contacts)
-        self._post_up(ContactsRead((*contacts, *written)))
+        known = self._with_own(contacts, now)
+        self._post_up(ContactsRead(known, seeds=contacts))
 
     def _read(self) -> tuple[Contact, ...] | None:
         found = self._platform.list(CONTACT_PREFIX, timeout_s=_TIMEOUT_S)
@@ -80,29 +82,33 @@
         contacts = (_contact_of(entry) for entry in found)
         return tuple(contact for contact in contacts if contact is not None)
 
-    def _write(self, contacts: tuple[Contact, ...]) -> tuple[Contact, ...]:
-        """Put the own contact in its slot where another stands there."""
+    def _with_own(
+        self, contacts: tuple[Contact, ...], now: float
+    ) -> tuple[Contact, ...]:
+        """Put the own contact in its slot where that is due."""
         domain = self._own.failure_domain
         leaders = [member.instance for member in self._order.leaders]
         slot = leaders.index(self._own.instance)
-        current = [
-            item
-            for item in contacts
-            if (item.failure_domain, item.slot) == (domain, slot)
-        ]
         own = Contact(domain, slot, 0, self._own.address, self._own.gossip)
-        if current and _same(current[0], own):
-            return ()
+        current = [item for item in contacts if item.place == own.place]
+        others = [item for item in contacts if item.place != own.place]
+        if current and _same(current[0], own) and now < self._next_renewal:
+            return contacts
+        written = self._write(own, current[0].revision if current else 0)
+        if written is None:
+            return contacts
+        self._next_renewal = now + self._options.contact_renew_s
+        return (*others, written)
+
+    def _write(self, own: Contact, revision: int) -> Contact | None:
         result = self._platform.compare_and_swap(
-            f"{CONTACT_PREFIX}{domain}/{slot}",
+            f"{CONTACT_PREFIX}{own.failure_domain}/{own.slot}",
             pack_contacts([own]),
-            expected_revision=current[0].revision if current else 0,
+            expected_revision=revision,
+            lease_s=self._options.contact_lease_s,
             timeout_s=_TIMEOUT_S,
         )
-        if not isinstance(result, Entry):
-            return ()
-        written = _contact_of(result)
-        return () if written is None else (written,)
+        return _contact_of(result) if isinstance(result, Entry) else None
 
 
 def _contact_of(entry: Entry) -> Contact | None:
--- a/damaskbay/daemon/membership_messages.py
+++ b/damaskbay/daemon/membership_messages.py
@@ -60,6 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ContactsRead:
-    """The contacts that stand in the platform."""
+    """The contacts that stand in the platform; `seeds` are those before a write."""
 
     contacts: tuple[Contact, ...]
+    seeds: tuple[Contact, ...]
--- /dev/null
+++ b/tests/daemon/test_config_faults.py
@@ -0,0 +1,129 @@
+"""Failures of the platform and of the links to it while sets are spread."""
+
+import unittest
+
+from damaskbay.daemon.config_service import ConfigService
+from tests.common import function_suite
+from tests.daemon.config_common import OPTIONS, fleet
+from tests.daemon.test_membership import wait_until
+
+
+def _outage_for_all(service: ConfigService) -> bool:
+    state = service.state()
+    return state is not None and state.outage_for_all
+
+
+def _proof_age_s(service: ConfigService) -> float:
+    state = service.state()
+    return float("inf") if state is None else service.clock() - state.proven_at
+
+
+def test_long_outage_is_seen_by_all_and_ends() -> None:
+    """All domains agree that nobody reaches the platform, until one does."""
+    with fleet(east=4, west=3) as running:
+        running.start()
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {1})
+        running.platform.inject(outage=True)
+        services = list(running.services_by_instance.values())
+        wait_until(lambda: all(_outage_for_all(item) for item in services))
+        running.platform.inject(outage=False)
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {2})
+        wait_until(lambda: not any(_outage_for_all(item) for item in services))
+
+
+def test_outage_is_not_guessed_where_other_domains_are_unknown() -> None:
+    """A domain that never learned of others does not speak for all."""
+    with fleet(east=1) as running:
+        running.contacts_known = False
+        running.start()
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {1})
+        running.platform.inject(outage=True)
+        east = running.services_by_instance["east-0"]
+        wait_until(lambda: _proof_age_s(east) > 3 * OPTIONS.outage_after_s)
+        assert not _outage_for_all(east)
+
+
+def test_fresh_daemon_in_an_outage_gets_the_set_of_its_peers() -> None:
+    """A daemon that starts while the platform is away asks its peers."""
+    with fleet(east=5) as running:
+        running.start("east-0", "east-1", "east-2", "east-3")
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {1})
+        running.platform.inject(outage=True)
+        running.start("east-4")
+        wait_until(lambda: running.versions() == {1})
+
+
+def test_cut_off_domain_knows_that_it_may_be_behind() -> None:
+    """A domain that is cut off keeps its set, unproven, and no outage for all."""
+    with fleet(east=3, west=3) as running:
+        running.start()
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {1})
+        running.cut("west")
+        running.operator.publish()
+        wait_until(lambda: running.versions("east") == {2})
+        west = running.services_by_instance["west-0"]
+        wait_until(lambda: _proof_age_s(west) > 3 * OPTIONS.outage_after_s)
+        assert running.versions("west") == {1}
+        assert not _outage_for_all(west)
+        running.heal()
+        wait_until(lambda: running.versions() == {2})
+        wait_until(lambda: _proof_age_s(west) < 1)
+
+
+def test_domain_without_the_platform_is_fed_by_others() -> None:
+    """A domain that only lost the platform gets sets and proofs by the others."""
+    with fleet(east=3, west=3) as running:
+        running.start()
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {1})
+        names = frozenset(item.instance for item in running.members_by_domain["west"])
+        running.platform.inject(cut_clients=names)
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {2})
+        west = running.services_by_instance["west-2"]
+        start = west.clock()
+        wait_until(lambda: west.clock() - _proof_age_s(west) > start + 1)
+
+
+def test_broken_head_keeps_the_last_good_set() -> None:
+    """A head without its set is reported; the last good set stays and is newest."""
+    with fleet(east=3) as running:
+        running.start()
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {1})
+        running.operator.write_broken_head(version=2)
+        services = running.services_by_instance.values()
+        wait_until(lambda: any(item.report().problem for item in services))
+        start = next(iter(services)).clock()
+        wait_until(
+            lambda: all(
+                item.clock() - _proof_age_s(item) > start + 0.5 for item in services
+            )
+        )
+        assert running.versions() == {1}
+        running.operator.write_head(b"half")
+        west = next(iter(services))
+        wait_until(lambda: _proof_age_s(west) > 3 * OPTIONS.outage_after_s)
+        assert running.versions() == {1}
+
+
+def test_broken_head_that_skips_versions_proves_nothing() -> None:
+    """What may have been accepted in between is not known, so nothing is proven."""
+    with fleet(east=2) as running:
+        running.start()
+        running.operator.publish()
+        wait_until(lambda: running.versions() == {1})
+        running.operator.write_broken_head(version=3)
+        service = running.services_by_instance["east-0"]
+        wait_until(lambda: _proof_age_s(service) > 3 * OPTIONS.outage_after_s)
+        assert running.versions() == {1}
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
