--- /dev/null
+++ b/tests/core/test_freshness.py
@@ -0,0 +1,41 @@
+"""Tests of core.freshness."""
+
+import unittest
+from dataclasses import replace
+
+from damaskbay.config.objects import WhenUnproven
+from damaskbay.core.freshness import may_serve
+from damaskbay.core.outcome import Reason
+from damaskbay.ports.fleet import ConfigState
+from tests.common import function_suite
+from tests.daemon.common import sample_config
+
+NOW = 1000.0
+CONFIG = sample_config()
+ROUTE = replace(CONFIG.routes_by_name["read"], unproven_after_s=5.0)
+
+
+def test_a_set_that_cannot_be_proven_refuses_after_the_routes_time() -> None:
+    """Up to the time the route is served, past it refused as not run."""
+    assert may_serve(ROUTE, ConfigState(CONFIG, NOW - 5.0), NOW) is None
+    refusal = may_serve(ROUTE, ConfigState(CONFIG, NOW - 5.1), NOW)
+    assert refusal is not None
+    assert refusal.not_run
+    assert refusal.reason is Reason.CONFIGURATION_UNPROVEN
+
+
+def test_an_outage_that_stops_all_publishing_refuses_nothing() -> None:
+    """Nobody can have withdrawn a key, so the old set is the newest."""
+    state = ConfigState(CONFIG, NOW - 3600.0, outage_for_all=True)
+    assert may_serve(ROUTE, state, NOW) is None
+
+
+def test_an_operator_may_choose_to_serve_on() -> None:
+    """The route's own choice goes first."""
+    route = replace(ROUTE, when_unproven=WhenUnproven.SERVE)
+    assert may_serve(route, ConfigState(CONFIG, NOW - 3600.0), NOW) is None
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
