--- a/damaskbay/stand_ins/backend.py
+++ b/damaskbay/stand_ins/backend.py
@@ -19,6 +19,8 @@
 HEADER_NESTED: Final = "X-Nested"
 HEADER_STATUS: Final = "X-Answer-Status"
 HEADER_BYTES: Final = "X-Answer-Bytes"
+SEEN_PATH: Final = "/.stand-in/seen"
+MAX_TOLD_BODY_BYTES: Final = 1000
 MAX_REMEMBERED: Final = 10_000
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -98,6 +100,8 @@
     def _application(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
+        if environ["PATH_INFO"] == SEEN_PATH:
+            return self._tell_seen(start_response)
         self._remember(environ)
         with self._slots:
             return self._work(environ, start_response)
@@ -151,6 +155,23 @@
         start_response(f"{status} Fixed", headers)
         return [] if environ["REQUEST_METHOD"] == "HEAD" else [body]
 
+    def _tell_seen(self, start_response: StartResponse) -> Iterable[bytes]:
+        with self._lock:
+            seen = list(self.state.seen)
+        body = json.dumps(
+            [
+                {
+                    "method": item.method,
+                    "target": item.target,
+                    "headers": item.headers,
+                    "body": item.body[:MAX_TOLD_BODY_BYTES].decode("latin-1"),
+                }
+                for item in seen
+            ]
+        ).encode()
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
     def _remember(self, environ: dict[str, Any]) -> None:
         body = environ["wsgi.input"].read()
         environ["wsgi.input"].seek(0)
--- /dev/null
+++ b/tests/end_to_end/__init__.py
@@ -0,0 +1,1 @@
+"""Tests over real processes on loopback."""
--- /dev/null
+++ b/tests/end_to_end/test_fleet.py
@@ -0,0 +1,144 @@
+"""What must hold, seen from outside a fleet of processes."""
+
+import json
+import threading
+import time
+import unittest
+from urllib.parse import quote
+
+from damaskbay.const import HEADER_CALL_ID
+from damaskbay.core.call import Answer
+from damaskbay.core.outcome import Reason, Refusal
+from damaskbay.helpers.keys import new_key_secret
+from damaskbay.stand_ins.backend import HEADER_BYTES, HEADER_NESTED, HEADER_WORK_MS
+from tests.common import function_suite
+from tests.end_to_end.common import POOLS, WAIT_S, running_fleet
+
+WITHDRAWN_WITHIN_S = 7.0
+SERVERS = tuple(f"{pool}-{domain}" for pool in POOLS for domain in ("a", "b"))
+
+
+def test_whole_answers_of_any_size() -> None:
+    """Bodies pass both ways unchanged, beside the daemon and over a stream."""
+    running = running_fleet()
+    for pool in POOLS:
+        for size in (1, 70_000, 2_000_000):
+            body = bytes(range(256)) * (size // 256) + b"x" * (size % 256)
+            answer = running.call(
+                "lookup-a",
+                f"/{pool}/echo",
+                method="POST",
+                headers=((HEADER_BYTES, "1"),),
+                body=body,
+            )
+            assert isinstance(answer, Answer), answer
+            assert answer.body == body
+
+
+def test_no_backend_server_sees_a_key() -> None:
+    """Wherever a caller puts its key, no backend server gets it, nested or not."""
+    running = running_fleet()
+    secret = running.secrets["fitters"]
+    other = new_key_secret()
+    outcomes = [
+        running.call(
+            "lookup-a",
+            f"/lookup/k?key={secret}&enc={quote(secret)}&other={other}&kept=1",
+            headers=(
+                ("Authorization", f"Bearer {secret}"),
+                ("Cookie", f"a={secret}"),
+                (HEADER_NESTED, "/ledger/k,/lookup/k"),
+            ),
+        ),
+        running.call("lookup-b", "/ledger/k", headers=(("X-Other", other),)),
+        running.call("ledger-a", f"/ledger/{secret}"),
+        running.call("ledger-a", "/ledger/b", method="POST", body=secret.encode()),
+    ]
+    assert isinstance(outcomes[0], Answer), outcomes[0]
+    assert isinstance(outcomes[1], Answer), outcomes[1]
+    assert isinstance(outcomes[2], Refusal)
+    assert isinstance(outcomes[3], Refusal)
+    text = json.dumps([running.seen(name) for name in SERVERS])
+    assert "kept=1" in text
+    for key in (secret, other, *running.secrets.values()):
+        assert key not in text
+        assert quote(key) not in text
+
+
+def test_a_repeat_runs_once_whichever_daemon_gets_it() -> None:
+    """The same id sent to all daemons at once and again afterwards runs once."""
+    running = running_fleet()
+    request_id = running.request_id("lookup-a")
+    target = "/ledger/file/once"
+    outcomes: list[Answer | Refusal] = []
+
+    def send(instance: str) -> None:
+        outcomes.append(
+            running.call(
+                instance,
+                target,
+                method="POST",
+                headers=((HEADER_WORK_MS, "100"),),
+                body=b"1",
+                request_id=request_id,
+            )
+        )
+
+    threads = [threading.Thread(target=send, args=(name,)) for name in SERVERS]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(WAIT_S)
+    for name in SERVERS:
+        send(name)
+    ran = [
+        item
+        for name in SERVERS
+        for item in running.seen(name)
+        if item["target"] == target
+    ]
+    assert len(ran) == 1
+    assert sum(isinstance(item, Answer) for item in outcomes) >= len(SERVERS)
+    assert all(isinstance(item, Answer) or not item.not_run for item in outcomes)
+
+
+def test_a_withdrawn_key_stops_on_an_open_connection() -> None:
+    """Within seconds of the publication, at each daemon, and only that key."""
+    running = running_fleet()
+    without = {**running.document, "keys": dict(running.document["keys"])}
+    del without["keys"]["wells-key"]
+    for name in SERVERS:
+        assert isinstance(running.call(name, "/ledger/w", workspace="wells"), Answer)
+    running.fleet.publish(without)
+    limit = time.monotonic() + WITHDRAWN_WITHIN_S
+    for name in SERVERS:
+        outcome = running.call(name, "/ledger/w", workspace="wells")
+        while isinstance(outcome, Answer) and time.monotonic() < limit:
+            time.sleep(0.05)
+            outcome = running.call(name, "/ledger/w", workspace="wells")
+        assert isinstance(outcome, Refusal)
+        assert outcome.reason is Reason.KEY_UNKNOWN
+        assert isinstance(running.call(name, "/ledger/w"), Answer)
+    running.fleet.publish(running.document)
+
+
+def test_operators_see_status_metrics_and_reasons() -> None:
+    """A call is explained by its id; metrics carry no label made up by callers."""
+    running = running_fleet()
+    answer = running.call("lookup-a", "/lookup/explained")
+    assert isinstance(answer, Answer)
+    call_id = dict(answer.headers)[HEADER_CALL_ID]
+    port = running.server("lookup-a").operator_port
+    explained = running.fleet.cli("explain", call_id, "--at", f"127.0.0.1:{port}")
+    assert explained.returncode == 0
+    assert "answered: 200" in explained.stdout
+    assert "route lookup-read" in explained.stdout
+    status = running.fleet.cli("status", f"127.0.0.1:{port}", "--json")
+    document = json.loads(status.stdout)
+    assert document["daemons"][0]["instance"] == "lookup-a"
+    assert document["daemons"][0]["ready"]
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
