--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -69,6 +69,7 @@
     daemon_settings: Mapping[str, Any] = field(default_factory=dict)
     servers_by_instance: dict[str, Server] = field(default_factory=dict)
     platform_port: int = 0
+    version: int = 0
     _stack: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
     _folder: Path = Path()
     _secret: str = ""
@@ -179,10 +180,13 @@
         path = self._folder / "set.json"
         path.write_text(json.dumps(document))
         done = self.cli(
-            "publish", str(path), "--platform", f"{HOST}:{self.platform_port}"
+            *("publish", str(path)),
+            *("--platform", f"{HOST}:{self.platform_port}"),
+            *("--expect-version", str(self.version)),
         )
         if done.returncode != 0:
             raise FleetError(f"publish failed: {done.stdout}{done.stderr}")
+        self.version += 1
 
     def get_json(self, server: Server, path: str) -> Any:
         """Ask a daemon's operator listener."""
