--- a/damaskbay/core/rates/holder.py
+++ b/damaskbay/core/rates/holder.py
@@ -10,7 +10,7 @@
     MILLIS,
     NEED_CHANGE,
 )
-from damaskbay.core.rates.demand import Demand, Spike
+from damaskbay.core.rates.demand import Demand
 from damaskbay.core.rates.holding import Claims, Proposal, Settled
 from damaskbay.core.rates.ledger import GroupLedger, LedgerDraft
 from damaskbay.core.rates.names import Total, newer, same_terms
@@ -26,39 +26,21 @@
 TotalOf = Callable[[str], Total | None]
 
 
-class _Followed:
-    """Rate and spikes of the requests for one bucket, over one length of time."""
-
-    def __init__(self, decay_s: float, now: float) -> None:
-        self.rate = Demand(decay_s, now)
-        self._spike = Spike(decay_s, now)
-
-    def add(self, count: int, drain_per_s: float, most: float, now: float) -> None:
-        """Count requests."""
-        self.rate.add(count, now)
-        self._spike.add(count, drain_per_s, most, now)
-
-    def need(self, total: Total, options: ShareOptions, now: float) -> Share:
-        """Return what serves the like again."""
-        rate, spike = self.rate.rate_per_s(now), self._spike.tokens(now)
-        return need_share(rate, spike, total, options)
-
-
 @dataclass(slots=True)
 class _Held:
     """
     One bucket at this holder.
 
     `total` is the newest known, `sized_for` the one that the confirmed share was
-    sized for.
+    sized for. A claim at `vain_revision` of the ledger would bring nothing.
     """
 
     bucket: HolderBucket
-    demand: "_Followed"
-    kept_demand: "_Followed"
+    demand: Demand
     total: Total | None = None
     sized_for: Total | None = None
     unmet_by_grant: dict[str, int] = field(default_factory=dict)
+    vain_revision: int = -1
 
     @property
     def unmet_tokens(self) -> int:
@@ -99,8 +81,12 @@
     def claimable(self, bucket: str) -> bool:
         """Tell whether tokens that were asked for in vain may be free."""
         held = self._held_by_bucket.get(bucket)
-        if held is None or not held.unmet_tokens or self.view.revision == 0:
-            return held is not None and held.unmet_tokens > 0
+        if held is None or not held.unmet_tokens:
+            return False
+        if self.view.revision == 0:
+            return True
+        if held.vain_revision == self.view.revision:
+            return False
         record = self.view.ledger.buckets_by_name.get(bucket)
         if record is None:
             return True
@@ -153,7 +139,6 @@
         drain_per_s = held.bucket.share.rate_millis / MILLIS
         most = held.total.burst_millis / MILLIS if held.total else requests
         held.demand.add(requests, drain_per_s, most, now)
-        held.kept_demand.add(requests, drain_per_s, most, now)
 
     def close(self, bucket: str, grant_id: str, unused: int, now: float) -> None:
         """Take unused tokens of a grant back."""
@@ -244,9 +229,9 @@
     def _held(self, bucket: str, now: float) -> _Held:
         held = self._held_by_bucket.get(bucket)
         if held is None:
-            demand = _Followed(self._options.demand_decay_s, now)
-            kept = _Followed(self._options.keep_decay_s, now)
-            held = _Held(HolderBucket(NO_SHARE, 0, now), demand, kept)
+            options = self._options
+            demand = Demand(options.demand_decay_s, options.keep_decay_s, now)
+            held = _Held(HolderBucket(NO_SHARE, 0, now), demand)
             self._held_by_bucket[bucket] = held
         return held
 
@@ -294,9 +279,10 @@
         assert record is not None
         sure = record.share_of(self.holder_id).within(self._sure_share(name))
         need = self._need(held, record.total, now)
-        target = target_share(
+        chosen = target_share(
             record, self.holder_id, need, silent=silent, options=self._options
         )
+        target = chosen.share
         outstanding = held.bucket.outstanding * MILLIS
         lowered = sure.within(
             Share(target.rate_millis, max(target.burst_millis, outstanding))
@@ -304,6 +290,7 @@
         if lowered != record.share_of(self.holder_id):
             self._lower(writing, name, held, lowered, now)
             writing.worth_it = True
+        brought = False
         missing = Share(
             max(0, target.rate_millis - lowered.rate_millis),
             max(0, target.burst_millis - lowered.burst_millis),
@@ -312,17 +299,22 @@
             moved, tokens = writing.draft.claim(name, self.holder_id, missing)
             writing.taken_by_bucket[name] = tokens
             writing.worth_it = writing.worth_it or moved != NO_SHARE
+            brought = brought or moved != NO_SHARE
+        held.vain_revision = -1 if brought else self.view.revision
         told = writing.draft.need_of(name, self.holder_id)
         writing.draft.set_need(name, self.holder_id, need.now)
-        if _differ(told, need.now):
+        if chosen.pressed and _differ(told, need.now):
             writing.worth_it = True
 
     def _need(self, held: _Held, total: Total, now: float) -> Need:
+        demand, options = held.demand, self._options
+        lately = (demand.rate_per_s(now), demand.spike_tokens(now))
+        kept = (demand.kept_rate_per_s(now), demand.kept_spike_tokens(now))
         return Need(
-            held.demand.need(total, self._options, now),
-            held.kept_demand.need(total, self._options, now),
+            need_share(*lately, total, options),
+            need_share(*kept, total, options),
             held.unmet_tokens,
-            used_lately=now - held.demand.rate.last_at < self._options.floor_idle_s,
+            used_lately=now - demand.last_at < options.floor_idle_s,
         )
 
     def _lower(
--- a/damaskbay/core/rates/node.py
+++ b/damaskbay/core/rates/node.py
@@ -1,10 +1,16 @@
 """The holders of all groups at one daemon: who is asked, what is written when."""
 
 import hashlib
+import random
 from collections.abc import Hashable, Iterable
 from dataclasses import dataclass, field
 
-from damaskbay.core.rates.const import BLOCK_MAX_S, BLOCK_MIN_S, CALL_RETRY_S
+from damaskbay.core.rates.const import (
+    BLOCK_MAX_S,
+    BLOCK_MIN_S,
+    CALL_RETRY_S,
+    CONFLICT_SPREAD_S,
+)
 from damaskbay.core.rates.holder import GroupHolder, TotalOf
 from damaskbay.core.rates.holding import Proposal
 from damaskbay.core.rates.ledger import GroupLedger
@@ -98,6 +104,8 @@
     not_before: float = float("-inf")
     polled_at: float = float("-inf")
     asked_at: float = float("-inf")
+    writes_left: float = 1.0
+    writes_at: float = float("-inf")
 
 
 @dataclass(slots=True)
@@ -119,9 +127,12 @@
     each call's result comes back through `call_done`.
     """
 
-    def __init__(self, holder_id: str, options: ShareOptions) -> None:
+    def __init__(
+        self, holder_id: str, options: ShareOptions, rng: random.Random
+    ) -> None:
         self._holder_id = holder_id
         self._options = options
+        self._rng = rng
         self._groups_by_number: dict[int, _Group] = {}
         self._roles: frozenset[int] = frozenset()
         self._pending: list[_Pending] = []
@@ -193,6 +204,7 @@
             call = self._call(number, group, total_of, now)
             if call is not None:
                 group.calling = True
+                group.writes_left -= isinstance(call, WriteLedger)
                 group.not_before = now + self._options.write_gap_s
                 calls.append(call)
         return calls
@@ -207,7 +219,8 @@
         if isinstance(result, Stands):
             group.holder.settle(result.ledger, result.revision, now)
             if proposal is not None:
-                group.not_before = now
+                group.writes_left += 1
+                group.not_before = now + self._rng.uniform(0, CONFLICT_SPREAD_S)
         elif isinstance(result, Wrote) and proposal is not None:
             group.holder.written(proposal, result.revision, now)
         elif isinstance(result, NoEffect) and proposal is not None:
@@ -240,9 +253,19 @@
         poll_due = now - group.polled_at >= self._options.poll_s
         if poll_due and holder.view.revision and not holder.any_claimable():
             return ReadLedger(number)
+        if not self._may_write(group, now):
+            return None
         proposal = holder.plan(total_of, now)
         return WriteLedger(number, proposal) if proposal else None
 
+    def _may_write(self, group: _Group, now: float) -> bool:
+        """Keep the platform's writes bounded however demand moves."""
+        refilled = (now - group.writes_at) / self._options.write_refill_s
+        group.writes_at = now
+        most = float(self._options.write_reserve)
+        group.writes_left = min(group.writes_left + refilled, most)
+        return group.writes_left >= 1
+
     def _has_stepped_down(self, number: int, group: _Group, now: float) -> bool:
         if number in self._roles:
             return False
--- a/damaskbay/core/rates/planner.py
+++ b/damaskbay/core/rates/planner.py
@@ -6,7 +6,10 @@
 
 from damaskbay.core.rates.bucket import NO_SHARE, Share
 from damaskbay.core.rates.const import (
+    IN_USE_S,
     MILLIS,
+    NEAR_ABOVE,
+    NEAR_BELOW,
     NEED_GRID,
     SHRINK_FACTOR,
     SILENT_RENEWALS,
@@ -43,10 +46,19 @@
     Rounded up to a coarse grid, so that small changes cost no write.
     """
     rate = _on_grid(rate_per_s * options.headroom * MILLIS)
-    burst = -(-_on_grid(spike_tokens * MILLIS) // MILLIS) * MILLIS
+    in_use = max(spike_tokens, rate_per_s * IN_USE_S)
+    burst = _whole(_on_grid(in_use * MILLIS), up=True)
     return Share(min(rate, total.rate_millis), min(burst, total.burst_millis))
 
 
+@dataclass(frozen=True, slots=True)
+class Target:
+    """The share to have next, and whether live holders lack rate or burst."""
+
+    share: Share
+    pressed: bool
+
+
 def target_share(
     record: BucketRecord,
     holder: str,
@@ -54,7 +66,7 @@
     *,
     silent: frozenset[str],
     options: ShareOptions,
-) -> Share:
+) -> Target:
     """
     Return the share that the holder should have next.
 
@@ -86,7 +98,8 @@
         keep=need.keep.burst_millis,
     )
     tokens = _whole(burst.target(holder, need.unmet_tokens * MILLIS))
-    return Share(rate.target(holder, 0), tokens)
+    pressed = rate.pressed() or burst.pressed()
+    return Target(Share(rate.target(holder, 0), tokens), pressed)
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,9 +117,10 @@
         """Return what the holder should have next."""
         available = min(self.free + sum(self.held_by_holder.values()), self.total)
         part = fair_parts(available, self.need_by_holder)[holder]
-        if self._pressed():
-            return part
         current = self.held_by_holder[holder]
+        if self.pressed():
+            near = part * NEAR_BELOW <= current <= part * NEAR_ABOVE
+            return current if near else part
         wanted = max(part, self.floor)
         if unmet:
             claimed = max(unmet, self.free // 2)
@@ -115,7 +129,7 @@
             return wanted
         return min(current, max(int(wanted * SHRINK_FACTOR), self.keep))
 
-    def _pressed(self) -> bool:
+    def pressed(self) -> bool:
         """Tell whether someone lacks what the free part cannot give."""
         lacking = (
             max(0, need - self.held_by_holder[holder])
--- a/damaskbay/core/rates/stock.py
+++ b/damaskbay/core/rates/stock.py
@@ -73,7 +73,7 @@
         for bucket in buckets:
             stocked = self._stocked(bucket, now)
             stocked.requests += 1
-            stocked.demand.add(1, now)
+            stocked.demand.add(1, 0.0, 1.0, now)
 
     def take(self, buckets: tuple[str, ...], now: float) -> Refusal | Missing | None:
         """
@@ -160,7 +160,7 @@
     def _stocked(self, bucket: str, now: float) -> _Stocked:
         stocked = self._stocked_by_bucket.get(bucket)
         if stocked is None:
-            stocked = _Stocked(Demand(STOCK_DECAY_S, now))
+            stocked = _Stocked(Demand(STOCK_DECAY_S, STOCK_DECAY_S, now))
             self._stocked_by_bucket[bucket] = stocked
         return stocked
 
--- a/damaskbay/core/rates/table.py
+++ b/damaskbay/core/rates/table.py
@@ -1,23 +1,27 @@
 """Which daemon of the own failure domain holds a group's shares."""
 
-from damaskbay.core.rates.const import HOLDER_AVOID_S
+from damaskbay.core.rates.const import AVOID_MAX_S, AVOID_MIN_S, TIMEOUTS_TO_AVOID
 from damaskbay.core.rates.node import rank
 from damaskbay.ports.fleet import MemberView
 
 
 class HolderTable:
     """
-    Picks the live daemon with the highest rank for each group.
+    Picks the live daemons with the highest ranks for each group.
 
-    Daemons may disagree for a while: each then holds a share of its own.
+    The daemons of a domain are spread over the group's holders. Daemons may
+    disagree about who is one for a while: each then holds a share of its own.
     """
 
-    def __init__(self, instance: str, groups: int) -> None:
+    def __init__(self, instance: str, groups: int, holders: int) -> None:
         self._instance = instance
         self._groups = groups
+        self._holders = holders
         self._members: tuple[MemberView, ...] = ()
         self._ranked_by_group: dict[int, tuple[MemberView, ...]] = {}
         self._avoided_by_instance: dict[str, float] = {}
+        self._avoid_s_by_instance: dict[str, float] = {}
+        self._timeouts_by_instance: dict[str, int] = {}
 
     def update(self, members: tuple[MemberView, ...]) -> bool:
         """Take the live daemons; tell whether they changed."""
@@ -27,13 +31,28 @@
         self._ranked_by_group = {}
         return True
 
+    def answered(self, instance: str) -> None:
+        """Take note of an answer."""
+        self._timeouts_by_instance.pop(instance, None)
+        self._avoid_s_by_instance.pop(instance, None)
+
+    def timed_out(self, instance: str, now: float) -> None:
+        """Take note that no answer came in time; once may be chance."""
+        timeouts = self._timeouts_by_instance.get(instance, 0) + 1
+        self._timeouts_by_instance[instance] = timeouts
+        if timeouts >= TIMEOUTS_TO_AVOID:
+            self.avoid(instance, now)
+
     def avoid(self, instance: str, now: float) -> None:
-        """Ask others for a while: this daemon did not answer."""
-        self._avoided_by_instance[instance] = now + HOLDER_AVOID_S
+        """Ask others for a while, longer each time: it cannot be reached."""
+        self._timeouts_by_instance.pop(instance, None)
+        avoid_s = self._avoid_s_by_instance.get(instance, AVOID_MIN_S)
+        self._avoid_s_by_instance[instance] = min(avoid_s * 2, AVOID_MAX_S)
+        self._avoided_by_instance[instance] = now + avoid_s
 
     def holder(self, group: int, now: float) -> MemberView | None:
         """Return the daemon to ask, or None for this one."""
-        for member in self._ranked(group):
+        for member in self._asked_in_order(group):
             if member.instance == self._instance:
                 return None
             if self._avoided_by_instance.get(member.instance, now) <= now:
@@ -47,7 +66,18 @@
 
     def _is_own(self, group: int) -> bool:
         ranked = self._ranked(group)
-        return not ranked or ranked[0].instance == self._instance
+        holders = ranked[: self._holders]
+        return not ranked or any(item.instance == self._instance for item in holders)
+
+    def _asked_in_order(self, group: int) -> tuple[MemberView, ...]:
+        """Return whom to ask first, then the group's other holders, then others."""
+        ranked = self._ranked(group)
+        holders = ranked[: self._holders]
+        own = [item for item in holders if item.instance == self._instance]
+        if own or not holders:
+            return (*own, *ranked)
+        first = rank(group, self._instance) % len(holders)
+        return (*holders[first:], *holders[:first], *ranked[self._holders :])
 
     def _ranked(self, group: int) -> tuple[MemberView, ...]:
         ranked = self._ranked_by_group.get(group)
--- a/damaskbay/daemon/rates_task.py
+++ b/damaskbay/daemon/rates_task.py
@@ -1,6 +1,7 @@
 """The task that asks for tokens, answers as a holder and keeps the ledgers."""
 
 import logging
+import random
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
@@ -30,7 +31,14 @@
 from damaskbay.daemon.rates_stock import SharedStock
 from damaskbay.helpers.task import Task
 from damaskbay.ports.fleet import ConfigSource, Membership, MemberView
-from damaskbay.ports.peer import PeerAddress, PeerIdentity, PeerLink, Responder
+from damaskbay.ports.peer import (
+    PeerAddress,
+    PeerFailure,
+    PeerIdentity,
+    PeerLink,
+    PeerProblem,
+    Responder,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -115,8 +123,8 @@
         self._config = config
         self._stock = stock
         self._options = options
-        self._table = HolderTable(identity.instance, options.groups)
-        self._node = HolderNode(self._own_id, options)
+        self._table = HolderTable(identity.instance, options.groups, options.holders)
+        self._node = HolderNode(self._own_id, options, random.Random(self._own_id))
         self._calls = ThreadPoolExecutor(LEDGER_THREADS, thread_name_prefix="ledger")
         self._leaving = False
         link.register(TokenAsk, self._on_ask)
@@ -219,15 +227,24 @@
     def _on_answer(self, asked: _Asked, result: Any, now: float) -> None:
         if not isinstance(result, TokenGrants):
             if asked.holder is not None:
-                _LOGGER.warning("rates: no answer. %s", asked.holder.instance)
-                self._table.avoid(asked.holder.instance, now)
+                self._note_failure(asked.holder.instance, result, now)
             self._stock.failed(asked.asks, now)
             return
+        if asked.holder is not None:
+            self._table.answered(asked.holder.instance)
         address = asked.holder.address if asked.holder else None
         self._stock.granted(
             result.grants, asked.asks, address, asked_at=asked.asked_at, now=now
         )
 
+    def _note_failure(self, instance: str, result: Any, now: float) -> None:
+        _LOGGER.warning("rates: no answer. %s", instance)
+        problem = result.problem if isinstance(result, PeerFailure) else None
+        if problem is PeerProblem.TIMEOUT:
+            self._table.timed_out(instance, now)
+        else:
+            self._table.avoid(instance, now)
+
     def _deliver(self, answers: list[Answer], now: float) -> None:
         for answer in answers:
             if isinstance(answer.key, _Asked):
