Measure the hop without the hand-over to a worker too

Cause: the share of the hand-over in the hop was not known. Change: bench hop has a way whose server answers on the link's own thread; hop and at_most_once use the arguments and output that the measurements share.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,16 @@
 import importlib
 import sys
 
-NAMES = ("latency", "config", "rates", "control", "overload", "hop", "capacity")
+NAMES = (
+    "latency",
+    "config",
+    "rates",
+    "control",
+    "overload",
+    "hop",
+    "at_most_once",
+    "capacity",
+)
 EXIT_USAGE = 2
 
 
--- a/bench/at_most_once.py
+++ b/bench/at_most_once.py
@@ -1,13 +1,12 @@
 """Time and memory of the decisions that keep requests at most once."""
 
-import argparse
-import json
 import random
 import sys
 import time
 import tracemalloc
 from typing import Any, Final
 
+from bench.common import finish, parser
 from damaskbay.core.at_most_once import AtMostOnceOptions, RequestOwner, Run
 from damaskbay.core.call import Answer
 from damaskbay.ports.peer import PeerAddress
@@ -21,19 +20,9 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the bench; print JSON or a table."""
-    parser = argparse.ArgumentParser(prog="at_most_once", description=__doc__)
-    parser.add_argument("--json", action="store_true")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--quick", action="store_true")
-    options = parser.parse_args(arguments)
+    options = parser(__doc__ or "").parse_args(arguments)
     ids = QUICK_IDS if options.quick else IDS
-    result = {"ids": ids, **_measure(ids, options.seed), "seed": options.seed}
-    if options.json:
-        print(json.dumps(result, indent=2))
-    else:
-        for name, value in result.items():
-            print(f"{name:24}{value}")
-    return 0
+    return finish("at_most_once", {"ids": ids, **_measure(ids, options.seed)}, options)
 
 
 def _measure(count: int, seed: int) -> dict[str, Any]:
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -1,7 +1,6 @@
 """Round trip of a small request over one peer stream, beside a bare socket."""
 
 import argparse
-import json
 import random
 import resource
 import socket
@@ -15,6 +14,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any, Final
 
+from bench.common import finish, parser
 from damaskbay.adapters.peer_stream import PeerStreamOptions, PeerStreams
 from damaskbay.helpers.messages import message
 from damaskbay.ports.peer import PeerAddress, PeerIdentity, Responder
@@ -28,6 +28,7 @@
 STEADY_CALLS: Final = 5_000
 QUICK_SHARE: Final = 0.1
 WORKERS: Final = 4
+SERVED: Final = ("bare", "inline", "stream")
 
 
 @message("bench.hop.ask")
@@ -64,26 +65,21 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the bench; print a table or JSON."""
-    parser = argparse.ArgumentParser(prog="hop", description=__doc__)
-    parser.add_argument("--json", action="store_true")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--quick", action="store_true")
-    parser.add_argument("--serve", choices=["bare", "stream"], help=argparse.SUPPRESS)
-    options = parser.parse_args(arguments)
+    arguments_parser = parser(__doc__ or "")
+    arguments_parser.add_argument("--serve", choices=SERVED, help=argparse.SUPPRESS)
+    options = arguments_parser.parse_args(arguments)
     if options.serve:
         return _serve(options.serve)
     share = QUICK_SHARE if options.quick else 1.0
     result = _measure(random.Random(options.seed), share)
-    result["seed"] = options.seed
-    print(json.dumps(result, indent=2) if options.json else _table(result))
-    return 0
+    return finish("hop", result, options)
 
 
 def _measure(rng: random.Random, share: float) -> dict[str, Any]:
     """Interleave the ways, so that all see the same machine."""
     paced, steady = int(PACED_CALLS * share), int(STEADY_CALLS * share)
-    with _bare() as bare, _stream() as stream:
-        ways = {"bare": bare, "stream": stream}
+    with _bare() as bare, _stream("inline") as inline, _stream("stream") as stream:
+        ways = {"bare": bare, "inline": inline, "stream": stream}
         for way in ways.values():
             for number in range(50):
                 way.call(number)
@@ -158,16 +154,6 @@
     return {name: asdict(item) for name, item in figures.items()}
 
 
-def _table(result: dict[str, Any]) -> str:
-    lines = [f"{'':16}{'p50 ms':>10}{'p99 ms':>10}{'cpu ms':>10}{'server':>10}"]
-    for load in ("paced", "steady"):
-        for name, item in result[load].items():
-            figures = [item[key] for key in list(item)[:4]]
-            cells = "".join(f"{value:10.3f}" for value in figures)
-            lines.append(f"{load + ' ' + name:16}{cells}")
-    return "\n".join(lines)
-
-
 @contextmanager
 def _server(way: str) -> Iterator[tuple[int, Callable[[], float]]]:
     """Run the serving process; yield its port and its processor seconds."""
@@ -208,10 +194,10 @@
 
 
 @contextmanager
-def _stream() -> Iterator[Way]:
-    """Call over a peer stream; the server answers from a worker thread."""
+def _stream(served: str) -> Iterator[Way]:
+    """Call over a peer stream, answered by a worker or by the link's own thread."""
     body = bytes(BODY_BYTES)
-    with _server("stream") as (port, cpu_s), _link("client") as link:
+    with _server(served) as (port, cpu_s), _link("client") as link:
         peer = PeerAddress(HOST, port)
 
         def call(number: int) -> None:
@@ -246,7 +232,10 @@
             responder.answer(HopTell(item.number, item.body))
 
         def handle(_: PeerIdentity, item: HopAsk, responder: Responder) -> None:
-            pool.submit(answer, item, responder)
+            if way == "inline":
+                answer(item, responder)
+            else:
+                pool.submit(answer, item, responder)
 
         link.register(HopAsk, handle)
         with link:
