Never tell a repeat that its request has not run

Cause: a repeat of a request that had run was refused as not_run when the rate was spent, the daemon was draining or the key was missing, before the owner of its id was asked. A caller that believes it runs the request a second time under a new id. Change: the ingress daemon looks the id up where it owns it, and says unknown where it does not; so does an owner with too many calls from peers.

--- a/damaskbay/core/at_most_once.py
+++ b/damaskbay/core/at_most_once.py
@@ -124,14 +124,31 @@
         if record is None:
             return self._run_first(request_id, ref, fingerprint)
         if record.fingerprint != fingerprint:
-            return not_run(
-                Reason.BAD_REQUEST, detail="the request id belongs to another request"
-            )
+            return _other()
         if record.state is _State.FREE:
             record.state = _State.RUNNING
             return Run(request_id)
         return _repeat(record)
 
+    def recall(
+        self, request_id: str, fingerprint: bytes, now: float
+    ) -> Answer | Refusal | None:
+        """
+        Return what a repeat is told, without starting a run.
+
+        None means that no send of the request has run.
+        """
+        ref = parse_request_id(self._secrets, request_id)
+        if isinstance(ref, Refusal):
+            return ref
+        refusal = self._refuse(ref, now)
+        if refusal is not None:
+            return refusal
+        record = self._records_by_sequence.get(ref.sequence)
+        if record is None or record.state is _State.FREE:
+            return None
+        return _repeat(record) if record.fingerprint == fingerprint else _other()
+
     def finish(self, request_id: str, result: Answer | Refusal, now: float) -> None:
         """Keep the result of a run for its repeats."""
         ref = parse_request_id(self._secrets, request_id)
@@ -216,6 +233,12 @@
         self._answer_bytes -= self._answer_bytes_by_sequence.pop(sequence, 0)
 
 
+def _other() -> Refusal:
+    return not_run(
+        Reason.BAD_REQUEST, detail="the request id belongs to another request"
+    )
+
+
 def _repeat(record: _Record) -> Answer | Refusal:
     """Return what a repeat of a request that has run, or runs, is told."""
     if record.state is _State.RUNNING:
--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -12,7 +12,7 @@
 from damaskbay.core.edge import EdgeRoom
 from damaskbay.core.freshness import may_serve
 from damaskbay.core.identify import Credentials, RouteMatcher, identify_root
-from damaskbay.core.outcome import Reason, Refusal, not_run
+from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run
 from damaskbay.core.scrub import scrub
 from damaskbay.daemon.calls import CallRegistry
 from damaskbay.daemon.dispatch import Dispatcher, Outgoing
@@ -84,6 +84,8 @@
                 context, result = self._serve_root(call, call_id, cancellation)
             else:
                 context, result = self._serve_nested(call, cancellation)
+        if context is None and call.request_id is not None:
+            result = _without_claim(result)
         if context is not None:
             call_id = context.call_id
         self._parts.observer.call_ended(
@@ -118,9 +120,20 @@
             return None, refused(context)
         refusal = self._admit_root(state, route, context, now)
         if refusal is not None:
-            return context, refused(refusal)
+            return context, self._refuse(call, context, refusal)
         return context, self._send(call, context, route, cancellation)
 
+    def _refuse(
+        self, call: IncomingCall, context: CallContext, refusal: Refusal
+    ) -> CallResult:
+        """Refuse a send; with a request id, say what is true of all its sends."""
+        if context.request_id is None or context.idempotent:
+            return refused(refusal)
+        request = scrub(call.request, call.key)
+        if isinstance(request, Refusal):
+            return refused(request)
+        return self._parts.once.refuse(context, request, refusal)
+
     def _route(self, state: ConfigState, call: IncomingCall) -> Route | Refusal:
         request = call.request
         path = request.target.partition("?")[0]
@@ -215,6 +228,14 @@
     )
 
 
+def _without_claim(result: CallResult) -> CallResult:
+    """Return a refusal that does not claim that no send of a request id ran."""
+    refusal = result.result
+    if not isinstance(refusal, Refusal):
+        return result
+    return replace(result, result=replace(refusal, outcome=Outcome.UNKNOWN))
+
+
 def refused(refusal: Refusal) -> CallResult:
     """Return the result of a call that was refused before it was sent."""
     return CallResult(refusal, attempts=0)
--- a/damaskbay/daemon/once.py
+++ b/damaskbay/daemon/once.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 
 from damaskbay.core.at_most_once import RequestOwner, Run
 from damaskbay.core.at_most_once_ids import (
@@ -9,8 +10,8 @@
     fingerprint_of,
     parse_request_id,
 )
-from damaskbay.core.call import Answer, CallResult
-from damaskbay.core.outcome import Reason, Refusal, unknown
+from damaskbay.core.call import Answer, CallContext, CallResult, Request
+from damaskbay.core.outcome import Outcome, Reason, Refusal, unknown
 from damaskbay.daemon.dispatch import Dispatcher, Outgoing, PeerCaller
 from damaskbay.ports.caller import IssuedIds
 from damaskbay.ports.peer import PeerIdentity
@@ -57,6 +58,26 @@
             return self.run_owned(outgoing)
         return self._hand_to_owner(outgoing, ref)
 
+    def refuse(
+        self, context: CallContext, request: Request, refusal: Refusal
+    ) -> CallResult:
+        """
+        Refuse a send of a request with an id before it reached its owner.
+
+        The refusal speaks of all sends of the id: a repeat of what has run is
+        told so, and where this daemon cannot know, the outcome is `unknown`.
+        """
+        request_id = context.request_id or ""
+        ref = parse_request_id(self._secrets, request_id)
+        if isinstance(ref, Refusal):
+            return CallResult(ref, attempts=0)
+        if not self._is_mine(ref):
+            return CallResult(replace(refusal, outcome=Outcome.UNKNOWN), attempts=0)
+        fingerprint = fingerprint_of(context.workspace, request)
+        with self._lock:
+            known = self._owner.recall(request_id, fingerprint, self._clock())
+        return CallResult(known or refusal, attempts=0)
+
     def run_owned(self, outgoing: Outgoing) -> CallResult:
         """Run a request whose id this daemon may own; repeats never run again."""
         request_id = outgoing.context.request_id or ""
--- a/damaskbay/daemon/peer_calls.py
+++ b/damaskbay/daemon/peer_calls.py
@@ -62,7 +62,8 @@
         cancellation = Cancellation()
         responder.on_cancel(cancellation.cancel)
         if not self._enter():
-            refusal = not_run(Reason.OVERLOADED, detail="too many calls from peers")
+            refuse = unknown if call.owned else not_run
+            refusal = refuse(Reason.OVERLOADED, detail="too many calls from peers")
             responder.answer(
                 to_result_message(CallResult(refusal, 0, call.retry_tokens))
             )
--- a/tests/daemon/test_request_path.py
+++ b/tests/daemon/test_request_path.py
@@ -165,6 +165,28 @@
         assert any(isinstance(item, Answer) for item in outcomes)
 
 
+def test_a_refused_repeat_never_claims_that_nothing_ran() -> None:
+    """Rates, drains and missing keys before the owner's word leave it open."""
+    with request_path("a", "b") as path:
+        a, b = (path.daemons_by_instance[name] for name in "ab")
+        request_id, fresh = _id(a), _id(a)
+        first = a.call("/file/1", request_id=request_id)
+        assert isinstance(first, Answer)
+        path.rates.refusal = not_run(Reason.RATE_EXCEEDED)
+        assert a.call("/file/1", request_id=request_id) == first
+        unused = a.call("/file/2", request_id=fresh)
+        assert unused == not_run(Reason.RATE_EXCEEDED)
+        outcomes = [
+            b.call("/file/1", request_id=request_id),
+            b.call("/file/1", request_id=request_id, key=None),
+        ]
+        b.ingress.drain()
+        outcomes.append(b.call("/file/1", request_id=request_id))
+        for outcome in outcomes:
+            assert isinstance(outcome, Refusal)
+            assert outcome.outcome is Outcome.UNKNOWN
+
+
 def test_withdrawn_key_stops_a_queued_call() -> None:
     """A call that waits for a slot when its key is withdrawn never runs."""
     with request_path("a") as path:
