Let calls that wait for nested calls make room under the limit

Cause: a call into its own pool waited behind the call that made it, up to the deadline, as soon as the learned limit was reached (seen as deadline_passed in tests.daemon.test_request_path with 4 slots and a start limit of 1). Change: a running call that waits for nested calls keeps its slot but no longer counts against the limit; slots stay the ceiling. Without the mechanism the new test fails; with it all calls end. Left: where every slot holds a call that waits for its own pool, only the deadline helps.

--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -78,15 +78,21 @@
         self._latency = LatencyEstimate()
         self._level = LevelMeter(now)
         self._running: set[int] = set()
+        self._nested: set[int] = set()
         self._trickled_at = now - TRICKLE_S
         self._turned_away = 0.0
         self._counted_at = now
 
     @property
     def running(self) -> int:
-        """Return the number of calls that run."""
+        """Return the number of calls that hold a slot."""
         return len(self._running)
 
+    @property
+    def active(self) -> int:
+        """Return how many of them work, and don't wait for nested calls."""
+        return len(self._running) - len(self._nested)
+
     @property
     def waiting(self) -> int:
         """Return the number of calls that wait."""
@@ -99,7 +105,7 @@
 
     def has_room(self) -> bool:
         """Tell whether a call would start at once."""
-        return not self._queue and self.running < self.limit
+        return not self._queue and self._may_start()
 
     def offer(self, item: Waiting, now: float) -> tuple[Decision, ...]:
         """Ask for admission of a call."""
@@ -114,12 +120,29 @@
         """Take note that a started call has ended; a second time is ignored."""
         if ticket not in self._running:
             return ()
-        self._limit.observe(sample, self.running, now)
+        self._nested.discard(ticket)
+        self._limit.observe(sample, self.active, now)
         self._running.discard(ticket)
         if not sample.cancelled:
             self._latency.add(sample.latency_s, now)
         return self._settle(now)
 
+    def nested_began(self, ticket: int, now: float) -> tuple[Decision, ...]:
+        """
+        Take note that a running call waits for nested calls.
+
+        It keeps its slot but counts no longer against the limit: else a call
+        into its own pool would wait behind the one that made it.
+        """
+        if ticket in self._running:
+            self._nested.add(ticket)
+        return self._settle(now)
+
+    def nested_ended(self, ticket: int, now: float) -> tuple[Decision, ...]:
+        """Take note that a running call works on by itself."""
+        self._nested.discard(ticket)
+        return self._settle(now)
+
     def withdraw(self, ticket: int, now: float) -> tuple[Decision, ...]:
         """Forget a call that waits; nothing is decided on it any more."""
         self._queue.remove(ticket)
@@ -148,7 +171,7 @@
 
     def _settle(self, now: float) -> tuple[Decision, ...]:
         decisions: list[Decision] = []
-        while self._queue and self.running < self.limit:
+        while self._queue and self._may_start():
             decisions.append(self._decide_next(now))
         while len(self._queue) > self._queue_length():
             refusal = self._capacity(Reason.QUEUE_FULL)
@@ -156,6 +179,9 @@
         self._level.update(now)
         return tuple(decisions)
 
+    def _may_start(self) -> bool:
+        return self.active < self.limit and self.running < self._slots
+
     def _decide_next(self, now: float) -> Decision:
         entry = self._queue.next(now)
         refusal = self._passed(entry, now) or self._too_short(entry, now)
--- a/damaskbay/daemon/admission.py
+++ b/damaskbay/daemon/admission.py
@@ -49,6 +49,14 @@
         """Free the slot of a started call."""
         self._gate.finish(self.number, sample)
 
+    def nested_began(self) -> None:
+        """Let another call work while this one waits for nested calls."""
+        self._gate.nested_began(self.number)
+
+    def nested_ended(self) -> None:
+        """Count a started call as working again."""
+        self._gate.nested_ended(self.number)
+
     def cancel(self) -> bool:
         """
         Forget a call that still waits: neither callback comes after True.
@@ -106,6 +114,18 @@
             due = self._due(self._controller.finish(number, sample, self._clock()))
         self._call_back(due)
 
+    def nested_began(self, number: int) -> None:
+        """Take note that a started call waits for nested calls."""
+        with self._lock:
+            due = self._due(self._controller.nested_began(number, self._clock()))
+        self._call_back(due)
+
+    def nested_ended(self, number: int) -> None:
+        """Take note that a started call works on by itself."""
+        with self._lock:
+            due = self._due(self._controller.nested_ended(number, self._clock()))
+        self._call_back(due)
+
     def cancel(self, number: int) -> bool:
         """Forget a call that waits; return whether it did."""
         with self._lock:
--- a/damaskbay/daemon/calls.py
+++ b/damaskbay/daemon/calls.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from damaskbay.config.objects import Route
 from damaskbay.core.call import CallContext
@@ -32,23 +33,42 @@
     nested_s: float
 
 
+class NestedWatcher(Protocol):
+    """Is told when a running call begins and ends to wait for nested calls."""
+
+    def nested_began(self) -> None:
+        """Take note that the call waits for nested calls."""
+        ...
+
+    def nested_ended(self) -> None:
+        """Take note that the call works on by itself."""
+        ...
+
+
 @dataclass(slots=True)
 class _NestedTime:
     """How long at least one nested call was under way."""
 
+    watcher: NestedWatcher
     running: int = 0
     since: float = 0.0
     total_s: float = 0.0
 
-    def begin(self, now: float) -> None:
-        if self.running == 0:
-            self.since = now
+    def begin(self, now: float) -> bool:
+        """Return True for the first nested call under way."""
         self.running += 1
+        if self.running > 1:
+            return False
+        self.since = now
+        return True
 
-    def end(self, now: float) -> None:
+    def end(self, now: float) -> bool:
+        """Return True for the last nested call under way."""
         self.running -= 1
-        if self.running == 0:
-            self.total_s += now - self.since
+        if self.running > 0:
+            return False
+        self.total_s += now - self.since
+        return True
 
     def until(self, now: float) -> float:
         return self.total_s + (now - self.since if self.running else 0.0)
@@ -68,12 +88,12 @@
     def __len__(self) -> int:
         return len(self._tree)
 
-    def open(self, context: CallContext) -> str:
+    def open(self, context: CallContext, watcher: NestedWatcher) -> str:
         """Return a fresh call token, good until `close`."""
         token = secrets.token_urlsafe(TOKEN_BYTES)
         with self._lock:
             self._tree.open(context, token)
-            self._nested_by_token[token] = _NestedTime()
+            self._nested_by_token[token] = _NestedTime(watcher)
         return token
 
     def close(self, token: str) -> ClosedRun:
@@ -107,7 +127,10 @@
             ticket = next(self._tickets)
             self._tree.started(token, ticket, context)
             self._cancellations_by_ticket[ticket] = cancellation
-            self._nested_by_token[token].begin(self._clock())
+            nested_time = self._nested_by_token[token]
+            first = nested_time.begin(self._clock())
+        if first:
+            nested_time.watcher.nested_began()
         return NestedCall(token, ticket, context)
 
     def finished(self, nested: NestedCall, retry_tokens_left: int) -> None:
@@ -116,8 +139,9 @@
             self._cancellations_by_ticket.pop(nested.ticket, None)
             self._tree.finished(nested.token, nested.ticket, retry_tokens_left)
             nested_time = self._nested_by_token.get(nested.token)
-            if nested_time is not None:
-                nested_time.end(self._clock())
+            last = nested_time is not None and nested_time.end(self._clock())
+        if nested_time is not None and last:
+            nested_time.watcher.nested_ended()
 
     def _take(self, tickets: tuple[int, ...]) -> list[Cancellation]:
         found = (self._cancellations_by_ticket.pop(item, None) for item in tickets)
--- a/damaskbay/daemon/target.py
+++ b/damaskbay/daemon/target.py
@@ -126,7 +126,7 @@
         done(result)
 
     def _execute(self, call: TargetCall, ticket: Ticket) -> CallResult:
-        token = self._calls.open(call.context)
+        token = self._calls.open(call.context, ticket)
 
         def void_token() -> None:
             self._calls.cancel(token)
--- a/tests/daemon/test_request_path.py
+++ b/tests/daemon/test_request_path.py
@@ -9,6 +9,7 @@
 
 from hypothesis import given, settings, strategies as st
 
+from damaskbay.core.admission.const import LIMIT_START_SHARE
 from damaskbay.core.call import Answer, Request
 from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
 from damaskbay.helpers.cancellation import Cancellation
@@ -23,6 +24,7 @@
 )
 
 POLL_S = 0.005
+START_LIMIT = int(SLOTS * LIMIT_START_SHARE)
 _FAULTS = st.lists(st.sampled_from(list(Fault)), max_size=4)
 _BACKEND_OUTCOMES = st.lists(
     st.sampled_from(
@@ -243,6 +245,27 @@
         assert late.reason is Reason.CALL_TOKEN_UNKNOWN
 
 
+def test_a_call_into_its_own_pool_does_not_wait_for_itself() -> None:
+    """As many calls as may run at once, each calling its own pool, all end."""
+    with request_path("a") as path:
+        daemon = path.daemons_by_instance["a"]
+        inside = threading.Barrier(START_LIMIT)
+
+        def during(request: Request, token: str) -> None:
+            if request.target != "/read/outer":
+                return
+            inside.wait(WAIT_S)
+            inner = daemon.call("/read/inner", key=None, call_token=token)
+            assert isinstance(inner, Answer), inner
+
+        daemon.backend.during = during
+        with ThreadPoolExecutor(START_LIMIT) as callers:
+            targets = ["/read/outer"] * START_LIMIT
+            outcomes = list(callers.map(daemon.call, targets))
+        assert all(isinstance(item, Answer) for item in outcomes)
+        assert path.runs("/read/inner") == START_LIMIT
+
+
 def test_hang_up_cancels_the_whole_subtree() -> None:
     """When the caller goes, the nested call ends too, on another daemon."""
     with request_path("a", "b") as path:
