Count the platform's calls by client over HTTP and name the daemons there

Cause: /v1/counters turned its counts by client into nonsense, and daemons came without a name, so that the stand-in could not cut a single one off. Change: the counters are written by their own type; a daemon gives its instance as the client's name. Conclusion: a test reads the counts back; without the change it fails.

--- a/damaskbay/daemon/app.py
+++ b/damaskbay/daemon/app.py
@@ -124,7 +124,9 @@
         )
         stack.callback(self._telemetry.close)
         self._platform = stack.enter_context(
-            HttpPlatform(settings.platform.host, settings.platform.port)
+            HttpPlatform(
+                settings.platform.host, settings.platform.port, name=settings.instance
+            )
         )
         self._start_fleet_parts(stack)
         self._start_request_path(stack)
--- a/damaskbay/stand_ins/platform.py
+++ b/damaskbay/stand_ins/platform.py
@@ -19,7 +19,7 @@
 from damaskbay.const import MAX_PLATFORM_VALUE_BYTES
 from damaskbay.ports.platform import Conflict, Entry, PlatformFailure, PlatformProblem
 from damaskbay.stand_ins.memory_platform import MemoryPlatform
-from damaskbay.stand_ins.platform_faults import Faults
+from damaskbay.stand_ins.platform_faults import Counters, Faults
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -30,6 +30,7 @@
 _CALL_TIMEOUT_S = 60.0
 _MISSING_BYTES = 100
 _FAULTS = TypeAdapter(Faults)
+_COUNTERS = TypeAdapter(Counters)
 _STATUS_BY_PROBLEM = {
     PlatformProblem.UNAVAILABLE: const.STATUS_UNAVAILABLE,
     PlatformProblem.BUSY: const.STATUS_BUSY,
@@ -219,8 +220,7 @@
 
 
 def _show_counters(call: _Call) -> _Reply:
-    body = TypeAdapter(dict[str, Any]).dump_json(asdict(call.platform.counters))
-    return _Reply(const.STATUS_OK, body=body)
+    return _Reply(const.STATUS_OK, body=_COUNTERS.dump_json(call.platform.counters))
 
 
 _HANDLERS_BY_PLACE: dict[tuple[str, str], Callable[[_Call], _Reply]] = {
--- a/tests/adapters/test_platform_http.py
+++ b/tests/adapters/test_platform_http.py
@@ -1,5 +1,6 @@
 """Contract of both platform adapters, and the HTTP client's own failures."""
 
+import json
 import socket
 import time
 import unittest
@@ -269,6 +270,20 @@
         assert isinstance(written, Entry | Conflict | PlatformFailure)
 
 
+def test_faults_and_counters_by_the_operator_endpoint() -> None:
+    """Faults are set as JSON; calls are counted by client."""
+    with PlatformServer() as server, HttpPlatform(HOST, server.port, name="c") as one:
+        connection = HTTPConnection(HOST, server.port, timeout=TIMEOUT_S)
+        connection.request("PUT", "/v1/faults", b'{"cut_clients": ["d"]}')
+        assert connection.getresponse().read()
+        assert server.platform.faults == Faults(cut_clients=frozenset({"d"}))
+        assert isinstance(_put(one, "a", b"1"), Entry)
+        connection.request("GET", "/v1/counters")
+        counters = json.loads(connection.getresponse().read())
+        connection.close()
+        assert counters["by_client"] == {"c": 1} and counters["writes"] == 1
+
+
 def test_bad_requests_get_a_clear_answer() -> None:
     """The stand-in refuses what the interface does not know and lives on."""
     with PlatformServer() as server, HttpPlatform(HOST, server.port) as platform:
