--- a/tests/adapters/test_platform_http.py
+++ b/tests/adapters/test_platform_http.py
@@ -247,9 +247,10 @@
         b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n",
         b"",
     ):
-        with _scripted([answer, answer]) as platform:
+        with _scripted([answer]) as platform:
             read = platform.get("a", timeout_s=TIMEOUT_S)
             assert _problem(read) is PlatformProblem.UNAVAILABLE, answer
+        with _scripted([answer]) as platform:
             written = _put(platform, "a", b"1")
             assert _problem(written) is PlatformProblem.ANSWER_LOST, answer
 
@@ -264,8 +265,9 @@
 @given(st.lists(st.one_of(_PIECES, st.binary(max_size=10)), max_size=12).map(b"".join))
 def test_any_answer_gives_a_value(answer: bytes) -> None:
     """No bytes from the service raise an exception."""
-    with _scripted([answer, answer]) as platform:
+    with _scripted([answer]) as platform:
         platform.list("a", timeout_s=1.0)
+    with _scripted([answer]) as platform:
         written = _put(platform, "a", b"1")
         assert isinstance(written, Entry | Conflict | PlatformFailure)
 
