Judge latency by its median and only once it is steady

Cause: calls left over from a slow spell raised the mean after it had ended, and windows that saw latency still rising took it for crowding: the limit was cut to half and recovery took 3 s.

--- a/damaskbay/core/admission/limit.py
+++ b/damaskbay/core/admission/limit.py
@@ -1,9 +1,11 @@
 """Concurrency limits of a backend server, learned from its latency."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from statistics import median_low
 from typing import Protocol
 
 from damaskbay.core.admission.const import (
+    CALM_TOLERANCE,
     CROWDED_POWER,
     CUT_LEAST_SHARE,
     CUT_MOST_SHARE,
@@ -16,10 +18,10 @@
     LIMIT_PROBE_SHARE,
     LIMIT_RAISE_SHARE,
     LIMIT_START_SHARE,
+    LIMIT_WINDOW_LEAST,
+    LIMIT_WINDOW_MOST,
     LIMIT_WINDOW_S,
-    LIMIT_WINDOW_SAMPLES,
     SAME_RUNNING_SHARE,
-    SLOW_WINDOWS,
 )
 
 
@@ -89,25 +91,27 @@
     since: float
     count: int = 0
     failed: int = 0
-    total_s: float = 0.0
+    latencies_s: list[float] = field(default_factory=list)
     total_running: int = 0
     most_running: int = 0
 
     def add(self, sample: Sample, running: int) -> None:
         self.count += 1
         self.failed += 0 if sample.succeeded else 1
-        self.total_s += sample.own_s
+        self.latencies_s.append(sample.own_s)
         self.total_running += running
         self.most_running = max(self.most_running, running)
 
     def complete(self, now: float, limit: float) -> bool:
-        if self.count < max(LIMIT_WINDOW_SAMPLES, int(limit)):
+        enough = min(LIMIT_WINDOW_MOST, max(LIMIT_WINDOW_LEAST, int(limit)))
+        if self.count % enough:
             return False
-        return now - self.since >= max(LIMIT_WINDOW_S, 2.0 * self.mean_s)
+        return now - self.since >= max(LIMIT_WINDOW_S, 2.0 * self.median_s)
 
     @property
-    def mean_s(self) -> float:
-        return self.total_s / self.count
+    def median_s(self) -> float:
+        """Return what most took, without a few left over from a slow spell."""
+        return median_low(self.latencies_s)
 
     @property
     def mean_running(self) -> float:
@@ -145,7 +149,7 @@
         window = self._window
         before = self._limit
         self._learn(window)
-        settled_s = 0.0 if self._limit == before else window.mean_s
+        settled_s = 0.0 if self._limit == before else window.median_s
         self._window = _Window(now + settled_s)
 
     def _learn(self, window: _Window) -> None:
@@ -165,6 +169,8 @@
     Latency that rose by more than the calls at once can explain has another
     cause, which a cut would not mend: it becomes the baseline. So does latency
     that a cut did not bring down by half of what it should, and the cut is undone.
+    While latency still rises from window to window nothing is concluded, and
+    nothing from the first window, which knows the quickest calls only.
     """
 
     def __init__(self, slots: int, now: float) -> None:
@@ -175,49 +181,53 @@
         self._cut_from = 0.0
         self._cut_at_s = 0.0
         self._slow_start = True
-        self._slow_windows = 0
+        self._last_s = 0.0
 
     def _learn(self, window: _Window) -> None:
-        mean_s = window.mean_s
+        median_s = window.median_s
+        if not self._last_s:
+            self._last_s = median_s
+            return
         if not self._baseline_s:
             self._rebase(window)
-        slow = mean_s > LATENCY_TOLERANCE * self._baseline_s
-        self._slow_windows = self._slow_windows + 1 if slow else 0
+        slow = median_s > LATENCY_TOLERANCE * self._baseline_s
+        steady = median_s <= CALM_TOLERANCE * self._last_s
+        self._last_s = median_s
         if window.fails:
             self._slow_start = False
             self._set(self._limit * FAILED_CUT_SHARE)
         elif not slow:
             self._accept_cut()
             self._raise(window)
-        elif not self._explained(window) or not self._helped(mean_s):
+        elif not self._explained(window) or not self._helped(median_s):
             self._set(max(self._limit, self._cut_from))
             self._rebase(window)
-        elif self._slow_windows >= SLOW_WINDOWS:
-            self._cut(mean_s)
+        elif steady:
+            self._cut(median_s)
         self._follow(window)
 
     def _explained(self, window: _Window) -> bool:
         """Tell whether more calls at once can be why latency has risen."""
         crowded = max(1.0, window.mean_running / self._baseline_running)
         rise = float(crowded**CROWDED_POWER)
-        return window.mean_s <= LATENCY_TOLERANCE * rise * self._baseline_s
+        return window.median_s <= LATENCY_TOLERANCE * rise * self._baseline_s
 
-    def _helped(self, mean_s: float) -> bool:
+    def _helped(self, median_s: float) -> bool:
         """Tell whether the last cut, if there was one, brought latency down."""
         if not self._cut_from:
             return True
         expected = self._limit / self._cut_from
-        return mean_s < (1.0 + expected) / 2.0 * self._cut_at_s
+        return median_s < (1.0 + expected) / 2.0 * self._cut_at_s
 
-    def _cut(self, mean_s: float) -> None:
+    def _cut(self, median_s: float) -> None:
         self._slow_start = False
         self._cut_from = self._limit
-        self._cut_at_s = mean_s
-        share = LATENCY_TOLERANCE * self._baseline_s / mean_s
+        self._cut_at_s = median_s
+        share = LATENCY_TOLERANCE * self._baseline_s / median_s
         self._set(self._limit * min(CUT_LEAST_SHARE, max(CUT_MOST_SHARE, share)))
 
     def _rebase(self, window: _Window) -> None:
-        self._baseline_s = window.mean_s
+        self._baseline_s = window.median_s
         self._baseline_running = max(1.0, window.mean_running)
         self._cut_from = 0.0
 
@@ -245,17 +255,21 @@
         """
         Move the baseline towards lower latency fast, towards higher slowly.
 
-        Latency at clearly more calls at once does not count as a higher baseline.
+        Calls at once that leave latency alone count as uncrowded from then on;
+        latency at clearly more calls at once is no higher baseline.
         """
+        median_s = window.median_s
         running = max(1.0, window.mean_running)
-        if window.mean_s < self._baseline_s:
+        gain = LATENCY_DRIFT_SHARE
+        if median_s < self._baseline_s:
             gain = LATENCY_FALL_SHARE
-        elif running <= SAME_RUNNING_SHARE * self._baseline_running:
-            gain = LATENCY_DRIFT_SHARE
-        else:
-            return
-        self._baseline_s += gain * (window.mean_s - self._baseline_s)
-        self._baseline_running += gain * (running - self._baseline_running)
+        elif running > SAME_RUNNING_SHARE * self._baseline_running:
+            gain = 0.0
+        if median_s <= CALM_TOLERANCE * self._baseline_s:
+            self._baseline_running = max(self._baseline_running, running)
+        if median_s * CALM_TOLERANCE < self._baseline_s:
+            self._baseline_running = running
+        self._baseline_s += gain * (median_s - self._baseline_s)
 
 
 class AimdLimit(_LearnedLimit):
@@ -266,9 +280,9 @@
         self._lowest_s = 0.0
 
     def _learn(self, window: _Window) -> None:
-        if not self._lowest_s or window.mean_s < self._lowest_s:
-            self._lowest_s = window.mean_s
-        slow = window.mean_s > LATENCY_TOLERANCE * self._lowest_s
+        if not self._lowest_s or window.median_s < self._lowest_s:
+            self._lowest_s = window.median_s
+        slow = window.median_s > LATENCY_TOLERANCE * self._lowest_s
         if window.fails or slow:
             self._set(self._limit * FAILED_CUT_SHARE)
         elif self._used(window):
