Lower the admission level for full queues only

Cause: after a slow spell the calls left in the queue are refused one by one as they become too late. Each held the level down although the server had room. Change: only a refusal for a full queue counts as too many arrivals.

--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -214,7 +214,7 @@
 
     def _refuse(self, entry: Entry, refusal: Refusal, now: float) -> Refuse:
         self._queue.remove(entry.item.ticket)
-        if now > entry.arrived_at or refusal.reason is Reason.QUEUE_FULL:
+        if refusal.reason is Reason.QUEUE_FULL:
             self._level.refused()
         self._count_refusal(now)
         return Refuse(entry.item.ticket, refusal)
