Tell cut answers from whole ones in the caller library too

Cause: http.client takes headers that the end of the connection cuts for all of them: hypothesis found a refusal cut after Content-Length: 0 (byte 33) that the caller library passed on as an answer.

--- a/damaskbay/adapters/backend_http/client.py
+++ b/damaskbay/adapters/backend_http/client.py
@@ -13,18 +13,17 @@
 from damaskbay.adapters.backend_http.const import (
     CONNECT_TIMEOUT_S,
     IDLE_CONNECTION_S,
-    READ_CHUNK_BYTES,
 )
 from damaskbay.adapters.backend_http.exceptions import (
     AnswerCutShortError,
     AnswerTooLargeError,
 )
-from damaskbay.adapters.backend_http.response import WatchedResponse
 from damaskbay.const import HEADER_CALL_TOKEN, HEADER_DEADLINE, MAX_BODY_BYTES
 from damaskbay.core.call import Answer, Headers, Request
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.helpers.cancellation import Cancellation
 from damaskbay.helpers.clock import monotonic_s
+from damaskbay.helpers.http_exchange import Connection, read_answer, write_request
 from damaskbay.helpers.http_headers import without, without_hop_by_hop
 
 _LOGGER = logging.getLogger(__name__)
@@ -44,25 +43,6 @@
     idle_connection_s: float = IDLE_CONNECTION_S
 
 
-class _Connection(http.client.HTTPConnection):
-    """A connection that knows whether a byte of the current request was written."""
-
-    response_class = WatchedResponse
-    wrote = False
-    reusable = False
-    idle_since = 0.0
-
-    def connect(self) -> None:
-        super().connect()
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-    def send(self, data: object) -> None:
-        if self.sock is None:
-            self.connect()
-        self.wrote = True
-        super().send(data)  # type: ignore[arg-type]
-
-
 class HttpBackendServer:
     """
     The local backend server (port: BackendServer), safe from any thread.
@@ -79,7 +59,7 @@
     ) -> None:
         self._options = options
         self._clock = clock
-        self._idle: deque[_Connection] = deque()
+        self._idle: deque[Connection] = deque()
         self._room = threading.BoundedSemaphore(options.max_connections)
         self._closed = False
 
@@ -139,19 +119,19 @@
             return _refuse(opened, Reason.CANCELLED, "")
         return answer
 
-    def _open(self, deadline: float) -> _Connection | Refusal:
+    def _open(self, deadline: float) -> Connection | Refusal:
         """Return a usable connection, connected, with nothing written yet."""
         while self._idle:
             connection = self._idle.pop()
             idle_s = self._clock() - connection.idle_since
-            if idle_s < self._options.idle_connection_s and _is_quiet(connection):
+            if idle_s < self._options.idle_connection_s and connection.is_quiet():
                 return connection
             connection.close()
         wait_s = min(self._options.connect_timeout_s, deadline - self._clock())
         if wait_s <= 0:
             return not_run(Reason.DEADLINE_PASSED)
         options = self._options
-        connection = _Connection(options.host, options.port, timeout=wait_s)
+        connection = Connection(options.host, options.port, timeout_s=wait_s)
         try:
             connection.connect()
         except OSError as error:
@@ -161,7 +141,7 @@
 
     def _exchange(
         self,
-        connection: _Connection,
+        connection: Connection,
         request: Request,
         call_token: str,
         deadline: float,
@@ -174,9 +154,17 @@
                 connection.reusable = True
                 return not_run(Reason.DEADLINE_PASSED)
             connection.sock.settimeout(remaining_s)
-            headers = self._headers(request, call_token, remaining_s)
-            _write(connection, request, headers)
-            return self._read(connection, deadline)
+            write_request(
+                connection,
+                request.method,
+                request.target,
+                self._headers(request, call_token, remaining_s),
+                request.body,
+            )
+            limit = self._options.max_body_bytes
+            answer = read_answer(connection, deadline, self._clock, limit)
+            headers = without_hop_by_hop(answer.headers)
+            return Answer(answer.status, headers, answer.body)
         except TimeoutError:
             return _refuse(connection, Reason.DEADLINE_PASSED, "no answer in time")
         except AnswerTooLargeError:
@@ -197,43 +185,7 @@
             (HEADER_DEADLINE, str(max(1, int(remaining_s * 1000)))),
         )
 
-    def _read(self, connection: _Connection, deadline: float) -> Answer:
-        response = connection.getresponse()
-        body = self._read_body(connection, response, deadline)
-        headers = without_hop_by_hop(tuple(response.getheaders()))
-        connection.reusable = not response.will_close
-        return Answer(response.status, headers, body)
-
-    def _read_body(
-        self,
-        connection: _Connection,
-        response: http.client.HTTPResponse,
-        deadline: float,
-    ) -> bytes:
-        declared = response.length
-        if declared is None and not response.chunked:
-            raise AnswerCutShortError
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            remaining_s = deadline - self._clock()
-            if remaining_s <= 0:
-                raise TimeoutError
-            if connection.sock is not None:
-                connection.sock.settimeout(remaining_s)
-            chunk = response.read(READ_CHUNK_BYTES)
-            if not chunk:
-                break
-            size += len(chunk)
-            if size > self._options.max_body_bytes:
-                raise AnswerTooLargeError
-            chunks.append(chunk)
-        cut = isinstance(response, WatchedResponse) and response.line_cut
-        if cut or (declared is not None and size != declared):
-            raise AnswerCutShortError
-        return b"".join(chunks)
-
-    def _keep(self, connection: _Connection) -> None:
+    def _keep(self, connection: Connection) -> None:
         if self._closed:
             connection.close()
             return
@@ -244,8 +196,8 @@
 class _Abort:
     """Ends a blocked exchange from another thread, until it is disarmed."""
 
-    def __init__(self, connection: _Connection) -> None:
-        self._connection: _Connection | None = connection
+    def __init__(self, connection: Connection) -> None:
+        self._connection: Connection | None = connection
         self._lock = threading.Lock()
         self._aborted = False
 
@@ -266,33 +218,7 @@
             return self._aborted
 
 
-def _write(connection: _Connection, request: Request, headers: Headers) -> None:
-    connection.putrequest(
-        request.method, request.target, skip_host=True, skip_accept_encoding=True
-    )
-    for name, value in headers:
-        connection.putheader(name, value)
-    if request.body or request.method in ("POST", "PUT", "PATCH"):
-        connection.putheader("Content-Length", str(len(request.body)))
-    connection.endheaders(request.body or None)
-
-
-def _is_quiet(connection: _Connection) -> bool:
-    """Tell whether an idle connection is open and has nothing to read."""
-    sock = connection.sock
-    if sock is None:
-        return False
-    sock.settimeout(0)
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
-def _refuse(connection: _Connection, reason: Reason, detail: str) -> Refusal:
+def _refuse(connection: Connection, reason: Reason, detail: str) -> Refusal:
     if connection.wrote:
         return unknown(reason, detail=detail)
     return not_run(reason, detail=detail)
--- a/damaskbay/adapters/backend_http/const.py
+++ b/damaskbay/adapters/backend_http/const.py
@@ -4,4 +4,3 @@
 
 CONNECT_TIMEOUT_S: Final = 1.0
 IDLE_CONNECTION_S: Final = 20.0
-READ_CHUNK_BYTES: Final = 64 * 1024
--- a/damaskbay/helpers/http_exchange.py
+++ b/damaskbay/helpers/http_exchange.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from damaskbay.core.call import Answer, Headers
+from damaskbay.helpers.http_response import WatchedResponse
 
 READ_CHUNK_BYTES: Final = 65_536
 
@@ -29,12 +30,18 @@
     `reusable` whether another request may follow, `idle_since` is in seconds.
     """
 
+    response_class = WatchedResponse
     wrote = False
     reusable = False
     idle_since = 0.0
 
     def __init__(
-        self, host: str, port: int, *, timeout_s: float, tls: ssl.SSLContext | None
+        self,
+        host: str,
+        port: int,
+        *,
+        timeout_s: float,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(host, port, timeout=timeout_s)
         self._tls = tls
@@ -110,7 +117,8 @@
         if size > max_bytes:
             raise AnswerTooLargeError
         chunks.append(chunk)
-    if declared is not None and size != declared:
+    cut = isinstance(response, WatchedResponse) and response.line_cut
+    if cut or (declared is not None and size != declared):
         raise AnswerCutShortError
     connection.reusable = not response.will_close
     return Answer(response.status, tuple(response.getheaders()), b"".join(chunks))
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -130,6 +130,27 @@
     assert len(one.heads) == (4 if idempotent else 1)
 
 
+@given(cut=st.integers(0, 400))
+@settings(derandomize=True, deadline=None, max_examples=150)
+def test_refusal_or_chunks_cut_at_any_byte(cut: int) -> None:
+    """A refusal whose headers are cut is no answer, nor are cut chunks."""
+    chunks = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+    chunked = chunks + b"0\r\n\r\n"
+    refusal_bytes = (
+        b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n"
+        b"Damaskbay-Reason: overloaded\r\nDamaskbay-Outcome: not_run\r\n\r\n"
+    )
+    for data in (chunked, refusal_bytes):
+        part = data[: cut % len(data)]
+
+        def script(_number: int, _head: str, part: bytes = part) -> Reply:
+            return Reply(part, keep=False)
+
+        with daemon(script) as one, client(one.address) as caller:
+            result = caller.call("POST", "/", host="h", deadline_s=DEADLINE_S)
+        assert refusal(result).outcome is Outcome.UNKNOWN
+
+
 def test_kept_connection_that_dies_after_the_write() -> None:
     """It is unknown, and sent again only where a request id guards it."""
 
