Let asks go round between a group's two holders, and ask both before refusing

Cause: with two holders a domain refused 5.8% of one small workspace's requests that were within its rate, for one holder had tokens while the other had none; most daemons asked the same one, so that its crash still took 70% of the share. Change: asks go round between the holders, and a daemon that gets nothing turns to the next before it refuses.

--- a/bench/rates.py
+++ b/bench/rates.py
@@ -164,7 +164,9 @@
         "greatest_excess_tokens": excess,
         "wrongful_refusals": refused,
         "in_rate_requests": in_rate,
-        "worst_served_workspace": max(refused, key=lambda name: refused[name]),
+        "worst_served_workspace": max(
+            refused, key=lambda name: refused[name] / in_rate[name]
+        ),
         "moved_demand_served_s": _moved_served_s(long),
         "platform_writes_per_s": round(counters.writes / length_s, 2),
         "platform_reads_per_s": round(counters.reads / length_s, 2),
--- a/bench/rates_fleet.py
+++ b/bench/rates_fleet.py
@@ -136,7 +136,7 @@
         membership: Any = fleet.membership_by_domain[member.failure_domain]
         self.member = member
         self.set_in_force = _Config(fleet.config)
-        self.shared = SharedStock(Stock(options.token_validity_s, rng))
+        self.shared = SharedStock(Stock(options.token_validity_s, options.holders, rng))
         self.platform = fleet.platform.client(member.failure_domain)
         self.dead = False
         self.paused_until = 0.0
--- a/damaskbay/core/rates/const.py
+++ b/damaskbay/core/rates/const.py
@@ -18,7 +18,7 @@
 DEFAULT_WRITE_GAP_S: Final = 0.2
 DEFAULT_WRITE_REFILL_S: Final = 3.0
 DEFAULT_WRITE_RESERVE: Final = 5
-DEFAULT_HEADROOM: Final = 1.5
+DEFAULT_HEADROOM: Final = 1.25
 DEFAULT_FLOOR_SHARE: Final = 1 / 16
 DEFAULT_FLOOR_IDLE_S: Final = 3600.0
 DEFAULT_DEMAND_DECAY_S: Final = 3.0
@@ -38,7 +38,7 @@
 SILENT_RENEWALS: Final = 3
 CONTACT_POLLS: Final = 4
 """Polls that may fail before an observer's waiting starts anew."""
-SHRINK_FACTOR: Final = 1.5
+SHRINK_FACTOR: Final = 1.2
 """A share is lowered unasked only when it is larger than needed by this factor."""
 
 NEED_GRID: Final = 1.1
--- a/damaskbay/core/rates/demand.py
+++ b/damaskbay/core/rates/demand.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 BIN_S = 1.0
+STEADY_S = 60.0
 
 
 class Demand:
@@ -22,6 +23,7 @@
         self._started_at = now
         self._count = 0
         self._per_s = 0.0
+        self._steady_per_s = 0.0
         self._kept_per_s = 0.0
         self._at = now
         self._depth = 0.0
@@ -49,8 +51,9 @@
         return max(self._per_s, self._count / BIN_S / 2)
 
     def kept_rate_per_s(self, now: float) -> float:
-        """Return the highest rate of a longer time."""
-        return max(self.rate_per_s(now), self._kept_per_s)
+        """Return the highest steady rate of a longer time."""
+        self._roll(now)
+        return self._kept_per_s
 
     def spike_tokens(self, now: float) -> float:
         """Return the greatest spike lately."""
@@ -73,8 +76,10 @@
         else:
             left = self._left(self._started_at, self._decay_s, now)
             self._per_s = measured + (self._per_s - measured) * left
+        left = self._left(self._started_at, STEADY_S, now)
+        self._steady_per_s = measured + (self._steady_per_s - measured) * left
         kept = self._kept_per_s * self._left(self._started_at, self._keep_decay_s, now)
-        self._kept_per_s = max(kept, self._per_s)
+        self._kept_per_s = max(kept, self._steady_per_s)
         self._count = 0
         self._started_at = now
 
--- a/damaskbay/core/rates/planner.py
+++ b/damaskbay/core/rates/planner.py
@@ -127,7 +127,8 @@
             wanted = max(wanted, current + min(claimed, self.free))
         if wanted >= current:
             return wanted
-        return min(current, max(int(wanted * SHRINK_FACTOR), self.keep))
+        kept = max(wanted, self.keep)
+        return kept if current > kept * SHRINK_FACTOR else current
 
     def pressed(self) -> bool:
         """Tell whether someone lacks what the free part cannot give."""
--- a/damaskbay/core/rates/stock.py
+++ b/damaskbay/core/rates/stock.py
@@ -41,6 +41,8 @@
     exceeded: bool = False
     retry_after_s: float = 0.0
     requests: int = 0
+    turn: int = 0
+    attempt: int = 0
 
     def count(self, now: float) -> int:
         """Return the tokens that may still be spent."""
@@ -62,8 +64,11 @@
     for it serve others or move back unused.
     """
 
-    def __init__(self, token_validity_s: float, rng: random.Random) -> None:
+    def __init__(
+        self, token_validity_s: float, holders: int, rng: random.Random
+    ) -> None:
         self._token_validity_s = token_validity_s
+        self._holders = holders
         self._rng = rng
         self._stocked_by_bucket: dict[str, _Stocked] = {}
         self._grant_number = 0
@@ -123,16 +128,26 @@
         stocked.asking = False
         expires_at = asked_at + self._token_validity_s
         if grant.count > 0:
+            stocked.attempt = 0
             lot = _Lot(grant.grant_number, holder, grant.count, now, expires_at)
             stocked.lots.append(lot)
         else:
             stocked.prefetch_at = now + PREFETCH_RETRY_S
-        if grant.count == 0 and needed > 0:
+        if grant.count == 0 and needed > 0 and not self._asks_next(stocked):
             stocked.exceeded = grant.exceeded
             stocked.retry_after_s = grant.retry_after_s
             block_s = min(max(grant.retry_after_s, BLOCK_MIN_S), BLOCK_MAX_S)
             stocked.blocked_until = now + block_s * self._rng.uniform(0.5, 1.0)
 
+    def turn(self, bucket: str) -> int:
+        """
+        Return which of the group's holders the last due ask is for.
+
+        Asks go round, so that holders share a domain's demand evenly.
+        """
+        stocked = self._stocked_by_bucket.get(bucket)
+        return (stocked.turn + stocked.attempt) % self._holders if stocked else 0
+
     def ask_failed(self, bucket: str, now: float) -> None:
         """Take in that an ask brought no answer."""
         self._stocked(bucket, now).asking = False
@@ -164,6 +179,11 @@
             self._stocked_by_bucket[bucket] = stocked
         return stocked
 
+    def _asks_next(self, stocked: _Stocked) -> bool:
+        """Turn to the group's next holder, if there is one that was not asked."""
+        stocked.attempt = (stocked.attempt + 1) % self._holders
+        return stocked.attempt > 0
+
     def _spend(self, stocked: _Stocked, now: float) -> None:
         for lot in stocked.lots:
             if lot.count > 0 and now < lot.expires_at:
@@ -183,6 +203,7 @@
         requests = stocked.requests
         stocked.requests = 0
         stocked.asking = True
+        stocked.turn += stocked.attempt == 0
         wanted = min(waiting + ahead - count, MAX_NEEDED_TOKENS)
         return BucketAsk(bucket, self._grant_number, needed, wanted, requests)
 
--- a/damaskbay/core/rates/table.py
+++ b/damaskbay/core/rates/table.py
@@ -9,8 +9,8 @@
     """
     Picks the live daemons with the highest ranks for each group.
 
-    The daemons of a domain are spread over the group's holders. Daemons may
-    disagree about who is one for a while: each then holds a share of its own.
+    Asks go round among the group's holders. Daemons may disagree about who is
+    one for a while: each then holds a share of its own.
     """
 
     def __init__(self, instance: str, groups: int, holders: int) -> None:
@@ -50,9 +50,13 @@
         self._avoid_s_by_instance[instance] = min(avoid_s * 2, AVOID_MAX_S)
         self._avoided_by_instance[instance] = now + avoid_s
 
-    def holder(self, group: int, now: float) -> MemberView | None:
-        """Return the daemon to ask, or None for this one."""
-        for member in self._asked_in_order(group):
+    def holder(self, group: int, now: float, turn: int = 0) -> MemberView | None:
+        """
+        Return the daemon to ask, or None for this one.
+
+        `turn` is which of the group's holders to ask if it can be reached.
+        """
+        for member in self._asked_in_order(group, turn):
             if member.instance == self._instance:
                 return None
             if self._avoided_by_instance.get(member.instance, now) <= now:
@@ -69,14 +73,11 @@
         holders = ranked[: self._holders]
         return not ranked or any(item.instance == self._instance for item in holders)
 
-    def _asked_in_order(self, group: int) -> tuple[MemberView, ...]:
-        """Return whom to ask first, then the group's other holders, then others."""
+    def _asked_in_order(self, group: int, turn: int) -> tuple[MemberView, ...]:
+        """Return the holder whose turn it is, the other holders, then others."""
         ranked = self._ranked(group)
         holders = ranked[: self._holders]
-        own = [item for item in holders if item.instance == self._instance]
-        if own or not holders:
-            return (*own, *ranked)
-        first = rank(group, self._instance) % len(holders)
+        first = turn % max(1, len(holders))
         return (*holders[first:], *holders[:first], *ranked[self._holders :])
 
     def _ranked(self, group: int) -> tuple[MemberView, ...]:
--- a/damaskbay/daemon/rates.py
+++ b/damaskbay/daemon/rates.py
@@ -43,7 +43,7 @@
         rng = random.Random(f"{identity.instance}/{identity.incarnation}")
         self._config = config
         self._clock = clock
-        self._stock = SharedStock(Stock(terms.token_validity_s, rng))
+        self._stock = SharedStock(Stock(terms.token_validity_s, terms.holders, rng))
         self._task = RateTask(
             identity=identity,
             store=LedgerStore(platform),
--- a/damaskbay/daemon/rates_stock.py
+++ b/damaskbay/daemon/rates_stock.py
@@ -59,6 +59,11 @@
             )
             return self._stock.due_asks(waiting, now)
 
+    def turn(self, bucket: str) -> int:
+        """Return which of the group's holders the last due ask is for."""
+        with self._lock:
+            return self._stock.turn(bucket)
+
     def granted(
         self,
         grants: tuple[BucketGrant, ...],
--- a/damaskbay/daemon/rates_task.py
+++ b/damaskbay/daemon/rates_task.py
@@ -203,7 +203,7 @@
         members_by_instance: dict[str, MemberView | None] = {}
         for ask in self._stock.due_asks(now):
             group = group_of(ask.bucket, self._options.groups)
-            holder = self._table.holder(group, now)
+            holder = self._table.holder(group, now, self._stock.turn(ask.bucket))
             instance = holder.instance if holder else ""
             members_by_instance[instance] = holder
             asks_by_instance.setdefault(instance, []).append(ask)
