--- a/bench/rates_fleet.py
+++ b/bench/rates_fleet.py
@@ -2,7 +2,6 @@
 
 import heapq
 import random
-from collections import Counter
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 from dataclasses import dataclass, field
@@ -10,6 +9,9 @@
 
 from damaskbay.config.objects import ConfigSet
 from damaskbay.core.outcome import Refusal
+from damaskbay.core.rates.codec import decode_ledger
+from damaskbay.core.rates.const import LEDGER_KEY_PREFIX
+from damaskbay.core.rates.ledger import GroupLedger
 from damaskbay.core.rates.names import bucket_names
 from damaskbay.core.rates.node import LedgerCall
 from damaskbay.core.rates.options import ShareOptions
@@ -26,6 +28,7 @@
     PeerIdentity,
     PeerProblem,
 )
+from damaskbay.ports.platform import PlatformFailure
 from damaskbay.stand_ins.memory_platform import MemoryPlatform
 
 INSIDE_DOMAIN_S = 0.0005
@@ -257,14 +260,21 @@
     def crash(self, daemon: VirtualDaemon) -> None:
         """End a daemon at once; its domain notices after a while."""
         daemon.dead = True
-        membership = self.membership_by_domain[daemon.member.failure_domain]
+        self.after(DETECTION_S, lambda: self.forget(daemon))
 
-        def notice() -> None:
-            membership.all = tuple(
-                item for item in membership.all if item is not daemon.member
-            )
+    def forget(self, daemon: VirtualDaemon) -> None:
+        """Take a daemon off its domain's members."""
+        membership = self.membership_by_domain[daemon.member.failure_domain]
+        membership.all = tuple(
+            item for item in membership.all if item is not daemon.member
+        )
 
-        self.after(DETECTION_S, notice)
+    def ledgers(self) -> list[GroupLedger]:
+        """Return the ledgers as they stand in the platform."""
+        entries = self.platform.client("reader").list(LEDGER_KEY_PREFIX, timeout_s=1)
+        assert not isinstance(entries, PlatformFailure)
+        ledgers = [decode_ledger(entry.value) for entry in entries]
+        return [item for item in ledgers if isinstance(item, GroupLedger)]
 
     def leave(self, daemon: VirtualDaemon) -> None:
         """Stop a daemon as planned."""
@@ -299,11 +309,6 @@
             return
         daemon.when_awake(lambda: self._acquire(daemon, names, done))
 
-    def outcomes(self) -> Counter[str]:
-        """Count platform calls by kind."""
-        counters = self.platform.counters
-        return Counter(reads=counters.reads, writes=counters.writes)
-
     def _acquire(
         self,
         daemon: VirtualDaemon,
--- a/damaskbay/core/rates/demand.py
+++ b/damaskbay/core/rates/demand.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 
 BIN_S = 1.0
-STEADY_S = 60.0
+STEADY_S = 15.0
 
 
 class Demand:
@@ -24,6 +24,7 @@
         self._count = 0
         self._per_s = 0.0
         self._steady_per_s = 0.0
+        self._bins = 0
         self._kept_per_s = 0.0
         self._at = now
         self._depth = 0.0
@@ -76,7 +77,8 @@
         else:
             left = self._left(self._started_at, self._decay_s, now)
             self._per_s = measured + (self._per_s - measured) * left
-        left = self._left(self._started_at, STEADY_S, now)
+        self._bins += 1
+        left = min(self._left(self._started_at, STEADY_S, now), 1 - 1 / self._bins)
         self._steady_per_s = measured + (self._steady_per_s - measured) * left
         kept = self._kept_per_s * self._left(self._started_at, self._keep_decay_s, now)
         self._kept_per_s = max(kept, self._steady_per_s)
