Keep a backend server's answer from passing for a refusal

Cause: a backend server that passes on the headers of a nested refusal would tell its caller not_run for a request that it has run. Change: outcome, reason and call id of a backend server's answer are not passed on. Conclusion: test_an_answer_cannot_pass_for_a_refusal fails without the change.

--- a/damaskbay/adapters/caller_http/application.py
+++ b/damaskbay/adapters/caller_http/application.py
@@ -20,7 +20,7 @@
 from damaskbay.core.http_status import status_of
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.helpers.cancellation import Cancellation
-from damaskbay.helpers.http_headers import without_hop_by_hop
+from damaskbay.helpers.http_headers import without, without_hop_by_hop
 from damaskbay.ports.caller import CallerService, ServedCall
 
 _LOGGER = logging.getLogger(__name__)
@@ -29,6 +29,9 @@
 Environ = dict[str, Any]
 
 _WITHOUT_BODY = frozenset({204, 304})
+_REFUSAL_HEADERS = frozenset(
+    name.lower() for name in (HEADER_OUTCOME, HEADER_REASON, HEADER_CALL_ID)
+)
 
 
 class CallerApplication:
@@ -98,7 +101,7 @@
 def _write_answer(
     answer: Answer, call_id: str, environ: Environ, start_response: StartResponse
 ) -> Iterable[bytes]:
-    headers = list(without_hop_by_hop(answer.headers))
+    headers = list(without(without_hop_by_hop(answer.headers), _REFUSAL_HEADERS))
     headers.append((HEADER_CALL_ID, call_id))
     bodiless = answer.status in _WITHOUT_BODY or environ["REQUEST_METHOD"] == "HEAD"
     names = {name.lower() for name, _ in headers}
--- a/tests/adapters/caller_http/test_application.py
+++ b/tests/adapters/caller_http/test_application.py
@@ -13,6 +13,7 @@
 from damaskbay.adapters.caller_http.application import CallerApplication
 from damaskbay.adapters.caller_http.hang_up import HangUpWatcher
 from damaskbay.const import (
+    HEADER_CALL_ID,
     HEADER_DEADLINE,
     HEADER_IDEMPOTENT,
     HEADER_KEY,
@@ -139,6 +140,23 @@
     assert response.headers["Retry-After"] == "2"
 
 
+def test_an_answer_cannot_pass_for_a_refusal() -> None:
+    """Outcome and reason that a backend server sends are not passed on."""
+    nested = (
+        (HEADER_OUTCOME, "not_run"),
+        (HEADER_REASON.lower(), "overloaded"),
+        (HEADER_CALL_ID, "another"),
+        ("Kept", "1"),
+    )
+    with _edge(lambda *_: Answer(502, nested, b"failed")) as (server, _):
+        response, body = _exchange(server)
+    assert (response.status, body) == (502, b"failed")
+    assert response.headers[HEADER_OUTCOME] is None
+    assert response.headers[HEADER_REASON] is None
+    assert response.headers.get_all(HEADER_CALL_ID) == ["call-1"]
+    assert response.headers["Kept"] == "1"
+
+
 def test_unreadable_header_is_named() -> None:
     """A bad deadline is refused and the header named; nothing reaches the service."""
     with _edge(lambda *_: Answer(200)) as (server, service):
