--- a/bench/documents.py
+++ b/bench/documents.py
@@ -4,6 +4,7 @@
 import json
 import random
 import time
+import tracemalloc
 from collections.abc import Callable, Sequence
 from dataclasses import asdict, dataclass
 from typing import Any, TypeVar
@@ -40,7 +41,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """Processor times in milliseconds, sizes in bytes, share in percent of a core."""
+    """
+    Processor times in milliseconds, sizes in bytes, shares in percent of a core.
+
+    `memory_mb` is what the document, the set and the route table hold.
+    """
 
     pools: int
     routes: int
@@ -54,6 +59,7 @@
     apply_key_change_ms: float
     apply_route_change_ms: float
     match_us: float
+    memory_mb: float
     core_percent_keys_only: float
     core_percent_routes_only: float
 
@@ -94,6 +100,7 @@
         apply_key_change_ms=key_ms,
         apply_route_change_ms=route_ms,
         match_us=match_ms * 1000 / MATCHES,
+        memory_mb=_memory_mb(data),
         core_percent_keys_only=per_s * (key_ms + build_ms) / 10,
         core_percent_routes_only=per_s * (route_ms + build_ms + table_ms) / 10,
     )
@@ -159,6 +166,17 @@
     return make_delta(document, changed)
 
 
+def _memory_mb(data: bytes) -> float:
+    tracemalloc.start()
+    document = _document(data)
+    config = build(document, 1)
+    kept = (document, config, RouteTable(config))
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return held_bytes / 1e6
+
+
 def _timed(call: Callable[[], T], repeats: int = 7) -> tuple[float, T]:
     """Return the least processor time of some runs, in milliseconds, and the result."""
     best_s = float("inf")
--- a/damaskbay/cli/publish.py
+++ b/damaskbay/cli/publish.py
@@ -13,10 +13,10 @@
     read_set,
     stoppable,
 )
-from damaskbay.cli.publishing import EXIT_CODES, add_author_option, publish
+from damaskbay.cli.publishing import EXIT_CODES, add_author_option, publish, report
 from damaskbay.config.document import Document
 from damaskbay.config.override import Override, apply_overrides
-from damaskbay.config.publishing import Publication, new_publish_id
+from damaskbay.config.publishing import Publication, Publisher, new_publish_id
 from damaskbay.config.store import ConfigStore
 from damaskbay.ports.platform import Platform
 
@@ -53,6 +53,11 @@
         help="the version to follow (default: the file's based_on_version, else 0; "
         "for overrides the one in force)",
     )
+    parser.add_argument(
+        "--replace-damaged-head",
+        action="store_true",
+        help="publish the file in place of a head record that can't be read",
+    )
     parser.add_argument("--publish-id", help="settle an earlier unknown outcome")
     add_author_option(parser)
     add_platform_option(parser)
@@ -65,11 +70,16 @@
     overrides = _overrides(options)
     if (options.file is None) == (not overrides):
         raise Stop("name a file, or --override and --remove", EXIT_USAGE)
+    if options.replace_damaged_head and overrides:
+        raise Stop("--replace-damaged-head needs a whole set", EXIT_USAGE)
     with open_platform(options) as platform:
         if overrides:
             publication = _from_overrides(options, overrides, platform)
         else:
             publication = _from_file(options)
+        if options.replace_damaged_head:
+            result = Publisher(platform).replace_damaged_head(publication)
+            return report(result, as_json=options.json)
         return publish(platform, publication, as_json=options.json)
 
 
--- a/damaskbay/cli/publishing.py
+++ b/damaskbay/cli/publishing.py
@@ -43,7 +43,11 @@
 
 def publish(platform: Platform, publication: Publication, *, as_json: bool) -> int:
     """Publish, print the outcome and return the exit code."""
-    result = Publisher(platform).publish(publication)
+    return report(Publisher(platform).publish(publication), as_json=as_json)
+
+
+def report(result: PublishResult, *, as_json: bool) -> int:
+    """Print the outcome and return the exit code."""
     if as_json:
         print_json(_plain(result))
     else:
--- a/damaskbay/config/check_routes.py
+++ b/damaskbay/config/check_routes.py
@@ -4,8 +4,9 @@
 from collections.abc import Collection, Iterator, Mapping
 
 from damaskbay.config.call_graph import chain_lengths, cycles, reach
+from damaskbay.config.const import ANY_HOST
 from damaskbay.config.exceptions import Problem
-from damaskbay.config.matching import normal_prefix
+from damaskbay.config.matching import normal_prefix, plain_host, safe_path
 from damaskbay.config.objects import Access, Kind, Limit, LimitScope, Route
 from damaskbay.config.parsing import ObjectsByKind
 from damaskbay.const import MAX_CALL_DEPTH
@@ -22,6 +23,7 @@
     for route in routes.values():
         yield from _reference_problems(route, names)
         yield from _callee_problems(route, routes)
+        yield from _unreachable_problems(route)
     yield from _overlap_problems(routes)
     yield from _chain_problems(routes)
     yield from _retry_problems(routes)
@@ -75,6 +77,19 @@
             )
 
 
+def _unreachable_problems(route: Route) -> Iterator[Problem]:
+    if route.host != ANY_HOST and route.host != plain_host(route.host):
+        mend = f"Write {plain_host(route.host)!r} instead."
+        yield _problem(route, "host", "no request has this host", mend)
+    if ";" in route.path_prefix and safe_path(route.path_prefix) is None:
+        yield _problem(
+            route,
+            "path_prefix",
+            "a request with this path has no route, since servers read it differently",
+            "Use a path without '.', '..' and empty segments.",
+        )
+
+
 def _overlap_problems(routes: _Routes) -> Iterator[Problem]:
     routes_by_place: dict[tuple[str, str], list[Route]] = defaultdict(list)
     for route in routes.values():
--- a/damaskbay/config/matching.py
+++ b/damaskbay/config/matching.py
@@ -44,10 +44,10 @@
 
     def match(self, host: str, method: str, path: str) -> Route | None:
         """Return the route; `path` is as sent and may still hold a query."""
-        segments = _safe_path(path)
+        segments = safe_path(path)
         if segments is None:
             return None
-        for name in (_plain_host(host), ANY_HOST):
+        for name in (plain_host(host), ANY_HOST):
             table = self._tables_by_host.get(name)
             if table is None:
                 continue
@@ -71,15 +71,15 @@
     return _HostTable(by_prefix, max(prefix.count("/") for prefix in by_prefix))
 
 
-def _plain_host(host: str) -> str:
-    """Return the host in lower case, without its port and closing dot."""
+def plain_host(host: str) -> str:
+    """Return a request's host in lower case, without its port and closing dot."""
     name = host.lower()
     if name.startswith("["):
         return name[: name.find("]") + 1]
     return name.partition(":")[0].rstrip(".")
 
 
-def _safe_path(path: str) -> list[str] | None:
+def safe_path(path: str) -> list[str] | None:
     """Return the decoded segments, or None where the path is ambiguous."""
     plain = path.partition("?")[0].partition("#")[0]
     if not plain.startswith("/"):
--- a/damaskbay/config/publishing.py
+++ b/damaskbay/config/publishing.py
@@ -3,7 +3,7 @@
 import time
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from damaskbay.config.check import check
 from damaskbay.config.const import (
@@ -134,11 +134,39 @@
         failure = housekeeping.prepare(publication.document, record, head)
         if failure is not None:
             return failure
-        result = self._swap(publication, record, head, deadline)
+        revision = 0 if head is None else head.revision
+        result = self._swap(publication, record, revision, deadline)
         if isinstance(result, Published):
             housekeeping.clean_up()
         return result
 
+    def replace_damaged_head(self, publication: Publication) -> PublishResult:
+        """
+        Publish in place of a head record that can't be read.
+
+        The version follows the one that the damaged record must have had, so that
+        every daemon takes it. A head that can be read is left alone.
+        """
+        problems = check(publication.document)
+        if problems:
+            return PublishFailure(PublishProblem.INVALID, str(problems[0]), problems)
+        deadline = self._clock() + self._timeout_s
+        damaged = self._store.read_head()
+        history = self._store.read_history()
+        if not isinstance(damaged, LoadFailure):
+            current = None if damaged is None else damaged.record
+            return self._conflict(publication, current)
+        if isinstance(history, LoadFailure) or not damaged.revision:
+            return PublishFailure(PublishProblem.UNAVAILABLE, damaged.detail)
+        lost_version = max((item.version for item in history), default=0) + 1
+        following = replace(publication, expected_version=lost_version)
+        record = self._make_record(following, None)
+        housekeeping = Housekeeping(self._platform, self._retry, deadline)
+        failure = housekeeping.prepare(publication.document, record, None)
+        if failure is not None:
+            return failure
+        return self._swap(following, record, damaged.revision, deadline)
+
     def _read_head(self, deadline: float) -> Head | PublishFailure | None:
         while True:
             head = self._store.read_head(timeout_s=self._call_timeout_s(deadline))
@@ -229,11 +257,10 @@
         self,
         publication: Publication,
         record: HeadRecord,
-        head: Head | None,
+        revision: int,
         deadline: float,
     ) -> PublishResult:
         """Swap the head, again after a lost answer, until the outcome is known."""
-        revision = 0 if head is None else head.revision
         lost = False
         while True:
             result = self._platform.compare_and_swap(
--- a/damaskbay/config/store.py
+++ b/damaskbay/config/store.py
@@ -68,16 +68,20 @@
     def read_history(
         self, *, timeout_s: float = CALL_TIMEOUT_S
     ) -> tuple[HeadRecord, ...] | LoadFailure:
-        """Return the records of the kept versions, oldest first, the head last."""
+        """
+        Return the records of the kept versions, oldest first, the head last.
+
+        A damaged head is left out.
+        """
         entries = self._platform.list(HISTORY_PREFIX, timeout_s=timeout_s)
         if isinstance(entries, PlatformFailure):
             return _unavailable(entries)
         head = self.read_head(timeout_s=timeout_s)
-        if isinstance(head, LoadFailure):
+        if isinstance(head, LoadFailure) and head.problem is LoadProblem.UNAVAILABLE:
             return head
         records = [read_record(entry) for entry in entries]
         kept = [item for item in records if isinstance(item, HeadRecord)]
-        if head is not None:
+        if isinstance(head, Head):
             kept = [item for item in kept if item.version < head.record.version]
             kept.append(head.record)
         return tuple(kept)
--- a/tests/config/test_check.py
+++ b/tests/config/test_check.py
@@ -51,6 +51,8 @@
     ({"routes__twin": _route(path_prefix="/record/", methods=["GET"])},
      ("routes", "twin", "path_prefix")),
     ({"routes__file__path_prefix": "/a/../b"}, ("routes", "file", "path_prefix")),
+    ({"routes__file__host": "example.org."}, ("routes", "file", "host")),
+    ({"routes__file__path_prefix": "/a/..;b"}, ("routes", "file", "path_prefix")),
     ({"routes__file__host": "Example.org"}, ("routes", "file", "host")),
     ({"routes__Bad Name": _route(path_prefix="/x")}, ("routes", "'Bad Name'", "name")),
     ({"limits__idle": {"rate_per_s": 30, "burst": 10, "scope": "workspace"},
--- a/tests/config/test_publishing.py
+++ b/tests/config/test_publishing.py
@@ -310,6 +310,22 @@
         assert result.problem is PublishProblem.UNREADABLE_HEAD
 
 
+def test_a_damaged_head_is_replaced_by_a_higher_version() -> None:
+    """Only a damaged one, and beyond the version that it must have had."""
+    platform = MemoryPlatform()
+    for number in range(3):
+        _publish(platform, _version(number), number)
+    publisher = Publisher(platform, sleep=lambda _: None)
+    publication = Publication(_version(5), "ann", 0, new_publish_id())
+    assert isinstance(publisher.replace_damaged_head(publication), PublishConflict)
+    _damage(platform, HEAD_KEY, b"{")
+    platform.inject(lose_answers=5)
+    result = publisher.replace_damaged_head(publication)
+    assert isinstance(result, Published) and result.record.version == 4
+    assert _load(platform) == _version(5)
+    assert isinstance(_publish(platform, _version(6), 4), Published)
+
+
 def test_a_set_with_a_fault_is_not_published() -> None:
     """The store checks again what it is given."""
     platform = MemoryPlatform()
