--- a/tests/core/admission/test_controller.py
+++ b/tests/core/admission/test_controller.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings, strategies as st
 
 from damaskbay.core.admission import Decision, Refuse, Sample, Start
+from damaskbay.core.admission.latency import LatencyEstimate
 from damaskbay.core.outcome import Reason
 from tests.common import function_suite
 from tests.core.admission.common import call, make_controller, refusals, starts
@@ -178,6 +179,15 @@
     assert started >= 150
 
 
+def test_latency_estimate_fades_in_silence() -> None:
+    """Without new samples an old estimate does not stay."""
+    estimate = LatencyEstimate()
+    for step in range(20):
+        estimate.add(8.0, step * 0.01)
+    assert estimate.seconds(0.5) == 8.0
+    assert estimate.seconds(5.0) < 0.1
+
+
 def test_passed_deadline_in_the_queue() -> None:
     """A call that waited past its deadline is refused as not run."""
     controller = make_controller(1)
--- a/tests/core/retry/test_retry.py
+++ b/tests/core/retry/test_retry.py
@@ -149,6 +149,18 @@
     assert not budget.spend(1000.0)
 
 
+def test_no_retry_without_budget() -> None:
+    """A call whose pool's budget is spent is not sent again."""
+    budget = RetryBudget(RetryBudgetOptions(min_per_s=0.0), 0.0)
+    lost = CallResult(unknown(Reason.PEER_LOST), served_by="a")
+    made = [
+        decide_retry(lost, make_context(), budget, 1, 1, 0.0, Random(1))
+        for _ in range(10)
+    ]
+    assert made[0] is not None
+    assert made[1:] == [None] * 9
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
