Part responders and requests from the sides that serve them

Change: responder.py and request.py; the limit for direct writes follows the frame limit. Conclusion: behaviour is unchanged but for small frame limits, which test_messages_over_the_frame_limit_cost_nobody_the_stream brings about.

--- a/damaskbay/adapters/peer_stream/stream.py
+++ b/damaskbay/adapters/peer_stream/stream.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import TypeVar
 
-from damaskbay.adapters.peer_stream.const import RECEIVE_BYTES
+from damaskbay.adapters.peer_stream.const import MAX_DIRECT_BYTES, RECEIVE_BYTES
 from damaskbay.adapters.peer_stream.exceptions import FrameError, PeerStreamError
 from damaskbay.adapters.peer_stream.frames import (
     Frame,
@@ -76,6 +76,7 @@
         self._held = Outbox()
         self._lock = threading.Lock()
         self._secure = isinstance(sock, ssl.SSLSocket)
+        self._max_direct_bytes = min(MAX_DIRECT_BYTES, options.max_frame_bytes)
         self._counted_bytes = 0
         self._interest = selectors.EVENT_WRITE
 
@@ -130,7 +131,9 @@
         returned True the frame is written; what the socket did not take stays
         queued.
         """
-        if self._secure or not self._lock.acquire(blocking=False):
+        if self._secure or len(frame.data) > self._max_direct_bytes:
+            return False
+        if not self._lock.acquire(blocking=False):
             return False
         try:
             if not self.proven or self.leaving or self._outbox:
--- a/damaskbay/adapters/peer_stream/streams.py
+++ b/damaskbay/adapters/peer_stream/streams.py
@@ -11,10 +11,9 @@
 from dataclasses import dataclass
 from typing import Any, Self
 
-from damaskbay.adapters.peer_stream.client import OutgoingRequest, RequestingSide
+from damaskbay.adapters.peer_stream.client import RequestingSide
 from damaskbay.adapters.peer_stream.const import (
-    CONTROL_RESERVE_BYTES,
-    MAX_DIRECT_BYTES,
+    FRAME_OVERHEAD_BYTES,
     MIN_SECRET_BYTES,
 )
 from damaskbay.adapters.peer_stream.frames import FrameKind, encode
@@ -22,13 +21,14 @@
 from damaskbay.adapters.peer_stream.options import PeerStreamOptions, PeerStreamStats
 from damaskbay.adapters.peer_stream.outbox import Outgoing
 from damaskbay.adapters.peer_stream.pool import StreamPool
-from damaskbay.adapters.peer_stream.server import (
+from damaskbay.adapters.peer_stream.request import OutgoingRequest
+from damaskbay.adapters.peer_stream.responder import (
     AnswerCommand,
-    AnsweringSide,
     FlushCommand,
     IncomingRequest,
     OnCancelCommand,
 )
+from damaskbay.adapters.peer_stream.server import AnsweringSide
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.messages import pack
 from damaskbay.ports.peer import (
@@ -89,7 +89,7 @@
         self.address = listen
         self._options = options
         self._stats = PeerStreamStats()
-        self._max_payload = options.max_frame_bytes - CONTROL_RESERVE_BYTES
+        self._max_payload = options.max_frame_bytes - FRAME_OVERHEAD_BYTES
         first_id = random_source.randbits(_FIRST_ID_BITS)
         self._ids = itertools.count(first_id + 1)
         self._pool = StreamPool(self._selector, options, self._stats)
@@ -204,7 +204,7 @@
     def _send_now(self, request: OutgoingRequest, now: float) -> bool:
         """Write a request from the calling thread where its stream is free."""
         stream = self._out.ready_stream(request.peer, now)
-        if stream is None or len(request.payload) > MAX_DIRECT_BYTES:
+        if stream is None:
             return False
         frame = Outgoing(
             encode(FrameKind.REQUEST, request.correlation_id, request.payload)
--- a/tests/adapters/peer_stream/test_failures.py
+++ b/tests/adapters/peer_stream/test_failures.py
@@ -117,6 +117,26 @@
         assert eventually(lambda: refused() > len(asks) // 2)
 
 
+def test_messages_over_the_frame_limit_cost_nobody_the_stream() -> None:
+    """A long request is NOT_SENT, a long answer LOST; the stream goes on."""
+    options = dataclasses.replace(CALM, max_frame_bytes=5_000)
+
+    def grow(_peer: PeerIdentity, item: Any, responder: Responder) -> None:
+        responder.answer(Tell(item.number, bytes(item.number)))
+
+    with link("b", grow, options=options) as b, link("a", options=options) as a:
+        for number, size, problem in (
+            (1, 0, None),
+            (1, 5_000, PeerProblem.NOT_SENT),
+            (5_000, 0, PeerProblem.LOST),
+            (4_900, 4_900, None),
+        ):
+            ask = Ask(number, bytes(size))
+            result = a.request(b.address, ask, timeout_s=WAIT_S).result()
+            assert getattr(result, "problem", None) is problem
+        assert b.stats().streams_accepted == 1
+
+
 def test_slow_reader_hurts_nobody_else() -> None:
     """A peer that asks and never reads loses answers, then its stream."""
 
