Stand in for the relays of a domain while both are lost

Cause: with both relays gone at once, a domain waited until its members were held dead before anybody asked elsewhere. Change: the first six daemons of the order ask the other failure domains when proofs are missing, spread what they pull, and are polled in place of a parent without an answer.

--- a/bench/config.py
+++ b/bench/config.py
@@ -28,6 +28,7 @@
 GAP_S = 0.7
 SLOW_S = 1.0
 SETTLE_S = 3.0
+RECOVERY_S = 12.0
 
 
 class Operator:
@@ -73,9 +74,9 @@
     def in_force_s(self, version: int) -> float:
         """Wait until a version is in force everywhere; return how long it took."""
         figures = self._fleet.wait_until(
-            lambda items: all(item["version"] >= version for item in items)
+            lambda items: all(_in_force_at(item, version) for item in items)
         )
-        times = (_in_force_at(item, version) for item in figures)
+        times = [_in_force_at(item, version) or 0.0 for item in figures]
         return max(times) - self._accepted_at_by_version[version]
 
 
@@ -92,7 +93,8 @@
         fleet.platform.inject(delay_s=SLOW_S)
         slow = _series(operator, max(2, count // 4))
         fleet.platform.inject(delay_s=0.0)
-        killed = [_with_relay_killed(fleet, operator) for _ in range(2)]
+        killed = [_with_relays_killed(fleet, operator, 1) for _ in range(2)]
+        both = _with_relays_killed(fleet, operator, 2)
         reverted = sum(item["reverted"] for item in fleet.figures())
     return finish(
         "config",
@@ -104,6 +106,7 @@
             "in_force_median_s": round(statistics.median(well), 3),
             "in_force_max_s": round(max(well), 3),
             "in_force_max_s_relay_killed": round(max(killed), 3),
+            "in_force_max_s_both_relays_of_a_domain_killed": round(both, 3),
             "in_force_max_s_platform_slow": round(max(slow), 3),
             "platform_slow_s": SLOW_S,
             "platform_reads_per_s": round(calls["reads"], 2),
@@ -145,16 +148,20 @@
     return result, calls
 
 
-def _with_relay_killed(fleet: ControlFleet, operator: Operator) -> float:
-    """Kill one relay at the moment of a publication."""
+def _with_relays_killed(fleet: ControlFleet, operator: Operator, count: int) -> float:
+    """Kill some relays of one failure domain at the moment of a publication."""
     relays = [daemon for daemon in fleet.daemons if daemon.figures()["relay"]]
-    version = operator.publish()
-    fleet.kill(relays[0])
-    taken = operator.in_force_s(version)
-    time.sleep(SETTLE_S)
+    domain = relays[0].failure_domain
+    lost = [daemon for daemon in relays if daemon.failure_domain == domain][:count]
+    for daemon in lost:
+        fleet.kill(daemon)
+    taken = operator.in_force_s(operator.publish())
+    time.sleep(RECOVERY_S)
     return taken
 
 
-def _in_force_at(figures: dict[str, Any], version: int) -> float:
+def _in_force_at(figures: dict[str, Any], version: int) -> float | None:
+    """Return when a daemon had this version or a newer one; None: not yet."""
     by_version: dict[str, float] = figures["at_by_version"]
-    return min(at for number, at in by_version.items() if int(number) >= version)
+    times = (at for number, at in by_version.items() if int(number) >= version)
+    return min(times, default=None)
--- a/damaskbay/core/dissemination/options.py
+++ b/damaskbay/core/dissemination/options.py
@@ -9,14 +9,17 @@
     Times in seconds.
 
     `relays` daemons of a failure domain watch the platform, each with a lease of
-    `lease_s` that it trusts for `lease_margin_s` less. New sets are pushed through
-    a tree of `push_fanout`; every `poll_period_s` a daemon polls its parent in a
-    tree of `poll_fanout`. A poll that failed counts as lost after `poll_timeout_s`.
-    Without a proof for `outage_after_s` a relay asks the other failure domains,
+    `lease_s` that it trusts for `lease_margin_s` less; the first `backups` daemons,
+    relays included, stand in for them towards other failure domains. New sets are
+    pushed through a tree of `push_fanout`; every `poll_period_s` a daemon polls its
+    parent in a tree of `poll_fanout`. A poll that failed counts as lost after
+    `poll_timeout_s`.
+    Without a proof for `outage_after_s` they ask the other failure domains,
     whose answers count for `reach_valid_s`.
     """
 
     relays: int = 2
+    backups: int = 6
     push_fanout: int = 4
     poll_fanout: int = 32
     poll_period_s: float = 0.5
--- a/damaskbay/daemon/config_polling.py
+++ b/damaskbay/daemon/config_polling.py
@@ -26,19 +26,22 @@
     """
     Takes turns between the trees of the relays, with a random member now and then.
 
-    Two trees have different inner daemons, so one that stopped costs one period.
+    Two trees have different inner daemons, so one that stopped costs one period;
+    in place of a parent that did not answer comes one of the backups.
     """
 
     def __init__(
         self,
         identity: PeerIdentity,
         order: FleetOrder,
+        backups: FleetOrder,
         contacts: Contacts,
         options: DisseminationOptions,
         rng: Random,
     ) -> None:
         self._identity = identity
         self._order = order
+        self._backups = backups
         self._contacts = contacts
         self._options = options
         self._rng = rng
@@ -81,22 +84,22 @@
 
     def _member(self) -> MemberView | None:
         if self._turn % self._options.random_poll_every == 0:
-            return self._random_member()
+            return self._random_of(self._order.members)
         leaders = self._order.leaders
         if not leaders:
             return None
         root = leaders[self._turn % len(leaders)]
         parent = self._order.parent(root.instance, self._options.poll_fanout)
         if parent is None:
-            return self._random_member() if len(leaders) < 2 else None
+            return self._random_of(self._backups.leaders)
         if parent.address in self._failed:
             self._failed.discard(parent.address)
-            return root if root != parent else self._random_member()
+            return self._random_of(self._backups.leaders)
         return parent
 
-    def _random_member(self) -> MemberView | None:
+    def _random_of(self, members: tuple[MemberView, ...]) -> MemberView | None:
         own = self._identity.instance
-        others = [item for item in self._order.members if item.instance != own]
+        others = [item for item in members if item.instance != own]
         return self._rng.choice(others) if others else None
 
     def _in_other_domains(self) -> list[PollTarget]:
--- a/damaskbay/daemon/config_service.py
+++ b/damaskbay/daemon/config_service.py
@@ -68,7 +68,10 @@
             outage_after_s=options.outage_after_s, valid_s=options.reach_valid_s
         )
         self._order = FleetOrder(identity.instance, LEADER_PURPOSE, options.relays)
-        self._polling = Polling(identity, self._order, contacts, options, Random(seed))
+        self._backups = FleetOrder(identity.instance, LEADER_PURPOSE, options.backups)
+        self._polling = Polling(
+            identity, self._order, self._backups, contacts, options, Random(seed)
+        )
         self._relay = ConfigRelay(
             identity,
             platform=platform,
@@ -146,7 +149,9 @@
 
     def tick(self, now: float) -> None:
         """Poll a neighbour, and other failure domains where proofs are missing."""
-        self._order.update(self._membership.members())
+        members = self._membership.members()
+        self._order.update(members)
+        self._backups.update(members)
         for target in self._polling.due(now, ask_domains=self._asks_domains(now)):
             self._request(
                 target.address,
@@ -160,7 +165,7 @@
     def _asks_domains(self, now: float) -> bool:
         age_s = self._freshness.proof_age_s(now)
         old = age_s is None or age_s >= self._options.outage_after_s
-        return old and self._order.leads
+        return old and self._backups.leads
 
     def _note_outage(self, now: float) -> None:
         if not self._asks_domains(now):
@@ -213,7 +218,7 @@
                 offer = self._holder.offer_parts(received.answer)
                 if offer is Offer.INVALID:
                     self._refused_until = now + self._options.refused_pause_s
-                self._settle(offer, spread=self._order.leads)
+                self._settle(offer, spread=self._backups.leads)
             case _:
                 self._pulling = False
                 self._polling.failed(received.address)
--- a/tests/daemon/config_common.py
+++ b/tests/daemon/config_common.py
@@ -138,6 +138,15 @@
                 if not instances or member.instance in instances:
                     self._start(domain, member)
 
+    def kill(self, instance: str) -> None:
+        """End a daemon without a word; it stays on the lists of members."""
+        service = self.services_by_instance.pop(instance)
+        service._relay._lease.release = lambda: None  # type: ignore[method-assign]
+        service.__exit__(None, None, None)
+        members = self.members_by_domain[instance.split("-")[0]]
+        [address] = [item.address for item in members if item.instance == instance]
+        del self.board.link_by_address[address]
+
     def leave(self, instance: str) -> None:
         """Take a daemon off everybody's list of members."""
         domain = instance.split("-")[0]
--- a/tests/daemon/test_config_service.py
+++ b/tests/daemon/test_config_service.py
@@ -82,9 +82,7 @@
         running.operator.publish()
         wait_until(lambda: running.versions() == {1})
         lost = _relays(running, "east")[0]
-        service = running.services_by_instance.pop(lost)
-        service._relay._lease.release = lambda: None  # type: ignore[method-assign]
-        service.__exit__(None, None, None)
+        running.kill(lost)
         running.leave(lost)
         running.operator.publish()
         wait_until(lambda: running.versions() == {2})
@@ -99,6 +97,23 @@
         )
 
 
+def test_both_relays_of_a_domain_lost_at_once() -> None:
+    """Before anybody knows that they are gone, others fetch the next set."""
+    with fleet(east=7, west=3) as running:
+        running.start()
+        running.operator.publish()
+        wait_until(partial(_in_force, running, 1))
+        for lost in _relays(running, "east"):
+            running.kill(lost)
+        running.operator.publish()
+        wait_until(partial(_in_force, running, 2))
+        left = running.services_by_instance.values()
+        start = next(iter(left)).clock()
+        wait_until(
+            lambda: all(item.clock() - _proof_age_s(item) > start for item in left)
+        )
+
+
 def test_relay_paused_past_its_lease_tells_nothing() -> None:
     """What a relay read before a pause is thrown away after it."""
     with fleet(east=1) as running:
