Bench a whole failure domain and the cost of a set of the target's size

Cause: a relay's load follows from how many daemons poll it, and a change's cost from the size of the set; both were unknown. Change: script/bench control also runs all daemons in one failure domain and takes a set of 1,600 services.

--- a/bench/control.py
+++ b/bench/control.py
@@ -6,7 +6,8 @@
 
 from bench.common import finish, parser
 from bench.config import Operator
-from bench.control_fleet import ControlFleet
+from bench.config_set import SERVICES, set_costs
+from bench.control_fleet import DOMAINS, ControlFleet
 from bench.membership import membership_figures
 from bench.processes import cpu_s, memory_mb
 
@@ -27,9 +28,12 @@
     members = QUICK_MEMBERS if options.quick else MEMBERS
     idle_s = QUICK_IDLE_S if options.quick else IDLE_S
     by_daemons = [_measure(count, options.seed, idle_s) for count in counts]
+    one_domain = _measure(counts[-1], options.seed, idle_s, domains=1)
     result: dict[str, Any] = {
         "by_daemons": by_daemons,
         "slopes_per_daemon": _slopes(by_daemons),
+        "one_domain": one_domain,
+        "set_costs": set_costs(services=100 if options.quick else SERVICES),
         "membership_by_members": [
             membership_figures(count, options.seed) for count in members
         ],
@@ -37,8 +41,10 @@
     return finish("control", result, options)
 
 
-def _measure(count: int, seed: int, idle_s: float) -> dict[str, Any]:
-    with ControlFleet(count, seed) as fleet:
+def _measure(
+    count: int, seed: int, idle_s: float, *, domains: int = len(DOMAINS)
+) -> dict[str, Any]:
+    with ControlFleet(count, seed, domains) as fleet:
         Operator(fleet).publish()
         fleet.wait_until(lambda figures: all(item["version"] for item in figures))
         time.sleep(SETTLE_S)
@@ -59,6 +65,7 @@
     relays = [index for index, item in enumerate(after) if item["relay"]]
     return {
         "daemons": count,
+        "failure_domains": domains,
         "core_share_pct": round(PERCENT * sum(cpu) / count / seconds, 3),
         "core_share_pct_relay": round(
             PERCENT * max(cpu[index] for index in relays) / seconds, 3
@@ -67,6 +74,7 @@
         "memory_mb_max": round(max(memory), 1),
         "bytes_per_s": round(sum(moved) / count / seconds),
         "bytes_per_s_max": round(max(moved) / seconds),
+        "bytes_per_s_relay": round(max(moved[index] for index in relays) / seconds),
         "streams_max": max(item["streams"] for item in after),
         "platform_calls_per_s": round(calls / seconds, 2),
     }
--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -46,6 +46,7 @@
 
     count: int
     seed: int
+    domains: int = len(DOMAINS)
     platform: MemoryPlatform = field(default_factory=MemoryPlatform)
     daemons: list[Daemon] = field(default_factory=list)
     _stack: ExitStack = field(default_factory=ExitStack)
@@ -104,12 +105,12 @@
             for domain in DOMAINS
         ]
         wanted = sum(count * count for count in per_domain)
-        domains = min(len(DOMAINS), self.count)
+        domains = min(self.domains, self.count)
         known = all(item["domains"] == domains for item in figures)
         return members == wanted and known
 
     def _start(self, index: int, platform_port: int) -> Daemon:
-        domain = DOMAINS[index % len(DOMAINS)]
+        domain = DOMAINS[index % self.domains]
         plan = {
             "instance": f"{domain}-{index}",
             "failure_domain": domain,
