Ask delegates less often, tell own news at once, accept several peer secrets

Cause: at 667 members a delegate would have answered 56 questions/s, by the slope of a poll 2.2% of a core on top of a relay's 2.5%, above the limit of 4.4%. A drain could wait for the budget of others' news. Datagrams took one secret only, so that a change of secrets would have split a domain. Change: members ask every 12 s (changes are told at once anyway); what a daemon says of itself goes out whatever the budget; any configured secret is accepted. The suspicions of a member have a module of their own.

--- a/bench/control_worker.py
+++ b/bench/control_worker.py
@@ -44,7 +44,7 @@
             identity,
             address,
             PeerAddress(host, plan["gossip_port"]),
-            secret=SECRET,
+            secrets=[SECRET],
             link=self._link,
             platform=platform,
             seed=plan["seed"],
--- a/damaskbay/adapters/gossip_udp/codec.py
+++ b/damaskbay/adapters/gossip_udp/codec.py
@@ -21,10 +21,14 @@
 
 
 class PacketCodec:
-    """Encodes own packets and decodes those of others, each at most once."""
+    """
+    Encodes own packets and decodes those of others, each at most once.
 
-    def __init__(self, secret: bytes) -> None:
-        self._key = hmac.digest(secret, MAC_CONTEXT, "sha256")
+    The first of `secrets` proves own packets, each of them is accepted.
+    """
+
+    def __init__(self, *secrets: bytes) -> None:
+        self._keys = [hmac.digest(item, MAC_CONTEXT, "sha256") for item in secrets]
         self._sequence = 0
         self._replays = ReplayFilter()
 
@@ -42,7 +46,7 @@
         if len(data) > MAX_DATAGRAM_BYTES:
             return DatagramProblem.TOO_LARGE
         mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
-        if not hmac.compare_digest(mac, self._mac(body)):
+        if not any(hmac.compare_digest(mac, _mac(key, body)) for key in self._keys):
             return DatagramProblem.UNPROVEN
         try:
             sequence, values = msgpack.unpackb(body)
@@ -59,10 +63,11 @@
     def _encode(self, packet: Packet, updates: tuple[MemberEntry, ...]) -> bytes:
         self._sequence += 1
         body: bytes = msgpack.packb([self._sequence, _values(packet, updates)])
-        return self._mac(body) + body
+        return _mac(self._keys[0], body) + body
+
 
-    def _mac(self, body: bytes) -> bytes:
-        return hmac.digest(self._key, body, "sha256")[:MAC_BYTES]
+def _mac(key: bytes, body: bytes) -> bytes:
+    return hmac.digest(key, body, "sha256")[:MAC_BYTES]
 
 
 def _values(packet: Packet, updates: tuple[MemberEntry, ...]) -> list[Any]:
--- a/damaskbay/core/membership/directory.py
+++ b/damaskbay/core/membership/directory.py
@@ -22,11 +22,13 @@
             self.revision += 1
             self._by_pool[pool] = self.revision
 
-    def since(self, revision: int) -> tuple[str, ...]:
-        """Return the pools that changed after a revision."""
+    def since(self, revision: int, among: Iterable[str] = ()) -> tuple[str, ...]:
+        """Return the pools, of all or of some, that changed after a revision."""
         if revision == self.revision:
             return ()
-        return tuple(pool for pool, at in self._by_pool.items() if at > revision)
+        by_pool = self._by_pool
+        pools = tuple(among) or tuple(by_pool)
+        return tuple(pool for pool in pools if by_pool.get(pool, 0) > revision)
 
 
 class RemoteServers:
--- a/damaskbay/core/membership/exchange.py
+++ b/damaskbay/core/membership/exchange.py
@@ -97,8 +97,10 @@
         if now < self._next_ask:
             return []
         jitter = self._rng.uniform(0.8, 1.2)
-        self._next_ask = now + self._options.summary_period_s * jitter
-        if self._order.leads:
+        options, leads = self._options, self._order.leads
+        period_s = options.summary_period_s if leads else options.question_period_s
+        self._next_ask = now + period_s * jitter
+        if leads:
             return self._ask_domains()
         return self._ask_delegate(now)
 
@@ -148,9 +150,11 @@
             return self.remote.put(domain, servers.pools, entries, complete=complete)
         return self._take_of_several(servers.pools, entries)
 
-    def lost(self, domain: str) -> None:
-        """Ask another daemon of a domain next time."""
+    def lost(self, domain: str, now: float) -> None:
+        """Ask another daemon of a domain soon."""
         self._source_by_domain.setdefault(domain, _Source()).turn += 1
+        soon = now + self._options.summary_period_s
+        self._next_ask = min(self._next_ask, soon)
 
     def drop_silent(self, now: float) -> tuple[str, ...]:
         """Forget the servers of domains that are silent; return what changed."""
@@ -201,15 +205,14 @@
 
     def _servers(self, ask: AskServers, since: int) -> Servers:
         revisions = self._revisions_for(ask)
-        pools = revisions.since(since)
+        pools = revisions.since(since, among=ask.pools)
         if ask.failure_domain != self._own.failure_domain:
             found = [
                 sample(self._own_servers(pool), ask.failure_domain) for pool in pools
             ]
             domain = self._own.failure_domain
         else:
-            wanted = frozenset(ask.pools)
-            pools = ask.pools if not since else tuple(wanted.intersection(pools))
+            pools = pools if since else ask.pools
             found = [self.remote.entries(pool) for pool in pools]
             domain = ""
         entries = pack_entries(entry for entries in found for entry in entries)
--- a/damaskbay/core/membership/options.py
+++ b/damaskbay/core/membership/options.py
@@ -17,8 +17,8 @@
     `delegates` daemons of a failure domain speak for it. They keep their addresses
     in the platform under `contact_lease_s`, read all of them every
     `contact_period_s`, ask the other domains every `summary_period_s` and tell
-    changes at once to who asked in the last `subscription_s`. A domain that is
-    silent for `domain_lost_s` is left out.
+    changes at once to who asked in the last `subscription_s`; others ask them every
+    `question_period_s`. A domain that is silent for `domain_lost_s` is left out.
     """
 
     probe_period_s: float = 1.0
@@ -41,6 +41,7 @@
     contact_renew_s: float = 180.0
     contact_lease_s: float = 600.0
     summary_period_s: float = 4.0
-    subscription_s: float = 15.0
+    question_period_s: float = 12.0
+    subscription_s: float = 40.0
     domain_lost_s: float = 30.0
     wanted_s: float = 120.0
--- a/damaskbay/core/membership/swim.py
+++ b/damaskbay/core/membership/swim.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 
 from damaskbay.core.membership.entry import MemberEntry, Status
@@ -16,6 +16,7 @@
     Rumor,
 )
 from damaskbay.core.membership.probes import Probe, ProbeBook
+from damaskbay.core.membership.suspicions import Suspicions
 from damaskbay.core.membership.table import MemberTable
 from damaskbay.core.membership.updates import UpdateQueue
 from damaskbay.ports.fleet import ServerState
@@ -25,12 +26,6 @@
 _SYNC_RETRY_S = 1.0
 
 
-@dataclass(slots=True)
-class _Suspicion:
-    fact: tuple[int, int, int]
-    ends_at: float
-
-
 class Swim:
     """
     One member's view of its failure domain.
@@ -51,11 +46,10 @@
         self._rng = rng
         self._updates = UpdateQueue()
         self._probes = ProbeBook(rng)
-        self._suspicions_by_instance: dict[str, _Suspicion] = {}
+        self._suspicions = Suspicions(options.suspicion_s)
         self._avoided_until_by_instance: dict[str, float] = {}
         self._seeds: tuple[PeerAddress, ...] = ()
         self._doubted: list[MemberEntry] = []
-        self._unheard_by_instance: dict[str, MemberEntry] = {}
         self._last_heard = now
         self._last_tick = now
         self._next_probe = now
@@ -85,7 +79,7 @@
             own, version=version, pool=pool, state=state, slots=slots, load=load
         )
         self._learn([self.own], now)
-        return self._rumors(now)
+        return self._tell(())
 
     def leave(self, now: float) -> list[Outgoing]:
         """Tell that this daemon goes."""
@@ -94,7 +88,7 @@
             self.own, version=version, status=Status.DEAD, state=ServerState.GONE
         )
         self._learn([self.own], now)
-        return self._rumors(now)
+        return self._tell(())
 
     def suspect(self, instance: str, incarnation: int, now: float) -> list[Outgoing]:
         """Avoid a member that a call failed on, and probe it at once."""
@@ -153,7 +147,7 @@
             self.table.purge(now, tombstone_s=self._options.tombstone_s)
             outgoing += self._reconnect()
         outgoing += self._ask_doubted()
-        return outgoing + self._rumors(now)
+        return outgoing + self._rumors()
 
     def receive(self, packet: Packet, now: float) -> list[Outgoing]:
         """Take one datagram."""
@@ -207,13 +201,12 @@
     def _hear(self, now: float) -> None:
         """Take back what was only concluded from hearing nobody at all."""
         self._last_heard = now
-        for instance, before in self._unheard_by_instance.items():
-            record = self.table.by_instance[instance]
-            if record.entry.fact[:2] == before.fact[:2]:
+        for before in self._suspicions.take_unheard():
+            held = self.table.by_instance[before.instance].entry
+            if held.fact[:2] == before.fact[:2]:
                 self.table.restore(before, now)
-                self._suspicions_by_instance.pop(instance, None)
+                self._suspicions.end(before.instance)
                 self.wants_sync = True
-        self._unheard_by_instance.clear()
 
     def _is_doubted(self, entry: MemberEntry) -> bool:
         """Tell whether another member holds for alive whom this one holds dead."""
@@ -246,31 +239,24 @@
 
     def _take_news(self, entry: MemberEntry, now: float) -> None:
         self._updates.add(entry)
-        self._suspicions_by_instance.pop(entry.instance, None)
-        if entry.status is Status.SUSPECT:
-            ends_at = now + self._options.suspicion_s
-            suspicion = _Suspicion(entry.fact, ends_at)
-            self._suspicions_by_instance[entry.instance] = suspicion
+        self._suspicions.note(entry, now)
 
     def _wake_up(self) -> None:
         """Trust nothing that was about to be said before a pause."""
         self._updates.clear()
         self._updates.add(self.own)
         self._probes.clear()
-        self._suspicions_by_instance.clear()
+        self._suspicions.clear()
         self.wants_sync = True
 
     def _end_suspicions(self, now: float) -> None:
-        for instance, suspicion in list(self._suspicions_by_instance.items()):
-            if now < suspicion.ends_at:
-                continue
-            del self._suspicions_by_instance[instance]
-            entry = self.table.by_instance[instance].entry
+        for suspicion in self._suspicions.take_due(now):
+            entry = self.table.by_instance[suspicion.instance].entry
             if entry.fact != suspicion.fact:
                 continue
             self._learn([replace(entry, status=Status.DEAD)], now)
-            if instance in self._unheard_by_instance:
-                self._updates.drop(instance)
+            if self._suspicions.is_unheard(suspicion.instance):
+                self._updates.drop(suspicion.instance)
 
     def _end_avoidance(self, now: float) -> None:
         for instance, until in list(self._avoided_until_by_instance.items()):
@@ -306,7 +292,7 @@
             return
         self._learn([replace(record.entry, status=Status.SUSPECT)], now)
         if now - self._last_heard >= self._options.probe_timeout_s:
-            self._unheard_by_instance.setdefault(probe.instance, record.entry)
+            self._suspicions.conclude_unheard(record.entry)
             self._updates.drop(probe.instance)
 
     def _probe_next(self, now: float) -> list[Outgoing]:
@@ -332,19 +318,23 @@
             outgoing.append(Outgoing(self._rng.choice(seeds), ping))
         return outgoing
 
-    def _rumors(self, now: float) -> list[Outgoing]:
+    def _rumors(self) -> list[Outgoing]:
+        """Tell fresh news to some members, within the budget for it."""
         if not self._updates.fresh or self._rumor_bytes <= 0:
             return []
-        others = self._others()
-        if not others:
+        count = min(self._options.rumor_fanout, len(self._others()))
+        if not count:
             return []
         fresh = self._updates.take_fresh(limit_bytes=self._options.updates_bytes)
-        if not fresh:
-            return []
-        count = min(self._options.rumor_fanout, len(others))
         size_bytes = self.own.size_bytes + sum(item.size_bytes for item in fresh)
         self._rumor_bytes -= count * size_bytes
-        rumor = Rumor(self.own, fresh)
+        return self._tell(fresh)
+
+    def _tell(self, news: tuple[MemberEntry, ...]) -> list[Outgoing]:
+        """Tell some members; what the sender says of itself is news as well."""
+        others = self._others()
+        count = min(self._options.rumor_fanout, len(others))
+        rumor = Rumor(self.own, news)
         return [
             Outgoing(item.gossip, rumor) for item in self._rng.sample(others, count)
         ]
--- a/damaskbay/daemon/app.py
+++ b/damaskbay/daemon/app.py
@@ -153,7 +153,7 @@
             self._identity,
             settings.peer_listen.address(),
             settings.gossip_listen.address(),
-            secret=self._secrets[0],
+            secrets=self._secrets,
             link=self._link,
             platform=self._platform,
             seeds=tuple(seed.address() for seed in settings.seeds),
--- a/damaskbay/daemon/membership.py
+++ b/damaskbay/daemon/membership.py
@@ -1,7 +1,7 @@
 """The task that keeps the membership of this daemon's failure domain."""
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from concurrent.futures import Future
 from random import Random
 from types import TracebackType
@@ -52,9 +52,10 @@
     """
     Implements ports.fleet.Membership; a context manager.
 
-    `gossip` is the address for datagrams (port 0: any free one), `secret` the
-    peers' shared secret, `seeds` the gossip addresses of members to join by.
-    Leaving the context tells the others that this daemon goes.
+    `gossip` is the address for datagrams (port 0: any free one), `secrets` the
+    peers' shared ones, of which the first proves this daemon, `seeds` the gossip
+    addresses of members to join by. Leaving the context tells the others that this
+    daemon goes.
     """
 
     def __init__(
@@ -63,7 +64,7 @@
         address: PeerAddress,
         gossip: PeerAddress,
         *,
-        secret: bytes,
+        secrets: Sequence[bytes],
         link: PeerLink,
         platform: Platform | None = None,
         options: MembershipOptions | None = None,
@@ -73,7 +74,7 @@
         super().__init__("membership")
         self.identity = identity
         self._link = link
-        self._socket = GossipSocket(gossip, PacketCodec(secret), self._post_packet)
+        self._socket = GossipSocket(gossip, PacketCodec(*secrets), self._post_packet)
         own = MemberEntry(
             identity.instance,
             identity.incarnation,
--- a/damaskbay/daemon/membership_exchange.py
+++ b/damaskbay/daemon/membership_exchange.py
@@ -80,7 +80,7 @@
         if isinstance(message.answer, Servers):
             self.take(message.answer, now, answered=True)
         else:
-            self._exchange.lost(message.domain)
+            self._exchange.lost(message.domain, now)
 
     def take(self, servers: Servers, now: float, *, answered: bool = False) -> None:
         """Take news of servers."""
--- a/tests/adapters/gossip_udp/test_codec.py
+++ b/tests/adapters/gossip_udp/test_codec.py
@@ -5,8 +5,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from damaskbay.adapters.gossip_udp.codec import PacketCodec
-from damaskbay.adapters.gossip_udp.const import MAC_BYTES, MAX_DATAGRAM_BYTES
+from damaskbay.adapters.gossip_udp.codec import PacketCodec, _mac
+from damaskbay.adapters.gossip_udp.const import MAX_DATAGRAM_BYTES
 from damaskbay.adapters.gossip_udp.exceptions import DatagramProblem
 from damaskbay.core.membership.entry import MemberEntry, Status
 from damaskbay.core.membership.packets import Ack, IndirectPing, Ping, Rumor
@@ -36,6 +36,8 @@
     """A datagram counts only as its sender made it."""
     data = PacketCodec(SECRET).encode(Ping(ENTRY, 1))
     assert PacketCodec(b"other").decode(data) is DatagramProblem.UNPROVEN
+    rotating = PacketCodec(b"other", SECRET)
+    assert isinstance(rotating.decode(data), Ping)
     changed = data[:-1] + bytes([data[-1] ^ 1])
     assert PacketCodec(SECRET).decode(changed) is DatagramProblem.UNPROVEN
 
@@ -87,7 +89,7 @@
     """Any bytes under a valid digest give a packet or a problem."""
     codec = PacketCodec(SECRET)
     codec.decode(body)
-    codec.decode(codec._mac(body)[:MAC_BYTES] + body)
+    codec.decode(_mac(codec._keys[0], body) + body)
 
 
 def load_tests(*_: object) -> unittest.TestSuite:
--- a/tests/core/membership/test_exchange.py
+++ b/tests/core/membership/test_exchange.py
@@ -108,7 +108,7 @@
         for slot, address in enumerate(addresses)
     )
     [first] = domain.exchange.questions(0)
-    domain.exchange.lost("d2")
+    domain.exchange.lost("d2", 0)
     [second] = domain.exchange.questions(10)
     assert {first.address, second.address} == set(addresses)
 
--- a/tests/daemon/test_membership.py
+++ b/tests/daemon/test_membership.py
@@ -26,7 +26,9 @@
         time.sleep(0.02)
 
 
-OPTIONS = MembershipOptions(avoid_s=0.4, contact_period_s=0.3, summary_period_s=0.3)
+OPTIONS = MembershipOptions(
+    avoid_s=0.4, contact_period_s=0.3, summary_period_s=0.3, question_period_s=0.3
+)
 
 
 class Running:
@@ -55,7 +57,7 @@
             identity,
             address,
             PeerAddress("127.0.0.1", 0),
-            secret=b"s" * 32,
+            secrets=[b"s" * 32],
             link=FakeLink(self.board, address, identity),
             platform=self.platform.client(instance),
             options=OPTIONS,
