Take a domain that has just started for no witness of an outage

Cause: a domain without any proof counted as one that lost the platform, so that for some seconds after a start a cut could pass for an outage of all. Change: only domains that had a proof, and have had none for a time, can agree on an outage. The cut domain's test waits out what was told before the cut.

--- a/damaskbay/core/dissemination/freshness.py
+++ b/damaskbay/core/dissemination/freshness.py
@@ -68,8 +68,11 @@
         Tell whether every known domain says that it has no recent proof.
 
         Answers to what was asked before this domain itself was without one, since
-        `proven_at`, tell nothing of now.
+        `proven_at`, tell nothing of now. Nor does a domain without any proof, this
+        one included: it may just have started.
         """
+        if proven_at == _NEVER:
+            return False
         since = max(now - self._valid_s, proven_at + self._outage_after_s)
         return all(self._without_platform(domain, since) for domain in domains)
 
@@ -86,4 +89,4 @@
         if not self._answered(domain, since):
             return False
         age_s = self._heard_by_domain[domain][1]
-        return age_s is None or age_s >= self._outage_after_s
+        return age_s is not None and age_s >= self._outage_after_s
--- a/tests/daemon/test_config_faults.py
+++ b/tests/daemon/test_config_faults.py
@@ -67,7 +67,8 @@
         running.operator.publish()
         wait_until(lambda: running.versions("east") == {2})
         west = running.services_by_instance["west-0"]
-        wait_until(lambda: _proof_age_s(west) > 3 * OPTIONS.outage_after_s)
+        told_s = OPTIONS.reach_valid_s + OPTIONS.outage_valid_s
+        wait_until(lambda: _proof_age_s(west) > told_s + OPTIONS.outage_after_s)
         assert running.versions("west") == {1}
         assert not _outage_for_all(west)
         running.heal()
