Wait for the scripted server's acceptor before its threads

Cause: the fixture joined a thread that its acceptor had listed and not yet started (test_cancelled_before_sending_is_not_run: RuntimeError: cannot join thread before it is started, three of three whole runs on a busy machine). Change: the acceptor ends first.

--- a/tests/adapters/backend_http/common.py
+++ b/tests/adapters/backend_http/common.py
@@ -49,6 +49,7 @@
         stop.set()
         listener.shutdown(socket.SHUT_RDWR)
         listener.close()
+        acceptor.join(WAIT_S)
         for thread in threads:
             thread.join(WAIT_S)
 
