--- a/damaskbay/core/rates/const.py
+++ b/damaskbay/core/rates/const.py
@@ -30,7 +30,7 @@
 CALL_RETRY_S: Final = 1.0
 """Pause after a platform call that failed."""
 
-TOKEN_VALIDITY_S: Final = 1.0
+TOKEN_VALIDITY_S: Final = 2.0
 TOKEN_MARGIN_S: Final = 0.5
 GRANT_PART: Final = 4
 """A prefetch takes at most this part (one in N) of the holder's level."""
@@ -51,9 +51,9 @@
 NEED_CHANGE: Final = 1.5
 """A need that changed by this factor is worth a write of its own."""
 
-PREFETCH_S: Final = 0.5
+PREFETCH_S: Final = 0.75
 PREFETCH_RETRY_S: Final = 0.25
-IDLE_LOT_S: Final = 0.6
+IDLE_LOT_S: Final = 1.2
 STOCK_DECAY_S: Final = 2.0
 BLOCK_MIN_S: Final = 0.02
 BLOCK_MAX_S: Final = 0.25
--- a/damaskbay/core/rates/stock.py
+++ b/damaskbay/core/rates/stock.py
@@ -195,8 +195,8 @@
     ) -> BucketAsk | None:
         count = stocked.count(now)
         needed = min(max(0, waiting - count), MAX_NEEDED_TOKENS)
-        ahead = int(stocked.demand.rate_per_s(now) * PREFETCH_S)
-        low = count < (ahead + 1) // 2 and now >= stocked.prefetch_at
+        ahead = round(stocked.demand.rate_per_s(now) * PREFETCH_S)
+        low = ahead > 0 and count <= ahead // 2 and now >= stocked.prefetch_at
         if needed == 0 and not low:
             return None
         self._grant_number += 1
