--- a/damaskbay/cli/keys.py
+++ b/damaskbay/cli/keys.py
@@ -68,9 +68,6 @@
     if options.expires_at is not None:
         settings.append(f"expires_at={options.expires_at}")
     with open_platform(options) as platform:
-        if _exists(platform, options.name):
-            message = f"there is a key {options.name!r}: choose another name"
-            raise Stop(message, EXIT_INVALID)
         code = _publish(options, platform, tuple(settings))
     if code in {EXIT_OK, EXIT_UNKNOWN}:
         where = sys.stderr if options.json else sys.stdout
@@ -84,17 +81,15 @@
         return _publish(options, platform, ())
 
 
-def _exists(platform: Platform, name: str) -> bool:
-    store = ConfigStore(platform)
-    return name in read_set(store, read_record(store, None)).keys_by_name
-
-
 def _publish(
     options: argparse.Namespace, platform: Platform, settings: tuple[str, ...]
 ) -> int:
     store = ConfigStore(platform)
     record = read_record(store, None)
     base = read_set(store, record)
+    if settings and options.name in base.keys_by_name:
+        message = f"there is a key {options.name!r}: choose another name"
+        raise Stop(message, EXIT_INVALID)
     place = f"{Kind.KEYS.value}/{options.name}"
     result = apply_overrides(base, [Override(place, settings)])
     if not isinstance(result, Document):
