Let the naive version's queue be chosen, and say what plots need

Cause: how badly the naive version fares depends on its queue, and a missing matplotlib ended in a traceback after the run.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -2,16 +2,17 @@
 
 import argparse
 import json
+import sys
 import time
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict
 from typing import Any
 
-from bench.overload_fleet import Policy
+from bench.overload_fleet import NAIVE_QUEUE_PER_SLOT, Policy
 from bench.overload_load import CASES, TOPOLOGIES, Case, Schedule, Topology
 from bench.overload_run import RunResult, RunSpec, run
-from bench.plot import plot_overload
+from bench.plot import MISSING, plot_available, plot_overload
 from damaskbay.core.admission import AimdLimit, FixedLimit, GradientLimit
 from damaskbay.core.admission.controller import LimitFactory
 
@@ -23,6 +24,7 @@
 QUICK_CAUSE_S = 4.0
 QUICK_AFTER_S = 6.0
 WORKERS = 3
+EXIT_UNAVAILABLE = 2
 
 
 def _fixed(slots: int, now: float) -> FixedLimit:
@@ -39,6 +41,9 @@
 def main(arguments: Sequence[str]) -> int:
     """Run the bench; return the exit status."""
     options = _parse(arguments)
+    if options.plot and not plot_available():
+        print(MISSING, file=sys.stderr)
+        return EXIT_UNAVAILABLE
     began = time.monotonic()
     specs = _specs(options)
     with ProcessPoolExecutor(options.workers) as executor:
@@ -64,6 +69,12 @@
     parser.add_argument(
         "--knee", type=float, default=1.0, help="share of slots that work at full speed"
     )
+    parser.add_argument(
+        "--naive-queue",
+        type=int,
+        default=NAIVE_QUEUE_PER_SLOT,
+        help="waiting requests per slot in the naive version",
+    )
     parser.add_argument("--only", help="case or topology, by part of the name")
     parser.add_argument("--plot", metavar="PNG", help="draw goodput and latency")
     return parser.parse_args(arguments)
@@ -77,7 +88,7 @@
             case,
             _schedule(case, quick=options.quick),
             options.seed,
-            Policy(limit=LIMITS_BY_NAME[options.limit]),
+            Policy(LIMITS_BY_NAME[options.limit], options.naive_queue),
             options.knee,
         )
         for topology in TOPOLOGIES
--- a/bench/overload_fleet.py
+++ b/bench/overload_fleet.py
@@ -19,6 +19,7 @@
 HOP_S = 0.0007
 RETRIES = 2
 WARM_AT = -1000.0
+NAIVE_QUEUE_PER_SLOT = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +27,7 @@
     """What may be varied between runs."""
 
     limit: LimitFactory = GradientLimit
+    naive_queue_per_slot: int = NAIVE_QUEUE_PER_SLOT
 
 
 @dataclass(slots=True)
--- a/bench/overload_naive.py
+++ b/bench/overload_naive.py
@@ -10,7 +10,6 @@
 from bench.virtual_time import Events, FakeServer, Job
 
 RETRIES_PER_HOP = 3
-QUEUE_PER_SLOT = 10
 ATTEMPT_SHARE = 0.5
 """How long one attempt may take, as a share of what the hop above allows."""
 
@@ -20,15 +19,16 @@
 class Node:
     """One server with a queue of fixed length, first in first out."""
 
-    def __init__(self, server: FakeServer) -> None:
+    def __init__(self, server: FakeServer, queue_per_slot: int) -> None:
         self.server = server
+        self._longest = queue_per_slot * server.slots
         self._queue: deque[Attempt] = deque()
 
     def admit(self, attempt: "Attempt") -> None:
         """Run, queue or turn away."""
         if self.server.running < self.server.slots:
             attempt.run()
-        elif len(self._queue) < QUEUE_PER_SLOT * self.server.slots:
+        elif len(self._queue) < self._longest:
             self._queue.append(attempt)
         else:
             attempt.reply(good=False)
@@ -124,13 +124,24 @@
     """All nodes of one topology, as callers see them."""
 
     def __init__(
-        self, events: Events, topology: Topology, servers: list[FakeServer], rng: Random
+        self,
+        events: Events,
+        topology: Topology,
+        servers: list[FakeServer],
+        rng: Random,
+        queue_per_slot: int,
     ) -> None:
         self.events = events
         self.topology = topology
         self.rng = rng
         self._turns = [
-            cycle([Node(server) for server in servers if server.pool == pool.name])
+            cycle(
+                [
+                    Node(server, queue_per_slot)
+                    for server in servers
+                    if server.pool == pool.name
+                ]
+            )
             for pool in topology.pools
         ]
 
--- a/bench/overload_run.py
+++ b/bench/overload_run.py
@@ -125,7 +125,8 @@
     spec: RunSpec, events: Events, servers: list[FakeServer], rng: Random
 ) -> System:
     if spec.system == "naive":
-        return NaiveSystem(events, spec.topology, servers, rng)
+        queue_per_slot = spec.policy.naive_queue_per_slot
+        return NaiveSystem(events, spec.topology, servers, rng, queue_per_slot)
     fleet = Fleet(events, spec.topology, rng, spec.policy)
     return OurSystem(fleet, servers)
 
--- a/bench/plot.py
+++ b/bench/plot.py
@@ -1,5 +1,6 @@
 """Plots of bench runs; needs the optional extra `plot`."""
 
+import importlib.util
 from pathlib import Path
 from typing import Any
 
@@ -10,16 +11,13 @@
 ROW_HEIGHT_IN = 2.6
 
 
-class PlotUnavailableError(Exception):
-    """The plotting library isn't installed."""
+def plot_available() -> bool:
+    """Tell whether matplotlib is installed."""
+    return importlib.util.find_spec("matplotlib") is not None
 
 
 def plot_overload(specs: list[RunSpec], results: list[RunResult], path: str) -> None:
-    """
-    Draw goodput and latency over time of each case into one PNG.
-
-    Raises PlotUnavailableError where matplotlib isn't installed.
-    """
+    """Draw goodput and latency over time of each case into one PNG."""
     pyplot = _load_pyplot()
     names = list(dict.fromkeys(_name(spec) for spec in specs))
     figure, axes = pyplot.subplots(
@@ -32,10 +30,8 @@
 
 
 def _load_pyplot() -> Any:
-    try:
-        import matplotlib
-    except ImportError as error:
-        raise PlotUnavailableError(MISSING) from error
+    import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
