Queue calls of the first rank up to the slots of a cold server

Cause: in script/demo 1 to 5 of about 500 critical calls were refused with queue_full while bulk calls ran: a cold server starts with a quarter of its slots, and the queue was as long as that limit. Ruled out: early refusal (its refusals carry another reason). Change: where only calls of the first rank wait, the queue may be as long as the slots.

--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -173,9 +173,12 @@
         decisions: list[Decision] = []
         while self._queue and self._may_start():
             decisions.append(self._decide_next(now))
-        while len(self._queue) > self._queue_length():
+        while self._queue:
+            last = self._queue.last(now)
+            if len(self._queue) <= self._queue_length(last.rank):
+                break
             refusal = self._capacity(Reason.QUEUE_FULL)
-            decisions.append(self._refuse(self._queue.last(now), refusal, now))
+            decisions.append(self._refuse(last, refusal, now))
         self._level.update(now)
         return tuple(decisions)
 
@@ -231,5 +234,13 @@
         longest_s = min(RETRY_AFTER_MAX_S, RETRY_AFTER_S * (1.0 + rounds))
         return not_run(reason, retry_after_s=self._rng.uniform(0.5, 1.5) * longest_s)
 
-    def _queue_length(self) -> int:
-        return max(QUEUE_SHORTEST, int(self._options.queue_per_slot * self.limit))
+    def _queue_length(self, last_rank: int) -> int:
+        """
+        Return how many calls may wait when the least important is of this rank.
+
+        The queue is as long as the limit. Only where all that waits is of the
+        first rank it may be as long as the slots, so that a low limit, as that of
+        a cold server, does not refuse the most important calls.
+        """
+        room = self._slots if last_rank == 0 else self.limit
+        return max(QUEUE_SHORTEST, int(self._options.queue_per_slot * room))
--- a/tests/core/admission/test_controller.py
+++ b/tests/core/admission/test_controller.py
@@ -2,10 +2,20 @@
 
 import unittest
 from collections import Counter
+from random import Random
 
 from hypothesis import given, settings, strategies as st
 
-from damaskbay.core.admission import Decision, Refuse, Sample, Start
+from damaskbay.core.admission import (
+    AdmissionController,
+    AdmissionOptions,
+    Decision,
+    FixedLimit,
+    Refuse,
+    Sample,
+    Start,
+)
+from damaskbay.core.admission.const import QUEUE_SHORTEST
 from damaskbay.core.admission.latency import LatencyEstimate
 from damaskbay.core.outcome import Reason
 from tests.common import function_suite
@@ -100,6 +110,20 @@
     assert starts(controller.finish(0, Sample(0.1), 0.1)) == [9]
 
 
+def test_cold_server_queues_important_calls_up_to_its_slots() -> None:
+    """A low limit refuses calls of the first rank only past the slots."""
+    cold = AdmissionOptions(8, limit=lambda slots, now: FixedLimit(1))
+    controller = AdmissionController(cold, Random(1), 0.0)
+    refused = [
+        refusals(controller.offer(call(ticket, rank=0), 0.0)) for ticket in range(10)
+    ]
+    assert refused == [[]] * 9 + [[9]]
+    controller = AdmissionController(cold, Random(1), 0.0)
+    for ticket in range(10):
+        controller.offer(call(ticket, rank=1), 0.0)
+    assert controller.waiting == QUEUE_SHORTEST
+
+
 def test_small_workspace_beside_one_at_five_times_its_rate() -> None:
     """Two workspaces of one weight get one slot each in turn, however many ask."""
     controller = make_controller(1, queue_per_slot=20.0)
