--- a/tests/adapters/backend_http/common.py
+++ b/tests/adapters/backend_http/common.py
@@ -30,8 +30,8 @@
             except OSError:
                 return
             thread = threading.Thread(target=run, args=(connection,), daemon=True)
-            threads.append(thread)
             thread.start()
+            threads.append(thread)
 
     def run(connection: socket.socket) -> None:
         with connection:
