--- a/damaskbay/core/rates/holder.py
+++ b/damaskbay/core/rates/holder.py
@@ -158,9 +158,15 @@
         return now - renewed_at >= self._options.renew_s
 
     def plan(self, total_of: TotalOf, now: float) -> Proposal | None:
-        """Return what to write next, or None where no write is worth it."""
+        """
+        Return what to write next, or None where no write is worth it.
+
+        That is the same again while the last write's fate is not known.
+        """
         self._leaving = False
         self.rescale(total_of, now)
+        if self.claims.open_proposal is not None:
+            return self.claims.open_proposal
         writing = self._writing(now)
         writing.worth_it = self.renewal_due(now)
         for holder in self.view.lapsed(self._options.margin_s, now):
@@ -195,8 +201,9 @@
             held.bucket.set_share(self._sure_share(name), now)
             held.bucket.level(now)
             outstanding += held.bucket.outstanding
-        gone = not self.holds_any() and not self.claims.has_open()
-        if outstanding or gone:
+        if self.claims.open_proposal is not None:
+            return self.claims.open_proposal
+        if outstanding or not self.holds_any():
             return None
         writing = self._writing(now)
         for name, held in self._held_by_bucket.items():
--- a/damaskbay/core/rates/holding.py
+++ b/damaskbay/core/rates/holding.py
@@ -33,7 +33,7 @@
 @dataclass(frozen=True, slots=True)
 class Settled:
     """
-    What became of proposals.
+    What became of a proposal.
 
     Tokens (thousandths) that come or come back to the buckets, and the totals
     that the shares are now sized for.
@@ -49,7 +49,8 @@
 
     A proposal stays open until the ledger's revision exceeds the one it expects:
     until then it may still take effect, so the holder counts on no more than the
-    smallest share among the confirmed one and all open proposals.
+    smaller of the confirmed share and the proposed one. While it is open the
+    same proposal is sent again and no other.
     """
 
     def __init__(self, holder_id: str, view: LedgerView, validity_s: float) -> None:
@@ -57,7 +58,7 @@
         self.valid_until = float("-inf")
         self._view = view
         self._validity_s = validity_s
-        self._open: list[Proposal] = []
+        self.open_proposal: Proposal | None = None
         self._sequence = 0
 
     def next_sequence(self) -> int:
@@ -69,29 +70,26 @@
         """Tell whether the holder may spend; ask at each decision."""
         return now < self.valid_until
 
-    def has_open(self) -> bool:
-        """Tell whether some write's fate is not known yet."""
-        return bool(self._open)
-
     def share(self, bucket: str) -> Share:
         """Return the share that is surely the holder's."""
         share = self._view.ledger.share(bucket, self.holder_id)
-        for proposal in self._open:
-            share = share.within(proposal.ledger.share(bucket, self.holder_id))
-        return share
+        proposal = self.open_proposal
+        if proposal is None:
+            return share
+        return share.within(proposal.ledger.share(bucket, self.holder_id))
 
     def propose(self, proposal: Proposal) -> None:
         """Count on no more than this proposal leaves, from now on."""
-        self._open.append(proposal)
+        self.open_proposal = proposal
 
     def without_effect(self, proposal: Proposal) -> Settled:
         """Forget a proposal that surely took and takes no effect."""
-        self._open = [item for item in self._open if item is not proposal]
+        self.open_proposal = None
         return Settled(proposal.handed_by_bucket)
 
     def settle(self, ledger: GroupLedger, revision: int, now: float) -> Settled:
         """
-        Take in the ledger as it stands and settle the proposals it decides.
+        Take in the ledger as it stands and settle the proposal if it is decided.
 
         Return tokens that come or come back to the holder's buckets.
         """
@@ -99,32 +97,21 @@
             return Settled()
         self._view.update(ledger, revision, now)
         own = ledger.holders_by_id.get(self.holder_id)
-        decided = [item for item in self._open if self._decided(item, revision)]
-        self._open = [item for item in self._open if not self._decided(item, revision)]
         if own is None:
             self.valid_until = float("-inf")
+        proposal = self.open_proposal
+        if proposal is None or not self._decided(proposal, revision):
+            return Settled()
+        self.open_proposal = None
+        if own is None:
             return Settled()
-        tokens: dict[str, int] = {}
-        totals: dict[str, Total] = {}
-        for proposal in decided:
-            if proposal.sequence == own.sequence and not proposal.leaving:
-                self._renewed(proposal)
-                totals.update(proposal.totals_by_bucket)
-                _add(tokens, proposal.taken_by_bucket)
-            else:
-                _add(tokens, proposal.handed_by_bucket)
-        return Settled(tokens, totals)
+        if proposal.sequence != own.sequence:
+            return Settled(proposal.handed_by_bucket)
+        until = proposal.made_at + self._validity_s
+        self.valid_until = max(self.valid_until, until)
+        return Settled(proposal.taken_by_bucket, proposal.totals_by_bucket)
 
     def _decided(self, proposal: Proposal, revision: int) -> bool:
         if revision == 0:
             return proposal.expected_revision > 0
         return revision > proposal.expected_revision
-
-    def _renewed(self, proposal: Proposal) -> None:
-        until = proposal.made_at + self._validity_s
-        self.valid_until = max(self.valid_until, until)
-
-
-def _add(tokens: dict[str, int], more: Mapping[str, int]) -> None:
-    for bucket, count in more.items():
-        tokens[bucket] = tokens.get(bucket, 0) + count
--- a/damaskbay/core/rates/node.py
+++ b/damaskbay/core/rates/node.py
@@ -149,7 +149,7 @@
     def stopped(self) -> bool:
         """Tell whether all shares are surely given back."""
         return self._stopping and not any(
-            item.calling or item.holder.holds_any() or item.holder.claims.has_open()
+            item.calling or item.holder.holds_any() or item.holder.claims.open_proposal
             for item in self._groups_by_number.values()
         )
 
--- /dev/null
+++ b/tests/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the specification."""
