Publish beyond the fleet's version where the platform lost its data

Cause: daemons take only higher versions, and an emptied platform starts at 1, so that nothing published on it would ever come into force. Conclusion: tested with lost answers; passing over a head that stands fails the test.

--- a/damaskbay/cli/publish.py
+++ b/damaskbay/cli/publish.py
@@ -58,6 +58,12 @@
         action="store_true",
         help="publish the file in place of a head record that can't be read",
     )
+    parser.add_argument(
+        "--onto-empty",
+        action="store_true",
+        help="the platform lost its data: publish the file as the version after "
+        "--expect-version, which daemons still hold (see status)",
+    )
     parser.add_argument("--publish-id", help="settle an earlier unknown outcome")
     add_author_option(parser)
     add_platform_option(parser)
@@ -70,8 +76,8 @@
     overrides = _overrides(options)
     if (options.file is None) == (not overrides):
         raise Stop("name a file, or --override and --remove", EXIT_USAGE)
-    if options.replace_damaged_head and overrides:
-        raise Stop("--replace-damaged-head needs a whole set", EXIT_USAGE)
+    if overrides and (options.replace_damaged_head or options.onto_empty):
+        raise Stop("this option needs a whole set from a file", EXIT_USAGE)
     with open_platform(options) as platform:
         if overrides:
             publication = _from_overrides(options, overrides, platform)
@@ -127,4 +133,5 @@
         options.publish_id or new_publish_id(),
         again=options.publish_id is not None,
         base=base,
+        onto_empty=options.onto_empty,
     )
--- a/damaskbay/config/publishing.py
+++ b/damaskbay/config/publishing.py
@@ -77,6 +77,8 @@
 
     `again` tells that this publish id may have been sent before. `base` is the
     set of the expected version where it is at hand, which spares reading it.
+    `onto_empty` tells that the platform has lost its data: where no head stands,
+    the expected version is that which the daemons still hold.
     """
 
     document: Document
@@ -85,6 +87,7 @@
     publish_id: str
     again: bool = False
     base: Document | None = None
+    onto_empty: bool = False
 
 
 def new_publish_id() -> str:
@@ -181,6 +184,8 @@
         self, publication: Publication, head: Head | None
     ) -> PublishResult | None:
         """Return the result where no write is needed to know it."""
+        if head is None and publication.onto_empty:
+            return None
         version = 0 if head is None else head.record.version
         if version != publication.expected_version:
             current = None if head is None else head.record
--- a/tests/config/test_publishing.py
+++ b/tests/config/test_publishing.py
@@ -326,6 +326,20 @@
     assert isinstance(_publish(platform, _version(6), 4), Published)
 
 
+def test_a_platform_that_lost_its_data_gets_a_version_beyond_the_fleets() -> None:
+    """Daemons take only higher versions; a head that stands is never passed over."""
+    platform = MemoryPlatform()
+    publisher = Publisher(platform, sleep=lambda _: None)
+    publication = Publication(_version(1), "ann", 41, new_publish_id(), onto_empty=True)
+    platform.inject(lose_answers=4)
+    result = publisher.publish(publication)
+    assert isinstance(result, Published) and result.record.version == 42
+    assert _load(platform) == _version(1)
+    again = Publication(_version(2), "ben", 50, new_publish_id(), onto_empty=True)
+    assert isinstance(publisher.publish(again), PublishConflict)
+    assert isinstance(_publish(platform, _version(2), 42), Published)
+
+
 def test_a_set_with_a_fault_is_not_published() -> None:
     """The store checks again what it is given."""
     platform = MemoryPlatform()
