Look at a few servers of a large pool per call

Change: beyond 16 servers a call looks at 8 drawn at random of the own failure domain and 8 of the others, and at the local one.

--- a/damaskbay/core/routing/router.py
+++ b/damaskbay/core/routing/router.py
@@ -14,6 +14,7 @@
     FORGET_AFTER_S,
     LOCAL_ROOM_SHARE,
     PASS_LOWEST,
+    SAMPLED_SERVERS,
 )
 from damaskbay.core.routing.demand import DemandMeter
 from damaskbay.core.routing.health import Health, RouteOutcome
@@ -58,11 +59,13 @@
         `other_domains` is what the pool allows. `local_room` is what the gate of
         the local backend server says, None where it is not at hand.
         """
-        allowed = [
-            view
-            for view in self._allowed(servers, other_domains)
-            if view.instance not in excluded
-        ]
+        allowed = self._sampled(
+            [
+                view
+                for view in self._allowed(servers, other_domains)
+                if view.instance not in excluded
+            ]
+        )
         if not allowed:
             return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=self._wait_s(1.0))
         self._look(allowed, now)
@@ -108,7 +111,7 @@
         get fair shares by `weight` of what passes. A call tree that has already
         cost much is refused less often than a new one.
         """
-        allowed = self._allowed(servers, other_domains)
+        allowed = self._sampled(self._allowed(servers, other_domains))
         if not allowed:
             return None
         share = self._pass_share(allowed, context.priority_rank, now)
@@ -146,6 +149,20 @@
             and (other_domains or view.failure_domain == own)
         ]
 
+    def _sampled(self, servers: list[ServerView]) -> list[ServerView]:
+        """Return a few servers of a large pool, drawn anew for each call."""
+        if len(servers) <= 2 * SAMPLED_SERVERS:
+            return servers
+        own = self._options.failure_domain
+        near = [view for view in servers if view.failure_domain == own]
+        far = [view for view in servers if view.failure_domain != own]
+        local = [view for view in near if view.local]
+        sampled = self._draw(near) + self._draw(far)
+        return sampled + [view for view in local if view not in sampled]
+
+    def _draw(self, servers: list[ServerView]) -> list[ServerView]:
+        return self._rng.sample(servers, min(len(servers), SAMPLED_SERVERS))
+
     def _look(self, servers: Sequence[ServerView], now: float) -> None:
         for view in servers:
             health = self._by_instance.get(view.instance)
@@ -167,12 +184,14 @@
 
     def _usable(self, servers: list[ServerView]) -> list[ServerView]:
         """Leave out ejected servers, but never more than a share of the pool."""
-        ejected = [
-            view for view in servers if self._by_instance[view.instance].ejected()
-        ]
+        ejected = {
+            view.instance
+            for view in servers
+            if self._by_instance[view.instance].ejected()
+        }
         if len(ejected) > EJECTED_MOST_SHARE * len(servers):
             return servers
-        return [view for view in servers if view not in ejected]
+        return [view for view in servers if view.instance not in ejected]
 
     def _has_room(
         self,
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -68,6 +68,17 @@
     assert far.not_run
 
 
+def test_large_pool_is_spread_and_the_local_server_found() -> None:
+    """Of a large pool a few are looked at per call, all over many calls."""
+    far = [server(f"far{number}", failure_domain="b") for number in range(60)]
+    near = [server(f"near{number}") for number in range(60)]
+    chosen = spread(make_router(), far + near, 300)
+    assert len(chosen) >= 55
+    assert all(name.startswith("near") for name in chosen)
+    here = server("here", local=True)
+    assert choose(make_router(), [*far, *near, here], 0.0) == "here"
+
+
 def test_draining_and_excluded_servers_get_nothing() -> None:
     """A leaving server and one that just failed are not chosen."""
     leaving = server("leaving", state=ServerState.DRAINING)
