Tell an unreachable owner from one that is gone, and round Retry-After up

Cause: a repeat whose owner could not be reached for the moment was told request_owner_gone, which callers take for final; 2.2 s of waiting were told as 2. Change: peer_unreachable with the outcome unknown; whole seconds are rounded up.

--- a/damaskbay/adapters/caller_http/application.py
+++ b/damaskbay/adapters/caller_http/application.py
@@ -3,6 +3,7 @@
 import http
 import json
 import logging
+import math
 from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import parse_qs
@@ -121,7 +122,7 @@
     if call_id:
         headers.append((HEADER_CALL_ID, call_id))
     if refusal.retry_after_s is not None:
-        headers.append(("Retry-After", str(max(1, round(refusal.retry_after_s)))))
+        headers.append(("Retry-After", str(max(1, math.ceil(refusal.retry_after_s)))))
     document = {
         "outcome": refusal.outcome.value,
         "reason": refusal.reason.value,
--- a/damaskbay/daemon/once.py
+++ b/damaskbay/daemon/once.py
@@ -106,8 +106,8 @@
         )
         outcome = result.result
         if isinstance(outcome, Refusal) and outcome.reason is Reason.PEER_UNREACHABLE:
-            gone = unknown(Reason.REQUEST_OWNER_GONE, detail=outcome.detail)
-            return CallResult(gone, attempts=0)
+            away = unknown(Reason.PEER_UNREACHABLE, detail=outcome.detail)
+            return CallResult(away, attempts=0)
         return result
 
     def _is_mine(self, ref: OwnerRef) -> bool:
--- a/tests/adapters/caller_http/test_application.py
+++ b/tests/adapters/caller_http/test_application.py
@@ -137,7 +137,7 @@
     assert response.status == 429
     assert response.headers[HEADER_OUTCOME] == document["outcome"] == "not_run"
     assert response.headers[HEADER_REASON] == document["reason"] == "rate_exceeded"
-    assert response.headers["Retry-After"] == "2"
+    assert response.headers["Retry-After"] == "3"
 
 
 def test_an_answer_cannot_pass_for_a_refusal() -> None:
