--- a/bench/control.py
+++ b/bench/control.py
@@ -11,8 +11,9 @@
 from bench.membership import membership_figures
 from bench.processes import cpu_s, memory_mb
 
-COUNTS = (5, 10, 20, 40)
+COUNTS = (10, 20, 40, 80)
 QUICK_COUNTS = (5, 10)
+ONE_DOMAIN = 40
 MEMBERS = (10, 40, 160, 667)
 QUICK_MEMBERS = (10, 40)
 SETTLE_S = 3.0
@@ -28,7 +29,7 @@
     members = QUICK_MEMBERS if options.quick else MEMBERS
     idle_s = QUICK_IDLE_S if options.quick else IDLE_S
     by_daemons = [_measure(count, options.seed, idle_s) for count in counts]
-    one_domain = _measure(counts[-1], options.seed, idle_s, domains=1)
+    one_domain = _measure(min(ONE_DOMAIN, counts[-1]), options.seed, idle_s, domains=1)
     result: dict[str, Any] = {
         "by_daemons": by_daemons,
         "slopes_per_daemon": _slopes(by_daemons),
