Give the benched daemons loopback numbers of their own

Cause: a port found free was taken by another connection before the daemon listened (Address already in use at 40 daemons). Change: each daemon listens on its own loopback number.

--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -19,6 +19,8 @@
 POLL_S = 0.2
 DOMAINS = ("d1", "d2", "d3")
 POOLS = 5
+DAEMONS_NET = 77
+"""Daemons have loopback numbers of their own, whose ports no other process takes."""
 PLATFORM_THREADS = 64
 
 
@@ -114,7 +116,8 @@
         plan = {
             "instance": f"{domain}-{index}",
             "failure_domain": domain,
-            "host": HOST,
+            "host": f"127.0.{DAEMONS_NET}.{index + 1}",
+            "platform_host": HOST,
             "peer_port": free_port(),
             "gossip_port": free_port(),
             "platform_port": platform_port,
--- a/bench/control_worker.py
+++ b/bench/control_worker.py
@@ -32,7 +32,9 @@
         host = plan["host"]
         address = PeerAddress(host, plan["peer_port"])
         platform = stack.enter_context(
-            HttpPlatform(host, plan["platform_port"], name=identity.instance)
+            HttpPlatform(
+                plan["platform_host"], plan["platform_port"], name=identity.instance
+            )
         )
         self._at_by_version: dict[int, float] = {}
         self._reverted = 0
