Take a reading of the contacts only as it was read

Cause: a delegate put its own new contact into what it had read before. Change: after a write the contacts are read again. Tests: a platform on which another domain writes before each write; seen to fail once with the old way.

--- a/damaskbay/daemon/membership_contacts.py
+++ b/damaskbay/daemon/membership_contacts.py
@@ -68,12 +68,14 @@
             return
         jitter = self._rng.uniform(0.9, 1.1)
         self._next_read = now + self._options.contact_period_s * jitter
-        contacts = self._read()
-        if contacts is None:
+        before = self._read()
+        contacts = before
+        if before is not None and self._refresh_own(before, now):
+            contacts = self._read()
+        if before is None or contacts is None:
             self._next_read = now + 2 * _TICK_S
             return
-        known = self._with_own(contacts, now)
-        self._post_up(ContactsRead(known, seeds=contacts))
+        self._post_up(ContactsRead(contacts, seeds=before))
 
     def _read(self) -> tuple[Contact, ...] | None:
         found = self._platform.list(CONTACT_PREFIX, timeout_s=_TIMEOUT_S)
@@ -82,25 +84,25 @@
         contacts = (_contact_of(entry) for entry in found)
         return tuple(contact for contact in contacts if contact is not None)
 
-    def _with_own(
-        self, contacts: tuple[Contact, ...], now: float
-    ) -> tuple[Contact, ...]:
-        """Put the own contact in its slot where that is due."""
+    def _refresh_own(self, contacts: tuple[Contact, ...], now: float) -> bool:
+        """
+        Put the own contact in its slot where that is due; tell whether it was.
+
+        A reading counts only as it was read: one with the own entry put in could
+        lack what others wrote in between, and yet look newer.
+        """
         domain = self._own.failure_domain
         leaders = [member.instance for member in self._order.leaders]
         slot = leaders.index(self._own.instance)
         own = Contact(domain, slot, 0, self._own.address, self._own.gossip)
         current = [item for item in contacts if item.place == own.place]
-        others = [item for item in contacts if item.place != own.place]
         if current and _same(current[0], own) and now < self._next_renewal:
-            return contacts
-        written = self._write(own, current[0].revision if current else 0)
-        if written is None:
-            return contacts
-        self._next_renewal = now + self._options.contact_renew_s
-        return (*others, written)
-
-    def _write(self, own: Contact, revision: int) -> Contact | None:
+            return False
+        if self._write(own, current[0].revision if current else 0):
+            self._next_renewal = now + self._options.contact_renew_s
+        return True
+
+    def _write(self, own: Contact, revision: int) -> bool:
         result = self._platform.compare_and_swap(
             f"{CONTACT_PREFIX}{own.failure_domain}/{own.slot}",
             pack_contacts([own]),
@@ -108,7 +110,7 @@
             lease_s=self._options.contact_lease_s,
             timeout_s=_TIMEOUT_S,
         )
-        return _contact_of(result) if isinstance(result, Entry) else None
+        return isinstance(result, Entry)
 
 
 def _contact_of(entry: Entry) -> Contact | None:
--- a/tests/daemon/test_membership.py
+++ b/tests/daemon/test_membership.py
@@ -4,8 +4,9 @@
 import unittest
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
+from typing import Any
 
-from damaskbay.core.membership.contacts import CONTACT_PREFIX
+from damaskbay.core.membership.contacts import CONTACT_PREFIX, Contact, pack_contacts
 from damaskbay.core.membership.directory import SAMPLE_SERVERS
 from damaskbay.core.membership.options import MembershipOptions
 from damaskbay.daemon.membership import MembershipService
@@ -120,6 +121,34 @@
         assert len(found) <= OPTIONS.delegates
 
 
+def test_contacts_written_at_once_by_others_are_not_left_out() -> None:
+    """A delegate that writes its contact reads again what others wrote meanwhile."""
+    platform = MemoryPlatform()
+    other = Contact("west", 0, 0, *[PeerAddress("127.0.0.1", 9)] * 2)
+
+    class RacingPlatform(MemoryPlatform):
+        """Lets another domain write before each write."""
+
+        def client(self, name: str) -> MemoryPlatform:
+            return self
+
+        def compare_and_swap(self, key: str, value: bytes, **named: Any) -> Any:
+            platform.compare_and_swap(
+                f"{CONTACT_PREFIX}west/0",
+                pack_contacts([other]),
+                expected_revision=0,
+                timeout_s=1,
+            )
+            return platform.compare_and_swap(key, value, **named)
+
+    racing = RacingPlatform()
+    racing._shared = platform._shared
+    with starting() as running:
+        running.platform = racing
+        east = running.start("e0", domain="east")
+        wait_until(lambda: set(east.contacts_by_domain()) == {"east", "west"})
+
+
 def test_servers_of_other_domains_are_found_on_demand() -> None:
     """A pool of another domain is known after it was asked for, and its drain."""
     with starting() as running:
