--- a/damaskbay/cli/platform_option.py
+++ b/damaskbay/cli/platform_option.py
@@ -7,7 +7,12 @@
 from contextlib import contextmanager
 
 from damaskbay.adapters.platform_http.client import HttpPlatform
-from damaskbay.cli.const import EXIT_FAILED, EXIT_INVALID, EXIT_UNAVAILABLE
+from damaskbay.cli.const import (
+    EXIT_FAILED,
+    EXIT_INVALID,
+    EXIT_UNAVAILABLE,
+    EXIT_USAGE,
+)
 from damaskbay.cli.operator_client import parse_address
 from damaskbay.config.document import EMPTY, Document
 from damaskbay.config.exceptions import LoadFailure, LoadProblem
@@ -46,7 +51,7 @@
     address: PeerAddress | None = options.platform
     if address is None:
         message = f"give --platform HOST:PORT or set ${ENVIRONMENT_VARIABLE}"
-        raise Stop(message, EXIT_UNAVAILABLE)
+        raise Stop(message, EXIT_USAGE)
     with HttpPlatform(address.host, address.port, name=CLIENT_NAME) as platform:
         yield platform
 
--- a/tests/cli/test_operators.py
+++ b/tests/cli/test_operators.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from damaskbay.cli import check
 from damaskbay.cli.const import (
@@ -82,6 +83,9 @@
         document, _ = json.JSONDecoder().raw_decode(shell.output)
         assert len(document["problems"]) == 3
         assert shell.run("check", "/none", platform=False) == EXIT_USAGE
+        with mock.patch.dict(os.environ):
+            os.environ.pop("DAMASKBAY_PLATFORM", None)
+            assert shell.run("show", platform=False) == EXIT_USAGE
 
 
 def test_publish_edit_and_conflict() -> None:
