Let an early refusal stand

Cause: a call refused early names no server that failed, yet it counted as overloaded and was tried again, which spent a token and the pool's budget on a second throw of the same dice. Change: decide_retry retries only what an instance brought.

--- a/damaskbay/core/retry/decide.py
+++ b/damaskbay/core/retry/decide.py
@@ -41,8 +41,11 @@
 
     `tokens` are those the call holds now: the kept ones and those handed back.
     `attempts` counts the sends of this call so far, 1 or more. `result.served_by`
-    is the instance that failed. The caller subtracts one token for a `Retry`.
+    is the instance that failed; a refusal without one was made before any send
+    and stands. The caller subtracts one token for a `Retry`.
     """
+    if not result.served_by:
+        return None
     if tokens < 1 or not _may_run_again(result.result, context):
         return None
     delay_s = _back_off_s(attempts, rng)
