Judge waiting calls by their key's digest and explain early refusals

Cause: a key whose digest was replaced under the same name still let calls of the old secret out of the queue; a refused key was explained by "set 0, no rule"; keys made by the command line had no prefix by which they are found in headers and query items. Change: the context carries the digest, the record the route and the set's version, and there is one maker of secrets.

--- a/damaskbay/adapters/telemetry/client.py
+++ b/damaskbay/adapters/telemetry/client.py
@@ -41,7 +41,11 @@
             aggregation=ExplicitBucketHistogramAggregation(LATENCY_BUCKETS_S),
         )
         resource = Resource.create(
-            {"service.instance.id": instance, "failure_domain": failure_domain}
+            {
+                "service.name": METER_NAME,
+                "service.instance.id": instance,
+                "failure_domain": failure_domain,
+            }
         )
         self._provider = MeterProvider([reader], resource, views=[view])
         self._meter = self._provider.get_meter(METER_NAME)
--- a/damaskbay/cli/keys.py
+++ b/damaskbay/cli/keys.py
@@ -1,9 +1,7 @@
 """`damaskbay keys`: grant and withdraw callers' keys."""
 
 import argparse
-import hashlib
 import json
-import secrets
 import sys
 from typing import Any
 
@@ -23,10 +21,9 @@
 from damaskbay.config.override import Override, apply_overrides
 from damaskbay.config.publishing import Publication, new_publish_id
 from damaskbay.config.store import ConfigStore
+from damaskbay.helpers.keys import digest_of, new_key_secret
 from damaskbay.ports.platform import Platform
 
-SECRET_BYTES = 32
-
 
 def add_parser(commands: Any) -> None:
     """Add the sub-command with its own two."""
@@ -61,8 +58,8 @@
 
 def run_new(options: argparse.Namespace) -> int:
     """Publish the digest of a new key and print its secret."""
-    secret = secrets.token_urlsafe(SECRET_BYTES)
-    digest = hashlib.sha256(secret.encode()).hexdigest()
+    secret = new_key_secret()
+    digest = digest_of(secret)
     settings = [f"digest={json.dumps(digest)}"]
     settings.append(f"workspace={json.dumps(options.workspace)}")
     if options.expires_at is not None:
--- a/damaskbay/core/call.py
+++ b/damaskbay/core/call.py
@@ -54,7 +54,7 @@
     retry_tokens: int = 0
     request_id: str | None = None
     config_version: int = 0
-    key_name: str | None = None
+    key_digest: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/damaskbay/core/identify.py
+++ b/damaskbay/core/identify.py
@@ -1,12 +1,12 @@
 """Who calls, which route, on which terms: the context of a root call."""
 
-import hashlib
 from dataclasses import dataclass
 from typing import Protocol
 
 from damaskbay.config.objects import Access, ConfigSet, Key, Route
 from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Reason, Refusal, not_run
+from damaskbay.helpers.keys import digest_of
 
 
 class RouteMatcher(Protocol):
@@ -64,7 +64,7 @@
         retry_tokens=route.retries,
         request_id=credentials.request_id,
         config_version=config.version,
-        key_name=key.name if key else None,
+        key_digest=key.digest if key else None,
     )
 
 
@@ -74,8 +74,7 @@
     """Return the key object that a secret belongs to."""
     if not secret:
         return not_run(Reason.KEY_MISSING)
-    digest = hashlib.sha256(secret.encode()).hexdigest()
-    key = config.keys_by_digest.get(digest)
+    key = config.keys_by_digest.get(digest_of(secret))
     if key is None:
         return not_run(Reason.KEY_UNKNOWN)
     if key.expires_at is not None and key.expires_at <= wall_now:
@@ -83,13 +82,12 @@
     return key
 
 
-def still_allowed(
-    config: ConfigSet, key_names: frozenset[str], context: CallContext
-) -> Refusal | None:
+def still_allowed(config: ConfigSet, context: CallContext) -> Refusal | None:
     """Refuse a waiting call whose key, workspace or route has been withdrawn."""
     if context.route not in config.routes_by_name:
         return not_run(Reason.NO_ROUTE, detail="the route was withdrawn")
-    if context.key_name is not None and context.key_name not in key_names:
+    digest = context.key_digest
+    if digest is not None and digest not in config.keys_by_digest:
         return not_run(Reason.KEY_WITHDRAWN)
     if context.workspace and context.workspace not in config.workspaces_by_name:
         return not_run(Reason.KEY_WITHDRAWN, detail="the workspace was withdrawn")
--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -20,7 +20,7 @@
 from damaskbay.helpers.cancellation import Cancellation
 from damaskbay.ports.caller import IncomingCall, IssuedIds, ServedCall
 from damaskbay.ports.fleet import ConfigSource, ConfigState, RateGate
-from damaskbay.ports.metrics import CallObserver
+from damaskbay.ports.metrics import CallObserver, EndedCall
 
 
 class RouteSource(Protocol):
@@ -45,6 +45,16 @@
     room: EdgeRoom
 
 
+@dataclass(frozen=True, slots=True)
+class _Served:
+    """A result with how far the call came: its context, route and set."""
+
+    result: CallResult
+    context: CallContext | None = None
+    route: str = ""
+    set_version: int = 0
+
+
 class Ingress:
     """Serves callers and the local backend server (port: CallerService)."""
 
@@ -81,15 +91,23 @@
         call_id = uuid.uuid4().hex
         with self._entered():
             if call.call_token is None:
-                context, result = self._serve_root(call, call_id, cancellation)
+                served = self._serve_root(call, call_id, cancellation)
             else:
-                context, result = self._serve_nested(call, cancellation)
-        if context is None and call.request_id is not None:
+                served = self._serve_nested(call, cancellation)
+        result = served.result
+        if served.context is None and call.request_id is not None:
             result = _without_claim(result)
-        if context is not None:
-            call_id = context.call_id
+        if served.context is not None:
+            call_id = served.context.call_id
         self._parts.observer.call_ended(
-            context, result, took_s=self._clock() - began, call_id=call_id
+            EndedCall(
+                call_id,
+                result,
+                took_s=self._clock() - began,
+                context=served.context,
+                route=served.route,
+                set_version=served.set_version,
+            )
         )
         return ServedCall(call_id, result)
 
@@ -105,23 +123,27 @@
 
     def _serve_root(
         self, call: IncomingCall, call_id: str, cancellation: Cancellation
-    ) -> tuple[CallContext | None, CallResult]:
+    ) -> _Served:
         now = self._clock()
         if self._draining:
-            return None, refused(not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0))
+            return _Served(refused(not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0)))
         state = self._parts.config.state()
         if state is None:
-            return None, refused(not_run(Reason.NO_CONFIGURATION, retry_after_s=1.0))
+            refusal = not_run(Reason.NO_CONFIGURATION, retry_after_s=1.0)
+            return _Served(refused(refusal))
+        version = state.config.version
         route = self._route(state, call)
         if isinstance(route, Refusal):
-            return None, refused(route)
+            return _Served(refused(route), set_version=version)
         context = self._root_context(state, route, call, call_id, now)
         if isinstance(context, Refusal):
-            return None, refused(context)
-        refusal = self._admit_root(state, route, context, now)
-        if refusal is not None:
-            return context, self._refuse(call, context, refusal)
-        return context, self._send(call, context, route, cancellation)
+            return _Served(refused(context), None, route.name, version)
+        denied = self._admit_root(state, route, context, now)
+        if denied is not None:
+            result = self._refuse(call, context, denied)
+        else:
+            result = self._send(call, context, route, cancellation)
+        return _Served(result, context, route.name, version)
 
     def _refuse(
         self, call: IncomingCall, context: CallContext, refusal: Refusal
@@ -193,26 +215,25 @@
             return self._parts.once.run(outgoing)
         return self._parts.dispatcher.dispatch(outgoing)
 
-    def _serve_nested(
-        self, call: IncomingCall, cancellation: Cancellation
-    ) -> tuple[CallContext | None, CallResult]:
+    def _serve_nested(self, call: IncomingCall, cancellation: Cancellation) -> _Served:
         token = call.call_token or ""
         state = self._parts.config.state()
         if state is None:
-            return None, refused(not_run(Reason.NO_CONFIGURATION))
+            return _Served(refused(not_run(Reason.NO_CONFIGURATION)))
+        version = state.config.version
         route = self._route(state, call)
         if isinstance(route, Refusal):
-            return None, refused(route)
+            return _Served(refused(route), set_version=version)
         nested = self._parts.calls.begin_nested(token, route, cancellation)
         if isinstance(nested, Refusal):
-            return None, refused(nested)
+            return _Served(refused(nested), None, route.name, version)
         context = _with_claims(nested.context, call, self._clock())
         result = refused(not_run(Reason.INTERNAL_ERROR))
         try:
             result = self._send(call, context, route, cancellation)
         finally:
             self._parts.calls.finished(nested, result.retry_tokens_left)
-        return context, result
+        return _Served(result, context, route.name, version)
 
 
 def _with_claims(context: CallContext, call: IncomingCall, now: float) -> CallContext:
--- a/damaskbay/daemon/messages.py
+++ b/damaskbay/daemon/messages.py
@@ -28,7 +28,7 @@
     retry_tokens: int
     request_id: str | None
     config_version: int
-    key_name: str | None
+    key_digest: str | None
     method: str
     host: str
     target: str
@@ -83,7 +83,7 @@
         retry_tokens=context.retry_tokens,
         request_id=context.request_id,
         config_version=context.config_version,
-        key_name=context.key_name,
+        key_digest=context.key_digest,
         method=request.method,
         host=request.host,
         target=request.target,
@@ -107,7 +107,7 @@
         retry_tokens=call.retry_tokens,
         request_id=call.request_id,
         config_version=call.config_version,
-        key_name=call.key_name,
+        key_digest=call.key_digest,
     )
 
 
--- a/damaskbay/daemon/observer.py
+++ b/damaskbay/daemon/observer.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass
 
 from damaskbay.adapters.telemetry.client import Telemetry
-from damaskbay.core.call import Answer, CallContext, CallResult
+from damaskbay.core.call import Answer, CallContext
 from damaskbay.core.explain import Decision, DecisionLog, shorten
 from damaskbay.helpers.task import Task
+from damaskbay.ports.metrics import EndedCall
 
 DECISION_ANSWERED = "answered"
 EXPLAIN_TIMEOUT_S = 2.0
@@ -20,10 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Ended:
-    context: CallContext | None
-    result: CallResult
-    took_s: float
-    call_id: str
+    call: EndedCall
     wall_now: float
 
 
@@ -62,16 +60,9 @@
         self._wall_clock = wall_clock
         self.dropped = 0
 
-    def call_ended(
-        self,
-        context: CallContext | None,
-        result: CallResult,
-        *,
-        took_s: float,
-        call_id: str,
-    ) -> None:
+    def call_ended(self, ended: EndedCall) -> None:
         """Take note of a call that ended at its ingress."""
-        self._note(_Ended(context, result, took_s, call_id, self._wall_clock()))
+        self._note(_Ended(ended, self._wall_clock()))
 
     def queue_waited(self, context: CallContext, waited_s: float) -> None:
         """Take note of the time a call waited for admission."""
@@ -112,8 +103,9 @@
         if isinstance(note, _Waited):
             self._telemetry.queue_waited(note.context, note.waited_s)
             return
-        self._telemetry.call_ended(note.context, note.result, took_s=note.took_s)
-        self._log.record(_decision(note))
+        call = note.call
+        self._telemetry.call_ended(call.context, call.result, took_s=call.took_s)
+        self._log.record(_decision(call, note.wall_now))
 
     def _find(self, question: _Question) -> tuple[Decision, ...]:
         if question.call_id is not None:
@@ -121,36 +113,35 @@
         return self._log.by_workspace(question.workspace or "")
 
 
-def _decision(ended: _Ended) -> Decision:
-    outcome = ended.result.result
-    context = ended.context
+def _decision(call: EndedCall, wall_now: float) -> Decision:
+    outcome = call.result.result
     if isinstance(outcome, Answer):
         decision, reason, detail = DECISION_ANSWERED, str(outcome.status), ""
     else:
         decision = f"refused {outcome.outcome.value}"
         reason, detail = outcome.reason.value, outcome.detail
-    served_by = ended.result.served_by
+    served_by = call.result.served_by
     return Decision(
-        at=ended.wall_now,
-        call_id=ended.call_id,
-        workspace=context.workspace if context else "",
+        at=wall_now,
+        call_id=call.call_id,
+        workspace=call.context.workspace if call.context else "",
         decision=decision,
         reason=reason,
-        set_version=context.config_version if context else 0,
-        rule=f"route {context.route}" if context else "",
+        set_version=call.set_version,
+        rule=f"route {call.route}" if call.route else "",
         detail=shorten(f"{detail} at {served_by}".strip() if served_by else detail),
-        figures=_figures(ended),
+        figures=_figures(call),
     )
 
 
-def _figures(ended: _Ended) -> tuple[tuple[str, float], ...]:
-    result = ended.result
+def _figures(call: EndedCall) -> tuple[tuple[str, float], ...]:
+    result = call.result
     figures = [
-        ("took_ms", round(ended.took_s * MS_PER_S, 3)),
+        ("took_ms", round(call.took_s * MS_PER_S, 3)),
         ("attempts", float(result.attempts)),
     ]
-    if ended.context is not None:
-        figures.append(("depth", float(ended.context.depth)))
+    if call.context is not None:
+        figures.append(("depth", float(call.context.depth)))
     if result.admission_level is not None:
         figures.append(("admission_level", float(result.admission_level)))
     if result.backend_s is not None:
--- a/damaskbay/daemon/rules.py
+++ b/damaskbay/daemon/rules.py
@@ -1,6 +1,5 @@
 """Short questions to the set in force, from any thread."""
 
-from damaskbay.config.objects import ConfigSet
 from damaskbay.core.call import CallContext
 from damaskbay.core.identify import still_allowed
 from damaskbay.core.outcome import Refusal
@@ -14,7 +13,6 @@
 
     def __init__(self, source: ConfigSource) -> None:
         self._source = source
-        self._named: tuple[ConfigSet, frozenset[str]] | None = None
 
     def weight_of(self, workspace: str) -> float:
         """Return a workspace's weight in fair shares."""
@@ -42,13 +40,4 @@
         state = self._source.state()
         if state is None or state.config.version < context.config_version:
             return None
-        config = state.config
-        return still_allowed(config, self._key_names(config), context)
-
-    def _key_names(self, config: ConfigSet) -> frozenset[str]:
-        named = self._named
-        if named is None or named[0] is not config:
-            names = frozenset(key.name for key in config.keys_by_digest.values())
-            named = (config, names)
-            self._named = named
-        return named[1]
+        return still_allowed(state.config, context)
--- a/tests/core/test_identify.py
+++ b/tests/core/test_identify.py
@@ -88,14 +88,18 @@
     """A call in the queue is looked at again with the newer set."""
     context = _identify(Credentials(SECRET))
     assert isinstance(context, CallContext)
-    names = frozenset({"k"})
-    assert still_allowed(CONFIG, names, context) is None
-    for config, key_names, reason in (
-        (CONFIG, frozenset[str](), Reason.KEY_WITHDRAWN),
-        (replace(CONFIG, workspaces_by_name={}), names, Reason.KEY_WITHDRAWN),
-        (replace(CONFIG, routes_by_name={}), names, Reason.NO_ROUTE),
+    assert still_allowed(CONFIG, context) is None
+    rotated = Key("k", digest_of("dk_new"), "w")
+    for config, reason in (
+        (replace(CONFIG, keys_by_digest={}), Reason.KEY_WITHDRAWN),
+        (
+            replace(CONFIG, keys_by_digest={rotated.digest: rotated}),
+            Reason.KEY_WITHDRAWN,
+        ),
+        (replace(CONFIG, workspaces_by_name={}), Reason.KEY_WITHDRAWN),
+        (replace(CONFIG, routes_by_name={}), Reason.NO_ROUTE),
     ):
-        refusal = still_allowed(config, key_names, context)
+        refusal = still_allowed(config, context)
         assert refusal is not None
         assert refusal.not_run
         assert refusal.reason is reason
--- a/tests/daemon/common.py
+++ b/tests/daemon/common.py
@@ -22,7 +22,7 @@
 )
 from damaskbay.core.admission import AdmissionOptions
 from damaskbay.core.at_most_once import RequestOwner
-from damaskbay.core.call import Answer, CallContext, CallResult, Request
+from damaskbay.core.call import Answer, CallContext, Request
 from damaskbay.core.edge import EdgeRoom
 from damaskbay.core.outcome import Reason, Refusal, unknown
 from damaskbay.core.routing import Router, RouterOptions
@@ -39,6 +39,7 @@
 from damaskbay.helpers.keys import digest_of
 from damaskbay.ports.caller import IncomingCall
 from damaskbay.ports.fleet import ConfigState, MemberView, ServerState, ServerView
+from damaskbay.ports.metrics import EndedCall
 from damaskbay.ports.peer import (
     Handler,
     PeerAddress,
@@ -231,17 +232,10 @@
     """Remembers ended calls (port: CallObserver)."""
 
     def __init__(self) -> None:
-        self.ended: list[CallResult] = []
+        self.ended: list[EndedCall] = []
 
-    def call_ended(
-        self,
-        context: CallContext | None,
-        result: CallResult,
-        *,
-        took_s: float,
-        call_id: str,
-    ) -> None:
-        self.ended.append(result)
+    def call_ended(self, ended: EndedCall) -> None:
+        self.ended.append(ended)
 
     def queue_waited(self, context: CallContext, waited_s: float) -> None:
         return
--- a/tests/daemon/test_request_path.py
+++ b/tests/daemon/test_request_path.py
@@ -69,6 +69,8 @@
             assert outcome.reason is reason
             assert outcome.not_run
         assert daemon.backend.runs_by_target == {}
+        unknown_key = daemon.observed.ended[1]
+        assert (unknown_key.route, unknown_key.set_version) == ("read", 1)
 
 
 def test_open_routes_cost_no_workspace_anything() -> None:
