--- a/tests/core/rates/test_failures.py
+++ b/tests/core/rates/test_failures.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from bench.rates_fleet import VirtualFleet, greatest_excess
-from damaskbay.config.objects import ConfigSet, Workspace
+from damaskbay.config.objects import ConfigSet, Limit, Workspace
 from damaskbay.core.outcome import Reason
 from damaskbay.core.rates.options import ShareOptions
 from tests.common import function_suite
@@ -219,6 +219,23 @@
     assert_bounded(fleet)
 
 
+def test_refused_requests_spend_no_later_limit() -> None:
+    """A workspace over its own rate takes nothing of a limit it shares."""
+    workspaces = {"over": Workspace("over", 2.0, 2), "w": Workspace("w", 20.0, 20)}
+    limits = {"route": Limit("route", 12.0, 12)}
+    shared = ConfigSet(1, "d", workspaces, limits_by_name=limits)
+    fleet = VirtualFleet(shared, OPTIONS, seed=3)
+    fleet.add_domain("a", 3)
+    for number in range(600):
+        fleet.run_until(number / 30)
+        fleet.request("a", "w" if number % 5 == 0 else "over", ("route",))
+    fleet.run_until(22)
+    refused = [
+        item for item in fleet.arrivals if item.workspace == "w" and item.refusal
+    ]
+    assert len(refused) <= 6
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
