Run single test functions by name

Cause: script/test promises names of modules or functions, but a function's name ended in a TypeError of unittest's loader, after the function had run outside any test case. Change: a name that leads to a function makes a suite of it; other names go to unittest's loader as before. A name that doesn't exist ends the run with an error. Seen: a function and its module pass together; a made-up name ends with AttributeError.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -3,7 +3,12 @@
 import argparse
 import sys
 import unittest
+from collections.abc import Sequence
 from pathlib import Path
+from pkgutil import resolve_name
+from types import FunctionType
+
+from tests.common import function_suite
 
 ROOT = Path(__file__).parent.parent
 KNOWN_RED_PREFIX = "test: "
@@ -15,6 +20,17 @@
     return {line.removeprefix(KNOWN_RED_PREFIX).strip() for line in marked}
 
 
+def _named(loader: unittest.TestLoader, names: Sequence[str]) -> unittest.TestSuite:
+    suite = unittest.TestSuite()
+    for name in names:
+        found = resolve_name(name)
+        if isinstance(found, FunctionType):
+            suite.addTest(function_suite({found.__name__: found}))
+        else:
+            suite.addTest(loader.loadTestsFromName(name))
+    return suite
+
+
 def main() -> int:
     """Run all tests or the named ones and return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -23,7 +39,7 @@
     options = parser.parse_args()
     loader = unittest.TestLoader()
     if options.names:
-        suite = loader.loadTestsFromNames(options.names)
+        suite = _named(loader, options.names)
     else:
         suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
     result = unittest.TextTestRunner(verbosity=1 + options.verbose).run(suite)
