Refuse early before the first send only, by the workspace's weight

Cause: a retry was judged by early refusal again, which counted its demand twice, and the ingress's fair shares ignored weights. Change: early refusal comes once, with the weight of the set.

--- a/damaskbay/daemon/app.py
+++ b/damaskbay/daemon/app.py
@@ -211,6 +211,7 @@
             clock=clock,
             rng=self._rng,
             other_domains=rules.other_domains,
+            weight_of=rules.weight_of,
         )
         once = OnceService(
             identity=self._identity,
--- a/damaskbay/daemon/dispatch.py
+++ b/damaskbay/daemon/dispatch.py
@@ -96,8 +96,10 @@
         clock: Callable[[], float],
         rng: random.Random,
         other_domains: Callable[[str], bool],
+        weight_of: Callable[[str], float],
     ) -> None:
         self._instance = instance
+        self._weight_of = weight_of
         self._other_domains = other_domains
         self._membership = membership
         self._router = router
@@ -141,11 +143,16 @@
         now: float,
     ) -> ServerView | Refusal:
         elsewhere = self._other_domains(context.pool)
-        early = self._router.early_refusal(
-            servers, context, now, other_domains=elsewhere
-        )
-        if early is not None:
-            return early
+        if attempt.rounds == 0:
+            early = self._router.early_refusal(
+                servers,
+                context,
+                now,
+                weight=self._weight_of(context.workspace),
+                other_domains=elsewhere,
+            )
+            if early is not None:
+                return early
         chosen = self._router.choose(
             servers,
             context,
--- a/tests/daemon/common.py
+++ b/tests/daemon/common.py
@@ -373,6 +373,7 @@
             clock=clock,
             rng=rng,
             other_domains=rules.other_domains,
+            weight_of=rules.weight_of,
         )
         once = OnceService(
             identity=identity,
