--- a/bench/latency.py
+++ b/bench/latency.py
@@ -2,9 +2,9 @@
 
 import http.client
 import random
-import threading
 import time
 from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
 
@@ -135,11 +135,9 @@
         while time.perf_counter() < end:
             caller.call()
 
-    threads = [threading.Thread(target=run, args=(caller,)) for caller in callers]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    with ThreadPoolExecutor(LOAD_THREADS) as executor:
+        for future in [executor.submit(run, caller) for caller in callers]:
+            future.result()
     done = sum(len(caller.latencies_s) for caller in callers)
     for caller in callers:
         caller.close()
