--- a/tests/end_to_end/common.py
+++ b/tests/end_to_end/common.py
@@ -80,10 +80,15 @@
             connection.close()
 
 
+def secrets_for_tests() -> dict[str, str]:
+    """Return a fresh key secret for each workspace of the tests."""
+    return secrets_for(WORKSPACES)
+
+
 def running_fleet() -> Running:
     """Return the shared fleet; it is started once and ends with the tests."""
     if not _shared:
-        secrets = secrets_for(WORKSPACES)
+        secrets = secrets_for_tests()
         plans = [
             ServerPlan(f"{pool}-{domain}", f"domain-{domain}", pool, slots=16)
             for pool in POOLS
