--- /dev/null
+++ b/tests/adapters/operator_http/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of operator_http."""
--- /dev/null
+++ b/tests/end_to_end/test_settings.py
@@ -0,0 +1,42 @@
+"""Daemons as processes with other settings: TLS, bad files."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from bench.fleet import Fleet, ServerPlan
+from damaskbay.cli.const import EXIT_INVALID
+from damaskbay.core.call import Answer
+from tests.common import function_suite
+from tests.end_to_end.common import POOLS, Running, secrets_for_tests
+
+PEM = str(Path(__file__).parent.parent / "adapters/peer_stream/data/peer.pem")
+TLS = {"certificate": PEM, "private_key": PEM, "authority": PEM}
+
+
+def test_daemons_speak_tls_where_the_settings_say_so() -> None:
+    """A call that crosses a stream is answered, and the health is as without."""
+    plans = [ServerPlan(f"{pool}-a", "domain-a", pool, slots=16) for pool in POOLS]
+    with Fleet(plans, {"tls": TLS}) as fleet:
+        running = Running(fleet, secrets_for_tests())
+        fleet.publish(running.document)
+        fleet.wait_ready()
+        outcome = running.call("lookup-a", "/ledger/tls")
+        assert isinstance(outcome, Answer), outcome
+        assert b"ledger-a" in outcome.body
+
+
+def test_check_settings_names_file_and_field() -> None:
+    """A bad file ends with its own exit code and never starts anything."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "daemon.json"
+        path.write_text(json.dumps({"instance": "campo-1"}))
+        done = Fleet([]).cli("daemon", "--settings", str(path), "--check-settings")
+    assert done.returncode == EXIT_INVALID
+    assert f"{path}: failure_domain: " in done.stderr
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
