--- /dev/null
+++ b/tests/bench/test_capacity.py
@@ -0,0 +1,27 @@
+"""The table in docs/CAPACITY.md is the one that the recorded figures give."""
+
+import unittest
+from pathlib import Path
+
+from bench.capacity import BEGIN_MARK, END_MARK, Line, markdown, table
+from tests.common import function_suite
+
+PAGE = Path(__file__).parent.parent.parent / "docs" / "CAPACITY.md"
+
+
+def test_the_page_holds_the_recomputed_table() -> None:
+    """Neither figures nor verdicts on the page may differ from the records."""
+    text = PAGE.read_text()
+    begin = text.index(BEGIN_MARK) + len(BEGIN_MARK)
+    assert text[begin : text.index(END_MARK)].strip() == markdown(table())
+
+
+def test_a_figure_above_its_limit_does_not_fit() -> None:
+    """The verdict follows the limit, not the wish."""
+    assert Line("r", "w", 4.4, 4.4, "%", "m").fits
+    assert not Line("r", "w", 4.41, 4.4, "%", "m").fits
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
