Take requests over before the frames of the same read

A caller's thread writes its request itself and queues the command by which the loop takes it over. When that happened after the loop had woken up for another answer and before it read, one read brought both answers, and the second was dropped as stray. Change: commands are handled between a read and its frames.

--- a/damaskbay/adapters/peer_stream/loop.py
+++ b/damaskbay/adapters/peer_stream/loop.py
@@ -150,6 +150,11 @@
         self._guard(self.settle, now)
         return now
 
+    def catch_up(self, now: float) -> None:
+        """Handle the commands that came since the round began."""
+        if self._commands:
+            self._work(now)
+
     def _work(self, now: float) -> None:
         for _ in range(len(self._commands)):
             command = self._commands.popleft()
--- a/damaskbay/adapters/peer_stream/pool.py
+++ b/damaskbay/adapters/peer_stream/pool.py
@@ -3,6 +3,7 @@
 import logging
 import selectors
 import ssl
+from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
@@ -38,15 +39,21 @@
 
 
 class StreamPool:
-    """Streams with the side that each belongs to."""
+    """
+    Streams with the side that each belongs to.
+
+    `catch_up` handles what other threads have asked for meanwhile.
+    """
 
     def __init__(
         self,
         selector: selectors.BaseSelector,
         options: PeerStreamOptions,
         stats: PeerStreamStats,
+        catch_up: Callable[[float], None],
     ) -> None:
         self._selector = selector
+        self._catch_up = catch_up
         self._options = options
         self._stats = stats
         self._sides: dict[PeerStream, Side] = {}
@@ -147,10 +154,16 @@
             return
         was_proven = stream.proven
         try:
-            for frame in stream.pump(events, now, self._buffer):
-                side.on_frame(stream, frame, now)
+            frames = stream.pump(events, now, self._buffer)
+            if frames:
+                # An answer may have come before its request was taken over.
+                self._catch_up(now)
+            for frame in frames:
                 if stream not in self._sides:
                     return
+                side.on_frame(stream, frame, now)
+            if stream not in self._sides:
+                return
             if stream.backlogged or not was_proven:
                 self._dirty.add(stream)
         except (OSError, PeerStreamError) as error:
--- a/damaskbay/adapters/peer_stream/streams.py
+++ b/damaskbay/adapters/peer_stream/streams.py
@@ -92,7 +92,7 @@
         self._max_payload = options.max_frame_bytes - FRAME_OVERHEAD_BYTES
         first_id = random_source.randbits(_FIRST_ID_BITS)
         self._ids = itertools.count(first_id + 1)
-        self._pool = StreamPool(self._selector, options, self._stats)
+        self._pool = StreamPool(self._selector, options, self._stats, self.catch_up)
         self._out = RequestingSide(
             identity, secrets, self._pool, options, self._stats, client_tls
         )
