--- a/bench/control.py
+++ b/bench/control.py
@@ -11,7 +11,7 @@
 from bench.membership import membership_figures
 from bench.processes import cpu_s, memory_mb
 
-COUNTS = (5, 10, 20, 40)
+COUNTS = (10, 20, 40, 80)
 QUICK_COUNTS = (5, 10)
 ONE_DOMAIN = 40
 MEMBERS = (10, 40, 160, 667)
--- a/damaskbay/stand_ins/platform.py
+++ b/damaskbay/stand_ins/platform.py
@@ -26,6 +26,7 @@
 PATH_FAULTS = "/v1/faults"
 PATH_COUNTERS = "/v1/counters"
 DEFAULT_THREADS = 64
+MAX_CONNECTIONS = 2000
 _LOOP_S = 0.5
 _CALL_TIMEOUT_S = 60.0
 _MISSING_BYTES = 100
@@ -92,6 +93,7 @@
             host=host,
             port=port,
             threads=threads,
+            connection_limit=MAX_CONNECTIONS,
             ident="platform",
             max_request_body_size=2 * MAX_PLATFORM_VALUE_BYTES,
             clear_untrusted_proxy_headers=True,
