--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bench.common import RESULTS, parser
+from bench.common import RESULTS, ROOT, parser
 
 DAEMONS = 10_000
 DOMAINS = 15
@@ -41,6 +41,7 @@
 LIMIT_READS_PER_S = 2_000.0
 LIMIT_WRITES_PER_S = 300.0
 
+PAGE = ROOT / "docs" / "CAPACITY.md"
 BEGIN_MARK = "<!-- table: script/bench capacity -->"
 END_MARK = "<!-- end of table -->"
 
@@ -68,12 +69,16 @@
 
 def main(arguments: Sequence[str]) -> int:
     """Print the table, as Markdown or JSON."""
-    options = parser(__doc__ or "").parse_args(arguments)
+    made = parser(__doc__ or "")
+    made.add_argument("--write", action="store_true", help="put it into the page")
+    options = made.parse_args(arguments)
     try:
         lines = table()
     except MissingResultError as error:
         print(f"capacity: {error}", file=sys.stderr)
         return 1
+    if options.write:
+        write(markdown(lines))
     if options.json:
         document = [
             {
@@ -118,6 +123,14 @@
     return "\n".join(rows)
 
 
+def write(text: str) -> None:
+    """Replace the table of docs/CAPACITY.md."""
+    page = PAGE.read_text()
+    begin = page.index(BEGIN_MARK) + len(BEGIN_MARK)
+    end = page.index(END_MARK)
+    PAGE.write_text(f"{page[:begin]}\n{text}\n{page[end:]}")
+
+
 def _core() -> list[Line]:
     """Return the share of a core for control, by role; roles add up."""
     member = _member_core_pct()
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -1,13 +1,10 @@
 """The table in docs/CAPACITY.md is the one that the recorded figures give."""
 
 import unittest
-from pathlib import Path
 
-from bench.capacity import BEGIN_MARK, END_MARK, Line, markdown, table
+from bench.capacity import BEGIN_MARK, END_MARK, PAGE, Line, markdown, table
 from tests.common import function_suite
 
-PAGE = Path(__file__).parent.parent.parent / "docs" / "CAPACITY.md"
-
 
 def test_the_page_holds_the_recomputed_table() -> None:
     """Neither figures nor verdicts on the page may differ from the records."""
