--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -228,12 +228,8 @@
     return [
         Line(
             "config",
-            "in force, relay killed or platform slow",
-            max(
-                config["in_force_max_s"],
-                config["in_force_max_s_relay_killed"],
-                config["in_force_max_s_platform_slow"],
-            ),
+            "in force, worst of relays killed, platform slow, first set",
+            max(value for key, value in config.items() if "in_force" in key),
             LIMIT_IN_FORCE_S,
             "s",
             "push tree, polls every second",
--- a/bench/rates.py
+++ b/bench/rates.py
@@ -135,7 +135,9 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--quick", action="store_true", help="a tenth of the time")
     parser.add_argument("--holders", type=int, default=ShareOptions().holders)
-    parser.add_argument("--save", action="store_true", help=f"write {RESULT.name}")
+    parser.add_argument(
+        "--save", "--keep", action="store_true", help=f"write {RESULT.name}"
+    )
     options = parser.parse_args(arguments)
     length_s = 60.0 if options.quick else 600.0
     figures = measure(options.seed, length_s, options.holders)
--- a/bench/rates_streams.py
+++ b/bench/rates_streams.py
@@ -150,7 +150,9 @@
     parser.add_argument("--json", action="store_true", help="print JSON alone")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--quick", action="store_true", help="a fifth of the time")
-    parser.add_argument("--save", action="store_true", help=f"write {RESULT.name}")
+    parser.add_argument(
+        "--save", "--keep", action="store_true", help=f"write {RESULT.name}"
+    )
     options = parser.parse_args(arguments)
     length_s = 3.0 if options.quick else 15.0
     with _services(options.seed) as services:
--- a/bench/rates_ways.py
+++ b/bench/rates_ways.py
@@ -142,7 +142,9 @@
     parser.add_argument("--json", action="store_true", help="print JSON alone")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--quick", action="store_true", help="one demand, one operator")
-    parser.add_argument("--save", action="store_true", help=f"write {RESULT.name}")
+    parser.add_argument(
+        "--save", "--keep", action="store_true", help=f"write {RESULT.name}"
+    )
     options = parser.parse_args(arguments)
     operators = {"AMINE": 4} if options.quick else OPERATORS
     demands = {"middle": 0.6} if options.quick else DEMANDS
