Show the progress of a publication on a terminal

Cause: the first publication of a large set takes 67 writes without a word. Change: the publisher tells its count of storing calls; the command shows it on a terminal only.

--- a/damaskbay/cli/publishing.py
+++ b/damaskbay/cli/publishing.py
@@ -13,6 +13,7 @@
     EXIT_UNKNOWN,
 )
 from damaskbay.cli.documents import print_changes, print_json, print_problems
+from damaskbay.cli.progress import Progress
 from damaskbay.config.exceptions import (
     PublishFailure,
     PublishProblem,
@@ -43,7 +44,10 @@
 
 def publish(platform: Platform, publication: Publication, *, as_json: bool) -> int:
     """Publish, print the outcome and return the exit code."""
-    return report(Publisher(platform).publish(publication), as_json=as_json)
+    with Progress("publish: calls to the platform") as progress:
+        publisher = Publisher(platform, progress=progress)
+        result = publisher.publish(publication)
+    return report(result, as_json=as_json)
 
 
 def report(result: PublishResult, *, as_json: bool) -> int:
--- a/damaskbay/config/publishing.py
+++ b/damaskbay/config/publishing.py
@@ -102,6 +102,8 @@
     One of several racing publishers wins each version; the others get a
     PublishConflict. A lost answer is settled by the publish id: the same
     compare-and-swap is sent again, so that a late first copy cannot win as well.
+
+    `progress` is told after each storing call how many there were so far.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
         clock: Callable[[], float] = monotonic_s,
         wall_clock: Callable[[], float] = time.time,
         sleep: Callable[[float], None] = time.sleep,
+        progress: Callable[[int], None] = lambda calls: None,
     ) -> None:
         self._platform = platform
         self._store = ConfigStore(platform)
@@ -119,6 +122,8 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._sleep = sleep
+        self._progress = progress
+        self._calls = 0
 
     def publish(self, publication: Publication) -> PublishResult:
         """Check, store and put in force; see the result's types."""
@@ -304,6 +309,8 @@
         """Repeat an idempotent call while the platform gives no answer."""
         while True:
             result = call(self._call_timeout_s(deadline))
+            self._calls += 1
+            self._progress(self._calls)
             if not isinstance(result, PlatformFailure):
                 return result
             if result.problem is PlatformProblem.VALUE_TOO_LARGE:
--- /dev/null
+++ b/tests/cli/test_progress.py
@@ -0,0 +1,30 @@
+"""Tests of cli.progress."""
+
+import io
+import unittest
+
+from damaskbay.cli.progress import SHOWN_EVERY, Progress
+from tests.common import function_suite
+
+
+class _Terminal(io.StringIO):
+    """A stream that a person watches."""
+
+    def isatty(self) -> bool:
+        return True
+
+
+def test_a_person_sees_the_count_and_a_program_nothing() -> None:
+    """Counts go to a terminal only, on one line that ends with the work."""
+    terminal, pipe = _Terminal(), io.StringIO()
+    for stream in (terminal, pipe):
+        with Progress("publish", stream) as progress:
+            for count in range(1, 2 * SHOWN_EVERY + 1):
+                progress(count)
+    assert terminal.getvalue() == "\rpublish: 10\rpublish: 20\n"
+    assert pipe.getvalue() == ""
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
