--- a/damaskbay/daemon/app.py
+++ b/damaskbay/daemon/app.py
@@ -128,7 +128,7 @@
                 settings.platform.host, settings.platform.port, name=settings.instance
             )
         )
-        self._start_fleet_parts(stack)
+        self._start_fleet_parts()
         self._start_request_path(stack)
         stack.enter_context(self._link)
         stack.enter_context(self._membership)
@@ -138,7 +138,7 @@
         stack.enter_context(operator_server(settings, self._operator))
         stack.enter_context(self._callers)
 
-    def _start_fleet_parts(self, stack: contextlib.ExitStack) -> None:
+    def _start_fleet_parts(self) -> None:
         settings = self._settings
         tls = settings.tls
         self._link = PeerStreams(
--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from damaskbay.config.objects import Access, Route
-from damaskbay.core.call import Answer, CallContext, CallResult
+from damaskbay.core.call import CallContext, CallResult
 from damaskbay.core.edge import EdgeRoom
 from damaskbay.core.freshness import may_serve
 from damaskbay.core.identify import Credentials, RouteMatcher, identify_root
@@ -260,8 +260,3 @@
 def refused(refusal: Refusal) -> CallResult:
     """Return the result of a call that was refused before it was sent."""
     return CallResult(refusal, attempts=0)
-
-
-def succeeded(result: CallResult) -> bool:
-    """Tell whether a call brought a whole answer."""
-    return isinstance(result.result, Answer)
--- a/damaskbay/daemon/rates.py
+++ b/damaskbay/daemon/rates.py
@@ -19,8 +19,6 @@
 from damaskbay.ports.peer import PeerIdentity, PeerLink
 from damaskbay.ports.platform import Platform
 
-RateOptions = ShareOptions
-
 MAX_WAIT_S = 1.5
 LEAVE_TIMEOUT_S = 4.0
 
--- a/damaskbay/helpers/messages.py
+++ b/damaskbay/helpers/messages.py
@@ -5,12 +5,10 @@
 from typing import Any, TypeVar
 
 import msgpack
-from pydantic import ConfigDict, TypeAdapter, ValidationError
+from pydantic import TypeAdapter, ValidationError
 
 T = TypeVar("T")
 
-_CONFIG = ConfigDict(strict=False, extra="forbid")
-
 
 @dataclass(frozen=True, slots=True)
 class _MessageType:
