--- /dev/null
+++ b/damaskbay/adapters/peer_link/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and notes between daemons, many at once on one connection each way."""
--- a/damaskbay/config/matching.py
+++ b/damaskbay/config/matching.py
@@ -58,6 +58,29 @@
         return None
 
 
+class PrefixTable:
+    """Finds the route of a request by the longest literal prefix of its path."""
+
+    def __init__(self, config: ConfigSet) -> None:
+        self._by_host: dict[str, dict[str, Route]] = defaultdict(dict)
+        for route in config.routes_by_name.values():
+            self._by_host[plain_host(route.host)][route.path_prefix] = route
+
+    def match(self, host: str, target: str) -> Route | None:
+        """Return the route, or None; prefixes begin and end with a slash."""
+        by_prefix = self._by_host.get(plain_host(host))
+        if by_prefix is None:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/") + 1
+        while end > 0:
+            route = by_prefix.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
+
+
 def normal_prefix(path_prefix: str) -> str:
     """Return the prefix without a closing slash; "" matches every path."""
     return path_prefix.rstrip("/")
--- a/damaskbay/config/objects.py
+++ b/damaskbay/config/objects.py
@@ -39,12 +39,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Workspace:
-    """A tenant. Rate in requests/s and burst in requests, over the whole fleet."""
+    """
+    A tenant. Rate in requests/s and burst in requests, over the whole fleet.
+
+    A `priority` goes before that of the route.
+    """
 
     name: str
     rate_per_s: float
     burst: int
     weight: float = 1.0
+    priority: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,12 +82,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """The backend servers that answer to one name."""
+    """The backend servers that answer to one name; `health_path` is probed."""
 
     name: str
     slots_per_server: int
     connections_per_server: int
     other_domains: bool = True
+    health_path: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedPool:
+    """A pool that gets a part of a route's calls, in proportion to the weight."""
+
+    pool: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, in bytes, and how long they may take, in seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 8 * 1024 * 1024
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +114,9 @@
     """
     What is called, where it goes and on which terms.
 
+    With `weighted_pools` calls are spread over these; `pool` is the first of them.
+    `objective_s` is the latency objective.
+
     `host` "*" matches every host; empty `methods` match every method. `calls`
     names the routes that this route's backend servers may call. Times in
     seconds. `retries` is the allowance of the whole call tree.
@@ -109,6 +136,8 @@
     calls: tuple[str, ...] = ()
     when_unproven: WhenUnproven = WhenUnproven.REFUSE
     unproven_after_s: float = 5.0
+    weighted_pools: tuple[WeightedPool, ...] = ()
+    objective_s: float | None = None
 
 
 ConfigObject = Workspace | Key | Priority | Limit | Pool | Route
@@ -131,3 +160,4 @@
     priorities_by_name: Mapping[str, Priority] = field(default_factory=dict)
     limits_by_name: Mapping[str, Limit] = field(default_factory=dict)
     pools_by_name: Mapping[str, Pool] = field(default_factory=dict)
+    caller_limits: CallerLimits = CallerLimits()
--- /dev/null
+++ b/damaskbay/core/quota/const.py
@@ -0,0 +1,15 @@
+"""Constants of demand shares."""
+
+from typing import Final
+
+DEMAND_WINDOW_S: Final = 1.0
+"""Time constant of the demand estimate, seconds: about two status exchanges."""
+
+FLOOR_SHARE: Final = 0.1
+"""Part of a workspace's rate that is split evenly, for demand that moves."""
+
+RETRY_AFTER_MOST_S: Final = 2.0
+"""Longest time a caller over its rate is told to wait, seconds."""
+
+START_BURST_SHARE: Final = 0.25
+"""Part of the burst a daemon starts with: the fleet may restart within a window."""
--- /dev/null
+++ b/damaskbay/mesh/app.py
@@ -0,0 +1,350 @@
+"""The event-driven daemon: its parts, their start and the graceful stop."""
+
+import asyncio
+import contextlib
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from random import Random
+from typing import Any
+
+from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
+from damaskbay.adapters.http1.server import Arrival, HttpServer
+from damaskbay.adapters.peer_link.client import PeerLinks
+from damaskbay.config.objects import CallerLimits, ConfigSet
+from damaskbay.core.call import Answer
+from damaskbay.core.quota.shares import DemandShares
+from damaskbay.core.retry.budget import RetryBudgetOptions
+from damaskbay.core.routing import Router, RouterOptions
+from damaskbay.daemon.messages import (
+    CallMessage,
+    context_of,
+    request_of,
+    to_result_message,
+)
+from damaskbay.helpers.clock import monotonic_s
+from damaskbay.mesh.config_watch import ConfigWatch, Decode, PeerConfig
+from damaskbay.mesh.configuration import Configuration
+from damaskbay.mesh.const import (
+    DRAIN_READY_S,
+    GATE_TICK_S,
+    RETRY_SHARE,
+    STOP_MARGIN_S,
+)
+from damaskbay.mesh.dialect import Dialect
+from damaskbay.mesh.directory import Directory, MemberRecord
+from damaskbay.mesh.gate import Gate
+from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
+from damaskbay.mesh.local_server import Heartbeat, LocalServer
+from damaskbay.mesh.messages import ConfigWanted, Note
+from damaskbay.mesh.registry import FORGET_S, MemberWatch, Registration
+from damaskbay.mesh.settings import MeshSettings
+from damaskbay.mesh.target import Target, TargetParts
+from damaskbay.ports.fleet import ServerState
+from damaskbay.ports.store import Store
+
+_LOGGER = logging.getLogger(__name__)
+
+POLL_S = 0.05
+ACK_WRITE_S = 0.5
+"""Longest wait for the store before a leaving server is told so, seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """
+    What the daemon finds around it.
+
+    `config_prefix` and `config_key` are where the operator's set lies in the
+    store, `member_prefix` is where daemons keep their records.
+    """
+
+    store: Store
+    dialect: Dialect
+    decode_config: Decode
+    config_prefix: str
+    config_key: str
+    member_prefix: str
+
+
+Control = Callable[["MeshDaemon"], Callable[[Arrival], Awaitable[Answer]]]
+"""Makes the handler of the local server's reports."""
+
+
+class MeshDaemon:
+    """One daemon. `run` serves until `stop` is called, then stops gracefully."""
+
+    def __init__(
+        self, settings: MeshSettings, surroundings: Surroundings, control: Control
+    ) -> None:
+        self.settings = settings
+        self._surroundings = surroundings
+        self._rng = Random()
+        self._incarnation = time.time_ns() // 1_000_000
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        now = monotonic_s()
+        self.configuration = Configuration()
+        self.local = LocalServer(settings.drain_s, self._server_changed)
+        self._gate = Gate(1, self._rng, now)
+        self._links = PeerLinks(
+            settings.peers,
+            on_request=self._peer_request,
+            on_note=self._peer_note,
+            note=self._note,
+        )
+        self._directory = Directory(settings.instance, self._links.up)
+        self._shares = DemandShares(settings.instance)
+        self._target = self._make_target()
+        self._ingress = self._make_ingress()
+        self._make_followers()
+        self._control = HttpServer(settings.control, control(self), CallerLimits())
+        self._readiness = HttpServer(
+            settings.readiness, self._serve_readiness, CallerLimits()
+        )
+        self._callers = HttpServer(
+            settings.callers, self._ingress.serve, CallerLimits()
+        )
+        self.configuration.subscribe(self._config_changed)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers should come."""
+        return self.configuration.config is not None and not self._stopping.is_set()
+
+    async def run(self) -> None:
+        """Serve until `stop`."""
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(self._links)
+            await stack.enter_async_context(self._control)
+            await stack.enter_async_context(self._readiness)
+            await stack.enter_async_context(self._callers)
+            loop = asyncio.get_running_loop()
+            for run in (
+                self._registration.run,
+                self._member_watch.run,
+                self._config_watch.run,
+                self._peer_config.run,
+                self._tick,
+                self._forget,
+            ):
+                self._tasks.append(loop.create_task(run()))
+            _LOGGER.info(
+                "daemon: has started.",
+                extra={
+                    "instance": self.settings.instance,
+                    "pool": self.settings.pool,
+                    "incarnation": self._incarnation,
+                },
+            )
+            await self._stopping.wait()
+            await self._drain()
+        for task in self._tasks:
+            task.cancel()
+        _LOGGER.info("daemon: has stopped.")
+
+    def stop(self) -> None:
+        """Begin the graceful stop."""
+        self._stopping.set()
+
+    async def take_heartbeat(self, beat: Heartbeat) -> None:
+        """Take a report of the local server."""
+        self.local.heartbeat(beat, monotonic_s())
+        if self.local.state is not ServerState.READY:
+            await self._registration.write_now(ACK_WRITE_S)
+
+    async def take_leave(self, server: str, born_ms: int | None) -> None:
+        """Take note that the local server leaves."""
+        if self.local.deregister(server, born_ms, monotonic_s()):
+            await self._registration.write_now(ACK_WRITE_S)
+
+    def _make_target(self) -> Target:
+        dialect = self._surroundings.dialect
+        options = HttpClientOptions(echo_header=dialect.request_id)
+        return Target(
+            TargetParts(
+                instance=self.settings.instance,
+                pool=self.settings.pool,
+                local=self.local,
+                gate=self._gate,
+                client=HttpClient(self.settings.server, options),
+                dialect=dialect,
+                weight_of=self._weight_of,
+                clock=monotonic_s,
+            )
+        )
+
+    def _make_ingress(self) -> Ingress:
+        settings = self.settings
+        return Ingress(
+            IngressOptions(
+                instance=settings.instance,
+                caller_name=settings.pool,
+                proof_valid_s=settings.revoke_s,
+                budget=RetryBudgetOptions(
+                    share=RETRY_SHARE, min_per_s=0.1, max_retries=4.0
+                ),
+            ),
+            IngressParts(
+                configuration=self.configuration,
+                directory=self._directory,
+                router=Router(RouterOptions(settings.failure_domain), self._rng),
+                target=self._target,
+                links=self._links,
+                shares=self._shares,
+                dialect=self._surroundings.dialect,
+                rng=self._rng,
+                clock=monotonic_s,
+            ),
+        )
+
+    def _make_followers(self) -> None:
+        around = self._surroundings
+        self._registration = Registration(
+            around.store, around.member_prefix + self.settings.instance, self._record
+        )
+        self._member_watch = MemberWatch(
+            around.store,
+            around.member_prefix,
+            self._directory,
+            on_change=self._members_changed,
+            clock=monotonic_s,
+        )
+        self._config_watch = ConfigWatch(
+            around.store,
+            prefix=around.config_prefix,
+            key=around.config_key,
+            decode=around.decode_config,
+            configuration=self.configuration,
+            clock=monotonic_s,
+        )
+        self._peer_config = PeerConfig(
+            self._config_watch,
+            self.configuration,
+            peers=lambda: tuple(self._directory.addresses()),
+            request=self._links.request,
+            rng=self._rng,
+            clock=monotonic_s,
+        )
+
+    def _record(self) -> MemberRecord:
+        settings = self.settings
+        state = ServerState.DRAINING if self._target.draining else self.local.state
+        return MemberRecord(
+            settings.instance,
+            self._incarnation,
+            settings.failure_domain,
+            settings.peers,
+            settings.pool,
+            state,
+            self.local.slots,
+            self.local.server,
+            self.local.born_ms,
+        )
+
+    def _note(self) -> Note:
+        record = self._record()
+        now = monotonic_s()
+        return Note(
+            record.instance,
+            record.incarnation,
+            record.failure_domain,
+            record.address.host,
+            record.address.port,
+            record.pool,
+            record.state,
+            record.slots,
+            round(self._gate.load(), 3),
+            self.configuration.version,
+            self.configuration.age_s(now),
+            self._shares.demand(now),
+        )
+
+    def _peer_note(self, note: Any) -> None:
+        if not isinstance(note, Note):
+            return
+        now = monotonic_s()
+        known = note.instance in self._directory.instances()
+        self._directory.heard(note, now)
+        self._shares.heard(note.instance, note.demand)
+        if not known:
+            self._members_changed()
+        if note.config_version > self.configuration.version:
+            self._peer_config.ask(self._record_address(note))
+
+    def _record_address(self, note: Note) -> Any:
+        return type(self.settings.peers)(note.host, note.port)
+
+    async def _peer_request(self, message: Any) -> Any:
+        if isinstance(message, ConfigWanted):
+            return self._peer_config.held(message)
+        if isinstance(message, CallMessage):
+            context = context_of(message, now=monotonic_s())
+            result = await self._target.run(context, request_of(message))
+            return to_result_message(result)
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    def _members_changed(self) -> None:
+        self._directory.forget(monotonic_s())
+        self._links.want(self._directory.addresses())
+        self._shares.set_members(self._directory.instances())
+
+    def _server_changed(self) -> None:
+        now = monotonic_s()
+        if self.local.slots and self.local.slots != self._gate.slots:
+            self._gate.set_slots(self.local.slots, now)
+        self._directory.put(self._record(), now)
+        self._registration.changed()
+        self._links.tell_all()
+
+    def _config_changed(self, config: ConfigSet) -> None:
+        self._callers.limits = config.caller_limits
+
+    def _weight_of(self, workspace: str) -> float:
+        config = self.configuration.config
+        found = config.workspaces_by_name.get(workspace) if config else None
+        return found.weight if found is not None else 1.0
+
+    async def _serve_readiness(self, _arrival: Arrival) -> Answer:
+        status = HTTPStatus.OK if self.ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return Answer(int(status))
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(GATE_TICK_S)
+            self._gate.expire(monotonic_s())
+
+    async def _forget(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_S)
+            self._members_changed()
+
+    async def _drain(self) -> None:
+        """Tell all, go on serving until callers have left, end what runs."""
+        began = monotonic_s()
+        end = began + self.settings.grace_s - STOP_MARGIN_S
+        _LOGGER.info("daemon: graceful stop begins.")
+        self._callers.draining = True
+        self._target.draining = True
+        self._links.tell_all()
+        self._registration.changed()
+        while monotonic_s() < min(began + DRAIN_READY_S, end):
+            await asyncio.sleep(POLL_S)
+        self._callers.close_idle()
+        while monotonic_s() < end and self._busy():
+            await asyncio.sleep(POLL_S)
+            self._callers.close_idle()
+        _LOGGER.info(
+            "daemon: graceful stop ends.",
+            extra={
+                "callers": self._ingress.under_way,
+                "at_server": self._target.under_way,
+            },
+        )
+
+    def _busy(self) -> bool:
+        return bool(
+            self._ingress.under_way or self._target.under_way or self._callers.under_way
+        )
--- /dev/null
+++ b/damaskbay/mesh/const.py
@@ -0,0 +1,42 @@
+"""Times and shares of the event-driven daemon."""
+
+from typing import Final
+
+NOT_READY_RETRY_S: Final = 0.3
+"""Time to come back where no manifest or server is known yet, seconds."""
+
+UNPROVEN_RETRY_S: Final = 1.0
+"""Time to come back where freshness is lost, seconds: about one store read."""
+
+REVOKE_MARGIN_S: Final = 0.3
+"""Kept free of the revocation bound, seconds: clock drift and late timers."""
+
+DRAIN_MARGIN_S: Final = 0.4
+"""Kept free of the drain bound, seconds: a send may wait for the event loop."""
+
+MAX_REDIRECTS: Final = 3
+"""Daemons asked in turn while none has handed the request to its server."""
+
+DEADLINE_SLACK_S: Final = 0.03
+"""Kept free of a deadline for the answer to reach the caller, seconds."""
+
+RESEND_LEAST_S: Final = 0.05
+"""Time that must be left for another send, seconds."""
+
+RETRY_SHARE: Final = 0.05
+"""Sends again per request: a part of the fleet's ratio, since depths add up."""
+
+GATE_TICK_S: Final = 0.02
+"""Seconds between looks for calls that have waited too long at the server."""
+
+UNREACHABLE_S: Final = 0.3
+"""Time without sends after a refused connection to the server, seconds."""
+
+DRAIN_READY_S: Final = 2.3
+"""Time to go on serving after SIGTERM, seconds: two readiness checks a second apart."""
+
+STOP_MARGIN_S: Final = 0.6
+"""Kept free before the platform kills a stopping process, seconds."""
+
+FRESH_FOR_UNSAFE: Final = True
+"""Requests that run at most once take a connection that can't be stale."""
--- /dev/null
+++ b/damaskbay/mesh/gate.py
@@ -0,0 +1,90 @@
+"""Admission to the server beside this daemon, awaited on the event loop."""
+
+import asyncio
+from collections.abc import Sequence
+from random import Random
+
+from damaskbay.core.admission import (
+    AdmissionController,
+    AdmissionOptions,
+    Decision,
+    FixedLimit,
+    Refuse,
+    Sample,
+    Waiting,
+)
+from damaskbay.core.call import CallContext
+from damaskbay.core.outcome import Refusal
+
+
+class Gate:
+    """Turns the decisions of the controller into futures. For one event loop."""
+
+    def __init__(self, slots: int, rng: Random, now: float) -> None:
+        options = AdmissionOptions(slots, limit=lambda count, _now: FixedLimit(count))
+        self._controller = AdmissionController(options, rng, now)
+        self._waiting: dict[int, asyncio.Future[Refusal | None]] = {}
+        self._last = 0
+        self.slots = slots
+
+    @property
+    def running(self) -> int:
+        """Return the number of calls at the server."""
+        return self._controller.running
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of calls that wait."""
+        return self._controller.waiting
+
+    def load(self) -> float:
+        """Return calls running and waiting per slot."""
+        return (self.running + self.waiting) / max(1, self.slots)
+
+    def level(self, now: float) -> int:
+        """Return the admission level to put on answers."""
+        return self._controller.level(now)
+
+    async def enter(
+        self, context: CallContext, weight: float, now: float
+    ) -> int | Refusal:
+        """Wait for a slot and return its ticket, or a refusal."""
+        self._last += 1
+        ticket = self._last
+        future: asyncio.Future[Refusal | None]
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[ticket] = future
+        item = Waiting(ticket, context, weight, context.depth)
+        self._settle(self._controller.offer(item, now))
+        try:
+            refusal = await future
+        except asyncio.CancelledError:
+            if self._waiting.pop(ticket, None) is None:
+                self.leave(ticket, Sample(0.0, cancelled=True), now)
+            else:
+                self._settle(self._controller.withdraw(ticket, now))
+            raise
+        return ticket if refusal is None else refusal
+
+    def leave(self, ticket: int, sample: Sample, now: float) -> None:
+        """Free the slot of a ticket."""
+        self._settle(self._controller.finish(ticket, sample, now))
+
+    def set_slots(self, slots: int, now: float) -> None:
+        """Change the number of calls at once."""
+        self.slots = slots
+        self._settle(self._controller.set_slots(slots, now))
+
+    def expire(self, now: float) -> None:
+        """Refuse what has waited too long."""
+        self._settle(self._controller.expire(now))
+
+    def _settle(self, decisions: Sequence[Decision]) -> None:
+        for decision in decisions:
+            future = self._waiting.pop(decision.ticket, None)
+            if future is None:
+                continue
+            if future.done():
+                continue
+            refused = isinstance(decision, Refuse)
+            future.set_result(decision.refusal if refused else None)
--- /dev/null
+++ b/damaskbay/mesh/records.py
@@ -0,0 +1,53 @@
+"""How a daemon's record stands in the platform's store: msgpack."""
+
+from typing import Any
+
+import msgpack
+
+from damaskbay.mesh.directory import MemberRecord
+from damaskbay.ports.fleet import ServerState
+from damaskbay.ports.peer import PeerAddress
+
+_FORMAT = 1
+
+
+def encode_record(record: MemberRecord) -> bytes:
+    """Return the value to store."""
+    value: bytes = msgpack.packb(
+        (
+            _FORMAT,
+            record.instance,
+            record.incarnation,
+            record.failure_domain,
+            record.address.host,
+            record.address.port,
+            record.pool,
+            record.state.value,
+            record.slots,
+            record.server,
+            record.born_ms,
+        )
+    )
+    return value
+
+
+def decode_record(value: bytes) -> MemberRecord | None:
+    """Return the record in a value, None where it is none of this format."""
+    try:
+        parts: Any = msgpack.unpackb(value)
+        form, instance, incarnation, domain, host, port, pool, state, slots, server, born = parts
+        if form != _FORMAT:
+            return None
+        return MemberRecord(
+            str(instance),
+            int(incarnation),
+            str(domain),
+            PeerAddress(str(host), int(port)),
+            str(pool),
+            ServerState(state),
+            int(slots),
+            str(server),
+            int(born),
+        )
+    except (ValueError, TypeError, msgpack.exceptions.UnpackException):
+        return None
--- /dev/null
+++ b/damaskbay/mesh/settings.py
@@ -0,0 +1,36 @@
+"""Settings of the event-driven daemon, as its surroundings gave them."""
+
+from dataclasses import dataclass
+
+from damaskbay.ports.peer import PeerAddress
+
+
+@dataclass(frozen=True, slots=True)
+class MeshSettings:
+    """
+    One daemon's addresses and bounds; times in seconds.
+
+    `callers`, `control` and `readiness` are listened on, as are `peers` and
+    `metrics`. `pool` is what the server at `server` belongs to. At most
+    `retry_ratio` times the requests, and `retry_slack` more, may be sent again
+    to a pool within `retry_window_s`, over the whole fleet.
+    """
+
+    instance: str
+    failure_domain: str
+    pool: str
+    callers: PeerAddress
+    control: PeerAddress
+    readiness: PeerAddress
+    peers: PeerAddress
+    metrics: PeerAddress
+    server: PeerAddress
+    store: PeerAddress
+    heartbeat_s: float
+    drain_s: float
+    grace_s: float
+    revoke_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+    memory_mb: float
--- /dev/null
+++ b/damaskbay/mesh/target.py
@@ -0,0 +1,213 @@
+"""Runs calls at the backend server beside this daemon."""
+
+import asyncio
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from damaskbay.adapters.http1.client import (
+    HttpClient,
+    HttpFailure,
+    HttpProblem,
+    header_value,
+)
+from damaskbay.core.admission import Sample
+from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
+from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.mesh.const import NOT_READY_RETRY_S, UNREACHABLE_S
+from damaskbay.mesh.dialect import Dialect
+from damaskbay.mesh.gate import Gate
+from damaskbay.mesh.local_server import LocalServer
+from damaskbay.ports.fleet import ServerState
+
+_LOGGER = logging.getLogger(__name__)
+
+FIRST_SERVER_ERROR = 500
+FIRST_REDIRECT = 300
+
+
+@dataclass(frozen=True, slots=True)
+class TargetParts:
+    """What a target works with. `weight_of` is a workspace's weight."""
+
+    instance: str
+    pool: str
+    local: LocalServer
+    gate: Gate
+    client: HttpClient
+    dialect: Dialect
+    weight_of: Callable[[str], float]
+    clock: Callable[[], float]
+
+
+class Target:
+    """The only sender to the local server, so it alone counts its slots."""
+
+    def __init__(self, parts: TargetParts) -> None:
+        self._parts = parts
+        self._unreachable_until = 0.0
+        self.under_way = 0
+        self.draining = False
+
+    async def run(self, context: CallContext, request: Request) -> CallResult:
+        """Run a call; cancelling closes its connection to the server."""
+        self.under_way += 1
+        try:
+            return await self._run(context, request)
+        finally:
+            self.under_way -= 1
+
+    async def _run(self, context: CallContext, request: Request) -> CallResult:
+        parts = self._parts
+        now = parts.clock()
+        refusal = self._refusal(context, now)
+        if refusal is not None:
+            return self._refused(context, refusal, now)
+        entered = await parts.gate.enter(
+            context, parts.weight_of(context.workspace), now
+        )
+        now = parts.clock()
+        if isinstance(entered, Refusal):
+            return self._refused(context, entered, now)
+        sample = Sample(0.0, cancelled=True)
+        try:
+            refusal = self._refusal_at_send(context, now)
+            if refusal is not None:
+                return self._refused(context, refusal, now)
+            outcome = await self._send(context, request)
+            took_s = parts.clock() - now
+            sample = Sample(took_s, succeeded=_succeeded(outcome))
+        finally:
+            parts.gate.leave(entered, sample, parts.clock())
+        attempts = 0 if _unsent(outcome) else 1
+        return self._result(outcome, attempts, took_s)
+
+    def _refusal(self, context: CallContext, now: float) -> Refusal | None:
+        """Refuse what can't run here; the sender asks another daemon."""
+        parts = self._parts
+        if context.pool != parts.pool:
+            return not_run(Reason.NO_BACKEND_SERVER, detail="another pool runs here")
+        if self.draining:
+            return not_run(Reason.SHUTTING_DOWN, retry_after_s=NOT_READY_RETRY_S)
+        if parts.local.state is ServerState.STARTING:
+            return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=NOT_READY_RETRY_S)
+        if parts.local.state is not ServerState.READY:
+            return not_run(
+                Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S
+            )
+        if now < self._unreachable_until:
+            return not_run(
+                Reason.BACKEND_SERVER_FAILED, retry_after_s=NOT_READY_RETRY_S
+            )
+        return None
+
+    def _refusal_at_send(self, context: CallContext, now: float) -> Refusal | None:
+        if now >= context.deadline:
+            return not_run(Reason.DEADLINE_PASSED)
+        if not self._parts.local.may_send(now):
+            return not_run(
+                Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S
+            )
+        return None
+
+    async def _send(self, context: CallContext, request: Request) -> Answer | Refusal:
+        """Send once; again only where a kept connection turned out to be closed."""
+        try:
+            async with asyncio.timeout(context.deadline - self._parts.clock()):
+                outcome = await self._exchange(context, request, context.idempotent)
+                if (
+                    isinstance(outcome, HttpFailure)
+                    and outcome.problem is HttpProblem.STALE
+                    and context.idempotent
+                ):
+                    outcome = await self._exchange(context, request, False)
+        except TimeoutError:
+            return unknown(Reason.DEADLINE_PASSED)
+        if isinstance(outcome, HttpFailure):
+            return self._failed(context, outcome)
+        return self._judged(outcome)
+
+    async def _exchange(
+        self, context: CallContext, request: Request, kept: bool
+    ) -> Answer | HttpFailure:
+        parts = self._parts
+        left_ms = math.floor((context.deadline - parts.clock()) * 1000.0)
+        headers: Headers = (
+            *request.headers,
+            (parts.dialect.deadline_ms, str(max(1, left_ms))),
+            (parts.dialect.expected_server, parts.local.server),
+        )
+        sent = Request(
+            request.method, request.host, request.target, headers, request.body
+        )
+        return await parts.client.send(sent, echo=context.request_id, fresh=not kept)
+
+    def _failed(self, context: CallContext, failure: HttpFailure) -> Refusal:
+        detail = f"{failure.problem.value}: {failure.detail}"
+        if failure.problem is HttpProblem.NOT_SENT:
+            self._unreachable_until = self._parts.clock() + UNREACHABLE_S
+            return not_run(
+                Reason.BACKEND_SERVER_FAILED,
+                retry_after_s=NOT_READY_RETRY_S,
+                detail=detail,
+            )
+        if failure.problem is HttpProblem.GARBLED:
+            return unknown(Reason.ANSWER_INCOMPLETE, detail=detail)
+        return unknown(Reason.BACKEND_SERVER_FAILED, detail=detail)
+
+    def _judged(self, answer: Answer) -> Answer | Refusal:
+        """Tell a server's refusals from its answers."""
+        dialect = self._parts.dialect
+        not_run_said = header_value(answer.headers, dialect.not_run) is not None
+        if not_run_said or answer.status in dialect.not_run_statuses:
+            return not_run(
+                Reason.OVERLOADED,
+                retry_after_s=NOT_READY_RETRY_S,
+                detail=f"server refused with {answer.status}",
+            )
+        stamped = header_value(answer.headers, dialect.stamp) is not None
+        if answer.status < FIRST_REDIRECT and not stamped:
+            return unknown(Reason.ANSWER_INCOMPLETE, detail="no stamp")
+        return answer
+
+    def _refused(
+        self, context: CallContext, refusal: Refusal, now: float
+    ) -> CallResult:
+        _LOGGER.info(
+            "target: call refused.",
+            extra={
+                "request_id": context.request_id,
+                "route": context.route,
+                "why": refusal.reason.value,
+                "running": self._parts.gate.running,
+                "waiting": self._parts.gate.waiting,
+                "left_s": round(context.deadline - now, 3),
+            },
+        )
+        return self._result(refusal, 0, None)
+
+    def _result(
+        self, outcome: Answer | Refusal, attempts: int, took_s: float | None
+    ) -> CallResult:
+        parts = self._parts
+        return CallResult(
+            outcome,
+            attempts=attempts,
+            admission_level=parts.gate.level(parts.clock()),
+            served_by=parts.instance,
+            backend_s=took_s,
+        )
+
+
+def _succeeded(outcome: Answer | Refusal) -> bool:
+    return isinstance(outcome, Answer) and outcome.status < FIRST_SERVER_ERROR
+
+
+def _unsent(outcome: Answer | Refusal) -> bool:
+    """Tell whether nothing arrived at the server."""
+    return (
+        isinstance(outcome, Refusal)
+        and outcome.reason is Reason.BACKEND_SERVER_FAILED
+        and outcome.not_run
+    )
--- /dev/null
+++ b/damaskbay/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates its names, files and calls."""
