--- a/damaskbay/core/quota/const.py
+++ b/damaskbay/core/quota/const.py
@@ -11,5 +11,8 @@
 RETRY_AFTER_MOST_S: Final = 2.0
 """Longest time a caller over its rate is told to wait, seconds."""
 
-START_BURST_SHARE: Final = 0.25
+START_BURST_SHARE: Final = 0.5
 """Part of the burst a daemon starts with: the fleet may restart within a window."""
+
+RATE_USE: Final = 0.6
+"""Part of the overage that the steady rate uses; the rest covers late knowledge."""
--- a/damaskbay/core/quota/shares.py
+++ b/damaskbay/core/quota/shares.py
@@ -9,6 +9,7 @@
 from damaskbay.core.quota.const import (
     DEMAND_WINDOW_S,
     FLOOR_SHARE,
+    RATE_USE,
     RETRY_AFTER_MOST_S,
     START_BURST_SHARE,
 )
@@ -40,6 +41,19 @@
     per_s_by_workspace: Mapping[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaOptions:
+    """
+    How far the fleet's sum may exceed a rate within a window.
+
+    `overage` is the part of rate and burst that may come on top, `slack` is in
+    requests. Both are spent on what daemons can't know of each other in time.
+    """
+
+    overage: float = 0.0
+    slack: float = 0.0
+
+
 class DemandShares:
     """
     Splits each workspace's rate over the daemons in proportion to demand.
@@ -50,8 +64,9 @@
     seconds of one monotonic clock.
     """
 
-    def __init__(self, instance: str) -> None:
+    def __init__(self, instance: str, options: QuotaOptions) -> None:
         self._instance = instance
+        self._options = options
         self._own: dict[str, _Demand] = {}
         self._peers: dict[str, _PeerDemand] = {}
         self._buckets: dict[str, _Bucket] = {}
@@ -78,8 +93,8 @@
         if workspace.rate_per_s <= 0.0:
             return None
         share = self.share(workspace.name, now)
-        rate = workspace.rate_per_s * share
-        burst = max(1.0, workspace.burst * share)
+        rate = workspace.rate_per_s * share * (1.0 + RATE_USE * self._options.overage)
+        burst = self._burst(workspace, share)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             bucket = _Bucket(max(1.0, burst * START_BURST_SHARE), now)
@@ -94,6 +109,11 @@
         detail = f"share {share:.3f} of {workspace.rate_per_s:g}/s"
         return not_run(Reason.RATE_EXCEEDED, retry_after_s=wait_s, detail=detail)
 
+    def _burst(self, workspace: Workspace, share: float) -> float:
+        """Return the depth of the own bucket: its share, and a part of the slack."""
+        whole = workspace.burst * (1.0 + self._options.overage)
+        return max(1.0, whole * share + self._options.slack / len(self._members))
+
     def share(self, workspace: str, now: float) -> float:
         """Return the own part of a workspace's rate, 0 to 1."""
         count = len(self._members)
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -15,7 +15,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.config.objects import CallerLimits, ConfigSet
 from damaskbay.core.call import Answer
-from damaskbay.core.quota.shares import DemandShares
+from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.retry.budget import RetryBudgetOptions
 from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.daemon.messages import (
@@ -96,7 +96,10 @@
             note=self._note,
         )
         self._directory = Directory(settings.instance, self._links.up)
-        self._shares = DemandShares(settings.instance)
+        self._shares = DemandShares(
+            settings.instance,
+            QuotaOptions(settings.quota_overage, settings.quota_slack),
+        )
         self._target = self._make_target()
         self._ingress = self._make_ingress()
         self._make_followers()
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -28,6 +28,7 @@
 from damaskbay.helpers.keys import digest_of
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
+    ANSWER_GRACE_S,
     DEADLINE_SLACK_S,
     MAX_REDIRECTS,
     NOT_READY_RETRY_S,
@@ -209,7 +210,7 @@
         sends = _Sends()
         self._budget(context.pool).succeeded()
         try:
-            async with asyncio.timeout(context.deadline - self._parts.clock()):
+            async with asyncio.timeout(context.deadline + ANSWER_GRACE_S - self._parts.clock()):
                 while True:
                     result = await self._attempt(context, request, sends)
                     if not self._again(context, route, sends, result):
--- a/damaskbay/mesh/settings.py
+++ b/damaskbay/mesh/settings.py
@@ -13,7 +13,8 @@
     `callers`, `control` and `readiness` are listened on, as are `peers` and
     `metrics`. `pool` is what the server at `server` belongs to. At most
     `retry_ratio` times the requests, and `retry_slack` more, may be sent again
-    to a pool within `retry_window_s`, over the whole fleet.
+    to a pool within `retry_window_s`, over the whole fleet. A workspace may exceed
+    its rate and burst by the part `quota_overage`, and `quota_slack` requests.
     """
 
     instance: str
@@ -33,4 +34,6 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    quota_overage: float
+    quota_slack: float
     memory_mb: float
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -52,6 +52,8 @@
         retry_ratio=number(bounds, "RetryBudgetRatio", 0.1),
         retry_window_s=seconds(bounds, "BudgetWindow", 10.0),
         retry_slack=number(bounds, "RetryBudgetSlack", 0.0),
+        quota_overage=number(bounds, "QuotaOverage", 0.0),
+        quota_slack=number(bounds, "QuotaSlack", 0.0),
         memory_mb=number(table(document, "Limits"), "MemoryMb", 0.0),
     )
 
