--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -120,8 +120,10 @@
             self._refuse(http.HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError as error:
             cause = error.__context__
-            bad = isinstance(cause, _BadRequestError)
-            self._refuse(cause.status if bad else http.HTTPStatus.BAD_REQUEST)
+            if isinstance(cause, _BadRequestError):
+                self._refuse(cause.status)
+            else:
+                self._refuse(http.HTTPStatus.BAD_REQUEST)
 
     def pause_writing(self) -> None:
         """Take note that the caller reads slower than answers come."""
@@ -151,10 +153,12 @@
         """Go on with the body."""
         self._in_headers = False
         self._header_bytes = 0
-        for name, value in self._reading.headers:
-            if name.lower() == "expect" and value.lower() == "100-continue":
-                if not self._exchanges and self._transport is not None:
-                    self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        waits = any(
+            name.lower() == "expect" and value.lower() == "100-continue"
+            for name, value in self._reading.headers
+        )
+        if waits and not self._exchanges and self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
--- a/damaskbay/core/quota/shares.py
+++ b/damaskbay/core/quota/shares.py
@@ -124,7 +124,9 @@
             if instance == self._instance:
                 continue
             peer = self._peers.get(instance)
-            total += own if peer is None else peer.per_s_by_workspace.get(workspace, 0.0)
+            total += (
+                own if peer is None else peer.per_s_by_workspace.get(workspace, 0.0)
+            )
         if total <= 0.0:
             return 1.0 / count
         return FLOOR_SHARE / count + (1.0 - FLOOR_SHARE) * own / total
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -4,14 +4,14 @@
 import contextlib
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from random import Random
 from typing import Any
 
 from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
-from damaskbay.adapters.http1.server import Arrival, HttpServer
+from damaskbay.adapters.http1.server import Arrival, Handler, HttpServer
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.config.objects import CallerLimits, ConfigSet
 from damaskbay.core.call import Answer
@@ -43,6 +43,7 @@
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.mesh.target import Target, TargetParts
 from damaskbay.ports.fleet import ServerState
+from damaskbay.ports.peer import PeerAddress
 from damaskbay.ports.store import Store
 
 _LOGGER = logging.getLogger(__name__)
@@ -69,7 +70,7 @@
     member_prefix: str
 
 
-Control = Callable[["MeshDaemon"], Callable[[Arrival], Awaitable[Answer]]]
+Control = Callable[["MeshDaemon"], Handler]
 """Makes the handler of the local server's reports."""
 
 
@@ -275,10 +276,7 @@
         if not known:
             self._members_changed()
         if note.config_version > self.configuration.version:
-            self._peer_config.ask(self._record_address(note))
-
-    def _record_address(self, note: Note) -> Any:
-        return type(self.settings.peers)(note.host, note.port)
+            self._peer_config.ask(PeerAddress(note.host, note.port))
 
     async def _peer_request(self, message: Any) -> Any:
         if isinstance(message, ConfigWanted):
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -82,9 +82,9 @@
     def _settle(self, decisions: Sequence[Decision]) -> None:
         for decision in decisions:
             future = self._waiting.pop(decision.ticket, None)
-            if future is None:
+            if future is None or future.done():
                 continue
-            if future.done():
-                continue
-            refused = isinstance(decision, Refuse)
-            future.set_result(decision.refusal if refused else None)
+            if isinstance(decision, Refuse):
+                future.set_result(decision.refusal)
+            else:
+                future.set_result(None)
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -123,9 +123,7 @@
         request_id = header_value(request.headers, parts.dialect.request_id)
         config, routes = parts.configuration.config, parts.configuration.routes
         if config is None or routes is None:
-            refusal = not_run(
-                Reason.NO_CONFIGURATION, retry_after_s=NOT_READY_RETRY_S
-            )
+            refusal = not_run(Reason.NO_CONFIGURATION, retry_after_s=NOT_READY_RETRY_S)
             return self._refusal_answer(refusal, request_id, None)
         route = routes.match(request.host, request.target)
         if route is None:
@@ -139,9 +137,7 @@
         outcome = result.result
         if isinstance(outcome, Refusal):
             return self._refusal_answer(outcome, request_id, route)
-        return Answer(
-            outcome.status, without_hop_by_hop(outcome.headers), outcome.body
-        )
+        return Answer(outcome.status, without_hop_by_hop(outcome.headers), outcome.body)
 
     def _workspace(
         self, config: ConfigSet, route: Route, request: Request, now: float
@@ -210,7 +206,9 @@
         sends = _Sends()
         self._budget(context.pool).succeeded()
         try:
-            async with asyncio.timeout(context.deadline + ANSWER_GRACE_S - self._parts.clock()):
+            async with asyncio.timeout(
+                context.deadline + ANSWER_GRACE_S - self._parts.clock()
+            ):
                 while True:
                     result = await self._attempt(context, request, sends)
                     if not self._again(context, route, sends, result):
@@ -226,9 +224,7 @@
         parts = self._parts
         now = parts.clock()
         servers = parts.directory.servers(context.pool)
-        choice = parts.router.choose(
-            servers, context, excluded=sends.excluded, now=now
-        )
+        choice = parts.router.choose(servers, context, excluded=sends.excluded, now=now)
         if isinstance(choice, Refusal):
             return CallResult(
                 replace(choice, retry_after_s=NOT_READY_RETRY_S), attempts=0
@@ -270,9 +266,7 @@
             PeerProblem.REJECTED,
         )
         if unsent:
-            refusal = not_run(
-                Reason.PEER_UNREACHABLE, retry_after_s=NOT_READY_RETRY_S
-            )
+            refusal = not_run(Reason.PEER_UNREACHABLE, retry_after_s=NOT_READY_RETRY_S)
             return CallResult(refusal, attempts=0, served_by=server.instance)
         refusal = unknown(Reason.PEER_LOST, detail=str(reply))
         return CallResult(refusal, served_by=server.instance)
--- a/damaskbay/mesh/records.py
+++ b/damaskbay/mesh/records.py
@@ -35,7 +35,19 @@
     """Return the record in a value, None where it is none of this format."""
     try:
         parts: Any = msgpack.unpackb(value)
-        form, instance, incarnation, domain, host, port, pool, state, slots, server, born = parts
+        (
+            form,
+            instance,
+            incarnation,
+            domain,
+            host,
+            port,
+            pool,
+            state,
+            slots,
+            server,
+            born,
+        ) = parts
         if form != _FORMAT:
             return None
         return MemberRecord(
--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 
+from damaskbay.adapters.http1.server import Handler
 from damaskbay.config.objects import ConfigSet
 from damaskbay.helpers.logs import set_up_logging
 from damaskbay.mesh.app import MeshDaemon, Surroundings
@@ -40,7 +41,7 @@
     settings = load_settings(settings_path())
     store = KvStore(settings.store)
 
-    def control(daemon: MeshDaemon):  # type: ignore[no-untyped-def]
+    def control(daemon: MeshDaemon) -> Handler:
         listener = HeartbeatListener(
             settings.pool, settings.server, daemon.take_heartbeat, daemon.take_leave
         )
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -70,7 +70,7 @@
     ports = document.get("PortRange")
     if not (
         isinstance(ports, list)
-        and len(ports) == 2  # noqa: PLR2004
+        and len(ports) == 2
         and all(isinstance(port, int) for port in ports)
         and 0 < ports[0] < ports[1] <= HIGHEST_PORT
     ):
--- a/damaskbay/ports/store.py
+++ b/damaskbay/ports/store.py
@@ -1,6 +1,5 @@
 """Port to the platform's store as the event-driven daemon uses it."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
