--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -5,6 +5,8 @@
 from random import Random
 
 from damaskbay.core.admission.const import (
+    LEVEL_HEADROOM,
+    MEAN_GAIN,
     QUEUE_PER_SLOT,
     QUEUE_SHORTEST,
     QUEUE_WAIT_SHARE,
@@ -29,12 +31,16 @@
 
     `slots` is the ceiling of calls at once. The queue holds `queue_per_slot`
     calls for each slot, and a call waits in it for at most `wait_share` of the
-    time it had left when it came.
+    time it had left when it came. With `nested_queue_per_slot` nested calls may
+    wait in a longer queue, since refusing one wastes what its root has cost; the
+    level falls all the same once the plain length is reached.
     """
 
     slots: int
     queue_per_slot: float = QUEUE_PER_SLOT
     wait_share: float = QUEUE_WAIT_SHARE
+    nested_queue_per_slot: float | None = None
+    level_headroom: float = LEVEL_HEADROOM
     limit: LimitFactory = GradientLimit
 
 
@@ -75,11 +81,12 @@
         self._limit = options.limit(options.slots, now)
         self._slots = options.slots
         self._queue = WaitingQueue()
-        self._latency = LatencyEstimate()
-        self._level = LevelMeter(now)
-        self._running: set[int] = set()
+        self._latency_by_route: dict[str, LatencyEstimate] = {}
+        self._level = LevelMeter(now, options.level_headroom)
+        self._running: dict[int, str] = {}
         self._nested: set[int] = set()
         self._trickled_at = now - TRICKLE_S
+        self._mean_s = 0.0
         self._turned_away = 0.0
         self._counted_at = now
 
@@ -122,9 +129,10 @@
             return ()
         self._nested.discard(ticket)
         self._limit.observe(sample, self.active, now)
-        self._running.discard(ticket)
+        route = self._running.pop(ticket)
         if not sample.cancelled:
-            self._latency.add(sample.latency_s, now)
+            self._latency(route).add(sample.latency_s, now)
+            self._mean_s += MEAN_GAIN * (sample.own_s - self._mean_s)
         return self._settle(now)
 
     def nested_began(self, ticket: int, now: float) -> tuple[Decision, ...]:
@@ -158,6 +166,13 @@
         self._queue.forget_idle()
         return (*decisions, *self._settle(now))
 
+    def expected_wait_s(self, rank: int) -> float:
+        """Return how long a call of a rank would wait for a slot, in seconds."""
+        if self.has_room():
+            return 0.0
+        ahead = 1 + self._queue.count_up_to(rank)
+        return ahead * self._mean_s / max(1, self.limit)
+
     def level(self, now: float) -> int:
         """Return the admission level that rides back on answers."""
         self._level.update(now)
@@ -177,6 +192,9 @@
             last = self._queue.last(now)
             if len(self._queue) <= self._queue_length(last.rank):
                 break
+            if len(self._queue) <= self._nested_length(last):
+                self._level.refused()
+                break
             refusal = self._capacity(Reason.QUEUE_FULL)
             decisions.append(self._refuse(last, refusal, now))
         self._level.update(now)
@@ -191,7 +209,7 @@
         if refusal is not None:
             return self._refuse(entry, refusal, now)
         self._queue.started(entry, now)
-        self._running.add(entry.item.ticket)
+        self._running[entry.item.ticket] = entry.item.context.route
         self._level.started()
         return Start(entry.item.ticket)
 
@@ -208,13 +226,21 @@
 
     def _too_short(self, entry: Entry, now: float) -> Refusal | None:
         """Refuse what can't end in time, but let one through now and then."""
-        if now + self._latency.seconds(now) <= entry.item.context.deadline:
+        context = entry.item.context
+        if now + self._latency(context.route).seconds(now) <= context.deadline:
             return None
         if now - self._trickled_at >= TRICKLE_S:
             self._trickled_at = now
             return None
         return not_run(Reason.DEADLINE_TOO_SHORT)
 
+    def _latency(self, route: str) -> LatencyEstimate:
+        """Return the estimate of a route: what one runs says little of another."""
+        known = self._latency_by_route.get(route)
+        if known is None:
+            known = self._latency_by_route[route] = LatencyEstimate()
+        return known
+
     def _refuse(self, entry: Entry, refusal: Refusal, now: float) -> Refuse:
         self._queue.remove(entry.item.ticket)
         if refusal.reason is Reason.QUEUE_FULL:
@@ -234,6 +260,13 @@
         longest_s = min(RETRY_AFTER_MAX_S, RETRY_AFTER_S * (1.0 + rounds))
         return not_run(reason, retry_after_s=self._rng.uniform(0.5, 1.5) * longest_s)
 
+    def _nested_length(self, last: Entry) -> int:
+        """Return how many calls may wait where the last of them is a nested one."""
+        per_slot = self._options.nested_queue_per_slot
+        if per_slot is None or last.item.cost == 0:
+            return 0
+        return int(per_slot * self._slots)
+
     def _queue_length(self, last_rank: int) -> int:
         """
         Return how many calls may wait when the least important is of this rank.
--- a/damaskbay/core/admission/level.py
+++ b/damaskbay/core/admission/level.py
@@ -34,7 +34,8 @@
     alone where some are refused, and raised, faster and faster, where none are.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, headroom: float = LEVEL_HEADROOM) -> None:
+        self._headroom = headroom
         self._level = OPEN_LEVEL
         self._raise = LEVEL_FIRST_RAISE
         self._held_until = now
@@ -89,7 +90,7 @@
 
     def _cut(self) -> int:
         """Return the level whose part of the arrivals is the starts and headroom."""
-        wanted = self._started * LEVEL_HEADROOM + 1.0
+        wanted = self._started * self._headroom + 1.0
         for rank, count in sorted(self._offered_by_rank.items()):
             if count > wanted:
                 share = pass_share(self._level, rank) * wanted / count
--- a/damaskbay/core/admission/queue.py
+++ b/damaskbay/core/admission/queue.py
@@ -134,6 +134,10 @@
     def __len__(self) -> int:
         return len(self._by_ticket)
 
+    def count_up_to(self, rank: int) -> int:
+        """Return how many calls of this rank or a more important one wait."""
+        return sum(q.count for number, q in self._by_rank.items() if number <= rank)
+
     def from_last(self) -> Iterator[Entry]:
         """Iterate over a copy, the least important rank first."""
         entries = self._by_ticket.values()
--- a/damaskbay/core/call.py
+++ b/damaskbay/core/call.py
@@ -40,7 +40,7 @@
     `deadline` is in seconds of the local monotonic clock; on the wire only the
     remaining time travels. `priority_rank` 0 is the most important. `depth` is
     0 for the root. `retry_tokens` were moved to this call and are spent here or
-    handed back, never copied.
+    handed back, never copied. `objective_s` is the latency objective.
     """
 
     call_id: str
@@ -55,6 +55,7 @@
     request_id: str | None = None
     config_version: int = 0
     key_digest: str | None = None
+    objective_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +66,8 @@
     `admission_level` is the target's current level (see core.admission);
     `backend_s` is what the backend server took, in seconds;
     `attempts` counts sends in the whole subtree; `retry_tokens_left` are handed
-    back to the parent.
+    back to the parent. `load` is what runs and waits at the target per slot.
+    `nested_failed` tells that the server failed after a nested call had failed.
     """
 
     result: Answer | Refusal
@@ -74,3 +76,5 @@
     admission_level: int | None = None
     served_by: str = ""
     backend_s: float | None = None
+    load: float | None = None
+    nested_failed: bool = False
--- a/damaskbay/core/routing/health.py
+++ b/damaskbay/core/routing/health.py
@@ -16,6 +16,8 @@
     HINT_WEIGHT,
     LEVEL_FRESH_S,
     LEVEL_GONE_S,
+    LOAD_FRESH_S,
+    LOAD_GONE_S,
     SLOW_START_S,
     SUCCESS_GAIN,
     SUCCESS_LOWEST,
@@ -53,11 +55,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteOutcome:
-    """How one send ended: seconds it took, level that rode back, failure if any."""
+    """How one send ended: seconds it took, level and load that rode back, failure."""
 
     latency_s: float
     admission_level: int | None = None
     failure: FailureKind | None = None
+    load: float | None = None
 
 
 class Health:
@@ -79,13 +82,13 @@
         self._warm_from: float | None = None
         self._load = view.load
         self._load_at = now
+        self._outstanding_then = 0
 
     def look(self, view: ServerView, now: float) -> None:
         """Take in what is reported; only a changed load counts as fresh."""
         self.seen_at = now
-        if view.load != self._load:
-            self._load = view.load
-            self._load_at = now
+        if view.load != self._load and now - self._load_at > LOAD_FRESH_S:
+            self._reported(view.load, now)
 
     def pass_share(self, rank: int, now: float) -> float:
         """Return the share of calls of a rank that the server can take, 0 to 1."""
@@ -107,6 +110,19 @@
         """Return own outstanding work, one more call added, per trusted slot."""
         return (self.outstanding + 1) / (max(1, view.slots) * self.warmth(view, now))
 
+    def trusted_occupancy(self, view: ServerView, now: float) -> float:
+        """Return the same by what the target's daemon counted, while that is fresh."""
+        own = self.occupancy(view, now)
+        if now - self._load_at > LOAD_GONE_S:
+            return own
+        since = self.outstanding - self._outstanding_then + 1
+        counted = self._load + since / max(1, view.slots)
+        return max(own, counted / self.warmth(view, now))
+
+    def trusted_score(self, view: ServerView, now: float) -> float:
+        """Return how unwelcome one more call is, by what its daemon counted."""
+        return self.trusted_occupancy(view, now) / max(SUCCESS_LOWEST, self._success)
+
     def score(self, view: ServerView, rank: int, now: float) -> float:
         """Return how unwelcome one more call is; lower is better."""
         age_s = now - self._load_at
@@ -135,6 +151,8 @@
         if outcome.admission_level is not None:
             self._level = outcome.admission_level
             self._level_at = now
+        if outcome.load is not None:
+            self._reported(outcome.load, now)
         if outcome.failure in (FailureKind.REFUSED, FailureKind.CANCELLED):
             return
         failed = outcome.failure in _OF_THE_SERVER
@@ -159,6 +177,11 @@
         self._trickle_successes = 0
         self._trickle_at = now
 
+    def _reported(self, load: float, now: float) -> None:
+        self._load = load
+        self._load_at = now
+        self._outstanding_then = self.outstanding
+
     def _trickled(self, failed: bool, now: float) -> None:
         if failed:
             self._trickle_successes = 0
--- a/damaskbay/core/routing/router.py
+++ b/damaskbay/core/routing/router.py
@@ -23,9 +23,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RouterOptions:
-    """What a daemon's routing goes by."""
+    """
+    What a daemon's routing goes by.
+
+    With `trust_load` the load that daemons report of the servers beside them
+    counts, since they alone send there; otherwise it only breaks ties.
+    """
 
     failure_domain: str
+    trust_load: bool = False
 
 
 class Router:
@@ -203,6 +209,8 @@
         health = self._by_instance[local.instance]
         if local_room is not None:
             return local_room
+        if self._options.trust_load:
+            return health.trusted_occupancy(local, now) <= LOCAL_ROOM_SHARE
         if health.pass_share(context.priority_rank, now) < 1.0:
             return False
         return health.occupancy(local, now) <= LOCAL_ROOM_SHARE
@@ -215,10 +223,8 @@
         rank = context.priority_rank
         near = []
         for view in servers:
-            health = self._by_instance[view.instance]
-            if view.failure_domain == own and (
-                health.score(view, rank, now) <= DOMAIN_ROOM_SHARE
-            ):
+            score = self._score(view, rank, now)
+            if view.failure_domain == own and score <= DOMAIN_ROOM_SHARE:
                 near.append(view)
         return near or servers
 
@@ -235,7 +241,10 @@
         return first
 
     def _score(self, view: ServerView, rank: int, now: float) -> float:
-        return self._by_instance[view.instance].score(view, rank, now)
+        health = self._by_instance[view.instance]
+        if self._options.trust_load:
+            return health.trusted_score(view, now)
+        return health.score(view, rank, now)
 
     def _pass_share(
         self, servers: Sequence[ServerView], rank: int, now: float
--- a/damaskbay/daemon/messages.py
+++ b/damaskbay/daemon/messages.py
@@ -35,6 +35,7 @@
     headers: Headers
     body: bytes
     owned: bool = False
+    objective_s: float | None = None
 
 
 @message("call.answer")
@@ -50,6 +51,8 @@
     admission_level: int | None
     served_by: str
     backend_s: float | None
+    load: float | None = None
+    nested_failed: bool = False
 
 
 @message("call.refusal")
@@ -65,6 +68,7 @@
     retry_tokens_left: int
     admission_level: int | None
     served_by: str
+    load: float | None = None
 
 
 def to_call_message(
@@ -90,6 +94,7 @@
         headers=request.headers,
         body=request.body,
         owned=owned,
+        objective_s=context.objective_s,
     )
 
 
@@ -108,6 +113,7 @@
         request_id=call.request_id,
         config_version=call.config_version,
         key_digest=call.key_digest,
+        objective_s=call.objective_s,
     )
 
 
@@ -129,6 +135,8 @@
             result.admission_level,
             result.served_by,
             result.backend_s,
+            result.load,
+            result.nested_failed,
         )
     return RefusalMessage(
         outcome.reason,
@@ -139,6 +147,7 @@
         result.retry_tokens_left,
         result.admission_level,
         result.served_by,
+        result.load,
     )
 
 
@@ -146,9 +155,11 @@
     """Return the result that a message carries."""
     outcome: Answer | Refusal
     backend_s: float | None = None
+    nested_failed = False
     if isinstance(reply, AnswerMessage):
         outcome = Answer(reply.status, reply.headers, reply.body)
         backend_s = reply.backend_s
+        nested_failed = reply.nested_failed
     else:
         outcome = Refusal(
             reply.reason, reply.outcome, reply.retry_after_s, reply.detail
@@ -160,4 +171,6 @@
         reply.admission_level,
         reply.served_by,
         backend_s,
+        reply.load,
+        nested_failed,
     )
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -15,6 +15,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.config.objects import CallerLimits, ConfigSet
 from damaskbay.core.call import Answer
+from damaskbay.core.pressure import EdgePressure
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.retry.budget import RetryBudgetOptions
 from damaskbay.core.routing import Router, RouterOptions
@@ -40,6 +41,7 @@
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
 from damaskbay.mesh.messages import ConfigWanted, Note
 from damaskbay.mesh.registry import FORGET_S, MemberWatch, Registration
+from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.mesh.target import Target, TargetParts
 from damaskbay.ports.fleet import ServerState
@@ -101,6 +103,7 @@
             settings.instance,
             QuotaOptions(settings.quota_overage, settings.quota_slack),
         )
+        self._running = RunningCalls()
         self._target = self._make_target()
         self._ingress = self._make_ingress()
         self._make_followers()
@@ -175,6 +178,7 @@
                 gate=self._gate,
                 client=HttpClient(self.settings.server, options),
                 dialect=dialect,
+                running=self._running,
                 weight_of=self._weight_of,
                 clock=monotonic_s,
             )
@@ -194,10 +198,14 @@
             IngressParts(
                 configuration=self.configuration,
                 directory=self._directory,
-                router=Router(RouterOptions(settings.failure_domain), self._rng),
+                router=Router(
+                    RouterOptions(settings.failure_domain, trust_load=True), self._rng
+                ),
                 target=self._target,
                 links=self._links,
                 shares=self._shares,
+                pressure=EdgePressure(self._rng),
+                running=self._running,
                 dialect=self._surroundings.dialect,
                 rng=self._rng,
                 clock=monotonic_s,
@@ -264,6 +272,7 @@
             self.configuration.version,
             self.configuration.age_s(now),
             self._shares.demand(now),
+            round(max(0.0, self.local.cold_until - now), 1),
         )
 
     def _peer_note(self, note: Any) -> None:
--- a/damaskbay/mesh/configuration.py
+++ b/damaskbay/mesh/configuration.py
@@ -5,6 +5,7 @@
 
 from damaskbay.config.matching import PrefixTable
 from damaskbay.config.objects import ConfigSet
+from damaskbay.config.ranks import Ranks
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -21,6 +22,7 @@
     def __init__(self) -> None:
         self.config: ConfigSet | None = None
         self.routes: PrefixTable | None = None
+        self.ranks = Ranks(ConfigSet(0, ""))
         self.document = b""
         self.proven_at: float | None = None
         self._callbacks: list[Callable[[ConfigSet], None]] = []
@@ -40,6 +42,7 @@
             return False
         self.config = config
         self.routes = PrefixTable(config)
+        self.ranks = Ranks(config)
         self.document = document
         _LOGGER.info(
             "config: version is in force.",
--- a/damaskbay/mesh/directory.py
+++ b/damaskbay/mesh/directory.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from damaskbay.core.routing.const import SLOW_START_S
 from damaskbay.mesh.messages import Note
 from damaskbay.ports.fleet import ServerState, ServerView
 from damaskbay.ports.peer import PeerAddress
@@ -80,6 +81,8 @@
         )
         member = self._take(record, now, listed=False)
         if member is not None:
+            if note.cold_s > 0.0:
+                member.ready_at = now - SLOW_START_S + note.cold_s
             member.load = note.load
             member.heard_at = now
 
@@ -133,7 +136,7 @@
     ) -> _Member | None:
         member = self._by_instance.get(record.instance)
         if member is None:
-            member = _Member(record, listed, now)
+            member = _Member(record, listed, now - SLOW_START_S)
             self._by_instance[record.instance] = member
             _LOGGER.info(
                 "fleet: daemon is known.",
@@ -154,7 +157,5 @@
                 "fleet: server's state has changed.",
                 extra={"peer": record.instance, "state": record.state.value},
             )
-            if record.state is ServerState.READY:
-                member.ready_at = now
         member.record = record
         return member
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -14,14 +14,25 @@
     Waiting,
 )
 from damaskbay.core.call import CallContext
-from damaskbay.core.outcome import Refusal
+from damaskbay.core.outcome import Reason, Refusal, not_run
+
+NESTED_QUEUE_PER_SLOT = 10.0
+"""Nested calls that may wait for each slot: a fraction of a second of work."""
+
+WAIT_SHARE = 0.5
+"""Part of its objective that a new call may wait for a slot; else it is refused."""
 
 
 class Gate:
     """Turns the decisions of the controller into futures. For one event loop."""
 
     def __init__(self, slots: int, rng: Random, now: float) -> None:
-        options = AdmissionOptions(slots, limit=lambda count, _now: FixedLimit(count))
+        options = AdmissionOptions(
+            slots,
+            nested_queue_per_slot=NESTED_QUEUE_PER_SLOT,
+            level_headroom=1.0,
+            limit=lambda count, _now: FixedLimit(count),
+        )
         self._controller = AdmissionController(options, rng, now)
         self._waiting: dict[int, asyncio.Future[Refusal | None]] = {}
         self._last = 0
@@ -49,6 +60,11 @@
         self, context: CallContext, weight: float, now: float
     ) -> int | Refusal:
         """Wait for a slot and return its ticket, or a refusal."""
+        if context.depth == 0 and context.objective_s is not None:
+            wait_s = self._controller.expected_wait_s(context.priority_rank)
+            if wait_s > WAIT_SHARE * context.objective_s:
+                detail = f"would wait {wait_s:.3f} s"
+                return not_run(Reason.QUEUE_FULL, retry_after_s=wait_s, detail=detail)
         self._last += 1
         ticket = self._last
         future: asyncio.Future[Refusal | None]
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -14,6 +14,7 @@
 from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
 from damaskbay.core.http_status import status_of
 from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
+from damaskbay.core.pressure import EdgePressure
 from damaskbay.core.quota.shares import DemandShares
 from damaskbay.core.retry.budget import RetryBudget, RetryBudgetOptions
 from damaskbay.core.retry.const import RETRIED_ELSEWHERE
@@ -38,6 +39,7 @@
 )
 from damaskbay.mesh.dialect import Dialect
 from damaskbay.mesh.directory import Directory
+from damaskbay.mesh.running import RunningCall, RunningCalls
 from damaskbay.mesh.target import Target
 from damaskbay.mesh.weights import WeightedChoice
 from damaskbay.ports.fleet import ServerView
@@ -83,6 +85,8 @@
     target: Target
     links: PeerLinks
     shares: DemandShares
+    pressure: EdgePressure
+    running: RunningCalls
     dialect: Dialect
     rng: Random
     clock: Callable[[], float]
@@ -131,9 +135,17 @@
         workspace = self._workspace(config, route, request, arrival.arrived_at)
         if isinstance(workspace, Refusal):
             return self._refusal_answer(workspace, request_id, route)
-        context = self._context(config, route, workspace, arrival, request_id)
+        caller = None if workspace else parts.running.caller_of(request_id)
+        context = self._context(config, route, workspace, arrival, request_id, caller)
+        early = self._early_refusal(context, workspace)
+        if early is not None:
+            return self._refusal_answer(early, request_id, route)
         forwarded = self._forwarded(request, workspace)
         result = await self._dispatch(context, route, forwarded)
+        if caller is not None:
+            parts.running.nested_ended(caller, result, parts.clock())
+        else:
+            parts.pressure.heard(route.name, result.admission_level, parts.clock())
         outcome = result.result
         if isinstance(outcome, Refusal):
             return self._refusal_answer(outcome, request_id, route)
@@ -169,25 +181,46 @@
         workspace: Workspace | None,
         arrival: Arrival,
         request_id: str | None,
+        caller: RunningCall | None,
     ) -> CallContext:
         said = header_value(arrival.request.headers, self._parts.dialect.deadline_ms)
         limit_s = route.deadline_s
         if said is not None and said.isdigit():
             limit_s = min(limit_s, int(said) / 1000.0)
-        name = route.priority
-        if workspace is not None and workspace.priority is not None:
-            name = workspace.priority
+        rank = self._parts.configuration.ranks.rank(route, workspace)
+        owner, depth = (workspace.name if workspace is not None else ""), 0
+        if caller is not None:
+            rank = caller.context.priority_rank
+            owner = caller.context.workspace
+            depth = caller.context.depth + 1
+        elif workspace is None:
+            depth = 1
         return CallContext(
             call_id=f"{self._options.instance}-{next(self._numbers)}",
-            workspace=workspace.name if workspace is not None else "",
-            priority_rank=config.priorities_by_name[name].rank,
+            workspace=owner,
+            priority_rank=rank,
             deadline=arrival.arrived_at + limit_s,
             route=route.name,
             pool=self._weights.pool(route),
             idempotent=route.idempotent,
-            depth=0 if workspace is not None else 1,
+            depth=depth,
             request_id=request_id,
             config_version=config.version,
+            objective_s=route.objective_s,
+        )
+
+    def _early_refusal(
+        self, context: CallContext, workspace: Workspace | None
+    ) -> Refusal | None:
+        """Refuse new work that something behind its route has no room for."""
+        if workspace is None:
+            return None
+        return self._parts.pressure.refusal(
+            context.route,
+            context.priority_rank,
+            workspace.name,
+            workspace.weight,
+            self._parts.clock(),
         )
 
     def _forwarded(self, request: Request, workspace: Workspace | None) -> Request:
@@ -232,18 +265,18 @@
         sends.excluded |= {choice.instance}
         parts.router.started(choice.instance, now)
         failure: FailureKind | None = FailureKind.CANCELLED
-        level: int | None = None
+        load: float | None = None
         maybe_before, sends.may_have_run = sends.may_have_run, True
         try:
             result = await self._send(choice, context, request)
-            failure, level = _failure_of(result), result.admission_level
+            failure, load = _failure_of(result), result.load
         except asyncio.CancelledError:
             if parts.clock() >= context.deadline - DEADLINE_SLACK_S:
                 failure = FailureKind.TIMEOUT
             raise
         finally:
             ended = parts.clock()
-            outcome = RouteOutcome(ended - now, level, failure)
+            outcome = RouteOutcome(ended - now, None, failure, load)
             parts.router.finished(choice.instance, outcome, ended)
         outcome_value = result.result
         if isinstance(outcome_value, Refusal) and outcome_value.not_run:
@@ -338,7 +371,7 @@
 def _failure_of(result: CallResult) -> FailureKind | None:
     outcome = result.result
     if isinstance(outcome, Answer):
-        failed = outcome.status >= FIRST_SERVER_ERROR
+        failed = outcome.status >= FIRST_SERVER_ERROR and not result.nested_failed
         return FailureKind.FAILED if failed else None
     if outcome.not_run and result.attempts == 0:
         reason = outcome.reason
--- a/damaskbay/mesh/messages.py
+++ b/damaskbay/mesh/messages.py
@@ -13,7 +13,8 @@
     A daemon's own state. `load` is calls running and waiting per slot.
 
     `proof_age_s` is how long ago its configuration was proven the newest, None
-    where it never was; `demand` is in requests per second by workspace.
+    where it never was; `demand` is in requests per second by workspace. `cold_s`
+    is how much longer the server stays slow after its start.
     """
 
     instance: str
@@ -28,6 +29,7 @@
     config_version: int
     proof_age_s: float | None
     demand: dict[str, float] = field(default_factory=dict)
+    cold_s: float = 0.0
 
 
 @message("mesh.config_wanted")
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -19,6 +19,7 @@
 from damaskbay.mesh.dialect import Dialect
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import LocalServer
+from damaskbay.mesh.running import RunningCall, RunningCalls
 from damaskbay.ports.fleet import ServerState
 
 _LOGGER = logging.getLogger(__name__)
@@ -37,6 +38,7 @@
     gate: Gate
     client: HttpClient
     dialect: Dialect
+    running: RunningCalls
     weight_of: Callable[[str], float]
     clock: Callable[[], float]
 
@@ -71,6 +73,7 @@
         if isinstance(entered, Refusal):
             return self._refused(context, entered, now)
         sample = Sample(0.0, cancelled=True)
+        call = parts.running.open(context)
         try:
             refusal = self._refusal_at_send(context, now)
             if refusal is not None:
@@ -79,9 +82,10 @@
             took_s = parts.clock() - now
             sample = Sample(took_s, succeeded=_succeeded(outcome))
         finally:
+            parts.running.close(call)
             parts.gate.leave(entered, sample, parts.clock())
         attempts = 0 if _unsent(outcome) else 1
-        return self._result(outcome, attempts, took_s)
+        return self._result(outcome, attempts, took_s, call)
 
     def _refusal(self, context: CallContext, now: float) -> Refusal | None:
         """Refuse what can't run here; the sender asks another daemon."""
@@ -188,15 +192,25 @@
         return self._result(refusal, 0, None)
 
     def _result(
-        self, outcome: Answer | Refusal, attempts: int, took_s: float | None
+        self,
+        outcome: Answer | Refusal,
+        attempts: int,
+        took_s: float | None,
+        call: RunningCall | None = None,
     ) -> CallResult:
         parts = self._parts
+        now = parts.clock()
+        level = parts.gate.level(now)
+        if call is not None:
+            level = parts.running.level(call.context.route, level, now)
         return CallResult(
             outcome,
             attempts=attempts,
-            admission_level=parts.gate.level(parts.clock()),
+            admission_level=level,
             served_by=parts.instance,
             backend_s=took_s,
+            load=round(parts.gate.load(), 3),
+            nested_failed=call is not None and call.nested_failed,
         )
 
 
