--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -24,9 +24,9 @@
     """
     Keeps a link to each peer that is wanted, and accepts theirs.
 
-    Requests go over the links opened here. `note` makes what is sent on each
-    link every `NOTE_S`; `on_note` gets what peers send. Entered and left as an
-    async context manager.
+    Requests go over the links opened here. `note` makes what is sent on each of
+    these every `NOTE_S`; `on_note` gets what peers send on theirs. Entered and left
+    as an async context manager.
     """
 
     def __init__(
@@ -99,7 +99,7 @@
     def tell_all(self) -> None:
         """Send a note on every link now."""
         message = self._note()
-        for link in (*self._links.values(), *self._accepted):
+        for link in self._links.values():
             link.send(message)
 
     def _accept(self) -> Link:
@@ -156,5 +156,5 @@
                     link.heard_at = now
                 if now - link.heard_at > SILENT_S:
                     link.abort()
-                    continue
+            for link in self._links.values():
                 link.send(message)
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -119,6 +119,8 @@
             if task is not None:
                 task.cancel()
             return
+        if frame.kind is FrameKind.PONG:
+            return
         if frame.kind is FrameKind.REJECTED:
             self._answered(frame, PeerFailure(PeerProblem.REJECTED))
             return
@@ -134,6 +136,7 @@
         if frame.kind is FrameKind.ANSWER:
             self._answered(frame, message)
         elif frame.kind is FrameKind.SEND:
+            self._write(FrameKind.PONG, 0)
             self._on_note(self, message)
         elif frame.kind is FrameKind.REQUEST:
             self._run(frame.correlation_id, message)
--- a/damaskbay/core/routing/const.py
+++ b/damaskbay/core/routing/const.py
@@ -14,6 +14,9 @@
 HINT_WEIGHT = 0.2
 HINT_AGE_S = 5.0
 
+FAR_PENALTY = 0.4
+"""Load per slot that a server of another domain must be better by."""
+
 LOAD_FRESH_S = 0.1
 LOAD_GONE_S = 1.5
 
--- a/damaskbay/core/routing/router.py
+++ b/damaskbay/core/routing/router.py
@@ -11,6 +11,7 @@
     EARLY_RETRY_AFTER_MAX_S,
     EARLY_RETRY_AFTER_S,
     EJECTED_MOST_SHARE,
+    FAR_PENALTY,
     FORGET_AFTER_S,
     LOCAL_ROOM_SHARE,
     PASS_LOWEST,
@@ -218,7 +219,13 @@
     def _nearest(
         self, servers: list[ServerView], context: CallContext, now: float
     ) -> list[ServerView]:
-        """Return the own domain's servers with room, all where there is none."""
+        """
+        Return the own domain's servers with room, all where there is none.
+
+        With trusted loads all are returned: far ones cost more in their score.
+        """
+        if self._options.trust_load:
+            return servers
         own = self._options.failure_domain
         rank = context.priority_rank
         near = []
@@ -231,10 +238,14 @@
     def _pick(
         self, servers: list[ServerView], context: CallContext, now: float
     ) -> ServerView:
-        """Return the better of two servers taken at random."""
+        """Return the better of two servers, of the own domain and any other."""
         if len(servers) == 1:
             return servers[0]
         first, second = self._rng.sample(servers, 2)
+        own = self._options.failure_domain
+        near = [view for view in servers if view.failure_domain == own]
+        if self._options.trust_load and near:
+            first = min(near, key=lambda view: self._score(view, 0, now))
         rank = context.priority_rank
         if self._score(second, rank, now) < self._score(first, rank, now):
             return second
@@ -243,7 +254,8 @@
     def _score(self, view: ServerView, rank: int, now: float) -> float:
         health = self._by_instance[view.instance]
         if self._options.trust_load:
-            return health.trusted_score(view, now)
+            far = view.failure_domain != self._options.failure_domain
+            return health.trusted_score(view, now) + (FAR_PENALTY if far else 0.0)
         return health.score(view, rank, now)
 
     def _pass_share(
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -5,7 +5,7 @@
 import logging
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from random import Random
 from typing import Any
@@ -31,7 +31,10 @@
 from damaskbay.mesh.const import (
     DRAIN_READY_S,
     GATE_TICK_S,
-    RETRY_SHARE,
+    LOST_RETRY_SHARE,
+    RETRY_LEAST_PER_S,
+    RETRY_SAVED,
+    SHED_RETRY_SHARE,
     STOP_MARGIN_S,
 )
 from damaskbay.mesh.dialect import Dialect
@@ -129,8 +132,9 @@
             await stack.enter_async_context(self._readiness)
             await stack.enter_async_context(self._callers)
             loop = asyncio.get_running_loop()
+            self._registration_task = loop.create_task(self._registration.run())
+            self._tasks.append(self._registration_task)
             for run in (
-                self._registration.run,
                 self._member_watch.run,
                 self._config_watch.run,
                 self._peer_config.run,
@@ -191,9 +195,8 @@
                 instance=settings.instance,
                 caller_name=settings.pool,
                 proof_valid_s=settings.revoke_s,
-                budget=RetryBudgetOptions(
-                    share=RETRY_SHARE, min_per_s=0.1, max_retries=4.0
-                ),
+                shed_budget=_budget(settings, SHED_RETRY_SHARE),
+                lost_budget=_budget(settings, LOST_RETRY_SHARE),
             ),
             IngressParts(
                 configuration=self.configuration,
@@ -215,13 +218,17 @@
     def _make_followers(self) -> None:
         around = self._surroundings
         self._registration = Registration(
-            around.store, around.member_prefix + self.settings.instance, self._record
+            around.store,
+            around.member_prefix + self.settings.instance,
+            self._stored_record,
         )
         self._member_watch = MemberWatch(
             around.store,
             around.member_prefix,
             self._directory,
             on_change=self._members_changed,
+            own=self.settings.instance,
+            on_own=self._own_listed,
             clock=monotonic_s,
         )
         self._config_watch = ConfigWatch(
@@ -241,6 +248,21 @@
             clock=monotonic_s,
         )
 
+    def _stored_record(self) -> MemberRecord:
+        """Return what is worth a write: peers tell each other the rest."""
+        record = replace(self._record(), state=self.local.state)
+        if record.state in (ServerState.DRAINING, ServerState.GONE):
+            return record
+        return replace(
+            record, state=ServerState.STARTING, slots=0, server="", born_ms=0
+        )
+
+    def _own_listed(self, record: MemberRecord) -> None:
+        """Remember from an earlier start that the local server was leaving."""
+        leaving = record.state in (ServerState.DRAINING, ServerState.GONE)
+        if leaving and record.incarnation < self._incarnation:
+            self.local.remember_leaving(record.server, record.born_ms)
+
     def _record(self) -> MemberRecord:
         settings = self.settings
         state = ServerState.DRAINING if self._target.draining else self.local.state
@@ -305,7 +327,7 @@
         now = monotonic_s()
         if self.local.slots and self.local.slots != self._gate.slots:
             self._gate.set_slots(self.local.slots, now)
-        self._directory.put(self._record(), now)
+        self._directory.put_own(self._record(), now)
         self._registration.changed()
         self._links.tell_all()
 
@@ -336,10 +358,12 @@
         began = monotonic_s()
         end = began + self.settings.grace_s - STOP_MARGIN_S
         _LOGGER.info("daemon: graceful stop begins.")
+        self._registration_task.cancel()
+        leaving = asyncio.get_running_loop().create_task(self._registration.leave())
+        self._tasks.append(leaving)
         self._callers.draining = True
         self._target.draining = True
         self._links.tell_all()
-        self._registration.changed()
         while monotonic_s() < min(began + DRAIN_READY_S, end):
             await asyncio.sleep(POLL_S)
         self._callers.close_idle()
@@ -358,3 +382,12 @@
         return bool(
             self._ingress.under_way or self._target.under_way or self._callers.under_way
         )
+
+
+def _budget(settings: MeshSettings, share: float) -> RetryBudgetOptions:
+    """Return a daemon's part of what the whole fleet may send again."""
+    return RetryBudgetOptions(
+        share=share * settings.retry_ratio,
+        min_per_s=RETRY_LEAST_PER_S,
+        max_retries=RETRY_SAVED,
+    )
--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -14,7 +14,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-WATCH_S = 1.5
+WATCH_S = 1.2
 """Wait of one watch, seconds: each is a proof of freshness, dated from its start."""
 
 RETRY_S = 0.3
--- a/damaskbay/mesh/directory.py
+++ b/damaskbay/mesh/directory.py
@@ -54,11 +54,16 @@
         for record in records:
             present.add(record.instance)
             self.put(record, now)
-        for instance in self._by_instance.keys() - present:
+        for instance in self._by_instance.keys() - present - {self._instance}:
             self.unlisted(instance, now)
 
     def put(self, record: MemberRecord, now: float) -> None:
-        """Take one record of the platform."""
+        """Take one record of the platform; the own one is known better here."""
+        if record.instance != self._instance:
+            self._take(record, now, listed=True)
+
+    def put_own(self, record: MemberRecord, now: float) -> None:
+        """Take the state of this daemon and its server."""
         self._take(record, now, listed=True)
 
     def unlisted(self, instance: str, now: float) -> None:
@@ -89,7 +94,11 @@
     def forget(self, now: float) -> None:
         """Drop daemons that are neither listed nor heard of."""
         for instance, member in tuple(self._by_instance.items()):
-            if not member.listed and now - member.heard_at > UNHEARD_S:
+            if (
+                instance != self._instance
+                and not member.listed
+                and now - member.heard_at > UNHEARD_S
+            ):
                 del self._by_instance[instance]
                 self._views_by_pool.clear()
                 _LOGGER.info("fleet: daemon is gone.", extra={"peer": instance})
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -1,7 +1,6 @@
 """Serves callers: route, key, freshness, rate, choice of a server, sends again."""
 
 import asyncio
-import itertools
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -65,6 +64,8 @@
     """
     What serving goes by; times in seconds.
 
+    `shed_budget` is for requests that a server turned away, `lost_budget` for those
+    whose answer was lost, which cost all calls of their first run once more.
     A keyed request is served only while the configuration was proven the newest
     within `proof_valid_s`. `caller_name` is what servers are told of the origin.
     """
@@ -72,7 +73,8 @@
     instance: str
     caller_name: str
     proof_valid_s: float
-    budget: RetryBudgetOptions
+    shed_budget: RetryBudgetOptions
+    lost_budget: RetryBudgetOptions
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,8 +111,7 @@
         self._options = options
         self._parts = parts
         self._weights = WeightedChoice(parts.rng)
-        self._budgets_by_pool: dict[str, RetryBudget] = {}
-        self._numbers = itertools.count(1)
+        self._budgets: dict[tuple[str, bool], RetryBudget] = {}
         self.under_way = 0
 
     async def serve(self, arrival: Arrival) -> Answer:
@@ -149,7 +150,10 @@
         outcome = result.result
         if isinstance(outcome, Refusal):
             return self._refusal_answer(outcome, request_id, route)
-        return Answer(outcome.status, without_hop_by_hop(outcome.headers), outcome.body)
+        headers = outcome.headers
+        if request_id is not None:
+            headers = (*headers, (parts.dialect.request_id, request_id))
+        return Answer(outcome.status, headers, outcome.body)
 
     def _workspace(
         self, config: ConfigSet, route: Route, request: Request, now: float
@@ -196,7 +200,7 @@
         elif workspace is None:
             depth = 1
         return CallContext(
-            call_id=f"{self._options.instance}-{next(self._numbers)}",
+            call_id="",
             workspace=owner,
             priority_rank=rank,
             deadline=arrival.arrived_at + limit_s,
@@ -226,7 +230,10 @@
     def _forwarded(self, request: Request, workspace: Workspace | None) -> Request:
         """Return the request as servers may see it: without the key."""
         dialect = self._parts.dialect
-        headers = without(without_hop_by_hop(request.headers), dialect.set_by_us)
+        dropped = dialect.set_by_us | {"host", "content-length", "expect"}
+        headers = without(
+            without_hop_by_hop(request.headers), dropped | {dialect.request_id.lower()}
+        )
         own: Headers = ((dialect.caller, self._options.caller_name),)
         if workspace is not None:
             own = (*own, (dialect.workspace, workspace.name))
@@ -237,7 +244,8 @@
     ) -> CallResult:
         """Send until an answer, a refusal that stands, or the deadline."""
         sends = _Sends()
-        self._budget(context.pool).succeeded()
+        for lost in (False, True):
+            self._budget(context.pool, lost=lost).succeeded()
         try:
             async with asyncio.timeout(
                 context.deadline + ANSWER_GRACE_S - self._parts.clock()
@@ -323,7 +331,7 @@
             return False
         if sends.arrived > route.retries:
             return False
-        return self._budget(context.pool).spend(now)
+        return self._budget(context.pool, lost=not outcome.not_run).spend(now)
 
     def _final(self, sends: _Sends, result: CallResult) -> CallResult:
         """Return the result; a refusal after a send that may have run is unknown."""
@@ -332,11 +340,13 @@
             return replace(result, result=replace(outcome, outcome=Outcome.UNKNOWN))
         return result
 
-    def _budget(self, pool: str) -> RetryBudget:
-        budget = self._budgets_by_pool.get(pool)
+    def _budget(self, pool: str, *, lost: bool) -> RetryBudget:
+        budget = self._budgets.get((pool, lost))
         if budget is None:
-            budget = RetryBudget(self._options.budget, self._parts.clock())
-            self._budgets_by_pool[pool] = budget
+            options = self._options
+            chosen = options.lost_budget if lost else options.shed_budget
+            budget = RetryBudget(chosen, self._parts.clock())
+            self._budgets[pool, lost] = budget
         return budget
 
     def _refusal_answer(
--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -38,6 +38,7 @@
         self._born_ms = -1
         self._sequence = -1
         self._stops_at: float | None = None
+        self._left: tuple[str, int] | None = None
         self._on_change = on_change
 
     @property
@@ -64,11 +65,16 @@
         self.cold_until = now + beat.cold_s
         if new_boot:
             self._stops_at = None
-        self._enter(beat.state, now)
+        left = self._left == (beat.server, beat.born_ms)
+        self._enter(ServerState.DRAINING if left else beat.state, now)
         if changed:
             self._on_change()
         return True
 
+    def remember_leaving(self, server: str, born_ms: int) -> None:
+        """Take from an earlier start of the daemon that a server was leaving."""
+        self._left = (server, born_ms)
+
     def deregister(self, server: str, born_ms: int | None, now: float) -> bool:
         """Take note that a server leaves; return False for one that is not here."""
         if server != self.server or (born_ms is not None and born_ms < self._born_ms):
--- a/damaskbay/mesh/registry.py
+++ b/damaskbay/mesh/registry.py
@@ -29,6 +29,9 @@
 WATCH_S = 20.0
 """Longest wait of a watch on the records, seconds; changes end it sooner."""
 
+COLLECT_S = 0.8
+"""Seconds after a change before the next watch: many daemons change together."""
+
 FORGET_S = 1.0
 """Seconds between looks for daemons that are gone."""
 
@@ -137,12 +140,16 @@
         directory: Directory,
         *,
         on_change: Callable[[], None],
+        own: str,
+        on_own: Callable[[MemberRecord], None],
         clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._directory = directory
         self._on_change = on_change
+        self._own = own
+        self._on_own = on_own
         self._clock = clock
 
     async def run(self) -> None:
@@ -153,8 +160,12 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             now = self._clock()
-            records = [decode_record(item.value or b"") for item in reading.items]
-            self._directory.listed((r for r in records if r is not None), now)
+            found = [decode_record(item.value or b"") for item in reading.items]
+            records = [record for record in found if record is not None]
+            for record in records:
+                if record.instance == self._own:
+                    self._on_own(record)
+            self._directory.listed(records, now)
             self._on_change()
             await self._follow(reading.revision)
 
@@ -170,6 +181,7 @@
                     self._take(item)
                 if outcome.items:
                     self._on_change()
+                    await asyncio.sleep(COLLECT_S)
                 continue
             _LOGGER.info(
                 "registry: watch has ended.",
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -15,6 +15,7 @@
 from damaskbay.core.admission import Sample
 from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.helpers.http_headers import without, without_hop_by_hop
 from damaskbay.mesh.const import NOT_READY_RETRY_S, UNREACHABLE_S
 from damaskbay.mesh.dialect import Dialect
 from damaskbay.mesh.gate import Gate
@@ -137,8 +138,12 @@
     ) -> Answer | HttpFailure:
         parts = self._parts
         left_ms = math.floor((context.deadline - parts.clock()) * 1000.0)
+        named: Headers = ()
+        if context.request_id is not None:
+            named = ((parts.dialect.request_id, context.request_id),)
         headers: Headers = (
             *request.headers,
+            *named,
             (parts.dialect.deadline_ms, str(max(1, left_ms))),
             (parts.dialect.expected_server, parts.local.server),
         )
@@ -173,7 +178,9 @@
         stamped = header_value(answer.headers, dialect.stamp) is not None
         if answer.status < FIRST_REDIRECT and not stamped:
             return unknown(Reason.ANSWER_INCOMPLETE, detail="no stamp")
-        return answer
+        named = frozenset({dialect.request_id.lower(), "content-length"})
+        headers = without(without_hop_by_hop(answer.headers), named)
+        return Answer(answer.status, headers, answer.body)
 
     def _refused(
         self, context: CallContext, refusal: Refusal, now: float
