--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -84,6 +84,11 @@
         for peer in peers - self._wanted.keys():
             self._wanted[peer] = loop.create_task(self._keep(peer))
 
+    @property
+    def up_count(self) -> int:
+        """Return the number of links opened here."""
+        return len(self._links)
+
     def up(self, peer: PeerAddress) -> bool:
         """Tell whether there is a link that was heard from lately."""
         link = self._links.get(peer)
--- a/damaskbay/core/call.py
+++ b/damaskbay/core/call.py
@@ -41,6 +41,8 @@
     remaining time travels. `priority_rank` 0 is the most important. `depth` is
     0 for the root. `retry_tokens` were moved to this call and are spent here or
     handed back, never copied. `objective_s` is the latency objective.
+    `resent` marks a send after the first, `under_resent` a call that the run of a
+    resent one made: both are repeats to the server that gets them.
     """
 
     call_id: str
@@ -56,6 +58,8 @@
     config_version: int = 0
     key_digest: str | None = None
     objective_s: float | None = None
+    resent: bool = False
+    under_resent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/damaskbay/core/outcome.py
+++ b/damaskbay/core/outcome.py
@@ -30,6 +30,7 @@
     RATE_EXCEEDED = "rate_exceeded"
     SHARE_UNAVAILABLE = "share_unavailable"
     OVERLOADED = "overloaded"
+    RETRY_BUDGET_SPENT = "retry_budget_spent"
     QUEUE_FULL = "queue_full"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEADLINE_PASSED = "deadline_passed"
--- a/damaskbay/core/quota/shares.py
+++ b/damaskbay/core/quota/shares.py
@@ -66,7 +66,7 @@
 
     def __init__(self, instance: str, options: QuotaOptions) -> None:
         self._instance = instance
-        self._options = options
+        self.options = options
         self._own: dict[str, _Demand] = {}
         self._peers: dict[str, _PeerDemand] = {}
         self._buckets: dict[str, _Bucket] = {}
@@ -93,7 +93,7 @@
         if workspace.rate_per_s <= 0.0:
             return None
         share = self.share(workspace.name, now)
-        rate = workspace.rate_per_s * share * (1.0 + RATE_USE * self._options.overage)
+        rate = workspace.rate_per_s * share * (1.0 + RATE_USE * self.options.overage)
         burst = self._burst(workspace, share)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
@@ -111,8 +111,8 @@
 
     def _burst(self, workspace: Workspace, share: float) -> float:
         """Return the depth of the own bucket: its share, and a part of the slack."""
-        whole = workspace.burst * (1.0 + self._options.overage)
-        return max(1.0, whole * share + self._options.slack / len(self._members))
+        whole = workspace.burst * (1.0 + self.options.overage)
+        return max(1.0, whole * share + self.options.slack / len(self._members))
 
     def share(self, workspace: str, now: float) -> float:
         """Return the own part of a workspace's rate, 0 to 1."""
--- a/damaskbay/daemon/messages.py
+++ b/damaskbay/daemon/messages.py
@@ -36,6 +36,8 @@
     body: bytes
     owned: bool = False
     objective_s: float | None = None
+    resent: bool = False
+    under_resent: bool = False
 
 
 @message("call.answer")
@@ -95,6 +97,8 @@
         body=request.body,
         owned=owned,
         objective_s=context.objective_s,
+        resent=context.resent,
+        under_resent=context.under_resent,
     )
 
 
@@ -114,6 +118,8 @@
         config_version=call.config_version,
         key_digest=call.key_digest,
         objective_s=call.objective_s,
+        resent=call.resent,
+        under_resent=call.under_resent,
     )
 
 
--- a/damaskbay/helpers/logs.py
+++ b/damaskbay/helpers/logs.py
@@ -1,10 +1,13 @@
 """Set up logging: text or JSON lines, keys redacted, storms counted."""
 
+import atexit
 import logging
+import logging.handlers
+import queue
 import sys
 import threading
 from collections.abc import Callable
-from typing import Final
+from typing import Final, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -14,6 +17,7 @@
 TEXT_FORMAT: Final = "%(asctime)s %(levelname)s %(message)s"
 JSON_FORMAT: Final = "%(asctime)s %(levelname)s %(name)s %(message)s"
 MAX_REMEMBERED_MESSAGES: Final = 1000
+MAX_QUEUED_LINES: Final = 2000
 
 
 class StormFilter(logging.Filter):
@@ -31,7 +35,8 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Tell whether the record may pass."""
-        key = (record.name, str(record.msg))
+        why = getattr(record, "why", "")
+        key = (record.name, f"{record.msg} {why}")
         now = self._clock()
         with self._lock:
             began, count = self._windows.get(key, (now, 0))
@@ -66,6 +71,42 @@
         return True
 
 
+class BoundedQueueHandler(logging.handlers.QueueHandler):
+    """Hands records to a writing thread; drops and counts them where it is behind."""
+
+    dropped = 0
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Queue a record without waiting."""
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            self.dropped += 1
+
+    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
+        """Leave formatting to the writing thread."""
+        return record
+
+
+def set_up_queued_logging(
+    *, level: str, lines_per_s: float, stream: TextIO
+) -> BoundedQueueHandler:
+    """Write JSON lines to a stream from a thread of its own; never block a caller."""
+    writer = logging.StreamHandler(stream)
+    writer.setFormatter(JsonFormatter(JSON_FORMAT))
+    records: queue.Queue[logging.LogRecord] = queue.Queue(MAX_QUEUED_LINES)
+    handler = BoundedQueueHandler(records)
+    handler.addFilter(StormFilter(lines_per_s))
+    handler.addFilter(RedactFilter())
+    listener = logging.handlers.QueueListener(records, writer)
+    listener.start()
+    atexit.register(listener.stop)
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    return handler
+
+
 def set_up_logging(*, level: str, log_format: str, lines_per_s: float) -> StormFilter:
     """Send all logs to standard error; return the filter that counts storms."""
     handler = logging.StreamHandler(sys.stderr)
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -13,11 +13,12 @@
 from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
 from damaskbay.adapters.http1.server import Arrival, Handler, HttpServer
 from damaskbay.adapters.peer_link.client import PeerLinks
+from damaskbay.adapters.telemetry.client import Telemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
 from damaskbay.core.call import Answer
 from damaskbay.core.pressure import EdgePressure
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
-from damaskbay.core.retry.budget import RetryBudgetOptions
+from damaskbay.core.retry.repeats import RepeatBudget, RepeatOptions
 from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.daemon.messages import (
     CallMessage,
@@ -31,10 +32,8 @@
 from damaskbay.mesh.const import (
     DRAIN_READY_S,
     GATE_TICK_S,
-    LOST_RETRY_SHARE,
-    RETRY_LEAST_PER_S,
-    RETRY_SAVED,
-    SHED_RETRY_SHARE,
+    REPEAT_RATIO_SHARE,
+    REPEAT_SLACK_SHARE,
     STOP_MARGIN_S,
 )
 from damaskbay.mesh.dialect import Dialect
@@ -107,6 +106,10 @@
             QuotaOptions(settings.quota_overage, settings.quota_slack),
         )
         self._running = RunningCalls()
+        self._repeats = _repeats(settings)
+        self._telemetry = Telemetry(
+            instance=settings.instance, failure_domain=settings.failure_domain
+        )
         self._target = self._make_target()
         self._ingress = self._make_ingress()
         self._make_followers()
@@ -117,7 +120,11 @@
         self._callers = HttpServer(
             settings.callers, self._ingress.serve, CallerLimits()
         )
+        self._metrics = HttpServer(
+            settings.metrics, self._serve_metrics, CallerLimits()
+        )
         self.configuration.subscribe(self._config_changed)
+        self._register_gauges()
 
     @property
     def ready(self) -> bool:
@@ -131,6 +138,7 @@
             await stack.enter_async_context(self._control)
             await stack.enter_async_context(self._readiness)
             await stack.enter_async_context(self._callers)
+            await stack.enter_async_context(self._metrics)
             loop = asyncio.get_running_loop()
             self._registration_task = loop.create_task(self._registration.run())
             self._tasks.append(self._registration_task)
@@ -156,6 +164,17 @@
             task.cancel()
         _LOGGER.info("daemon: has stopped.")
 
+    def reload(self, settings: MeshSettings) -> None:
+        """Take changed bounds; addresses stay those of the start."""
+        self.local.drain_s = settings.drain_s
+        self._shares.options = QuotaOptions(
+            settings.quota_overage, settings.quota_slack
+        )
+        self._ingress.set_proof_valid(settings.revoke_s)
+        self.settings = replace(
+            self.settings, drain_s=settings.drain_s, grace_s=settings.grace_s
+        )
+
     def stop(self) -> None:
         """Begin the graceful stop."""
         self._stopping.set()
@@ -183,6 +202,8 @@
                 client=HttpClient(self.settings.server, options),
                 dialect=dialect,
                 running=self._running,
+                telemetry=self._telemetry,
+                repeats=self._repeats,
                 weight_of=self._weight_of,
                 clock=monotonic_s,
             )
@@ -195,8 +216,6 @@
                 instance=settings.instance,
                 caller_name=settings.pool,
                 proof_valid_s=settings.revoke_s,
-                shed_budget=_budget(settings, SHED_RETRY_SHARE),
-                lost_budget=_budget(settings, LOST_RETRY_SHARE),
             ),
             IngressParts(
                 configuration=self.configuration,
@@ -209,6 +228,7 @@
                 shares=self._shares,
                 pressure=EdgePressure(self._rng),
                 running=self._running,
+                telemetry=self._telemetry,
                 dialect=self._surroundings.dialect,
                 rng=self._rng,
                 clock=monotonic_s,
@@ -343,6 +363,24 @@
         status = HTTPStatus.OK if self.ready else HTTPStatus.SERVICE_UNAVAILABLE
         return Answer(int(status))
 
+    async def _serve_metrics(self, _arrival: Arrival) -> Answer:
+        headers = (("Content-Type", "text/plain; version=0.0.4"),)
+        return Answer(int(HTTPStatus.OK), headers, self._telemetry.scrape())
+
+    def _register_gauges(self) -> None:
+        telemetry, gate = self._telemetry, self._gate
+        telemetry.gauge("calls_running", lambda: gate.running)
+        telemetry.gauge("calls_waiting", lambda: gate.waiting)
+        telemetry.gauge("config_version", lambda: self.configuration.version)
+        telemetry.gauge("config_proof_age", self._proof_age_s, unit="s")
+        telemetry.gauge("daemons_known", lambda: len(self._directory.instances()))
+        telemetry.gauge("repeats_left", lambda: self._repeats.left)
+        telemetry.gauge("links_up", lambda: self._links.up_count)
+
+    def _proof_age_s(self) -> float:
+        age_s = self.configuration.age_s(monotonic_s())
+        return -1.0 if age_s is None else age_s
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(GATE_TICK_S)
@@ -384,10 +422,11 @@
         )
 
 
-def _budget(settings: MeshSettings, share: float) -> RetryBudgetOptions:
-    """Return a daemon's part of what the whole fleet may send again."""
-    return RetryBudgetOptions(
-        share=share * settings.retry_ratio,
-        min_per_s=RETRY_LEAST_PER_S,
-        max_retries=RETRY_SAVED,
+def _repeats(settings: MeshSettings) -> RepeatBudget:
+    """Return the budget of the server's part of what its pool may get again."""
+    return RepeatBudget(
+        RepeatOptions(
+            ratio=REPEAT_RATIO_SHARE * settings.retry_ratio,
+            saved=max(1.0, REPEAT_SLACK_SHARE * settings.retry_slack),
+        )
     )
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -23,17 +23,11 @@
 RESEND_LEAST_S: Final = 0.05
 """Time that must be left for another send, seconds."""
 
-SHED_RETRY_SHARE: Final = 0.5
-"""Part of the fleet's ratio for requests that a server turned away."""
+REPEAT_RATIO_SHARE: Final = 0.8
+"""Part of the ratio of repeats that daemons use; the rest covers restarts."""
 
-LOST_RETRY_SHARE: Final = 0.15
-"""Part of the fleet's ratio for lost answers, at each of three depths that add up."""
-
-RETRY_LEAST_PER_S: Final = 0.05
-"""Sends again per second of a quiet daemon: few beside the fleet's slack."""
-
-RETRY_SAVED: Final = 2.0
-"""Sends again that a daemon may save up; all daemons' together stay in the slack."""
+REPEAT_SLACK_SHARE: Final = 0.1
+"""Part of a pool's slack that one server may save up; pools have a few servers."""
 
 GATE_TICK_S: Final = 0.02
 """Seconds between looks for calls that have waited too long at the server."""
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -9,13 +9,13 @@
 from damaskbay.adapters.http1.client import header_value
 from damaskbay.adapters.http1.server import Arrival
 from damaskbay.adapters.peer_link.client import PeerLinks
+from damaskbay.adapters.telemetry.client import Telemetry
 from damaskbay.config.objects import Access, ConfigSet, Route, Workspace
 from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
 from damaskbay.core.http_status import status_of
 from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
 from damaskbay.core.pressure import EdgePressure
 from damaskbay.core.quota.shares import DemandShares
-from damaskbay.core.retry.budget import RetryBudget, RetryBudgetOptions
 from damaskbay.core.retry.const import RETRIED_ELSEWHERE
 from damaskbay.core.routing import FailureKind, RouteOutcome, Router
 from damaskbay.daemon.messages import (
@@ -47,8 +47,13 @@
 _LOGGER = logging.getLogger(__name__)
 
 FIRST_SERVER_ERROR = 500
+SAMPLED_ANSWERS = 50
+"""One whole answer in so many gets a log line; each failure asks for one."""
 SERVICE_UNAVAILABLE = 503
 
+_RETRIED_STATUSES = frozenset({500, 502})
+"""Server failures after which another server may do better."""
+
 _FAILURES_BY_REASON = {
     Reason.PEER_UNREACHABLE: FailureKind.UNREACHABLE,
     Reason.PEER_LOST: FailureKind.LOST,
@@ -64,8 +69,6 @@
     """
     What serving goes by; times in seconds.
 
-    `shed_budget` is for requests that a server turned away, `lost_budget` for those
-    whose answer was lost, which cost all calls of their first run once more.
     A keyed request is served only while the configuration was proven the newest
     within `proof_valid_s`. `caller_name` is what servers are told of the origin.
     """
@@ -73,8 +76,6 @@
     instance: str
     caller_name: str
     proof_valid_s: float
-    shed_budget: RetryBudgetOptions
-    lost_budget: RetryBudgetOptions
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +90,7 @@
     shares: DemandShares
     pressure: EdgePressure
     running: RunningCalls
+    telemetry: Telemetry
     dialect: Dialect
     rng: Random
     clock: Callable[[], float]
@@ -96,12 +98,13 @@
 
 @dataclass(slots=True)
 class _Sends:
-    """What a request has cost so far."""
+    """What a request has cost so far; `answered` is a server's own failure."""
 
     arrived: int = 0
     redirected: int = 0
     excluded: frozenset[str] = frozenset()
     may_have_run: bool = False
+    answered: CallResult | None = None
 
 
 class Ingress:
@@ -111,9 +114,13 @@
         self._options = options
         self._parts = parts
         self._weights = WeightedChoice(parts.rng)
-        self._budgets: dict[tuple[str, bool], RetryBudget] = {}
+        self._answers = 0
         self.under_way = 0
 
+    def set_proof_valid(self, valid_s: float) -> None:
+        """Change how old the proof of the configuration may be."""
+        self._options = replace(self._options, proof_valid_s=valid_s)
+
     async def serve(self, arrival: Arrival) -> Answer:
         """Serve one request to its end."""
         self.under_way += 1
@@ -143,6 +150,7 @@
             return self._refusal_answer(early, request_id, route)
         forwarded = self._forwarded(request, workspace)
         result = await self._dispatch(context, route, forwarded)
+        self._ended(context, result, parts.clock() - arrival.arrived_at)
         if caller is not None:
             parts.running.nested_ended(caller, result, parts.clock())
         else:
@@ -155,6 +163,32 @@
             headers = (*headers, (parts.dialect.request_id, request_id))
         return Answer(outcome.status, headers, outcome.body)
 
+    def _ended(self, context: CallContext, result: CallResult, took_s: float) -> None:
+        """Count a request that was sent; log a sample of the whole answers."""
+        self._parts.telemetry.call_ended(context, result, took_s=took_s)
+        outcome = result.result
+        if not isinstance(outcome, Answer):
+            return
+        failed = outcome.status >= FIRST_SERVER_ERROR
+        self._answers += 1
+        if not failed and self._answers % SAMPLED_ANSWERS:
+            return
+        _LOGGER.info(
+            "ingress: request failed." if failed else "ingress: request answered.",
+            extra={
+                "request_id": context.request_id,
+                "route": context.route,
+                "version": context.config_version,
+                "status": outcome.status,
+                "served_by": result.served_by,
+                "rank": context.priority_rank,
+                "sends": result.attempts,
+                "took_s": round(took_s, 4),
+                "server_s": round(result.backend_s or 0.0, 4),
+                "nested_failed": result.nested_failed,
+            },
+        )
+
     def _workspace(
         self, config: ConfigSet, route: Route, request: Request, now: float
     ) -> Workspace | Refusal | None:
@@ -193,10 +227,12 @@
             limit_s = min(limit_s, int(said) / 1000.0)
         rank = self._parts.configuration.ranks.rank(route, workspace)
         owner, depth = (workspace.name if workspace is not None else ""), 0
+        under_resent = False
         if caller is not None:
             rank = caller.context.priority_rank
             owner = caller.context.workspace
             depth = caller.context.depth + 1
+            under_resent = caller.context.resent or caller.context.under_resent
         elif workspace is None:
             depth = 1
         return CallContext(
@@ -208,6 +244,7 @@
             pool=self._weights.pool(route),
             idempotent=route.idempotent,
             depth=depth,
+            under_resent=under_resent,
             request_id=request_id,
             config_version=config.version,
             objective_s=route.objective_s,
@@ -244,17 +281,18 @@
     ) -> CallResult:
         """Send until an answer, a refusal that stands, or the deadline."""
         sends = _Sends()
-        for lost in (False, True):
-            self._budget(context.pool, lost=lost).succeeded()
         try:
             async with asyncio.timeout(
                 context.deadline + ANSWER_GRACE_S - self._parts.clock()
             ):
                 while True:
-                    result = await self._attempt(context, request, sends)
+                    sent = replace(context, resent=sends.arrived > 0)
+                    result = await self._attempt(sent, request, sends)
                     if not self._again(context, route, sends, result):
                         return self._final(sends, result)
         except TimeoutError:
+            if sends.answered is not None:
+                return sends.answered
             if sends.may_have_run:
                 return CallResult(unknown(Reason.DEADLINE_PASSED))
             return CallResult(not_run(Reason.DEADLINE_PASSED))
@@ -315,9 +353,11 @@
     def _again(
         self, context: CallContext, route: Route, sends: _Sends, result: CallResult
     ) -> bool:
-        """Tell whether to send again; takes what that costs from the budget."""
+        """Tell whether to send again; the next target's budget has the last word."""
         outcome = result.result
-        if isinstance(outcome, Answer) or outcome.reason not in RETRIED_ELSEWHERE:
+        if isinstance(outcome, Answer):
+            return self._worth_another(context, route, sends, result)
+        if outcome.reason not in RETRIED_ELSEWHERE:
             return False
         now = self._parts.clock()
         if context.deadline - now < RESEND_LEAST_S:
@@ -331,24 +371,48 @@
             return False
         if sends.arrived > route.retries:
             return False
-        return self._budget(context.pool, lost=not outcome.not_run).spend(now)
+        self._log_again(context, result, outcome.reason.value)
+        return True
+
+    def _log_again(self, context: CallContext, result: CallResult, why: str) -> None:
+        _LOGGER.info(
+            "ingress: request is sent again.",
+            extra={
+                "request_id": context.request_id,
+                "route": context.route,
+                "why": why,
+                "failed_at": result.served_by,
+                "left_s": round(context.deadline - self._parts.clock(), 3),
+            },
+        )
+
+    def _worth_another(
+        self, context: CallContext, route: Route, sends: _Sends, result: CallResult
+    ) -> bool:
+        """Tell whether a server's own failure is worth a send to another server."""
+        outcome = result.result
+        assert isinstance(outcome, Answer)
+        again = (
+            outcome.status in _RETRIED_STATUSES
+            and context.idempotent
+            and not result.nested_failed
+            and sends.arrived <= route.retries
+            and context.deadline - self._parts.clock() >= RESEND_LEAST_S
+        )
+        if again:
+            sends.answered = result
+            self._log_again(context, result, f"status {outcome.status}")
+        return again
 
     def _final(self, sends: _Sends, result: CallResult) -> CallResult:
         """Return the result; a refusal after a send that may have run is unknown."""
         outcome = result.result
+        if isinstance(outcome, Refusal) and sends.answered is not None:
+            return sends.answered
         if isinstance(outcome, Refusal) and outcome.not_run and sends.may_have_run:
             return replace(result, result=replace(outcome, outcome=Outcome.UNKNOWN))
         return result
 
-    def _budget(self, pool: str, *, lost: bool) -> RetryBudget:
-        budget = self._budgets.get((pool, lost))
-        if budget is None:
-            options = self._options
-            chosen = options.lost_budget if lost else options.shed_budget
-            budget = RetryBudget(chosen, self._parts.clock())
-            self._budgets[pool, lost] = budget
-        return budget
-
     def _refusal_answer(
         self, refusal: Refusal, request_id: str | None, route: Route | None
     ) -> Answer:
@@ -363,6 +427,7 @@
                 "request_id": request_id,
                 "route": route.name if route is not None else None,
                 "version": self._parts.configuration.version,
+                "proof_age_s": self._parts.configuration.age_s(self._parts.clock()),
                 "outcome": refusal.outcome.value,
                 "why": refusal.reason.value,
                 "detail": refusal.detail,
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -12,9 +12,11 @@
     HttpProblem,
     header_value,
 )
+from damaskbay.adapters.telemetry.client import Telemetry
 from damaskbay.core.admission import Sample
 from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.core.retry.repeats import RepeatBudget
 from damaskbay.helpers.http_headers import without, without_hop_by_hop
 from damaskbay.mesh.const import NOT_READY_RETRY_S, UNREACHABLE_S
 from damaskbay.mesh.dialect import Dialect
@@ -40,6 +42,8 @@
     client: HttpClient
     dialect: Dialect
     running: RunningCalls
+    telemetry: Telemetry
+    repeats: RepeatBudget
     weight_of: Callable[[str], float]
     clock: Callable[[], float]
 
@@ -67,10 +71,14 @@
         refusal = self._refusal(context, now)
         if refusal is not None:
             return self._refused(context, refusal, now)
+        if context.resent and not parts.repeats.repeat(nested=context.depth > 0):
+            refusal = not_run(Reason.RETRY_BUDGET_SPENT)
+            return self._refused(context, refusal, now)
         entered = await parts.gate.enter(
             context, parts.weight_of(context.workspace), now
         )
-        now = parts.clock()
+        waited_s, now = parts.clock() - now, parts.clock()
+        parts.telemetry.queue_waited(context, waited_s)
         if isinstance(entered, Refusal):
             return self._refused(context, entered, now)
         sample = Sample(0.0, cancelled=True)
@@ -79,6 +87,7 @@
             refusal = self._refusal_at_send(context, now)
             if refusal is not None:
                 return self._refused(context, refusal, now)
+            self._count(context)
             outcome = await self._send(context, request)
             took_s = parts.clock() - now
             sample = Sample(took_s, succeeded=_succeeded(outcome))
@@ -107,6 +116,15 @@
             )
         return None
 
+    def _count(self, context: CallContext) -> None:
+        """Count a send against the budget of repeats."""
+        if context.resent:
+            return
+        if context.under_resent:
+            self._parts.repeats.inherited()
+        else:
+            self._parts.repeats.first()
+
     def _refusal_at_send(self, context: CallContext, now: float) -> Refusal | None:
         if now >= context.deadline:
             return not_run(Reason.DEADLINE_PASSED)
@@ -154,6 +172,16 @@
 
     def _failed(self, context: CallContext, failure: HttpFailure) -> Refusal:
         detail = f"{failure.problem.value}: {failure.detail}"
+        _LOGGER.warning(
+            "target: server gave no answer.",
+            extra={
+                "request_id": context.request_id,
+                "route": context.route,
+                "why": failure.problem.value,
+                "detail": failure.detail,
+                "server": self._parts.local.server,
+            },
+        )
         if failure.problem is HttpProblem.NOT_SENT:
             self._unreachable_until = self._parts.clock() + UNREACHABLE_S
             return not_run(
--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -5,10 +5,11 @@
 import logging
 import signal
 import sys
+from pathlib import Path
 
 from damaskbay.adapters.http1.server import Handler
 from damaskbay.config.objects import ConfigSet
-from damaskbay.helpers.logs import set_up_logging
+from damaskbay.helpers.logs import set_up_queued_logging
 from damaskbay.mesh.app import MeshDaemon, Surroundings
 from damaskbay.platform.const import (
     CONFIG_KEY,
@@ -25,8 +26,13 @@
 _LOGGER = logging.getLogger(__name__)
 
 LOG_LINES_PER_S = 20.0
+"""Lines per second of each message and reason; what is more is counted."""
+
 EXIT_INVALID = 3
 
+SETTINGS_LOOK_S = 0.5
+"""Seconds between looks at the settings file: a quarter of the time to apply."""
+
 
 def decode_config(document: bytes) -> ConfigSet | str:
     """Return the set in a manifest, or the field that is wrong."""
@@ -36,9 +42,40 @@
         return str(error)
 
 
+def reload_settings(daemon: MeshDaemon, path: Path, cause: str) -> None:
+    """Take changed settings; what can't be read leaves the present ones in force."""
+    try:
+        settings = load_settings(path)
+    except (FieldError, OSError) as error:
+        _LOGGER.error("daemon: settings are not taken.", extra={"why": str(error)})
+        return
+    _LOGGER.info("daemon: settings are read again.", extra={"why": cause})
+    daemon.reload(settings)
+
+
+async def watch_settings(daemon: MeshDaemon, path: Path) -> None:
+    """Read the settings again whenever the file has changed without a signal."""
+    seen = _stamp(path)
+    while True:
+        await asyncio.sleep(SETTINGS_LOOK_S)
+        stamp = _stamp(path)
+        if stamp not in (seen, None):
+            seen = stamp
+            reload_settings(daemon, path, "file")
+
+
+def _stamp(path: Path) -> tuple[int, int] | None:
+    try:
+        found = path.stat()
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size
+
+
 async def serve() -> None:
     """Run until SIGTERM."""
-    settings = load_settings(settings_path())
+    path = settings_path()
+    settings = load_settings(path)
     store = KvStore(settings.store)
 
     def control(daemon: MeshDaemon) -> Handler:
@@ -54,14 +91,16 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, daemon, path, "signal")
+    watching = loop.create_task(watch_settings(daemon, path))
     with contextlib.closing(store):
         await daemon.run()
+    watching.cancel()
 
 
 def main() -> int:
     """Check the settings, then run."""
-    set_up_logging(level="INFO", log_format="json", lines_per_s=LOG_LINES_PER_S)
+    set_up_queued_logging(level="INFO", lines_per_s=LOG_LINES_PER_S, stream=sys.stdout)
     try:
         asyncio.run(serve())
     except (FieldError, OSError) as error:
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -11,6 +11,8 @@
 from damaskbay.ports.peer import PeerAddress
 
 HIGHEST_PORT = 65_535
+METRICS_PORT = 9464
+"""The same port as in the deploy file; the settings name none."""
 
 
 def settings_path() -> Path:
@@ -42,7 +44,7 @@
         control=_address(listen, "Control"),
         readiness=_address(listen, "Readiness"),
         peers=PeerAddress(text(document, "Ip"), _first_port(document)),
-        metrics=PeerAddress(text(document, "Ip"), _first_port(document) + 1),
+        metrics=PeerAddress(text(document, "Ip"), METRICS_PORT),
         server=_address(document, "AppAddr"),
         store=_address(table(document, "Platform"), "Address"),
         heartbeat_s=seconds(document, "Heartbeat"),
