Spend less processor time on a call: bound metrics, cached views, one pass over headers

A profile of a daemon gave 15 % to OpenTelemetry records, 4 % to views of servers, 3 % to copies of call contexts.

--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -12,7 +12,6 @@
 from damaskbay.adapters.http1.sockets import watch_peer
 from damaskbay.core.call import Answer, Headers, Request
 from damaskbay.helpers.clock import monotonic_s
-from damaskbay.helpers.http_headers import without_hop_by_hop
 from damaskbay.ports.peer import PeerAddress
 
 _LOGGER = logging.getLogger(__name__)
@@ -302,15 +301,16 @@
 def header_value(headers: Headers, name: str) -> str | None:
     """Return the first value of a header, None where there is none."""
     wanted = name.lower()
-    return next((value for key, value in headers if key.lower() == wanted), None)
+    for key, value in headers:
+        if key == name or key.lower() == wanted:
+            return value
+    return None
 
 
 def encode_request(request: Request) -> bytes:
-    """Return the bytes of a request, framed by its length."""
+    """Return the bytes of a request whose headers name neither host nor length."""
     lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {request.host}"]
-    for name, value in without_hop_by_hop(request.headers):
-        if name.lower() not in {"host", "content-length", "expect"}:
-            lines.append(f"{name}: {value}")
+    lines += [f"{name}: {value}" for name, value in request.headers]
     if request.body or request.method in {"POST", "PUT", "PATCH"}:
         lines.append(f"Content-Length: {len(request.body)}")
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + request.body
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -33,11 +33,13 @@
         self,
         address: PeerAddress,
         *,
+        on_links_change: Callable[[], None],
         on_request: RequestHandler,
         on_note: Callable[[Any], None],
         note: Callable[[], Any],
     ) -> None:
         self._address = address
+        self._on_links_change = on_links_change
         self._on_request = on_request
         self._on_note = on_note
         self._note = note
@@ -139,11 +141,13 @@
                 await asyncio.sleep(RECONNECT_S)
                 continue
             self._links[peer] = link
+            self._on_links_change()
             link.send(self._note())
             _LOGGER.info("peer: link is up.", extra={"peer": str(peer)})
             await ended.wait()
             if self._links.get(peer) is link:
                 del self._links[peer]
+            self._on_links_change()
             _LOGGER.warning("peer: link is lost.", extra={"peer": str(peer)})
             await asyncio.sleep(RECONNECT_S)
 
--- /dev/null
+++ b/damaskbay/adapters/telemetry/bound.py
@@ -0,0 +1,113 @@
+"""The same metrics with bound labels, for a daemon that counts on its event loop."""
+
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from damaskbay.adapters.telemetry.const import (
+    ATTR_OUTCOME,
+    ATTR_PRIORITY,
+    ATTR_REASON,
+    ATTR_WORKSPACE,
+    LABEL_OTHER,
+    LATENCY_BUCKETS_S,
+    MAX_WORKSPACE_LABELS,
+)
+from damaskbay.core.call import Answer, CallContext, CallResult
+
+OUTCOME_ANSWER = "answer"
+
+
+class _Series:
+    """The histograms of one workspace and priority."""
+
+    def __init__(self, telemetry: "BoundTelemetry", labels: tuple[str, str]) -> None:
+        self.latency = telemetry.latency.labels(*labels)
+        self.queue_wait = telemetry.queue_wait.labels(*labels)
+        self.added = telemetry.added.labels(*labels)
+
+
+class BoundTelemetry:
+    """
+    Metrics of one daemon, on the library below the OpenTelemetry exporter.
+
+    A record there finds its labels anew each time, which took a seventh of the
+    processor time of a call; here they are bound once. Labels are bounded and
+    come from the set in force only. For one thread.
+    """
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        who = (ATTR_WORKSPACE, ATTR_PRIORITY)
+        self.latency = self._histogram("call_duration_seconds", who)
+        self.queue_wait = self._histogram("queue_wait_seconds", who)
+        self.added = self._histogram("added_time_seconds", who)
+        self._calls = Counter(
+            "calls",
+            "Calls that ended here",
+            (*who, ATTR_OUTCOME, ATTR_REASON),
+            registry=self._registry,
+        )
+        self._retries = Counter(
+            "retries", "Sends after the first", who, registry=self._registry
+        )
+        self._series: dict[tuple[str, int], _Series] = {}
+        self._workspaces: set[str] = set()
+
+    def call_ended(
+        self, context: CallContext | None, result: CallResult, *, took_s: float
+    ) -> None:
+        """Count one call that ended at its ingress; None: refused before a context."""
+        labels = ("", "") if context is None else self._labels(context)
+        outcome = result.result
+        said, reason = OUTCOME_ANSWER, ""
+        if not isinstance(outcome, Answer):
+            said, reason = outcome.outcome.value, outcome.reason.value
+        self._calls.labels(*labels, said, reason).inc()
+        if context is None:
+            return
+        series = self._of(context)
+        series.latency.observe(took_s)
+        if result.backend_s is not None:
+            series.added.observe(max(0.0, took_s - result.backend_s))
+        if result.attempts > 1:
+            self._retries.labels(*labels).inc(result.attempts - 1)
+
+    def queue_waited(self, context: CallContext, waited_s: float) -> None:
+        """Count the time that a call waited for admission, in seconds."""
+        self._of(context).queue_wait.observe(waited_s)
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Register a gauge that is read when metrics are scraped."""
+        Gauge(name, text, registry=self._registry).set_function(read)
+
+    def scrape(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def _histogram(self, name: str, labels: tuple[str, ...]) -> Histogram:
+        return Histogram(
+            name, name, labels, registry=self._registry, buckets=LATENCY_BUCKETS_S
+        )
+
+    def _of(self, context: CallContext) -> _Series:
+        key = (context.workspace, context.priority_rank)
+        series = self._series.get(key)
+        if series is None:
+            series = self._series[key] = _Series(self, self._labels(context))
+        return series
+
+    def _labels(self, context: CallContext) -> tuple[str, str]:
+        workspace = context.workspace
+        if workspace not in self._workspaces:
+            if len(self._workspaces) >= MAX_WORKSPACE_LABELS:
+                workspace = LABEL_OTHER
+            else:
+                self._workspaces.add(workspace)
+        return workspace, str(context.priority_rank)
--- a/damaskbay/helpers/http_headers.py
+++ b/damaskbay/helpers/http_headers.py
@@ -4,6 +4,8 @@
 
 from damaskbay.core.call import Headers
 
+_PLAIN_TOKENS: Final = frozenset({"close", "keep-alive"})
+
 HOP_BY_HOP: Final = frozenset(
     {
         "connection",
@@ -20,16 +22,23 @@
 )
 
 
-def without_hop_by_hop(headers: Headers) -> Headers:
-    """Return the headers without those of one connection (RFC 9110, 7.6.1)."""
-    named = {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == "connection"
-        for token in value.split(",")
-    }
-    dropped = HOP_BY_HOP | named
-    return tuple(item for item in headers if item[0].lower() not in dropped)
+def without_hop_by_hop(headers: Headers, also: frozenset[str] = frozenset()) -> Headers:
+    """
+    Return the headers without those of one connection (RFC 9110, 7.6.1).
+
+    Those named in `also` (lower case) go, too.
+    """
+    kept: list[tuple[str, str]] = []
+    named: set[str] = set()
+    for item in headers:
+        name = item[0].lower()
+        if name == "connection":
+            named.update(token.strip().lower() for token in item[1].split(","))
+        elif name not in HOP_BY_HOP and name not in also:
+            kept.append(item)
+    if named - _PLAIN_TOKENS:
+        return tuple(item for item in kept if item[0].lower() not in named)
+    return tuple(kept)
 
 
 def without(headers: Headers, names: frozenset[str]) -> Headers:
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -13,7 +13,7 @@
 from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
 from damaskbay.adapters.http1.server import Arrival, Handler, HttpServer
 from damaskbay.adapters.peer_link.client import PeerLinks
-from damaskbay.adapters.telemetry.client import Telemetry
+from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
 from damaskbay.core.call import Answer
 from damaskbay.core.pressure import EdgePressure
@@ -96,6 +96,7 @@
         self._gate = Gate(1, self._rng, now)
         self._links = PeerLinks(
             settings.peers,
+            on_links_change=self._links_changed,
             on_request=self._peer_request,
             on_note=self._peer_note,
             note=self._note,
@@ -107,9 +108,7 @@
         )
         self._running = RunningCalls()
         self._repeats = _repeats(settings)
-        self._telemetry = Telemetry(
-            instance=settings.instance, failure_domain=settings.failure_domain
-        )
+        self._telemetry = BoundTelemetry()
         self._target = self._make_target()
         self._ingress = self._make_ingress()
         self._make_followers()
@@ -338,6 +337,9 @@
             return to_result_message(result)
         raise TypeError(f"no handler for {type(message).__name__}")
 
+    def _links_changed(self) -> None:
+        self._directory.invalidate()
+
     def _members_changed(self) -> None:
         self._directory.forget(monotonic_s())
         self._links.want(self._directory.addresses())
@@ -369,13 +371,29 @@
 
     def _register_gauges(self) -> None:
         telemetry, gate = self._telemetry, self._gate
-        telemetry.gauge("calls_running", lambda: gate.running)
-        telemetry.gauge("calls_waiting", lambda: gate.waiting)
-        telemetry.gauge("config_version", lambda: self.configuration.version)
-        telemetry.gauge("config_proof_age", self._proof_age_s, unit="s")
-        telemetry.gauge("daemons_known", lambda: len(self._directory.instances()))
-        telemetry.gauge("repeats_left", lambda: self._repeats.left)
-        telemetry.gauge("links_up", lambda: self._links.up_count)
+        telemetry.gauge("calls_running", "Calls at the server", lambda: gate.running)
+        telemetry.gauge(
+            "calls_waiting", "Calls that wait for a slot", lambda: gate.waiting
+        )
+        telemetry.gauge(
+            "config_version", "Version in force", lambda: self.configuration.version
+        )
+        telemetry.gauge(
+            "config_proof_age_seconds",
+            "Age of the proof that the version is the newest; -1: none",
+            self._proof_age_s,
+        )
+        telemetry.gauge(
+            "daemons_known",
+            "Daemons believed alive",
+            lambda: len(self._directory.instances()),
+        )
+        telemetry.gauge(
+            "repeats_left", "Repeats the server may get now", lambda: self._repeats.left
+        )
+        telemetry.gauge(
+            "links_up", "Links opened to peers", lambda: self._links.up_count
+        )
 
     def _proof_age_s(self) -> float:
         age_s = self.configuration.age_s(monotonic_s())
--- a/damaskbay/mesh/directory.py
+++ b/damaskbay/mesh/directory.py
@@ -46,7 +46,7 @@
         self._instance = instance
         self._is_up = is_up
         self._by_instance: dict[str, _Member] = {}
-        self._views_by_pool: dict[str, tuple[ServerView, ...]] = {}
+        self._views_by_pool: dict[str, list[ServerView]] = {}
 
     def listed(self, records: Iterable[MemberRecord], now: float) -> None:
         """Take a whole listing: what is missing there is no longer listed."""
@@ -115,8 +115,18 @@
         """Return the daemons that may be serving."""
         return frozenset(self._by_instance)
 
+    def invalidate(self) -> None:
+        """Take note that links have come or gone."""
+        self._views_by_pool.clear()
+
     def servers(self, pool: str) -> list[ServerView]:
         """Return the servers of a pool that can be reached."""
+        views = self._views_by_pool.get(pool)
+        if views is None:
+            views = self._views_by_pool[pool] = self._servers(pool)
+        return views
+
+    def _servers(self, pool: str) -> list[ServerView]:
         return [
             self._view(member)
             for instance, member in self._by_instance.items()
@@ -143,6 +153,7 @@
     def _take(
         self, record: MemberRecord, now: float, *, listed: bool
     ) -> _Member | None:
+        self._views_by_pool.clear()
         member = self._by_instance.get(record.instance)
         if member is None:
             member = _Member(record, listed, now - SLOW_START_S)
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -9,7 +9,7 @@
 from damaskbay.adapters.http1.client import header_value
 from damaskbay.adapters.http1.server import Arrival
 from damaskbay.adapters.peer_link.client import PeerLinks
-from damaskbay.adapters.telemetry.client import Telemetry
+from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import Access, ConfigSet, Route, Workspace
 from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
 from damaskbay.core.http_status import status_of
@@ -24,7 +24,7 @@
     result_of,
     to_call_message,
 )
-from damaskbay.helpers.http_headers import without, without_hop_by_hop
+from damaskbay.helpers.http_headers import without_hop_by_hop
 from damaskbay.helpers.keys import digest_of
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
@@ -90,7 +90,7 @@
     shares: DemandShares
     pressure: EdgePressure
     running: RunningCalls
-    telemetry: Telemetry
+    telemetry: BoundTelemetry
     dialect: Dialect
     rng: Random
     clock: Callable[[], float]
@@ -115,6 +115,8 @@
         self._parts = parts
         self._weights = WeightedChoice(parts.rng)
         self._answers = 0
+        dropped = {"host", "content-length", "expect", parts.dialect.request_id.lower()}
+        self._dropped = parts.dialect.set_by_us | dropped
         self.under_way = 0
 
     def set_proof_valid(self, valid_s: float) -> None:
@@ -267,10 +269,7 @@
     def _forwarded(self, request: Request, workspace: Workspace | None) -> Request:
         """Return the request as servers may see it: without the key."""
         dialect = self._parts.dialect
-        dropped = dialect.set_by_us | {"host", "content-length", "expect"}
-        headers = without(
-            without_hop_by_hop(request.headers), dropped | {dialect.request_id.lower()}
-        )
+        headers = without_hop_by_hop(request.headers, self._dropped)
         own: Headers = ((dialect.caller, self._options.caller_name),)
         if workspace is not None:
             own = (*own, (dialect.workspace, workspace.name))
@@ -286,8 +285,9 @@
                 context.deadline + ANSWER_GRACE_S - self._parts.clock()
             ):
                 while True:
-                    sent = replace(context, resent=sends.arrived > 0)
-                    result = await self._attempt(sent, request, sends)
+                    if sends.arrived and not context.resent:
+                        context = replace(context, resent=True)
+                    result = await self._attempt(context, request, sends)
                     if not self._again(context, route, sends, result):
                         return self._final(sends, result)
         except TimeoutError:
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -12,12 +12,12 @@
     HttpProblem,
     header_value,
 )
-from damaskbay.adapters.telemetry.client import Telemetry
+from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.admission import Sample
 from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.core.retry.repeats import RepeatBudget
-from damaskbay.helpers.http_headers import without, without_hop_by_hop
+from damaskbay.helpers.http_headers import without_hop_by_hop
 from damaskbay.mesh.const import NOT_READY_RETRY_S, UNREACHABLE_S
 from damaskbay.mesh.dialect import Dialect
 from damaskbay.mesh.gate import Gate
@@ -42,7 +42,7 @@
     client: HttpClient
     dialect: Dialect
     running: RunningCalls
-    telemetry: Telemetry
+    telemetry: BoundTelemetry
     repeats: RepeatBudget
     weight_of: Callable[[str], float]
     clock: Callable[[], float]
@@ -54,6 +54,8 @@
     def __init__(self, parts: TargetParts) -> None:
         self._parts = parts
         self._unreachable_until = 0.0
+        named = {parts.dialect.request_id.lower(), "content-length"}
+        self._dropped = frozenset(named)
         self.under_way = 0
         self.draining = False
 
@@ -206,8 +208,7 @@
         stamped = header_value(answer.headers, dialect.stamp) is not None
         if answer.status < FIRST_REDIRECT and not stamped:
             return unknown(Reason.ANSWER_INCOMPLETE, detail="no stamp")
-        named = frozenset({dialect.request_id.lower(), "content-length"})
-        headers = without(without_hop_by_hop(answer.headers), named)
+        headers = without_hop_by_hop(answer.headers, self._dropped)
         return Answer(answer.status, headers, answer.body)
 
     def _refused(
--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import logging
 import signal
 import sys
@@ -30,6 +31,9 @@
 
 EXIT_INVALID = 3
 
+GC_ALLOCATIONS = 20_000
+"""Allocations between looks for cycles: calls make few, and looking takes time."""
+
 SETTINGS_LOOK_S = 0.5
 """Seconds between looks at the settings file: a quarter of the time to apply."""
 
@@ -101,6 +105,8 @@
 def main() -> int:
     """Check the settings, then run."""
     set_up_queued_logging(level="INFO", lines_per_s=LOG_LINES_PER_S, stream=sys.stdout)
+    gc.freeze()
+    gc.set_threshold(GC_ALLOCATIONS)
     try:
         asyncio.run(serve())
     except (FieldError, OSError) as error:
