--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -273,7 +273,9 @@
         own: Headers = ((dialect.caller, self._options.caller_name),)
         if workspace is not None:
             own = (*own, (dialect.workspace, workspace.name))
-        return replace(request, headers=(*headers, *own))
+        return Request(
+            request.method, request.host, request.target, (*headers, *own), request.body
+        )
 
     async def _dispatch(
         self, context: CallContext, route: Route, request: Request
--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -8,6 +8,8 @@
 import sys
 from pathlib import Path
 
+import uvloop
+
 from damaskbay.adapters.http1.server import Handler
 from damaskbay.config.objects import ConfigSet
 from damaskbay.helpers.logs import set_up_queued_logging
@@ -108,7 +110,7 @@
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)
     try:
-        asyncio.run(serve())
+        uvloop.run(serve())
     except (FieldError, OSError) as error:
         print(error, file=sys.stderr)
         return EXIT_INVALID
