--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -6,16 +6,14 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from http import HTTPStatus
 from random import Random
 from typing import Any
 
 from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
-from damaskbay.adapters.http1.server import Arrival, Handler, HttpServer
+from damaskbay.adapters.http1.server import Handler, HttpServer
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
-from damaskbay.core.call import Answer
 from damaskbay.core.pressure import EdgePressure
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.retry.repeats import RepeatBudget, RepeatOptions
@@ -38,10 +36,12 @@
 )
 from damaskbay.mesh.dialect import Dialect
 from damaskbay.mesh.directory import Directory, MemberRecord
+from damaskbay.mesh.dispatch import Dispatcher, DispatchParts
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
 from damaskbay.mesh.messages import ConfigWanted, Note
+from damaskbay.mesh.observing import ObservedParts, Observing
 from damaskbay.mesh.registry import FORGET_S, MemberWatch, Registration
 from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.settings import MeshSettings
@@ -112,18 +112,29 @@
         self._target = self._make_target()
         self._ingress = self._make_ingress()
         self._make_followers()
+        self._observing = Observing(
+            ObservedParts(
+                self.configuration,
+                self._gate,
+                self._directory,
+                self._links,
+                self._repeats,
+                monotonic_s,
+            ),
+            self._telemetry,
+            lambda: self.ready,
+        )
         self._control = HttpServer(settings.control, control(self), CallerLimits())
         self._readiness = HttpServer(
-            settings.readiness, self._serve_readiness, CallerLimits()
+            settings.readiness, self._observing.readiness, CallerLimits()
         )
         self._callers = HttpServer(
             settings.callers, self._ingress.serve, CallerLimits()
         )
         self._metrics = HttpServer(
-            settings.metrics, self._serve_metrics, CallerLimits()
+            settings.metrics, self._observing.metrics, CallerLimits()
         )
         self.configuration.subscribe(self._config_changed)
-        self._register_gauges()
 
     @property
     def ready(self) -> bool:
@@ -218,12 +229,18 @@
             ),
             IngressParts(
                 configuration=self.configuration,
-                directory=self._directory,
-                router=Router(
-                    RouterOptions(settings.failure_domain, trust_load=True), self._rng
+                dispatcher=Dispatcher(
+                    DispatchParts(
+                        directory=self._directory,
+                        router=Router(
+                            RouterOptions(settings.failure_domain, trust_load=True),
+                            self._rng,
+                        ),
+                        target=self._target,
+                        links=self._links,
+                        clock=monotonic_s,
+                    )
                 ),
-                target=self._target,
-                links=self._links,
                 shares=self._shares,
                 pressure=EdgePressure(self._rng),
                 running=self._running,
@@ -361,44 +378,6 @@
         found = config.workspaces_by_name.get(workspace) if config else None
         return found.weight if found is not None else 1.0
 
-    async def _serve_readiness(self, _arrival: Arrival) -> Answer:
-        status = HTTPStatus.OK if self.ready else HTTPStatus.SERVICE_UNAVAILABLE
-        return Answer(int(status))
-
-    async def _serve_metrics(self, _arrival: Arrival) -> Answer:
-        headers = (("Content-Type", "text/plain; version=0.0.4"),)
-        return Answer(int(HTTPStatus.OK), headers, self._telemetry.scrape())
-
-    def _register_gauges(self) -> None:
-        telemetry, gate = self._telemetry, self._gate
-        telemetry.gauge("calls_running", "Calls at the server", lambda: gate.running)
-        telemetry.gauge(
-            "calls_waiting", "Calls that wait for a slot", lambda: gate.waiting
-        )
-        telemetry.gauge(
-            "config_version", "Version in force", lambda: self.configuration.version
-        )
-        telemetry.gauge(
-            "config_proof_age_seconds",
-            "Age of the proof that the version is the newest; -1: none",
-            self._proof_age_s,
-        )
-        telemetry.gauge(
-            "daemons_known",
-            "Daemons believed alive",
-            lambda: len(self._directory.instances()),
-        )
-        telemetry.gauge(
-            "repeats_left", "Repeats the server may get now", lambda: self._repeats.left
-        )
-        telemetry.gauge(
-            "links_up", "Links opened to peers", lambda: self._links.up_count
-        )
-
-    def _proof_age_s(self) -> float:
-        age_s = self.configuration.age_s(monotonic_s())
-        return -1.0 if age_s is None else age_s
-
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(GATE_TICK_S)
--- /dev/null
+++ b/damaskbay/mesh/observing.py
@@ -0,0 +1,68 @@
+"""What is shown of the daemon: readiness and metrics."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from damaskbay.adapters.http1.server import Arrival
+from damaskbay.adapters.peer_link.client import PeerLinks
+from damaskbay.adapters.telemetry.bound import BoundTelemetry
+from damaskbay.core.call import Answer
+from damaskbay.core.retry.repeats import RepeatBudget
+from damaskbay.mesh.configuration import Configuration
+from damaskbay.mesh.directory import Directory
+from damaskbay.mesh.gate import Gate
+
+NO_PROOF = -1.0
+"""Shown as the age of a proof where there is none."""
+
+
+@dataclass(frozen=True, slots=True)
+class ObservedParts:
+    """What the gauges read."""
+
+    configuration: Configuration
+    gate: Gate
+    directory: Directory
+    links: PeerLinks
+    repeats: RepeatBudget
+    clock: Callable[[], float]
+
+
+class Observing:
+    """Serves readiness and metrics."""
+
+    def __init__(
+        self,
+        parts: ObservedParts,
+        telemetry: BoundTelemetry,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._parts = parts
+        self._telemetry = telemetry
+        self._is_ready = is_ready
+        self._register_gauges()
+
+    async def readiness(self, _arrival: Arrival) -> Answer:
+        """Tell whether callers should come."""
+        status = HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
+        return Answer(int(status))
+
+    async def metrics(self, _arrival: Arrival) -> Answer:
+        """Return the metrics in the Prometheus text format."""
+        headers = (("Content-Type", "text/plain; version=0.0.4"),)
+        return Answer(int(HTTPStatus.OK), headers, self._telemetry.scrape())
+
+    def _register_gauges(self) -> None:
+        parts, gauge = self._parts, self._telemetry.gauge
+        gauge("calls_running", "Calls at the server", lambda: parts.gate.running)
+        gauge("calls_waiting", "Calls that wait", lambda: parts.gate.waiting)
+        gauge("config_version", "In force", lambda: parts.configuration.version)
+        gauge("config_proof_age_seconds", "-1: no proof", self._proof_age_s)
+        gauge("daemons_known", "Alive", lambda: len(parts.directory.instances()))
+        gauge("repeats_left", "For the server now", lambda: parts.repeats.left)
+        gauge("links_up", "Opened to peers", lambda: parts.links.up_count)
+
+    def _proof_age_s(self) -> float:
+        age_s = self._parts.configuration.age_s(self._parts.clock())
+        return NO_PROOF if age_s is None else age_s
