--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -12,6 +12,7 @@
     NOTE_S,
     RECONNECT_S,
     SILENT_S,
+    SUSPECT_S,
 )
 from damaskbay.adapters.peer_link.link import Link, RequestHandler
 from damaskbay.helpers.clock import monotonic_s
@@ -92,9 +93,9 @@
         return len(self._links)
 
     def up(self, peer: PeerAddress) -> bool:
-        """Tell whether there is a link that was heard from lately."""
+        """Tell whether there is a link that new requests should take."""
         link = self._links.get(peer)
-        return link is not None and link.open
+        return link is not None and link.open and not link.suspect
 
     async def request(self, peer: PeerAddress, message: Any) -> Any:
         """Send over the link to a peer and return its answer or a PeerFailure."""
@@ -109,6 +110,11 @@
         for link in self._links.values():
             link.send(message)
 
+    def _suspect(self, link: Link, suspect: bool) -> None:
+        if suspect is not link.suspect:
+            link.suspect = suspect
+            self._on_links_change()
+
     def _accept(self) -> Link:
         link = Link(self._on_request, self._noted, self._accepted.discard)
         self._accepted.add(link)
@@ -166,4 +172,5 @@
                 if now - link.heard_at > SILENT_S:
                     link.abort()
             for link in self._links.values():
+                self._suspect(link, now - link.heard_at > SUSPECT_S)
                 link.send(message)
--- a/damaskbay/adapters/peer_link/const.py
+++ b/damaskbay/adapters/peer_link/const.py
@@ -5,6 +5,9 @@
 NOTE_S: Final = 0.5
 """Seconds between notes on each link; they also prove that the path is alive."""
 
+SUSPECT_S: Final = 0.8
+"""Seconds without a byte after which new requests avoid a link: a note is missing."""
+
 SILENT_S: Final = 1.5
 """Seconds without a byte after which a link counts as lost: three notes."""
 
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -27,7 +27,11 @@
 
 
 class Link(asyncio.Protocol):
-    """One end of a connection. `heard_at` is when the last byte came."""
+    """
+    One end of a connection. `heard_at` is when the last byte came.
+
+    A `suspect` link has been silent for longer than notes take; new requests avoid it.
+    """
 
     def __init__(
         self,
@@ -44,7 +48,7 @@
         self._running: dict[int, asyncio.Task[None]] = {}
         self._last_id = 0
         self.heard_at = monotonic_s()
-        self.peer: str | None = None
+        self.suspect = False
 
     @property
     def open(self) -> bool:
