--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -150,9 +150,8 @@
             await stack.enter_async_context(self._callers)
             await stack.enter_async_context(self._metrics)
             loop = asyncio.get_running_loop()
-            self._registration_task = loop.create_task(self._registration.run())
-            self._tasks.append(self._registration_task)
             for run in (
+                self._registration.run,
                 self._member_watch.run,
                 self._config_watch.run,
                 self._peer_config.run,
@@ -285,19 +284,16 @@
         )
 
     def _stored_record(self) -> MemberRecord:
-        """Return what is worth a write: peers tell each other the rest."""
-        record = replace(self._record(), state=self.local.state)
-        if record.state in (ServerState.DRAINING, ServerState.GONE):
-            return record
-        return replace(
-            record, state=ServerState.STARTING, slots=0, server="", born_ms=0
-        )
+        """Return the record with the server's own state, for the next start."""
+        return replace(self._record(), state=self.local.state)
 
     def _own_listed(self, record: MemberRecord) -> None:
-        """Remember from an earlier start that the local server was leaving."""
-        leaving = record.state in (ServerState.DRAINING, ServerState.GONE)
-        if leaving and record.incarnation < self._incarnation:
-            self.local.remember_leaving(record.server, record.born_ms)
+        """Take over what an earlier start of this daemon knew of the server."""
+        if record.incarnation < self._incarnation:
+            known = Heartbeat(
+                record.server, record.state, record.slots, 0, record.born_ms
+            )
+            self.local.adopt(known, monotonic_s())
 
     def _record(self) -> MemberRecord:
         settings = self.settings
@@ -393,14 +389,12 @@
         began = monotonic_s()
         end = began + self.settings.grace_s - STOP_MARGIN_S
         _LOGGER.info("daemon: graceful stop begins.")
-        self._registration_task.cancel()
-        leaving = asyncio.get_running_loop().create_task(self._registration.leave())
-        self._tasks.append(leaving)
         self._callers.draining = True
-        self._target.draining = True
-        self._links.tell_all()
         while monotonic_s() < min(began + DRAIN_READY_S, end):
             await asyncio.sleep(POLL_S)
+        self._target.draining = True
+        self._links.tell_all()
+        await asyncio.sleep(POLL_S)
         self._callers.close_idle()
         while monotonic_s() < end and self._busy():
             await asyncio.sleep(POLL_S)
--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -71,9 +71,22 @@
             self._on_change()
         return True
 
-    def remember_leaving(self, server: str, born_ms: int) -> None:
-        """Take from an earlier start of the daemon that a server was leaving."""
-        self._left = (server, born_ms)
+    def adopt(self, known: Heartbeat, now: float) -> None:
+        """
+        Take from an earlier start of the daemon what its server had last said.
+
+        A leaving server stays so. Another one in its place is told by its next
+        report, and refuses calls that name the known one.
+        """
+        if self.state is not ServerState.STARTING or not known.server:
+            return
+        if known.state is not ServerState.READY:
+            self._left = (known.server, known.born_ms)
+            return
+        self.server, self.slots = known.server, known.slots
+        self._born_ms = known.born_ms
+        self._enter(ServerState.READY, now)
+        self._on_change()
 
     def deregister(self, server: str, born_ms: int | None, now: float) -> bool:
         """Take note that a server leaves; return False for one that is not here."""
--- a/damaskbay/mesh/registry.py
+++ b/damaskbay/mesh/registry.py
@@ -29,8 +29,8 @@
 WATCH_S = 20.0
 """Longest wait of a watch on the records, seconds; changes end it sooner."""
 
-COLLECT_S = 0.8
-"""Seconds after a change before the next watch: many daemons change together."""
+COLLECT_S = 2.0
+"""Seconds after a change before the next watch: notes tell of new daemons sooner."""
 
 FORGET_S = 1.0
 """Seconds between looks for daemons that are gone."""
@@ -74,11 +74,6 @@
             except TimeoutError:
                 pass
 
-    async def leave(self) -> None:
-        """Delete the record."""
-        if self._revision:
-            await self._store.delete(self._key, expected=self._revision)
-
     async def _renew(self) -> bool:
         self._changed.clear()
         if self._lease:
--- a/damaskbay/platform/store.py
+++ b/damaskbay/platform/store.py
@@ -87,12 +87,6 @@
         written = {"Key": key, "Value": encoded, "Lease": lease}
         return await self._change(key, expected, {"Writes": [written], "Deletes": []})
 
-    async def delete(
-        self, key: str, *, expected: int
-    ) -> int | StoreConflict | StoreFailure:
-        """Delete if the key's revision is the expected one."""
-        return await self._change(key, expected, {"Writes": [], "Deletes": [key]})
-
     async def grant(self, ttl_s: float) -> int | StoreFailure:
         """Return a new lease."""
         body = {"Ttl": f"{int(ttl_s * 1000)}ms"}
--- a/damaskbay/ports/store.py
+++ b/damaskbay/ports/store.py
@@ -75,12 +75,6 @@
         """Write if the key's revision is the expected one; return the new one."""
         ...
 
-    async def delete(
-        self, key: str, *, expected: int
-    ) -> int | StoreConflict | StoreFailure:
-        """Delete if the key's revision is the expected one."""
-        ...
-
     async def grant(self, ttl_s: float) -> int | StoreFailure:
         """Return a new lease."""
         ...
