--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -5,8 +5,10 @@
 from random import Random
 
 from damaskbay.core.admission.const import (
+    LATENCY_QUANTILE,
     LEVEL_HEADROOM,
     MEAN_GAIN,
+    NESTED_QUANTILE,
     QUEUE_PER_SLOT,
     QUEUE_SHORTEST,
     QUEUE_WAIT_SHARE,
@@ -18,6 +20,7 @@
 from damaskbay.core.admission.level import LevelMeter
 from damaskbay.core.admission.limit import ConcurrencyLimit, GradientLimit, Sample
 from damaskbay.core.admission.queue import Entry, Waiting, WaitingQueue
+from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Reason, Refusal, not_run
 
 LimitFactory = Callable[[int, float], ConcurrencyLimit]
@@ -81,9 +84,9 @@
         self._limit = options.limit(options.slots, now)
         self._slots = options.slots
         self._queue = WaitingQueue()
-        self._latency_by_route: dict[str, LatencyEstimate] = {}
+        self._latencies: dict[tuple[str, int], LatencyEstimate] = {}
         self._level = LevelMeter(now, options.level_headroom)
-        self._running: dict[int, str] = {}
+        self._running: dict[int, CallContext] = {}
         self._nested: set[int] = set()
         self._trickled_at = now - TRICKLE_S
         self._mean_s = 0.0
@@ -129,9 +132,9 @@
             return ()
         self._nested.discard(ticket)
         self._limit.observe(sample, self.active, now)
-        route = self._running.pop(ticket)
+        context = self._running.pop(ticket)
         if not sample.cancelled:
-            self._latency(route).add(sample.latency_s, now)
+            self._latency(context).add(sample.latency_s, now)
             self._mean_s += MEAN_GAIN * (sample.own_s - self._mean_s)
         return self._settle(now)
 
@@ -209,7 +212,7 @@
         if refusal is not None:
             return self._refuse(entry, refusal, now)
         self._queue.started(entry, now)
-        self._running[entry.item.ticket] = entry.item.context.route
+        self._running[entry.item.ticket] = entry.item.context
         self._level.started()
         return Start(entry.item.ticket)
 
@@ -227,18 +230,26 @@
     def _too_short(self, entry: Entry, now: float) -> Refusal | None:
         """Refuse what can't end in time, but let one through now and then."""
         context = entry.item.context
-        if now + self._latency(context.route).seconds(now) <= context.deadline:
+        if now + self._latency(context).seconds(now) <= context.deadline:
             return None
         if now - self._trickled_at >= TRICKLE_S:
             self._trickled_at = now
             return None
         return not_run(Reason.DEADLINE_TOO_SHORT)
 
-    def _latency(self, route: str) -> LatencyEstimate:
-        """Return the estimate of a route: what one runs says little of another."""
-        known = self._latency_by_route.get(route)
+    def _latency(self, context: CallContext) -> LatencyEstimate:
+        """
+        Return the estimate for calls of this route and rank.
+
+        What one route runs says little of another, and the calls below a less
+        important call wait longer. Nested calls are judged by their median, since
+        refusing one wastes what its root has cost.
+        """
+        key = (context.route, context.priority_rank)
+        known = self._latencies.get(key)
         if known is None:
-            known = self._latency_by_route[route] = LatencyEstimate()
+            quantile = NESTED_QUANTILE if context.depth else LATENCY_QUANTILE
+            known = self._latencies[key] = LatencyEstimate(quantile)
         return known
 
     def _refuse(self, entry: Entry, refusal: Refusal, now: float) -> Refuse:
