--- a/damaskbay/core/quota/const.py
+++ b/damaskbay/core/quota/const.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
-DEMAND_WINDOW_S: Final = 1.0
-"""Time constant of the demand estimate, seconds: about two status exchanges."""
+DEMAND_WINDOW_S: Final = 2.0
+"""Time constant of the demand estimate, seconds: about four notes, since few requests a second scatter widely."""
 
 FLOOR_SHARE: Final = 0.1
 """Part of a workspace's rate that is split evenly, for demand that moves."""
@@ -11,8 +11,11 @@
 RETRY_AFTER_MOST_S: Final = 2.0
 """Longest time a caller over its rate is told to wait, seconds."""
 
-START_BURST_SHARE: Final = 0.5
+START_BURST_SHARE: Final = 0.2
 """Part of the burst a daemon starts with: the fleet may restart within a window."""
 
+UNKNOWN_SHARE: Final = 0.02
+"""Part of a rate that a daemon may spend before it knows of any other, 0 to 1."""
+
 RATE_USE: Final = 0.6
 """Part of the overage that the steady rate uses; the rest covers late knowledge."""
--- a/damaskbay/core/quota/shares.py
+++ b/damaskbay/core/quota/shares.py
@@ -12,6 +12,7 @@
     RATE_USE,
     RETRY_AFTER_MOST_S,
     START_BURST_SHARE,
+    UNKNOWN_SHARE,
 )
 
 
@@ -71,10 +72,13 @@
         self._peers: dict[str, _PeerDemand] = {}
         self._buckets: dict[str, _Bucket] = {}
         self._members: AbstractSet[str] = frozenset({instance})
+        self._told: dict[str, float] = {}
+        self._known = False
 
     def set_members(self, members: AbstractSet[str]) -> None:
         """Take the daemons that may be spending; the own one is always counted."""
         self._members = members | {self._instance}
+        self._known = True
         for gone in self._peers.keys() - self._members:
             del self._peers[gone]
 
@@ -83,21 +87,29 @@
         self._peers[instance] = _PeerDemand(per_s_by_workspace)
 
     def demand(self, now: float) -> dict[str, float]:
-        """Return the own demand in requests per second, to tell the others."""
+        """
+        Return the own demand in requests per second, to tell the others.
+
+        The own share goes by what was told last, as the others' views of it do: by
+        fresher figures of its own, each of many daemons would take the whole rate
+        when demand sets in everywhere at once.
+        """
         values = {name: item.value(now) for name, item in self._own.items()}
-        return {name: round(value, 1) for name, value in values.items() if value > 0.1}
+        told = {name: round(value, 1) for name, value in values.items()}
+        self._told = {name: value for name, value in told.items() if value > 0.0}
+        return self._told
 
     def spend(self, workspace: Workspace, now: float) -> Refusal | None:
         """Spend one token of the own share, or refuse."""
         self._own.setdefault(workspace.name, _Demand()).add(now)
         if workspace.rate_per_s <= 0.0:
             return None
-        share = self.share(workspace.name, now)
+        share = self.share(workspace.name)
         rate = workspace.rate_per_s * share * (1.0 + RATE_USE * self.options.overage)
         burst = self._burst(workspace, share)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = _Bucket(max(1.0, burst * START_BURST_SHARE), now)
+            bucket = _Bucket(self._burst(workspace, share * START_BURST_SHARE), now)
             self._buckets[workspace.name] = bucket
         gained = max(0.0, now - bucket.at) * rate
         bucket.tokens = min(burst, bucket.tokens + gained)
@@ -112,13 +124,20 @@
     def _burst(self, workspace: Workspace, share: float) -> float:
         """Return the depth of the own bucket: its share, and a part of the slack."""
         whole = workspace.burst * (1.0 + self.options.overage)
-        return max(1.0, whole * share + self.options.slack / len(self._members))
-
-    def share(self, workspace: str, now: float) -> float:
-        """Return the own part of a workspace's rate, 0 to 1."""
+        part = 1.0 / len(self._members) if self._known else UNKNOWN_SHARE
+        return max(1.0, whole * share + self.options.slack * part)
+
+    def share(self, workspace: str) -> float:
+        """
+        Return the own part of a workspace's rate, 0 to 1.
+
+        A daemon that has just started may be one of many, and has a small one until
+        it is told of the members.
+        """
+        if not self._known:
+            return UNKNOWN_SHARE
         count = len(self._members)
-        own_item = self._own.get(workspace)
-        own = own_item.value(now) if own_item is not None else 0.0
+        own = self._told.get(workspace, 0.0)
         total = own
         for instance in self._members:
             if instance == self._instance:
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -356,7 +356,8 @@
     def _members_changed(self) -> None:
         self._directory.forget(monotonic_s())
         self._links.want(self._directory.addresses())
-        self._shares.set_members(self._directory.instances())
+        if len(self._directory.instances()) > 1 or self._member_watch.has_read:
+            self._shares.set_members(self._directory.instances())
 
     def _server_changed(self) -> None:
         now = monotonic_s()
--- a/damaskbay/mesh/registry.py
+++ b/damaskbay/mesh/registry.py
@@ -145,6 +145,7 @@
         self._on_change = on_change
         self._own = own
         self._on_own = on_own
+        self.has_read = False
         self._clock = clock
 
     async def run(self) -> None:
@@ -161,6 +162,7 @@
                 if record.instance == self._own:
                     self._on_own(record)
             self._directory.listed(records, now)
+            self.has_read = True
             self._on_change()
             await self._follow(reading.revision)
 
--- a/tests/core/quota/test_shares.py
+++ b/tests/core/quota/test_shares.py
@@ -82,6 +82,38 @@
         assert _most_in_window(passed) <= _bound(workspace)
 
 
+def test_a_restart_of_all_keeps_the_bound() -> None:
+    """All daemons start anew amid heavy demand, and learn of each other late."""
+    workspace = Workspace("w", 259.0, 259)
+    rng = random.Random(11)
+    names = [f"d{number}" for number in range(16)]
+
+    def fresh(known: bool) -> dict[str, DemandShares]:
+        made = {name: DemandShares(name, OPTIONS) for name in names}
+        for daemon in made.values():
+            if known:
+                daemon.set_members(frozenset(names))
+        return made
+
+    daemons = fresh(known=True)
+    passed = []
+    for at in _poisson(rng, 4.3 * 259.0, 20.0):
+        step = int(at / 0.001)
+        if step % 500 < 2:
+            _exchange(daemons, at)
+        if 13.0 <= at < 13.6:
+            daemons = fresh(known=False)
+            continue
+        if at >= 13.8:
+            for daemon in daemons.values():
+                daemon.set_members(frozenset(names))
+        name = names[int(len(names) * rng.random() ** 2)]
+        if daemons[name].spend(workspace, at) is None:
+            passed.append(at)
+    most = _most_in_window(passed)
+    assert most <= _bound(workspace), f"{most} of {_bound(workspace)}"
+
+
 def test_demand_that_moves_keeps_the_bound() -> None:
     """A daemon that suddenly gets all the demand does not add a second share."""
     workspace = Workspace("w", 100.0, 100)
@@ -120,6 +152,7 @@
 def test_a_refusal_tells_when_to_come_back() -> None:
     """The time is that of the next token of the own share."""
     shares = DemandShares("a", QuotaOptions())
+    shares.set_members(frozenset({"a"}))
     workspace = Workspace("w", 10.0, 1)
     assert shares.spend(workspace, 0.0) is None
     refusal = shares.spend(workspace, 0.0)
