--- a/damaskbay/core/quota/const.py
+++ b/damaskbay/core/quota/const.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 DEMAND_WINDOW_S: Final = 2.0
-"""Time constant of the demand estimate, seconds: about four notes, since few requests a second scatter widely."""
+"""Time constant of the demand estimate, seconds: few requests a second scatter."""
 
 FLOOR_SHARE: Final = 0.1
 """Part of a workspace's rate that is split evenly, for demand that moves."""
