--- a/damaskbay/cli/const.py
+++ b/damaskbay/cli/const.py
@@ -12,6 +12,7 @@
     "keys",
     "status",
     "explain",
+    "trace",
     "backend",
     "platform",
 )
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -41,8 +41,5 @@
 STOP_MARGIN_S: Final = 0.6
 """Kept free before the platform kills a stopping process, seconds."""
 
-FRESH_FOR_UNSAFE: Final = True
-"""Requests that run at most once take a connection that can't be stale."""
-
 ANSWER_GRACE_S: Final = 0.06
 """Waited past a deadline for the target's own answer, seconds: it knows what ran."""
--- a/damaskbay/mesh/settings.py
+++ b/damaskbay/mesh/settings.py
@@ -13,7 +13,7 @@
     `callers`, `control` and `readiness` are listened on, as are `peers` and
     `metrics`. `pool` is what the server at `server` belongs to. At most
     `retry_ratio` times the requests, and `retry_slack` more, may be sent again
-    to a pool within `retry_window_s`, over the whole fleet. A workspace may exceed
+    to a pool, over the whole fleet. A workspace may exceed
     its rate and burst by the part `quota_overage`, and `quota_slack` requests.
     """
 
@@ -27,13 +27,10 @@
     metrics: PeerAddress
     server: PeerAddress
     store: PeerAddress
-    heartbeat_s: float
     drain_s: float
     grace_s: float
     revoke_s: float
     retry_ratio: float
-    retry_window_s: float
     retry_slack: float
     quota_overage: float
     quota_slack: float
-    memory_mb: float
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -47,16 +47,13 @@
         metrics=PeerAddress(text(document, "Ip"), METRICS_PORT),
         server=_address(document, "AppAddr"),
         store=_address(table(document, "Platform"), "Address"),
-        heartbeat_s=seconds(document, "Heartbeat"),
         drain_s=seconds(bounds, "Drain", 2.0),
         grace_s=seconds(bounds, "Grace", 6.0),
         revoke_s=seconds(bounds, "Revoke", 5.0),
         retry_ratio=number(bounds, "RetryBudgetRatio", 0.1),
-        retry_window_s=seconds(bounds, "BudgetWindow", 10.0),
         retry_slack=number(bounds, "RetryBudgetSlack", 0.0),
         quota_overage=number(bounds, "QuotaOverage", 0.0),
         quota_slack=number(bounds, "QuotaSlack", 0.0),
-        memory_mb=number(table(document, "Limits"), "MemoryMb", 0.0),
     )
 
 
