--- a/damaskbay/adapters/telemetry/bound.py
+++ b/damaskbay/adapters/telemetry/bound.py
@@ -20,6 +20,7 @@
     MAX_WORKSPACE_LABELS,
 )
 from damaskbay.core.call import Answer, CallContext, CallResult
+from damaskbay.core.outcome import Refusal
 
 OUTCOME_ANSWER = "answer"
 
@@ -60,18 +61,21 @@
         self._series: dict[tuple[str, int], _Series] = {}
         self._workspaces: set[str] = set()
 
+    def turned_away(self, workspace: str, refusal: Refusal) -> None:
+        """Count a request that was refused before it was sent to any server."""
+        outcome, reason = refusal.outcome.value, refusal.reason.value
+        self._calls.labels(self._bounded(workspace), "", outcome, reason).inc()
+
     def call_ended(
-        self, context: CallContext | None, result: CallResult, *, took_s: float
+        self, context: CallContext, result: CallResult, *, took_s: float
     ) -> None:
-        """Count one call that ended at its ingress; None: refused before a context."""
-        labels = ("", "") if context is None else self._labels(context)
+        """Count one call that ended at its ingress."""
+        labels = self._labels(context)
         outcome = result.result
         said, reason = OUTCOME_ANSWER, ""
         if not isinstance(outcome, Answer):
             said, reason = outcome.outcome.value, outcome.reason.value
         self._calls.labels(*labels, said, reason).inc()
-        if context is None:
-            return
         series = self._of(context)
         series.latency.observe(took_s)
         if result.backend_s is not None:
@@ -104,10 +108,13 @@
         return series
 
     def _labels(self, context: CallContext) -> tuple[str, str]:
-        workspace = context.workspace
-        if workspace not in self._workspaces:
-            if len(self._workspaces) >= MAX_WORKSPACE_LABELS:
-                workspace = LABEL_OTHER
-            else:
-                self._workspaces.add(workspace)
-        return workspace, str(context.priority_rank)
+        return self._bounded(context.workspace), str(context.priority_rank)
+
+    def _bounded(self, workspace: str) -> str:
+        """Return the label of a workspace; past the bound all share one."""
+        if workspace in self._workspaces:
+            return workspace
+        if len(self._workspaces) >= MAX_WORKSPACE_LABELS:
+            return LABEL_OTHER
+        self._workspaces.add(workspace)
+        return workspace
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -222,7 +222,6 @@
         settings = self.settings
         return Ingress(
             IngressOptions(
-                instance=settings.instance,
                 caller_name=settings.pool,
                 proof_valid_s=settings.revoke_s,
             ),
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -38,7 +38,7 @@
 DRAIN_READY_S: Final = 2.3
 """Time to go on serving after SIGTERM, seconds: two readiness checks a second apart."""
 
-STOP_MARGIN_S: Final = 0.6
+STOP_MARGIN_S: Final = 0.9
 """Kept free before the platform kills a stopping process, seconds."""
 
 ANSWER_GRACE_S: Final = 0.06
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -1,4 +1,4 @@
-"""Serves callers: route, key, freshness, rate, choice of a server, sends again."""
+"""Serves callers: route, key, freshness, rate, early refusal, the answer."""
 
 import logging
 from collections.abc import Callable
@@ -44,7 +44,6 @@
     within `proof_valid_s`. `caller_name` is what servers are told of the origin.
     """
 
-    instance: str
     caller_name: str
     proof_valid_s: float
 
@@ -95,18 +94,21 @@
         config, routes = parts.configuration.config, parts.configuration.routes
         if config is None or routes is None:
             refusal = not_run(Reason.NO_CONFIGURATION, retry_after_s=NOT_READY_RETRY_S)
-            return self._refusal_answer(refusal, request_id, None)
+            return self._turned_away(refusal, request_id, None, "")
         route = routes.match(request.host, request.target)
         if route is None:
-            return self._refusal_answer(not_run(Reason.NO_ROUTE), request_id, None)
-        workspace = self._workspace(config, route, request, arrival.arrived_at)
+            return self._turned_away(not_run(Reason.NO_ROUTE), request_id, None, "")
+        workspace = self._workspace(config, route, request)
         if isinstance(workspace, Refusal):
-            return self._refusal_answer(workspace, request_id, route)
+            return self._turned_away(workspace, request_id, route, "")
+        over = self._over_rate(workspace, arrival.arrived_at)
+        if over is not None and workspace is not None:
+            return self._turned_away(over, request_id, route, workspace.name)
         caller = None if workspace else parts.running.caller_of(request_id)
         context = self._context(config, route, workspace, arrival, request_id, caller)
         early = self._early_refusal(context, workspace)
         if early is not None:
-            return self._refusal_answer(early, request_id, route)
+            return self._turned_away(early, request_id, route, context.workspace)
         forwarded = self._forwarded(request, workspace)
         result = await parts.dispatcher.dispatch(context, route, forwarded)
         self._ended(context, result, parts.clock() - arrival.arrived_at)
@@ -149,7 +151,7 @@
         )
 
     def _workspace(
-        self, config: ConfigSet, route: Route, request: Request, now: float
+        self, config: ConfigSet, route: Route, request: Request
     ) -> Workspace | Refusal | None:
         """Return whose request it is, None on a route that is open to all."""
         if route.access is Access.OPEN:
@@ -168,8 +170,22 @@
         key = config.keys_by_digest.get(digest_of(secret))
         if key is None:
             return not_run(Reason.KEY_UNKNOWN)
-        workspace = config.workspaces_by_name[key.workspace]
-        return self._parts.shares.spend(workspace, now) or workspace
+        return config.workspaces_by_name[key.workspace]
+
+    def _over_rate(self, workspace: Workspace | None, now: float) -> Refusal | None:
+        """Spend one token of the workspace's rate, or refuse."""
+        return None if workspace is None else self._parts.shares.spend(workspace, now)
+
+    def _turned_away(
+        self,
+        refusal: Refusal,
+        request_id: str | None,
+        route: Route | None,
+        workspace: str,
+    ) -> Answer:
+        """Count and answer a request that was sent to no server."""
+        self._parts.telemetry.turned_away(workspace, refusal)
+        return self._refusal_answer(refusal, request_id, route)
 
     def _context(
         self,
