--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -151,7 +151,7 @@
             return unknown(Reason.DEADLINE_PASSED)
         if isinstance(outcome, HttpFailure):
             return self._failed(context, outcome)
-        return self._judged(outcome)
+        return self._judged(context, outcome)
 
     async def _exchange(
         self, context: CallContext, request: Request, kept: bool
@@ -195,11 +195,22 @@
             return unknown(Reason.ANSWER_INCOMPLETE, detail=detail)
         return unknown(Reason.BACKEND_SERVER_FAILED, detail=detail)
 
-    def _judged(self, answer: Answer) -> Answer | Refusal:
+    def _judged(self, context: CallContext, answer: Answer) -> Answer | Refusal:
         """Tell a server's refusals from its answers."""
         dialect = self._parts.dialect
         not_run_said = header_value(answer.headers, dialect.not_run) is not None
         if not_run_said or answer.status in dialect.not_run_statuses:
+            _LOGGER.info(
+                "target: server refused.",
+                extra={
+                    "request_id": context.request_id,
+                    "route": context.route,
+                    "why": "not run",
+                    "status": answer.status,
+                    "server": self._parts.local.server,
+                    "running": self._parts.gate.running,
+                },
+            )
             return not_run(
                 Reason.OVERLOADED,
                 retry_after_s=NOT_READY_RETRY_S,
--- a/tests/helpers/test_logs.py
+++ b/tests/helpers/test_logs.py
@@ -1,10 +1,17 @@
 """Tests of helpers.logs."""
 
+import io
 import logging
+import threading
 import unittest
 
 from damaskbay.helpers.keys import new_key_secret
-from damaskbay.helpers.logs import RedactFilter, StormFilter
+from damaskbay.helpers.logs import (
+    MAX_QUEUED_LINES,
+    RedactFilter,
+    StormFilter,
+    set_up_queued_logging,
+)
 from tests.common import function_suite
 
 
@@ -37,6 +44,52 @@
     assert key not in logging.Formatter().format(record)
 
 
+class _StuckReader(io.StringIO):
+    """A stream whose reader reads nothing until it is let go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.go.wait(10)
+        return super().write(text)
+
+
+def test_a_flood_never_blocks_and_stays_bounded() -> None:
+    """With a reader that reads nothing lines are dropped and counted."""
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    stream = _StuckReader()
+    handler = set_up_queued_logging(level="INFO", lines_per_s=1e9, stream=stream)
+    logger = logging.getLogger("tests.flood")
+    try:
+        for number in range(3 * MAX_QUEUED_LINES):
+            logger.info("ingress: request refused.", extra={"request_id": number})
+        assert handler.dropped >= 2 * MAX_QUEUED_LINES - 10
+    finally:
+        stream.go.set()
+        root.handlers[:], root.level = handlers, level
+
+
+def test_lines_of_one_reason_are_cut_and_counted() -> None:
+    """Another reason has lines of its own."""
+    now = [100.0]
+    storms = StormFilter(3.0, lambda: now[0])
+
+    def record(why: str) -> logging.LogRecord:
+        made = logging.LogRecord("n", logging.INFO, "f", 1, "m", (), None)
+        made.why = why
+        return made
+
+    assert [storms.filter(record("a")) for _ in range(5)] == [True] * 3 + [False] * 2
+    assert storms.filter(record("b"))
+    now[0] += 1.5
+    later = record("a")
+    assert storms.filter(later)
+    assert "2 more like this left out" in later.msg
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -141,10 +141,12 @@
         await self._stack.enter_async_context(server)
         self._store_address = server.address
 
-    async def publish(self, *, keys: tuple[str, ...] = ("k1",), **route: Any) -> None:
+    async def publish(
+        self, *, keys: tuple[str, ...] = ("k1",), rate: int = 500, **route: Any
+    ) -> None:
         """Write the next version of the manifest."""
         self.version += 1
-        document = json.dumps(manifest(self.version, keys, route)).encode()
+        document = json.dumps(manifest(self.version, keys, rate, route)).encode()
         await self.kv.put(CONFIG_KEY, document)
 
     async def add(self, name: str, pool: str, **changes: Any) -> Node:
@@ -219,7 +221,7 @@
 
 
 def manifest(
-    version: int, keys: tuple[str, ...], changes: dict[str, Any]
+    version: int, keys: tuple[str, ...], rate: int, changes: dict[str, Any]
 ) -> dict[str, Any]:
     """Return a manifest: /safe/ and /unsafe/ go to pool one, /open/ to pool two."""
     spec: dict[str, Any] = {
@@ -240,7 +242,7 @@
             "AuthExempt": True,
         },
     ]
-    tenant = {"ApiKeys": list(keys), "Priority": 1, "RatePerS": 500, "Burst": 500}
+    tenant = {"ApiKeys": list(keys), "Priority": 1, "RatePerS": rate, "Burst": rate}
     entries = [("Routes", f"r{number}", route) for number, route in enumerate(routes)]
     entries += [("Services", name, {"MaxConnections": 50}) for name in ("one", "two")]
     entries += [("Tenants", "t", tenant)]
