--- a/damaskbay/config/objects.py
+++ b/damaskbay/config/objects.py
@@ -39,16 +39,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Workspace:
-    """
-    A tenant. Rate in requests/s and burst in requests, over the whole fleet.
-
-    A `priority` goes before that of the route.
-    """
+    """A tenant. Rate in requests/s and burst in requests, over the whole fleet."""
 
     name: str
     rate_per_s: float
     burst: int
     weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class RankedWorkspace(Workspace):
+    """A workspace whose own priority goes before that of the route."""
+
     priority: str | None = None
 
 
@@ -82,13 +84,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """The backend servers that answer to one name; `health_path` is probed."""
+    """The backend servers that answer to one name."""
 
     name: str
     slots_per_server: int
     connections_per_server: int
     other_domains: bool = True
-    health_path: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,9 +115,6 @@
     """
     What is called, where it goes and on which terms.
 
-    With `weighted_pools` calls are spread over these; `pool` is the first of them.
-    `objective_s` is the latency objective.
-
     `host` "*" matches every host; empty `methods` match every method. `calls`
     names the routes that this route's backend servers may call. Times in
     seconds. `retries` is the allowance of the whole call tree.
@@ -136,6 +134,16 @@
     calls: tuple[str, ...] = ()
     when_unproven: WhenUnproven = WhenUnproven.REFUSE
     unproven_after_s: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedRoute(Route):
+    """
+    A route that may spread its calls, and has a latency objective in seconds.
+
+    With `weighted_pools` calls go to these by weight; `pool` is the first of them.
+    """
+
     weighted_pools: tuple[WeightedPool, ...] = ()
     objective_s: float | None = None
 
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -8,7 +8,7 @@
 from damaskbay.adapters.http1.client import header_value
 from damaskbay.adapters.http1.server import Arrival
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
-from damaskbay.config.objects import Access, ConfigSet, Route, Workspace
+from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
 from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
 from damaskbay.core.http_status import status_of
 from damaskbay.core.outcome import Reason, Refusal, not_run
@@ -222,7 +222,7 @@
             under_resent=under_resent,
             request_id=request_id,
             config_version=config.version,
-            objective_s=route.objective_s,
+            objective_s=route.objective_s if isinstance(route, WeightedRoute) else None,
         )
 
     def _early_refusal(
--- a/damaskbay/mesh/weights.py
+++ b/damaskbay/mesh/weights.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from damaskbay.config.objects import Route, WeightedPool
+from damaskbay.config.objects import Route, WeightedPool, WeightedRoute
 
 
 class WeightedChoice:
@@ -14,9 +14,9 @@
 
     def pool(self, route: Route) -> str:
         """Return the pool for the next call of a route."""
-        parts = route.weighted_pools
-        if not parts:
+        if not isinstance(route, WeightedRoute) or not route.weighted_pools:
             return route.pool
+        parts = route.weighted_pools
         known = self._state.get(route.name)
         if known is None or known[0] != parts:
             total = sum(part.weight for part in parts)
--- a/damaskbay/platform/manifest.py
+++ b/damaskbay/platform/manifest.py
@@ -12,10 +12,10 @@
     Key,
     Pool,
     Priority,
-    Route,
+    RankedWorkspace,
     WeightedPool,
+    WeightedRoute,
     WhenUnproven,
-    Workspace,
 )
 from damaskbay.helpers.keys import digest_of
 from damaskbay.platform.exceptions import FieldError
@@ -91,13 +91,12 @@
         name,
         slots_per_server=1,
         connections_per_server=whole(spec, "MaxConnections", 0),
-        health_path=spec.get("HealthCheckPath") or None,
     )
 
 
-def _workspace(name: str, spec: Table) -> Workspace:
+def _workspace(name: str, spec: Table) -> RankedWorkspace:
     rank = spec.get("Priority")
-    return Workspace(
+    return RankedWorkspace(
         name,
         rate_per_s=number(spec, "RatePerS", UNLIMITED),
         burst=int(number(spec, "Burst", UNLIMITED)),
@@ -119,7 +118,7 @@
     return keys
 
 
-def _route(name: str, spec: Table, keyed: bool) -> Route:
+def _route(name: str, spec: Table, keyed: bool) -> WeightedRoute:
     kind = text(spec, "Kind")
     if kind not in KINDS:
         raise FieldError(f"Kind: {kind!r} is not known")
@@ -128,7 +127,7 @@
         raise FieldError("Prefix: a slash at both ends is wanted")
     parts = _weighted(spec)
     is_open = not keyed or flag(spec, "AuthExempt")
-    return Route(
+    return WeightedRoute(
         name=name,
         host=text(spec, "Host"),
         path_prefix=prefix,
@@ -158,7 +157,7 @@
     return tuple(parts)
 
 
-def _check_pools(route: Route, pools: dict[str, Pool]) -> None:
+def _check_pools(route: WeightedRoute, pools: dict[str, Pool]) -> None:
     named = [part.pool for part in route.weighted_pools] or [route.pool]
     for pool in named:
         if pool not in pools:
