--- a/damaskbay/core/http_status.py
+++ b/damaskbay/core/http_status.py
@@ -6,6 +6,9 @@
 
 from damaskbay.core.outcome import Reason, Refusal
 
+FIRST_SERVER_ERROR: Final = 500
+"""Statuses from here on say that the server failed."""
+
 _STATUS_BY_REASON: Final[Mapping[Reason, HTTPStatus]] = {
     Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
     Reason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
--- a/damaskbay/core/routing/health.py
+++ b/damaskbay/core/routing/health.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from damaskbay.core.admission.level import OPEN_LEVEL, pass_share
+from damaskbay.core.outcome import Reason
 from damaskbay.core.routing.const import (
     EJECTED_FIRST_S,
     EJECTED_JITTER_SHARE,
@@ -43,6 +44,17 @@
     TIMEOUT = "timeout"
 
 
+FAILURES_BY_REASON = {
+    Reason.PEER_UNREACHABLE: FailureKind.UNREACHABLE,
+    Reason.PEER_LOST: FailureKind.LOST,
+    Reason.BACKEND_SERVER_FAILED: FailureKind.FAILED,
+    Reason.ANSWER_INCOMPLETE: FailureKind.FAILED,
+    Reason.INTERNAL_ERROR: FailureKind.FAILED,
+    Reason.DEADLINE_PASSED: FailureKind.TIMEOUT,
+    Reason.CANCELLED: FailureKind.CANCELLED,
+}
+"""How a refusal after a send counts against the server."""
+
 _OF_THE_SERVER = frozenset(
     {
         FailureKind.UNREACHABLE,
--- a/damaskbay/daemon/dispatch.py
+++ b/damaskbay/daemon/dispatch.py
@@ -9,32 +9,24 @@
 from typing import Any
 
 from damaskbay.core.call import Answer, CallContext, CallResult, Request
+from damaskbay.core.http_status import FIRST_SERVER_ERROR
 from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
 from damaskbay.core.retry.budget import RetryBudget, RetryBudgetOptions
 from damaskbay.core.retry.decide import decide_retry
 from damaskbay.core.retry.tokens import split
-from damaskbay.core.routing import FailureKind, RouteOutcome, Router
+from damaskbay.core.routing import FAILURES_BY_REASON, FailureKind, RouteOutcome, Router
 from damaskbay.daemon.messages import (
     AnswerMessage,
     RefusalMessage,
     result_of,
     to_call_message,
 )
-from damaskbay.daemon.target import FIRST_SERVER_ERROR, Target, TargetCall
+from damaskbay.daemon.target import Target, TargetCall
 from damaskbay.helpers.cancellation import Cancellation
 from damaskbay.ports.fleet import Membership, ServerView
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerLink, PeerProblem
 
 _PEER_GRACE_S = 0.05
-_FAILURES_BY_REASON = {
-    Reason.PEER_UNREACHABLE: FailureKind.UNREACHABLE,
-    Reason.PEER_LOST: FailureKind.LOST,
-    Reason.BACKEND_SERVER_FAILED: FailureKind.FAILED,
-    Reason.ANSWER_INCOMPLETE: FailureKind.FAILED,
-    Reason.INTERNAL_ERROR: FailureKind.FAILED,
-    Reason.DEADLINE_PASSED: FailureKind.TIMEOUT,
-    Reason.CANCELLED: FailureKind.CANCELLED,
-}
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,5 +282,5 @@
         if outcome.status >= FIRST_SERVER_ERROR:
             failure = FailureKind.FAILED
     else:
-        failure = _FAILURES_BY_REASON.get(outcome.reason, FailureKind.REFUSED)
+        failure = FAILURES_BY_REASON.get(outcome.reason, FailureKind.REFUSED)
     return RouteOutcome(latency_s, result.admission_level, failure)
--- a/damaskbay/daemon/target.py
+++ b/damaskbay/daemon/target.py
@@ -7,6 +7,7 @@
 
 from damaskbay.core.admission import Sample
 from damaskbay.core.call import Answer, CallContext, CallResult, Request
+from damaskbay.core.http_status import FIRST_SERVER_ERROR
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.daemon.admission import AdmissionGate, Ticket
 from damaskbay.daemon.calls import CallRegistry
@@ -15,7 +16,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-FIRST_SERVER_ERROR = 500
 QUEUE_GRACE_S = 0.5
 SHORTEST_WAIT_S = 0.0005
 
--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -8,9 +8,10 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.config.objects import Route
 from damaskbay.core.call import Answer, CallContext, CallResult, Request
+from damaskbay.core.http_status import FIRST_SERVER_ERROR
 from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
 from damaskbay.core.retry.const import RETRIED_ELSEWHERE
-from damaskbay.core.routing import FailureKind, RouteOutcome, Router
+from damaskbay.core.routing import FAILURES_BY_REASON, FailureKind, RouteOutcome, Router
 from damaskbay.daemon.messages import (
     AnswerMessage,
     RefusalMessage,
@@ -31,20 +32,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-FIRST_SERVER_ERROR = 500
 
 _RETRIED_STATUSES = frozenset({500, 502})
 """Server failures after which another server may do better."""
 
-_FAILURES_BY_REASON = {
-    Reason.PEER_UNREACHABLE: FailureKind.UNREACHABLE,
-    Reason.PEER_LOST: FailureKind.LOST,
-    Reason.BACKEND_SERVER_FAILED: FailureKind.FAILED,
-    Reason.ANSWER_INCOMPLETE: FailureKind.FAILED,
-    Reason.INTERNAL_ERROR: FailureKind.FAILED,
-    Reason.DEADLINE_PASSED: FailureKind.TIMEOUT,
-}
-
 
 @dataclass(frozen=True, slots=True)
 class DispatchParts:
@@ -223,4 +214,4 @@
         if reason in (Reason.PEER_UNREACHABLE, Reason.BACKEND_SERVER_FAILED):
             return FailureKind.UNREACHABLE
         return FailureKind.REFUSED
-    return _FAILURES_BY_REASON.get(outcome.reason, FailureKind.REFUSED)
+    return FAILURES_BY_REASON.get(outcome.reason, FailureKind.REFUSED)
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -10,7 +10,7 @@
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
 from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
-from damaskbay.core.http_status import status_of
+from damaskbay.core.http_status import FIRST_SERVER_ERROR, status_of
 from damaskbay.core.outcome import Reason, Refusal, not_run
 from damaskbay.core.pressure import EdgePressure
 from damaskbay.core.quota.shares import DemandShares
@@ -29,7 +29,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-FIRST_SERVER_ERROR = 500
 SAMPLED_ANSWERS = 50
 """One whole answer in so many gets a log line; each failure asks for one."""
 SERVICE_UNAVAILABLE = 503
--- a/damaskbay/mesh/running.py
+++ b/damaskbay/mesh/running.py
@@ -3,15 +3,13 @@
 from dataclasses import dataclass
 
 from damaskbay.core.call import Answer, CallContext, CallResult
+from damaskbay.core.http_status import FIRST_SERVER_ERROR
 from damaskbay.core.pressure import PathLevels
 
 SEPARATOR = "."
 """Between the id of a call and what its nested calls add to it."""
 
 
-FIRST_SERVER_ERROR = 500
-
-
 @dataclass(slots=True, eq=False)
 class RunningCall:
     """A call at the server; `nested_failed` once a call that it made has failed."""
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -15,6 +15,7 @@
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.admission import Sample
 from damaskbay.core.call import Answer, CallContext, CallResult, Headers, Request
+from damaskbay.core.http_status import FIRST_SERVER_ERROR
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.core.retry.repeats import RepeatBudget
 from damaskbay.helpers.http_headers import without_hop_by_hop
@@ -27,7 +28,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-FIRST_SERVER_ERROR = 500
 FIRST_REDIRECT = 300
 
 
