--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -10,8 +10,9 @@
 import httptools
 
 from damaskbay.adapters.http1.exceptions import BadAnswerError
+from damaskbay.adapters.http1.names import decoded_name
 from damaskbay.adapters.http1.sockets import watch_peer
-from damaskbay.core.call import Answer, Headers, Request
+from damaskbay.core.call import Answer, Request
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
@@ -32,6 +33,9 @@
     STALE = "stale"
     """A kept connection was reset before any byte came back."""
 
+    TIMED_OUT = "timed_out"
+    """No whole answer came in time; the request may have run."""
+
     GARBLED = "garbled"
     """What came back is no whole answer to this request."""
 
@@ -68,6 +72,10 @@
 
     status: int = 0
     headers: list[tuple[str, str]] = field(default_factory=list)
+    keep_alive: str | None = None
+    echo: str | None = None
+    has_length: bool = False
+    encoded: bool = False
     body: list[bytes] = field(default_factory=list)
     body_bytes: int = 0
     ends_with_connection: bool = False
@@ -78,6 +86,7 @@
 
     def __init__(self, options: HttpClientOptions) -> None:
         self._options = options
+        self._echo_name = (options.echo_header or "").lower()
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._waiting: asyncio.Future[Answer | HttpFailure] | None = None
@@ -128,17 +137,25 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
-        item = (name.decode("latin-1"), value.decode("latin-1"))
-        self._reply.headers.append(item)
+        reply = self._reply
+        sent, lower = decoded_name(name)
+        text = value.decode("latin-1")
+        reply.headers.append((sent, text))
+        if lower == self._echo_name:
+            reply.echo = text if reply.echo is None else reply.echo
+        elif lower in ("content-length", "transfer-encoding"):
+            reply.has_length = True
+        elif lower == "keep-alive":
+            reply.keep_alive = text
+        elif lower == "content-encoding":
+            reply.encoded = True
 
     def on_headers_complete(self) -> None:
         """Find out how the answer is framed."""
         reply = self._reply
         reply.status = self._parser.get_status_code()
-        names = {name.lower() for name, _ in reply.headers}
-        framed = "content-length" in names or "transfer-encoding" in names
-        reply.ends_with_connection = not framed
-        if "content-encoding" in names:
+        reply.ends_with_connection = not reply.has_length
+        if reply.encoded:
             raise BadAnswerError("answer is encoded")
         if self._request is not None and self._request.method == "HEAD":
             self.reusable = False
@@ -161,8 +178,14 @@
         self._keep_for(reply)
         self._settle(self._whole(reply))
 
-    async def send(self, request: Request, echo: str | None) -> Answer | HttpFailure:
-        """Send a request and wait for its answer; cancelling closes the connection."""
+    async def send(
+        self, request: Request, echo: str | None, timeout_s: float | None
+    ) -> Answer | HttpFailure:
+        """
+        Send a request and wait for its answer, at most `timeout_s` seconds.
+
+        The end of that time closes the connection, as does cancelling.
+        """
         transport = self._transport
         if transport is None or transport.is_closing():
             return HttpFailure(HttpProblem.NOT_SENT, "connection is closed")
@@ -171,8 +194,12 @@
         self._request = request
         self._expected_echo = echo
         self._reply = _Reply()
-        self._waiting = asyncio.get_running_loop().create_future()
-        waiting = self._waiting
+        loop = asyncio.get_running_loop()
+        waiting: asyncio.Future[Answer | HttpFailure] = loop.create_future()
+        self._waiting = waiting
+        timer = None
+        if timeout_s is not None:
+            timer = loop.call_later(timeout_s, self._time_out)
         transport.write(encode_request(request))
         try:
             return await waiting
@@ -180,6 +207,9 @@
             self._waiting = None
             self._drop()
             raise
+        finally:
+            if timer is not None:
+                timer.cancel()
 
     def idle(self) -> bool:
         """Tell whether the connection can carry another request."""
@@ -194,6 +224,9 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _time_out(self) -> None:
+        self._settle(HttpFailure(HttpProblem.TIMED_OUT, "no whole answer in time"))
+
     def _drop(self) -> None:
         self.reusable = False
         if self._transport is not None:
@@ -201,23 +234,20 @@
 
     def _keep_for(self, reply: _Reply) -> None:
         kept_s = self._options.idle_s
-        for name, value in reply.headers:
-            if name.lower() == "keep-alive" and "timeout=" in value:
-                stated = value.partition("timeout=")[2].partition(",")[0].strip()
-                if stated.isdigit():
-                    kept_s = int(stated) - self._options.idle_margin_s
+        if reply.keep_alive is not None and "timeout=" in reply.keep_alive:
+            stated = reply.keep_alive.partition("timeout=")[2].partition(",")[0]
+            if stated.strip().isdigit():
+                kept_s = int(stated) - self._options.idle_margin_s
         self.idle_until = monotonic_s() + kept_s
 
     def _whole(self, reply: _Reply) -> Answer | HttpFailure | None:
         """Return the answer, None where it belongs to an earlier request."""
         answer = Answer(reply.status, tuple(reply.headers), b"".join(reply.body))
-        echo = self._options.echo_header
-        if echo is None or self._expected_echo is None:
+        if not self._echo_name or self._expected_echo is None:
             return answer
-        said = header_value(answer.headers, echo)
-        if said == self._expected_echo:
+        if reply.echo == self._expected_echo:
             return answer
-        if said is None:
+        if reply.echo is None:
             return HttpFailure(HttpProblem.GARBLED, "answer names no request")
         return None
 
@@ -243,21 +273,30 @@
         self.opened = 0
 
     async def send(
-        self, request: Request, *, echo: str | None = None, fresh: bool = False
+        self,
+        request: Request,
+        *,
+        echo: str | None = None,
+        fresh: bool = False,
+        timeout_s: float | None = None,
     ) -> Answer | HttpFailure:
         """
         Send once and return a whole answer or a failure; cancelling cancels it.
 
-        With `fresh` only a new connection or one used a moment ago is taken.
+        With `fresh` only a new connection is taken. `timeout_s` bounds connecting
+        and waiting for the answer together, in seconds.
         """
         connection = None if fresh else self._kept()
         if connection is None:
-            opened = await self._connect()
+            began_at = monotonic_s()
+            opened = await self._connect(timeout_s)
             if isinstance(opened, HttpFailure):
                 return opened
             connection = opened
+            if timeout_s is not None:
+                timeout_s = max(0.0, timeout_s - (monotonic_s() - began_at))
         try:
-            answer = await connection.send(request, echo)
+            answer = await connection.send(request, echo, timeout_s)
         except BaseException:
             connection.close()
             raise
@@ -281,8 +320,11 @@
             connection.close()
         return None
 
-    async def _connect(self) -> ClientConnection | HttpFailure:
+    async def _connect(self, timeout_s: float | None) -> ClientConnection | HttpFailure:
         loop = asyncio.get_running_loop()
+        longest_s = self._options.connect_timeout_s
+        if timeout_s is not None:
+            longest_s = min(longest_s, timeout_s)
         try:
             _, connection = await asyncio.wait_for(
                 loop.create_connection(
@@ -290,7 +332,7 @@
                     self.address.host,
                     self.address.port,
                 ),
-                self._options.connect_timeout_s,
+                longest_s,
             )
         except (OSError, TimeoutError) as error:
             return HttpFailure(HttpProblem.NOT_SENT, type(error).__name__)
@@ -298,15 +340,6 @@
         return connection
 
 
-def header_value(headers: Headers, name: str) -> str | None:
-    """Return the first value of a header, None where there is none."""
-    wanted = name.lower()
-    for key, value in headers:
-        if key == name or key.lower() == wanted:
-            return value
-    return None
-
-
 def encode_request(request: Request) -> bytes:
     """Return the bytes of a request whose headers name neither host nor length."""
     lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {request.host}"]
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -17,15 +17,17 @@
     SWEEP_S,
     WRITE_STALLED_S,
 )
+from damaskbay.adapters.http1.names import decoded_name
 from damaskbay.adapters.http1.sockets import watch_peer
 from damaskbay.config.objects import CallerLimits
-from damaskbay.core.call import Answer, Headers, Request
+from damaskbay.core.call import Answer, Request
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
 _LOGGER = logging.getLogger(__name__)
 
 _WITHOUT_BODY = frozenset({204, 304})
+_PHRASES = {int(status): status.phrase for status in http.HTTPStatus}
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +58,8 @@
 
     target: bytes = b""
     headers: list[tuple[str, str]] = field(default_factory=list)
+    host: str = ""
+    expects_continue: bool = False
     body: list[bytes] = field(default_factory=list)
     body_bytes: int = 0
 
@@ -145,17 +149,20 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
-        item = (name.decode("latin-1"), value.decode("latin-1"))
-        self._reading.headers.append(item)
+        reading = self._reading
+        sent, lower = decoded_name(name)
+        text = value.decode("latin-1")
+        reading.headers.append((sent, text))
+        if lower == "host":
+            reading.host = reading.host or text
+        elif lower == "expect" and text.lower() == "100-continue":
+            reading.expects_continue = True
 
     def on_headers_complete(self) -> None:
         """Go on with the body."""
         self._in_headers = False
         self._header_bytes = 0
-        waits = any(
-            name.lower() == "expect" and value.lower() == "100-continue"
-            for name, value in self._reading.headers
-        )
+        waits = self._reading.expects_continue
         if waits and not self._exchanges and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -172,10 +179,9 @@
         self._reading = _Reading()
         if self._closing:
             return
-        host = next((v for n, v in reading.headers if n.lower() == "host"), "")
         request = Request(
             self._parser.get_method().decode("ascii"),
-            host,
+            reading.host,
             reading.target.decode("latin-1"),
             tuple(reading.headers),
             b"".join(reading.body),
@@ -333,24 +339,14 @@
 
 
 def encode_answer(answer: Answer, method: str, keep_alive: bool) -> bytes:
-    """Return the bytes of an answer, framed by its length."""
+    """Return the bytes of an answer whose headers name no length."""
     bodiless = method == "HEAD" or answer.status in _WITHOUT_BODY
-    lines = [f"HTTP/1.1 {answer.status} {_phrase(answer.status)}"]
-    lines += [f"{name}: {value}" for name, value in _framed(answer.headers)]
+    phrase = _PHRASES.get(answer.status, "Unknown")
+    lines = [f"HTTP/1.1 {answer.status} {phrase}"]
+    lines += [f"{name}: {value}" for name, value in answer.headers]
     if answer.status not in _WITHOUT_BODY:
         lines.append(f"Content-Length: {len(answer.body)}")
     if not keep_alive:
         lines.append("Connection: close")
     head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
     return head if bodiless else head + answer.body
-
-
-def _framed(headers: Headers) -> Headers:
-    return tuple(item for item in headers if item[0].lower() != "content-length")
-
-
-def _phrase(status: int) -> str:
-    try:
-        return http.HTTPStatus(status).phrase
-    except ValueError:
-        return "Unknown"
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -97,12 +97,14 @@
         link = self._links.get(peer)
         return link is not None and link.open and not link.suspect
 
-    async def request(self, peer: PeerAddress, message: Any) -> Any:
+    async def request(
+        self, peer: PeerAddress, message: Any, *, timeout_s: float
+    ) -> Any:
         """Send over the link to a peer and return its answer or a PeerFailure."""
         link = self._links.get(peer)
         if link is None:
             return PeerFailure(PeerProblem.NOT_SENT, "no link")
-        return await link.request(message)
+        return await link.request(message, timeout_s=timeout_s)
 
     def tell_all(self) -> None:
         """Send a note on every link now."""
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -86,14 +86,20 @@
         for frame in frames:
             self._handle(frame)
 
-    async def request(self, message: Any) -> Any:
-        """Send and wait for the answer or a PeerFailure; cancelling tells the peer."""
+    async def request(self, message: Any, *, timeout_s: float) -> Any:
+        """
+        Send and wait for the answer or a PeerFailure, at most `timeout_s` seconds.
+
+        The peer is told when the time is up, and when the request is cancelled.
+        """
         if not self.open or self._transport is None:
             return PeerFailure(PeerProblem.NOT_SENT, "link is down")
         self._last_id += 1
         number = self._last_id
-        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Any] = loop.create_future()
         self._waiting[number] = future
+        timer = loop.call_later(timeout_s, self._time_out, number)
         self._transport.write(encode(FrameKind.REQUEST, number, pack(message)))
         try:
             return await future
@@ -101,6 +107,7 @@
             self._write(FrameKind.CANCEL, number)
             raise
         finally:
+            timer.cancel()
             self._waiting.pop(number, None)
 
     def send(self, message: Any) -> None:
@@ -112,6 +119,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _time_out(self, number: int) -> None:
+        future = self._waiting.get(number)
+        if future is not None and not future.done():
+            self._write(FrameKind.CANCEL, number)
+            future.set_result(PeerFailure(PeerProblem.TIMEOUT))
+
     def _write(self, kind: FrameKind, number: int, payload: bytes = b"") -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(encode(kind, number, payload))
--- a/damaskbay/adapters/telemetry/bound.py
+++ b/damaskbay/adapters/telemetry/bound.py
@@ -32,6 +32,7 @@
         self.latency = telemetry.latency.labels(*labels)
         self.queue_wait = telemetry.queue_wait.labels(*labels)
         self.added = telemetry.added.labels(*labels)
+        self.ends_by_reason: dict[str, Counter] = {}
 
 
 class BoundTelemetry:
@@ -70,18 +71,13 @@
         self, context: CallContext, result: CallResult, *, took_s: float
     ) -> None:
         """Count one call that ended at its ingress."""
-        labels = self._labels(context)
-        outcome = result.result
-        said, reason = OUTCOME_ANSWER, ""
-        if not isinstance(outcome, Answer):
-            said, reason = outcome.outcome.value, outcome.reason.value
-        self._calls.labels(*labels, said, reason).inc()
         series = self._of(context)
+        self._ended(context, series, result.result).inc()
         series.latency.observe(took_s)
         if result.backend_s is not None:
             series.added.observe(max(0.0, took_s - result.backend_s))
         if result.attempts > 1:
-            self._retries.labels(*labels).inc(result.attempts - 1)
+            self._retries.labels(*self._labels(context)).inc(result.attempts - 1)
 
     def queue_waited(self, context: CallContext, waited_s: float) -> None:
         """Count the time that a call waited for admission, in seconds."""
@@ -95,6 +91,21 @@
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
+    def _ended(
+        self, context: CallContext, series: _Series, outcome: Answer | Refusal
+    ) -> Counter:
+        """Return the counter of one way to end, found once."""
+        said, key = OUTCOME_ANSWER, ""
+        if isinstance(outcome, Refusal):
+            said = outcome.outcome.value
+            key = f"{said} {outcome.reason.value}"
+        counter = series.ends_by_reason.get(key)
+        if counter is None:
+            reason = outcome.reason.value if isinstance(outcome, Refusal) else ""
+            counter = self._calls.labels(*self._labels(context), said, reason)
+            series.ends_by_reason[key] = counter
+        return counter
+
     def _histogram(self, name: str, labels: tuple[str, ...]) -> Histogram:
         return Histogram(
             name, name, labels, registry=self._registry, buckets=LATENCY_BUCKETS_S
--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -23,6 +23,9 @@
 from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Reason, Refusal, not_run
 
+LEAST_RANK = 1
+"""Stands for every rank but the most important one, whose queue may be longer."""
+
 LimitFactory = Callable[[int, float], ConcurrencyLimit]
 """Makes a limit from slots and the present time in seconds."""
 
@@ -121,6 +124,13 @@
         """Ask for admission of a call."""
         context = item.context
         self._level.offered(context.priority_rank)
+        if self.has_room():
+            decision = self._decided(item, now)
+            if isinstance(decision, Start):
+                rank, workspace = context.priority_rank, context.workspace
+                self._queue.charge(rank, workspace, item.weight)
+            self._level.update(now)
+            return (decision,)
         left_s = context.deadline - now
         wait_until = now + left_s * self._options.wait_share
         self._queue.push(Entry(item, now, wait_until))
@@ -163,7 +173,7 @@
         """Refuse what has waited too long; call several times a second."""
         decisions: list[Decision] = []
         for entry in self._queue.from_last():
-            refusal = self._passed(entry, now) or self._waited(entry, now)
+            refusal = self._passed(entry.item, now) or self._waited(entry, now)
             if refusal is not None:
                 decisions.append(self._refuse(entry, refusal, now))
         self._queue.forget_idle()
@@ -191,7 +201,8 @@
         decisions: list[Decision] = []
         while self._queue and self._may_start():
             decisions.append(self._decide_next(now))
-        while self._queue:
+        shortest = self._queue_length(LEAST_RANK)
+        while len(self._queue) > shortest:
             last = self._queue.last(now)
             if len(self._queue) <= self._queue_length(last.rank):
                 break
@@ -208,16 +219,25 @@
 
     def _decide_next(self, now: float) -> Decision:
         entry = self._queue.next(now)
-        refusal = self._passed(entry, now) or self._too_short(entry, now)
+        decision = self._decided(entry.item, now)
+        if isinstance(decision, Start):
+            self._queue.started(entry, now)
+        else:
+            self._queue.remove(entry.item.ticket)
+        return decision
+
+    def _decided(self, item: Waiting, now: float) -> Decision:
+        """Start a call for which there is room, or refuse one that is too late."""
+        refusal = self._passed(item, now) or self._too_short(item, now)
         if refusal is not None:
-            return self._refuse(entry, refusal, now)
-        self._queue.started(entry, now)
-        self._running[entry.item.ticket] = entry.item.context
+            self._count_refusal(now)
+            return Refuse(item.ticket, refusal)
+        self._running[item.ticket] = item.context
         self._level.started()
-        return Start(entry.item.ticket)
+        return Start(item.ticket)
 
-    def _passed(self, entry: Entry, now: float) -> Refusal | None:
-        if now >= entry.item.context.deadline:
+    def _passed(self, item: Waiting, now: float) -> Refusal | None:
+        if now >= item.context.deadline:
             return not_run(Reason.DEADLINE_PASSED)
         return None
 
@@ -227,9 +247,9 @@
             return None
         return self._capacity(Reason.OVERLOADED)
 
-    def _too_short(self, entry: Entry, now: float) -> Refusal | None:
+    def _too_short(self, item: Waiting, now: float) -> Refusal | None:
         """Refuse what can't end in time, but let one through now and then."""
-        context = entry.item.context
+        context = item.context
         if now + self._latency(context).seconds(now) <= context.deadline:
             return None
         if now - self._trickled_at >= TRICKLE_S:
--- a/damaskbay/core/admission/queue.py
+++ b/damaskbay/core/admission/queue.py
@@ -105,6 +105,15 @@
         longest = max(waiting, key=lambda item: item.count / item.weight)
         return longest.last(newest=newest)
 
+    def charge_unqueued(self, name: str, weight: float) -> None:
+        workspace = self.by_workspace.get(name)
+        if workspace is None:
+            workspace = self.by_workspace[name] = _WorkspaceQueue()
+        workspace.served = max(workspace.served, self.served)
+        workspace.weight = max(weight, 1e-6)
+        self.served = workspace.served
+        workspace.served += 1.0 / workspace.weight
+
     def charge(self, entry: Entry) -> None:
         workspace = self.by_workspace[entry.workspace]
         self.served = max(self.served, workspace.served)
@@ -157,6 +166,14 @@
             self._standing_since = None
         return entry
 
+    def charge(self, rank: int, workspace: str, weight: float) -> None:
+        """Charge a call to its workspace that starts without having waited."""
+        queue = self._by_rank.get(rank)
+        if queue is None:
+            queue = self._by_rank[rank] = _RankQueue()
+        queue.charge_unqueued(workspace, weight)
+        self._standing_since = None
+
     def next(self, now: float) -> Entry:
         """Return the call to start next; the queue must not be empty."""
         rank = min(rank for rank, queue in self._by_rank.items() if queue.count)
--- a/damaskbay/core/routing/router.py
+++ b/damaskbay/core/routing/router.py
@@ -66,20 +66,17 @@
         `other_domains` is what the pool allows. `local_room` is what the gate of
         the local backend server says, None where it is not at hand.
         """
-        allowed = self._sampled(
-            [
-                view
-                for view in self._allowed(servers, other_domains)
-                if view.instance not in excluded
-            ]
-        )
-        if not allowed:
+        allowed = self._allowed(servers, other_domains)
+        if excluded:
+            allowed = [view for view in allowed if view.instance not in excluded]
+        usable = self._sampled(allowed)
+        if not usable:
             return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=self._wait_s(1.0))
-        self._look(allowed, now)
-        trickle = self._trickle(allowed, context, now)
-        if trickle is not None:
-            return trickle
-        usable = self._usable(allowed)
+        if self._look(usable, now):
+            trickle = self._trickle(usable, context, now)
+            if trickle is not None:
+                return trickle
+            usable = self._usable(usable)
         local = next((view for view in usable if view.local), None)
         if local is not None and self._has_room(local, context, now, local_room):
             return local
@@ -170,13 +167,17 @@
     def _draw(self, servers: list[ServerView]) -> list[ServerView]:
         return self._rng.sample(servers, min(len(servers), SAMPLED_SERVERS))
 
-    def _look(self, servers: Sequence[ServerView], now: float) -> None:
+    def _look(self, servers: Sequence[ServerView], now: float) -> bool:
+        """Take in what is reported; tell whether any of the servers is ejected."""
+        ejected = False
         for view in servers:
             health = self._by_instance.get(view.instance)
             if health is None or health.incarnation != view.incarnation:
                 self._by_instance[view.instance] = Health(view, now)
             else:
                 health.look(view, now)
+                ejected = ejected or health.ejected()
+        return ejected
 
     def _trickle(
         self, servers: Sequence[ServerView], context: CallContext, now: float
@@ -241,7 +242,7 @@
         """Return the better of two servers, of the own domain and any other."""
         if len(servers) == 1:
             return servers[0]
-        first, second = self._rng.sample(servers, 2)
+        first, second = self._two(servers)
         own = self._options.failure_domain
         near = [view for view in servers if view.failure_domain == own]
         if self._options.trust_load and near:
@@ -251,6 +252,12 @@
             return second
         return first
 
+    def _two(self, servers: list[ServerView]) -> tuple[ServerView, ServerView]:
+        """Draw two servers of a list of two or more."""
+        first = int(self._rng.random() * len(servers))
+        second = int(self._rng.random() * (len(servers) - 1))
+        return servers[first], servers[second + (second >= first)]
+
     def _score(self, view: ServerView, rank: int, now: float) -> float:
         health = self._by_instance[view.instance]
         if self._options.trust_load:
--- a/damaskbay/helpers/clock.py
+++ b/damaskbay/helpers/clock.py
@@ -1,8 +1,11 @@
 """The clock that leases and deadlines are kept by."""
 
 import time
+from collections.abc import Callable
+from functools import partial
+from typing import Final
 
-
-def monotonic_s() -> float:
-    """Return seconds that also run while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+monotonic_s: Final[Callable[[], float]] = partial(
+    time.clock_gettime, time.CLOCK_BOOTTIME
+)
+"""Returns seconds that also run while the machine is suspended."""
--- a/damaskbay/helpers/messages.py
+++ b/damaskbay/helpers/messages.py
@@ -2,20 +2,36 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, fields
-from typing import Any, TypeVar
+from functools import cached_property
+from operator import attrgetter
+from typing import Any, TypeVar, get_type_hints
 
-import msgpack
-from pydantic import TypeAdapter, ValidationError
+import msgspec
 
 T = TypeVar("T")
 
 
-@dataclass(frozen=True, slots=True)
 class _MessageType:
-    kind: str
-    type: type[Any]
-    field_names: tuple[str, ...]
-    adapter: TypeAdapter[Any]
+    """How one kind of message is encoded: its kind, then its fields in order."""
+
+    def __init__(self, kind: str, cls: type[Any]) -> None:
+        self.kind = kind
+        self.cls = cls
+        names = [item.name for item in fields(cls)]
+        self._values = attrgetter(*names)
+        self._names = names
+
+    @cached_property
+    def decoder(self) -> msgspec.msgpack.Decoder[Any]:
+        """Decodes and validates the fields; made on first use."""
+        hints = get_type_hints(self.cls)
+        types = tuple(hints[name] for name in self._names)
+        return msgspec.msgpack.Decoder(tuple[types])  # type: ignore[valid-type]
+
+    def values(self, item: Any) -> tuple[Any, ...]:
+        """Return the fields of a message."""
+        found = self._values(item)
+        return found if len(self._names) > 1 else (found,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,16 +43,17 @@
 
 _types_by_kind: dict[str, _MessageType] = {}
 _types_by_class: dict[type[Any], _MessageType] = {}
+_encoder = msgspec.msgpack.Encoder()
+_envelope_decoder = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
 
 
 def message(kind: str) -> Callable[[type[T]], type[T]]:
     """Register a frozen data class as the message of one kind."""
 
     def register(cls: type[T]) -> type[T]:
-        names = tuple(item.name for item in fields(cls))  # type: ignore[arg-type]
-        entry = _MessageType(kind, cls, names, TypeAdapter(cls))
         if kind in _types_by_kind:
             raise ValueError(f"message kind {kind!r} is registered twice")
+        entry = _MessageType(kind, cls)
         _types_by_kind[kind] = entry
         _types_by_class[cls] = entry
         return cls
@@ -47,8 +64,7 @@
 def pack(item: Any) -> bytes:
     """Encode a registered message."""
     entry = _types_by_class[type(item)]
-    values = [getattr(item, name) for name in entry.field_names]
-    return msgpack.packb([entry.kind, values], default=_plain)  # type: ignore[no-any-return]
+    return _encoder.encode((entry.kind, entry.values(item)))
 
 
 def unpack(data: bytes, *, max_bytes: int) -> Any | BadMessage:
@@ -56,25 +72,10 @@
     if len(data) > max_bytes:
         return BadMessage(f"{len(data)} bytes exceed the limit of {max_bytes}")
     try:
-        kind, values = msgpack.unpackb(data)
+        kind, values = _envelope_decoder.decode(data)
         entry = _types_by_kind[kind]
-        named = dict(zip(entry.field_names, values, strict=True))
-        return entry.adapter.validate_python(named)
-    except ValidationError as error:
-        first = error.errors(include_url=False, include_input=False)[0]
-        return BadMessage(f"field {first['loc']}: {first['msg']}")
-    except (KeyError, TypeError, ValueError, RecursionError) as error:
-        return BadMessage(f"not a message: {type(error).__name__}")
-    except msgpack.exceptions.UnpackException as error:
-        return BadMessage(f"not msgpack: {type(error).__name__}")
-
-
-def _plain(value: Any) -> Any:
-    """Turn nested data classes, enums and sets into what msgpack knows."""
-    if hasattr(value, "__dataclass_fields__"):
-        return {item.name: getattr(value, item.name) for item in fields(value)}
-    if hasattr(value, "value"):
-        return value.value
-    if isinstance(value, (set, frozenset)):
-        return sorted(value)
-    raise TypeError(f"{type(value).__name__} does not go into a message")
+        return entry.cls(*entry.decoder.decode(values))
+    except KeyError:
+        return BadMessage("not a message: unknown kind")
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return BadMessage(f"not a message: {error}")
--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable, Sequence
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 from damaskbay.config.objects import ConfigSet
 from damaskbay.mesh.configuration import Configuration
@@ -29,6 +29,9 @@
 PEERS_ASKED = 2
 """Peers asked at once."""
 
+ASK_TIMEOUT_S = 1.0
+"""Longest wait for a peer's answer, seconds; a silent link is found as soon."""
+
 Decode = Callable[[bytes], ConfigSet | str]
 """Returns the set in a stored value, or what is wrong with it."""
 
@@ -120,6 +123,16 @@
         self.store_reached = True
 
 
+class AskPeer(Protocol):
+    """Sends a message to a peer and returns its answer or a PeerFailure."""
+
+    async def __call__(
+        self, peer: PeerAddress, message: Any, *, timeout_s: float
+    ) -> Any:
+        """Wait at most `timeout_s` seconds."""
+        ...
+
+
 class PeerConfig:
     """Asks peers for newer sets and for proofs while the store can't be reached."""
 
@@ -129,7 +142,7 @@
         configuration: Configuration,
         *,
         peers: Callable[[], Sequence[PeerAddress]],
-        request: Callable[[PeerAddress, Any], Any],
+        request: AskPeer,
         rng: Random,
         clock: Callable[[], float],
     ) -> None:
@@ -168,7 +181,8 @@
 
     async def _ask(self, peer: PeerAddress) -> None:
         began_at = self._clock()
-        reply = await self._request(peer, ConfigWanted(self._configuration.version))
+        wanted = ConfigWanted(self._configuration.version)
+        reply = await self._request(peer, wanted, timeout_s=ASK_TIMEOUT_S)
         if not isinstance(reply, ConfigHeld):
             return
         if reply.document:
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -17,9 +17,6 @@
 MAX_REDIRECTS: Final = 3
 """Daemons asked in turn while none has handed the request to its server."""
 
-DEADLINE_SLACK_S: Final = 0.03
-"""Kept free of a deadline for the answer to reach the caller, seconds."""
-
 RESEND_LEAST_S: Final = 0.05
 """Time that must be left for another send, seconds."""
 
--- a/damaskbay/mesh/directory.py
+++ b/damaskbay/mesh/directory.py
@@ -153,7 +153,7 @@
     def _take(
         self, record: MemberRecord, now: float, *, listed: bool
     ) -> _Member | None:
-        self._views_by_pool.clear()
+        self._views_by_pool.pop(record.pool, None)
         member = self._by_instance.get(record.instance)
         if member is None:
             member = _Member(record, listed, now - SLOW_START_S)
@@ -177,5 +177,7 @@
                 "fleet: server's state has changed.",
                 extra={"peer": record.instance, "state": record.state.value},
             )
+        if record.pool != known.pool:
+            self._views_by_pool.pop(known.pool, None)
         member.record = record
         return member
--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -1,6 +1,5 @@
 """Sends a request to a server, and again where that is allowed."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -20,7 +19,6 @@
 )
 from damaskbay.mesh.const import (
     ANSWER_GRACE_S,
-    DEADLINE_SLACK_S,
     MAX_REDIRECTS,
     NOT_READY_RETRY_S,
     RESEND_LEAST_S,
@@ -70,22 +68,12 @@
     ) -> CallResult:
         """Send until an answer, a refusal that stands, or the deadline."""
         sends = _Sends()
-        try:
-            async with asyncio.timeout(
-                context.deadline + ANSWER_GRACE_S - self._parts.clock()
-            ):
-                while True:
-                    if sends.arrived and not context.resent:
-                        context = replace(context, resent=True)
-                    result = await self._attempt(context, request, sends)
-                    if not self._again(context, route, sends, result):
-                        return self._final(sends, result)
-        except TimeoutError:
-            if sends.answered is not None:
-                return sends.answered
-            if sends.may_have_run:
-                return CallResult(unknown(Reason.DEADLINE_PASSED))
-            return CallResult(not_run(Reason.DEADLINE_PASSED))
+        while True:
+            if sends.arrived and not context.resent:
+                context = replace(context, resent=True)
+            result = await self._attempt(context, request, sends)
+            if not self._again(context, route, sends, result):
+                return self._final(sends, result)
 
     async def _attempt(
         self, context: CallContext, request: Request, sends: _Sends
@@ -106,10 +94,6 @@
         try:
             result = await self._send(choice, context, request)
             failure, load = _failure_of(result), result.load
-        except asyncio.CancelledError:
-            if parts.clock() >= context.deadline - DEADLINE_SLACK_S:
-                failure = FailureKind.TIMEOUT
-            raise
         finally:
             ended = parts.clock()
             outcome = RouteOutcome(ended - now, None, failure, load)
@@ -126,8 +110,10 @@
         parts = self._parts
         if server.local:
             return await parts.target.run(context, request)
-        message = to_call_message(context, request, now=parts.clock())
-        reply = await parts.links.request(server.address, message)
+        now = parts.clock()
+        message = to_call_message(context, request, now=now)
+        timeout_s = max(0.0, context.deadline + ANSWER_GRACE_S - now)
+        reply = await parts.links.request(server.address, message, timeout_s=timeout_s)
         if isinstance(reply, (AnswerMessage, RefusalMessage)):
             return result_of(reply)
         unsent = isinstance(reply, PeerFailure) and reply.problem in (
@@ -137,7 +123,11 @@
         if unsent:
             refusal = not_run(Reason.PEER_UNREACHABLE, retry_after_s=NOT_READY_RETRY_S)
             return CallResult(refusal, attempts=0, served_by=server.instance)
-        refusal = unknown(Reason.PEER_LOST, detail=str(reply))
+        timed_out = (
+            isinstance(reply, PeerFailure) and reply.problem is PeerProblem.TIMEOUT
+        )
+        reason = Reason.DEADLINE_PASSED if timed_out else Reason.PEER_LOST
+        refusal = unknown(reason, detail=str(reply))
         return CallResult(refusal, served_by=server.instance)
 
     def _again(
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -67,11 +67,15 @@
                 return not_run(Reason.QUEUE_FULL, retry_after_s=wait_s, detail=detail)
         self._last += 1
         ticket = self._last
+        item = Waiting(ticket, context, weight, context.depth)
+        decisions = self._controller.offer(item, now)
+        self._settle(decisions)
+        for decision in decisions:
+            if decision.ticket == ticket:
+                return decision.refusal if isinstance(decision, Refuse) else ticket
         future: asyncio.Future[Refusal | None]
         future = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = future
-        item = Waiting(ticket, context, weight, context.depth)
-        self._settle(self._controller.offer(item, now))
         try:
             refusal = await future
         except asyncio.CancelledError:
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from damaskbay.adapters.http1.client import header_value
 from damaskbay.adapters.http1.server import Arrival
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
@@ -14,7 +13,7 @@
 from damaskbay.core.outcome import Reason, Refusal, not_run
 from damaskbay.core.pressure import EdgePressure
 from damaskbay.core.quota.shares import DemandShares
-from damaskbay.helpers.http_headers import without_hop_by_hop
+from damaskbay.helpers.http_headers import HeaderSieve
 from damaskbay.helpers.keys import digest_of
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
@@ -70,8 +69,15 @@
         self._parts = parts
         self._weights = WeightedChoice(parts.rng)
         self._answers = 0
-        dropped = {"host", "content-length", "expect", parts.dialect.request_id.lower()}
-        self._dropped = parts.dialect.set_by_us | dropped
+        dialect = parts.dialect
+        self._request_id = dialect.request_id.lower()
+        self._key = dialect.key.lower()
+        self._deadline_ms = dialect.deadline_ms.lower()
+        self._sieve = HeaderSieve(
+            dropped=dialect.set_by_us
+            | {"host", "content-length", "expect", self._request_id},
+            read=frozenset({self._request_id, self._key, self._deadline_ms}),
+        )
         self.under_way = 0
 
     def set_proof_valid(self, valid_s: float) -> None:
@@ -89,7 +95,8 @@
     async def _serve(self, arrival: Arrival) -> Answer:
         parts = self._parts
         request = arrival.request
-        request_id = header_value(request.headers, parts.dialect.request_id)
+        passed_on, values = self._sieve.sift(request.headers)
+        request_id = values.get(self._request_id)
         config, routes = parts.configuration.config, parts.configuration.routes
         if config is None or routes is None:
             refusal = not_run(Reason.NO_CONFIGURATION, retry_after_s=NOT_READY_RETRY_S)
@@ -97,18 +104,20 @@
         route = routes.match(request.host, request.target)
         if route is None:
             return self._turned_away(not_run(Reason.NO_ROUTE), request_id, None, "")
-        workspace = self._workspace(config, route, request)
+        workspace = self._workspace(config, route, values.get(self._key))
         if isinstance(workspace, Refusal):
             return self._turned_away(workspace, request_id, route, "")
         over = self._over_rate(workspace, arrival.arrived_at)
         if over is not None and workspace is not None:
             return self._turned_away(over, request_id, route, workspace.name)
         caller = None if workspace else parts.running.caller_of(request_id)
-        context = self._context(config, route, workspace, arrival, request_id, caller)
+        limit_s = _limit_s(route, values.get(self._deadline_ms))
+        deadline = arrival.arrived_at + limit_s
+        context = self._context(config, route, workspace, deadline, request_id, caller)
         early = self._early_refusal(context, workspace)
         if early is not None:
             return self._turned_away(early, request_id, route, context.workspace)
-        forwarded = self._forwarded(request, workspace)
+        forwarded = self._forwarded(request, passed_on, workspace)
         result = await parts.dispatcher.dispatch(context, route, forwarded)
         self._ended(context, result, parts.clock() - arrival.arrived_at)
         if caller is not None:
@@ -150,12 +159,11 @@
         )
 
     def _workspace(
-        self, config: ConfigSet, route: Route, request: Request
+        self, config: ConfigSet, route: Route, secret: str | None
     ) -> Workspace | Refusal | None:
         """Return whose request it is, None on a route that is open to all."""
         if route.access is Access.OPEN:
             return None
-        secret = header_value(request.headers, self._parts.dialect.key)
         if secret is None:
             return not_run(Reason.KEY_MISSING)
         age_s = self._parts.configuration.age_s(self._parts.clock())
@@ -191,14 +199,10 @@
         config: ConfigSet,
         route: Route,
         workspace: Workspace | None,
-        arrival: Arrival,
+        deadline: float,
         request_id: str | None,
         caller: RunningCall | None,
     ) -> CallContext:
-        said = header_value(arrival.request.headers, self._parts.dialect.deadline_ms)
-        limit_s = route.deadline_s
-        if said is not None and said.isdigit():
-            limit_s = min(limit_s, int(said) / 1000.0)
         rank = self._parts.configuration.ranks.rank(route, workspace)
         owner, depth = (workspace.name if workspace is not None else ""), 0
         under_resent = False
@@ -213,7 +217,7 @@
             call_id="",
             workspace=owner,
             priority_rank=rank,
-            deadline=arrival.arrived_at + limit_s,
+            deadline=deadline,
             route=route.name,
             pool=self._weights.pool(route),
             idempotent=route.idempotent,
@@ -238,10 +242,11 @@
             self._parts.clock(),
         )
 
-    def _forwarded(self, request: Request, workspace: Workspace | None) -> Request:
+    def _forwarded(
+        self, request: Request, headers: Headers, workspace: Workspace | None
+    ) -> Request:
         """Return the request as servers may see it: without the key."""
         dialect = self._parts.dialect
-        headers = without_hop_by_hop(request.headers, self._dropped)
         own: Headers = ((dialect.caller, self._options.caller_name),)
         if workspace is not None:
             own = (*own, (dialect.workspace, workspace.name))
@@ -277,3 +282,10 @@
         if request_id is not None:
             headers = (*headers, (self._parts.dialect.request_id, request_id))
         return Answer(status, headers, b"")
+
+
+def _limit_s(route: Route, said_ms: str | None) -> float:
+    """Return how long a request may take: the route's limit or the caller's."""
+    if said_ms is None or not said_ms.isdigit():
+        return route.deadline_s
+    return min(route.deadline_s, int(said_ms) / 1000.0)
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -1,6 +1,5 @@
 """Runs calls at the backend server beside this daemon."""
 
-import asyncio
 import logging
 import math
 from collections.abc import Callable
@@ -10,7 +9,6 @@
     HttpClient,
     HttpFailure,
     HttpProblem,
-    header_value,
 )
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.admission import Sample
@@ -18,7 +16,7 @@
 from damaskbay.core.http_status import FIRST_SERVER_ERROR
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.core.retry.repeats import RepeatBudget
-from damaskbay.helpers.http_headers import without_hop_by_hop
+from damaskbay.helpers.http_headers import HeaderSieve
 from damaskbay.mesh.const import NOT_READY_RETRY_S, UNREACHABLE_S
 from damaskbay.mesh.dialect import Dialect
 from damaskbay.mesh.gate import Gate
@@ -54,8 +52,12 @@
     def __init__(self, parts: TargetParts) -> None:
         self._parts = parts
         self._unreachable_until = 0.0
-        named = {parts.dialect.request_id.lower(), "content-length"}
-        self._dropped = frozenset(named)
+        self._not_run = parts.dialect.not_run.lower()
+        self._stamp = parts.dialect.stamp.lower()
+        self._sieve = HeaderSieve(
+            dropped=frozenset({parts.dialect.request_id.lower(), "content-length"}),
+            read=frozenset({self._not_run, self._stamp}),
+        )
         self.under_way = 0
         self.draining = False
 
@@ -138,18 +140,16 @@
 
     async def _send(self, context: CallContext, request: Request) -> Answer | Refusal:
         """Send once; again only where a kept connection turned out to be closed."""
-        try:
-            async with asyncio.timeout(context.deadline - self._parts.clock()):
-                outcome = await self._exchange(context, request, context.idempotent)
-                if (
-                    isinstance(outcome, HttpFailure)
-                    and outcome.problem is HttpProblem.STALE
-                    and context.idempotent
-                ):
-                    outcome = await self._exchange(context, request, False)
-        except TimeoutError:
-            return unknown(Reason.DEADLINE_PASSED)
+        outcome = await self._exchange(context, request, context.idempotent)
+        if (
+            isinstance(outcome, HttpFailure)
+            and outcome.problem is HttpProblem.STALE
+            and context.idempotent
+        ):
+            outcome = await self._exchange(context, request, False)
         if isinstance(outcome, HttpFailure):
+            if outcome.problem is HttpProblem.TIMED_OUT:
+                return unknown(Reason.DEADLINE_PASSED)
             return self._failed(context, outcome)
         return self._judged(context, outcome)
 
@@ -157,7 +157,8 @@
         self, context: CallContext, request: Request, kept: bool
     ) -> Answer | HttpFailure:
         parts = self._parts
-        left_ms = math.floor((context.deadline - parts.clock()) * 1000.0)
+        left_s = context.deadline - parts.clock()
+        left_ms = math.floor(left_s * 1000.0)
         named: Headers = ()
         if context.request_id is not None:
             named = ((parts.dialect.request_id, context.request_id),)
@@ -170,7 +171,12 @@
         sent = Request(
             request.method, request.host, request.target, headers, request.body
         )
-        return await parts.client.send(sent, echo=context.request_id, fresh=not kept)
+        return await parts.client.send(
+            sent,
+            echo=context.request_id,
+            fresh=not kept,
+            timeout_s=max(0.0, left_s),
+        )
 
     def _failed(self, context: CallContext, failure: HttpFailure) -> Refusal:
         detail = f"{failure.problem.value}: {failure.detail}"
@@ -198,8 +204,8 @@
     def _judged(self, context: CallContext, answer: Answer) -> Answer | Refusal:
         """Tell a server's refusals from its answers."""
         dialect = self._parts.dialect
-        not_run_said = header_value(answer.headers, dialect.not_run) is not None
-        if not_run_said or answer.status in dialect.not_run_statuses:
+        headers, values = self._sieve.sift(answer.headers)
+        if self._not_run in values or answer.status in dialect.not_run_statuses:
             _LOGGER.info(
                 "target: server refused.",
                 extra={
@@ -216,10 +222,8 @@
                 retry_after_s=NOT_READY_RETRY_S,
                 detail=f"server refused with {answer.status}",
             )
-        stamped = header_value(answer.headers, dialect.stamp) is not None
-        if answer.status < FIRST_REDIRECT and not stamped:
+        if answer.status < FIRST_REDIRECT and self._stamp not in values:
             return unknown(Reason.ANSWER_INCOMPLETE, detail="no stamp")
-        headers = without_hop_by_hop(answer.headers, self._dropped)
         return Answer(answer.status, headers, answer.body)
 
     def _refused(
--- a/tests/adapters/peer_link/test_link.py
+++ b/tests/adapters/peer_link/test_link.py
@@ -62,7 +62,8 @@
 
     async def check(one: _Daemon, two: _Daemon) -> None:
         asked = [
-            one.links.request(two.address, ConfigWanted(number)) for number in range(50)
+            one.links.request(two.address, ConfigWanted(number), timeout_s=WAIT_S)
+            for number in range(50)
         ]
         answers = await asyncio.gather(*asked)
         assert [answer.version for answer in answers] == list(range(50))
@@ -74,7 +75,9 @@
     """The peer's handler ends, so that work for nobody stops."""
 
     async def check(one: _Daemon, two: _Daemon) -> None:
-        asked = asyncio.create_task(one.links.request(two.address, ConfigWanted(99)))
+        asked = asyncio.create_task(
+            one.links.request(two.address, ConfigWanted(99), timeout_s=WAIT_S)
+        )
         await asyncio.sleep(0.05)
         asked.cancel()
         while not two.cancelled:
@@ -87,7 +90,9 @@
     """What was sent on a lost link may have run: it is LOST, not NOT_SENT."""
 
     async def check(one: _Daemon, two: _Daemon) -> None:
-        asked = asyncio.create_task(one.links.request(two.address, ConfigWanted(99)))
+        asked = asyncio.create_task(
+            one.links.request(two.address, ConfigWanted(99), timeout_s=WAIT_S)
+        )
         await asyncio.sleep(0.05)
         one.links.want(frozenset())
         failure = await asked
@@ -99,11 +104,27 @@
     _run(check)
 
 
+def test_a_request_that_gets_no_answer_in_time_ends_and_tells_the_peer() -> None:
+    """The sender learns that the time is up, the peer's handler is cancelled."""
+
+    async def check(one: _Daemon, two: _Daemon) -> None:
+        wanted = ConfigWanted(99)
+        failure = await one.links.request(two.address, wanted, timeout_s=0.05)
+        assert isinstance(failure, PeerFailure)
+        assert failure.problem is PeerProblem.TIMEOUT
+        while not two.cancelled:
+            await asyncio.sleep(0.01)
+
+    _run(check)
+
+
 def test_without_a_link_nothing_is_sent() -> None:
     """The failure says that nothing left this process."""
 
     async def check(one: _Daemon, _two: _Daemon) -> None:
-        failure = await one.links.request(PeerAddress("127.0.0.1", 1), ConfigWanted(1))
+        failure = await one.links.request(
+            PeerAddress("127.0.0.1", 1), ConfigWanted(1), timeout_s=WAIT_S
+        )
         assert failure.problem is PeerProblem.NOT_SENT
 
     _run(check)
