Exchange demand and proofs through a relay of each domain; link to neighbours only

Cause: every daemon sent its demand by workspace to every other one twice a second, watched the configuration by itself and kept a link to all.

Change: daemons report to the first daemon of their domain that they reach, which counts in rounds, asks the relays of the other domains, watches the configuration and hands proofs on; each proof is dated from the sending of the report. Links go to a bounded number of servers of each pool. Shares of a round add up to a whole also where demand sets in everywhere at once. The proof of a watch keeps a second free, since a watch may be deaf before the store drops its history.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -87,6 +87,10 @@
         for peer in peers - self._wanted.keys():
             self._wanted[peer] = loop.create_task(self._keep(peer))
 
+    def up_peers(self) -> tuple[PeerAddress, ...]:
+        """Return the peers that can be asked."""
+        return tuple(peer for peer in self._links if self.up(peer))
+
     @property
     def up_count(self) -> int:
         """Return the number of links opened here."""
--- a/damaskbay/core/dissemination/order.py
+++ b/damaskbay/core/dissemination/order.py
@@ -1,7 +1,8 @@
 """Who relays and who is whose neighbour, from the live members alone."""
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Iterable
+from typing import Protocol, TypeVar
 
 from damaskbay.ports.fleet import MemberView
 
@@ -11,7 +12,24 @@
 _DIGEST_BYTES = 8
 
 
-def rank(members: Sequence[MemberView], purpose: str) -> tuple[MemberView, ...]:
+class Ranked(Protocol):
+    """What a member is ranked by."""
+
+    @property
+    def instance(self) -> str:
+        """Return its name."""
+        ...
+
+    @property
+    def incarnation(self) -> int:
+        """Return the number of its start."""
+        ...
+
+
+T = TypeVar("T", bound=Ranked)
+
+
+def rank(members: Iterable[T], purpose: str) -> tuple[T, ...]:
     """Return the members by rendezvous hash, the highest first."""
     return tuple(sorted(members, key=lambda item: _weight(item, purpose), reverse=True))
 
@@ -80,6 +98,6 @@
         return self._members[(place + start) % len(self._members)]
 
 
-def _weight(member: MemberView, purpose: str) -> bytes:
+def _weight(member: Ranked, purpose: str) -> bytes:
     text = f"{purpose}\0{member.instance}\0{member.incarnation}"
     return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
--- a/damaskbay/core/quota/const.py
+++ b/damaskbay/core/quota/const.py
@@ -5,7 +5,7 @@
 DEMAND_WINDOW_S: Final = 2.0
 """Time constant of the demand estimate, seconds: few requests a second scatter."""
 
-FLOOR_SHARE: Final = 0.1
+FLOOR_SHARE: Final = 0.2
 """Part of a workspace's rate that is split evenly, for demand that moves."""
 
 RETRY_AFTER_MOST_S: Final = 2.0
--- a/damaskbay/core/quota/shares.py
+++ b/damaskbay/core/quota/shares.py
@@ -1,8 +1,7 @@
 """Which part of a workspace's rate one daemon may spend, by demand."""
 
 import math
-from collections.abc import Mapping, Set as AbstractSet
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from damaskbay.config.objects import Workspace
 from damaskbay.core.outcome import Reason, Refusal, not_run
@@ -14,6 +13,7 @@
     START_BURST_SHARE,
     UNKNOWN_SHARE,
 )
+from damaskbay.core.quota.demand_pool import Counted
 
 
 @dataclass(slots=True)
@@ -37,11 +37,6 @@
     at: float
 
 
-@dataclass(slots=True)
-class _PeerDemand:
-    per_s_by_workspace: Mapping[str, float] = field(default_factory=dict)
-
-
 @dataclass(frozen=True, slots=True)
 class QuotaOptions:
     """
@@ -59,45 +54,31 @@
     """
     Splits each workspace's rate over the daemons in proportion to demand.
 
-    Daemons tell each other their demand. The share of a daemon that can't be
-    reached stays reserved for it for as long as the owner counts it among
-    `members`, since it may go on serving. Not safe for threads; times in
-    seconds of one monotonic clock.
+    The own share is the own demand over that on the whole fleet, as counted in the
+    last round; without a newer one it stays as it is. Not safe
+    for threads; times in seconds of one monotonic clock.
     """
 
-    def __init__(self, instance: str, options: QuotaOptions) -> None:
-        self._instance = instance
+    def __init__(self, options: QuotaOptions) -> None:
         self.options = options
         self._own: dict[str, _Demand] = {}
-        self._peers: dict[str, _PeerDemand] = {}
         self._buckets: dict[str, _Bucket] = {}
-        self._members: AbstractSet[str] = frozenset({instance})
-        self._told: dict[str, float] = {}
-        self._known = False
-
-    def set_members(self, members: AbstractSet[str]) -> None:
-        """Take the daemons that may be spending; the own one is always counted."""
-        self._members = members | {self._instance}
-        self._known = True
-        for gone in self._peers.keys() - self._members:
-            del self._peers[gone]
-
-    def heard(self, instance: str, per_s_by_workspace: Mapping[str, float]) -> None:
-        """Take what another daemon says of its demand, in requests per second."""
-        self._peers[instance] = _PeerDemand(per_s_by_workspace)
+        self._counted: Counted | None = None
 
     def demand(self, now: float) -> dict[str, float]:
+        """Return the own demand in requests per second, to be told."""
+        values = {name: item.value(now) for name, item in self._own.items()}
+        rounded = {name: round(value, 1) for name, value in values.items()}
+        return {name: value for name, value in rounded.items() if value > 0.0}
+
+    def counted(self, counted: Counted) -> None:
         """
-        Return the own demand in requests per second, to tell the others.
+        Take what a round of counting gave.
 
-        The own share goes by what was told last, as the others' views of it do: by
-        fresher figures of its own, each of many daemons would take the whole rate
-        when demand sets in everywhere at once.
+        Shares go by what was counted, not by fresher figures: with those, each of
+        many daemons would take the whole rate when demand sets in everywhere.
         """
-        values = {name: item.value(now) for name, item in self._own.items()}
-        told = {name: round(value, 1) for name, value in values.items()}
-        self._told = {name: value for name, value in told.items() if value > 0.0}
-        return self._told
+        self._counted = counted
 
     def spend(self, workspace: Workspace, now: float) -> Refusal | None:
         """Spend one token of the own share, or refuse."""
@@ -124,7 +105,8 @@
     def _burst(self, workspace: Workspace, share: float) -> float:
         """Return the depth of the own bucket: its share, and a part of the slack."""
         whole = workspace.burst * (1.0 + self.options.overage)
-        part = 1.0 / len(self._members) if self._known else UNKNOWN_SHARE
+        counted = self._counted
+        part = UNKNOWN_SHARE if counted is None else 1.0 / counted.daemons
         return max(1.0, whole * share + self.options.slack * part)
 
     def share(self, workspace: str) -> float:
@@ -132,20 +114,13 @@
         Return the own part of a workspace's rate, 0 to 1.
 
         A daemon that has just started may be one of many, and has a small one until
-        it is told of the members.
+        it is told of the whole demand.
         """
-        if not self._known:
+        counted = self._counted
+        if counted is None:
             return UNKNOWN_SHARE
-        count = len(self._members)
-        own = self._told.get(workspace, 0.0)
-        total = own
-        for instance in self._members:
-            if instance == self._instance:
-                continue
-            peer = self._peers.get(instance)
-            total += (
-                own if peer is None else peer.per_s_by_workspace.get(workspace, 0.0)
-            )
+        own = counted.own.get(workspace, 0.0)
+        total = max(own, counted.total.get(workspace, 0.0))
         if total <= 0.0:
-            return 1.0 / count
-        return FLOOR_SHARE / count + (1.0 - FLOOR_SHARE) * own / total
+            return 1.0 / counted.daemons
+        return FLOOR_SHARE / counted.daemons + (1.0 - FLOOR_SHARE) * own / total
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -15,6 +15,7 @@
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
 from damaskbay.core.pressure import EdgePressure
+from damaskbay.core.quota.demand_pool import DemandPool
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.retry.repeats import RepeatBudget, RepeatOptions
 from damaskbay.core.routing import Router, RouterOptions
@@ -30,6 +31,7 @@
 from damaskbay.mesh.const import (
     DRAIN_READY_S,
     GATE_TICK_S,
+    OWN_WATCH_AFTER_S,
     REPEAT_RATIO_SHARE,
     REPEAT_SLACK_SHARE,
     STOP_MARGIN_S,
@@ -37,10 +39,12 @@
 from damaskbay.mesh.dialect import Dialect
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.dispatch import Dispatcher, DispatchParts
+from damaskbay.mesh.exchange import Exchange, ExchangeParts
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
-from damaskbay.mesh.messages import ConfigWanted, Note
+from damaskbay.mesh.messages import ConfigWanted, DemandReport, DomainWanted, Note
+from damaskbay.mesh.neighbours import wanted_neighbours
 from damaskbay.mesh.observing import ObservedParts, Observing
 from damaskbay.mesh.registry import FORGET_S, MemberWatch, Registration
 from damaskbay.mesh.running import RunningCalls
@@ -103,8 +107,7 @@
         )
         self._directory = Directory(settings.instance, self._links.up)
         self._shares = DemandShares(
-            settings.instance,
-            QuotaOptions(settings.quota_overage, settings.quota_slack),
+            QuotaOptions(settings.quota_overage, settings.quota_slack)
         )
         self._running = RunningCalls()
         self._repeats = _repeats(settings)
@@ -155,6 +158,7 @@
                 self._member_watch.run,
                 self._config_watch.run,
                 self._peer_config.run,
+                self._exchange.run,
                 self._tick,
                 self._forget,
             ):
@@ -271,16 +275,40 @@
             key=around.config_key,
             decode=around.decode_config,
             configuration=self.configuration,
+            needed=self._watch_needed,
             clock=monotonic_s,
         )
         self._peer_config = PeerConfig(
             self._config_watch,
             self.configuration,
-            peers=lambda: tuple(self._directory.addresses()),
+            peers=self._links.up_peers,
             request=self._links.request,
             rng=self._rng,
             clock=monotonic_s,
         )
+        self._exchange = Exchange(
+            ExchangeParts(
+                instance=self.settings.instance,
+                failure_domain=self.settings.failure_domain,
+                directory=self._directory,
+                links=self._links,
+                shares=self._shares,
+                pool=DemandPool(self.settings.failure_domain),
+                configuration=self.configuration,
+                ask=self._peer_config.ask,
+                members_known=self._members_known,
+                clock=monotonic_s,
+            )
+        )
+
+    def _watch_needed(self) -> bool:
+        """Tell whether this daemon has to watch the configuration in the store."""
+        age_s = self.configuration.age_s(monotonic_s())
+        return self._exchange.relaying or age_s is None or age_s > OWN_WATCH_AFTER_S
+
+    def _members_known(self) -> bool:
+        """Tell whether the number of daemons is known, not just the own."""
+        return len(self._directory.instances()) > 1 or self._member_watch.has_read
 
     def _stored_record(self) -> MemberRecord:
         """Return the record with the server's own state, for the next start."""
@@ -323,8 +351,6 @@
             record.slots,
             round(self._gate.load(), 3),
             self.configuration.version,
-            self.configuration.age_s(now),
-            self._shares.demand(now),
             round(max(0.0, self.local.cold_until - now), 1),
         )
 
@@ -334,7 +360,6 @@
         now = monotonic_s()
         known = note.instance in self._directory.instances()
         self._directory.heard(note, now)
-        self._shares.heard(note.instance, note.demand)
         if not known:
             self._members_changed()
         if note.config_version > self.configuration.version:
@@ -343,6 +368,10 @@
     async def _peer_request(self, message: Any) -> Any:
         if isinstance(message, ConfigWanted):
             return self._peer_config.held(message)
+        if isinstance(message, DemandReport):
+            return self._exchange.state(message)
+        if isinstance(message, DomainWanted):
+            return self._exchange.domain_demand()
         if isinstance(message, CallMessage):
             context = context_of(message, now=monotonic_s())
             result = await self._target.run(context, request_of(message))
@@ -354,9 +383,9 @@
 
     def _members_changed(self) -> None:
         self._directory.forget(monotonic_s())
-        self._links.want(self._directory.addresses())
-        if len(self._directory.instances()) > 1 or self._member_watch.has_read:
-            self._shares.set_members(self._directory.instances())
+        wanted = wanted_neighbours(self._directory.records(), self._record())
+        self._links.want(self._directory.addresses(wanted))
+        self._exchange.members_changed()
 
     def _server_changed(self) -> None:
         now = monotonic_s()
@@ -368,6 +397,8 @@
 
     def _config_changed(self, config: ConfigSet) -> None:
         self._callers.limits = config.caller_limits
+        if self._exchange.relaying:
+            self._links.tell_all()
 
     def _weight_of(self, workspace: str) -> float:
         config = self.configuration.config
--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -14,9 +14,12 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-WATCH_S = 1.2
+WATCH_S = 0.4
 """Wait of one watch, seconds: each is a proof of freshness, dated from its start."""
 
+LOOK_S = 0.1
+"""Seconds between looks whether an own watch has become needed."""
+
 RETRY_S = 0.3
 """Seconds before a failed store call is tried again."""
 
@@ -47,9 +50,11 @@
         key: str,
         decode: Decode,
         configuration: Configuration,
+        needed: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
         self._store = store
+        self._needed = needed
         self._prefix = prefix
         self._key = key
         self._decode = decode
@@ -58,8 +63,11 @@
         self.store_reached = True
 
     async def run(self) -> None:
-        """Read, then watch, again and again until cancelled."""
+        """Read, then watch while that is needed, again and again until cancelled."""
         while True:
+            if not self._needed():
+                await asyncio.sleep(LOOK_S)
+                continue
             began_at = self._clock()
             reading = await self._store.read(self._prefix)
             if isinstance(reading, StoreFailure):
@@ -73,7 +81,7 @@
             await self._follow(reading.revision)
 
     async def _follow(self, revision: int) -> None:
-        while True:
+        while self._needed():
             began_at = self._clock()
             reading = await self._store.watch(
                 self._prefix, after=revision, wait_s=WATCH_S
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -8,8 +8,12 @@
 UNPROVEN_RETRY_S: Final = 1.0
 """Time to come back where freshness is lost, seconds: about one store read."""
 
-REVOKE_MARGIN_S: Final = 0.3
-"""Kept free of the revocation bound, seconds: clock drift and late timers."""
+REVOKE_MARGIN_S: Final = 1.3
+"""Kept free of the revocation bound, seconds.
+
+A watch may hear nothing for a second before the store drops its history, and proves
+nothing then; the rest is clock drift and late timers.
+"""
 
 DRAIN_MARGIN_S: Final = 0.4
 """Kept free of the drain bound, seconds: a send may wait for the event loop."""
@@ -40,3 +44,25 @@
 
 ANSWER_GRACE_S: Final = 0.06
 """Waited past a deadline for the target's own answer, seconds: it knows what ran."""
+
+RELAYS_PER_DOMAIN: Final = 2
+"""Daemons that all keep links to: the one that relays for a domain, and the next."""
+
+NEAR_LINKS_PER_POOL: Final = 16
+"""Servers of the own domain and a pool to keep links to; two would balance load."""
+
+FAR_LINKS_PER_POOL: Final = 4
+"""Servers of other domains and a pool to keep links to, for when the own are short."""
+
+REPORT_S: Final = 0.4
+"""Seconds between reports to the relay; a quota window has a dozen of them."""
+
+REPORT_TIMEOUT_S: Final = 0.4
+"""Longest wait for the relay, seconds; a round trip takes milliseconds."""
+
+OWN_WATCH_AFTER_S: Final = 1.5
+"""Age of the proof, seconds, from which a daemon watches the store by itself.
+
+Relayed proofs are up to two watches and a report old, 1.2 s; a version has to be in
+force 2 s after it was stored.
+"""
--- a/damaskbay/mesh/directory.py
+++ b/damaskbay/mesh/directory.py
@@ -1,7 +1,7 @@
 """Which daemons and backend servers there are, from the platform and from peers."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set as AbstractSet
 from dataclasses import dataclass
 
 from damaskbay.core.routing.const import SLOW_START_S
@@ -103,14 +103,25 @@
                 self._views_by_pool.clear()
                 _LOGGER.info("fleet: daemon is gone.", extra={"peer": instance})
 
-    def addresses(self) -> frozenset[PeerAddress]:
-        """Return where the other daemons listen."""
+    def addresses(self, instances: AbstractSet[str]) -> frozenset[PeerAddress]:
+        """Return where some daemons listen."""
         return frozenset(
             member.record.address
             for instance, member in self._by_instance.items()
-            if instance != self._instance
+            if instance in instances
         )
 
+    def records(self) -> list[MemberRecord]:
+        """Return what is known of all daemons."""
+        return [member.record for member in self._by_instance.values()]
+
+    def instances_by_domain(self) -> dict[str, set[str]]:
+        """Return the daemons that may be serving, by failure domain."""
+        found: dict[str, set[str]] = {}
+        for instance, member in self._by_instance.items():
+            found.setdefault(member.record.failure_domain, set()).add(instance)
+        return found
+
     def instances(self) -> frozenset[str]:
         """Return the daemons that may be serving."""
         return frozenset(self._by_instance)
--- a/damaskbay/mesh/messages.py
+++ b/damaskbay/mesh/messages.py
@@ -1,6 +1,6 @@
 """What daemons tell each other besides calls."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from damaskbay.helpers.messages import message
 from damaskbay.ports.fleet import ServerState
@@ -12,9 +12,7 @@
     """
     A daemon's own state. `load` is calls running and waiting per slot.
 
-    `proof_age_s` is how long ago its configuration was proven the newest, None
-    where it never was; `demand` is in requests per second by workspace. `cold_s`
-    is how much longer the server stays slow after its start.
+    `cold_s` is how much longer the server stays slow after its start.
     """
 
     instance: str
@@ -27,8 +25,6 @@
     slots: int
     load: float
     config_version: int
-    proof_age_s: float | None
-    demand: dict[str, float] = field(default_factory=dict)
     cold_s: float = 0.0
 
 
@@ -48,3 +44,49 @@
     version: int
     document: bytes
     proof_age_s: float | None
+
+
+@message("mesh.demand_report")
+@dataclass(frozen=True, slots=True)
+class DemandReport:
+    """A daemon's demand, in requests per second by workspace, to its domain's relay."""
+
+    instance: str
+    demand: dict[str, float]
+
+
+@message("mesh.fleet_state")
+@dataclass(frozen=True, slots=True)
+class FleetState:
+    """
+    What the relay of a domain knows: its answer to a report.
+
+    `own` is the reporting daemon's demand as it was counted in the last round, to
+    be set against `total`, over `daemons` daemons; 0 where the relay doesn't know
+    the fleet yet. `proof_age_s` is how long ago the configuration of this version
+    was proven the newest, None where it never was.
+    """
+
+    own: dict[str, float]
+    total: dict[str, float]
+    daemons: int
+    config_version: int
+    proof_age_s: float | None
+
+
+@message("mesh.domain_wanted")
+@dataclass(frozen=True, slots=True)
+class DomainWanted:
+    """Ask a relay of another domain for the demand on its domain."""
+
+    failure_domain: str
+
+
+@message("mesh.domain_demand")
+@dataclass(frozen=True, slots=True)
+class DomainDemand:
+    """The demand on a domain; `heard` of its `daemons` daemons have reported."""
+
+    demand: dict[str, float]
+    heard: int
+    daemons: int
--- a/tests/core/quota/test_shares.py
+++ b/tests/core/quota/test_shares.py
@@ -4,6 +4,7 @@
 import unittest
 
 from damaskbay.config.objects import Workspace
+from damaskbay.core.quota.demand_pool import Counted, DemandPool
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from tests.common import function_suite
 
@@ -12,6 +13,32 @@
 NOTE_S = 0.5
 
 
+class _Fleet:
+    """Daemons in domains of four, and the relay of each domain."""
+
+    def __init__(self, names: list[str]) -> None:
+        self.daemons = {name: DemandShares(OPTIONS) for name in names}
+        self.members = {
+            f"domain{first}": frozenset(names[first : first + 4])
+            for first in range(0, len(names), 4)
+        }
+        self.relays = {domain: DemandPool(domain) for domain in self.members}
+
+    def exchange(self, now: float) -> None:
+        """Let daemons report, relays close a round and hear each other."""
+        for domain, relay in self.relays.items():
+            relay.set_members(self.members)
+            for name in self.members[domain]:
+                relay.reported(name, self.daemons[name].demand(now))
+            relay.close_round()
+            for name in self.members[domain]:
+                self.daemons[name].counted(relay.counted(name))
+        for domain, relay in self.relays.items():
+            for other, asked in self.relays.items():
+                if other != domain:
+                    relay.heard(other, asked.own_total())
+
+
 def _play(
     rates: list[float],
     workspace: Workspace,
@@ -23,22 +50,21 @@
     """Return when requests were let through, and how many came, at all daemons."""
     rng = random.Random(seed)
     names = [f"d{number}" for number in range(len(rates))]
-    daemons = {name: DemandShares(name, OPTIONS) for name in names}
-    for daemon in daemons.values():
-        daemon.set_members(frozenset(names))
+    fleet = _Fleet(names)
     arrivals = sorted(
         (at, name)
         for name, rate in zip(names, rates, strict=True)
         for at in _poisson(rng, rate, seconds)
     )
+    fleet.exchange(0.0)
     passed: list[float] = []
     noted = 0.0
     for at, name in arrivals:
         while noted + NOTE_S <= at:
             noted += NOTE_S
             if cut_at is None or noted < cut_at:
-                _exchange(daemons, noted)
-        if daemons[name].spend(workspace, at) is None:
+                fleet.exchange(noted)
+        if fleet.daemons[name].spend(workspace, at) is None:
             passed.append(at)
     return passed, len(arrivals)
 
@@ -52,13 +78,6 @@
     return times
 
 
-def _exchange(daemons: dict[str, DemandShares], now: float) -> None:
-    for name, daemon in daemons.items():
-        for other, receiver in daemons.items():
-            if other != name:
-                receiver.heard(name, daemon.demand(now))
-
-
 def _most_in_window(passed: list[float]) -> int:
     most = first = 0
     for last, at in enumerate(passed):
@@ -88,46 +107,34 @@
     rng = random.Random(11)
     names = [f"d{number}" for number in range(16)]
 
-    def fresh(known: bool) -> dict[str, DemandShares]:
-        made = {name: DemandShares(name, OPTIONS) for name in names}
-        for daemon in made.values():
-            if known:
-                daemon.set_members(frozenset(names))
-        return made
-
-    daemons = fresh(known=True)
+    fleet = _Fleet(names)
     passed = []
     for at in _poisson(rng, 4.3 * 259.0, 20.0):
         step = int(at / 0.001)
-        if step % 500 < 2:
-            _exchange(daemons, at)
         if 13.0 <= at < 13.6:
-            daemons = fresh(known=False)
+            fleet = _Fleet(names)
             continue
-        if at >= 13.8:
-            for daemon in daemons.values():
-                daemon.set_members(frozenset(names))
+        if step % 500 < 2 and not 13.6 <= at < 13.8:
+            fleet.exchange(at)
         name = names[int(len(names) * rng.random() ** 2)]
-        if daemons[name].spend(workspace, at) is None:
+        if fleet.daemons[name].spend(workspace, at) is None:
             passed.append(at)
     most = _most_in_window(passed)
     assert most <= _bound(workspace), f"{most} of {_bound(workspace)}"
 
 
 def test_demand_that_moves_keeps_the_bound() -> None:
-    """A daemon that suddenly gets all the demand does not add a second share."""
+    """A daemon of another domain that suddenly gets all the demand adds no share."""
     workspace = Workspace("w", 100.0, 100)
-    names = ["a", "b"]
-    daemons = {name: DemandShares(name, OPTIONS) for name in names}
+    names = ["a", "b", "c", "d", "e"]
+    fleet = _Fleet(names)
     passed = []
-    for daemon in daemons.values():
-        daemon.set_members(frozenset(names))
     for step in range(20_000):
         now = step / 1000.0
         if step % 500 == 0:
-            _exchange(daemons, now)
-        name = "a" if now < 10.0 else "b"
-        if step % 2 == 0 and daemons[name].spend(workspace, now) is None:
+            fleet.exchange(now)
+        name = "a" if now < 10.0 else "e"
+        if step % 2 == 0 and fleet.daemons[name].spend(workspace, now) is None:
             passed.append(now)
     assert _most_in_window(passed) <= _bound(workspace)
 
@@ -151,8 +158,8 @@
 
 def test_a_refusal_tells_when_to_come_back() -> None:
     """The time is that of the next token of the own share."""
-    shares = DemandShares("a", QuotaOptions())
-    shares.set_members(frozenset({"a"}))
+    shares = DemandShares(QuotaOptions())
+    shares.counted(Counted({}, {}, 1))
     workspace = Workspace("w", 10.0, 1)
     assert shares.spend(workspace, 0.0) is None
     refusal = shares.spend(workspace, 0.0)
--- /dev/null
+++ b/tests/mesh/test_neighbours.py
@@ -0,0 +1,76 @@
+"""Which links a daemon keeps, and who relays."""
+
+import unittest
+from collections import Counter
+
+from damaskbay.mesh.const import (
+    FAR_LINKS_PER_POOL,
+    NEAR_LINKS_PER_POOL,
+    RELAYS_PER_DOMAIN,
+)
+from damaskbay.mesh.directory import MemberRecord
+from damaskbay.mesh.neighbours import relay_order, wanted_neighbours
+from damaskbay.ports.fleet import ServerState
+from damaskbay.ports.peer import PeerAddress
+from tests.common import function_suite
+
+DOMAINS = ("a", "b", "c", "d")
+POOLS = ("one", "two", "three")
+
+
+def _fleet(count: int) -> list[MemberRecord]:
+    return [
+        MemberRecord(
+            f"d{number}",
+            1,
+            DOMAINS[number % len(DOMAINS)],
+            PeerAddress("10.0.0.1", 7000 + number),
+            POOLS[number // len(DOMAINS) % len(POOLS)],
+            ServerState.READY,
+            4,
+        )
+        for number in range(count)
+    ]
+
+
+def test_a_small_fleet_is_linked_whole() -> None:
+    """Below the bounds of a pool everybody is a neighbour."""
+    records = _fleet(12)
+    for own in records:
+        assert len(wanted_neighbours(records, own)) == len(records) - 1
+
+
+def test_links_are_bounded_and_every_pool_is_reached() -> None:
+    """The number of links does not grow with other domains, except at relays."""
+    records = _fleet(300)
+    relays = {
+        record.instance
+        for domain in DOMAINS
+        for record in relay_order(records, domain)[:RELAYS_PER_DOMAIN]
+    }
+    most = len(POOLS) * (NEAR_LINKS_PER_POOL + FAR_LINKS_PER_POOL) + len(relays)
+    by_instance = {record.instance: record for record in records}
+    callers: Counter[str] = Counter()
+    for own in records:
+        wanted = wanted_neighbours(records, own)
+        assert own.instance not in wanted
+        assert own.instance in relays or len(wanted) <= most
+        reached = {by_instance[name].pool for name in wanted}
+        assert reached == set(POOLS)
+        callers.update(wanted)
+    assert min(callers[record.instance] for record in records) > 0
+
+
+def test_all_agree_on_the_relays() -> None:
+    """The order depends on the daemons alone, not on the order of their records."""
+    records = _fleet(40)
+    for domain in DOMAINS:
+        order = [item.instance for item in relay_order(records, domain)]
+        back = [item.instance for item in relay_order(reversed(records), domain)]
+        assert order == back
+        assert len(order) == 10
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
--- a/tests/mesh/test_parts.py
+++ b/tests/mesh/test_parts.py
@@ -46,9 +46,7 @@
 
 
 def _note(**changes: object) -> Note:
-    note = Note(
-        "d1", 5, "zone", "10.0.0.1", 7000, "p", ServerState.READY, 4, 0.0, 1, None
-    )
+    note = Note("d1", 5, "zone", "10.0.0.1", 7000, "p", ServerState.READY, 4, 0.0, 1)
     return replace(note, **changes)  # type: ignore[arg-type]
 
 
