Frame peer links by msgpack's own streaming reader

Cause: cutting and decoding frames took five Python calls each way for every call, and the daemon imported the whole of the other daemon's streams for it.

--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -7,8 +7,8 @@
 
 from damaskbay.adapters.http1.sockets import watch_peer
 from damaskbay.adapters.peer_link.const import MAX_FRAME_BYTES, MAX_RUNNING
-from damaskbay.adapters.peer_stream.exceptions import FrameError
-from damaskbay.adapters.peer_stream.frames import (
+from damaskbay.adapters.peer_link.exceptions import BadFrameError
+from damaskbay.adapters.peer_link.frames import (
     Frame,
     FrameKind,
     FrameReader,
@@ -43,7 +43,7 @@
         self._on_note = on_note
         self._on_end = on_end
         self._transport: asyncio.Transport | None = None
-        self._reader = FrameReader(MAX_FRAME_BYTES)
+        self._reader = FrameReader()
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._running: dict[int, asyncio.Task[None]] = {}
         self._last_id = 0
@@ -78,13 +78,11 @@
         """Handle the frames that are whole."""
         self.heard_at = monotonic_s()
         try:
-            frames = self._reader.take(data)
-        except FrameError as error:
+            for frame in self._reader.take(data):
+                self._handle(frame)
+        except BadFrameError as error:
             _LOGGER.warning("peer: bad frame.", extra={"why": str(error)})
             self.abort()
-            return
-        for frame in frames:
-            self._handle(frame)
 
     async def request(self, message: Any, *, timeout_s: float) -> Any:
         """
@@ -112,7 +110,7 @@
 
     def send(self, message: Any) -> None:
         """Send a note, best effort."""
-        self._write(FrameKind.SEND, 0, pack(message))
+        self._write(FrameKind.NOTE, 0, pack(message))
 
     def abort(self) -> None:
         """Close at once."""
@@ -131,11 +129,11 @@
 
     def _handle(self, frame: Frame) -> None:
         if frame.kind is FrameKind.CANCEL:
-            task = self._running.pop(frame.correlation_id, None)
+            task = self._running.pop(frame.number, None)
             if task is not None:
                 task.cancel()
             return
-        if frame.kind is FrameKind.PONG:
+        if frame.kind is FrameKind.HEARD:
             return
         if frame.kind is FrameKind.REJECTED:
             self._answered(frame, PeerFailure(PeerProblem.REJECTED))
@@ -147,18 +145,18 @@
         if isinstance(message, BadMessage):
             _LOGGER.warning("peer: bad message.", extra={"why": message.detail})
             if frame.kind is FrameKind.REQUEST:
-                self._write(FrameKind.REJECTED, frame.correlation_id)
+                self._write(FrameKind.REJECTED, frame.number)
             return
         if frame.kind is FrameKind.ANSWER:
             self._answered(frame, message)
-        elif frame.kind is FrameKind.SEND:
-            self._write(FrameKind.PONG, 0)
+        elif frame.kind is FrameKind.NOTE:
+            self._write(FrameKind.HEARD, 0)
             self._on_note(self, message)
         elif frame.kind is FrameKind.REQUEST:
-            self._run(frame.correlation_id, message)
+            self._run(frame.number, message)
 
     def _answered(self, frame: Frame, outcome: Any) -> None:
-        future = self._waiting.get(frame.correlation_id)
+        future = self._waiting.get(frame.number)
         if future is not None and not future.done():
             future.set_result(outcome)
 
