--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -5,7 +5,7 @@
 READ_BACKLOG_REQUESTS: Final = 32
 """Requests of one connection at once; reading pauses above. Bounds memory."""
 
-SWEEP_S: Final = 0.25
+SWEEP_S: Final = 0.5
 """Seconds between looks for connections that are idle or late; bounds their error."""
 
 WRITE_STALLED_S: Final = 15.0
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -1,6 +1,7 @@
 """Links to the other daemons: kept up, watched and replaced."""
 
 import asyncio
+import itertools
 import logging
 from collections.abc import Callable
 from types import TracebackType
@@ -9,7 +10,9 @@
 from damaskbay.adapters.http1.const import LISTEN_BACKLOG
 from damaskbay.adapters.peer_link.const import (
     CONNECT_TIMEOUT_S,
+    NOTE_AT_LEAST_ROUNDS,
     NOTE_S,
+    QUIET_S,
     RECONNECT_S,
     SILENT_S,
     SUSPECT_S,
@@ -165,7 +168,7 @@
 
     async def _keep_noting(self) -> None:
         due = monotonic_s() + NOTE_S
-        while True:
+        for turn in itertools.count():
             await asyncio.sleep(NOTE_S)
             now = monotonic_s()
             paused = now - due > NOTE_S
@@ -177,6 +180,8 @@
                     link.heard_at = now
                 if now - link.heard_at > SILENT_S:
                     link.abort()
+            whole_round = turn % NOTE_AT_LEAST_ROUNDS == 0
             for link in self._links.values():
                 self._suspect(link, now - link.heard_at > SUSPECT_S)
-                link.send(message)
+                if whole_round or now - link.heard_at > QUIET_S:
+                    link.send(message)
--- a/damaskbay/adapters/peer_link/const.py
+++ b/damaskbay/adapters/peer_link/const.py
@@ -3,7 +3,13 @@
 from typing import Final
 
 NOTE_S: Final = 0.5
-"""Seconds between notes on each link; they also prove that the path is alive."""
+"""Seconds between notes on each quiet link; they also prove that the path is alive."""
+
+QUIET_S: Final = 0.15
+"""Seconds without a byte after which a link is quiet; with a round below SUSPECT_S."""
+
+NOTE_AT_LEAST_ROUNDS: Final = 4
+"""Rounds of `NOTE_S` after which a link gets a note though it carries requests."""
 
 SUSPECT_S: Final = 0.8
 """Seconds without a byte after which new requests avoid a link: a note is missing."""
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -30,7 +30,6 @@
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
     DRAIN_READY_S,
-    GATE_TICK_S,
     OWN_WATCH_AFTER_S,
     REPEAT_RATIO_SHARE,
     REPEAT_SLACK_SHARE,
@@ -159,8 +158,8 @@
                 self._config_watch.run,
                 self._peer_config.run,
                 self._exchange.run,
-                self._tick,
                 self._forget,
+                self._expire,
             ):
                 self._tasks.append(loop.create_task(run()))
             _LOGGER.info(
@@ -405,10 +404,8 @@
         found = config.workspaces_by_name.get(workspace) if config else None
         return found.weight if found is not None else 1.0
 
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(GATE_TICK_S)
-            self._gate.expire(monotonic_s())
+    async def _expire(self) -> None:
+        await self._gate.keep_expiring(monotonic_s)
 
     async def _forget(self) -> None:
         while True:
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -30,9 +30,6 @@
 REPEAT_SLACK_SHARE: Final = 0.1
 """Part of a pool's slack that one server may save up; pools have a few servers."""
 
-GATE_TICK_S: Final = 0.04
-"""Seconds between looks for calls that have waited too long at the server."""
-
 UNREACHABLE_S: Final = 0.3
 """Time without sends after a refused connection to the server, seconds."""
 
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -1,7 +1,7 @@
 """Admission to the server beside this daemon, awaited on the event loop."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from damaskbay.core.admission import (
@@ -19,6 +19,9 @@
 NESTED_QUEUE_PER_SLOT = 10.0
 """Nested calls that may wait for each slot: a fraction of a second of work."""
 
+EXPIRE_S = 0.04
+"""Seconds between looks for calls that have waited too long at the server."""
+
 WAIT_SHARE = 0.5
 """Part of its objective that a new call may wait for a slot; else it is refused."""
 
@@ -36,6 +39,7 @@
         self._controller = AdmissionController(options, rng, now)
         self._waiting: dict[int, asyncio.Future[Refusal | None]] = {}
         self._last = 0
+        self._queued = asyncio.Event()
         self.slots = slots
 
     @property
@@ -76,6 +80,7 @@
         future: asyncio.Future[Refusal | None]
         future = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = future
+        self._queued.set()
         try:
             refusal = await future
         except asyncio.CancelledError:
@@ -95,9 +100,14 @@
         self.slots = slots
         self._settle(self._controller.set_slots(slots, now))
 
-    def expire(self, now: float) -> None:
-        """Refuse what has waited too long."""
-        self._settle(self._controller.expire(now))
+    async def keep_expiring(self, clock: Callable[[], float]) -> None:
+        """Refuse what has waited too long, until cancelled; idle while none waits."""
+        while True:
+            await self._queued.wait()
+            await asyncio.sleep(EXPIRE_S)
+            self._settle(self._controller.expire(clock()))
+            if not self._waiting:
+                self._queued.clear()
 
     def _settle(self, decisions: Sequence[Decision]) -> None:
         for decision in decisions:
