--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -5,20 +5,16 @@
 import logging
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 from typing import Any
 
-from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
 from damaskbay.adapters.http1.server import Handler, HttpServer
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
-from damaskbay.core.pressure import EdgePressure
 from damaskbay.core.quota.demand_pool import DemandPool
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
-from damaskbay.core.retry.repeats import RepeatBudget, RepeatOptions
-from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.daemon.messages import (
     CallMessage,
     context_of,
@@ -26,21 +22,21 @@
     to_result_message,
 )
 from damaskbay.helpers.clock import monotonic_s
-from damaskbay.mesh.config_watch import ConfigWatch, Decode, PeerConfig
+from damaskbay.mesh.assembly import (
+    Shared,
+    Surroundings,
+    make_ingress,
+    make_repeats,
+    make_target,
+)
+from damaskbay.mesh.config_watch import ConfigWatch, PeerConfig
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
-    DRAIN_READY_S,
     OWN_WATCH_AFTER_S,
-    REPEAT_RATIO_SHARE,
-    REPEAT_SLACK_SHARE,
-    STOP_MARGIN_S,
 )
-from damaskbay.mesh.dialect import Dialect
 from damaskbay.mesh.directory import Directory, MemberRecord
-from damaskbay.mesh.dispatch import Dispatcher, DispatchParts
 from damaskbay.mesh.exchange import Exchange, ExchangeParts
 from damaskbay.mesh.gate import Gate
-from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
 from damaskbay.mesh.messages import ConfigWanted, DemandReport, DomainWanted, Note
 from damaskbay.mesh.neighbours import wanted_neighbours
@@ -48,35 +44,16 @@
 from damaskbay.mesh.registry import FORGET_S, MemberWatch, Registration
 from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.settings import MeshSettings
-from damaskbay.mesh.target import Target, TargetParts
+from damaskbay.mesh.stopping import GracefulStop
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress
-from damaskbay.ports.store import Store
 
 _LOGGER = logging.getLogger(__name__)
 
-POLL_S = 0.05
 ACK_WRITE_S = 0.5
 """Longest wait for the store before a leaving server is told so, seconds."""
 
 
-@dataclass(frozen=True, slots=True)
-class Surroundings:
-    """
-    What the daemon finds around it.
-
-    `config_prefix` and `config_key` are where the operator's set lies in the
-    store, `member_prefix` is where daemons keep their records.
-    """
-
-    store: Store
-    dialect: Dialect
-    decode_config: Decode
-    config_prefix: str
-    config_key: str
-    member_prefix: str
-
-
 Control = Callable[["MeshDaemon"], Handler]
 """Makes the handler of the local server's reports."""
 
@@ -108,11 +85,23 @@
         self._shares = DemandShares(
             QuotaOptions(settings.quota_overage, settings.quota_slack)
         )
-        self._running = RunningCalls()
-        self._repeats = _repeats(settings)
+        self._repeats = make_repeats(settings)
         self._telemetry = BoundTelemetry()
-        self._target = self._make_target()
-        self._ingress = self._make_ingress()
+        shared = Shared(
+            self.configuration,
+            self.local,
+            self._gate,
+            self._links,
+            self._directory,
+            self._shares,
+            RunningCalls(),
+            self._repeats,
+            self._telemetry,
+            self._rng,
+        )
+        dialect = surroundings.dialect
+        self._target = make_target(settings, dialect, shared, self._weight_of)
+        self._ingress = make_ingress(settings, dialect, shared, self._target)
         self._make_followers()
         self._observing = Observing(
             ObservedParts(
@@ -171,7 +160,8 @@
                 },
             )
             await self._stopping.wait()
-            await self._drain()
+            stop = GracefulStop(self._callers, self._ingress, self._target, self._links)
+            await stop.run(self.settings.grace_s)
         for task in self._tasks:
             task.cancel()
         _LOGGER.info("daemon: has stopped.")
@@ -202,56 +192,6 @@
         if self.local.deregister(server, born_ms, monotonic_s()):
             await self._registration.write_now(ACK_WRITE_S)
 
-    def _make_target(self) -> Target:
-        dialect = self._surroundings.dialect
-        options = HttpClientOptions(echo_header=dialect.request_id)
-        return Target(
-            TargetParts(
-                instance=self.settings.instance,
-                pool=self.settings.pool,
-                local=self.local,
-                gate=self._gate,
-                client=HttpClient(self.settings.server, options),
-                dialect=dialect,
-                running=self._running,
-                telemetry=self._telemetry,
-                repeats=self._repeats,
-                weight_of=self._weight_of,
-                clock=monotonic_s,
-            )
-        )
-
-    def _make_ingress(self) -> Ingress:
-        settings = self.settings
-        return Ingress(
-            IngressOptions(
-                caller_name=settings.pool,
-                proof_valid_s=settings.revoke_s,
-            ),
-            IngressParts(
-                configuration=self.configuration,
-                dispatcher=Dispatcher(
-                    DispatchParts(
-                        directory=self._directory,
-                        router=Router(
-                            RouterOptions(settings.failure_domain, trust_load=True),
-                            self._rng,
-                        ),
-                        target=self._target,
-                        links=self._links,
-                        clock=monotonic_s,
-                    )
-                ),
-                shares=self._shares,
-                pressure=EdgePressure(self._rng),
-                running=self._running,
-                telemetry=self._telemetry,
-                dialect=self._surroundings.dialect,
-                rng=self._rng,
-                clock=monotonic_s,
-            ),
-        )
-
     def _make_followers(self) -> None:
         around = self._surroundings
         self._registration = Registration(
@@ -411,41 +351,3 @@
         while True:
             await asyncio.sleep(FORGET_S)
             self._members_changed()
-
-    async def _drain(self) -> None:
-        """Tell all, go on serving until callers have left, end what runs."""
-        began = monotonic_s()
-        end = began + self.settings.grace_s - STOP_MARGIN_S
-        _LOGGER.info("daemon: graceful stop begins.")
-        self._callers.draining = True
-        while monotonic_s() < min(began + DRAIN_READY_S, end):
-            await asyncio.sleep(POLL_S)
-        self._target.draining = True
-        self._links.tell_all()
-        await asyncio.sleep(POLL_S)
-        self._callers.close_idle()
-        while monotonic_s() < end and self._busy():
-            await asyncio.sleep(POLL_S)
-            self._callers.close_idle()
-        _LOGGER.info(
-            "daemon: graceful stop ends.",
-            extra={
-                "callers": self._ingress.under_way,
-                "at_server": self._target.under_way,
-            },
-        )
-
-    def _busy(self) -> bool:
-        return bool(
-            self._ingress.under_way or self._target.under_way or self._callers.under_way
-        )
-
-
-def _repeats(settings: MeshSettings) -> RepeatBudget:
-    """Return the budget of the server's part of what its pool may get again."""
-    return RepeatBudget(
-        RepeatOptions(
-            ratio=REPEAT_RATIO_SHARE * settings.retry_ratio,
-            saved=max(1.0, REPEAT_SLACK_SHARE * settings.retry_slack),
-        )
-    )
--- /dev/null
+++ b/damaskbay/mesh/assembly.py
@@ -0,0 +1,125 @@
+"""Makes the parts of the event-driven daemon that carry calls."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
+from damaskbay.adapters.peer_link.client import PeerLinks
+from damaskbay.adapters.telemetry.bound import BoundTelemetry
+from damaskbay.core.pressure import EdgePressure
+from damaskbay.core.quota.shares import DemandShares
+from damaskbay.core.retry.repeats import RepeatBudget, RepeatOptions
+from damaskbay.core.routing import Router, RouterOptions
+from damaskbay.helpers.clock import monotonic_s
+from damaskbay.mesh.config_watch import Decode
+from damaskbay.mesh.configuration import Configuration
+from damaskbay.mesh.const import REPEAT_RATIO_SHARE, REPEAT_SLACK_SHARE
+from damaskbay.mesh.dialect import Dialect
+from damaskbay.mesh.directory import Directory
+from damaskbay.mesh.dispatch import Dispatcher, DispatchParts
+from damaskbay.mesh.gate import Gate
+from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
+from damaskbay.mesh.local_server import LocalServer
+from damaskbay.mesh.running import RunningCalls
+from damaskbay.mesh.settings import MeshSettings
+from damaskbay.mesh.target import Target, TargetParts
+from damaskbay.ports.store import Store
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """
+    What the daemon finds around it.
+
+    `config_prefix` and `config_key` are where the operator's set lies in the
+    store, `member_prefix` is where daemons keep their records.
+    """
+
+    store: Store
+    dialect: Dialect
+    decode_config: Decode
+    config_prefix: str
+    config_key: str
+    member_prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """What the parts on the path of a call share."""
+
+    configuration: Configuration
+    local: LocalServer
+    gate: Gate
+    links: PeerLinks
+    directory: Directory
+    shares: DemandShares
+    running: RunningCalls
+    repeats: RepeatBudget
+    telemetry: BoundTelemetry
+    rng: Random
+
+
+def make_target(
+    settings: MeshSettings,
+    dialect: Dialect,
+    shared: Shared,
+    weight_of: Callable[[str], float],
+) -> Target:
+    """Return the sender to the local server."""
+    options = HttpClientOptions(echo_header=dialect.request_id)
+    return Target(
+        TargetParts(
+            instance=settings.instance,
+            pool=settings.pool,
+            local=shared.local,
+            gate=shared.gate,
+            client=HttpClient(settings.server, options),
+            dialect=dialect,
+            running=shared.running,
+            telemetry=shared.telemetry,
+            repeats=shared.repeats,
+            weight_of=weight_of,
+            clock=monotonic_s,
+        )
+    )
+
+
+def make_ingress(
+    settings: MeshSettings, dialect: Dialect, shared: Shared, target: Target
+) -> Ingress:
+    """Return what serves callers, with the dispatcher behind it."""
+    router = Router(RouterOptions(settings.failure_domain, trust_load=True), shared.rng)
+    dispatcher = Dispatcher(
+        DispatchParts(
+            directory=shared.directory,
+            router=router,
+            target=target,
+            links=shared.links,
+            clock=monotonic_s,
+        )
+    )
+    return Ingress(
+        IngressOptions(caller_name=settings.pool, proof_valid_s=settings.revoke_s),
+        IngressParts(
+            configuration=shared.configuration,
+            dispatcher=dispatcher,
+            shares=shared.shares,
+            pressure=EdgePressure(shared.rng),
+            running=shared.running,
+            telemetry=shared.telemetry,
+            dialect=dialect,
+            rng=shared.rng,
+            clock=monotonic_s,
+        ),
+    )
+
+
+def make_repeats(settings: MeshSettings) -> RepeatBudget:
+    """Return the budget of the server's part of what its pool may get again."""
+    return RepeatBudget(
+        RepeatOptions(
+            ratio=REPEAT_RATIO_SHARE * settings.retry_ratio,
+            saved=max(1.0, REPEAT_SLACK_SHARE * settings.retry_slack),
+        )
+    )
--- /dev/null
+++ b/damaskbay/mesh/stopping.py
@@ -0,0 +1,55 @@
+"""The graceful stop: tell all, go on serving, end what runs."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from damaskbay.adapters.http1.server import HttpServer
+from damaskbay.adapters.peer_link.client import PeerLinks
+from damaskbay.helpers.clock import monotonic_s
+from damaskbay.mesh.const import DRAIN_READY_S, STOP_MARGIN_S
+from damaskbay.mesh.ingress import Ingress
+from damaskbay.mesh.target import Target
+
+_LOGGER = logging.getLogger(__name__)
+
+POLL_S = 0.05
+"""Seconds between looks whether all calls have ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class GracefulStop:
+    """What is told and waited for when a daemon stops."""
+
+    callers: HttpServer
+    ingress: Ingress
+    target: Target
+    links: PeerLinks
+
+    async def run(self, grace_s: float) -> None:
+        """Return when nothing runs any more, or shortly before the time is up."""
+        began = monotonic_s()
+        end = began + grace_s - STOP_MARGIN_S
+        _LOGGER.info("daemon: graceful stop begins.")
+        self.callers.draining = True
+        while monotonic_s() < min(began + DRAIN_READY_S, end):
+            await asyncio.sleep(POLL_S)
+        self.target.draining = True
+        self.links.tell_all()
+        await asyncio.sleep(POLL_S)
+        self.callers.close_idle()
+        while monotonic_s() < end and self._busy():
+            await asyncio.sleep(POLL_S)
+            self.callers.close_idle()
+        _LOGGER.info(
+            "daemon: graceful stop ends.",
+            extra={
+                "callers": self.ingress.under_way,
+                "at_server": self.target.under_way,
+            },
+        )
+
+    def _busy(self) -> bool:
+        return bool(
+            self.ingress.under_way or self.target.under_way or self.callers.under_way
+        )
--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -13,7 +13,8 @@
 from damaskbay.adapters.http1.server import Handler
 from damaskbay.config.objects import ConfigSet
 from damaskbay.helpers.logs import set_up_queued_logging
-from damaskbay.mesh.app import MeshDaemon, Surroundings
+from damaskbay.mesh.app import MeshDaemon
+from damaskbay.mesh.assembly import Surroundings
 from damaskbay.platform.const import (
     CONFIG_KEY,
     CONFIG_PREFIX,
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -13,7 +13,8 @@
 from damaskbay.adapters.http1.server import Arrival, Handler, HttpServer
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Answer, Headers, Request
-from damaskbay.mesh.app import MeshDaemon, Surroundings
+from damaskbay.mesh.app import MeshDaemon
+from damaskbay.mesh.assembly import Surroundings
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.platform.__main__ import decode_config
 from damaskbay.platform.const import (
