Show that a deaf watch keeps no withdrawn key alive; test the gate by itself

Cause: before the store drops its history, watches may hear nothing of changes for a second; each was taken for a proof that nothing had changed. With the store out of reach right after, a withdrawn key ran until 5.48 s after its withdrawal where 5 are allowed.

--- a/tests/mesh/test_fleet.py
+++ b/tests/mesh/test_fleet.py
@@ -6,9 +6,19 @@
 from functools import partial
 
 from damaskbay.core.call import Answer, Request
+from damaskbay.helpers.clock import monotonic_s
 from tests.common import function_suite
 from tests.mesh.common import WAIT_S, Fleet, Node, fleet, until
 
+REVOKE_S = 5.0
+"""Bound on the use of a withdrawn key, as the fleet's settings have it."""
+
+STEADY_S = 2.0
+"""Time until one daemon watches for the others and their proofs are fresh."""
+
+DEAF_S = 0.95
+"""How long watches may hear nothing before the store drops its history."""
+
 
 def _run(check: Callable[[Fleet], Awaitable[None]], **nodes: str) -> None:
     async def run() -> None:
@@ -74,6 +84,28 @@
     _run(check, a="one", b="two")
 
 
+def test_a_deaf_watch_does_not_keep_a_withdrawn_key_alive() -> None:
+    """Watches that hear nothing prove nothing; then the store can't be reached."""
+
+    async def check(made: Fleet) -> None:
+        node = made.nodes["a"]
+        await asyncio.sleep(STEADY_S)
+        made.kv.faults.deaf = True
+        await made.publish(keys=("k2",))
+        withdrawn_at = monotonic_s()
+        await asyncio.sleep(DEAF_S)
+        made.kv.faults.status = 503
+        served_at = withdrawn_at
+        while monotonic_s() < withdrawn_at + REVOKE_S + 1.0:
+            sent_at = monotonic_s()
+            if (await node.request("/safe/")).status == 200:
+                served_at = sent_at
+            await asyncio.sleep(0.02)
+        assert served_at < withdrawn_at + REVOKE_S
+
+    _run(check, a="one", b="two")
+
+
 def test_without_proof_keyed_requests_are_refused_and_open_ones_served() -> None:
     """Once no proof is young enough, a key might have been withdrawn unseen."""
 
--- /dev/null
+++ b/tests/mesh/test_gate.py
@@ -0,0 +1,82 @@
+"""Admission to the local server, awaited."""
+
+import asyncio
+import contextlib
+import unittest
+from dataclasses import replace
+from random import Random
+
+from damaskbay.core.admission import Sample
+from damaskbay.core.call import CallContext
+from damaskbay.core.outcome import Refusal
+from damaskbay.helpers.clock import monotonic_s
+from damaskbay.mesh.gate import Gate
+from tests.common import function_suite
+
+WAIT_S = 5.0
+
+
+def _context(left_s: float) -> CallContext:
+    return CallContext(
+        "", "w", 1, monotonic_s() + left_s, "r", "p", True, request_id="q"
+    )
+
+
+def _run(left_s: float) -> tuple[int | Refusal, int | Refusal, Gate]:
+    """Enter twice where there is room for one; return what came of both."""
+
+    async def enter_twice() -> tuple[int | Refusal, int | Refusal, Gate]:
+        gate = Gate(1, Random(1), monotonic_s())
+        expiring = asyncio.create_task(gate.keep_expiring(monotonic_s))
+        first = await gate.enter(_context(WAIT_S), 1.0, monotonic_s())
+        async with asyncio.timeout(WAIT_S):
+            second = await gate.enter(_context(left_s), 1.0, monotonic_s())
+        expiring.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await expiring
+        return first, second, gate
+
+    return asyncio.run(enter_twice())
+
+
+def test_a_call_that_waits_too_long_is_refused() -> None:
+    """Nothing else happens meanwhile: the look at the queue has to come by itself."""
+    first, second, gate = _run(0.2)
+    assert isinstance(first, int)
+    assert isinstance(second, Refusal)
+    assert second.not_run
+    assert gate.waiting == 0
+    assert gate.running == 1
+
+
+def test_a_call_starts_when_a_slot_is_free() -> None:
+    """The slot goes to the call that waited."""
+
+    async def hand_over() -> None:
+        gate = Gate(1, Random(1), monotonic_s())
+        first = await gate.enter(_context(WAIT_S), 1.0, monotonic_s())
+        assert isinstance(first, int)
+        waiting = asyncio.create_task(gate.enter(_context(WAIT_S), 1.0, monotonic_s()))
+        await asyncio.sleep(0)
+        assert gate.waiting == 1
+        gate.leave(first, Sample(0.01), monotonic_s())
+        assert isinstance(await waiting, int)
+
+    asyncio.run(hand_over())
+
+
+def test_a_call_that_is_too_late_does_not_start() -> None:
+    """Room or not, a call past its deadline is not run."""
+
+    async def enter() -> None:
+        gate = Gate(1, Random(1), monotonic_s())
+        late = replace(_context(WAIT_S), deadline=monotonic_s() - 0.1)
+        assert isinstance(await gate.enter(late, 1.0, monotonic_s()), Refusal)
+        assert gate.running == 0
+
+    asyncio.run(enter())
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
--- a/tests/platform/kv_stand_in.py
+++ b/tests/platform/kv_stand_in.py
@@ -16,9 +16,14 @@
 
 @dataclass
 class KvFaults:
-    """What the stand-in does wrong: `status` answers all calls with it."""
+    """
+    What the stand-in does wrong: `status` answers all calls with it.
+
+    While it is `deaf`, watches hear nothing of changes.
+    """
 
     status: int | None = None
+    deaf: bool = False
     lose_answers: bool = False
     page: int = PAGE
 
@@ -108,6 +113,8 @@
             return _json(410, {})
 
         def events() -> list[dict[str, Any]]:
+            if self.faults.deaf:
+                return []
             return [
                 event
                 for event in self.history
