--- a/tests/core/quota/test_shares.py
+++ b/tests/core/quota/test_shares.py
@@ -11,6 +11,7 @@
 OPTIONS = QuotaOptions(overage=0.1, slack=20.0)
 WINDOW_S = 5.0
 NOTE_S = 0.5
+MANY_DAEMONS = 88
 
 
 class _Fleet:
@@ -150,6 +151,24 @@
         assert came - len(passed) <= 0.02 * came
 
 
+def test_a_small_workspace_on_many_daemons_is_hardly_refused() -> None:
+    """At 62 % of 34 requests a second, a few of them a minute at each daemon."""
+    rate = 34.0
+    workspace = Workspace("w", rate, int(rate))
+    rates = [0.62 * rate / MANY_DAEMONS] * MANY_DAEMONS
+    passed, came = _play(rates, workspace, seconds=20.0)
+    assert came - len(passed) <= 0.02 * came
+
+
+def test_a_greedy_small_workspace_on_many_daemons_keeps_the_bound() -> None:
+    """Seven times 8 requests a second: each daemon has to hold a whole token."""
+    rate = 8.0
+    workspace = Workspace("w", rate, int(rate))
+    rates = [7.0 * rate / MANY_DAEMONS] * MANY_DAEMONS
+    passed, _ = _play(rates, workspace, seconds=20.0)
+    assert _most_in_window(passed) <= _bound(workspace)
+
+
 def test_no_limit_refuses_nothing() -> None:
     """A rate of 0 means that there is none."""
     passed, came = _play([50.0, 50.0], Workspace("w", 0.0, 0), seconds=5.0)
