--- a/tests/daemon/test_request_path.py
+++ b/tests/daemon/test_request_path.py
@@ -273,6 +273,7 @@
     with request_path("a", "b") as path:
         outer = path.daemons_by_instance["a"]
         nested: list[Answer | Refusal] = []
+        nested_ended = threading.Event()
         cancellation = Cancellation()
 
         def during(request: Request, token: str) -> None:
@@ -285,11 +286,13 @@
             owner = path.daemons_by_instance
             holder = next(item for item in owner.values() if len(item.calls))
             nested.append(holder.call("/read/inner", key=None, call_token=token))
+            nested_ended.set()
 
         for daemon in path.daemons_by_instance.values():
             daemon.backend.during = during
         outcome = outer.call("/read/outer", cancellation=cancellation)
         assert isinstance(outcome, Refusal)
+        assert nested_ended.wait(WAIT_S)
         assert isinstance(nested[0], Refusal)
         assert nested[0].reason is Reason.CANCELLED
         assert all(len(item.calls) == 0 for item in path.daemons_by_instance.values())
