--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -26,6 +26,9 @@
 DRAIN_S = 2.0
 REVOKE_S = 5.0
 READY_WAIT_S = 15.0
+_NETWORK = f"127.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}"
+"""Addresses of this process alone: the metrics port of a daemon is fixed."""
+
 _hosts = itertools.count(1)
 
 
@@ -95,7 +98,7 @@
         self.gate = StoreGate(store)
         self.acked_drain_at: float | None = None
         self.state = "ready"
-        self._host = f"127.0.1.{next(_hosts) % 250 + 1}"
+        self._host = f"{_NETWORK}.{next(_hosts) % 250 + 1}"
         self.callers = self._own_address()
         self._control = self._own_address()
         self._readiness = self._own_address()
