Listen in one place, sort hop-by-hop headers once, charge a queue in one way

No behaviour changes. The HTTP server and the peer links opened their listeners with the same lines; without_hop_by_hop built a sieve at each call, on the path of every request of the other daemon; a call that waited and one that did not were charged by two copies of the same lines.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -12,13 +12,12 @@
 import httptools
 
 from damaskbay.adapters.http1.const import (
-    LISTEN_BACKLOG,
     READ_BACKLOG_REQUESTS,
     SWEEP_S,
     WRITE_STALLED_S,
 )
 from damaskbay.adapters.http1.names import decoded_name
-from damaskbay.adapters.http1.sockets import watch_peer
+from damaskbay.adapters.http1.sockets import listen, watch_peer
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Answer, Request
 from damaskbay.helpers.clock import monotonic_s
@@ -295,17 +294,10 @@
         self._sweeper: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ServerConnection(self),
-            self.address.host,
-            self.address.port,
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
-        )
+        self._server = await listen(self.address, lambda: ServerConnection(self))
         port = self._server.sockets[0].getsockname()[1]
         self.address = PeerAddress(self.address.host, port)
-        self._sweeper = loop.create_task(self._sweep())
+        self._sweeper = asyncio.create_task(self._sweep())
         return self
 
     async def __aexit__(
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -1,12 +1,29 @@
-"""Options of TCP sockets that must notice a silent peer."""
+"""TCP sockets that listen, and options of those that must notice a silent peer."""
 
+import asyncio
 import socket
+from collections.abc import Callable
 
 from damaskbay.adapters.http1.const import (
     KEEPALIVE_IDLE_S,
     KEEPALIVE_PROBES,
+    LISTEN_BACKLOG,
     USER_TIMEOUT_MS,
 )
+from damaskbay.ports.peer import PeerAddress
+
+
+async def listen(
+    address: PeerAddress, make: Callable[[], asyncio.BaseProtocol]
+) -> asyncio.Server:
+    """Listen on an address; `make` returns the protocol of a new connection."""
+    return await asyncio.get_running_loop().create_server(
+        make,
+        address.host,
+        address.port,
+        backlog=LISTEN_BACKLOG,
+        reuse_address=True,
+    )
 
 
 def watch_peer(sock: socket.socket) -> None:
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -7,7 +7,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from damaskbay.adapters.http1.const import LISTEN_BACKLOG
+from damaskbay.adapters.http1.sockets import listen
 from damaskbay.adapters.peer_link.const import (
     CONNECT_TIMEOUT_S,
     NOTE_AT_LEAST_ROUNDS,
@@ -54,15 +54,8 @@
         self._noting: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._accept,
-            self._address.host,
-            self._address.port,
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
-        )
-        self._noting = loop.create_task(self._keep_noting())
+        self._server = await listen(self._address, self._accept)
+        self._noting = asyncio.create_task(self._keep_noting())
         return self
 
     async def __aexit__(
--- a/damaskbay/core/admission/queue.py
+++ b/damaskbay/core/admission/queue.py
@@ -111,11 +111,12 @@
             workspace = self.by_workspace[name] = _WorkspaceQueue()
         workspace.served = max(workspace.served, self.served)
         workspace.weight = max(weight, 1e-6)
-        self.served = workspace.served
-        workspace.served += 1.0 / workspace.weight
+        self._charge(workspace)
 
     def charge(self, entry: Entry) -> None:
-        workspace = self.by_workspace[entry.workspace]
+        self._charge(self.by_workspace[entry.workspace])
+
+    def _charge(self, workspace: _WorkspaceQueue) -> None:
         self.served = max(self.served, workspace.served)
         workspace.served += 1.0 / workspace.weight
 
--- a/damaskbay/core/quota/demand_pool.py
+++ b/damaskbay/core/quota/demand_pool.py
@@ -111,7 +111,7 @@
     def _set_against(self) -> Demand:
         """Return, by workspace, what own demand over it is the part of the fleet."""
         now, told = self._round_total.scaled(), self._told.scaled()
-        others = self._others_told()
+        others = _sum(item.scaled() for item in self._others.values())
         unknown = (
             self.daemons
             - self._told.daemons
@@ -129,9 +129,6 @@
             total[name] = asked / share if asked > 0.0 else everybody
         return total
 
-    def _others_told(self) -> Demand:
-        return _sum(item.scaled() for item in self._others.values())
-
 
 def _sum(demands: Iterable[Demand]) -> dict[str, float]:
     total: dict[str, float] = {}
--- a/damaskbay/core/quota/shares.py
+++ b/damaskbay/core/quota/shares.py
@@ -55,8 +55,8 @@
     Splits each workspace's rate over the daemons in proportion to demand.
 
     The own share is the own demand over that on the whole fleet, as counted in the
-    last round; without a newer one it stays as it is. Not safe
-    for threads; times in seconds of one monotonic clock.
+    last round; without a newer one it stays as it is. Not safe for threads; times
+    in seconds of one monotonic clock.
     """
 
     def __init__(self, options: QuotaOptions) -> None:
--- a/damaskbay/helpers/http_headers.py
+++ b/damaskbay/helpers/http_headers.py
@@ -23,16 +23,6 @@
 )
 
 
-def without_hop_by_hop(headers: Headers, also: frozenset[str] = frozenset()) -> Headers:
-    """
-    Return the headers without those of one connection (RFC 9110, 7.6.1).
-
-    Those named in `also` (lower case) go, too.
-    """
-    kept, _ = HeaderSieve(dropped=also, read=frozenset()).sift(headers)
-    return kept
-
-
 def without(headers: Headers, names: frozenset[str]) -> Headers:
     """Return the headers without the named ones (lower case)."""
     return tuple(item for item in headers if item[0].lower() not in names)
@@ -106,3 +96,12 @@
     """Return the headers that a Connection header names, in lower case."""
     tokens = {token.strip().lower() for token in connection.split(",")}
     return frozenset(tokens) - _PLAIN_TOKENS - {""}
+
+
+_HOP_BY_HOP_SIEVE: Final = HeaderSieve(dropped=frozenset(), read=frozenset())
+
+
+def without_hop_by_hop(headers: Headers) -> Headers:
+    """Return the headers without those of one connection (RFC 9110, 7.6.1)."""
+    kept, _ = _HOP_BY_HOP_SIEVE.sift(headers)
+    return kept
