Encode a note once for all links that it goes to

No behaviour changes: each round and each change of state encoded the same note anew for every link, up to 35 times twice a second at 89 daemons.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -17,7 +17,7 @@
     SILENT_S,
     SUSPECT_S,
 )
-from damaskbay.adapters.peer_link.link import Link, RequestHandler
+from damaskbay.adapters.peer_link.link import Link, RequestHandler, encode_note
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
 
@@ -108,9 +108,9 @@
 
     def tell_all(self) -> None:
         """Send a note on every link now."""
-        message = self._note()
+        note = encode_note(self._note())
         for link in self._links.values():
-            link.send(message)
+            link.send(note)
 
     def _suspect(self, link: Link, suspect: bool) -> None:
         if suspect is not link.suspect:
@@ -150,7 +150,7 @@
                 continue
             self._links[peer] = link
             self._on_links_change()
-            link.send(self._note())
+            link.send(encode_note(self._note()))
             _LOGGER.info("peer: link is up.", extra={"peer": str(peer)})
             await ended.wait()
             if self._links.get(peer) is link:
@@ -166,7 +166,7 @@
             now = monotonic_s()
             paused = now - due > NOTE_S
             due = now + NOTE_S
-            message = self._note()
+            note = encode_note(self._note())
             for link in (*self._links.values(), *self._accepted):
                 if paused:
                     # This process stood still: silence says nothing of the peer.
@@ -177,4 +177,4 @@
             for link in self._links.values():
                 self._suspect(link, now - link.heard_at > SUSPECT_S)
                 if whole_round or now - link.heard_at > QUIET_S:
-                    link.send(message)
+                    link.send(note)
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -26,6 +26,11 @@
 NoteHandler = Callable[["Link", Any], None]
 
 
+def encode_note(message: Any) -> bytes:
+    """Return the frame of a note, made once for all links that it goes to."""
+    return encode(FrameKind.NOTE, 0, pack(message))
+
+
 class Link(asyncio.Protocol):
     """
     One end of a connection. `heard_at` is when the last byte came.
@@ -108,9 +113,10 @@
             timer.cancel()
             self._waiting.pop(number, None)
 
-    def send(self, message: Any) -> None:
-        """Send a note, best effort."""
-        self._write(FrameKind.NOTE, 0, pack(message))
+    def send(self, note: bytes) -> None:
+        """Send a note that `encode_note` made, best effort."""
+        if self.open and self._transport is not None:
+            self._transport.write(note)
 
     def abort(self) -> None:
         """Close at once."""
