Tell refused requests when there is room, not when the next token is

Change: the time counts those refused before it in the last second, over the rate; refusals for shortage are further apart the fewer pass. At most 2 s either way. tests/core/quota/test_shares.py: the new test fails before.

--- a/damaskbay/core/pressure.py
+++ b/damaskbay/core/pressure.py
@@ -14,7 +14,10 @@
 from damaskbay.core.routing.demand import DemandMeter
 
 RETRY_AFTER_S = 0.4
-"""Middle of the time to come back, seconds: within most latency objectives."""
+"""Middle of the time to come back where nearly all pass, seconds."""
+
+RETRY_AFTER_MOST_S = 2.0
+"""Longest middle of that time, seconds: about as long as callers wait at all."""
 
 HIGHEST_LEVEL = 16 * LEVEL_STEPS_PER_RANK
 """Level of a path without any shortage; averages need an end of the scale."""
@@ -91,7 +94,8 @@
         )
         if kept >= 1.0 or self._rng.random() < kept:
             return None
-        wait_s = RETRY_AFTER_S * self._rng.uniform(0.5, 1.5)
+        middle_s = min(RETRY_AFTER_MOST_S, RETRY_AFTER_S / max(kept, 1e-3))
+        wait_s = middle_s * self._rng.uniform(0.5, 1.5)
         detail = f"{share:.2f} of rank {rank} may pass"
         return not_run(Reason.OVERLOADED, retry_after_s=wait_s, detail=detail)
 
--- a/damaskbay/core/quota/const.py
+++ b/damaskbay/core/quota/const.py
@@ -11,6 +11,9 @@
 RETRY_AFTER_MOST_S: Final = 2.0
 """Longest time a caller over its rate is told to wait, seconds."""
 
+BACKLOG_HALF_LIFE_S: Final = 1.0
+"""Time after which half of the refused have come back or given up, seconds."""
+
 START_BURST_SHARE: Final = 0.2
 """Part of the burst a daemon starts with: the fleet may restart within a window."""
 
--- a/damaskbay/core/quota/shares.py
+++ b/damaskbay/core/quota/shares.py
@@ -10,7 +10,6 @@
     DEMAND_WINDOW_S,
     FLOOR_SHARE,
     RATE_USE,
-    RETRY_AFTER_MOST_S,
     START_BURST_SHARE,
     UNKNOWN_SHARE,
 )
@@ -87,9 +86,10 @@
         if bucket is None:
             bucket = Bucket(self._burst(workspace, share * START_BURST_SHARE), now)
             self._buckets[workspace.name] = bucket
-        wait_s = min(RETRY_AFTER_MOST_S, bucket.take(rate, burst, now))
-        if wait_s == 0.0:
+        next_s = bucket.take(rate, burst, now)
+        if next_s == 0.0:
             return None
+        wait_s = bucket.come_back_s(rate, next_s, now)
         detail = f"share {share:.3f} of {workspace.rate_per_s:g}/s"
         return not_run(Reason.RATE_EXCEEDED, retry_after_s=wait_s, detail=detail)
 
--- a/damaskbay/core/quota/token_pool.py
+++ b/damaskbay/core/quota/token_pool.py
@@ -11,7 +11,6 @@
     POOLED_BELOW_PER_S,
     RATE_USE,
     REPORT_FRESH_S,
-    RETRY_AFTER_MOST_S,
     START_BURST_SHARE,
 )
 from damaskbay.core.quota.shares import QuotaOptions
@@ -31,9 +30,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """One token, or how long to wait for one, in seconds."""
+    """
+    One token, or when there may be one, in seconds.
+
+    In `next_s` one will be there for whoever asks first; who was refused now may
+    expect one in `wait_s`.
+    """
 
     granted: bool
+    next_s: float = 0.0
     wait_s: float = 0.0
 
 
@@ -125,7 +130,7 @@
         if home != self._own_domain:
             alone_s = self.answer_age_s(home, now) - ALONE_AFTER_S
             if alone_s < 0.0:
-                return Grant(False, -alone_s)
+                return Grant(False, -alone_s, -alone_s)
             since = max(since, now - alone_s)
         part = self._part(now, whole=home == self._own_domain)
         options = self.options
@@ -135,8 +140,10 @@
         if bucket is None or bucket.at < since:
             bucket = Bucket(START_BURST_SHARE * workspace.burst * part, since)
             self._buckets[workspace.name] = bucket
-        wait_s = min(RETRY_AFTER_MOST_S, bucket.take(rate, depth, now))
-        return Grant(wait_s == 0.0, wait_s)
+        next_s = bucket.take(rate, depth, now)
+        if next_s == 0.0:
+            return Grant(True)
+        return Grant(False, next_s, bucket.come_back_s(rate, next_s, now))
 
     def _part(self, now: float, *, whole: bool) -> float:
         """Return the part of all daemons that rely on this one, 0 to 1."""
--- a/damaskbay/mesh/messages.py
+++ b/damaskbay/mesh/messages.py
@@ -113,7 +113,8 @@
 @message("mesh.token_granted")
 @dataclass(frozen=True, slots=True)
 class TokenGranted:
-    """One token, or the seconds after which there may be one."""
+    """The answer: `Grant` of `core/quota/token_pool.py`, times in seconds."""
 
     granted: bool
+    next_s: float
     wait_s: float
--- a/damaskbay/mesh/tokens.py
+++ b/damaskbay/mesh/tokens.py
@@ -22,6 +22,18 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+_UNKNOWN = Grant(False, NOT_READY_RETRY_S, NOT_READY_RETRY_S)
+"""Stands for the answer where no holder could be asked."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Spent:
+    """Until when nobody need be asked, and what to tell callers meanwhile."""
+
+    until: float
+    wait_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class TokenParts:
     """What getting tokens works with."""
@@ -45,19 +57,20 @@
 
     def __init__(self, parts: TokenParts) -> None:
         self._parts = parts
-        self._spent_until: dict[str, float] = {}
+        self._spent: dict[str, _Spent] = {}
         self._silent_until: dict[str, float] = {}
 
     async def spend(self, workspace: Workspace) -> Refusal | None:
         """Spend one token, or refuse and tell when there may be one."""
         now = self._parts.clock()
-        wait_s = self._spent_until.get(workspace.name, 0.0) - now
-        if wait_s <= 0.0:
+        spent = self._spent.get(workspace.name)
+        if spent is None or spent.until <= now:
             grant = await self._get(workspace, 0)
             if grant.granted:
                 return None
-            wait_s = max(0.001, grant.wait_s)
-            self._spent_until[workspace.name] = self._parts.clock() + wait_s
+            spent = _Spent(self._parts.clock() + grant.next_s, grant.wait_s)
+            self._spent[workspace.name] = spent
+        wait_s = max(0.001, spent.wait_s)
         pool = self._parts.pool
         detail = f"pooled at {pool.home(workspace.name)}, {workspace.rate_per_s:g}/s"
         return not_run(Reason.RATE_EXCEEDED, retry_after_s=wait_s, detail=detail)
@@ -68,14 +81,14 @@
         workspaces = config.workspaces_by_name if config is not None else {}
         workspace = workspaces.get(message.workspace)
         if workspace is None:
-            return TokenGranted(False, NOT_READY_RETRY_S)
+            return TokenGranted(False, NOT_READY_RETRY_S, NOT_READY_RETRY_S)
         grant = await self._get(workspace, message.hops)
-        return TokenGranted(grant.granted, grant.wait_s)
+        return TokenGranted(grant.granted, grant.next_s, grant.wait_s)
 
     async def _get(self, workspace: Workspace, hops: int) -> Grant:
         parts = self._parts
         if not parts.exchange.counting or hops > TOKEN_MAX_HOPS:
-            return Grant(False, NOT_READY_RETRY_S)
+            return _UNKNOWN
         home = parts.pool.home(workspace.name)
         relaying = parts.exchange.relaying
         if home == parts.failure_domain:
@@ -88,7 +101,7 @@
         if relaying:
             return parts.pool.grant(workspace, parts.clock())
         answer = await self._ask(parts.failure_domain, workspace, hops)
-        return answer or Grant(False, NOT_READY_RETRY_S)
+        return answer or _UNKNOWN
 
     async def _ask(self, domain: str, workspace: Workspace, hops: int) -> Grant | None:
         """Ask the first relay of a domain that is reached; None without an answer."""
@@ -105,7 +118,7 @@
             timeout_s=TOKEN_TIMEOUT_S,
         )
         if isinstance(reply, TokenGranted):
-            return Grant(reply.granted, reply.wait_s)
+            return Grant(reply.granted, reply.next_s, reply.wait_s)
         self._silent_until[holder.instance] = parts.clock() + HOLDER_SILENT_S
         _LOGGER.info(
             "tokens: holder does not answer.",
--- a/tests/core/quota/test_shares.py
+++ b/tests/core/quota/test_shares.py
@@ -204,6 +204,22 @@
     assert shares.spend(workspace, refusal.retry_after_s + 0.001) is None
 
 
+def test_refused_requests_are_not_all_called_back_at_once() -> None:
+    """At ten times the rate, tokens of the next second are told to a few only."""
+    shares = DemandShares(QuotaOptions())
+    shares.counted(Counted({}, {}, 1))
+    workspace = Workspace("w", 10.0, 10)
+    waits = []
+    for step in range(400):
+        refusal = shares.spend(workspace, step * 0.01)
+        if refusal is not None:
+            assert refusal.retry_after_s is not None
+            waits.append(step * 0.01 + refusal.retry_after_s)
+    first = [at for at in waits if at < 2.0]
+    assert 5 <= len(first) <= 40
+    assert max(waits) <= 4.0 + 2.0
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
