--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -17,7 +17,7 @@
     WRITE_STALLED_S,
 )
 from damaskbay.adapters.http1.names import decoded_name
-from damaskbay.adapters.http1.sockets import listen, watch_peer
+from damaskbay.adapters.http1.sockets import listen
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Answer, Request
 from damaskbay.helpers.clock import monotonic_s
@@ -96,7 +96,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport over."""
         self._transport = cast("asyncio.Transport", transport)
-        watch_peer(transport.get_extra_info("socket"))
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -16,14 +16,23 @@
 async def listen(
     address: PeerAddress, make: Callable[[], asyncio.BaseProtocol]
 ) -> asyncio.Server:
-    """Listen on an address; `make` returns the protocol of a new connection."""
-    return await asyncio.get_running_loop().create_server(
-        make,
-        address.host,
-        address.port,
-        backlog=LISTEN_BACKLOG,
-        reuse_address=True,
-    )
+    """
+    Listen on an address; `make` returns the protocol of a new connection.
+
+    Connections that are accepted inherit how their peers are watched.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        watch_peer(sock)
+        sock.setblocking(False)
+        sock.bind((address.host, address.port))
+        return await asyncio.get_running_loop().create_server(
+            make, sock=sock, backlog=LISTEN_BACKLOG
+        )
+    except BaseException:
+        sock.close()
+        raise
 
 
 def watch_peer(sock: socket.socket) -> None:
--- a/tests/adapters/http1/test_server.py
+++ b/tests/adapters/http1/test_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server on real sockets."""
 
 import asyncio
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -176,6 +177,27 @@
     _run(talk)
 
 
+def test_accepted_connections_inherit_how_peers_are_watched() -> None:
+    """The options of the listening socket spare six calls for each connection."""
+    options = [
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+    ]
+
+    async def talk(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, server: HttpServer
+    ) -> None:
+        writer.write(_get("/a"))
+        await _answer(reader)
+        (connection,) = server.connections
+        assert connection._transport is not None
+        sock = connection._transport.get_extra_info("socket")
+        assert all(sock.getsockopt(*option) for option in options)
+
+    _run(talk)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
--- a/tests/mesh/test_parts.py
+++ b/tests/mesh/test_parts.py
@@ -246,6 +246,20 @@
     assert not budget.repeat(nested=False)
 
 
+def test_the_fewer_pass_the_later_the_refused_come_back() -> None:
+    """They would come in vain, and have those that pass wait."""
+
+    def longest(level: int) -> float:
+        pressure = EdgePressure(random.Random(1))
+        for step in range(40):
+            pressure.heard("r", level, step * 0.01)
+        refused = [pressure.refusal("r", 1, "w", 1.0, 0.4) for _ in range(200)]
+        waits = [item.retry_after_s for item in refused if item is not None]
+        return max(wait for wait in waits if wait is not None)
+
+    assert longest(1800) < longest(1500) < longest(1200)
+
+
 def test_the_edge_refuses_the_least_important_first() -> None:
     """A level of 1,500 lets ranks 0 whole and 1 half, and fades when old."""
     pressure = EdgePressure(random.Random(1))
