--- a/damaskbay/helpers/logs.py
+++ b/damaskbay/helpers/logs.py
@@ -101,7 +101,7 @@
     listener = logging.handlers.QueueListener(records, writer)
     listener.start()
     atexit.register(listener.stop)
-    # Each of these costs a look-up a line, one of them a system call; no line shows them.
+    # Each costs a look-up a line, one a system call; no line shows them.
     logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
     root = logging.getLogger()
     root.handlers[:] = [handler]
