--- a/damaskbay/core/routing/health.py
+++ b/damaskbay/core/routing/health.py
@@ -115,8 +115,12 @@
 
     def warmth(self, view: ServerView, now: float) -> float:
         """Return the share of its capacity that a server can be trusted with."""
-        since = max(view.ready_at, self._warm_from or view.ready_at)
-        return min(1.0, max(WARMTH_LOWEST, (now - since) / SLOW_START_S))
+        since = view.ready_at
+        if self._warm_from is not None and self._warm_from > since:
+            since = self._warm_from
+        if now - since >= SLOW_START_S:
+            return 1.0
+        return max(WARMTH_LOWEST, (now - since) / SLOW_START_S)
 
     def occupancy(self, view: ServerView, now: float) -> float:
         """Return own outstanding work, one more call added, per trusted slot."""
@@ -124,12 +128,15 @@
 
     def trusted_occupancy(self, view: ServerView, now: float) -> float:
         """Return the same by what the target's daemon counted, while that is fresh."""
-        own = self.occupancy(view, now)
-        if now - self._load_at > LOAD_GONE_S:
-            return own
-        since = self.outstanding - self._outstanding_then + 1
-        counted = self._load + since / max(1, view.slots)
-        return max(own, counted / self.warmth(view, now))
+        warmth = self.warmth(view, now)
+        slots = view.slots or 1
+        per_slot = (self.outstanding + 1) / slots
+        if now - self._load_at <= LOAD_GONE_S:
+            since = self.outstanding - self._outstanding_then + 1
+            counted = self._load + since / slots
+            if counted > per_slot:
+                per_slot = counted
+        return per_slot / warmth
 
     def trusted_score(self, view: ServerView, now: float) -> float:
         """Return how unwelcome one more call is, by what its daemon counted."""
--- a/damaskbay/core/routing/router.py
+++ b/damaskbay/core/routing/router.py
@@ -174,9 +174,10 @@
             health = self._by_instance.get(view.instance)
             if health is None or health.incarnation != view.incarnation:
                 self._by_instance[view.instance] = Health(view, now)
-            else:
-                health.look(view, now)
-                ejected = ejected or health.ejected()
+                continue
+            health.look(view, now)
+            if health.ejected():
+                ejected = True
         return ejected
 
     def _trickle(
@@ -243,12 +244,17 @@
         if len(servers) == 1:
             return servers[0]
         first, second = self._two(servers)
-        own = self._options.failure_domain
-        near = [view for view in servers if view.failure_domain == own]
-        if self._options.trust_load and near:
-            first = min(near, key=lambda view: self._score(view, 0, now))
         rank = context.priority_rank
-        if self._score(second, rank, now) < self._score(first, rank, now):
+        score = self._score(first, rank, now)
+        if self._options.trust_load:
+            own = self._options.failure_domain
+            for view in servers:
+                if view.failure_domain != own or view is first:
+                    continue
+                other = self._score(view, rank, now)
+                if other < score or first.failure_domain != own:
+                    first, score = view, other
+        if second is not first and self._score(second, rank, now) < score:
             return second
         return first
 
