--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -88,6 +88,11 @@
                         f"{request_id}: reached {server} {late_s:.1f} s after it left"
                     )
 
+    def outstayed(self, machine: str) -> None:
+        """Take note of a daemon that was still there at the end of its grace time."""
+        if self.planned:
+            self.broken.append(f"{machine}: still there at the end of its grace time")
+
     def _whole(self, sent: Sent, answer: Answer) -> None:
         headers = {name.lower(): value for name, value in answer.headers}
         if not answer.body.startswith(f"{sent.request_id} ".encode()):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -206,6 +206,8 @@
         if not machine.begin_stop():
             return
         await asyncio.sleep(GRACE_S)
+        if machine.running:
+            self.promises.outstayed(machine.name)
         machine.signal(signal.SIGKILL)
         await self._again(machine)
 
