Ask again for a token within a report's time; go on without metrics' port

Cause, found by writing the tests of the token questions: a relay that nobody relies on yet has rate 0, and its answer 'next token in a million seconds' was kept by the daemon that asked, which then refused that workspace for good. Also: a metrics port that another program has ended the daemon; it is logged now and requests are served. Its test failed before.

--- a/damaskbay/core/quota/const.py
+++ b/damaskbay/core/quota/const.py
@@ -30,6 +30,12 @@
 request has to ask another daemon.
 """
 
+ASK_AGAIN_MOST_S: Final = 0.4
+"""Longest time until a daemon asks for a token again, seconds: a round of reports.
+
+A relay that nobody relies on yet has none, however long it is asked to wait.
+"""
+
 REPORT_FRESH_S: Final = 1.6
 """How long a report counts, seconds: three that are sent every 0.4 s may be lost."""
 
--- a/damaskbay/core/quota/token_pool.py
+++ b/damaskbay/core/quota/token_pool.py
@@ -8,6 +8,7 @@
 from damaskbay.core.quota.bucket import Bucket
 from damaskbay.core.quota.const import (
     ALONE_AFTER_S,
+    ASK_AGAIN_MOST_S,
     POOLED_BELOW_PER_S,
     RATE_USE,
     REPORT_FRESH_S,
@@ -143,7 +144,8 @@
         next_s = bucket.take(rate, depth, now)
         if next_s == 0.0:
             return Grant(True)
-        return Grant(False, next_s, bucket.come_back_s(rate, next_s, now))
+        wait_s = bucket.come_back_s(rate, next_s, now)
+        return Grant(False, min(next_s, ASK_AGAIN_MOST_S), wait_s)
 
     def _part(self, now: float, *, whole: bool) -> float:
         """Return the part of all daemons that rely on this one, 0 to 1."""
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -148,7 +148,7 @@
             await stack.enter_async_context(self._control)
             await stack.enter_async_context(self._readiness)
             await stack.enter_async_context(self._callers)
-            await stack.enter_async_context(self._metrics)
+            await self._serve_metrics(stack)
             loop = asyncio.get_running_loop()
             for run in (
                 self._registration.run,
@@ -175,6 +175,16 @@
             task.cancel()
         _LOGGER.info("daemon: has stopped.")
 
+    async def _serve_metrics(self, stack: contextlib.AsyncExitStack) -> None:
+        """Serve metrics; where another program has their port, go on without."""
+        try:
+            await stack.enter_async_context(self._metrics)
+        except OSError as error:
+            _LOGGER.error(
+                "daemon: metrics are not served.",
+                extra={"address": str(self.settings.metrics), "why": str(error)},
+            )
+
     def reload(self, settings: MeshSettings) -> None:
         """Take changed bounds; addresses stay those of the start."""
         self.local.drain_s = settings.drain_s
--- a/tests/mesh/test_fleet.py
+++ b/tests/mesh/test_fleet.py
@@ -1,14 +1,16 @@
 """Whole daemons on loopback: what callers and backend servers see."""
 
 import asyncio
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from functools import partial
 
 from damaskbay.core.call import Answer, Request
 from damaskbay.helpers.clock import monotonic_s
+from damaskbay.ports.peer import PeerAddress
 from tests.common import function_suite
-from tests.mesh.common import WAIT_S, Fleet, Node, fleet, until
+from tests.mesh.common import HOST, WAIT_S, Fleet, Node, fleet, until
 
 REVOKE_S = 5.0
 """Bound on the use of a withdrawn key, as the fleet's settings have it."""
@@ -246,6 +248,18 @@
     _run(check, a="one", b="two")
 
 
+def test_a_taken_metrics_port_stops_nobody() -> None:
+    """Another program may have it: that is logged, and requests are served."""
+
+    async def check(made: Fleet) -> None:
+        with socket.create_server((HOST, 0)) as taken:
+            address = PeerAddress(HOST, taken.getsockname()[1])
+            node = await made.add("c", "two", metrics=address)
+            assert (await node.request("/open/", key=None)).status == 200
+
+    _run(check, a="one", b="two")
+
+
 def test_a_restarted_daemon_serves_while_the_store_is_away() -> None:
     """Its peers know its address, and bring it the set and its proof."""
 
