--- a/damaskbay/mesh/tokens.py
+++ b/damaskbay/mesh/tokens.py
@@ -72,7 +72,8 @@
             self._spent[workspace.name] = spent
         wait_s = max(0.001, spent.wait_s)
         pool = self._parts.pool
-        detail = f"pooled at {pool.home(workspace.name)}, {workspace.rate_per_s:g}/s"
+        home = pool.home(workspace.name)
+        detail = f"pooled at {home}, of {workspace.rate_per_s:g}/s"
         return not_run(Reason.RATE_EXCEEDED, retry_after_s=wait_s, detail=detail)
 
     async def wanted(self, message: TokenWanted) -> TokenGranted:
