--- a/damaskbay/core/dissemination/order.py
+++ b/damaskbay/core/dissemination/order.py
@@ -1,16 +1,14 @@
 """Who relays and who is whose neighbour, from the live members alone."""
 
-import hashlib
 from collections.abc import Iterable
 from typing import Protocol, TypeVar
 
+from damaskbay.helpers.hashing import stable_digest
 from damaskbay.ports.fleet import MemberView
 
 LEADER_PURPOSE = "leaders"
 """Relays and delegates are the first of one order, so that they are the same few."""
 
-_DIGEST_BYTES = 8
-
 
 class Ranked(Protocol):
     """What a member is ranked by."""
@@ -99,5 +97,4 @@
 
 
 def _weight(member: Ranked, purpose: str) -> bytes:
-    text = f"{purpose}\0{member.instance}\0{member.incarnation}"
-    return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
+    return stable_digest(purpose, member.instance, member.incarnation)
--- a/damaskbay/core/membership/directory.py
+++ b/damaskbay/core/membership/directory.py
@@ -1,9 +1,9 @@
 """Samples of the servers of each pool for other failure domains."""
 
-import hashlib
 from collections.abc import Iterable, Mapping
 
 from damaskbay.core.membership.entry import MemberEntry
+from damaskbay.helpers.hashing import stable_digest
 from damaskbay.ports.fleet import ServerState
 
 SAMPLE_SERVERS = 4
@@ -107,5 +107,4 @@
 
 
 def _weight(entry: MemberEntry, asker: str) -> bytes:
-    text = f"{asker}\0{entry.instance}\0{entry.incarnation}"
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return stable_digest(asker, entry.instance, entry.incarnation)
--- a/damaskbay/core/pressure.py
+++ b/damaskbay/core/pressure.py
@@ -11,7 +11,7 @@
     LEVEL_GONE_S,
     PASS_LOWEST,
 )
-from damaskbay.core.routing.demand import DemandMeter
+from damaskbay.core.routing.demand import DemandMeter, wait_by_share_s
 
 RETRY_AFTER_S = 0.4
 """Middle of the time to come back where nearly all pass, seconds."""
@@ -94,8 +94,7 @@
         )
         if kept >= 1.0 or self._rng.random() < kept:
             return None
-        middle_s = min(RETRY_AFTER_MOST_S, RETRY_AFTER_S / max(kept, 1e-3))
-        wait_s = middle_s * self._rng.uniform(0.5, 1.5)
+        wait_s = wait_by_share_s(kept, RETRY_AFTER_S, RETRY_AFTER_MOST_S, self._rng)
         detail = f"{share:.2f} of rank {rank} may pass"
         return not_run(Reason.OVERLOADED, retry_after_s=wait_s, detail=detail)
 
--- a/damaskbay/core/quota/const.py
+++ b/damaskbay/core/quota/const.py
@@ -30,6 +30,9 @@
 request has to ask another daemon.
 """
 
+CACHED_HOMES: Final = 4096
+"""Homes of workspaces that are remembered; bounds memory. Each request asks for one."""
+
 ASK_AGAIN_MOST_S: Final = 0.4
 """Longest time until a daemon asks for a token again, seconds: a round of reports.
 
--- a/damaskbay/core/quota/demand_pool.py
+++ b/damaskbay/core/quota/demand_pool.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from damaskbay.core.quota.const import FLOOR_SHARE
+from damaskbay.helpers.messages import message
 
 Demand = Mapping[str, float]
 """Requests per second by workspace."""
@@ -11,6 +12,7 @@
 _NO_DEMAND: Demand = {}
 
 
+@message("mesh.domain_demand")
 @dataclass(frozen=True, slots=True)
 class DomainTotal:
     """
--- a/damaskbay/core/quota/token_pool.py
+++ b/damaskbay/core/quota/token_pool.py
@@ -1,22 +1,23 @@
 """Tokens of small workspaces, pooled where a share would be part of a token."""
 
-import hashlib
-from collections.abc import Iterable, Mapping, Set as AbstractSet
+from collections.abc import Mapping, Set as AbstractSet
 from dataclasses import dataclass
+from functools import lru_cache
 
 from damaskbay.config.objects import Workspace
 from damaskbay.core.quota.bucket import Bucket
 from damaskbay.core.quota.const import (
     ALONE_AFTER_S,
     ASK_AGAIN_MOST_S,
+    CACHED_HOMES,
     POOLED_BELOW_PER_S,
     RATE_USE,
     REPORT_FRESH_S,
     START_BURST_SHARE,
 )
 from damaskbay.core.quota.shares import QuotaOptions
-
-_DIGEST_BYTES = 8
+from damaskbay.helpers.hashing import stable_digest
+from damaskbay.helpers.messages import message
 
 
 def is_pooled(workspace: Workspace) -> bool:
@@ -24,11 +25,13 @@
     return 0.0 < workspace.rate_per_s < POOLED_BELOW_PER_S
 
 
-def home_domain(workspace: str, domains: Iterable[str]) -> str:
+@lru_cache(maxsize=CACHED_HOMES)
+def home_domain(workspace: str, domains: tuple[str, ...]) -> str:
     """Return the domain whose relay holds a workspace's tokens, by rendezvous hash."""
-    return max(domains, key=lambda domain: _weight(workspace, domain))
+    return max(domains, key=lambda domain: stable_digest(workspace, domain))
 
 
+@message("mesh.token_granted")
 @dataclass(frozen=True, slots=True)
 class Grant:
     """
@@ -157,8 +160,3 @@
                 if until > now and domain in self._domains
             )
         return min(1.0, count / self._daemons)
-
-
-def _weight(workspace: str, domain: str) -> bytes:
-    text = f"{workspace}\0{domain}"
-    return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
--- a/damaskbay/core/rates/node.py
+++ b/damaskbay/core/rates/node.py
@@ -1,6 +1,5 @@
 """The holders of all groups at one daemon: who is asked, what is written when."""
 
-import hashlib
 import random
 from collections.abc import Hashable, Iterable
 from dataclasses import dataclass, field
@@ -23,6 +22,7 @@
 )
 from damaskbay.core.rates.names import Total
 from damaskbay.core.rates.options import ShareOptions
+from damaskbay.helpers.hashing import stable_digest
 
 
 def group_of(bucket: str, groups: int) -> int:
@@ -40,8 +40,7 @@
 
 
 def _hash(text: str) -> int:
-    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
-    return int.from_bytes(digest)
+    return int.from_bytes(stable_digest(text))
 
 
 @dataclass(frozen=True, slots=True)
--- a/damaskbay/core/routing/demand.py
+++ b/damaskbay/core/routing/demand.py
@@ -1,6 +1,7 @@
 """Recent demand of the workspaces towards a pool, and its fair part."""
 
 from dataclasses import dataclass
+from random import Random
 
 from damaskbay.core.routing.const import DEMAND_HALF_LIFE_S, DEMAND_REFRESH_S
 
@@ -100,3 +101,16 @@
         if share in (0.0, 1.0):
             return share
         return demand.pass_share(asked, share)
+
+
+def wait_by_share_s(
+    share: float, shortest_s: float, longest_s: float, rng: Random
+) -> float:
+    """
+    Return the time after which a refused call should come back, in seconds.
+
+    Its middle is `shortest_s` where nearly all pass, and grows up to `longest_s` the
+    smaller the share that passes is; callers are spread around it.
+    """
+    middle_s = longest_s if share <= 0.0 else min(longest_s, shortest_s / share)
+    return rng.uniform(0.5, 1.5) * middle_s
--- a/damaskbay/core/routing/router.py
+++ b/damaskbay/core/routing/router.py
@@ -17,7 +17,7 @@
     PASS_LOWEST,
     SAMPLED_SERVERS,
 )
-from damaskbay.core.routing.demand import DemandMeter
+from damaskbay.core.routing.demand import DemandMeter, wait_by_share_s
 from damaskbay.core.routing.health import Health, RouteOutcome
 from damaskbay.ports.fleet import ServerState, ServerView
 
@@ -286,5 +286,6 @@
 
     def _wait_s(self, share: float) -> float:
         """Return a time to return, spread wider the less can pass."""
-        longest_s = min(EARLY_RETRY_AFTER_MAX_S, EARLY_RETRY_AFTER_S / max(share, 0.01))
-        return self._rng.uniform(0.5, 1.5) * longest_s
+        return wait_by_share_s(
+            share, EARLY_RETRY_AFTER_S, EARLY_RETRY_AFTER_MAX_S, self._rng
+        )
--- a/damaskbay/mesh/exchange.py
+++ b/damaskbay/mesh/exchange.py
@@ -12,12 +12,7 @@
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import RELAYS_PER_DOMAIN, REPORT_S, REPORT_TIMEOUT_S
 from damaskbay.mesh.directory import Directory, MemberRecord
-from damaskbay.mesh.messages import (
-    DemandReport,
-    DomainDemand,
-    DomainWanted,
-    FleetState,
-)
+from damaskbay.mesh.messages import DemandReport, DomainWanted, FleetState
 from damaskbay.mesh.neighbours import relay_order
 from damaskbay.ports.peer import PeerAddress
 
@@ -53,7 +48,7 @@
     def __init__(self, parts: ExchangeParts) -> None:
         self._parts = parts
         self._relay = ""
-        self._relays: dict[str, list[MemberRecord]] = {}
+        self._orders: dict[str, list[MemberRecord]] = {}
         self._counting = False
 
     @property
@@ -67,8 +62,8 @@
         return self._counting
 
     def relays(self, failure_domain: str) -> list[MemberRecord]:
-        """Return the relays of a domain in their order, as of the last report."""
-        return self._relays.get(failure_domain, [])
+        """Return the relays of a domain in their order."""
+        return self._order(failure_domain)[:RELAYS_PER_DOMAIN]
 
     def members_changed(self) -> None:
         """Take an even share once the daemons are known, until demand is."""
@@ -98,17 +93,16 @@
         own, total = dict(counted.own), dict(counted.total)
         return FleetState(own, total, counted.daemons, version, age_s)
 
-    def domain_demand(self, wanted: DomainWanted) -> DomainDemand:
+    def domain_demand(self, wanted: DomainWanted) -> DomainTotal:
         """Answer the relay of another domain."""
         if not self._counting:
-            return DomainDemand({}, 0, 0)
+            return DomainTotal({}, 0, 0)
         parts = self._parts
         if wanted.domains == parts.tokens.domains:
             parts.tokens.stands_behind(
                 wanted.asked_by, wanted.daemons, wanted.answer_age_s, parts.clock()
             )
-        total = parts.pool.own_total()
-        return DomainDemand(dict(total.demand), total.heard, total.daemons)
+        return parts.pool.own_total()
 
     async def _report(self) -> None:
         parts = self._parts
@@ -128,17 +122,21 @@
         by_domain = parts.directory.instances_by_domain()
         parts.pool.set_members(by_domain)
         parts.tokens.set_members(by_domain, parts.clock())
-        records = parts.directory.records()
-        self._relays = {
-            domain: relay_order(records, domain)[:RELAYS_PER_DOMAIN]
-            for domain in by_domain
-        }
+        self._orders.clear()
+
+    def _order(self, domain: str) -> list[MemberRecord]:
+        """Return the order of a domain, worked out once between two reports."""
+        order = self._orders.get(domain)
+        if order is None:
+            order = relay_order(self._parts.directory.records(), domain)
+            self._orders[domain] = order
+        return order
 
     def _chosen_relay(self) -> MemberRecord | None:
         """Return the daemon to report to, None for this one."""
         parts = self._parts
         chosen: MemberRecord | None = None
-        for record in relay_order(parts.directory.records(), parts.failure_domain):
+        for record in self._order(parts.failure_domain):
             if record.instance == parts.instance:
                 break
             if parts.links.up(record.address):
@@ -184,8 +182,8 @@
         parts.tokens.reported(parts.instance, parts.clock())
         parts.pool.close_round()
         parts.shares.counted(parts.pool.counted(parts.instance))
-        domains = self._relays.keys() - {parts.failure_domain}
-        await asyncio.gather(*(self._ask_domain(domain) for domain in domains))
+        others = (item for item in parts.tokens.domains if item != parts.failure_domain)
+        await asyncio.gather(*(self._ask_domain(domain) for domain in others))
 
     async def _ask_domain(self, domain: str) -> None:
         parts, tokens = self._parts, self._parts.tokens
@@ -194,7 +192,6 @@
                 continue
             began_at = parts.clock()
             wanted = DomainWanted(
-                domain,
                 parts.failure_domain,
                 tokens.own_daemons(began_at),
                 tokens.answer_age_s(domain, began_at),
@@ -203,8 +200,7 @@
             reply = await parts.links.request(
                 record.address, wanted, timeout_s=REPORT_TIMEOUT_S
             )
-            if isinstance(reply, DomainDemand) and reply.heard > 0:
-                total = DomainTotal(reply.demand, reply.heard, reply.daemons)
-                parts.pool.heard(domain, total)
+            if isinstance(reply, DomainTotal) and reply.heard > 0:
+                parts.pool.heard(domain, reply)
                 tokens.answered(domain, began_at)
                 return
--- a/damaskbay/mesh/messages.py
+++ b/damaskbay/mesh/messages.py
@@ -84,23 +84,12 @@
     answer `answer_age_s` ago and knows `domains`, sorted.
     """
 
-    failure_domain: str
     asked_by: str
     daemons: int
     answer_age_s: float
     domains: tuple[str, ...]
 
 
-@message("mesh.domain_demand")
-@dataclass(frozen=True, slots=True)
-class DomainDemand:
-    """The demand on a domain; `heard` of its `daemons` daemons have reported."""
-
-    demand: dict[str, float]
-    heard: int
-    daemons: int
-
-
 @message("mesh.token_wanted")
 @dataclass(frozen=True, slots=True)
 class TokenWanted:
@@ -108,13 +97,3 @@
 
     workspace: str
     hops: int
-
-
-@message("mesh.token_granted")
-@dataclass(frozen=True, slots=True)
-class TokenGranted:
-    """The answer: `Grant` of `core/quota/token_pool.py`, times in seconds."""
-
-    granted: bool
-    next_s: float
-    wait_s: float
--- a/damaskbay/mesh/tokens.py
+++ b/damaskbay/mesh/tokens.py
@@ -17,13 +17,12 @@
 )
 from damaskbay.mesh.directory import MemberRecord
 from damaskbay.mesh.exchange import Exchange
-from damaskbay.mesh.messages import TokenGranted, TokenWanted
+from damaskbay.mesh.messages import TokenWanted
 
 _LOGGER = logging.getLogger(__name__)
 
-
 _UNKNOWN = Grant(False, NOT_READY_RETRY_S, NOT_READY_RETRY_S)
-"""Stands for the answer where no holder could be asked."""
+"""The answer where no holder could be asked, or the set here has no such one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,30 +75,25 @@
         detail = f"pooled at {home}, of {workspace.rate_per_s:g}/s"
         return not_run(Reason.RATE_EXCEEDED, retry_after_s=wait_s, detail=detail)
 
-    async def wanted(self, message: TokenWanted) -> TokenGranted:
+    async def wanted(self, message: TokenWanted) -> Grant:
         """Answer another daemon."""
         config = self._parts.configuration.config
         workspaces = config.workspaces_by_name if config is not None else {}
         workspace = workspaces.get(message.workspace)
         if workspace is None:
-            return TokenGranted(False, NOT_READY_RETRY_S, NOT_READY_RETRY_S)
-        grant = await self._get(workspace, message.hops)
-        return TokenGranted(grant.granted, grant.next_s, grant.wait_s)
+            return _UNKNOWN
+        return await self._get(workspace, message.hops)
 
     async def _get(self, workspace: Workspace, hops: int) -> Grant:
         parts = self._parts
         if not parts.exchange.counting or hops > TOKEN_MAX_HOPS:
             return _UNKNOWN
         home = parts.pool.home(workspace.name)
-        relaying = parts.exchange.relaying
-        if home == parts.failure_domain:
-            if relaying:
-                return parts.pool.grant(workspace, parts.clock())
-        else:
+        if home != parts.failure_domain:
             answer = await self._ask(home, workspace, hops)
             if answer is not None:
                 return answer
-        if relaying:
+        if parts.exchange.relaying:
             return parts.pool.grant(workspace, parts.clock())
         answer = await self._ask(parts.failure_domain, workspace, hops)
         return answer or _UNKNOWN
@@ -118,8 +112,8 @@
             TokenWanted(workspace.name, hops + 1),
             timeout_s=TOKEN_TIMEOUT_S,
         )
-        if isinstance(reply, TokenGranted):
-            return Grant(reply.granted, reply.next_s, reply.wait_s)
+        if isinstance(reply, Grant):
+            return reply
         self._silent_until[holder.instance] = parts.clock() + HOLDER_SILENT_S
         _LOGGER.info(
             "tokens: holder does not answer.",
--- a/tests/core/quota/test_shares.py
+++ b/tests/core/quota/test_shares.py
@@ -52,7 +52,7 @@
         """Spend a token as a daemon does that reaches every relay."""
         if not is_pooled(workspace):
             return self.daemons[name].spend(workspace, now) is None
-        home = home_domain(workspace.name, self.members)
+        home = home_domain(workspace.name, tuple(self.members))
         return self.pools[home].grant(workspace, now).granted
 
 
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -184,7 +184,9 @@
         node = Node(daemon, backend, asyncio.create_task(daemon.run()))
         self.nodes[name] = node
         self._stack.callback(node.run.cancel)
-        await until(lambda: daemon.ready)
+        await until(lambda: daemon.ready or node.run.done())
+        if node.run.done():
+            node.run.result()
         return node
 
     async def settle(self) -> None:
--- a/tests/mesh/test_exchange.py
+++ b/tests/mesh/test_exchange.py
@@ -6,18 +6,13 @@
 
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.config.objects import ConfigSet, Workspace
-from damaskbay.core.quota.demand_pool import DemandPool
+from damaskbay.core.quota.demand_pool import DemandPool, DomainTotal
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.exchange import Exchange, ExchangeParts
-from damaskbay.mesh.messages import (
-    DemandReport,
-    DomainDemand,
-    DomainWanted,
-    FleetState,
-)
+from damaskbay.mesh.messages import DemandReport, DomainWanted, FleetState
 from damaskbay.mesh.neighbours import relay_order
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
@@ -167,8 +162,8 @@
     state = relay.exchange.state(DemandReport("d1", {"w": 5.0}))
     assert isinstance(state, FleetState)
     assert state.daemons == 0
-    wanted = DomainWanted("domain0", "domain1", 1, 0.0, ("domain0", "domain1"))
-    assert relay.exchange.domain_demand(wanted) == DomainDemand({}, 0, 0)
+    wanted = DomainWanted("domain1", 1, 0.0, ("domain0", "domain1"))
+    assert relay.exchange.domain_demand(wanted) == DomainTotal({}, 0, 0)
     other.exchange.members_changed()
     before = other.shares.share("w")
     other.round()
--- a/tests/mesh/test_tokens.py
+++ b/tests/mesh/test_tokens.py
@@ -8,11 +8,11 @@
 from damaskbay.config.objects import ConfigSet, Workspace
 from damaskbay.core.outcome import Reason, Refusal
 from damaskbay.core.quota.shares import QuotaOptions
-from damaskbay.core.quota.token_pool import TokenPool
+from damaskbay.core.quota.token_pool import Grant, TokenPool
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import HOLDER_SILENT_S, TOKEN_MAX_HOPS
 from damaskbay.mesh.directory import MemberRecord
-from damaskbay.mesh.messages import TokenGranted, TokenWanted
+from damaskbay.mesh.messages import TokenWanted
 from damaskbay.mesh.tokens import PooledTokens, TokenParts
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
@@ -24,8 +24,8 @@
 HOME.set_members({domain: {f"{domain}0", f"{domain}1"} for domain in DOMAINS}, 0.0)
 HOME_DOMAIN = HOME.home(WORKSPACE.name)
 OTHER_DOMAIN = next(domain for domain in DOMAINS if domain != HOME_DOMAIN)
-GRANTED = TokenGranted(True, 0.0, 0.0)
-SPENT = TokenGranted(False, 0.2, 1.5)
+GRANTED = Grant(True, 0.0, 0.0)
+SPENT = Grant(False, 0.2, 1.5)
 SILENT = PeerFailure(PeerProblem.TIMEOUT)
 
 
