Take download routes and bound what a server may send without end

Cause: the manifest decoder knew the kinds safe and unsafe alone, so a set with a download route was refused whole and nothing was served. A server that sends bytes without end was read until the time limit: only bodies had a limit, 64 MB.

Change: downloads are idempotent calls. Per request the HTTP client accepts 64 KiB of heads, interim responses, chunk framing and trailers, five bytes more for each body byte, 16 MiB of body and eight responses to other requests. The threaded clients count the same framing, and their deadline holds for each read. Links accept frames alone, 17 MiB at most, and take no request for a peer that does not read. A late response without a length no longer leaves its request waiting.

--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -9,10 +9,18 @@
 
 import httptools
 
+from damaskbay.adapters.http1.const import (
+    MAX_LATE_RESPONSES,
+    MAX_RESPONSE_BODY_BYTES,
+    MAX_RESPONSE_OVERHEAD_BYTES,
+    OVERHEAD_PER_BODY_BYTE,
+    PARSE_BYTES,
+)
 from damaskbay.adapters.http1.exceptions import BadAnswerError
 from damaskbay.adapters.http1.names import decode_header_name
 from damaskbay.adapters.http1.sockets import set_tcp_options
 from damaskbay.core.call import Request, Response
+from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
@@ -56,14 +64,16 @@
     A connection idle for `idle_s` is not reused. A timeout in the server's Keep-Alive
     header, less `idle_margin_s`, takes precedence. With `echo_header` a response is
     matched to the request only if it repeats the request's value of this header.
+    `memory` limits the bytes of all responses that are being received.
     """
 
     max_connections: int = 256
     connect_timeout_s: float = 1.0
     idle_s: float = 4.0
     idle_margin_s: float = 1.0
-    max_body_bytes: int = 64 * 1024 * 1024
+    max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
     echo_header: str | None = None
+    memory: ResponseMemory | None = None
 
 
 @dataclass(slots=True)
@@ -94,6 +104,9 @@
         self._expected_echo: str | None = None
         self._partial = _PartialResponse()
         self._received_any = False
+        self._received_bytes = 0
+        self._late_responses = 0
+        self._reserved_bytes = 0
         self._uses = 0
         self.reusable = True
         self.idle_until = 0.0
@@ -108,8 +121,11 @@
         self._transport = None
         self.reusable = False
         partial = self._partial
+        outcome: Response | HttpFailure | None = None
         if exc is None and partial.ends_at_close and partial.status:
-            self._finish(self._to_outcome(partial))
+            outcome = self._to_outcome(partial)
+        if outcome is not None:
+            self._finish(outcome)
         elif not self._received_any and self._uses > 1:
             self._finish(HttpFailure(HttpProblem.STALE, str(exc or "closed")))
         else:
@@ -122,8 +138,13 @@
             return
         self._received_any = True
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            for start in range(0, len(data), PARSE_BYTES):
+                self._parse(data[start : start + PARSE_BYTES])
+        except (
+            BadAnswerError,
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self.reusable = False
             detail = str(error.__context__ or error)
             self._finish(HttpFailure(HttpProblem.GARBLED, detail))
@@ -162,10 +183,15 @@
             self._finish(self._to_outcome(partial))
 
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body; raise BadAnswerError above the size limit."""
+        """Store a part of the body; raise BadAnswerError above the size limits."""
         self._partial.body_bytes += len(body)
         if self._partial.body_bytes > self._options.max_body_bytes:
             raise BadAnswerError("response body exceeds the size limit")
+        memory = self._options.memory
+        if memory is not None:
+            if not memory.reserve(len(body)):
+                raise BadAnswerError("no memory is left for the response body")
+            self._reserved_bytes += len(body)
         self._partial.body.append(body)
 
     def on_message_complete(self) -> None:
@@ -191,6 +217,7 @@
             return HttpFailure(HttpProblem.NOT_SENT, "connection is closed")
         self._uses += 1
         self._received_any = False
+        self._received_bytes = self._late_responses = 0
         self._request = request
         self._expected_echo = echo
         self._partial = _PartialResponse()
@@ -205,6 +232,7 @@
             return await pending
         except asyncio.CancelledError:
             self._pending = None
+            self._release_memory()
             self._abort()
             raise
         finally:
@@ -224,6 +252,24 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse a part of the received bytes; raise BadAnswerError, HttpParserError."""
+        if self._pending is None:
+            # Surplus bytes after a complete response belong to no request.
+            self._abort()
+            return
+        self._received_bytes += len(data)
+        self._parser.feed_data(data)
+        body_bytes = self._partial.body_bytes
+        limit = MAX_RESPONSE_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * body_bytes
+        if self._pending is not None and self._received_bytes - body_bytes > limit:
+            raise BadAnswerError("head, framing or trailers exceed the size limit")
+
+    def _release_memory(self) -> None:
+        if self._options.memory is not None:
+            self._options.memory.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     def _on_timeout(self) -> None:
         self._finish(
             HttpFailure(
@@ -258,8 +304,9 @@
         return None
 
     def _finish(self, outcome: Response | HttpFailure | None) -> None:
+        self._release_memory()
         if outcome is None:
-            _LOGGER.info("backend: discarded a late response to an earlier request.")
+            self._discard_late_response()
             return
         pending, self._pending = self._pending, None
         if pending is not None and not pending.done():
@@ -267,6 +314,15 @@
         if isinstance(outcome, HttpFailure):
             self._abort()
 
+    def _discard_late_response(self) -> None:
+        """Forget a response to an earlier request; raise BadAnswerError after many."""
+        _LOGGER.info("backend: discarded a late response to an earlier request.")
+        self._late_responses += 1
+        if self._late_responses > MAX_LATE_RESPONSES:
+            raise BadAnswerError("too many responses to other requests")
+        self._received_bytes = 0
+        self._partial = _PartialResponse()
+
 
 class HttpClient:
     """Pool of kept-alive connections to one address; reuses the last used one first."""
--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -5,6 +5,9 @@
 MAX_PIPELINED_REQUESTS: Final = 32
 """Requests in flight on one connection before reading pauses; bounds memory."""
 
+MAX_UNREAD_BYTES: Final = 1024 * 1024
+"""Response bytes that wait for one caller before its further requests wait, too."""
+
 TIMEOUT_CHECK_INTERVAL_S: Final = 0.5
 """Seconds between timeout checks; the longest delay until a timeout is detected."""
 
@@ -18,6 +21,26 @@
 Further attempts to connect are dropped, which delays the caller by seconds.
 """
 
+MAX_RESPONSE_BODY_BYTES: Final = 16 * 1024 * 1024
+"""Maximum size of one response body."""
+
+MAX_RESPONSE_OVERHEAD_BYTES: Final = 64 * 1024
+"""
+Maximum number of received bytes that are not part of a response body.
+
+These are heads, interim responses, chunk sizes and their extensions, and trailers.
+A faulty server may send them without end.
+"""
+
+OVERHEAD_PER_BODY_BYTE: Final = 5
+"""Additional overhead per body byte; a chunk of one byte has a frame of five."""
+
+MAX_LATE_RESPONSES: Final = 8
+"""Responses to earlier requests that are discarded while one request waits."""
+
+PARSE_BYTES: Final = 16 * 1024
+"""Bytes that are parsed between two checks of the limits."""
+
 USER_TIMEOUT_MS: Final = 4000
 """Milliseconds without an acknowledgement of sent data until the connection fails."""
 
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -13,6 +13,7 @@
 
 from damaskbay.adapters.http1.const import (
     MAX_PIPELINED_REQUESTS,
+    MAX_UNREAD_BYTES,
     TIMEOUT_CHECK_INTERVAL_S,
     WRITE_STALL_TIMEOUT_S,
 )
@@ -20,6 +21,7 @@
 from damaskbay.adapters.http1.sockets import listen
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Request, Response
+from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
@@ -84,6 +86,7 @@
         self._in_headers = False
         self._closing = False
         self._reading_paused = False
+        self._unread_bytes = 0
         self._write_paused_since: float | None = None
         self._error_status: http.HTTPStatus | None = None
         self._started_at = self._last_active_at = monotonic_s()
@@ -102,6 +105,7 @@
         """Cancel the requests in flight."""
         self._transport = None
         self._server.connections.discard(self)
+        self._count_unread(-self._unread_bytes)
         for exchange in self._exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
@@ -221,6 +225,8 @@
         exchange.encoded_response = encode_response(
             response, arrival.request.method, keep_alive
         )
+        if self._transport is not None:
+            self._count_unread(len(exchange.encoded_response))
         self._flush()
 
     def _flush(self) -> None:
@@ -236,8 +242,20 @@
                 return
         if not self._exchanges and self._error_status is not None:
             self._reject(self._error_status)
+        self._count_written()
         self._apply_backpressure()
 
+    def _count_written(self) -> None:
+        """Release the memory of written responses, unless the caller reads slowly."""
+        if self._write_paused_since is None:
+            waiting = (exchange.encoded_response or b"" for exchange in self._exchanges)
+            self._count_unread(sum(map(len, waiting)) - self._unread_bytes)
+
+    def _count_unread(self, change: int) -> None:
+        self._unread_bytes += change
+        if self._server.memory is not None:
+            self._server.memory.add(change)
+
     def _close_after_response(self) -> None:
         """Close after the last response; cancel the requests pipelined behind it."""
         self._closing = True
@@ -262,8 +280,11 @@
         self._transport.close()
 
     def _apply_backpressure(self) -> None:
-        """Pause reading while too many requests of this caller are in flight."""
-        too_many = len(self._exchanges) >= MAX_PIPELINED_REQUESTS
+        """Pause reading while the caller has too many requests or unread bytes."""
+        too_many = (
+            len(self._exchanges) >= MAX_PIPELINED_REQUESTS
+            or self._unread_bytes > MAX_UNREAD_BYTES
+        )
         if self._transport is None or too_many == self._reading_paused:
             return
         self._reading_paused = too_many
@@ -286,14 +307,20 @@
     HTTP server on one address; an async context manager.
 
     While `draining` is set, each connection closes after its next response.
+    `memory` counts the response bytes that callers have not read yet.
     """
 
     def __init__(
-        self, address: PeerAddress, handler: Handler, limits: CallerLimits
+        self,
+        address: PeerAddress,
+        handler: Handler,
+        limits: CallerLimits,
+        memory: ResponseMemory | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
         self.limits = limits
+        self.memory = memory
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
--- a/damaskbay/adapters/peer_link/const.py
+++ b/damaskbay/adapters/peer_link/const.py
@@ -32,8 +32,14 @@
 RECONNECT_DELAY_S: Final = 0.25
 """Seconds between attempts to connect to a peer."""
 
-MAX_FRAME_BYTES: Final = 80 * 1024 * 1024
+MAX_FRAME_BYTES: Final = 17 * 1024 * 1024
 """Maximum frame size; fits a body of the maximum size with its headers."""
 
+FRAME_VALUES: Final = 3
+"""Values of a frame: kind, number and payload."""
+
+MAX_UNREAD_BYTES: Final = 1024 * 1024
+"""Bytes that wait for a slow peer, from which the link takes no further requests."""
+
 MAX_RUNNING_REQUESTS: Final = 4096
 """Requests of one peer that run here at once; bounds memory."""
--- a/damaskbay/adapters/peer_link/frames.py
+++ b/damaskbay/adapters/peer_link/frames.py
@@ -6,7 +6,7 @@
 
 import msgpack
 
-from damaskbay.adapters.peer_link.const import MAX_FRAME_BYTES
+from damaskbay.adapters.peer_link.const import FRAME_VALUES, MAX_FRAME_BYTES
 from damaskbay.adapters.peer_link.exceptions import BadFrameError
 
 
@@ -48,8 +48,15 @@
     """Incremental decoder of a byte stream into frames."""
 
     def __init__(self) -> None:
+        # Only arrays of three with a binary payload are frames, so that a peer which
+        # sends other bytes without end is noticed at once.
         self._unpacker = msgpack.Unpacker(
-            use_list=False, max_buffer_size=MAX_FRAME_BYTES
+            use_list=False,
+            max_buffer_size=MAX_FRAME_BYTES,
+            max_array_len=FRAME_VALUES,
+            max_map_len=0,
+            max_str_len=0,
+            max_ext_len=0,
         )
 
     def feed(self, data: bytes) -> Iterator[Frame]:
@@ -63,7 +70,7 @@
 
 
 def _parse_frame(item: object) -> Frame:
-    if type(item) is not tuple or len(item) != 3:
+    if type(item) is not tuple or len(item) != FRAME_VALUES:
         raise BadFrameError("frame does not have three values")
     value, number, payload = item
     kind = _KINDS.get(value) if type(value) is int else None
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -6,7 +6,11 @@
 from typing import Any, cast
 
 from damaskbay.adapters.http1.sockets import set_tcp_options
-from damaskbay.adapters.peer_link.const import MAX_FRAME_BYTES, MAX_RUNNING_REQUESTS
+from damaskbay.adapters.peer_link.const import (
+    MAX_FRAME_BYTES,
+    MAX_RUNNING_REQUESTS,
+    MAX_UNREAD_BYTES,
+)
 from damaskbay.adapters.peer_link.exceptions import BadFrameError
 from damaskbay.adapters.peer_link.frames import (
     Frame,
@@ -98,6 +102,8 @@
         """
         if not self.open or self._transport is None:
             return PeerFailure(PeerProblem.NOT_SENT, "link is down")
+        if self._congested():
+            return PeerFailure(PeerProblem.NOT_SENT, "peer reads too slowly")
         self._last_number += 1
         number = self._last_number
         loop = asyncio.get_running_loop()
@@ -124,6 +130,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _congested(self) -> bool:
+        transport = self._transport
+        return (
+            transport is not None
+            and transport.get_write_buffer_size() > MAX_UNREAD_BYTES
+        )
+
     def _on_timeout(self, number: int) -> None:
         future = self._pending.get(number)
         if future is not None and not future.done():
@@ -168,7 +181,7 @@
             future.set_result(outcome)
 
     def _start_handler(self, number: int, message: Any) -> None:
-        if len(self._running) >= MAX_RUNNING_REQUESTS:
+        if len(self._running) >= MAX_RUNNING_REQUESTS or self._congested():
             self._write_frame(FrameKind.REJECTED, number)
             return
         task = asyncio.get_running_loop().create_task(self._serve(number, message))
--- a/damaskbay/helpers/http_exchange.py
+++ b/damaskbay/helpers/http_exchange.py
@@ -1,5 +1,6 @@
 """One HTTP exchange over `http.client` that detects incomplete responses."""
 
+import functools
 import http.client
 import socket
 import ssl
@@ -7,7 +8,7 @@
 from typing import Final
 
 from damaskbay.core.call import Headers, Response
-from damaskbay.helpers.http_response import TruncationDetectingResponse
+from damaskbay.helpers.http_response import CheckedResponse
 
 READ_CHUNK_BYTES: Final = 65_536
 
@@ -30,7 +31,6 @@
     `reusable` whether another request may follow; `idle_since` is in seconds.
     """
 
-    response_class = TruncationDetectingResponse
     may_have_written = False
     reusable = False
     idle_since = 0.0
@@ -98,11 +98,14 @@
     connection: Connection, deadline: float, clock: Callable[[], float], max_bytes: int
 ) -> Response:
     """
-    Read a complete response within `max_bytes`.
+    Read a complete response with a body of at most `max_bytes`.
 
     `deadline` is in seconds of `clock`. Raises TimeoutError,
     AnswerCutShortError, AnswerTooLargeError, OSError and HTTPException.
     """
+    connection.response_class = functools.partial(  # type: ignore[assignment]
+        CheckedResponse, deadline=deadline, clock=clock
+    )
     response = connection.getresponse()
     declared_bytes = response.length
     if declared_bytes is None and not response.chunked:
@@ -110,11 +113,8 @@
     chunks: list[bytes] = []
     size = 0
     while True:
-        remaining_s = deadline - clock()
-        if remaining_s <= 0:
+        if deadline - clock() <= 0:
             raise TimeoutError
-        if connection.sock is not None:
-            connection.sock.settimeout(remaining_s)
         chunk = response.read(READ_CHUNK_BYTES)
         if not chunk:
             break
@@ -122,9 +122,7 @@
         if size > max_bytes:
             raise AnswerTooLargeError
         chunks.append(chunk)
-    truncated = (
-        isinstance(response, TruncationDetectingResponse) and response.line_truncated
-    )
+    truncated = isinstance(response, CheckedResponse) and response.line_truncated
     if truncated or (declared_bytes is not None and size != declared_bytes):
         raise AnswerCutShortError
     connection.reusable = not response.will_close
--- a/damaskbay/helpers/http_response.py
+++ b/damaskbay/helpers/http_response.py
@@ -1,14 +1,63 @@
-"""A response that detects a connection that ended in the middle of a line."""
+"""A response with limits on its framing that detects truncated lines."""
 
 import http.client
-from typing import Any, BinaryIO, cast
+import io
+import socket
+from collections.abc import Callable
+from typing import Any, BinaryIO, Final, cast
 
+MAX_OVERHEAD_BYTES: Final = 64 * 1024
+"""
+Maximum bytes of a response that are not part of its body.
 
-class _TruncationDetectingFile:
-    """File wrapper that records whether the stream ended inside a line."""
+These are heads, interim responses, chunk sizes and their extensions, and trailers.
+A faulty server may send them without end.
+"""
+
+OVERHEAD_PER_BODY_BYTE: Final = 5
+"""Additional overhead per body byte; a chunk of one byte has a frame of five."""
+
+
+class ResponseOverheadError(http.client.HTTPException):
+    """The head, framing or trailers of a response exceed the limit."""
+
+
+class _DeadlineReader(io.RawIOBase):
+    """Reads a socket; each read waits until the deadline at most."""
+
+    def __init__(
+        self, sock: socket.socket, deadline: float, clock: Callable[[], float]
+    ) -> None:
+        self._sock = sock
+        self._raw = sock.makefile("rb", buffering=0)
+        self._deadline = deadline
+        self._clock = clock
+
+    def readable(self) -> bool:
+        """Return True, as `io.BufferedReader` requires."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read available bytes into the buffer; raise TimeoutError at the deadline."""
+        remaining_s = self._deadline - self._clock()
+        if remaining_s <= 0.0:
+            raise TimeoutError
+        self._sock.settimeout(remaining_s)
+        return self._raw.readinto(buffer)
+
+    def close(self) -> None:
+        """Close the file, and the socket if its connection has been closed."""
+        self._raw.close()
+        super().close()
+
+
+class _CheckedFile:
+    """File wrapper that limits the bytes in lines and detects a truncated line."""
 
     def __init__(self, file: BinaryIO) -> None:
         self._file = file
+        self._line_bytes = 0
+        self._body_bytes = 0
         self.line_truncated = False
 
     def readline(self, limit: int = -1) -> bytes:
@@ -16,26 +65,46 @@
         line = self._file.readline(limit)
         if not line.endswith(b"\n"):
             self.line_truncated = True
+        self._line_bytes += len(line)
+        allowed = MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        if self._line_bytes > allowed:
+            raise ResponseOverheadError("head, framing or trailers exceed the limit")
         return line
 
+    def read(self, size: int = -1) -> bytes:
+        """Read and count bytes of the body."""
+        data = self._file.read(size)
+        self._body_bytes += len(data)
+        return data
+
     def __getattr__(self, name: str) -> Any:
         return getattr(self._file, name)
 
 
-class TruncationDetectingResponse(http.client.HTTPResponse):
+class CheckedResponse(http.client.HTTPResponse):
     """
-    HTTP response that detects truncated chunk size lines and trailers.
+    HTTP response that limits its framing, and detects truncated chunk sizes.
 
     `http.client` accepts a size line or a trailer that is truncated by the end of
-    the connection, so a truncated body would look complete.
+    the connection, so a truncated body would look complete. It also reads interim
+    responses and trailers without end. Reading ends at `deadline` of `clock`.
     """
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        super().__init__(*arguments, **options)
-        self._detecting_file = _TruncationDetectingFile(self.fp)
-        self.fp = cast(Any, self._detecting_file)
+    def __init__(
+        self,
+        sock: socket.socket,
+        *arguments: Any,
+        deadline: float,
+        clock: Callable[[], float],
+        **options: Any,
+    ) -> None:
+        super().__init__(sock, *arguments, **options)
+        self.fp.close()
+        reader = io.BufferedReader(_DeadlineReader(sock, deadline, clock))
+        self._checked_file = _CheckedFile(cast(BinaryIO, reader))
+        self.fp = cast(Any, self._checked_file)
 
     @property
     def line_truncated(self) -> bool:
         """Return whether the connection ended inside a line."""
-        return self._detecting_file.line_truncated
+        return self._checked_file.line_truncated
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -16,6 +16,7 @@
 from damaskbay.core.quota.demand_pool import DemandPool
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
+from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.daemon.messages import (
     CallMessage,
     context_of,
@@ -32,9 +33,7 @@
 )
 from damaskbay.mesh.config_watch import ConfigWatch, PeerConfig
 from damaskbay.mesh.configuration import Configuration
-from damaskbay.mesh.const import (
-    DIRECT_WATCH_PROOF_AGE_S,
-)
+from damaskbay.mesh.const import DIRECT_WATCH_PROOF_AGE_S, RESPONSE_MEMORY_SHARE
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.exchange import Exchange, ExchangeParts
 from damaskbay.mesh.gate import Gate
@@ -99,6 +98,7 @@
         self._make_control_plane()
         self._repeats = make_retry_budget(settings)
         self._telemetry = BoundTelemetry()
+        memory = ResponseMemory(int(RESPONSE_MEMORY_SHARE * settings.memory_bytes))
         shared_parts = SharedParts(
             self.configuration,
             self.local,
@@ -110,6 +110,7 @@
             RunningCalls(),
             self._repeats,
             self._telemetry,
+            memory,
             self._rng,
         )
         dialect = platform_parts.dialect
@@ -134,7 +135,7 @@
             settings.readiness, self._status.readiness, CallerLimits()
         )
         self._callers = HttpServer(
-            settings.callers, self._ingress.serve, CallerLimits()
+            settings.callers, self._ingress.serve, CallerLimits(), memory
         )
         self._metrics = HttpServer(
             settings.metrics, self._status.metrics, CallerLimits()
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -9,6 +9,7 @@
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.pressure import EdgeLoadShedder
 from damaskbay.core.quota.shares import DemandShares
+from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.core.retry.repeats import ServerRetryBudget, ServerRetryOptions
 from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.helpers.clock import monotonic_s
@@ -59,6 +60,7 @@
     running: RunningCalls
     repeats: ServerRetryBudget
     telemetry: BoundTelemetry
+    memory: ResponseMemory
     rng: Random
 
 
@@ -69,7 +71,9 @@
     weight_of: Callable[[str], float],
 ) -> Target:
     """Return the component that sends calls to the local server."""
-    options = HttpClientOptions(echo_header=dialect.request_id)
+    options = HttpClientOptions(
+        echo_header=dialect.request_id, memory=shared_parts.memory
+    )
     return Target(
         TargetParts(
             instance=settings.instance,
@@ -81,6 +85,7 @@
             running=shared_parts.running,
             telemetry=shared_parts.telemetry,
             repeats=shared_parts.repeats,
+            memory=shared_parts.memory,
             weight_of=weight_of,
             clock=monotonic_s,
         )
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -18,6 +18,13 @@
 DRAIN_MARGIN_S: Final = 0.4
 """Margin below the drain time limit, seconds: a send may wait for the event loop."""
 
+RESPONSE_MEMORY_SHARE: Final = 0.125
+"""
+Part of the process's memory for responses that are being received or wait to be read.
+
+A response is copied up to four times on its way through a daemon.
+"""
+
 MAX_REDIRECTS: Final = 3
 """Daemons tried in turn while none has passed the call to its server."""
 
--- a/damaskbay/mesh/settings.py
+++ b/damaskbay/mesh/settings.py
@@ -4,6 +4,9 @@
 
 from damaskbay.ports.peer import PeerAddress
 
+DEFAULT_MEMORY_BYTES = 200 * 1024 * 1024
+"""Memory of the process if the platform does not limit it."""
+
 
 @dataclass(frozen=True, slots=True)
 class MeshSettings:
@@ -14,7 +17,7 @@
     The local server at `server` belongs to `pool`. The fleet may send a pool at
     most `retry_ratio` times its calls, plus `retry_slack`, as retries. A workspace
     may exceed its rate and burst by the part `quota_overage` and `quota_slack`
-    requests.
+    requests. The process may use `memory_bytes`.
     """
 
     instance: str
@@ -34,3 +37,4 @@
     retry_slack: float
     quota_overage: float
     quota_slack: float
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -15,6 +15,7 @@
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.http_status import FIRST_SERVER_ERROR
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.helpers.http_headers import HeaderFilter
 from damaskbay.mesh.const import NOT_READY_RETRY_S, UNREACHABLE_BACKOFF_S
@@ -42,6 +43,7 @@
     running: RunningCalls
     telemetry: BoundTelemetry
     repeats: ServerRetryBudget
+    memory: ResponseMemory
     weight_of: Callable[[str], float]
     clock: Callable[[], float]
 
@@ -116,6 +118,12 @@
             return not_run(
                 Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S
             )
+        if parts.memory.full:
+            return not_run(
+                Reason.OVERLOADED,
+                retry_after_s=NOT_READY_RETRY_S,
+                detail=f"{parts.memory.held_bytes} response bytes are held",
+            )
         if now < self._unreachable_until:
             return not_run(
                 Reason.BACKEND_SERVER_FAILED, retry_after_s=NOT_READY_RETRY_S
--- a/damaskbay/platform/manifest.py
+++ b/damaskbay/platform/manifest.py
@@ -31,8 +31,12 @@
 
 T = TypeVar("T")
 
-IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
-"""Whether calls on a route of this kind are idempotent and may be retried."""
+IDEMPOTENT_BY_KIND = {"safe": True, "download": True, "unsafe": False}
+"""
+Whether calls on a route of this kind are idempotent and may be retried.
+
+Downloads have large responses; they differ in nothing else.
+"""
 
 UNLIMITED = 0.0
 
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -4,11 +4,12 @@
 import tomllib
 from pathlib import Path
 
-from damaskbay.mesh.settings import MeshSettings
+from damaskbay.mesh.settings import DEFAULT_MEMORY_BYTES, MeshSettings
 from damaskbay.platform.const import SETTINGS_VARIABLE
 from damaskbay.platform.exceptions import FieldError
 from damaskbay.platform.fields import (
     Table,
+    read_integer,
     read_number,
     read_seconds,
     read_string,
@@ -17,6 +18,7 @@
 from damaskbay.ports.peer import PeerAddress
 
 MAX_PORT = 65_535
+MEGABYTE = 1024 * 1024
 METRICS_PORT = 9464
 """Equals the port in the deploy file; the settings file doesn't contain it."""
 
@@ -60,6 +62,7 @@
         retry_slack=read_number(bounds, "RetryBudgetSlack", 0.0),
         quota_overage=read_number(bounds, "QuotaOverage", 0.0),
         quota_slack=read_number(bounds, "QuotaSlack", 0.0),
+        memory_bytes=_read_memory_bytes(document),
     )
 
 
@@ -71,6 +74,15 @@
     return PeerAddress(host, int(port))
 
 
+def _read_memory_bytes(document: Table) -> int:
+    if "Limits" not in document:
+        return DEFAULT_MEMORY_BYTES
+    limits = read_table(document, "Limits")
+    if not limits.get("MemoryMb"):
+        return DEFAULT_MEMORY_BYTES
+    return read_integer(limits, "MemoryMb") * MEGABYTE
+
+
 def _read_first_port(document: Table) -> int:
     ports = document.get("PortRange")
     if not (
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -108,6 +108,7 @@
     assert settings.callers == PeerAddress("10.0.0.1", 1)
     assert settings.peers == PeerAddress("10.0.0.1", 7000)
     assert (settings.drain_s, settings.revoke_s) == (2.0, 5.0)
+    assert settings.memory_bytes == 300 * 1024 * 1024
 
 
 def test_wrong_settings_name_the_field() -> None:
@@ -119,11 +120,13 @@
         ("PortRange", [7000]),
         ("Bounds", {"Drain": 2000}),
         ("Listen", None),
+        ("Limits", {"MemoryMb": "300"}),
     ):
         try:
             decode_settings({**SETTINGS, name: value})
         except FieldError as error:
-            assert name in str(error) or "Drain" in str(error)
+            names = (name, *value) if isinstance(value, dict) else (name,)
+            assert any(part in str(error) for part in names)
         else:
             raise AssertionError(name)
 
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -128,6 +128,16 @@
     assert "nobody" in _error_of(unknown)
 
 
+def test_downloads_are_idempotent() -> None:
+    """A route with large responses is taken, and its calls may be retried."""
+    downloads = manifest()
+    downloads["Resources"][0]["Spec"]["Kind"] = "download"
+    route = decode_manifest(_encode(downloads)).routes_by_name["keyed"]
+    assert route.idempotent
+    downloads["Resources"][0]["Spec"]["Kind"] = "upload"
+    assert _error_of(downloads) == "Routes.keyed.Kind: 'upload' is unknown"
+
+
 def test_weights_must_leave_a_pool() -> None:
     """Pools of weight 0 are dropped; a route with only such pools is invalid."""
     split = manifest()
