--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -17,7 +17,12 @@
     RECONNECT_DELAY_S,
     SUSPECT_AFTER_S,
 )
-from damaskbay.adapters.peer_link.link import Link, RequestHandler, encode_note
+from damaskbay.adapters.peer_link.link import (
+    Link,
+    LinkHandlers,
+    RequestHandler,
+    encode_note,
+)
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
 
@@ -29,7 +34,8 @@
     Keeps a link to each wanted peer and accepts links of peers.
 
     Requests and notes are sent on the links opened here. `note` returns the message
-    that is sent every `NOTE_INTERVAL_S`; `on_note` receives the notes of peers. Use it
+    that is sent every `NOTE_INTERVAL_S`; `on_note` receives the notes of peers. Peers
+    acknowledge with the message that their `status` returns, for `on_status`. Use it
     as an async context manager.
     """
 
@@ -41,12 +47,16 @@
         on_request: RequestHandler,
         on_note: Callable[[Any], None],
         note: Callable[[], Any],
+        status: Callable[[], Any] = lambda: None,
+        on_status: Callable[[PeerAddress, Any], None] = lambda _peer, _status: None,
     ) -> None:
         self._address = address
         self._on_links_change = on_links_change
         self._on_request = on_request
         self._on_note = on_note
         self._note = note
+        self._status = status
+        self._on_status = on_status
         self._tasks_by_peer: dict[PeerAddress, asyncio.Task[None]] = {}
         self._links_by_peer: dict[PeerAddress, Link] = {}
         self._accepted: set[Link] = set()
@@ -108,9 +118,10 @@
 
     def broadcast_note(self) -> None:
         """Send a note on every opened link now."""
-        note = encode_note(self._note())
+        note = self._note()
+        encoded = encode_note(note)
         for link in self._links_by_peer.values():
-            link.send(note)
+            link.send_note(note, encoded)
 
     def _set_suspect(self, link: Link, suspect: bool) -> None:
         if suspect is not link.suspect:
@@ -118,12 +129,17 @@
             self._on_links_change()
 
     def _accept(self) -> Link:
-        link = Link(self._on_request, self._handle_note, self._accepted.discard)
+        link = self._make_link(lambda _status: None, self._accepted.discard)
         self._accepted.add(link)
         return link
 
-    def _handle_note(self, _link: Link, message: Any) -> None:
-        self._on_note(message)
+    def _make_link(
+        self, on_status: Callable[[Any], None], on_end: Callable[[Link], None]
+    ) -> Link:
+        handlers = LinkHandlers(
+            self._on_request, self._on_note, self._status, on_status, on_end
+        )
+        return Link(handlers)
 
     async def _maintain_link(self, peer: PeerAddress) -> None:
         """Connect to the peer, and reconnect after a failure, until cancelled."""
@@ -134,11 +150,14 @@
             def on_end(_link: Link, ended: asyncio.Event = ended) -> None:
                 ended.set()
 
+            def on_status(status: Any) -> None:
+                self._on_status(peer, status)
+
             try:
                 _, link = await asyncio.wait_for(
                     loop.create_connection(
-                        lambda on_end=on_end: Link(  # type: ignore[misc]
-                            self._on_request, self._handle_note, on_end
+                        lambda on_end=on_end: self._make_link(  # type: ignore[misc]
+                            on_status, on_end
                         ),
                         peer.host,
                         peer.port,
@@ -150,7 +169,8 @@
                 continue
             self._links_by_peer[peer] = link
             self._on_links_change()
-            link.send(encode_note(self._note()))
+            note = self._note()
+            link.send_note(note, encode_note(note))
             _LOGGER.info("peer: link is up.", extra={"peer": str(peer)})
             await ended.wait()
             if self._links_by_peer.get(peer) is link:
@@ -167,7 +187,8 @@
             now = monotonic_s()
             was_suspended = now - due_at > NOTE_INTERVAL_S
             due_at = now + NOTE_INTERVAL_S
-            note = encode_note(self._note())
+            note = self._note()
+            encoded = encode_note(note)
             for link in (*self._links_by_peer.values(), *self._accepted):
                 if was_suspended:
                     # This process was suspended; the peer may still be alive.
@@ -178,4 +199,4 @@
             for link in self._links_by_peer.values():
                 self._set_suspect(link, now - link.last_received_at > SUSPECT_AFTER_S)
                 if all_links or now - link.last_received_at > QUIET_AFTER_S:
-                    link.send(note)
+                    link.send_note(note, encoded)
--- a/damaskbay/adapters/peer_link/frames.py
+++ b/damaskbay/adapters/peer_link/frames.py
@@ -24,7 +24,19 @@
 
     NOTE = 5
     NOTE_ACK = 6
-    """Acknowledges a note, so that both ends know that the link is alive."""
+    """
+    Acknowledges a note, so that both ends know that the link is alive.
+
+    The payload is the status of the acknowledging daemon, or empty.
+    """
+
+    PULSE = 7
+    """
+    Stands for the last note, which still holds.
+
+    It is sent only to a daemon whose acknowledgements carry its status, since
+    earlier versions close the link on an unknown kind.
+    """
 
 
 _KINDS = {kind.value: kind for kind in FrameKind}
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, cast
 
 from damaskbay.adapters.http1.sockets import set_tcp_options
@@ -27,7 +28,26 @@
 RequestHandler = Callable[[Any], Awaitable[Any]]
 """Serves a message and returns the reply; cancelled when the sender cancels."""
 
-NoteHandler = Callable[["Link", Any], None]
+MessageHandler = Callable[[Any], None]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkHandlers:
+    """
+    What a link calls.
+
+    `on_note` gets each note, again at each pulse that stands for it; `status` returns
+    the message that acknowledges them, or None. `on_status` gets that of the peer.
+    """
+
+    on_request: RequestHandler
+    on_note: MessageHandler
+    status: Callable[[], Any]
+    on_status: MessageHandler
+    on_end: Callable[["Link"], None]
+
+
+PULSE = encode(FrameKind.PULSE)
 
 
 def encode_note(message: Any) -> bytes:
@@ -43,20 +63,16 @@
     `suspect` after SUSPECT_AFTER_S without any; new requests avoid a suspect link.
     """
 
-    def __init__(
-        self,
-        on_request: RequestHandler,
-        on_note: NoteHandler,
-        on_end: Callable[["Link"], None],
-    ) -> None:
-        self._on_request = on_request
-        self._on_note = on_note
-        self._on_end = on_end
+    def __init__(self, handlers: LinkHandlers) -> None:
+        self._handlers = handlers
         self._transport: asyncio.Transport | None = None
         self._reader = FrameReader()
         self._pending: dict[int, asyncio.Future[Any]] = {}
         self._running: dict[int, asyncio.Task[None]] = {}
         self._last_number = 0
+        self._received_note: Any = None
+        self._sent_note: Any = None
+        self._peer_sends_status = False
         self.last_received_at = monotonic_s()
         self.suspect = False
 
@@ -82,7 +98,7 @@
         for task in self._running.values():
             task.cancel()
         self._running.clear()
-        self._on_end(self)
+        self._handlers.on_end(self)
 
     def data_received(self, data: bytes) -> None:
         """Handle the complete frames; close the link on an invalid one."""
@@ -120,10 +136,13 @@
             timer.cancel()
             self._pending.pop(number, None)
 
-    def send(self, note: bytes) -> None:
-        """Send a note encoded by `encode_note`, best effort."""
-        if self.open and self._transport is not None:
-            self._transport.write(note)
+    def send_note(self, note: Any, encoded: bytes) -> None:
+        """Send a note and its form by `encode_note`, or a pulse if it is unchanged."""
+        if not self.open or self._transport is None:
+            return
+        unchanged = self._peer_sends_status and note == self._sent_note
+        self._transport.write(PULSE if unchanged else encoded)
+        self._sent_note = note
 
     def abort(self) -> None:
         """Close the connection without flushing."""
@@ -153,7 +172,10 @@
             if task is not None:
                 task.cancel()
             return
-        if frame.kind is FrameKind.NOTE_ACK:
+        if frame.kind is FrameKind.PULSE:
+            self._handle_note(self._received_note)
+            return
+        if frame.kind is FrameKind.NOTE_ACK and not frame.payload:
             return
         if frame.kind is FrameKind.REJECTED:
             self._resolve(frame, PeerFailure(PeerProblem.REJECTED))
@@ -170,11 +192,21 @@
         if frame.kind is FrameKind.REPLY:
             self._resolve(frame, message)
         elif frame.kind is FrameKind.NOTE:
-            self._write_frame(FrameKind.NOTE_ACK, 0)
-            self._on_note(self, message)
+            self._received_note = message
+            self._handle_note(message)
+        elif frame.kind is FrameKind.NOTE_ACK:
+            self._peer_sends_status = True
+            self._handlers.on_status(message)
         elif frame.kind is FrameKind.REQUEST:
             self._start_handler(frame.number, message)
 
+    def _handle_note(self, note: Any) -> None:
+        status = self._handlers.status()
+        payload = b"" if status is None else pack(status)
+        self._write_frame(FrameKind.NOTE_ACK, 0, payload)
+        if note is not None:
+            self._handlers.on_note(note)
+
     def _resolve(self, frame: Frame, outcome: Any) -> None:
         future = self._pending.get(frame.number)
         if future is not None and not future.done():
@@ -189,7 +221,7 @@
 
     async def _serve(self, number: int, message: Any) -> None:
         try:
-            reply = await self._on_request(message)
+            reply = await self._handlers.on_request(message)
             self._write_frame(FrameKind.REPLY, number, pack(reply))
         except Exception:
             _LOGGER.exception("peer: request failed.")
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -23,6 +23,7 @@
     request_of,
     to_result_message,
 )
+from damaskbay.helpers.backoff import Backoff
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.mesh.assembly import (
     PlatformParts,
@@ -31,23 +32,40 @@
     make_retry_budget,
     make_target,
 )
-from damaskbay.mesh.config_watch import ConfigWatch, PeerConfig
+from damaskbay.mesh.config_watch import (
+    MAX_RETRY_DELAY_S as CONFIG_MAX_RETRY_DELAY_S,
+    RETRY_DELAY_S as CONFIG_RETRY_DELAY_S,
+    ConfigWatch,
+    PeerConfig,
+)
 from damaskbay.mesh.configuration import Configuration
-from damaskbay.mesh.const import DIRECT_WATCH_PROOF_AGE_S, RESPONSE_MEMORY_SHARE
+from damaskbay.mesh.const import (
+    DIRECT_WATCH_PROOF_AGE_S,
+    EXPIRY_INTERVAL_S,
+    RESPONSE_MEMORY_SHARE,
+)
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.exchange import Exchange, ExchangeParts
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
+from damaskbay.mesh.members import (
+    MAX_RETRY_DELAY_S as MEMBERS_MAX_RETRY_DELAY_S,
+    RETRY_DELAY_S as MEMBERS_RETRY_DELAY_S,
+    Members,
+    MembersParts,
+)
 from damaskbay.mesh.messages import (
     ConfigRequest,
     DemandReport,
     DomainDemandRequest,
+    MembersRequest,
     Note,
+    PeerStatus,
     PooledTokenRequest,
 )
 from damaskbay.mesh.neighbours import wanted_neighbours
 from damaskbay.mesh.observing import StatusEndpoints, StatusParts
-from damaskbay.mesh.registry import EXPIRY_INTERVAL_S, MemberWatch, Registration
+from damaskbay.mesh.registry import Registration
 from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.mesh.stopping import GracefulStop
@@ -90,6 +108,8 @@
             on_request=self._handle_request,
             on_note=self._handle_note,
             note=self._make_note,
+            status=self._make_status,
+            on_status=self._handle_status,
         )
         self._directory = Directory(settings.instance, self._links.up)
         options = QuotaOptions(settings.quota_overage, settings.quota_slack)
@@ -158,7 +178,7 @@
             loop = asyncio.get_running_loop()
             for run in (
                 self._registration.run,
-                self._member_watch.run,
+                self._members.run,
                 self._config_watch.run,
                 self._peer_config.run,
                 self._exchange.run,
@@ -224,14 +244,22 @@
             platform_parts.member_prefix + self.settings.instance,
             self._stored_record,
         )
-        self._member_watch = MemberWatch(
-            platform_parts.store,
-            platform_parts.member_prefix,
-            self._directory,
-            on_change=self._members_changed,
-            instance=self.settings.instance,
-            on_local_record=self._restore_server,
-            clock=monotonic_s,
+        self._members = Members(
+            MembersParts(
+                instance=self.settings.instance,
+                failure_domain=self.settings.failure_domain,
+                store=platform_parts.store,
+                prefix=platform_parts.member_prefix,
+                directory=self._directory,
+                links=self._links,
+                backoff=Backoff(
+                    MEMBERS_RETRY_DELAY_S, MEMBERS_MAX_RETRY_DELAY_S, self._rng
+                ),
+                is_relay=self._is_relay,
+                on_change=self._members_changed,
+                on_local_record=self._restore_server,
+                clock=monotonic_s,
+            )
         )
         self._config_watch = ConfigWatch(
             platform_parts.store,
@@ -240,12 +268,14 @@
             decode=platform_parts.decode_config,
             configuration=self.configuration,
             needed=self._watch_needed,
+            is_relay=self._is_relay,
+            backoff=Backoff(CONFIG_RETRY_DELAY_S, CONFIG_MAX_RETRY_DELAY_S, self._rng),
             clock=monotonic_s,
         )
         self._peer_config = PeerConfig(
             self._config_watch,
             self.configuration,
-            peers=self._links.up_peers,
+            peers=self._reachable_relays,
             request=self._links.request,
             rng=self._rng,
             clock=monotonic_s,
@@ -277,6 +307,17 @@
             )
         )
 
+    def _is_relay(self) -> bool:
+        return self._exchange.is_relay
+
+    def _reachable_relays(self) -> list[PeerAddress]:
+        """Return the reachable relays of all domains; without any, all linked peers."""
+        domains = self._directory.instances_by_domain()
+        relays = (self._exchange.relays(domain) for domain in domains)
+        addresses = [record.address for records in relays for record in records]
+        reachable = [address for address in addresses if self._links.up(address)]
+        return reachable or list(self._links.up_peers())
+
     def _watch_needed(self) -> bool:
         """Return whether this daemon has to watch the configuration in the store."""
         age_s = self.configuration.proof_age_s(monotonic_s())
@@ -286,7 +327,7 @@
 
     def _members_known(self) -> bool:
         """Return whether peers are known, or the store's records have been read."""
-        return len(self._directory.instances()) > 1 or self._member_watch.has_read
+        return len(self._directory.instances()) > 1 or self._members.has_read
 
     def _stored_record(self) -> MemberRecord:
         """Return the record with the server's own state, for the next daemon start."""
@@ -317,7 +358,6 @@
 
     def _make_note(self) -> Note:
         record = self._make_record()
-        now = monotonic_s()
         return Note(
             record.instance,
             record.incarnation,
@@ -327,9 +367,17 @@
             record.pool,
             record.state,
             record.slots,
-            round(self._gate.load(), 3),
+            0.0,
             self.configuration.version,
-            round(max(0.0, self.local.slow_until - now), 1),
+        )
+
+    def _make_status(self) -> PeerStatus:
+        now = monotonic_s()
+        return PeerStatus(
+            load_permille=round(1000.0 * self._gate.load()),
+            cold_ms=round(1000.0 * max(0.0, self.local.slow_until - now)),
+            members_revision=self._members.revision,
+            members_age_ms=round(1000.0 * self._members.age_s(now)),
         )
 
     def _handle_note(self, note: Any) -> None:
@@ -343,6 +391,12 @@
         if note.config_version > self.configuration.version:
             self._peer_config.fetch(PeerAddress(note.host, note.port))
 
+    def _handle_status(self, peer: PeerAddress, status: Any) -> None:
+        if not isinstance(status, PeerStatus):
+            return
+        self._directory.put_status(peer, status, monotonic_s())
+        self._members.handle_status(peer, status)
+
     async def _handle_request(self, message: Any) -> Any:
         if isinstance(message, ConfigRequest):
             return self._peer_config.handle_config_request(message)
@@ -350,6 +404,8 @@
             return self._exchange.handle_report(message)
         if isinstance(message, DomainDemandRequest):
             return self._exchange.domain_demand(message)
+        if isinstance(message, MembersRequest):
+            return self._members.handle_request(message)
         if isinstance(message, PooledTokenRequest):
             return await self._tokens.handle_token_request(message)
         if isinstance(message, CallMessage):
--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from damaskbay.config.objects import ConfigSet
+from damaskbay.helpers.backoff import Backoff
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.messages import ConfigReply, ConfigRequest
 from damaskbay.ports.peer import PeerAddress
@@ -21,13 +22,20 @@
 """Seconds between checks whether this daemon needs to watch the store."""
 
 RETRY_DELAY_S = 0.3
-"""Delay before a failed store request is retried, seconds."""
+"""Delay before a failed store request of a relay is repeated, seconds."""
+
+MAX_RETRY_DELAY_S = 2.4
+"""Longest delay before a daemon that is no relay repeats a failed request, seconds."""
 
 PEER_POLL_INTERVAL_S = 0.4
 """Seconds between requests to peers while the proof is old."""
 
-PEER_POLL_PROOF_AGE_S = 2.2
-"""Age of the proof, seconds, from which peers are polled: a watch has failed."""
+PEER_POLL_PROOF_AGE_S = 1.2
+"""Age of the proof, seconds, from which peers are polled: the relay's watch failed.
+
+Relays of other domains most likely have a fresh one, so that the daemons of a domain
+whose relay has lost the store need not ask it themselves.
+"""
 
 PEERS_PER_POLL = 2
 """Peers that are polled at once."""
@@ -51,9 +59,13 @@
         decode: DecodeConfig,
         configuration: Configuration,
         needed: Callable[[], bool],
+        is_relay: Callable[[], bool],
+        backoff: Backoff,
         clock: Callable[[], float],
     ) -> None:
         self._store = store
+        self._is_relay = is_relay
+        self._backoff = backoff
         self._needed = needed
         self._prefix = prefix
         self._key = key
@@ -72,7 +84,7 @@
             reading = await self._store.read(self._prefix)
             if isinstance(reading, StoreFailure):
                 self._record_store_failure(reading)
-                await asyncio.sleep(RETRY_DELAY_S)
+                await asyncio.sleep(self._retry_delay_s())
                 continue
             self._record_store_success()
             for item in reading.items:
@@ -89,7 +101,7 @@
             if isinstance(reading, StoreFailure):
                 if reading.problem is not StoreProblem.COMPACTED:
                     self._record_store_failure(reading)
-                    await asyncio.sleep(RETRY_DELAY_S)
+                    await asyncio.sleep(self._retry_delay_s())
                 return
             self._record_store_success()
             revision = max(revision, reading.revision)
@@ -119,6 +131,10 @@
         if document == self._configuration.document:
             self._configuration.record_proof(self._configuration.version, started_at)
 
+    def _retry_delay_s(self) -> float:
+        """Return the delay before the next request; only relays repeat it at once."""
+        return RETRY_DELAY_S if self._is_relay() else self._backoff.next_delay_s()
+
     def _record_store_failure(self, failure: StoreFailure) -> None:
         if self.store_reached:
             _LOGGER.warning(
@@ -131,6 +147,7 @@
         if not self.store_reached:
             _LOGGER.info("config: store is reachable again.")
         self.store_reached = True
+        self._backoff.reset()
 
 
 class SendRequest(Protocol):
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -70,6 +70,9 @@
 REPORT_TIMEOUT_S: Final = 0.4
 """Timeout of a request to a relay, seconds; a round trip takes milliseconds."""
 
+EXPIRY_INTERVAL_S: Final = 1.0
+"""Seconds between checks for daemons that have failed."""
+
 TOKEN_TIMEOUT_S: Final = 0.1
 """Timeout of a token request, seconds; a round trip takes a few milliseconds."""
 
--- a/damaskbay/mesh/directory.py
+++ b/damaskbay/mesh/directory.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from damaskbay.core.routing.const import SLOW_START_S
-from damaskbay.mesh.messages import Note
+from damaskbay.mesh.messages import Note, PeerStatus
 from damaskbay.ports.fleet import ServerState, ServerView
 from damaskbay.ports.peer import PeerAddress
 
@@ -46,6 +46,7 @@
         self._instance = instance
         self._is_up = is_up
         self._by_instance: dict[str, _Member] = {}
+        self._instance_by_address: dict[PeerAddress, str] = {}
         self._views_by_pool: dict[str, list[ServerView]] = {}
 
     def replace_listing(self, records: Iterable[MemberRecord], now: float) -> None:
@@ -75,6 +76,10 @@
 
     def put_note(self, note: Note, now: float) -> None:
         """Record a peer's note, which is fresher than its record in the store."""
+        known = self._by_instance.get(note.instance)
+        if known is not None and _note_agrees(note, known.record):
+            known.noted_at = now
+            return
         record = MemberRecord(
             note.instance,
             note.incarnation,
@@ -86,11 +91,32 @@
         )
         member = self._update(record, now, listed=False)
         if member is not None:
-            if note.cold_s > 0.0:
-                member.ready_at = now - SLOW_START_S + note.cold_s
-            member.load = note.load
             member.noted_at = now
 
+    def put_status(self, address: PeerAddress, status: PeerStatus, now: float) -> None:
+        """Record the load and the slow start that a peer's daemon reports."""
+        member = self._member_at(address)
+        if member is None:
+            return
+        load, cold_s = status.load_permille / 1000.0, status.cold_ms / 1000.0
+        ready_at = now - SLOW_START_S + cold_s if cold_s else member.ready_at
+        member.noted_at = now
+        if load != member.load or ready_at != member.ready_at:
+            member.load, member.ready_at = load, ready_at
+            self._views_by_pool.pop(member.record.pool, None)
+
+    def failure_domain_of(self, address: PeerAddress) -> str | None:
+        """Return the failure domain of the daemon at an address, None if unknown."""
+        member = self._member_at(address)
+        return member.record.failure_domain if member is not None else None
+
+    def _member_at(self, address: PeerAddress) -> _Member | None:
+        instance = self._instance_by_address.get(address)
+        member = self._by_instance.get(instance) if instance is not None else None
+        if member is None or member.record.address != address:
+            return None
+        return member
+
     def remove_expired(self, now: float) -> None:
         """Remove daemons that are unlisted and have sent no note lately."""
         for instance, member in tuple(self._by_instance.items()):
@@ -100,6 +126,8 @@
                 and now - member.noted_at > NOTE_TIMEOUT_S
             ):
                 del self._by_instance[instance]
+                if self._instance_by_address.get(member.record.address) == instance:
+                    del self._instance_by_address[member.record.address]
                 self._views_by_pool.clear()
                 _LOGGER.info(
                     "fleet: daemon has been removed.", extra={"peer": instance}
@@ -172,6 +200,7 @@
         if member is None:
             member = _Member(record, listed, now - SLOW_START_S)
             self._by_instance[record.instance] = member
+            self._instance_by_address[record.address] = record.instance
             _LOGGER.info(
                 "fleet: daemon is known.",
                 extra={"peer": record.instance, "pool": record.pool},
@@ -194,4 +223,17 @@
         if record.pool != known.pool:
             self._views_by_pool.pop(known.pool, None)
         member.record = record
+        self._instance_by_address[record.address] = record.instance
         return member
+
+
+def _note_agrees(note: Note, record: MemberRecord) -> bool:
+    """Return whether a note says nothing that differs from a record."""
+    return (
+        note.incarnation == record.incarnation
+        and note.state is record.state
+        and note.slots == record.slots
+        and note.pool == record.pool
+        and note.port == record.address.port
+        and note.host == record.address.host
+    )
--- /dev/null
+++ b/damaskbay/mesh/member_log.py
@@ -0,0 +1,83 @@
+"""The members' records with the store's revisions, to send peers what has changed."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from damaskbay.mesh.messages import MembersReply
+
+MAX_REMOVED = 1024
+"""Removed members that are remembered; a peer that is further behind gets all."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    """A stored record and the revision at which it was known to have changed."""
+
+    value: bytes
+    revision: int
+
+
+class MemberLog:
+    """
+    Stored records by instance, as of the change at `revision`; 0 if none was read.
+
+    The revisions are the store's, so that a daemon can continue with the changes from
+    any other one.
+    """
+
+    def __init__(self) -> None:
+        self._entries_by_instance: dict[str, _Entry] = {}
+        self._removed_at: dict[str, int] = {}
+        self._complete_after = 0
+        self.revision = 0
+
+    def replace(self, values_by_instance: Mapping[str, bytes], revision: int) -> None:
+        """Replace all records by those read at a revision; ignore an older reading."""
+        if revision < self.revision:
+            return
+        if not self.revision:
+            self._complete_after = self.revision = revision
+        for instance in self._entries_by_instance.keys() - values_by_instance.keys():
+            self.record_change(instance, None, revision)
+        for instance, value in values_by_instance.items():
+            entry = self._entries_by_instance.get(instance)
+            if entry is None or entry.value != value:
+                self._entries_by_instance[instance] = _Entry(value, revision)
+                self._removed_at.pop(instance, None)
+                self.revision = revision
+
+    def record_change(self, instance: str, value: bytes | None, revision: int) -> bool:
+        """Record a change, None for a removal; return whether it is a newer one."""
+        entry = self._entries_by_instance.get(instance)
+        known = entry.revision if entry else self._removed_at.get(instance, 0)
+        if revision < max(known, self._complete_after):
+            return False
+        self._removed_at.pop(instance, None)
+        if value is None:
+            self._entries_by_instance.pop(instance, None)
+            self._removed_at[instance] = revision
+            self._drop_oldest_removed()
+        else:
+            self._entries_by_instance[instance] = _Entry(value, revision)
+        self.revision = max(self.revision, revision)
+        return True
+
+    def changes_after(self, revision: int) -> MembersReply:
+        """Return the changes after a revision, or all records if some are unknown."""
+        complete = revision < self._complete_after
+        records = {
+            instance: entry.value
+            for instance, entry in self._entries_by_instance.items()
+            if complete or entry.revision > revision
+        }
+        removed = (
+            ()
+            if complete
+            else tuple(name for name, at in self._removed_at.items() if at > revision)
+        )
+        return MembersReply(self.revision, complete, records, removed)
+
+    def _drop_oldest_removed(self) -> None:
+        if len(self._removed_at) > MAX_REMOVED:
+            oldest = next(iter(self._removed_at))
+            self._complete_after = self._removed_at.pop(oldest)
--- a/damaskbay/mesh/messages.py
+++ b/damaskbay/mesh/messages.py
@@ -10,9 +10,9 @@
 @dataclass(frozen=True, slots=True)
 class Note:
     """
-    A daemon's state, sent to its peers; `load` is running and waiting calls per slot.
+    A daemon's state, sent to its peers.
 
-    `cold_s` is the rest of the server's slow start in seconds.
+    `load` and `cold_s` are read by earlier versions alone, and 0; PeerStatus has them.
     """
 
     instance: str
@@ -28,6 +28,48 @@
     cold_s: float = 0.0
 
 
+@message("status")
+@dataclass(frozen=True, slots=True)
+class PeerStatus:
+    """
+    What changes often at a daemon; acknowledges each note, so it is short.
+
+    `load_permille` is running and waiting calls per slot, in thousandths; `cold_ms`
+    the rest of the server's slow start. `members_revision` is the store's revision of
+    the last change that the daemon knows of the members' records, proven the last one
+    `members_age_ms` milliseconds ago.
+    """
+
+    load_permille: int
+    cold_ms: int
+    members_revision: int
+    members_age_ms: int
+
+
+@message("mesh.members_wanted")
+@dataclass(frozen=True, slots=True)
+class MembersRequest:
+    """Request for the members' records that changed after a revision of the store."""
+
+    after: int
+
+
+@message("mesh.members")
+@dataclass(frozen=True, slots=True)
+class MembersReply:
+    """
+    Stored records of members up to a revision, and the instances without one.
+
+    If `complete`, these are all records; otherwise those changed after the requested
+    revision.
+    """
+
+    revision: int
+    complete: bool
+    records_by_instance: dict[str, bytes]
+    removed: tuple[str, ...]
+
+
 @message("mesh.config_wanted")
 @dataclass(frozen=True, slots=True)
 class ConfigRequest:
--- a/damaskbay/mesh/registry.py
+++ b/damaskbay/mesh/registry.py
@@ -1,18 +1,16 @@
-"""Keeps the daemon's record in the store, and watches the records of its peers."""
+"""Keeps the daemon's record in the store."""
 
 import asyncio
 import logging
 from collections.abc import Callable
 
-from damaskbay.mesh.directory import Directory, MemberRecord
-from damaskbay.mesh.records import decode_record, encode_record
+from damaskbay.mesh.directory import MemberRecord
+from damaskbay.mesh.records import encode_record
 from damaskbay.ports.store import (
     Store,
     StoreConflict,
     StoreFailure,
-    StoreItem,
     StoreProblem,
-    StoreSnapshot,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -29,15 +27,6 @@
 A lost record must be back in the store within 2 s.
 """
 
-WATCH_TIMEOUT_S = 20.0
-"""Timeout of a watch on the records, seconds; a change ends it sooner."""
-
-CHANGE_BATCH_DELAY_S = 2.0
-"""Delay from a change to the next watch, seconds; notes announce daemons sooner."""
-
-EXPIRY_INTERVAL_S = 1.0
-"""Seconds between checks for daemons that have failed."""
-
 
 class Registration:
     """Writes the daemon's record under a lease whenever it has changed."""
@@ -126,78 +115,3 @@
             )
             return False
         return False
-
-
-class MemberWatch:
-    """Watches the records of all daemons."""
-
-    def __init__(
-        self,
-        store: Store,
-        prefix: str,
-        directory: Directory,
-        *,
-        on_change: Callable[[], None],
-        instance: str,
-        on_local_record: Callable[[MemberRecord], None],
-        clock: Callable[[], float],
-    ) -> None:
-        self._store = store
-        self._prefix = prefix
-        self._directory = directory
-        self._on_change = on_change
-        self._instance = instance
-        self._on_local_record = on_local_record
-        self.has_read = False
-        self._clock = clock
-
-    async def run(self) -> None:
-        """Read the records, then watch them, until cancelled."""
-        while True:
-            reading = await self._store.read(self._prefix)
-            if isinstance(reading, StoreFailure):
-                await asyncio.sleep(RETRY_DELAY_S)
-                continue
-            now = self._clock()
-            found = [decode_record(item.value or b"") for item in reading.items]
-            records = [record for record in found if record is not None]
-            for record in records:
-                if record.instance == self._instance:
-                    self._on_local_record(record)
-            self._directory.replace_listing(records, now)
-            self.has_read = True
-            self._on_change()
-            await self._watch_changes(reading.revision)
-
-    async def _watch_changes(self, revision: int) -> None:
-        """Apply changes until the store has dropped the history that is needed."""
-        while True:
-            outcome = await self._store.watch(
-                self._prefix, after=revision, wait_s=WATCH_TIMEOUT_S
-            )
-            if isinstance(outcome, StoreSnapshot):
-                revision = max(revision, outcome.revision)
-                for item in outcome.items:
-                    self._apply_change(item)
-                if outcome.items:
-                    self._on_change()
-                    await asyncio.sleep(CHANGE_BATCH_DELAY_S)
-                continue
-            _LOGGER.info(
-                "registry: watch has ended.",
-                extra={"why": outcome.problem.value, "detail": outcome.detail},
-            )
-            await asyncio.sleep(RETRY_DELAY_S)
-            if outcome.problem is StoreProblem.COMPACTED:
-                return
-
-    def _apply_change(self, item: StoreItem) -> None:
-        now = self._clock()
-        if item.value is None:
-            self._directory.mark_unlisted(item.key.removeprefix(self._prefix), now)
-            return
-        record = decode_record(item.value)
-        if record is None:
-            _LOGGER.warning("registry: record is not read.", extra={"key": item.key})
-            return
-        self._directory.put(record, now)
--- a/tests/adapters/peer_link/test_link.py
+++ b/tests/adapters/peer_link/test_link.py
@@ -158,6 +158,54 @@
     _run(check)
 
 
+def _run_with_statuses(
+    status_of_second: Callable[[], Any],
+    check: Callable[[_Daemon, _Daemon, list[Any]], Awaitable[None]],
+) -> None:
+    async def run() -> None:
+        one, two = _Daemon(), _Daemon()
+        statuses: list[Any] = []
+        one.links._on_status = lambda _peer, status: statuses.append(status)
+        two.links._status = status_of_second
+        async with one.links, two.links:
+            await one.connect(two)
+            async with asyncio.timeout(WAIT_S):
+                await check(one, two, statuses)
+
+    asyncio.run(run())
+
+
+def test_an_unchanged_note_is_sent_as_a_pulse() -> None:
+    """Peers still hear the note, and its sender the status of each peer."""
+
+    async def check(one: _Daemon, two: _Daemon, statuses: list[Any]) -> None:
+        while not statuses:
+            await asyncio.sleep(0.01)
+        link = one.links._links_by_peer[two.address]
+        link.send_note(link._sent_note, b"not a frame")
+        heard = len(two.notes)
+        while len(two.notes) == heard:
+            await asyncio.sleep(0.01)
+        assert two.notes[-1] == ConfigRequest(one.address.port)
+        assert statuses[-1] == ConfigRequest(5)
+        assert one.links.up(two.address)
+
+    _run_with_statuses(lambda: ConfigRequest(5), check)
+
+
+def test_a_peer_without_statuses_gets_whole_notes() -> None:
+    """Earlier versions acknowledge without a status and know no pulses."""
+
+    async def check(one: _Daemon, two: _Daemon, statuses: list[Any]) -> None:
+        while len(two.notes) < 2:
+            await asyncio.sleep(0.01)
+        link = one.links._links_by_peer[two.address]
+        assert not link._peer_sends_status
+        assert not statuses
+
+    _run_with_statuses(lambda: None, check)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
