--- a/damaskbay/core/quota/const.py
+++ b/damaskbay/core/quota/const.py
@@ -47,6 +47,12 @@
 before then is much too long.
 """
 
+RESERVE_SLACK_SHARE: Final = 0.5
+"""Part of the slack that domains may grant while their home may still count them."""
+
+RESERVE_REFILL_S: Final = 10.0
+"""Seconds in which a spent reserve is full again; longer than a window of the bound."""
+
 REPORT_TTL_S: Final = 1.6
 """Time for which a report counts, seconds.
 
--- a/damaskbay/core/quota/token_pool.py
+++ b/damaskbay/core/quota/token_pool.py
@@ -13,6 +13,8 @@
     POOLED_BELOW_PER_S,
     RATE_OVERAGE_FRACTION,
     REPORT_TTL_S,
+    RESERVE_REFILL_S,
+    RESERVE_SLACK_SHARE,
     TOKEN_RETRY_MAX_S,
 )
 from damaskbay.core.quota.shares import QuotaOptions
@@ -68,6 +70,7 @@
         self._remote_daemons: dict[str, tuple[int, float]] = {}
         self._replied_at: dict[str, float] = {}
         self._buckets: dict[str, Bucket] = {}
+        self._reserves: dict[str, Bucket] = {}
 
     @property
     def domains(self) -> tuple[str, ...]:
@@ -131,13 +134,14 @@
 
         While the home domain of the workspace is unreachable, this pool grants the
         local domain's share, but only once the home no longer counts that domain.
+        Until then it has a reserve, which is part of the slack.
         """
         home = self.home(workspace.name)
         granting_since = self._has_reports_since
         if home != self._local_domain:
             fallback_s = self.reply_age_s(home, now) - LOCAL_FALLBACK_AFTER_S
             if fallback_s < 0.0:
-                return Grant(False, -fallback_s, -fallback_s)
+                return self._grant_from_reserve(workspace, -fallback_s, now)
             granting_since = max(granting_since, now - fallback_s)
         share = self._share(now, is_home=home == self._local_domain)
         options = self.options
@@ -159,6 +163,21 @@
         wait_s = bucket.retry_after_s(rate, next_s, now)
         return Grant(False, min(next_s, TOKEN_RETRY_MAX_S), wait_s)
 
+    def _grant_from_reserve(
+        self, workspace: Workspace, fallback_s: float, now: float
+    ) -> Grant:
+        """Grant a token of the reserve, or tell when the local share is granted."""
+        depth = RESERVE_SLACK_SHARE * self.options.slack / len(self._domains)
+        reserve = self._reserves.get(workspace.name)
+        if reserve is None:
+            reserve = self._reserves[workspace.name] = Bucket(depth, now)
+        if self.local_daemons(now) == 0:
+            return Grant(False, fallback_s, fallback_s)
+        next_s = reserve.spend(depth / RESERVE_REFILL_S, depth, now)
+        if next_s == 0.0:
+            return Grant(True)
+        return Grant(False, min(next_s, fallback_s), fallback_s)
+
     def _share(self, now: float, *, is_home: bool) -> float:
         """Return the fraction of all daemons that rely on this pool, 0 to 1."""
         count = self.local_daemons(now)
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -17,6 +17,7 @@
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
 from damaskbay.core.response_memory import ResponseMemory
+from damaskbay.core.time_average import TimeAverage
 from damaskbay.daemon.messages import (
     CallMessage,
     context_of,
@@ -42,6 +43,7 @@
 from damaskbay.mesh.const import (
     DIRECT_WATCH_PROOF_AGE_S,
     EXPIRY_INTERVAL_S,
+    LOAD_AVERAGE_S,
     RESPONSE_MEMORY_SHARE,
 )
 from damaskbay.mesh.directory import Directory, MemberRecord
@@ -100,6 +102,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         now = monotonic_s()
         self.configuration = Configuration()
+        self._mean_load = TimeAverage(LOAD_AVERAGE_S, now)
         self.local = LocalServer(settings.drain_s, self._server_changed)
         self._gate = Gate(1, self._rng, now)
         self._links = PeerLinks(
@@ -290,7 +293,7 @@
                 pool=DemandPool(self.settings.failure_domain),
                 tokens=self._token_pool,
                 configuration=self.configuration,
-                fetch_config=self._peer_config.fetch,
+                fetch_config=self._fetch_from_relay,
                 members_known=self._members_known,
                 clock=monotonic_s,
             )
@@ -325,6 +328,9 @@
             self._exchange.is_relay or age_s is None or age_s > DIRECT_WATCH_PROOF_AGE_S
         )
 
+    def _fetch_from_relay(self, relay: PeerAddress, version: int) -> None:
+        self._peer_config.fetch_newer(relay, version, remote=False)
+
     def _members_known(self) -> bool:
         """Return whether peers are known, or the store's records have been read."""
         return len(self._directory.instances()) > 1 or self._members.has_read
@@ -374,7 +380,7 @@
     def _make_status(self) -> PeerStatus:
         now = monotonic_s()
         return PeerStatus(
-            load_permille=round(1000.0 * self._gate.load()),
+            load_permille=round(1000.0 * self._mean_load.add(self._gate.load(), now)),
             cold_ms=round(1000.0 * max(0.0, self.local.slow_until - now)),
             members_revision=self._members.revision,
             members_age_ms=round(1000.0 * self._members.age_s(now)),
@@ -388,8 +394,11 @@
         self._directory.put_note(note, now)
         if not known:
             self._members_changed()
-        if note.config_version > self.configuration.version:
-            self._peer_config.fetch(PeerAddress(note.host, note.port))
+        self._peer_config.fetch_newer(
+            PeerAddress(note.host, note.port),
+            note.config_version,
+            remote=note.failure_domain != self.settings.failure_domain,
+        )
 
     def _handle_status(self, peer: PeerAddress, status: Any) -> None:
         if not isinstance(status, PeerStatus):
--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -37,6 +37,12 @@
 whose relay has lost the store need not ask it themselves.
 """
 
+REMOTE_FETCH_DELAY_S = 0.4
+"""Delay before a newer set is fetched from another failure domain, seconds.
+
+By then the local relay usually has it, and a set crosses domains once, if at all.
+"""
+
 PEERS_PER_POLL = 2
 """Peers that are polled at once."""
 
@@ -180,6 +186,8 @@
         self._rng = rng
         self._clock = clock
         self._fetch_tasks: set[asyncio.Task[None]] = set()
+        self._fetching_until = 0.0
+        self._remote_fetch: asyncio.TimerHandle | None = None
 
     def handle_config_request(self, wanted: ConfigRequest) -> ConfigReply:
         """Return the reply to a peer, with the document only if the peer needs it."""
@@ -200,6 +208,30 @@
             for peer in self._rng.sample(peers, min(PEERS_PER_POLL, len(peers))):
                 self.fetch(peer)
 
+    def fetch_newer(self, peer: PeerAddress, version: int, *, remote: bool) -> None:
+        """
+        Fetch a version that a peer has, unless it is known or already being fetched.
+
+        From a remote failure domain it is fetched after a delay, if still needed.
+        """
+        if version <= self._configuration.version:
+            return
+        if not remote:
+            now = self._clock()
+            if now >= self._fetching_until:
+                self._fetching_until = now + PEER_TIMEOUT_S
+                self.fetch(peer)
+        elif self._remote_fetch is None:
+            loop = asyncio.get_running_loop()
+            self._remote_fetch = loop.call_later(
+                REMOTE_FETCH_DELAY_S, self._fetch_remote, peer, version
+            )
+
+    def _fetch_remote(self, peer: PeerAddress, version: int) -> None:
+        self._remote_fetch = None
+        if version > self._configuration.version:
+            self.fetch(peer)
+
     def fetch(self, peer: PeerAddress) -> None:
         """Start a request for the configuration to one peer."""
         task = asyncio.get_running_loop().create_task(self._fetch(peer))
@@ -210,9 +242,10 @@
         started_at = self._clock()
         wanted = ConfigRequest(self._configuration.version)
         reply = await self._request(peer, wanted, timeout_s=PEER_TIMEOUT_S)
+        self._fetching_until = 0.0
         if not isinstance(reply, ConfigReply):
             return
-        if reply.document:
+        if reply.document and reply.version > self._configuration.version:
             self._watch.activate_document(reply.document, str(peer))
         if reply.proof_age_s is not None:
             self._configuration.record_proof(
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -70,6 +70,13 @@
 REPORT_TIMEOUT_S: Final = 0.4
 """Timeout of a request to a relay, seconds; a round trip takes milliseconds."""
 
+LOAD_AVERAGE_S: Final = 0.5
+"""Time constant of the load in statuses, seconds: the time until the next status.
+
+With the momentary load, all callers of a pool would send their calls to the server
+that was idle when it last answered.
+"""
+
 EXPIRY_INTERVAL_S: Final = 1.0
 """Seconds between checks for daemons that have failed."""
 
--- a/damaskbay/mesh/exchange.py
+++ b/damaskbay/mesh/exchange.py
@@ -31,7 +31,7 @@
     pool: DemandPool
     tokens: TokenPool
     configuration: Configuration
-    fetch_config: Callable[[PeerAddress], None]
+    fetch_config: Callable[[PeerAddress, int], None]
     members_known: Callable[[], bool]
     clock: Callable[[], float]
 
@@ -173,7 +173,7 @@
             counted = DemandTotals(reply.own, reply.total, reply.daemons)
             parts.shares.update_totals(counted)
         if reply.config_version > parts.configuration.version:
-            parts.fetch_config(relay.address)
+            parts.fetch_config(relay.address, reply.config_version)
         elif reply.proof_age_s is not None:
             proven_at = started_at - reply.proof_age_s
             parts.configuration.record_proof(reply.config_version, proven_at)
--- a/damaskbay/mesh/member_log.py
+++ b/damaskbay/mesh/member_log.py
@@ -31,10 +31,10 @@
         self._complete_after = 0
         self.revision = 0
 
-    def replace(self, values_by_instance: Mapping[str, bytes], revision: int) -> None:
-        """Replace all records by those read at a revision; ignore an older reading."""
+    def replace(self, values_by_instance: Mapping[str, bytes], revision: int) -> bool:
+        """Replace all records by those at a revision; return False if it is older."""
         if revision < self.revision:
-            return
+            return False
         if not self.revision:
             self._complete_after = self.revision = revision
         for instance in self._entries_by_instance.keys() - values_by_instance.keys():
@@ -45,6 +45,7 @@
                 self._entries_by_instance[instance] = _Entry(value, revision)
                 self._removed_at.pop(instance, None)
                 self.revision = revision
+        return True
 
     def record_change(self, instance: str, value: bytes | None, revision: int) -> bool:
         """Record a change, None for a removal; return whether it is a newer one."""
--- a/damaskbay/mesh/members.py
+++ b/damaskbay/mesh/members.py
@@ -218,7 +218,8 @@
         self._parts.on_change()
 
     def _replace(self, values_by_instance: dict[str, bytes], revision: int) -> None:
-        self._log.replace(values_by_instance, revision)
+        if not self._log.replace(values_by_instance, revision):
+            return
         found = [decode_record(value) for value in values_by_instance.values()]
         records = [record for record in found if record is not None]
         self._parts.directory.replace_listing(records, self._parts.clock())
--- a/damaskbay/mesh/tokens.py
+++ b/damaskbay/mesh/tokens.py
@@ -68,6 +68,12 @@
             grant = await self._obtain(workspace, 0)
             if grant.granted:
                 return None
+            if grant == _NO_GRANT:
+                return not_run(
+                    Reason.SHARE_UNAVAILABLE,
+                    retry_after_s=grant.wait_s,
+                    detail=f"no holder of the tokens of {workspace.name} answers",
+                )
             exhausted = _Exhausted(self._parts.clock() + grant.next_s, grant.wait_s)
             self._exhausted[workspace.name] = exhausted
         wait_s = max(0.001, exhausted.wait_s)
--- a/tests/core/quota/test_token_pool.py
+++ b/tests/core/quota/test_token_pool.py
@@ -120,6 +120,26 @@
     assert len(late) >= 0.9 * 6.0 * (30.0 - fallback_at)
 
 
+def test_a_cut_off_domain_serves_from_its_reserve_at_once() -> None:
+    """Pattern: a domain is cut off; until it may grant its share, the slack is used."""
+    both = {(REMOTE, HOME), (HOME, REMOTE)}
+    granted_at = _simulate(_Relays(), 24.0, {10.0: both})
+    early = [at for at in granted_at[REMOTE] if 10.0 < at < 11.5]
+    assert early
+    assert _max_in_window(granted_at) <= _bound()
+
+
+def test_reserves_of_domains_that_lose_their_home_in_turns_keep_the_bound() -> None:
+    """Pattern: links between domains fail and return again and again."""
+    both = {(REMOTE, HOME), (HOME, REMOTE)}
+    isolated = {(one, two) for one in DOMAINS for two in DOMAINS if one != two}
+    cuts: dict[float, set[tuple[str, str]]] = {}
+    for number in range(16):
+        cuts[8.0 + number] = (both, set(), isolated, set())[number % 4]
+    granted_at = _simulate(_Relays(), 280.0, cuts)
+    assert _max_in_window(granted_at) <= _bound()
+
+
 def test_a_relay_that_nobody_relies_on_hands_out_nothing() -> None:
     """Two daemons that both act as relay of a domain must not both grant its share."""
     pool = TokenPool(HOME, OPTIONS)
--- a/tests/mesh/test_exchange.py
+++ b/tests/mesh/test_exchange.py
@@ -81,7 +81,7 @@
                 pool=DemandPool(record.failure_domain),
                 tokens=self.tokens,
                 configuration=self.configuration,
-                fetch_config=self.fetched_from.append,
+                fetch_config=lambda peer, _version: self.fetched_from.append(peer),
                 members_known=lambda: self.members_known,
                 clock=network.clock,
             )
--- a/tests/mesh/test_members.py
+++ b/tests/mesh/test_members.py
@@ -288,6 +288,23 @@
     assert log.changes_after(10).records_by_instance == {"a": b"3"}
 
 
+def test_an_overtaken_reading_does_not_unlist_newer_members() -> None:
+    """A reading from before the changes of a peer leaves the directory as it is."""
+
+    async def check(fleet: _Fleet) -> None:
+        receiver = fleet.members_by_address[fleet.records[1].address]
+        store_values = dict(fleet.store.values)
+        fleet.store.set("d9", encode_record(_record(9)))
+        await asyncio.sleep(SETTLED_S)
+        await fleet.exchange_statuses()
+        receiver._replace(store_values, 1)
+        fleet.now += 60.0
+        fleet.directories[1].remove_expired(fleet.now)
+        assert "d9" in _known(fleet.directories[1])
+
+    _run(4, check)
+
+
 def test_the_log_forgets_old_removals_safely() -> None:
     """A peer that needs a forgotten removal gets all records."""
     log = MemberLog()
