Compare revisions of records, not of readings; show the settings in use

Two daemons that knew the same records had different revisions if one had read them later, so that the relay's proof did not count and each watched the store every six seconds. Now the revision is that of the last changed record.

The digest of the settings file in use is logged and is a gauge; invalid files are counted, and fields that wait for a restart are named. Tests reserve their ports, so that no other process gets one between the look and the bind.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -69,7 +69,7 @@
 from damaskbay.mesh.observing import StatusEndpoints, StatusParts
 from damaskbay.mesh.registry import Registration
 from damaskbay.mesh.running import RunningCalls
-from damaskbay.mesh.settings import MeshSettings
+from damaskbay.mesh.settings import MeshSettings, fields_that_need_a_restart
 from damaskbay.mesh.stopping import GracefulStop
 from damaskbay.mesh.tokens import PooledTokens, TokenParts
 from damaskbay.ports.fleet import ServerState
@@ -98,6 +98,8 @@
         self._platform_parts = platform_parts
         self._rng = Random()
         self._incarnation = time.time_ns() // 1_000_000
+        self.settings_applied = 1
+        self.settings_refused = 0
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         now = monotonic_s()
@@ -151,6 +153,7 @@
             self._telemetry,
             lambda: self.ready,
         )
+        self._register_gauges(memory)
         self._control = HttpServer(
             settings.control, make_control_handler(self), CallerLimits()
         )
@@ -195,6 +198,7 @@
                     "instance": self.settings.instance,
                     "pool": self.settings.pool,
                     "incarnation": self._incarnation,
+                    "digest": self.settings.digest,
                 },
             )
             await self._stopping.wait()
@@ -214,16 +218,44 @@
                 extra={"address": str(self.settings.metrics), "why": str(error)},
             )
 
+    def _register_gauges(self, memory: ResponseMemory) -> None:
+        gauge = self._telemetry.gauge
+        gauge(
+            "settings_digest",
+            "First 48 bits of the SHA-256 of the settings file in use",
+            lambda: int(self.settings.digest or "0", 16),
+        )
+        gauge("settings_applied", "Files since start", lambda: self.settings_applied)
+        gauge("settings_refused", "Invalid files", lambda: self.settings_refused)
+        gauge(
+            "members_age_seconds",
+            "Since the members' records were proven current",
+            lambda: self._members.age_s(monotonic_s()),
+        )
+        gauge("response_bytes", "Held now", lambda: memory.held_bytes)
+
     def reload(self, settings: MeshSettings) -> None:
-        """Apply changed limits; changed addresses need a restart."""
+        """Apply changed limits; log the other changes, which need a restart."""
+        names = fields_that_need_a_restart(self.settings, settings)
+        if names:
+            _LOGGER.warning(
+                "daemon: changed settings need a restart.", extra={"fields": names}
+            )
         self.local.drain_s = settings.drain_s
         options = QuotaOptions(settings.quota_overage, settings.quota_slack)
         self._shares.options = options
         self._token_pool.options = options
         self._ingress.set_proof_valid(settings.revoke_s)
         self.settings = replace(
-            self.settings, drain_s=settings.drain_s, grace_s=settings.grace_s
+            self.settings,
+            drain_s=settings.drain_s,
+            grace_s=settings.grace_s,
+            revoke_s=settings.revoke_s,
+            quota_overage=settings.quota_overage,
+            quota_slack=settings.quota_slack,
+            digest=settings.digest,
         )
+        self.settings_applied += 1
 
     def stop(self) -> None:
         """Start the graceful shutdown."""
--- a/damaskbay/mesh/member_log.py
+++ b/damaskbay/mesh/member_log.py
@@ -10,8 +10,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Entry:
-    """A stored record and the revision at which it was known to have changed."""
+class StoredRecord:
+    """A stored record and the revision of its last known change."""
 
     value: bytes
     revision: int
@@ -22,36 +22,37 @@
     Stored records by instance, as of the change at `revision`; 0 if none was read.
 
     The revisions are the store's, so that a daemon can continue with the changes from
-    any other one.
+    any other one. Daemons that know the same changes have the same `revision`, also if
+    one of them read the records and the other one watched them.
     """
 
     def __init__(self) -> None:
-        self._entries_by_instance: dict[str, _Entry] = {}
+        self._entries_by_instance: dict[str, StoredRecord] = {}
         self._removed_at: dict[str, int] = {}
         self._complete_after = 0
         self.revision = 0
 
-    def replace(self, values_by_instance: Mapping[str, bytes], revision: int) -> bool:
+    def replace(
+        self, records_by_instance: Mapping[str, StoredRecord], revision: int
+    ) -> bool:
         """Replace all records by those at a revision; return False if it is older."""
         if revision < self.revision:
             return False
         if not self.revision:
-            self._complete_after = self.revision = revision
-        for instance in self._entries_by_instance.keys() - values_by_instance.keys():
+            self._complete_after = revision
+        for instance in self._entries_by_instance.keys() - records_by_instance.keys():
             self.record_change(instance, None, revision)
-        for instance, value in values_by_instance.items():
-            entry = self._entries_by_instance.get(instance)
-            if entry is None or entry.value != value:
-                self._entries_by_instance[instance] = _Entry(value, revision)
-                self._removed_at.pop(instance, None)
-                self.revision = revision
+        for instance, record in records_by_instance.items():
+            self._entries_by_instance[instance] = record
+            self._removed_at.pop(instance, None)
+            self.revision = max(self.revision, record.revision)
         return True
 
     def record_change(self, instance: str, value: bytes | None, revision: int) -> bool:
         """Record a change, None for a removal; return whether it is a newer one."""
         entry = self._entries_by_instance.get(instance)
         known = entry.revision if entry else self._removed_at.get(instance, 0)
-        if revision < max(known, self._complete_after):
+        if revision < known:
             return False
         self._removed_at.pop(instance, None)
         if value is None:
@@ -59,7 +60,7 @@
             self._removed_at[instance] = revision
             self._drop_oldest_removed()
         else:
-            self._entries_by_instance[instance] = _Entry(value, revision)
+            self._entries_by_instance[instance] = StoredRecord(value, revision)
         self.revision = max(self.revision, revision)
         return True
 
--- a/damaskbay/mesh/members.py
+++ b/damaskbay/mesh/members.py
@@ -8,7 +8,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.helpers.backoff import Backoff
 from damaskbay.mesh.directory import Directory, MemberRecord
-from damaskbay.mesh.member_log import MemberLog
+from damaskbay.mesh.member_log import MemberLog, StoredRecord
 from damaskbay.mesh.messages import MembersReply, MembersRequest, PeerStatus
 from damaskbay.mesh.records import decode_record
 from damaskbay.ports.peer import PeerAddress
@@ -153,7 +153,11 @@
             )
             return
         if reply.complete:
-            self._replace(dict(reply.records_by_instance), reply.revision)
+            records = {
+                instance: StoredRecord(value, reply.revision)
+                for instance, value in reply.records_by_instance.items()
+            }
+            self._replace(records, reply.revision)
         else:
             for instance, value in reply.records_by_instance.items():
                 self._apply_change(instance, value, reply.revision)
@@ -204,23 +208,25 @@
 
     def _apply_reading(self, reading: StoreSnapshot, started_at: float) -> None:
         prefix = self._parts.prefix
-        values = {
-            item.key.removeprefix(prefix): item.value
+        records = {
+            item.key.removeprefix(prefix): StoredRecord(item.value, item.revision)
             for item in reading.items
             if item.value is not None
         }
-        local = values.get(self._parts.instance)
-        local_record = decode_record(local) if local is not None else None
+        local = records.get(self._parts.instance)
+        local_record = decode_record(local.value) if local is not None else None
         if local_record is not None and not self.has_read:
             self._parts.on_local_record(local_record)
-        self._replace(values, reading.revision)
+        self._replace(records, reading.revision)
         self._proven_at = started_at
         self._parts.on_change()
 
-    def _replace(self, values_by_instance: dict[str, bytes], revision: int) -> None:
-        if not self._log.replace(values_by_instance, revision):
+    def _replace(
+        self, records_by_instance: dict[str, StoredRecord], revision: int
+    ) -> None:
+        if not self._log.replace(records_by_instance, revision):
             return
-        found = [decode_record(value) for value in values_by_instance.values()]
+        found = [decode_record(item.value) for item in records_by_instance.values()]
         records = [record for record in found if record is not None]
         self._parts.directory.replace_listing(records, self._parts.clock())
 
--- a/damaskbay/mesh/settings.py
+++ b/damaskbay/mesh/settings.py
@@ -1,12 +1,16 @@
 """Settings of the event-driven daemon, as given by its platform."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 from damaskbay.ports.peer import PeerAddress
 
 DEFAULT_MEMORY_BYTES = 200 * 1024 * 1024
 """Memory of the process if the platform does not limit it."""
 
+APPLIED_WHILE_RUNNING = frozenset(
+    {"drain_s", "grace_s", "revoke_s", "quota_overage", "quota_slack", "digest"}
+)
+
 
 @dataclass(frozen=True, slots=True)
 class MeshSettings:
@@ -17,7 +21,7 @@
     The local server at `server` belongs to `pool`. The fleet may send a pool at
     most `retry_ratio` times its calls, plus `retry_slack`, as retries. A workspace
     may exceed its rate and burst by the part `quota_overage` and `quota_slack`
-    requests. The process may use `memory_bytes`.
+    requests. The process may use `memory_bytes`. `digest` identifies the settings file.
     """
 
     instance: str
@@ -38,3 +42,14 @@
     quota_overage: float
     quota_slack: float
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    digest: str = ""
+
+
+def fields_that_need_a_restart(active: MeshSettings, new: MeshSettings) -> list[str]:
+    """Return the changed fields that a running daemon cannot apply."""
+    return [
+        item.name
+        for item in fields(MeshSettings)
+        if item.name not in APPLIED_WHILE_RUNNING
+        and getattr(active, item.name) != getattr(new, item.name)
+    ]
--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -56,10 +56,14 @@
     except (FieldError, OSError) as error:
         _LOGGER.error(
             "daemon: changed settings are invalid and not applied.",
-            extra={"why": str(error)},
+            extra={"why": str(error), "active_digest": daemon.settings.digest},
         )
+        daemon.settings_refused += 1
         return
-    _LOGGER.info("daemon: settings are read again.", extra={"why": cause})
+    _LOGGER.info(
+        "daemon: settings are read again.",
+        extra={"why": cause, "digest": settings.digest},
+    )
     daemon.reload(settings)
 
 
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -1,7 +1,9 @@
 """Decoding of the platform's settings file into the daemon's settings."""
 
+import hashlib
 import os
 import tomllib
+from dataclasses import replace
 from pathlib import Path
 
 from damaskbay.mesh.settings import DEFAULT_MEMORY_BYTES, MeshSettings
@@ -18,6 +20,9 @@
 from damaskbay.ports.peer import PeerAddress
 
 MAX_PORT = 65_535
+DIGEST_DIGITS = 12
+"""Hexadecimal digits of a digest; a gauge holds so many without rounding."""
+
 MEGABYTE = 1024 * 1024
 METRICS_PORT = 9464
 """Equals the port in the deploy file; the settings file doesn't contain it."""
@@ -34,10 +39,12 @@
 def load_settings(path: Path) -> MeshSettings:
     """Return the settings of a TOML file; raise FieldError, OSError."""
     try:
-        document = tomllib.loads(path.read_text())
+        content = path.read_bytes()
+        document = tomllib.loads(content.decode())
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise FieldError(f"{path}: {error}") from None
-    return decode_settings(document)
+    digest = hashlib.sha256(content).hexdigest()[:DIGEST_DIGITS]
+    return replace(decode_settings(document), digest=digest)
 
 
 def decode_settings(document: Table) -> MeshSettings:
--- a/tests/adapters/peer_link/test_endless.py
+++ b/tests/adapters/peer_link/test_endless.py
@@ -1,7 +1,6 @@
 """Pattern: something that is no daemon sends bytes without end on a peer link."""
 
 import asyncio
-import socket
 import tracemalloc
 import unittest
 
@@ -11,7 +10,7 @@
 from damaskbay.adapters.peer_link.const import MAX_FRAME_BYTES
 from damaskbay.mesh.messages import ConfigRequest
 from damaskbay.ports.peer import PeerAddress
-from tests.common import function_suite
+from tests.common import function_suite, reserve_address
 
 BLOCK_BYTES = 64 * 1024
 WAIT_S = 20.0
@@ -38,8 +37,7 @@
 
 def _check(start: bytes, block: bytes, max_bytes: int) -> None:
     async def run() -> int:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            address = PeerAddress("127.0.0.1", listener.getsockname()[1])
+        address = reserve_address()
         links = PeerLinks(
             address,
             on_links_change=lambda: None,
--- a/tests/adapters/peer_link/test_link.py
+++ b/tests/adapters/peer_link/test_link.py
@@ -1,7 +1,6 @@
 """Tests of links between daemons over real sockets."""
 
 import asyncio
-import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -9,7 +8,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.mesh.messages import ConfigReply, ConfigRequest
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
-from tests.common import function_suite
+from tests.common import function_suite, reserve_address
 
 WAIT_S = 3.0
 
@@ -18,8 +17,7 @@
     """Replies with the requested version; never replies to version 99."""
 
     def __init__(self) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            self.address = PeerAddress("127.0.0.1", listener.getsockname()[1])
+        self.address = reserve_address()
         self.cancelled = 0
         self.notes: list[Any] = []
         self.links = PeerLinks(
--- a/tests/common.py
+++ b/tests/common.py
@@ -1,9 +1,35 @@
-"""Loader for test functions."""
+"""Loader for test functions, and addresses for servers under test."""
 
+import atexit
+import socket
 import unittest
 from collections.abc import Callable
 from typing import Any
 
+from damaskbay.ports.peer import PeerAddress
+
+_reservations: list[socket.socket] = []
+
+
+@atexit.register
+def _release_reservations() -> None:
+    for sock in _reservations:
+        sock.close()
+
+
+def reserve_address() -> PeerAddress:
+    """
+    Return a loopback address that stays reserved for a server until the tests end.
+
+    A bound socket that does not listen keeps other processes from getting the port; a
+    server that sets SO_REUSEADDR can bind it, also again after a restart.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    _reservations.append(sock)
+    return PeerAddress("127.0.0.1", sock.getsockname()[1])
+
 
 class _FunctionTestCase(unittest.FunctionTestCase):
     """A test function whose id contains its module."""
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 import json
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -26,6 +25,7 @@
 from damaskbay.platform.heartbeats import HeartbeatListener
 from damaskbay.platform.store import KvStore
 from damaskbay.ports.peer import PeerAddress
+from tests.common import reserve_address
 from tests.platform.kv_stand_in import KvStandIn
 
 WAIT_S = 10.0
@@ -33,12 +33,6 @@
 _ids = itertools.count(1)
 
 
-def free_address() -> PeerAddress:
-    """Return an address with a free port."""
-    with socket.create_server((HOST, 0)) as found:
-        return PeerAddress(HOST, found.getsockname()[1])
-
-
 @dataclass
 class Backend:
     """A backend server; `override_response` may override its responses."""
@@ -152,7 +146,7 @@
 
     async def add(self, name: str, pool: str, **changes: Any) -> Node:
         """Start a daemon and its server, and report the server ready."""
-        backend = Backend(pool, f"i-{name}", free_address())
+        backend = Backend(pool, f"i-{name}", reserve_address())
         await self._stack.enter_async_context(
             HttpServer(backend.address, backend.serve, CallerLimits())
         )
@@ -263,11 +257,11 @@
         "instance": name,
         "failure_domain": "zone",
         "pool": backend.pool,
-        "callers": free_address(),
-        "control": free_address(),
-        "readiness": free_address(),
-        "peers": free_address(),
-        "metrics": free_address(),
+        "callers": reserve_address(),
+        "control": reserve_address(),
+        "readiness": reserve_address(),
+        "peers": reserve_address(),
+        "metrics": reserve_address(),
         "server": backend.address,
         "store": store,
         "drain_s": 2.0,
--- a/tests/mesh/test_members.py
+++ b/tests/mesh/test_members.py
@@ -15,7 +15,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.helpers.backoff import Backoff
 from damaskbay.mesh.directory import Directory, MemberRecord
-from damaskbay.mesh.member_log import MAX_REMOVED, MemberLog
+from damaskbay.mesh.member_log import MAX_REMOVED, MemberLog, StoredRecord
 from damaskbay.mesh.members import MAX_AGE_S, RETRY_DELAY_S, Members, MembersParts
 from damaskbay.mesh.messages import MembersRequest, PeerStatus
 from damaskbay.mesh.records import encode_record
@@ -267,9 +267,9 @@
 def test_the_log_tells_changes_after_any_known_revision() -> None:
     """Changes read whole after a gap count like those that were watched."""
     log = MemberLog()
-    log.replace({"a": b"1", "b": b"1"}, 10)
+    log.replace({"a": StoredRecord(b"1", 8), "b": StoredRecord(b"1", 9)}, 10)
     assert log.record_change("a", b"2", 12)
-    log.replace({"a": b"2", "c": b"1"}, 20)
+    log.replace({"a": StoredRecord(b"2", 12), "c": StoredRecord(b"1", 17)}, 20)
     reply = log.changes_after(12)
     assert not reply.complete
     assert (reply.records_by_instance, reply.removed) == ({"c": b"1"}, ("b",))
@@ -278,13 +278,22 @@
     assert set(everything.records_by_instance) == {"a", "c"}
 
 
+def test_a_reading_and_a_watch_of_the_same_changes_agree() -> None:
+    """Other writes to the store, or leases, do not make one of them look newer."""
+    watched, read = MemberLog(), MemberLog()
+    watched.replace({"a": StoredRecord(b"1", 3)}, 4)
+    assert watched.record_change("b", b"1", 6)
+    read.replace({"a": StoredRecord(b"1", 3), "b": StoredRecord(b"1", 6)}, 40)
+    assert watched.revision == read.revision
+
+
 def test_an_older_change_or_reading_is_ignored() -> None:
     """A reading that was overtaken does not undo newer changes."""
     log = MemberLog()
-    log.replace({"a": b"1"}, 10)
+    log.replace({"a": StoredRecord(b"1", 10)}, 10)
     assert log.record_change("a", b"3", 15)
     assert not log.record_change("a", b"2", 12)
-    log.replace({"a": b"1"}, 11)
+    assert not log.replace({"a": StoredRecord(b"1", 10)}, 11)
     assert log.changes_after(10).records_by_instance == {"a": b"3"}
 
 
@@ -293,11 +302,13 @@
 
     async def check(fleet: _Fleet) -> None:
         receiver = fleet.members_by_address[fleet.records[1].address]
-        store_values = dict(fleet.store.values)
+        reading = {
+            name: StoredRecord(value, 1) for name, value in fleet.store.values.items()
+        }
         fleet.store.set("d9", encode_record(_record(9)))
         await asyncio.sleep(SETTLED_S)
         await fleet.exchange_statuses()
-        receiver._replace(store_values, 1)
+        receiver._replace(reading, 1)
         fleet.now += 60.0
         fleet.directories[1].remove_expired(fleet.now)
         assert "d9" in _known(fleet.directories[1])
@@ -308,7 +319,7 @@
 def test_the_log_forgets_old_removals_safely() -> None:
     """A peer that needs a forgotten removal gets all records."""
     log = MemberLog()
-    log.replace({f"d{n}": b"1" for n in range(MAX_REMOVED + 1)}, 1)
+    log.replace({f"d{n}": StoredRecord(b"1", 1) for n in range(MAX_REMOVED + 1)}, 1)
     for number in range(MAX_REMOVED + 1):
         log.record_change(f"d{number}", None, 2 + number)
     assert log.changes_after(1).complete
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -18,7 +18,8 @@
 from damaskbay.core.call import Headers, Request, Response
 from damaskbay.platform.const import SETTINGS_VARIABLE
 from damaskbay.ports.peer import PeerAddress
-from tests.mesh.common import HOST, free_address
+from tests.common import reserve_address
+from tests.mesh.common import HOST
 from tests.soak.proxy import LoopbackProxy
 
 SLOTS = 8
@@ -244,13 +245,13 @@
         return Response(200, response_headers, f"{request_id} {self.server}".encode())
 
     def _new_address(self) -> PeerAddress:
-        return PeerAddress(self._host, free_address().port)
+        return PeerAddress(self._host, reserve_address().port)
 
     def _settings_path(self) -> Path:
         return self._folder / f"{self.name}.toml"
 
     def _settings_toml(self) -> str:
-        first_port = free_address().port
+        first_port = reserve_address().port
         return f"""
 Node = "{self.name}"
 Ip = "{self._host}"
