Let a status prove that a peer lives, not what its record says

Cause of the failures in the domains with few servers of a pool: a status counted like a note, so that the store's record of a peer that had become ready was taken for older than the note and dropped, for as long as statuses came. A daemon that was linked to a server that had no link back never used it.

--- a/damaskbay/mesh/directory.py
+++ b/damaskbay/mesh/directory.py
@@ -11,6 +11,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+NEVER = float("-inf")
+
 NOTE_TIMEOUT_S = 7.0
 """Seconds without a note after which a daemon not listed in the store is removed."""
 
@@ -32,11 +34,19 @@
 
 @dataclass(slots=True)
 class _Member:
+    """
+    A known daemon.
+
+    A note is fresher than a listed record for a while after `noted_at`. `heard_at` is
+    when the daemon last showed that it lives, by a note or a status.
+    """
+
     record: MemberRecord
     listed: bool
     ready_at: float
     load: float = 0.0
-    noted_at: float = 0.0
+    noted_at: float = NEVER
+    heard_at: float = NEVER
 
 
 class Directory:
@@ -78,7 +88,7 @@
         """Record a peer's note, which is fresher than its record in the store."""
         known = self._by_instance.get(note.instance)
         if known is not None and _note_agrees(note, known.record):
-            known.noted_at = now
+            known.noted_at = known.heard_at = now
             return
         record = MemberRecord(
             note.instance,
@@ -91,7 +101,7 @@
         )
         member = self._update(record, now, listed=False)
         if member is not None:
-            member.noted_at = now
+            member.noted_at = member.heard_at = now
 
     def put_status(self, address: PeerAddress, status: PeerStatus, now: float) -> None:
         """Record the load and the slow start that a peer's daemon reports."""
@@ -100,7 +110,7 @@
             return
         load, cold_s = status.load_permille / 1000.0, status.cold_ms / 1000.0
         ready_at = now - SLOW_START_S + cold_s if cold_s else member.ready_at
-        member.noted_at = now
+        member.heard_at = now
         if load != member.load or ready_at != member.ready_at:
             member.load, member.ready_at = load, ready_at
             self._views_by_pool.pop(member.record.pool, None)
@@ -123,7 +133,7 @@
             if (
                 instance != self._instance
                 and not member.listed
-                and now - member.noted_at > NOTE_TIMEOUT_S
+                and now - member.heard_at > NOTE_TIMEOUT_S
             ):
                 del self._by_instance[instance]
                 if self._instance_by_address.get(member.record.address) == instance:
