Let only preferred relays watch the store while a fleet starts

Cause: until links are up each daemon is the first relay that it reaches, so each watched records and set for a second or two after a start of all.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -290,7 +290,7 @@
                 backoff=Backoff(
                     MEMBERS_RETRY_DELAY_S, MEMBERS_MAX_RETRY_DELAY_S, self._rng
                 ),
-                is_relay=self._is_relay,
+                is_relay=self._watches_store,
                 on_change=self._members_changed,
                 on_local_record=self._restore_server,
                 clock=monotonic_s,
@@ -303,7 +303,7 @@
             decode=platform_parts.decode_config,
             configuration=self.configuration,
             needed=self._watch_needed,
-            is_relay=self._is_relay,
+            is_relay=self._watches_store,
             backoff=Backoff(CONFIG_RETRY_DELAY_S, CONFIG_MAX_RETRY_DELAY_S, self._rng),
             clock=monotonic_s,
         )
@@ -342,8 +342,8 @@
             )
         )
 
-    def _is_relay(self) -> bool:
-        return self._exchange.is_relay
+    def _watches_store(self) -> bool:
+        return self._exchange.watches_store
 
     def _reachable_relays(self) -> list[PeerAddress]:
         """Return the reachable relays of all domains; without any, all linked peers."""
@@ -357,7 +357,9 @@
         """Return whether this daemon has to watch the configuration in the store."""
         age_s = self.configuration.proof_age_s(monotonic_s())
         return (
-            self._exchange.is_relay or age_s is None or age_s > DIRECT_WATCH_PROOF_AGE_S
+            self._exchange.watches_store
+            or age_s is None
+            or age_s > DIRECT_WATCH_PROOF_AGE_S
         )
 
     def _fetch_from_relay(self, relay: PeerAddress, version: int) -> None:
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -58,6 +58,12 @@
 RELAYS_PER_DOMAIN: Final = 2
 """Daemons of each domain that all others link to: its relay and the standby."""
 
+RELAY_SETTLE_S: Final = 2.0
+"""Seconds for which a daemon that is no preferred relay waits before it acts as one.
+
+While a fleet starts, no links are up yet and each daemon is the first that it reaches.
+"""
+
 LOCAL_LINKS_PER_POOL: Final = 16
 """Links to servers of each pool in the local domain; two would balance load."""
 
--- a/damaskbay/mesh/exchange.py
+++ b/damaskbay/mesh/exchange.py
@@ -10,7 +10,12 @@
 from damaskbay.core.quota.shares import DemandShares
 from damaskbay.core.quota.token_pool import TokenPool
 from damaskbay.mesh.configuration import Configuration
-from damaskbay.mesh.const import RELAYS_PER_DOMAIN, REPORT_INTERVAL_S, REPORT_TIMEOUT_S
+from damaskbay.mesh.const import (
+    RELAY_SETTLE_S,
+    RELAYS_PER_DOMAIN,
+    REPORT_INTERVAL_S,
+    REPORT_TIMEOUT_S,
+)
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.messages import DemandReport, DomainDemandRequest, FleetState
 from damaskbay.mesh.neighbours import relay_order
@@ -48,6 +53,7 @@
     def __init__(self, parts: ExchangeParts) -> None:
         self._parts = parts
         self._relay = ""
+        self._relay_since = 0.0
         self._relay_orders: dict[str, list[MemberRecord]] = {}
         self._fleet_known = False
 
@@ -56,6 +62,17 @@
         """Return whether this daemon is the relay of its domain."""
         return self._relay == self._parts.instance
 
+    @property
+    def watches_store(self) -> bool:
+        """Return whether this daemon watches the store for its domain, as its relay."""
+        if not self.is_relay:
+            return False
+        parts = self._parts
+        preferred = self.relays(parts.failure_domain)
+        if any(record.instance == parts.instance for record in preferred):
+            return True
+        return parts.clock() - self._relay_since >= RELAY_SETTLE_S
+
     @property
     def fleet_known(self) -> bool:
         """Return whether the daemons of the fleet are known."""
@@ -152,6 +169,7 @@
                 extra={"peer": name, "before": self._relay},
             )
             self._relay = name
+            self._relay_since = parts.clock()
         return chosen
 
     async def _report_to(self, relay: MemberRecord) -> None:
--- a/tests/mesh/test_exchange.py
+++ b/tests/mesh/test_exchange.py
@@ -10,6 +10,7 @@
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
 from damaskbay.mesh.configuration import Configuration
+from damaskbay.mesh.const import RELAY_SETTLE_S, RELAYS_PER_DOMAIN
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.exchange import Exchange, ExchangeParts
 from damaskbay.mesh.messages import DemandReport, DomainDemandRequest, FleetState
@@ -203,6 +204,24 @@
         return PeerFailure(PeerProblem.TIMEOUT)
 
 
+def test_few_daemons_watch_the_store_while_a_fleet_starts() -> None:
+    """
+    Pattern: all daemons of a fleet start at once, and no links are up yet.
+
+    Each is the first relay that it reaches, but only preferred ones watch the store at
+    once; one that stays on its own watches it later.
+    """
+    daemons, network = _fleet(30)
+    network.down = {daemon.record.address for daemon in daemons}
+    for daemon in daemons:
+        daemon.round()
+    assert all(daemon.exchange.is_relay for daemon in daemons)
+    watching = [daemon for daemon in daemons if daemon.exchange.watches_store]
+    assert len(watching) == RELAYS_PER_DOMAIN
+    network.clock.now += RELAY_SETTLE_S
+    assert all(daemon.exchange.watches_store for daemon in daemons)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
