Move the control plane out of the daemon's assembly; watch from the first page on

The daemon's module had grown past one job: members, configuration and tokens are built in control_plane.py, and the gauges stand together. A reading of several pages now has the revision of its first page, so that a change on a page already read is in the watch that follows (a fleet of more than about 500 daemons has such pages). A daemon that has never read the records keeps asking at the short delay.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -13,7 +13,6 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
-from damaskbay.core.quota.demand_pool import DemandPool
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
 from damaskbay.core.response_memory import ResponseMemory
@@ -24,7 +23,6 @@
     request_of,
     to_result_message,
 )
-from damaskbay.helpers.backoff import Backoff
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.mesh.assembly import (
     PlatformParts,
@@ -33,45 +31,26 @@
     make_retry_budget,
     make_target,
 )
-from damaskbay.mesh.config_watch import (
-    MAX_RETRY_DELAY_S as CONFIG_MAX_RETRY_DELAY_S,
-    RETRY_DELAY_S as CONFIG_RETRY_DELAY_S,
-    ConfigWatch,
-    PeerConfig,
-)
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
-    DIRECT_WATCH_PROOF_AGE_S,
     EXPIRY_INTERVAL_S,
     LOAD_AVERAGE_S,
     RESPONSE_MEMORY_SHARE,
 )
+from damaskbay.mesh.control_plane import NOT_HANDLED, ControlPlane, ControlPlaneParts
 from damaskbay.mesh.directory import Directory, MemberRecord
-from damaskbay.mesh.exchange import Exchange, ExchangeParts
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
-from damaskbay.mesh.members import (
-    MAX_RETRY_DELAY_S as MEMBERS_MAX_RETRY_DELAY_S,
-    RETRY_DELAY_S as MEMBERS_RETRY_DELAY_S,
-    Members,
-    MembersParts,
-)
-from damaskbay.mesh.messages import (
-    ConfigRequest,
-    DemandReport,
-    DomainDemandRequest,
-    MembersRequest,
-    Note,
-    PeerStatus,
-    PooledTokenRequest,
-)
+from damaskbay.mesh.messages import Note, PeerStatus
 from damaskbay.mesh.neighbours import wanted_neighbours
 from damaskbay.mesh.observing import StatusEndpoints, StatusParts
-from damaskbay.mesh.registry import Registration
 from damaskbay.mesh.running import RunningCalls
-from damaskbay.mesh.settings import MeshSettings, fields_that_need_a_restart
+from damaskbay.mesh.settings import (
+    MeshSettings,
+    SettingsHistory,
+    fields_that_need_a_restart,
+)
 from damaskbay.mesh.stopping import GracefulStop
-from damaskbay.mesh.tokens import PooledTokens, TokenParts
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress
 
@@ -98,8 +77,7 @@
         self._platform_parts = platform_parts
         self._rng = Random()
         self._incarnation = time.time_ns() // 1_000_000
-        self.settings_applied = 1
-        self.settings_refused = 0
+        self.settings_history = SettingsHistory(settings.digest)
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         now = monotonic_s()
@@ -120,7 +98,21 @@
         options = QuotaOptions(settings.quota_overage, settings.quota_slack)
         self._shares = DemandShares(options)
         self._token_pool = TokenPool(settings.failure_domain, options)
-        self._make_control_plane()
+        self._control_plane = ControlPlane(
+            ControlPlaneParts(
+                settings,
+                platform_parts,
+                self.configuration,
+                self._directory,
+                self._links,
+                self._shares,
+                self._token_pool,
+                self._rng,
+                stored_record=self._stored_record,
+                on_local_record=self._restore_server,
+                on_members_change=self._members_changed,
+            )
+        )
         self._repeats = make_retry_budget(settings)
         self._telemetry = BoundTelemetry()
         memory = ResponseMemory(int(RESPONSE_MEMORY_SHARE * settings.memory_bytes))
@@ -131,7 +123,7 @@
             self._links,
             self._directory,
             self._shares,
-            self._tokens,
+            self._control_plane.tokens,
             RunningCalls(),
             self._repeats,
             self._telemetry,
@@ -148,12 +140,14 @@
                 self._directory,
                 self._links,
                 self._repeats,
+                self._control_plane.members,
+                memory,
+                self.settings_history,
                 monotonic_s,
             ),
             self._telemetry,
             lambda: self.ready,
         )
-        self._register_gauges(memory)
         self._control = HttpServer(
             settings.control, make_control_handler(self), CallerLimits()
         )
@@ -183,11 +177,7 @@
             await self._serve_metrics(stack)
             loop = asyncio.get_running_loop()
             for run in (
-                self._registration.run,
-                self._members.run,
-                self._config_watch.run,
-                self._peer_config.run,
-                self._exchange.run,
+                *self._control_plane.tasks(),
                 self._remove_expired_members,
                 self._expire_waiting_calls,
             ):
@@ -218,22 +208,6 @@
                 extra={"address": str(self.settings.metrics), "why": str(error)},
             )
 
-    def _register_gauges(self, memory: ResponseMemory) -> None:
-        gauge = self._telemetry.gauge
-        gauge(
-            "settings_digest",
-            "First 48 bits of the SHA-256 of the settings file in use",
-            lambda: int(self.settings.digest or "0", 16),
-        )
-        gauge("settings_applied", "Files since start", lambda: self.settings_applied)
-        gauge("settings_refused", "Invalid files", lambda: self.settings_refused)
-        gauge(
-            "members_age_seconds",
-            "Since the members' records were proven current",
-            lambda: self._members.age_s(monotonic_s()),
-        )
-        gauge("response_bytes", "Held now", lambda: memory.held_bytes)
-
     def reload(self, settings: MeshSettings) -> None:
         """Apply changed limits; log the other changes, which need a restart."""
         names = fields_that_need_a_restart(self.settings, settings)
@@ -255,7 +229,7 @@
             quota_slack=settings.quota_slack,
             digest=settings.digest,
         )
-        self.settings_applied += 1
+        self.settings_history.record_applied(settings.digest)
 
     def stop(self) -> None:
         """Start the graceful shutdown."""
@@ -265,109 +239,12 @@
         """Record a heartbeat of the local server."""
         self.local.record_heartbeat(heartbeat, monotonic_s())
         if self.local.state is not ServerState.READY:
-            await self._registration.write_now(DRAIN_WRITE_TIMEOUT_S)
+            await self._control_plane.registration.write_now(DRAIN_WRITE_TIMEOUT_S)
 
     async def record_deregistration(self, server: str, born_ms: int | None) -> None:
         """Record that the local server has deregistered."""
         if self.local.deregister(server, born_ms, monotonic_s()):
-            await self._registration.write_now(DRAIN_WRITE_TIMEOUT_S)
-
-    def _make_control_plane(self) -> None:
-        platform_parts = self._platform_parts
-        self._registration = Registration(
-            platform_parts.store,
-            platform_parts.member_prefix + self.settings.instance,
-            self._stored_record,
-        )
-        self._members = Members(
-            MembersParts(
-                instance=self.settings.instance,
-                failure_domain=self.settings.failure_domain,
-                store=platform_parts.store,
-                prefix=platform_parts.member_prefix,
-                directory=self._directory,
-                links=self._links,
-                backoff=Backoff(
-                    MEMBERS_RETRY_DELAY_S, MEMBERS_MAX_RETRY_DELAY_S, self._rng
-                ),
-                is_relay=self._watches_store,
-                on_change=self._members_changed,
-                on_local_record=self._restore_server,
-                clock=monotonic_s,
-            )
-        )
-        self._config_watch = ConfigWatch(
-            platform_parts.store,
-            prefix=platform_parts.config_prefix,
-            key=platform_parts.config_key,
-            decode=platform_parts.decode_config,
-            configuration=self.configuration,
-            needed=self._watch_needed,
-            is_relay=self._watches_store,
-            backoff=Backoff(CONFIG_RETRY_DELAY_S, CONFIG_MAX_RETRY_DELAY_S, self._rng),
-            clock=monotonic_s,
-        )
-        self._peer_config = PeerConfig(
-            self._config_watch,
-            self.configuration,
-            peers=self._reachable_relays,
-            request=self._links.request,
-            rng=self._rng,
-            clock=monotonic_s,
-        )
-        self._exchange = Exchange(
-            ExchangeParts(
-                instance=self.settings.instance,
-                failure_domain=self.settings.failure_domain,
-                directory=self._directory,
-                links=self._links,
-                shares=self._shares,
-                pool=DemandPool(self.settings.failure_domain),
-                tokens=self._token_pool,
-                configuration=self.configuration,
-                fetch_config=self._fetch_from_relay,
-                members_known=self._members_known,
-                clock=monotonic_s,
-            )
-        )
-        self._tokens = PooledTokens(
-            TokenParts(
-                instance=self.settings.instance,
-                failure_domain=self.settings.failure_domain,
-                pool=self._token_pool,
-                exchange=self._exchange,
-                links=self._links,
-                configuration=self.configuration,
-                clock=monotonic_s,
-            )
-        )
-
-    def _watches_store(self) -> bool:
-        return self._exchange.watches_store
-
-    def _reachable_relays(self) -> list[PeerAddress]:
-        """Return the reachable relays of all domains; without any, all linked peers."""
-        domains = self._directory.instances_by_domain()
-        relays = (self._exchange.relays(domain) for domain in domains)
-        addresses = [record.address for records in relays for record in records]
-        reachable = [address for address in addresses if self._links.up(address)]
-        return reachable or list(self._links.up_peers())
-
-    def _watch_needed(self) -> bool:
-        """Return whether this daemon has to watch the configuration in the store."""
-        age_s = self.configuration.proof_age_s(monotonic_s())
-        return (
-            self._exchange.watches_store
-            or age_s is None
-            or age_s > DIRECT_WATCH_PROOF_AGE_S
-        )
-
-    def _fetch_from_relay(self, relay: PeerAddress, version: int) -> None:
-        self._peer_config.fetch_newer(relay, version, remote=False)
-
-    def _members_known(self) -> bool:
-        """Return whether peers are known, or the store's records have been read."""
-        return len(self._directory.instances()) > 1 or self._members.has_read
+            await self._control_plane.registration.write_now(DRAIN_WRITE_TIMEOUT_S)
 
     def _stored_record(self) -> MemberRecord:
         """Return the record with the server's own state, for the next daemon start."""
@@ -412,12 +289,12 @@
         )
 
     def _make_status(self) -> PeerStatus:
-        now = monotonic_s()
+        now, members = monotonic_s(), self._control_plane.members
         return PeerStatus(
             load_permille=round(1000.0 * self._mean_load.add(self._gate.load(), now)),
             cold_ms=round(1000.0 * max(0.0, self.local.slow_until - now)),
-            members_revision=self._members.revision,
-            members_age_ms=round(1000.0 * self._members.age_s(now)),
+            members_revision=members.revision,
+            members_age_ms=round(1000.0 * members.age_s(now)),
         )
 
     def _handle_note(self, note: Any) -> None:
@@ -428,7 +305,7 @@
         self._directory.put_note(note, now)
         if not known:
             self._members_changed()
-        self._peer_config.fetch_newer(
+        self._control_plane.peer_config.fetch_newer(
             PeerAddress(note.host, note.port),
             note.config_version,
             remote=note.failure_domain != self.settings.failure_domain,
@@ -438,24 +315,17 @@
         if not isinstance(status, PeerStatus):
             return
         self._directory.put_status(peer, status, monotonic_s())
-        self._members.handle_status(peer, status)
+        self._control_plane.members.handle_status(peer, status)
 
     async def _handle_request(self, message: Any) -> Any:
-        if isinstance(message, ConfigRequest):
-            return self._peer_config.handle_config_request(message)
-        if isinstance(message, DemandReport):
-            return self._exchange.handle_report(message)
-        if isinstance(message, DomainDemandRequest):
-            return self._exchange.domain_demand(message)
-        if isinstance(message, MembersRequest):
-            return self._members.handle_request(message)
-        if isinstance(message, PooledTokenRequest):
-            return await self._tokens.handle_token_request(message)
         if isinstance(message, CallMessage):
             context = context_of(message, now=monotonic_s())
             result = await self._target.run(context, request_of(message))
             return to_result_message(result)
-        raise TypeError(f"no handler for message {type(message).__name__}")
+        reply = await self._control_plane.handle_request(message)
+        if reply is NOT_HANDLED:
+            raise TypeError(f"no handler for message {type(message).__name__}")
+        return reply
 
     def _links_changed(self) -> None:
         self._directory.invalidate()
@@ -465,19 +335,19 @@
         self._directory.remove_expired(monotonic_s())
         wanted = wanted_neighbours(self._directory.records(), self._make_record())
         self._links.set_wanted_links(self._directory.addresses(wanted))
-        self._exchange.members_changed()
+        self._control_plane.exchange.members_changed()
 
     def _server_changed(self) -> None:
         now = monotonic_s()
         if self.local.slots and self.local.slots != self._gate.slots:
             self._gate.set_slots(self.local.slots, now)
         self._directory.put_local(self._make_record(), now)
-        self._registration.schedule_write()
+        self._control_plane.registration.schedule_write()
         self._links.broadcast_note()
 
     def _config_changed(self, config: ConfigSet) -> None:
         self._callers.limits = config.caller_limits
-        if self._exchange.is_relay:
+        if self._control_plane.exchange.is_relay:
             self._links.broadcast_note()
 
     def _weight_of(self, workspace: str) -> float:
--- a/damaskbay/mesh/members.py
+++ b/damaskbay/mesh/members.py
@@ -177,8 +177,11 @@
         )
 
     def _retry_delay_s(self) -> float:
+        """Return the delay; only a relay, or a start without records, is in a hurry."""
         parts = self._parts
-        return RETRY_DELAY_S if parts.is_relay() else parts.backoff.next_delay_s()
+        if parts.is_relay() or not self.has_read:
+            return RETRY_DELAY_S
+        return parts.backoff.next_delay_s()
 
     async def _watch_changes(self, revision: int) -> None:
         """Apply changes until another daemon does, or the history is dropped."""
--- a/damaskbay/mesh/observing.py
+++ b/damaskbay/mesh/observing.py
@@ -8,10 +8,13 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.call import Response
+from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.directory import Directory
 from damaskbay.mesh.gate import Gate
+from damaskbay.mesh.members import Members
+from damaskbay.mesh.settings import SettingsHistory
 
 NO_PROOF = -1.0
 """Value of the proof age metric while there is no proof."""
@@ -26,6 +29,9 @@
     directory: Directory
     links: PeerLinks
     repeats: ServerRetryBudget
+    members: Members
+    memory: ResponseMemory
+    settings: SettingsHistory
     clock: Callable[[], float]
 
 
@@ -62,6 +68,17 @@
         gauge("daemons_known", "Alive", lambda: len(parts.directory.instances()))
         gauge("repeats_left", "For the server now", lambda: parts.repeats.left)
         gauge("links_up", "Opened to peers", lambda: parts.links.up_count)
+        gauge("members_age_seconds", "Since the records' proof", self._members_age_s)
+        gauge("response_bytes", "Held now", lambda: parts.memory.held_bytes)
+        gauge("settings_applied", "Files read", lambda: parts.settings.applied)
+        gauge("settings_refused", "Invalid files", lambda: parts.settings.refused)
+        gauge("settings_digest", "First 48 bits of SHA-256", self._settings_digest)
+
+    def _members_age_s(self) -> float:
+        return self._parts.members.age_s(self._parts.clock())
+
+    def _settings_digest(self) -> int:
+        return int(self._parts.settings.digest or "0", 16)
 
     def _proof_age_s(self) -> float:
         age_s = self._parts.configuration.proof_age_s(self._parts.clock())
--- a/damaskbay/mesh/settings.py
+++ b/damaskbay/mesh/settings.py
@@ -53,3 +53,17 @@
         if item.name not in APPLIED_WHILE_RUNNING
         and getattr(active, item.name) != getattr(new, item.name)
     ]
+
+
+@dataclass(slots=True)
+class SettingsHistory:
+    """The digest of the settings file in use, and how many files were read."""
+
+    digest: str
+    applied: int = 1
+    refused: int = 0
+
+    def record_applied(self, digest: str) -> None:
+        """Record that a file is now in use."""
+        self.digest = digest
+        self.applied += 1
--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -58,7 +58,7 @@
             "daemon: changed settings are invalid and not applied.",
             extra={"why": str(error), "active_digest": daemon.settings.digest},
         )
-        daemon.settings_refused += 1
+        daemon.settings_history.refused += 1
         return
     _LOGGER.info(
         "daemon: settings are read again.",
--- a/damaskbay/platform/store.py
+++ b/damaskbay/platform/store.py
@@ -44,9 +44,14 @@
         self._client = HttpClient(address, HttpClientOptions())
 
     async def read(self, prefix: str) -> StoreSnapshot | StoreFailure:
-        """Return all items whose key starts with the prefix; request page by page."""
+        """
+        Return all items whose key starts with the prefix; request page by page.
+
+        Pages are read one after the other, so the revision is that of the first one:
+        a watch from there also shows what changed on it meanwhile.
+        """
         items: list[StoreItem] = []
-        after = ""
+        after, first_revision = "", None
         while True:
             query = {"Prefix": prefix} | ({"after": after} if after else {})
             page = await self._request("GET", f"/kv-range?{urlencode(query)}")
@@ -59,9 +64,10 @@
                 revision = read_integer(page, "StoreRevision")
             except FieldError as error:
                 return StoreFailure(StoreProblem.UNANSWERED, str(error))
+            first_revision = revision if first_revision is None else first_revision
             items += page_items
             if not page.get("Truncated") or not page_items:
-                return StoreSnapshot(tuple(items), revision)
+                return StoreSnapshot(tuple(items), first_revision)
             after = page_items[-1].key
 
     async def watch(
--- a/tests/platform/test_settings_reload.py
+++ b/tests/platform/test_settings_reload.py
@@ -12,7 +12,11 @@
 from typing import cast
 
 from damaskbay.mesh.app import MeshDaemon
-from damaskbay.mesh.settings import MeshSettings, fields_that_need_a_restart
+from damaskbay.mesh.settings import (
+    MeshSettings,
+    SettingsHistory,
+    fields_that_need_a_restart,
+)
 from damaskbay.platform.__main__ import reload_settings
 from damaskbay.platform.settings import load_settings
 from tests.common import function_suite
@@ -40,7 +44,7 @@
 
     def __init__(self, settings: MeshSettings) -> None:
         self.settings = settings
-        self.settings_refused = 0
+        self.settings_history = SettingsHistory(settings.digest)
 
     def reload(self, settings: MeshSettings) -> None:
         self.settings = settings
@@ -80,7 +84,7 @@
         path.unlink()
         _reload(daemon, path)
         assert daemon.settings is before
-        assert daemon.settings_refused == 4
+        assert daemon.settings_history.refused == 4
 
 
 def test_fields_that_need_a_restart_are_named() -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,8 +5,9 @@
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
-from damaskbay.adapters.http1.server import HttpServer
+from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
+from damaskbay.core.call import Response
 from damaskbay.platform.store import KvStore
 from damaskbay.ports.peer import PeerAddress
 from damaskbay.ports.store import (
@@ -48,6 +49,40 @@
     _run(check)
 
 
+def test_a_change_between_two_pages_is_not_missed() -> None:
+    """
+    Pattern: a fleet whose records fill several pages, of which one changes meanwhile.
+
+    The change lies on a page that was read already; the watch that follows reports it.
+    """
+
+    async def run() -> None:
+        stand_in = KvStandIn()
+        stand_in.faults.page_size = 2
+        for number in range(4):
+            await stand_in.put(f"a/{number}", b"x")
+        requests = 0
+
+        async def serve(arrival: ReceivedRequest) -> Response:
+            nonlocal requests
+            requests += 1
+            if requests == 2:
+                await stand_in.put("a/0", b"new")
+            return await stand_in.serve(arrival)
+
+        address = PeerAddress("127.0.0.1", 0)
+        async with HttpServer(address, serve, CallerLimits()) as server:
+            store = KvStore(server.address)
+            reading = await store.read("a/")
+            assert isinstance(reading, StoreSnapshot)
+            changes = await store.watch("a/", after=reading.revision, wait_s=0.1)
+            assert isinstance(changes, StoreSnapshot)
+            assert [item.value for item in changes.items] == [b"new"]
+            store.close()
+
+    asyncio.run(run())
+
+
 def test_a_write_needs_the_expected_revision() -> None:
     """A write with an old revision returns the conflict and changes nothing."""
 
