--- a/damaskbay/core/quota/token_pool.py
+++ b/damaskbay/core/quota/token_pool.py
@@ -65,6 +65,7 @@
         self._domains: tuple[str, ...] = (failure_domain,)
         self._members: frozenset[str] = frozenset()
         self._daemon_count = 1
+        self._started_at = float("inf")
         self._has_reports_since = 0.0
         self._report_expires_at: dict[str, float] = {}
         self._remote_daemons: dict[str, tuple[int, float]] = {}
@@ -81,6 +82,7 @@
         self, instances_by_domain: Mapping[str, AbstractSet[str]], now: float
     ) -> None:
         """Set the daemons that may spend tokens."""
+        self._started_at = min(self._started_at, now)
         self._domains = tuple(sorted({*instances_by_domain, self._local_domain}))
         self._members = frozenset(instances_by_domain.get(self._local_domain, ()))
         counts = (len(members) for members in instances_by_domain.values())
@@ -167,12 +169,13 @@
         self, workspace: Workspace, fallback_s: float, now: float
     ) -> Grant:
         """Grant a token of the reserve, or tell when the local share is granted."""
+        if self.local_daemons(now) == 0:
+            return Grant(False, fallback_s, fallback_s)
         depth = RESERVE_SLACK_SHARE * self.options.slack / len(self._domains)
         reserve = self._reserves.get(workspace.name)
         if reserve is None:
-            reserve = self._reserves[workspace.name] = Bucket(depth, now)
-        if self.local_daemons(now) == 0:
-            return Grant(False, fallback_s, fallback_s)
+            # A reserve begins empty, since a relay before this one may have spent it.
+            reserve = self._reserves[workspace.name] = Bucket(0.0, self._started_at)
         next_s = reserve.spend(depth / RESERVE_REFILL_S, depth, now)
         if next_s == 0.0:
             return Grant(True)
--- a/tests/core/quota/test_token_pool.py
+++ b/tests/core/quota/test_token_pool.py
@@ -140,6 +140,17 @@
     assert _max_in_window(granted_at) <= _bound()
 
 
+def test_a_restarted_relay_has_no_reserve_at_once() -> None:
+    """Pattern: all daemons are killed again and again while domains are apart."""
+    relays = _Relays()
+    relays.lost_links = {(one, two) for one in DOMAINS for two in DOMAINS if one != two}
+    relays.exchange(0.0)
+    relays.exchange(0.1)
+    assert not relays.spend(REMOTE, 0.2)
+    relays.exchange(1.5)
+    assert not relays.spend(REMOTE, 1.6)
+
+
 def test_a_relay_that_nobody_relies_on_hands_out_nothing() -> None:
     """Two daemons that both act as relay of a domain must not both grant its share."""
     pool = TokenPool(HOME, OPTIONS)
