--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -89,6 +89,12 @@
 TOKEN_TIMEOUT_S: Final = 0.1
 """Timeout of a token request, seconds; a round trip takes a few milliseconds."""
 
+LOCAL_TOKEN_TIMEOUT_S: Final = 0.25
+"""Timeout of a token request to the local relay, seconds.
+
+The relay may wait TOKEN_TIMEOUT_S for the home domain before it grants by itself.
+"""
+
 TOKEN_MAX_HOPS: Final = 3
 """Maximum hops of a token request: local relay, home domain, relay there."""
 
--- a/damaskbay/mesh/tokens.py
+++ b/damaskbay/mesh/tokens.py
@@ -11,6 +11,7 @@
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
     HOLDER_BACKOFF_S,
+    LOCAL_TOKEN_TIMEOUT_S,
     NOT_READY_RETRY_S,
     TOKEN_MAX_HOPS,
     TOKEN_TIMEOUT_S,
@@ -120,10 +121,11 @@
         )
         if holder is None:
             return None
+        is_local = domain == parts.failure_domain
         reply = await parts.links.request(
             holder.address,
             PooledTokenRequest(workspace.name, hops + 1),
-            timeout_s=TOKEN_TIMEOUT_S,
+            timeout_s=LOCAL_TOKEN_TIMEOUT_S if is_local else TOKEN_TIMEOUT_S,
         )
         if isinstance(reply, Grant):
             return reply
--- a/tests/mesh/test_tokens.py
+++ b/tests/mesh/test_tokens.py
@@ -40,6 +40,7 @@
     def __init__(self, instance: str, domain: str, *, is_relay: bool) -> None:
         self.now = 100.0
         self.requested: list[tuple[str, int]] = []
+        self.timeouts_s: list[float] = []
         self.replies: dict[str, Any] = {}
         self.pool = TokenPool(domain, QuotaOptions())
         members = {name: {f"{name}0", f"{name}1"} for name in DOMAINS}
@@ -71,8 +72,11 @@
             )
         )
 
-    async def _request(self, peer: PeerAddress, message: Any, **_: Any) -> Any:
+    async def _request(
+        self, peer: PeerAddress, message: Any, *, timeout_s: float
+    ) -> Any:
         name = self._names[peer]
+        self.timeouts_s.append(timeout_s)
         self.requested.append((name, message.hops))
         return self.replies.get(name, UNRESPONSIVE)
 
@@ -105,6 +109,32 @@
     assert daemon.requested == [(f"{HOME_DOMAIN}0", 1)]
 
 
+def test_the_own_relay_has_time_to_ask_the_home() -> None:
+    """
+    Pattern: the home domain of many small workspaces is cut off.
+
+    The relay notices it by its own request, and then grants from its reserve; a caller
+    that gave up on the relay by then would be refused although there are tokens.
+    """
+    daemon = _Daemon(f"{REMOTE_DOMAIN}1", REMOTE_DOMAIN, is_relay=False)
+    daemon.replies[f"{REMOTE_DOMAIN}0"] = GRANTED
+    assert daemon.spend() is None
+    to_home_s, to_relay_s = daemon.timeouts_s
+    assert to_relay_s >= 2 * to_home_s
+
+
+def test_without_any_holder_the_rate_is_not_blamed() -> None:
+    """The request has not run, and nothing is known of the workspace's rate."""
+    daemon = _Daemon(f"{REMOTE_DOMAIN}1", REMOTE_DOMAIN, is_relay=False)
+    refusal = daemon.spend()
+    assert refusal is not None
+    assert refusal.reason is Reason.SHARE_UNAVAILABLE
+    assert refusal.not_run
+    assert refusal.retry_after_s is not None
+    daemon.replies[f"{HOME_DOMAIN}1"] = GRANTED
+    assert daemon.spend() is None
+
+
 def test_nobody_is_asked_again_before_the_next_token() -> None:
     """The daemon sends no request before its retry delay; callers get a longer one."""
     daemon = _Daemon(f"{REMOTE_DOMAIN}1", REMOTE_DOMAIN, is_relay=False)
