--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -12,13 +12,12 @@
 from damaskbay.adapters.http1.const import (
     MAX_LATE_RESPONSES,
     MAX_RESPONSE_BODY_BYTES,
-    MAX_RESPONSE_OVERHEAD_BYTES,
-    OVERHEAD_PER_BODY_BYTE,
     PARSE_BYTES,
 )
 from damaskbay.adapters.http1.exceptions import BadAnswerError
 from damaskbay.adapters.http1.names import decode_header_name
 from damaskbay.adapters.http1.sockets import set_tcp_options
+from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 from damaskbay.core.call import Request, Response
 from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.helpers.clock import monotonic_s
--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -24,17 +24,6 @@
 MAX_RESPONSE_BODY_BYTES: Final = 16 * 1024 * 1024
 """Maximum size of one response body."""
 
-MAX_RESPONSE_OVERHEAD_BYTES: Final = 64 * 1024
-"""
-Maximum number of received bytes that are not part of a response body.
-
-These are heads, interim responses, chunk sizes and their extensions, and trailers.
-A faulty server may send them without end.
-"""
-
-OVERHEAD_PER_BODY_BYTE: Final = 5
-"""Additional overhead per body byte; a chunk of one byte has a frame of five."""
-
 MAX_LATE_RESPONSES: Final = 8
 """Responses to earlier requests that are discarded while one request waits."""
 
--- a/damaskbay/const.py
+++ b/damaskbay/const.py
@@ -14,3 +14,14 @@
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 MAX_CALL_DEPTH: Final = 9
 MAX_PLATFORM_VALUE_BYTES: Final = 1_000_000
+
+MAX_RESPONSE_OVERHEAD_BYTES: Final = 64 * 1024
+"""
+Maximum number of received bytes that are not part of a response body.
+
+These are heads, interim responses, chunk sizes and their extensions, and trailers.
+A faulty server may send them without end.
+"""
+
+OVERHEAD_PER_BODY_BYTE: Final = 5
+"""Additional overhead per body byte; a chunk of one byte has a frame of five."""
--- a/damaskbay/helpers/http_response.py
+++ b/damaskbay/helpers/http_response.py
@@ -4,18 +4,9 @@
 import io
 import socket
 from collections.abc import Callable
-from typing import Any, BinaryIO, Final, cast
+from typing import Any, BinaryIO, cast
 
-MAX_OVERHEAD_BYTES: Final = 64 * 1024
-"""
-Maximum bytes of a response that are not part of its body.
-
-These are heads, interim responses, chunk sizes and their extensions, and trailers.
-A faulty server may send them without end.
-"""
-
-OVERHEAD_PER_BODY_BYTE: Final = 5
-"""Additional overhead per body byte; a chunk of one byte has a frame of five."""
+from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 
 
 class ResponseOverheadError(http.client.HTTPException):
@@ -66,7 +57,9 @@
         if not line.endswith(b"\n"):
             self.line_truncated = True
         self._line_bytes += len(line)
-        allowed = MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        allowed = (
+            MAX_RESPONSE_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        )
         if self._line_bytes > allowed:
             raise ResponseOverheadError("head, framing or trailers exceed the limit")
         return line
--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -65,12 +65,12 @@
         decode: DecodeConfig,
         configuration: Configuration,
         needed: Callable[[], bool],
-        is_relay: Callable[[], bool],
+        watches_store: Callable[[], bool],
         backoff: Backoff,
         clock: Callable[[], float],
     ) -> None:
         self._store = store
-        self._is_relay = is_relay
+        self._watches_store = watches_store
         self._backoff = backoff
         self._needed = needed
         self._prefix = prefix
@@ -138,8 +138,8 @@
             self._configuration.record_proof(self._configuration.version, started_at)
 
     def _retry_delay_s(self) -> float:
-        """Return the delay before the next request; only relays repeat it at once."""
-        return RETRY_DELAY_S if self._is_relay() else self._backoff.next_delay_s()
+        """Return the delay before the next request; it grows, except for a relay."""
+        return RETRY_DELAY_S if self._watches_store() else self._backoff.next_delay_s()
 
     def _record_store_failure(self, failure: StoreFailure) -> None:
         if self.store_reached:
--- a/damaskbay/mesh/control_plane.py
+++ b/damaskbay/mesh/control_plane.py
@@ -127,7 +127,7 @@
             backoff=Backoff(
                 members.RETRY_DELAY_S, members.MAX_RETRY_DELAY_S, parts.rng
             ),
-            is_relay=self._watches_store,
+            watches_store=self._watches_store,
             on_change=parts.on_members_change,
             on_local_record=parts.on_local_record,
             clock=monotonic_s,
@@ -142,7 +142,7 @@
             decode=platform.decode_config,
             configuration=parts.configuration,
             needed=self._watch_needed,
-            is_relay=self._watches_store,
+            watches_store=self._watches_store,
             backoff=Backoff(
                 config_watch.RETRY_DELAY_S, config_watch.MAX_RETRY_DELAY_S, parts.rng
             ),
--- a/damaskbay/mesh/members.py
+++ b/damaskbay/mesh/members.py
@@ -55,7 +55,7 @@
     """
     Dependencies of Members.
 
-    `is_relay` is whether this daemon watches the store for its domain. The record
+    `watches_store` is whether this daemon watches the store for its domain. The record
     that an earlier start of this daemon has left goes to `on_local_record`.
     """
 
@@ -66,7 +66,7 @@
     directory: Directory
     links: PeerLinks
     backoff: Backoff
-    is_relay: Callable[[], bool]
+    watches_store: Callable[[], bool]
     on_change: Callable[[], None]
     on_local_record: Callable[[MemberRecord], None]
     clock: Callable[[], float]
@@ -172,14 +172,14 @@
         parts = self._parts
         return (
             not self.has_read
-            or parts.is_relay()
+            or parts.watches_store()
             or self.age_s(parts.clock()) > MAX_AGE_S
         )
 
     def _retry_delay_s(self) -> float:
-        """Return the delay; only a relay, or a start without records, is in a hurry."""
+        """Return the delay: short for a relay, and until the records were read once."""
         parts = self._parts
-        if parts.is_relay() or not self.has_read:
+        if parts.watches_store() or not self.has_read:
             return RETRY_DELAY_S
         return parts.backoff.next_delay_s()
 
--- a/tests/adapters/http1/test_endless.py
+++ b/tests/adapters/http1/test_endless.py
@@ -15,10 +15,7 @@
     HttpFailure,
     HttpProblem,
 )
-from damaskbay.adapters.http1.const import (
-    MAX_RESPONSE_OVERHEAD_BYTES,
-    OVERHEAD_PER_BODY_BYTE,
-)
+from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 from damaskbay.core.call import Request, Response
 from damaskbay.core.response_memory import ResponseMemory
 from tests.common import function_suite
--- a/tests/client/test_endless.py
+++ b/tests/client/test_endless.py
@@ -12,11 +12,11 @@
 from damaskbay.adapters.backend_http.client import BackendHttpOptions, HttpBackendServer
 from damaskbay.client.connections import ConnectionPool, DaemonRequest
 from damaskbay.client.options import ClientOptions, DaemonAddress
+from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 from damaskbay.core.call import Request, Response
 from damaskbay.core.outcome import Reason, Refusal
 from damaskbay.helpers.cancellation import Cancellation
 from damaskbay.helpers.http_exchange import READ_CHUNK_BYTES
-from damaskbay.helpers.http_response import MAX_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 from tests.common import function_suite
 from tests.endless_server import FORMS_BY_NAME, EndlessForm, endless_server
 
@@ -24,7 +24,9 @@
 SOCKET_BUFFER_BYTES = 8 * 1024 * 1024
 """More than both socket buffers of a loopback connection hold."""
 
-ACCEPTED_BYTES = MAX_OVERHEAD_BYTES + (1 + OVERHEAD_PER_BODY_BYTE) * MAX_BODY_BYTES
+ACCEPTED_BYTES = (
+    MAX_RESPONSE_OVERHEAD_BYTES + (1 + OVERHEAD_PER_BODY_BYTE) * MAX_BODY_BYTES
+)
 MAX_PEAK_BYTES = 4 * (ACCEPTED_BYTES + READ_CHUNK_BYTES)
 WAIT_S = 20.0
 
--- a/tests/mesh/test_config_fetch.py
+++ b/tests/mesh/test_config_fetch.py
@@ -38,7 +38,7 @@
             decode=self._decode,
             configuration=self.configuration,
             needed=lambda: False,
-            is_relay=lambda: False,
+            watches_store=lambda: False,
             backoff=Backoff(0.1, 1.0, Random(1)),
             clock=lambda: asyncio.get_running_loop().time(),
         )
--- a/tests/mesh/test_members.py
+++ b/tests/mesh/test_members.py
@@ -125,7 +125,7 @@
             directory=directory,
             links=cast("PeerLinks", self),
             backoff=Backoff(RETRY_DELAY_S, 8 * RETRY_DELAY_S, Random(1)),
-            is_relay=lambda: record.instance in self.relays,
+            watches_store=lambda: record.instance in self.relays,
             on_change=lambda: None,
             on_local_record=lambda _record: None,
             clock=lambda: self.now,
