Log each request that ends without a response, and where it was

Each of them now has a line with its id, the seconds after SIGTERM at which it was read, and whether it was in the queue, at the local server or at a peer.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -13,6 +13,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
 from damaskbay.core.response_memory import ResponseMemory
@@ -79,6 +80,7 @@
         self._incarnation = time.time_ns() // 1_000_000
         self.settings_history = SettingsHistory(settings.digest)
         self._stopping = asyncio.Event()
+        self._lifetime = Lifetime()
         self._tasks: list[asyncio.Task[None]] = []
         now = monotonic_s()
         self.configuration = Configuration()
@@ -128,6 +130,7 @@
             self._repeats,
             self._telemetry,
             memory,
+            self._lifetime,
             self._rng,
         )
         dialect = platform_parts.dialect
@@ -194,6 +197,7 @@
             await self._stopping.wait()
             stop = GracefulStop(self._callers, self._ingress, self._target, self._links)
             await stop.run(self.settings.grace_s)
+            self._lifetime.ended = True
         for task in self._tasks:
             task.cancel()
         _LOGGER.info("daemon: has stopped.")
@@ -233,6 +237,7 @@
 
     def stop(self) -> None:
         """Start the graceful shutdown."""
+        self._lifetime.begin_stop(monotonic_s())
         self._stopping.set()
 
     async def record_heartbeat(self, heartbeat: Heartbeat) -> None:
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -7,6 +7,7 @@
 from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.pressure import EdgeLoadShedder
 from damaskbay.core.quota.shares import DemandShares
 from damaskbay.core.response_memory import ResponseMemory
@@ -61,6 +62,7 @@
     repeats: ServerRetryBudget
     telemetry: BoundTelemetry
     memory: ResponseMemory
+    lifetime: Lifetime
     rng: Random
 
 
@@ -87,6 +89,7 @@
             repeats=shared_parts.repeats,
             memory=shared_parts.memory,
             weight_of=weight_of,
+            lifetime=shared_parts.lifetime,
             clock=monotonic_s,
         )
     )
@@ -122,6 +125,7 @@
             running=shared_parts.running,
             telemetry=shared_parts.telemetry,
             dialect=dialect,
+            lifetime=shared_parts.lifetime,
             rng=shared_parts.rng,
             clock=monotonic_s,
         ),
--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -1,5 +1,6 @@
 """Sends a call to a backend server and retries it where that is allowed."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -96,6 +97,12 @@
         try:
             result = await self._send(choice, context, request)
             failure, load = _failure_kind(result), result.load
+        except asyncio.CancelledError:
+            _LOGGER.info(
+                "ingress: attempt is cancelled.",
+                extra={"request_id": context.request_id, "at": choice.instance},
+            )
+            raise
         finally:
             ended = parts.clock()
             outcome = RouteOutcome(ended - now, None, failure, load)
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -1,5 +1,6 @@
 """Serves callers: routing, API keys, proof age, rate limits, refusals, dispatch."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -10,6 +11,7 @@
 from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.http_status import FIRST_SERVER_ERROR, status_of
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, not_run
 from damaskbay.core.pressure import EdgeLoadShedder
 from damaskbay.core.quota.shares import DemandShares
@@ -62,6 +64,7 @@
     running: RunningCalls
     telemetry: BoundTelemetry
     dialect: HeaderNames
+    lifetime: Lifetime
     rng: Random
     clock: Callable[[], float]
 
@@ -94,6 +97,9 @@
         self.in_flight += 1
         try:
             return await self._serve(arrival)
+        except asyncio.CancelledError:
+            self._log_unanswered(arrival)
+            raise
         finally:
             self.in_flight -= 1
 
@@ -140,6 +146,20 @@
             headers = (*headers, (parts.dialect.request_id, request_id))
         return Response(outcome.status, headers, outcome.body)
 
+    def _log_unanswered(self, arrival: ReceivedRequest) -> None:
+        """Log a request whose caller disconnected or that the daemon's end cuts."""
+        lifetime, now = self._parts.lifetime, self._parts.clock()
+        _, values = self._sieve.split(arrival.request.headers)
+        _LOGGER.info(
+            "ingress: request ends without a response.",
+            extra={
+                "request_id": values.get(self._request_id),
+                "why": "daemon ended" if lifetime.ended else "caller left",
+                "read_after_stop_s": lifetime.since_stop_s(arrival.arrived_at),
+                "took_s": round(now - arrival.arrived_at, 4),
+            },
+        )
+
     def _record_result(
         self, context: CallContext, result: CallResult, took_s: float
     ) -> None:
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -1,5 +1,6 @@
 """Runs calls at the local backend server."""
 
+import asyncio
 import logging
 import math
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from damaskbay.core.admission import CallSample
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.http_status import FIRST_SERVER_ERROR
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.core.retry.repeats import ServerRetryBudget
@@ -45,9 +47,17 @@
     repeats: ServerRetryBudget
     memory: ResponseMemory
     weight_of: Callable[[str], float]
+    lifetime: Lifetime
     clock: Callable[[], float]
 
 
+@dataclass(slots=True, eq=False)
+class _ActiveCall:
+    """A call in the queue or, once `sent`, at the server."""
+
+    sent: bool = False
+
+
 class Target:
     """Sends calls to the local server; as the only sender it knows the slots in use."""
 
@@ -66,12 +76,18 @@
     async def run(self, context: CallContext, request: Request) -> CallResult:
         """Run a call; cancellation closes its connection to the server."""
         self.in_flight += 1
+        active = _ActiveCall()
         try:
-            return await self._run(context, request)
+            return await self._run(context, request, active)
+        except asyncio.CancelledError:
+            self._log_cancelled(context, active)
+            raise
         finally:
             self.in_flight -= 1
 
-    async def _run(self, context: CallContext, request: Request) -> CallResult:
+    async def _run(
+        self, context: CallContext, request: Request, active: _ActiveCall
+    ) -> CallResult:
         parts = self._parts
         now = parts.clock()
         refusal = self._refusal_before_queue(context, now)
@@ -94,6 +110,7 @@
             if refusal is not None:
                 return self._refused_result(context, refusal, now)
             self._count_attempt(context)
+            active.sent = True
             outcome = await self._send(context, request)
             took_s = parts.clock() - now
             sample = CallSample(took_s, succeeded=_succeeded(outcome))
@@ -243,6 +260,21 @@
             )
         return Response(response.status, headers, response.body)
 
+    def _log_cancelled(self, context: CallContext, active: _ActiveCall) -> None:
+        """Log a call that its sender cancelled or that the daemon's end cuts."""
+        parts = self._parts
+        _LOGGER.info(
+            "target: call ends without a result.",
+            extra={
+                "request_id": context.request_id,
+                "route": context.route,
+                "why": "daemon ended" if parts.lifetime.ended else "sender cancelled",
+                "at_server": active.sent,
+                "after_stop_s": parts.lifetime.since_stop_s(parts.clock()),
+                "left_s": round(context.deadline - parts.clock(), 3),
+            },
+        )
+
     def _refused_result(
         self, context: CallContext, refusal: Refusal, now: float
     ) -> CallResult:
