--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -220,7 +220,11 @@
 def manifest(
     version: int, keys: tuple[str, ...], rate: int, changes: dict[str, Any]
 ) -> dict[str, Any]:
-    """Return a manifest; /safe/ and /unsafe/ go to pool one, /open/ to pool two."""
+    """
+    Return a manifest; /safe/ and /unsafe/ go to pool one, /open/ to pool two.
+
+    `changes` are fields of the routes to pool one.
+    """
     spec: dict[str, Any] = {
         "Host": "a.example",
         "Timeout": "2s",
@@ -230,7 +234,7 @@
     }
     routes = [
         {**spec, "Prefix": "/safe/", "Kind": "safe", "Service": "one", **changes},
-        {**spec, "Prefix": "/unsafe/", "Kind": "unsafe", "Service": "one"},
+        {**spec, "Prefix": "/unsafe/", "Kind": "unsafe", "Service": "one", **changes},
         {
             **spec,
             "Prefix": "/open/",
--- /dev/null
+++ b/tests/mesh/test_leaving.py
@@ -0,0 +1,157 @@
+"""What callers and peers get from a daemon that is shutting down."""
+
+import asyncio
+import contextlib
+import itertools
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from damaskbay.adapters.http1.client import (
+    HttpClient,
+    HttpClientOptions,
+    HttpFailure,
+    HttpProblem,
+)
+from damaskbay.core.call import Request, Response
+from tests.common import function_suite
+from tests.mesh.common import Fleet, Node, run_fleet, wait_until
+
+_ids = itertools.count(1)
+
+
+@dataclass
+class Callers:
+    """Callers of one daemon; `outcomes_by_id` holds what each request came to."""
+
+    node: Node
+    outcomes_by_id: dict[str, Response | HttpFailure] = field(default_factory=dict)
+    tasks: list["asyncio.Task[None]"] = field(default_factory=list)
+
+    def send(self, path: str, method: str = "GET", deadline_ms: int = 9000) -> str:
+        """Send a request on a new connection; return its id."""
+        request_id = f"r{next(_ids)}"
+        headers = (
+            ("X-Request-Id", request_id),
+            ("X-Deadline-Ms", str(deadline_ms)),
+            ("Api-Key", "k1"),
+        )
+        request = Request(method, "a.example", path, headers)
+        self.tasks.append(asyncio.create_task(self._send(request_id, request)))
+        return request_id
+
+    async def _send(self, request_id: str, request: Request) -> None:
+        client = HttpClient(self.node.daemon.settings.callers, HttpClientOptions())
+        with contextlib.closing(client):
+            self.outcomes_by_id[request_id] = await client.send(request)
+
+    def status(self, request_id: str) -> int | None:
+        """Return the status of a request's response, None without a response."""
+        outcome = self.outcomes_by_id.get(request_id)
+        return outcome.status if isinstance(outcome, Response) else None
+
+    async def check_all_answered(self, not_run: set[str]) -> None:
+        """Check that none is in flight, and that those `not_run` were told so."""
+        await asyncio.sleep(0.05)
+        assert all(task.done() for task in self.tasks)
+        for request_id, outcome in self.outcomes_by_id.items():
+            if isinstance(outcome, HttpFailure):
+                assert outcome.problem is HttpProblem.NOT_SENT, (request_id, outcome)
+            told_not_run = isinstance(outcome, HttpFailure) or outcome.status == 503
+            assert told_not_run is (request_id in not_run), (request_id, outcome)
+
+
+def _run(check: Callable[[Fleet], Awaitable[None]], **nodes: str) -> None:
+    async def run() -> None:
+        async with run_fleet(**nodes) as fleet:
+            await fleet.publish(Timeout="10s", TargetLatency="5s")
+            for node in fleet.nodes.values():
+                await wait_until(
+                    lambda node=node: node.daemon.configuration.version == 2  # type: ignore[misc]
+                )
+            await check(fleet)
+
+    asyncio.run(run())
+
+
+def _answer_after(node: Node, seconds: float) -> None:
+    async def slow(_request: Request) -> Response | None:
+        await asyncio.sleep(seconds)
+        return None
+
+    node.backend.override_response = slow
+
+
+# Guards against LOST: a request that was taken late after SIGTERM and cut at the end.
+def test_a_leaving_daemon_takes_no_request_that_outlasts_it() -> None:
+    """Requests are answered before the daemon ends, or refused as not run."""
+
+    async def check(fleet: Fleet) -> None:
+        server, leaving = fleet.nodes["a"], fleet.nodes["b"]
+        callers = Callers(leaving)
+        await server.send_heartbeat(slots=100)
+        _answer_after(server, 0.9)
+        callers.send("/safe/")
+        await wait_until(lambda: len(callers.outcomes_by_id) == 1)
+        leaving.daemon.stop()
+        while not leaving.run_task.done():
+            callers.send("/safe/")
+            await asyncio.sleep(0.05)
+        ran = set(server.backend.ids())
+        await callers.check_all_answered(callers.outcomes_by_id.keys() - ran)
+        assert all(callers.status(request_id) == 200 for request_id in ran)
+
+    _run(check, a="one", b="two")
+
+
+# Guards against LOST: a request that is still in the queue or at the server at the end.
+def test_what_outlasts_a_leaving_daemon_gets_an_answer() -> None:
+    """A queued request is refused as not run; one at the server gets 502."""
+
+    async def check(fleet: Fleet) -> None:
+        node = fleet.nodes["a"]
+        callers = Callers(node)
+        await node.send_heartbeat(slots=1)
+        _answer_after(node, 8.0)
+        at_server = callers.send("/unsafe/", "POST")
+        await wait_until(lambda: len(node.backend.seen) == 1)
+        queued = callers.send("/unsafe/", "POST")
+        await asyncio.sleep(0.1)
+        node.daemon.stop()
+        await node.run_task
+        await callers.check_all_answered({queued})
+        assert callers.status(at_server) == 502
+        assert node.backend.ids() == [at_server]
+
+    _run(check, a="one", b="two")
+
+
+# Guards against LOST at the other end of a link: the daemon beside the server leaves.
+def test_calls_of_peers_get_a_result_from_a_leaving_daemon() -> None:
+    """A safe or queued call goes to another server, an unsafe one ends as unknown."""
+
+    async def check(fleet: Fleet) -> None:
+        leaving, sender = fleet.nodes["a"], fleet.nodes["b"]
+        callers = Callers(sender)
+        await leaving.send_heartbeat(slots=2)
+        _answer_after(leaving, 8.0)
+        safe = callers.send("/safe/")
+        unsafe = callers.send("/unsafe/", "POST")
+        await wait_until(lambda: len(leaving.backend.seen) == 2)
+        queued = callers.send("/unsafe/", "POST")
+        await asyncio.sleep(0.1)
+        other = await fleet.add("c", "one")
+        await fleet.wait_until_connected()
+        leaving.daemon.stop()
+        await leaving.run_task
+        await asyncio.sleep(0.2)
+        assert callers.status(unsafe) == 502
+        assert callers.status(safe) == callers.status(queued) == 200
+        assert sorted(other.backend.ids()) == sorted([safe, queued])
+
+    _run(check, a="one", b="two")
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
