Bound the work of a daemon by its own end after SIGTERM

Cause: no decision knew of the daemon's end. The ingress took every request until the listener closed, 4.0 s after SIGTERM with a grace time of 6 s (5.1 s while the local server ran something), and gave it its full time limit, though nothing can be answered after 5.1 s. The class: accepted work that isn't bounded by the life of the process that has to answer it.

Why it works: core/lifetime.py plans the stop. Each deadline is limited by the end of work, so servers and peers learn how long they have. A request is taken if it is expected to end before; the estimate of a route follows its mean and deviation. Others get 503 at once, not run, with the time at which the next daemon can be there. Once callers have been told, root calls are taken only while the daemon has to stay for earlier ones, so that new ones don't keep it from making room for its successor. Nested calls of a running call are taken as long as possible: otherwise that call fails. A server of a leaving daemon passes on root calls that would outlast it, and other servers take them. The listener stays open until no call is left, so nobody is cut while connecting.

--- a/damaskbay/core/lifetime.py
+++ b/damaskbay/core/lifetime.py
@@ -1,27 +1,90 @@
-"""The end of a daemon's life, from the start of its graceful stop on."""
+"""The end of a daemon's life: how long it serves after SIGTERM, and which calls."""
 
 from dataclasses import dataclass
 
+ANNOUNCEMENT_S = 2.3
+"""Time to serve all callers after SIGTERM, seconds: two readiness checks, 1 s apart."""
+
+ANNOUNCEMENT_SHARE = 0.4
+"""Limit of ANNOUNCEMENT_S as a part of the grace time; running calls need the rest."""
+
+WORK_MARGIN_S = 0.95
+"""Margin between the last results of servers and the end of the grace time, seconds."""
+
+INTERRUPT_MARGIN_S = 0.8
+"""Margin, in seconds, from which calls without a result are ended and answered.
+
+Less than WORK_MARGIN_S: a server answers by itself when its time limit has passed.
+"""
+
+EXIT_MARGIN_S = 0.6
+"""Margin for the end of the process before the platform kills it, seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopPlan:
+    """
+    Steps of a graceful stop, in monotonic seconds.
+
+    Callers have learned of the stop by `announced_at`. Servers may work until
+    `work_until`, what is left is interrupted at `interrupts_at`, and responses are
+    sent until `exits_at`.
+    """
+
+    began_at: float
+    announced_at: float
+    work_until: float
+    interrupts_at: float
+    exits_at: float
+
+
+def plan_stop(grace_s: float, now: float) -> StopPlan:
+    """Return the steps of a stop that begins now, `grace_s` before the kill."""
+    announcement_s = min(ANNOUNCEMENT_S, ANNOUNCEMENT_SHARE * grace_s)
+    kill_at = now + grace_s
+    return StopPlan(
+        now,
+        now + announcement_s,
+        max(now, kill_at - WORK_MARGIN_S),
+        max(now, kill_at - INTERRUPT_MARGIN_S),
+        max(now, kill_at - EXIT_MARGIN_S),
+    )
+
 
 @dataclass(slots=True)
 class Lifetime:
     """
-    Records the graceful stop of a daemon.
+    Bounds the work of a daemon by its own end.
 
-    `stop_began_at` is in monotonic seconds, None while the daemon isn't stopping.
-    `ended` is set when the daemon waits for no request any more.
+    `plan` is None while the daemon isn't stopping. `peer_calls` is the number of calls
+    of peers that run here. `ended` is set when the daemon waits for no call any more.
     """
 
-    stop_began_at: float | None = None
+    plan: StopPlan | None = None
+    peer_calls: int = 0
     ended: bool = False
 
-    def begin_stop(self, now: float) -> None:
-        """Record the start of the stop; later ones change nothing."""
-        if self.stop_began_at is None:
-            self.stop_began_at = now
+    def begin_stop(self, grace_s: float, now: float) -> None:
+        """Plan the stop; a second SIGTERM changes nothing."""
+        if self.plan is None:
+            self.plan = plan_stop(grace_s, now)
+
+    def limit(self, deadline: float) -> float:
+        """Return the earlier of a deadline and the end of work here."""
+        if self.plan is None:
+            return deadline
+        return min(deadline, self.plan.work_until)
+
+    def outlasts(self, expected_s: float, now: float) -> bool:
+        """Return whether a call of `expected_s` would end after the work here."""
+        return self.plan is not None and now + expected_s > self.plan.work_until
+
+    def announced(self, now: float) -> bool:
+        """Return whether callers know by now that the daemon is leaving."""
+        return self.plan is not None and now >= self.plan.announced_at
 
     def since_stop_s(self, moment: float) -> float | None:
         """Return the seconds from the start of the stop to a moment, None before it."""
-        if self.stop_began_at is None:
+        if self.plan is None:
             return None
-        return round(moment - self.stop_began_at, 3)
+        return round(moment - self.plan.began_at, 3)
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -196,7 +196,9 @@
             )
             await self._stopping.wait()
             stop = GracefulStop(self._callers, self._ingress, self._target, self._links)
-            await stop.run(self.settings.grace_s)
+            plan = self._lifetime.plan
+            assert plan is not None
+            await stop.run(plan)
             self._lifetime.ended = True
         for task in self._tasks:
             task.cancel()
@@ -237,7 +239,7 @@
 
     def stop(self) -> None:
         """Start the graceful shutdown."""
-        self._lifetime.begin_stop(monotonic_s())
+        self._lifetime.begin_stop(self.settings.grace_s, monotonic_s())
         self._stopping.set()
 
     async def record_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -325,7 +327,11 @@
     async def _handle_request(self, message: Any) -> Any:
         if isinstance(message, CallMessage):
             context = context_of(message, now=monotonic_s())
-            result = await self._target.run(context, request_of(message))
+            self._lifetime.peer_calls += 1
+            try:
+                result = await self._target.run(context, request_of(message))
+            finally:
+                self._lifetime.peer_calls -= 1
             return to_result_message(result)
         reply = await self._control_plane.handle_request(message)
         if reply is NOT_HANDLED:
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -111,6 +111,7 @@
             router=router,
             target=target,
             links=shared_parts.links,
+            lifetime=shared_parts.lifetime,
             clock=monotonic_s,
         )
     )
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -40,18 +40,6 @@
 UNREACHABLE_BACKOFF_S: Final = 0.3
 """Time without attempts after the server refused a connection, seconds."""
 
-SERVE_AFTER_SIGTERM_S: Final = 2.3
-"""Time to keep serving after SIGTERM, seconds: two readiness checks, 1 s apart."""
-
-SERVE_AFTER_SIGTERM_SHARE: Final = 0.4
-"""Limit of SERVE_AFTER_SIGTERM_S as a part of the grace time.
-
-Running calls need the rest.
-"""
-
-STOP_MARGIN_S: Final = 0.9
-"""Margin before the platform kills a stopping process, seconds."""
-
 REPLY_GRACE_S: Final = 0.06
 """Wait past a deadline for the target's reply, which says if the call ran, seconds."""
 
--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -9,6 +9,7 @@
 from damaskbay.config.objects import Route
 from damaskbay.core.call import CallContext, CallResult, Request, Response
 from damaskbay.core.http_status import FIRST_SERVER_ERROR
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
 from damaskbay.core.retry.const import RETRYABLE_REASONS
 from damaskbay.core.routing import FAILURES_BY_REASON, FailureKind, RouteOutcome, Router
@@ -36,6 +37,12 @@
 """Error responses after which another server may succeed."""
 
 
+_REASONS_BY_PROBLEM = {
+    PeerProblem.TIMEOUT: Reason.DEADLINE_PASSED,
+}
+"""Reasons for calls that a peer may have run; for other problems the link was lost."""
+
+
 @dataclass(frozen=True, slots=True)
 class DispatchParts:
     """Dependencies of Dispatcher."""
@@ -44,6 +51,7 @@
     router: Router
     target: Target
     links: PeerLinks
+    lifetime: Lifetime
     clock: Callable[[], float]
 
 
@@ -132,10 +140,9 @@
         if not_sent:
             refusal = not_run(Reason.PEER_UNREACHABLE, retry_after_s=NOT_READY_RETRY_S)
             return CallResult(refusal, attempts=0, served_by=server.instance)
-        timed_out = (
-            isinstance(reply, PeerFailure) and reply.problem is PeerProblem.TIMEOUT
-        )
-        reason = Reason.DEADLINE_PASSED if timed_out else Reason.PEER_LOST
+        reason = Reason.PEER_LOST
+        if isinstance(reply, PeerFailure):
+            reason = _REASONS_BY_PROBLEM.get(reply.problem, reason)
         refusal = unknown(reason, detail=str(reply))
         return CallResult(refusal, served_by=server.instance)
 
@@ -152,8 +159,7 @@
             return self._should_retry_response(context, route, progress, result)
         if outcome.reason not in RETRYABLE_REASONS:
             return False
-        now = self._parts.clock()
-        if context.deadline - now < MIN_RETRY_TIME_LEFT_S:
+        if not self._has_time_to_retry(context):
             return False
         if result.attempts == 0 and not outcome.not_run:
             return False
@@ -167,6 +173,11 @@
         self._log_retry(context, result, outcome.reason.value)
         return True
 
+    def _has_time_to_retry(self, context: CallContext) -> bool:
+        parts = self._parts
+        left_s = parts.lifetime.limit(context.deadline) - parts.clock()
+        return left_s >= MIN_RETRY_TIME_LEFT_S
+
     def _log_retry(self, context: CallContext, result: CallResult, why: str) -> None:
         _LOGGER.info(
             "ingress: request is sent again.",
@@ -194,7 +205,7 @@
             and context.idempotent
             and not result.nested_failed
             and progress.attempts_made <= route.retries
-            and context.deadline - self._parts.clock() >= MIN_RETRY_TIME_LEFT_S
+            and self._has_time_to_retry(context)
         )
         if retry:
             progress.error_response = result
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -10,6 +10,7 @@
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
+from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.http_status import FIRST_SERVER_ERROR, status_of
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, not_run
@@ -86,6 +87,8 @@
             | {"host", "content-length", "expect", self._request_id},
             read=frozenset({self._request_id, self._key, self._deadline_ms}),
         )
+        self._durations = DurationEstimates()
+        self._late_in_flight = 0
         self.in_flight = 0
 
     def set_proof_valid(self, valid_s: float) -> None:
@@ -94,7 +97,9 @@
 
     async def serve(self, arrival: ReceivedRequest) -> Response:
         """Serve one request and return its response."""
+        late = self._parts.lifetime.announced(arrival.arrived_at)
         self.in_flight += 1
+        self._late_in_flight += late
         try:
             return await self._serve(arrival)
         except asyncio.CancelledError:
@@ -102,6 +107,7 @@
             raise
         finally:
             self.in_flight -= 1
+            self._late_in_flight -= late
 
     async def _serve(self, arrival: ReceivedRequest) -> Response:
         parts = self._parts
@@ -118,20 +124,27 @@
         workspace = self._workspace(config, route, values.get(self._key))
         if isinstance(workspace, Refusal):
             return self._refuse(workspace, request_id, route, "")
+        caller = None if workspace else parts.running.caller_of(request_id)
+        timeout_s = _timeout_s(route, values.get(self._deadline_ms))
+        stopping = self._refusal_while_stopping(route, timeout_s, caller)
+        if stopping is not None:
+            name = workspace.name if workspace is not None else ""
+            return self._refuse(stopping, request_id, route, name)
         if workspace is not None:
             over_limit = await self._spend_token(workspace, arrival.arrived_at)
             if over_limit is not None:
                 return self._refuse(over_limit, request_id, route, workspace.name)
-        caller = None if workspace else parts.running.caller_of(request_id)
-        timeout_s = _timeout_s(route, values.get(self._deadline_ms))
-        deadline = arrival.arrived_at + timeout_s
+        deadline = parts.lifetime.limit(arrival.arrived_at + timeout_s)
         context = self._context(config, route, workspace, deadline, request_id, caller)
         early = self._early_refusal(context, workspace)
         if early is not None:
             return self._refuse(early, request_id, route, context.workspace)
         forwarded = self._forwarded_request(request, forwarded_headers, workspace)
         result = await parts.dispatcher.dispatch(context, route, forwarded)
-        self._record_result(context, result, parts.clock() - arrival.arrived_at)
+        took_s = parts.clock() - arrival.arrived_at
+        self._record_result(context, result, took_s)
+        if result.attempts:
+            self._durations.record(route.name, took_s)
         if caller is not None:
             parts.running.record_nested_end(caller, result, parts.clock())
         else:
@@ -154,7 +167,7 @@
             "ingress: request ends without a response.",
             extra={
                 "request_id": values.get(self._request_id),
-                "why": "daemon ended" if lifetime.ended else "caller left",
+                "why": "daemon ends" if lifetime.ended else "caller left",
                 "read_after_stop_s": lifetime.since_stop_s(arrival.arrived_at),
                 "took_s": round(now - arrival.arrived_at, 4),
             },
@@ -209,6 +222,37 @@
             return not_run(Reason.KEY_UNKNOWN)
         return config.workspaces_by_name[key.workspace]
 
+    def _refusal_while_stopping(
+        self, route: Route, timeout_s: float, caller: RunningCall | None
+    ) -> Refusal | None:
+        """
+        Return a refusal if a stopping daemon takes no such request any more.
+
+        It takes what ends before the daemon does. Once callers know of the stop, it
+        takes root calls only while it has to stay for earlier ones. Nested calls are
+        taken as long as possible, as otherwise the call that made them fails.
+        """
+        lifetime, now = self._parts.lifetime, self._parts.clock()
+        if lifetime.plan is None:
+            return None
+        left_s = lifetime.plan.work_until - now
+        if caller is not None and left_s > 0:
+            return None
+        stays = self.in_flight > self._late_in_flight or lifetime.peer_calls > 0
+        default_s = timeout_s
+        if isinstance(route, WeightedRoute) and route.objective_s is not None:
+            default_s = route.objective_s
+        expected_s = min(timeout_s, self._durations.expected_s(route.name, default_s))
+        if stays and not lifetime.outlasts(expected_s, now):
+            return None
+        # The next daemon at this address starts after the last call of this one.
+        wait_s = max(0.0, left_s) if stays else 0.0
+        return not_run(
+            Reason.SHUTTING_DOWN,
+            retry_after_s=wait_s + NOT_READY_RETRY_S,
+            detail=f"expected to take {expected_s:.3f} s, {left_s:.3f} s are left",
+        )
+
     async def _spend_token(self, workspace: Workspace, now: float) -> Refusal | None:
         """Spend a token of the workspace's rate limit, or return a refusal."""
         if is_pooled(workspace):
--- a/damaskbay/mesh/stopping.py
+++ b/damaskbay/mesh/stopping.py
@@ -6,12 +6,8 @@
 
 from damaskbay.adapters.http1.server import HttpServer
 from damaskbay.adapters.peer_link.client import PeerLinks
+from damaskbay.core.lifetime import StopPlan
 from damaskbay.helpers.clock import monotonic_s
-from damaskbay.mesh.const import (
-    SERVE_AFTER_SIGTERM_S,
-    SERVE_AFTER_SIGTERM_SHARE,
-    STOP_MARGIN_S,
-)
 from damaskbay.mesh.ingress import Ingress
 from damaskbay.mesh.target import Target
 
@@ -20,13 +16,6 @@
 POLL_S = 0.05
 """Seconds between checks whether all calls have ended."""
 
-NOT_ACCEPTING_SHARE = 0.4
-"""Last part, 0 to 1, of the wait for running calls, without new connections.
-
-Without it, callers that keep connecting are cut off at the end. Connections are
-still accepted while the local server runs a call, which may make nested calls.
-"""
-
 
 @dataclass(frozen=True, slots=True)
 class GracefulStop:
@@ -37,40 +26,37 @@
     target: Target
     links: PeerLinks
 
-    async def run(self, grace_s: float) -> None:
-        """Return when no call runs any more, or shortly before `grace_s` is over."""
-        started_at = monotonic_s()
-        ends_at = started_at + grace_s - STOP_MARGIN_S
+    async def run(self, plan: StopPlan) -> None:
+        """Return when all calls have their responses, or at the end of the plan."""
         _LOGGER.info("daemon: graceful stop begins.")
         self.callers.draining = True
-        ready_s = min(SERVE_AFTER_SIGTERM_S, SERVE_AFTER_SIGTERM_SHARE * grace_s)
-        while monotonic_s() < started_at + ready_s:
-            await asyncio.sleep(POLL_S)
+        await asyncio.sleep(plan.announced_at - monotonic_s())
         self.target.draining = True
         self.links.broadcast_note()
         await asyncio.sleep(POLL_S)
         self.callers.close_idle()
-        stop_accepting_at = ends_at - NOT_ACCEPTING_SHARE * (ends_at - monotonic_s())
-        while monotonic_s() < ends_at and self._has_calls():
-            if monotonic_s() >= stop_accepting_at and not self.target.in_flight:
-                break
+        while monotonic_s() < plan.interrupts_at and self._has_calls():
             await asyncio.sleep(POLL_S)
             self.callers.close_idle()
         self.callers.stop_listening()
-        await asyncio.sleep(POLL_S)
-        self.callers.close_idle()
-        while monotonic_s() < ends_at and self._has_calls():
-            await asyncio.sleep(POLL_S)
-            self.callers.close_idle()
+        await self._wait_for_responses(plan.interrupts_at)
+        await self._wait_for_responses(plan.exits_at)
         _LOGGER.info(
             "daemon: graceful stop ends.",
             extra={
                 "callers": self.ingress.in_flight,
                 "at_server": self.target.in_flight,
+                "connections": self.callers.in_flight,
             },
         )
 
+    async def _wait_for_responses(self, until: float) -> None:
+        """Wait until no connection has a request that is being read or served."""
+        await asyncio.sleep(POLL_S)
+        self.callers.close_idle()
+        while monotonic_s() < until and (self._has_calls() or self.callers.in_flight):
+            await asyncio.sleep(POLL_S)
+            self.callers.close_idle()
+
     def _has_calls(self) -> bool:
-        return bool(
-            self.ingress.in_flight or self.target.in_flight or self.callers.in_flight
-        )
+        return bool(self.ingress.in_flight or self.target.in_flight)
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -4,7 +4,7 @@
 import logging
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from damaskbay.adapters.http1.client import (
     HttpClient,
@@ -14,6 +14,7 @@
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.admission import CallSample
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
+from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.http_status import FIRST_SERVER_ERROR
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
@@ -70,20 +71,29 @@
             dropped=frozenset({parts.dialect.request_id.lower(), "content-length"}),
             read=frozenset({self._not_run_header, self._stamp_header}),
         )
-        self.in_flight = 0
+        self._active_calls: set[_ActiveCall] = set()
+        self._durations = DurationEstimates()
         self.draining = False
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls in the queue and at the server."""
+        return len(self._active_calls)
+
     async def run(self, context: CallContext, request: Request) -> CallResult:
         """Run a call; cancellation closes its connection to the server."""
-        self.in_flight += 1
         active = _ActiveCall()
+        self._active_calls.add(active)
+        deadline = self._parts.lifetime.limit(context.deadline)
+        if deadline < context.deadline:
+            context = replace(context, deadline=deadline)
         try:
             return await self._run(context, request, active)
         except asyncio.CancelledError:
             self._log_cancelled(context, active)
             raise
         finally:
-            self.in_flight -= 1
+            self._active_calls.discard(active)
 
     async def _run(
         self, context: CallContext, request: Request, active: _ActiveCall
@@ -113,6 +123,7 @@
             active.sent = True
             outcome = await self._send(context, request)
             took_s = parts.clock() - now
+            self._durations.record(context.route, took_s)
             sample = CallSample(took_s, succeeded=_succeeded(outcome))
         finally:
             parts.running.remove(call)
@@ -127,7 +138,7 @@
             return not_run(
                 Reason.NO_BACKEND_SERVER, detail="daemon serves another pool"
             )
-        if self.draining:
+        if self.draining or self._outlasts_daemon(context, now):
             return not_run(Reason.SHUTTING_DOWN, retry_after_s=NOT_READY_RETRY_S)
         if parts.local.state is ServerState.STARTING:
             return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=NOT_READY_RETRY_S)
@@ -147,6 +158,13 @@
             )
         return None
 
+    def _outlasts_daemon(self, context: CallContext, now: float) -> bool:
+        """Return whether a root call won't end here before the daemon does."""
+        if context.depth > 0:
+            return False
+        expected_s = self._durations.expected_s(context.route, context.objective_s or 0)
+        return self._parts.lifetime.outlasts(expected_s, now)
+
     def _count_attempt(self, context: CallContext) -> None:
         """Record an attempt that isn't a retry itself in the retry budget."""
         if context.is_retry:
@@ -263,12 +281,13 @@
     def _log_cancelled(self, context: CallContext, active: _ActiveCall) -> None:
         """Log a call that its sender cancelled or that the daemon's end cuts."""
         parts = self._parts
+        why = "daemon ends" if parts.lifetime.ended else "sender cancelled"
         _LOGGER.info(
             "target: call ends without a result.",
             extra={
                 "request_id": context.request_id,
                 "route": context.route,
-                "why": "daemon ended" if parts.lifetime.ended else "sender cancelled",
+                "why": why,
                 "at_server": active.sent,
                 "after_stop_s": parts.lifetime.since_stop_s(parts.clock()),
                 "left_s": round(context.deadline - parts.clock(), 3),
--- /dev/null
+++ b/tests/core/test_lifetime.py
@@ -0,0 +1,59 @@
+"""Which calls a stopping daemon still has time for."""
+
+import unittest
+
+from damaskbay.core.durations import DurationEstimates
+from damaskbay.core.lifetime import Lifetime, plan_stop
+from tests.common import function_suite
+
+BEGAN_AT = 100.0
+GRACE_S = 6.0
+
+
+def test_the_steps_of_a_stop_follow_each_other_within_the_grace_time() -> None:
+    """Also with a short grace time; no step is before the start of the stop."""
+    for grace_s in (0.5, 2.0, GRACE_S, 30.0):
+        plan = plan_stop(grace_s, BEGAN_AT)
+        steps = (plan.work_until, plan.interrupts_at, plan.exits_at)
+        assert sorted(steps) == list(steps)
+        assert min(plan.announced_at, *steps) >= BEGAN_AT
+        assert plan.exits_at < BEGAN_AT + grace_s
+
+
+def test_deadlines_are_limited_by_the_end_of_the_daemon() -> None:
+    """Before a stop they are not; a second SIGTERM doesn't extend the first."""
+    lifetime = Lifetime()
+    assert lifetime.limit(BEGAN_AT + 60.0) == BEGAN_AT + 60.0
+    lifetime.begin_stop(GRACE_S, BEGAN_AT)
+    lifetime.begin_stop(GRACE_S, BEGAN_AT + 3.0)
+    assert BEGAN_AT < lifetime.limit(BEGAN_AT + 60.0) < BEGAN_AT + GRACE_S
+    assert lifetime.limit(BEGAN_AT + 1.0) == BEGAN_AT + 1.0
+
+
+def test_a_call_that_outlasts_the_daemon_is_recognized() -> None:
+    """The same call fits early in the stop and not late."""
+    lifetime = Lifetime()
+    assert not lifetime.outlasts(1000.0, BEGAN_AT)
+    lifetime.begin_stop(GRACE_S, BEGAN_AT)
+    assert not lifetime.outlasts(1.0, BEGAN_AT + 3.0)
+    assert lifetime.outlasts(1.0, BEGAN_AT + 4.5)
+
+
+def test_an_estimate_covers_almost_all_calls_and_forgets_an_outlier() -> None:
+    """One call that timed out doesn't make a route look slow for long."""
+    estimates = DurationEstimates()
+    assert estimates.expected_s("r", 0.7) == 0.7
+    for number in range(50):
+        estimates.record("r", 0.1 if number % 2 else 0.2)
+    usual_s = estimates.expected_s("r", 0.0)
+    assert 0.2 <= usual_s < 1.0
+    estimates.record("r", 5.0)
+    assert estimates.expected_s("r", 0.0) > 2.0
+    for number in range(30):
+        estimates.record("r", 0.1 if number % 2 else 0.2)
+    assert estimates.expected_s("r", 0.0) < 1.0
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -14,6 +14,8 @@
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Request, Response
+from damaskbay.core.lifetime import StopPlan, plan_stop
+from damaskbay.helpers.clock import monotonic_s
 from damaskbay.mesh.stopping import GracefulStop
 from damaskbay.ports.peer import PeerAddress
 from tests.common import function_suite
@@ -24,11 +26,19 @@
 
 def _stop(server: HttpServer, in_flight: int) -> GracefulStop:
     ingress: Any = SimpleNamespace(in_flight=0, draining=False)
-    target: Any = SimpleNamespace(in_flight=in_flight, draining=False)
-    links: Any = SimpleNamespace(broadcast_note=lambda: None)
+    target: Any = SimpleNamespace(
+        in_flight=in_flight, draining=False, interrupt=lambda: None
+    )
+    links: Any = SimpleNamespace(
+        broadcast_note=lambda: None, interrupt_requests=lambda: None
+    )
     return GracefulStop(server, ingress, target, links)
 
 
+def _plan() -> StopPlan:
+    return plan_stop(GRACE_S, monotonic_s())
+
+
 async def _request(server: HttpServer) -> Response | HttpFailure:
     client = HttpClient(server.address, HttpClientOptions())
     try:
@@ -45,7 +55,7 @@
             return Response(200)
 
         async with HttpServer(PeerAddress("127.0.0.1", 0), answer, CallerLimits()) as s:
-            await _stop(s, 0).run(GRACE_S)
+            await _stop(s, 0).run(_plan())
             outcome = await _request(s)
             assert isinstance(outcome, HttpFailure)
             assert outcome.problem is HttpProblem.NOT_SENT
@@ -67,7 +77,7 @@
             return Response(200)
 
         async with HttpServer(PeerAddress("127.0.0.1", 0), answer, CallerLimits()) as s:
-            stopping = asyncio.create_task(_stop(s, 0).run(GRACE_S))
+            stopping = asyncio.create_task(_stop(s, 0).run(_plan()))
             calls = []
             while not stopping.done():
                 calls.append(asyncio.create_task(_request(s)))
@@ -87,10 +97,10 @@
 
         async with HttpServer(PeerAddress("127.0.0.1", 0), answer, CallerLimits()) as s:
             stop = _stop(s, 1)
-            stopping = asyncio.create_task(stop.run(GRACE_S))
+            stopping = asyncio.create_task(stop.run(_plan()))
             await asyncio.sleep(0.5 * GRACE_S)
             assert cast("Response", await _request(s)).status == 200
-            stop.target.in_flight = 0
+            cast("Any", stop.target).in_flight = 0
             await stopping
 
     asyncio.run(run())
