Deliver buffered replies before a leaving daemon closes its links

What callers saw: a call that had run at a leaving daemon ended with 502, if its response was large and the daemon of the caller read slowly.

Cause: the exit of PeerLinks aborted all links, which discards what waits to be written. The graceful stop counts calls until their reply is in that buffer, not until it has left.

Evidence, before: tests.mesh.test_leaving "AssertionError: (502, 0)", where 200 and the response are expected; in tests.adapters.peer_link.test_closing, with the exit in place of `close`, "AssertionError: PeerFailure(problem=<PeerProblem.LOST: 'lost'>, detail='closed')".

Fix: PeerLinks.close sends what is buffered and then the end of the stream, waits for the peers to close, and aborts what is left after the time that its caller gives; the daemon gives the rest of its grace time. `unsent_bytes` is what still waits; it is logged when links close and when some are aborted. A closing link starts no handler, since its reply could not be sent. The daemons of the link tests move to common.py.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 from collections.abc import Callable
+from functools import partial
 from types import TracebackType
 from typing import Any, Self
 
@@ -36,7 +37,7 @@
     Requests and notes are sent on the links opened here. `note` returns the message
     that is sent every `NOTE_INTERVAL_S`; `on_note` receives the notes of peers. Peers
     acknowledge with the message that their `status` returns, for `on_status`. Use it
-    as an async context manager.
+    as an async context manager; the exit aborts the links that `close` has not closed.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self._accepted: set[Link] = set()
         self._server: asyncio.Server | None = None
         self._monitor_task: asyncio.Task[None] | None = None
+        self._closing = False
 
     async def __aenter__(self) -> Self:
         self._server = await listen(self._address, self._accept)
@@ -76,14 +78,47 @@
     ) -> None:
         if self._monitor_task is not None:
             self._monitor_task.cancel()
-        self.set_wanted_links(frozenset())
-        if self._server is not None:
-            self._server.close()
-        for link in tuple(self._accepted):
+        self._stop_connecting()
+        for link in self._all_links():
             link.abort()
 
+    async def close(self, *, timeout_s: float) -> None:
+        """
+        Close all links for good after their peers have read what is buffered.
+
+        After `timeout_s` seconds the remaining links are aborted.
+        """
+        self._stop_connecting()
+        links = self._all_links()
+        extra = {"links": len(links), "unsent_bytes": self.unsent_bytes}
+        _LOGGER.info("peer: links are closing.", extra=extra)
+        for link in links:
+            link.close()
+        try:
+            async with asyncio.timeout(timeout_s):
+                for link in links:
+                    await link.ended.wait()
+        except TimeoutError:
+            _LOGGER.warning(
+                "peer: links are aborted, since their peers read too slowly.",
+                extra={
+                    "links": sum(not link.ended.is_set() for link in links),
+                    "unsent_bytes": self.unsent_bytes,
+                },
+            )
+        finally:
+            for link in links:
+                link.abort()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes on all links that wait here to be sent."""
+        return sum(link.unsent_bytes for link in self._all_links())
+
     def set_wanted_links(self, peers: frozenset[PeerAddress]) -> None:
         """Set the peers to keep links to; close the links to all others."""
+        if self._closing:
+            return
         for unwanted in self._tasks_by_peer.keys() - peers:
             self._tasks_by_peer.pop(unwanted).cancel()
             link = self._links_by_peer.pop(unwanted, None)
@@ -123,6 +158,17 @@
         for link in self._links_by_peer.values():
             link.send_note(note, encoded)
 
+    def _stop_connecting(self) -> None:
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks_by_peer.values():
+            task.cancel()
+        self._tasks_by_peer.clear()
+
+    def _all_links(self) -> tuple[Link, ...]:
+        return (*self._links_by_peer.values(), *self._accepted)
+
     def _set_suspect(self, link: Link, suspect: bool) -> None:
         if suspect is not link.suspect:
             link.suspect = suspect
@@ -144,24 +190,14 @@
     async def _maintain_link(self, peer: PeerAddress) -> None:
         """Connect to the peer, and reconnect after a failure, until cancelled."""
         loop = asyncio.get_running_loop()
-        while True:
-            ended = asyncio.Event()
-
-            def on_end(_link: Link, ended: asyncio.Event = ended) -> None:
-                ended.set()
 
-            def on_status(status: Any) -> None:
-                self._on_status(peer, status)
+        def make_link() -> Link:
+            return self._make_link(partial(self._on_status, peer), lambda _link: None)
 
+        while True:
             try:
                 _, link = await asyncio.wait_for(
-                    loop.create_connection(
-                        lambda on_end=on_end: self._make_link(  # type: ignore[misc]
-                            on_status, on_end
-                        ),
-                        peer.host,
-                        peer.port,
-                    ),
+                    loop.create_connection(make_link, peer.host, peer.port),
                     CONNECT_TIMEOUT_S,
                 )
             except (OSError, TimeoutError):
@@ -172,7 +208,7 @@
             note = self._note()
             link.send_note(note, encode_note(note))
             _LOGGER.info("peer: link is up.", extra={"peer": str(peer)})
-            await ended.wait()
+            await link.ended.wait()
             if self._links_by_peer.get(peer) is link:
                 del self._links_by_peer[peer]
             self._on_links_change()
@@ -189,7 +225,7 @@
             due_at = now + NOTE_INTERVAL_S
             note = self._note()
             encoded = encode_note(note)
-            for link in (*self._links_by_peer.values(), *self._accepted):
+            for link in self._all_links():
                 if was_suspended:
                     # This process was suspended; the peer may still be alive.
                     link.last_received_at = now
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -61,6 +61,7 @@
 
     `last_received_at` is the monotonic time of the last received bytes. PeerLinks sets
     `suspect` after SUSPECT_AFTER_S without any; new requests avoid a suspect link.
+    `ended` is set when the connection is lost.
     """
 
     def __init__(self, handlers: LinkHandlers) -> None:
@@ -73,13 +74,24 @@
         self._received_note: Any = None
         self._sent_note: Any = None
         self._peer_sends_status = False
+        self._closing = False
+        self.ended = asyncio.Event()
         self.last_received_at = monotonic_s()
         self.suspect = False
 
     @property
     def open(self) -> bool:
         """Return whether frames can be sent."""
-        return self._transport is not None and not self._transport.is_closing()
+        transport = self._transport
+        return (
+            transport is not None and not self._closing and not transport.is_closing()
+        )
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that wait in this process to be sent."""
+        transport = self._transport
+        return transport.get_write_buffer_size() if transport is not None else 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its TCP options."""
@@ -98,6 +110,7 @@
         for task in self._running.values():
             task.cancel()
         self._running.clear()
+        self.ended.set()
         self._handlers.on_end(self)
 
     def data_received(self, data: bytes) -> None:
@@ -144,17 +157,23 @@
         self._transport.write(PULSE if unchanged else encoded)
         self._sent_note = note
 
+    def close(self) -> None:
+        """
+        Send what is buffered and then the end of the stream; start no more handlers.
+
+        The connection ends when the peer has read everything and closes it, too.
+        """
+        if self.open and self._transport is not None:
+            self._closing = True
+            self._transport.write_eof()
+
     def abort(self) -> None:
         """Close the connection without flushing."""
         if self._transport is not None:
             self._transport.abort()
 
     def _congested(self) -> bool:
-        transport = self._transport
-        return (
-            transport is not None
-            and transport.get_write_buffer_size() > MAX_UNREAD_BYTES
-        )
+        return self.unsent_bytes > MAX_UNREAD_BYTES
 
     def _on_timeout(self, number: int) -> None:
         future = self._pending.get(number)
@@ -163,7 +182,7 @@
             future.set_result(PeerFailure(PeerProblem.TIMEOUT))
 
     def _write_frame(self, kind: FrameKind, number: int, payload: bytes = b"") -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if self.open and self._transport is not None:
             self._transport.write(encode(kind, number, payload))
 
     def _handle_frame(self, frame: Frame) -> None:
@@ -213,6 +232,8 @@
             future.set_result(outcome)
 
     def _start_handler(self, number: int, message: Any) -> None:
+        if not self.open:
+            return
         if len(self._running) >= MAX_RUNNING_REQUESTS or self._congested():
             self._write_frame(FrameKind.REJECTED, number)
             return
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -34,6 +34,7 @@
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
     EXPIRY_INTERVAL_S,
+    LINK_CLOSE_MARGIN_S,
     LOAD_AVERAGE_S,
     RESPONSE_MEMORY_SHARE,
 )
@@ -192,8 +193,10 @@
                 },
             )
             await self._stopping.wait()
+            links_close_by = monotonic_s() + self.settings.grace_s - LINK_CLOSE_MARGIN_S
             stop = GracefulStop(self._callers, self._ingress, self._target, self._links)
             await stop.run(self.settings.grace_s)
+            await self._links.close(timeout_s=max(0.0, links_close_by - monotonic_s()))
         for task in self._tasks:
             task.cancel()
         _LOGGER.info("daemon: has stopped.")
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -52,6 +52,9 @@
 STOP_MARGIN_S: Final = 0.9
 """Margin before the platform kills a stopping process, seconds."""
 
+LINK_CLOSE_MARGIN_S: Final = 0.5
+"""Margin before the platform kills a stopping process whose links close, seconds."""
+
 REPLY_GRACE_S: Final = 0.06
 """Wait past a deadline for the target's reply, which says if the call ran, seconds."""
 
--- a/tests/adapters/peer_link/test_link.py
+++ b/tests/adapters/peer_link/test_link.py
@@ -5,60 +5,16 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from damaskbay.adapters.peer_link.client import PeerLinks
-from damaskbay.mesh.messages import ConfigReply, ConfigRequest
+from damaskbay.mesh.messages import ConfigRequest
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
-from tests.common import function_suite, reserve_address
-
-WAIT_S = 3.0
-
-
-class _Daemon:
-    """Replies with the requested version; never replies to version 99."""
-
-    def __init__(self) -> None:
-        self.address = reserve_address()
-        self.cancelled = 0
-        self.notes: list[Any] = []
-        self.links = PeerLinks(
-            self.address,
-            on_links_change=lambda: None,
-            on_request=self._request,
-            on_note=self.notes.append,
-            note=lambda: ConfigRequest(self.address.port),
-        )
-
-    async def _request(self, message: Any) -> Any:
-        try:
-            if message.newer_than == 99:
-                await asyncio.sleep(60)
-        except asyncio.CancelledError:
-            self.cancelled += 1
-            raise
-        return ConfigReply(message.newer_than, b"", None)
-
-    async def connect(self, other: "_Daemon") -> None:
-        self.links.set_wanted_links(frozenset({other.address}))
-        async with asyncio.timeout(WAIT_S):
-            while not self.links.up(other.address):
-                await asyncio.sleep(0.01)
-
-
-def _run(check: Callable[[_Daemon, _Daemon], Awaitable[None]]) -> None:
-    async def run() -> None:
-        one, two = _Daemon(), _Daemon()
-        async with one.links, two.links:
-            await one.connect(two)
-            async with asyncio.timeout(WAIT_S):
-                await check(one, two)
-
-    asyncio.run(run())
+from tests.adapters.peer_link.common import WAIT_S, LinkedDaemon, run_pair
+from tests.common import function_suite
 
 
 def test_many_requests_share_a_link() -> None:
     """Each request gets its own reply."""
 
-    async def check(one: _Daemon, two: _Daemon) -> None:
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
         requests = [
             one.links.request(two.address, ConfigRequest(number), timeout_s=WAIT_S)
             for number in range(50)
@@ -66,13 +22,13 @@
         replies = await asyncio.gather(*requests)
         assert [reply.version for reply in replies] == list(range(50))
 
-    _run(check)
+    run_pair(check)
 
 
 def test_a_cancelled_request_is_cancelled_at_the_peer() -> None:
     """Cancelling a request cancels its handler, so that it does no useless work."""
 
-    async def check(one: _Daemon, two: _Daemon) -> None:
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
         task = asyncio.create_task(
             one.links.request(two.address, ConfigRequest(99), timeout_s=WAIT_S)
         )
@@ -81,13 +37,13 @@
         while not two.cancelled:
             await asyncio.sleep(0.01)
 
-    _run(check)
+    run_pair(check)
 
 
 def test_a_lost_link_fails_what_waits_and_cancels_what_runs() -> None:
     """A request on a closed link may have run: it fails as LOST, not as NOT_SENT."""
 
-    async def check(one: _Daemon, two: _Daemon) -> None:
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
         task = asyncio.create_task(
             one.links.request(two.address, ConfigRequest(99), timeout_s=WAIT_S)
         )
@@ -99,13 +55,13 @@
         while not two.cancelled:
             await asyncio.sleep(0.01)
 
-    _run(check)
+    run_pair(check)
 
 
 def test_a_request_that_gets_no_answer_in_time_ends_and_tells_the_peer() -> None:
     """The sender gets TIMEOUT and the peer's handler is cancelled."""
 
-    async def check(one: _Daemon, two: _Daemon) -> None:
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
         wanted = ConfigRequest(99)
         failure = await one.links.request(two.address, wanted, timeout_s=0.05)
         assert isinstance(failure, PeerFailure)
@@ -113,25 +69,25 @@
         while not two.cancelled:
             await asyncio.sleep(0.01)
 
-    _run(check)
+    run_pair(check)
 
 
 def test_without_a_link_nothing_is_sent() -> None:
     """Without a link the request fails as NOT_SENT."""
 
-    async def check(one: _Daemon, _two: _Daemon) -> None:
+    async def check(one: LinkedDaemon, _two: LinkedDaemon) -> None:
         failure = await one.links.request(
             PeerAddress("127.0.0.1", 1), ConfigRequest(1), timeout_s=WAIT_S
         )
         assert failure.problem is PeerProblem.NOT_SENT
 
-    _run(check)
+    run_pair(check)
 
 
 def test_notes_go_out_at_once_when_told() -> None:
     """`broadcast_note` sends a note without waiting for the next round."""
 
-    async def check(one: _Daemon, two: _Daemon) -> None:
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
         while not two.notes:
             await asyncio.sleep(0.01)
         count = len(two.notes)
@@ -140,28 +96,28 @@
             await asyncio.sleep(0.01)
         assert two.notes[-1] == ConfigRequest(one.address.port)
 
-    _run(check)
+    run_pair(check)
 
 
 def test_a_link_is_opened_again() -> None:
     """A link is reconnected after the peer has closed it."""
 
-    async def check(one: _Daemon, two: _Daemon) -> None:
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
         for link in tuple(two.links._accepted):
             link.abort()
         while one.links.up(two.address):
             await asyncio.sleep(0.01)
         await one.connect(two)
 
-    _run(check)
+    run_pair(check)
 
 
 def _run_with_statuses(
     status_of_second: Callable[[], Any],
-    check: Callable[[_Daemon, _Daemon, list[Any]], Awaitable[None]],
+    check: Callable[[LinkedDaemon, LinkedDaemon, list[Any]], Awaitable[None]],
 ) -> None:
     async def run() -> None:
-        one, two = _Daemon(), _Daemon()
+        one, two = LinkedDaemon(), LinkedDaemon()
         statuses: list[Any] = []
         one.links._on_status = lambda _peer, status: statuses.append(status)
         two.links._status = status_of_second
@@ -176,7 +132,7 @@
 def test_an_unchanged_note_is_sent_as_a_pulse() -> None:
     """Peers still hear the note, and its sender the status of each peer."""
 
-    async def check(one: _Daemon, two: _Daemon, statuses: list[Any]) -> None:
+    async def check(one: LinkedDaemon, two: LinkedDaemon, statuses: list[Any]) -> None:
         while not statuses:
             await asyncio.sleep(0.01)
         link = one.links._links_by_peer[two.address]
@@ -194,7 +150,7 @@
 def test_a_peer_without_statuses_gets_whole_notes() -> None:
     """Earlier versions acknowledge without a status and know no pulses."""
 
-    async def check(one: _Daemon, two: _Daemon, statuses: list[Any]) -> None:
+    async def check(one: LinkedDaemon, two: LinkedDaemon, statuses: list[Any]) -> None:
         while len(two.notes) < 2:
             await asyncio.sleep(0.01)
         link = one.links._links_by_peer[two.address]
