Let a leaving daemon end its requests to peers at once

What callers saw: nothing at all, when a daemon ended while their call waited for a reply of a peer: there was no way to end such requests with a result before the links were aborted.

PeerLinks.interrupt_requests ends them as PeerProblem.INTERRUPTED, tells the peers to cancel them, and sends no further ones (NOT_SENT). A reply that has arrived is still returned. The graceful stop does not call it yet.

The test before: "AttributeError: 'PeerLinks' object has no attribute 'interrupt_requests'".

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -64,6 +64,7 @@
         self._server: asyncio.Server | None = None
         self._monitor_task: asyncio.Task[None] | None = None
         self._closing = False
+        self._interrupted = False
 
     async def __aenter__(self) -> Self:
         self._server = await listen(self._address, self._accept)
@@ -146,11 +147,23 @@
         self, peer: PeerAddress, message: Any, *, timeout_s: float
     ) -> Any:
         """Send a request to a peer and return its reply or a PeerFailure."""
+        if self._interrupted:
+            return PeerFailure(PeerProblem.NOT_SENT, "daemon is shutting down")
         link = self._links_by_peer.get(peer)
         if link is None:
             return PeerFailure(PeerProblem.NOT_SENT, "no link")
         return await link.request(message, timeout_s=timeout_s)
 
+    def interrupt_requests(self) -> None:
+        """
+        End all requests in flight as INTERRUPTED, and send no further ones.
+
+        The peers are told to cancel them. Replies that have arrived are still returned.
+        """
+        self._interrupted = True
+        for link in self._links_by_peer.values():
+            link.interrupt_requests()
+
     def broadcast_note(self) -> None:
         """Send a note on every opened link now."""
         note = self._note()
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -138,7 +138,9 @@
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Any] = loop.create_future()
         self._pending[number] = future
-        timer = loop.call_later(timeout_s, self._on_timeout, number)
+        timer = loop.call_later(
+            timeout_s, self._fail_and_cancel, number, PeerProblem.TIMEOUT
+        )
         self._transport.write(encode(FrameKind.REQUEST, number, pack(message)))
         try:
             return await future
@@ -149,6 +151,11 @@
             timer.cancel()
             self._pending.pop(number, None)
 
+    def interrupt_requests(self) -> None:
+        """End the requests in flight as INTERRUPTED, and cancel them at the peer."""
+        for number in tuple(self._pending):
+            self._fail_and_cancel(number, PeerProblem.INTERRUPTED)
+
     def send_note(self, note: Any, encoded: bytes) -> None:
         """Send a note and its form by `encode_note`, or a pulse if it is unchanged."""
         if not self.open or self._transport is None:
@@ -175,11 +182,11 @@
     def _congested(self) -> bool:
         return self.unsent_bytes > MAX_UNREAD_BYTES
 
-    def _on_timeout(self, number: int) -> None:
+    def _fail_and_cancel(self, number: int, problem: PeerProblem) -> None:
         future = self._pending.get(number)
         if future is not None and not future.done():
             self._write_frame(FrameKind.CANCEL, number)
-            future.set_result(PeerFailure(PeerProblem.TIMEOUT))
+            future.set_result(PeerFailure(problem))
 
     def _write_frame(self, kind: FrameKind, number: int, payload: bytes = b"") -> None:
         if self.open and self._transport is not None:
--- a/damaskbay/ports/peer.py
+++ b/damaskbay/ports/peer.py
@@ -42,6 +42,9 @@
     CANCELLED = "cancelled"
     """The sender cancelled; the message may have been handled."""
 
+    INTERRUPTED = "interrupted"
+    """The sender is shutting down; the message may have been handled."""
+
     REJECTED = "rejected"
     """The peer has no handler for this kind of message; it was not handled."""
 
--- a/tests/adapters/peer_link/test_closing.py
+++ b/tests/adapters/peer_link/test_closing.py
@@ -6,6 +6,7 @@
 
 import uvloop
 
+from damaskbay.adapters.peer_link.frames import Frame, FrameKind
 from damaskbay.mesh.messages import ConfigReply
 from damaskbay.ports.peer import PeerFailure, PeerProblem
 from tests.adapters.peer_link.common import (
@@ -117,6 +118,53 @@
     _run(check)
 
 
+def test_interrupted_requests_end_at_once_and_are_cancelled_at_the_peer() -> None:
+    """Guards against: a request to a peer goes on until the daemon's process ends."""
+
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
+        requests = [asyncio.create_task(one.request(two, NEVER)) for _ in range(3)]
+        await _wait_until(lambda: two.received == len(requests))
+        one.links.interrupt_requests()
+        for failure in await asyncio.gather(*requests):
+            assert isinstance(failure, PeerFailure)
+            assert failure.problem is PeerProblem.INTERRUPTED
+        await _wait_until(lambda: two.cancelled == len(requests))
+        assert one.links.up(two.address)
+
+    _run(check)
+
+
+def test_after_an_interruption_no_request_is_sent() -> None:
+    """A late request fails as NOT_SENT, so that its call is refused as not run."""
+
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
+        one.links.interrupt_requests()
+        failure = await one.request(two, 1)
+        assert failure.problem is PeerProblem.NOT_SENT
+        assert not two.received
+
+    _run(check)
+
+
+def test_a_reply_that_has_arrived_is_not_interrupted() -> None:
+    """Guards against: a reply is dropped that waits for its request's task to run."""
+
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
+        link = one.link_to(two)
+        handle_frame = link._handle_frame
+
+        def interrupt_after(frame: Frame) -> None:
+            handle_frame(frame)
+            if frame.kind is FrameKind.REPLY:
+                one.links.interrupt_requests()
+
+        link._handle_frame = interrupt_after  # type: ignore[method-assign]
+        reply = await one.request(two, 1)
+        assert isinstance(reply, ConfigReply), reply
+
+    _run(check)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
