Finish the requests in flight on a link that is not wanted any more

What callers saw: 502 for calls that ran, or were about to, when the set of neighbours changed, as it does when daemons join or leave a fleet with more servers of a pool than links are kept to.

Cause: set_wanted_links aborted the links to all other peers, with the requests in flight on them.

Evidence, before: "AssertionError: PeerFailure(problem=<PeerProblem.LOST: 'lost'>, detail='closed')".

Fix: such a link takes no new requests and closes when those in flight have ended, each of which has a timeout. It sends notes until then, so that the peer doesn't take it for broken. The test of a lost link used set_wanted_links to lose it; it aborts the link now and checks the same.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -60,6 +60,7 @@
         self._on_status = on_status
         self._tasks_by_peer: dict[PeerAddress, asyncio.Task[None]] = {}
         self._links_by_peer: dict[PeerAddress, Link] = {}
+        self._retired: set[Link] = set()
         self._accepted: set[Link] = set()
         self._server: asyncio.Server | None = None
         self._monitor_task: asyncio.Task[None] | None = None
@@ -117,14 +118,19 @@
         return sum(link.unsent_bytes for link in self._all_links())
 
     def set_wanted_links(self, peers: frozenset[PeerAddress]) -> None:
-        """Set the peers to keep links to; close the links to all others."""
+        """
+        Set the peers to keep links to.
+
+        Links to all others close when their requests in flight have ended.
+        """
         if self._closing:
             return
         for unwanted in self._tasks_by_peer.keys() - peers:
             self._tasks_by_peer.pop(unwanted).cancel()
             link = self._links_by_peer.pop(unwanted, None)
-            if link is not None:
-                link.abort()
+            if link is not None and not link.ended.is_set():
+                self._retired.add(link)
+                link.retire()
         loop = asyncio.get_running_loop()
         for peer in peers - self._tasks_by_peer.keys():
             self._tasks_by_peer[peer] = loop.create_task(self._maintain_link(peer))
@@ -161,7 +167,7 @@
         The peers are told to cancel them. Replies that have arrived are still returned.
         """
         self._interrupted = True
-        for link in self._links_by_peer.values():
+        for link in self._opened_links():
             link.interrupt_requests()
 
     def broadcast_note(self) -> None:
@@ -180,7 +186,10 @@
         self._tasks_by_peer.clear()
 
     def _all_links(self) -> tuple[Link, ...]:
-        return (*self._links_by_peer.values(), *self._accepted)
+        return (*self._opened_links(), *self._accepted)
+
+    def _opened_links(self) -> tuple[Link, ...]:
+        return (*self._links_by_peer.values(), *self._retired)
 
     def _set_suspect(self, link: Link, suspect: bool) -> None:
         if suspect is not link.suspect:
@@ -205,7 +214,9 @@
         loop = asyncio.get_running_loop()
 
         def make_link() -> Link:
-            return self._make_link(partial(self._on_status, peer), lambda _link: None)
+            return self._make_link(
+                partial(self._on_status, peer), self._retired.discard
+            )
 
         while True:
             try:
@@ -245,7 +256,7 @@
                 if now - link.last_received_at > LINK_TIMEOUT_S:
                     link.abort()
             all_links = round_number % MAX_NOTE_ROUNDS == 0
-            for link in self._links_by_peer.values():
+            for link in self._opened_links():
                 self._set_suspect(link, now - link.last_received_at > SUSPECT_AFTER_S)
                 if all_links or now - link.last_received_at > QUIET_AFTER_S:
                     link.send_note(note, encoded)
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -75,6 +75,7 @@
         self._sent_note: Any = None
         self._peer_sends_status = False
         self._closing = False
+        self._retired = False
         self.ended = asyncio.Event()
         self.last_received_at = monotonic_s()
         self.suspect = False
@@ -150,6 +151,7 @@
         finally:
             timer.cancel()
             self._pending.pop(number, None)
+            self._close_if_retired()
 
     def interrupt_requests(self) -> None:
         """End the requests in flight as INTERRUPTED, and cancel them at the peer."""
@@ -174,11 +176,20 @@
             self._closing = True
             self._transport.write_eof()
 
+    def retire(self) -> None:
+        """Close when the requests in flight have ended; the caller sends no more."""
+        self._retired = True
+        self._close_if_retired()
+
     def abort(self) -> None:
         """Close the connection without flushing."""
         if self._transport is not None:
             self._transport.abort()
 
+    def _close_if_retired(self) -> None:
+        if self._retired and not self._pending:
+            self.close()
+
     def _congested(self) -> bool:
         return self.unsent_bytes > MAX_UNREAD_BYTES
 
--- a/tests/adapters/peer_link/common.py
+++ b/tests/adapters/peer_link/common.py
@@ -18,6 +18,11 @@
 LARGE = 98
 """Version of which the document exceeds the socket buffers."""
 
+SLOW = 97
+"""Version of which a request gets its reply after SLOW_S."""
+
+SLOW_S = 0.3
+
 LARGE_BYTES = 16 * 1024 * 1024
 
 
@@ -42,6 +47,8 @@
         try:
             if message.newer_than == NEVER:
                 await asyncio.sleep(60)
+            if message.newer_than == SLOW:
+                await asyncio.sleep(SLOW_S)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
--- a/tests/adapters/peer_link/test_link.py
+++ b/tests/adapters/peer_link/test_link.py
@@ -5,9 +5,16 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from damaskbay.mesh.messages import ConfigRequest
+from damaskbay.adapters.peer_link.const import LINK_TIMEOUT_S, NOTE_INTERVAL_S
+from damaskbay.mesh.messages import ConfigReply, ConfigRequest
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
-from tests.adapters.peer_link.common import WAIT_S, LinkedDaemon, run_pair
+from tests.adapters.peer_link.common import (
+    NEVER,
+    SLOW,
+    WAIT_S,
+    LinkedDaemon,
+    run_pair,
+)
 from tests.common import function_suite
 
 
@@ -48,7 +55,7 @@
             one.links.request(two.address, ConfigRequest(99), timeout_s=WAIT_S)
         )
         await asyncio.sleep(0.05)
-        one.links.set_wanted_links(frozenset())
+        one.link_to(two).abort()
         failure = await task
         assert isinstance(failure, PeerFailure)
         assert failure.problem is PeerProblem.LOST
@@ -58,6 +65,41 @@
     run_pair(check)
 
 
+def test_an_unwanted_link_closes_after_the_requests_in_flight() -> None:
+    """Guards against: a call is lost as the set of neighbours changes meanwhile."""
+
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
+        task = asyncio.create_task(one.request(two, SLOW))
+        while not two.received:
+            await asyncio.sleep(0.01)
+        one.links.set_wanted_links(frozenset())
+        assert not one.links.up(two.address)
+        reply = await task
+        assert isinstance(reply, ConfigReply), reply
+        while one.links._all_links() or two.links._all_links():
+            await asyncio.sleep(0.01)
+
+    run_pair(check)
+
+
+def test_an_unwanted_link_with_a_long_request_is_not_taken_for_broken() -> None:
+    """Guards against: the peer cancels a call, as the link sends no more heartbeats."""
+
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
+        task = asyncio.create_task(one.request(two, NEVER))
+        while not two.received:
+            await asyncio.sleep(0.01)
+        one.links.set_wanted_links(frozenset())
+        await asyncio.sleep(LINK_TIMEOUT_S + NOTE_INTERVAL_S)
+        assert not task.done()
+        assert not two.cancelled
+        task.cancel()
+        while one.links._all_links() or two.links._all_links():
+            await asyncio.sleep(0.01)
+
+    run_pair(check)
+
+
 def test_a_request_that_gets_no_answer_in_time_ends_and_tells_the_peer() -> None:
     """The sender gets TIMEOUT and the peer's handler is cancelled."""
 
