Tell peers that only link to a leaving daemon that it leaves

What callers saw: attempts refused by a leaving daemon, one after another, before their call went elsewhere.

Cause: broadcast_note used the links that this daemon had opened. A peer that has opened a link, but is no neighbour itself, took the daemon for ready until the link was lost.

Evidence, before: tests.mesh.test_leaving "assert b.daemon._links.up(...)": the peer stopped to choose the server only when the link was lost; test_link ended by TimeoutError without a note.

Fix: the note of an event goes out on accepted links, too; the receiving end handles it like any other. Notes of each interval remain on opened links. A link that is accepted after the event gets no note.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -34,10 +34,11 @@
     """
     Keeps a link to each wanted peer and accepts links of peers.
 
-    Requests and notes are sent on the links opened here. `note` returns the message
-    that is sent every `NOTE_INTERVAL_S`; `on_note` receives the notes of peers. Peers
-    acknowledge with the message that their `status` returns, for `on_status`. Use it
-    as an async context manager; the exit aborts the links that `close` has not closed.
+    Requests and regular notes are sent on the links opened here, `broadcast_note` also
+    uses the accepted ones. `note` returns the message that is sent every
+    `NOTE_INTERVAL_S`; `on_note` receives the notes of peers. Peers acknowledge with
+    the message that their `status` returns, for `on_status`. Use it as an async
+    context manager; the exit aborts the links that `close` has not closed.
     """
 
     def __init__(
@@ -171,10 +172,10 @@
             link.interrupt_requests()
 
     def broadcast_note(self) -> None:
-        """Send a note on every opened link now."""
+        """Send a note on every link now, also to peers that only link to this one."""
         note = self._note()
         encoded = encode_note(note)
-        for link in self._links_by_peer.values():
+        for link in self._all_links():
             link.send_note(note, encoded)
 
     def _stop_connecting(self) -> None:
--- a/tests/adapters/peer_link/test_link.py
+++ b/tests/adapters/peer_link/test_link.py
@@ -141,6 +141,19 @@
     run_pair(check)
 
 
+def test_a_peer_that_only_opened_a_link_hears_what_changes() -> None:
+    """Guards against: such a peer keeps sending calls to a daemon that shuts down."""
+
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
+        two.links.broadcast_note()
+        while not one.notes:
+            await asyncio.sleep(0.01)
+        assert one.notes == [ConfigRequest(two.address.port)]
+        assert one.links.up(two.address)
+
+    run_pair(check)
+
+
 def test_a_link_is_opened_again() -> None:
     """A link is reconnected after the peer has closed it."""
 
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -83,6 +83,22 @@
     asyncio.run(run())
 
 
+def test_a_peer_without_a_link_from_a_leaving_daemon_knows_that_it_leaves() -> None:
+    """Guards against: such a peer sends calls there until each has been refused."""
+
+    async def run() -> None:
+        async with run_fleet(a="one", b="two") as fleet:
+            a, b = fleet.nodes["a"], fleet.nodes["b"]
+            links = a.daemon._links
+            links.set_wanted_links(frozenset())
+            links.set_wanted_links = lambda peers: None  # type: ignore[method-assign]
+            a.daemon.stop()
+            await wait_until(lambda: not b.daemon._directory.servers("one"))
+            assert b.daemon._links.up(a.daemon.settings.peers)
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
