--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 from collections.abc import Callable
+from functools import partial
 from types import TracebackType
 from typing import Any, Self
 
@@ -33,10 +34,11 @@
     """
     Keeps a link to each wanted peer and accepts links of peers.
 
-    Requests and notes are sent on the links opened here. `note` returns the message
-    that is sent every `NOTE_INTERVAL_S`; `on_note` receives the notes of peers. Peers
-    acknowledge with the message that their `status` returns, for `on_status`. Use it
-    as an async context manager.
+    Requests and regular notes are sent on the links opened here, `broadcast_note` also
+    uses the accepted ones. `note` returns the message that is sent every
+    `NOTE_INTERVAL_S`; `on_note` receives the notes of peers. Peers acknowledge with
+    the message that their `status` returns, for `on_status`. Use it as an async
+    context manager; the exit aborts the links that `close` has not closed.
     """
 
     def __init__(
@@ -59,9 +61,12 @@
         self._on_status = on_status
         self._tasks_by_peer: dict[PeerAddress, asyncio.Task[None]] = {}
         self._links_by_peer: dict[PeerAddress, Link] = {}
+        self._retired: set[Link] = set()
         self._accepted: set[Link] = set()
         self._server: asyncio.Server | None = None
         self._monitor_task: asyncio.Task[None] | None = None
+        self._closing = False
+        self._interrupted = False
 
     async def __aenter__(self) -> Self:
         self._server = await listen(self._address, self._accept)
@@ -76,19 +81,57 @@
     ) -> None:
         if self._monitor_task is not None:
             self._monitor_task.cancel()
-        self.set_wanted_links(frozenset())
-        if self._server is not None:
-            self._server.close()
-        for link in tuple(self._accepted):
+        self._stop_connecting()
+        for link in self._all_links():
             link.abort()
 
+    async def close(self, *, timeout_s: float) -> None:
+        """
+        Close all links for good after their peers have read what is buffered.
+
+        After `timeout_s` seconds the remaining links are aborted.
+        """
+        self._stop_connecting()
+        links = self._all_links()
+        extra = {"links": len(links), "unsent_bytes": self.unsent_bytes}
+        _LOGGER.info("peer: links are closing.", extra=extra)
+        for link in links:
+            link.close()
+        try:
+            async with asyncio.timeout(timeout_s):
+                for link in links:
+                    await link.ended.wait()
+        except TimeoutError:
+            _LOGGER.warning(
+                "peer: links are aborted, since their peers read too slowly.",
+                extra={
+                    "links": sum(not link.ended.is_set() for link in links),
+                    "unsent_bytes": self.unsent_bytes,
+                },
+            )
+        finally:
+            for link in links:
+                link.abort()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes on all links that wait here to be sent."""
+        return sum(link.unsent_bytes for link in self._all_links())
+
     def set_wanted_links(self, peers: frozenset[PeerAddress]) -> None:
-        """Set the peers to keep links to; close the links to all others."""
+        """
+        Set the peers to keep links to.
+
+        Links to all others close when their requests in flight have ended.
+        """
+        if self._closing:
+            return
         for unwanted in self._tasks_by_peer.keys() - peers:
             self._tasks_by_peer.pop(unwanted).cancel()
             link = self._links_by_peer.pop(unwanted, None)
-            if link is not None:
-                link.abort()
+            if link is not None and not link.ended.is_set():
+                self._retired.add(link)
+                link.retire()
         loop = asyncio.get_running_loop()
         for peer in peers - self._tasks_by_peer.keys():
             self._tasks_by_peer[peer] = loop.create_task(self._maintain_link(peer))
@@ -111,18 +154,44 @@
         self, peer: PeerAddress, message: Any, *, timeout_s: float
     ) -> Any:
         """Send a request to a peer and return its reply or a PeerFailure."""
+        if self._interrupted:
+            return PeerFailure(PeerProblem.NOT_SENT, "daemon is shutting down")
         link = self._links_by_peer.get(peer)
         if link is None:
             return PeerFailure(PeerProblem.NOT_SENT, "no link")
         return await link.request(message, timeout_s=timeout_s)
 
+    def interrupt_requests(self) -> None:
+        """
+        End all requests in flight as INTERRUPTED, and send no further ones.
+
+        The peers are told to cancel them. Replies that have arrived are still returned.
+        """
+        self._interrupted = True
+        for link in self._opened_links():
+            link.interrupt_requests()
+
     def broadcast_note(self) -> None:
-        """Send a note on every opened link now."""
+        """Send a note on every link now, also to peers that only link to this one."""
         note = self._note()
         encoded = encode_note(note)
-        for link in self._links_by_peer.values():
+        for link in self._all_links():
             link.send_note(note, encoded)
 
+    def _stop_connecting(self) -> None:
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks_by_peer.values():
+            task.cancel()
+        self._tasks_by_peer.clear()
+
+    def _all_links(self) -> tuple[Link, ...]:
+        return (*self._opened_links(), *self._accepted)
+
+    def _opened_links(self) -> tuple[Link, ...]:
+        return (*self._links_by_peer.values(), *self._retired)
+
     def _set_suspect(self, link: Link, suspect: bool) -> None:
         if suspect is not link.suspect:
             link.suspect = suspect
@@ -144,24 +213,16 @@
     async def _maintain_link(self, peer: PeerAddress) -> None:
         """Connect to the peer, and reconnect after a failure, until cancelled."""
         loop = asyncio.get_running_loop()
-        while True:
-            ended = asyncio.Event()
 
-            def on_end(_link: Link, ended: asyncio.Event = ended) -> None:
-                ended.set()
-
-            def on_status(status: Any) -> None:
-                self._on_status(peer, status)
+        def make_link() -> Link:
+            return self._make_link(
+                partial(self._on_status, peer), self._retired.discard
+            )
 
+        while True:
             try:
                 _, link = await asyncio.wait_for(
-                    loop.create_connection(
-                        lambda on_end=on_end: self._make_link(  # type: ignore[misc]
-                            on_status, on_end
-                        ),
-                        peer.host,
-                        peer.port,
-                    ),
+                    loop.create_connection(make_link, peer.host, peer.port),
                     CONNECT_TIMEOUT_S,
                 )
             except (OSError, TimeoutError):
@@ -172,7 +233,7 @@
             note = self._note()
             link.send_note(note, encode_note(note))
             _LOGGER.info("peer: link is up.", extra={"peer": str(peer)})
-            await ended.wait()
+            await link.ended.wait()
             if self._links_by_peer.get(peer) is link:
                 del self._links_by_peer[peer]
             self._on_links_change()
@@ -189,14 +250,14 @@
             due_at = now + NOTE_INTERVAL_S
             note = self._note()
             encoded = encode_note(note)
-            for link in (*self._links_by_peer.values(), *self._accepted):
+            for link in self._all_links():
                 if was_suspended:
                     # This process was suspended; the peer may still be alive.
                     link.last_received_at = now
                 if now - link.last_received_at > LINK_TIMEOUT_S:
                     link.abort()
             all_links = round_number % MAX_NOTE_ROUNDS == 0
-            for link in self._links_by_peer.values():
+            for link in self._opened_links():
                 self._set_suspect(link, now - link.last_received_at > SUSPECT_AFTER_S)
                 if all_links or now - link.last_received_at > QUIET_AFTER_S:
                     link.send_note(note, encoded)
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -61,6 +61,7 @@
 
     `last_received_at` is the monotonic time of the last received bytes. PeerLinks sets
     `suspect` after SUSPECT_AFTER_S without any; new requests avoid a suspect link.
+    `ended` is set when the connection is lost.
     """
 
     def __init__(self, handlers: LinkHandlers) -> None:
@@ -73,13 +74,25 @@
         self._received_note: Any = None
         self._sent_note: Any = None
         self._peer_sends_status = False
+        self._closing = False
+        self._retired = False
+        self.ended = asyncio.Event()
         self.last_received_at = monotonic_s()
         self.suspect = False
 
     @property
     def open(self) -> bool:
         """Return whether frames can be sent."""
-        return self._transport is not None and not self._transport.is_closing()
+        transport = self._transport
+        return (
+            transport is not None and not self._closing and not transport.is_closing()
+        )
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that wait in this process to be sent."""
+        transport = self._transport
+        return transport.get_write_buffer_size() if transport is not None else 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its TCP options."""
@@ -98,6 +111,7 @@
         for task in self._running.values():
             task.cancel()
         self._running.clear()
+        self.ended.set()
         self._handlers.on_end(self)
 
     def data_received(self, data: bytes) -> None:
@@ -125,7 +139,9 @@
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Any] = loop.create_future()
         self._pending[number] = future
-        timer = loop.call_later(timeout_s, self._on_timeout, number)
+        timer = loop.call_later(
+            timeout_s, self._fail_and_cancel, number, PeerProblem.TIMEOUT
+        )
         self._transport.write(encode(FrameKind.REQUEST, number, pack(message)))
         try:
             return await future
@@ -135,6 +151,12 @@
         finally:
             timer.cancel()
             self._pending.pop(number, None)
+            self._close_if_retired()
+
+    def interrupt_requests(self) -> None:
+        """End the requests in flight as INTERRUPTED, and cancel them at the peer."""
+        for number in tuple(self._pending):
+            self._fail_and_cancel(number, PeerProblem.INTERRUPTED)
 
     def send_note(self, note: Any, encoded: bytes) -> None:
         """Send a note and its form by `encode_note`, or a pulse if it is unchanged."""
@@ -144,26 +166,41 @@
         self._transport.write(PULSE if unchanged else encoded)
         self._sent_note = note
 
+    def close(self) -> None:
+        """
+        Send what is buffered and then the end of the stream; start no more handlers.
+
+        The connection ends when the peer has read everything and closes it, too.
+        """
+        if self.open and self._transport is not None:
+            self._closing = True
+            self._transport.write_eof()
+
+    def retire(self) -> None:
+        """Close when the requests in flight have ended; the caller sends no more."""
+        self._retired = True
+        self._close_if_retired()
+
     def abort(self) -> None:
         """Close the connection without flushing."""
         if self._transport is not None:
             self._transport.abort()
 
+    def _close_if_retired(self) -> None:
+        if self._retired and not self._pending:
+            self.close()
+
     def _congested(self) -> bool:
-        transport = self._transport
-        return (
-            transport is not None
-            and transport.get_write_buffer_size() > MAX_UNREAD_BYTES
-        )
+        return self.unsent_bytes > MAX_UNREAD_BYTES
 
-    def _on_timeout(self, number: int) -> None:
+    def _fail_and_cancel(self, number: int, problem: PeerProblem) -> None:
         future = self._pending.get(number)
         if future is not None and not future.done():
             self._write_frame(FrameKind.CANCEL, number)
-            future.set_result(PeerFailure(PeerProblem.TIMEOUT))
+            future.set_result(PeerFailure(problem))
 
     def _write_frame(self, kind: FrameKind, number: int, payload: bytes = b"") -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if self.open and self._transport is not None:
             self._transport.write(encode(kind, number, payload))
 
     def _handle_frame(self, frame: Frame) -> None:
@@ -213,6 +250,8 @@
             future.set_result(outcome)
 
     def _start_handler(self, number: int, message: Any) -> None:
+        if not self.open:
+            return
         if len(self._running) >= MAX_RUNNING_REQUESTS or self._congested():
             self._write_frame(FrameKind.REJECTED, number)
             return
--- a/damaskbay/core/lifetime.py
+++ b/damaskbay/core/lifetime.py
@@ -20,6 +20,12 @@
 EXIT_MARGIN_S = 0.6
 """Margin for the end of the process before the platform kills it, seconds."""
 
+LINKS_CLOSE_S = 1.0
+"""Limit of the wait for peers that read slowly while links close, seconds."""
+
+MIN_LINKS_CLOSE_S = 0.1
+"""Time to close links after a stop that used all of its time, seconds."""
+
 
 @dataclass(frozen=True, slots=True)
 class StopPlan:
@@ -51,6 +57,11 @@
     )
 
 
+def links_close_timeout_s(plan: StopPlan, now: float) -> float:
+    """Return how long links to peers may take to close at the end of a stop."""
+    return max(MIN_LINKS_CLOSE_S, min(LINKS_CLOSE_S, plan.exits_at - now))
+
+
 @dataclass(slots=True)
 class Lifetime:
     """
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -13,7 +13,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
-from damaskbay.core.lifetime import Lifetime
+from damaskbay.core.lifetime import Lifetime, links_close_timeout_s
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
 from damaskbay.core.response_memory import ResponseMemory
@@ -199,6 +199,9 @@
             plan = self._lifetime.plan
             assert plan is not None
             await stop.run(plan)
+            await self._links.close(
+                timeout_s=links_close_timeout_s(plan, monotonic_s())
+            )
             self._lifetime.ended = True
         for task in self._tasks:
             task.cancel()
