Move the parsing of requests out of the HTTP server

RequestParser reads requests and passes complete ones on. No behaviour changes: tests.adapters.http1.* , tests.mesh.test_stopping and tests.mesh.test_fleet: 50 passed.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -5,19 +5,18 @@
 import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from types import TracebackType
 from typing import Self, cast
 
-import httptools
-
 from damaskbay.adapters.http1.const import (
     MAX_PIPELINED_REQUESTS,
     MAX_UNREAD_BYTES,
     TIMEOUT_CHECK_INTERVAL_S,
     WRITE_STALL_TIMEOUT_S,
 )
-from damaskbay.adapters.http1.names import decode_header_name
+from damaskbay.adapters.http1.exceptions import BadRequestError
+from damaskbay.adapters.http1.request_parser import RequestParser
 from damaskbay.adapters.http1.sockets import listen
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Request, Response
@@ -53,48 +52,25 @@
     encoded_response: bytes | None = None
 
 
-@dataclass(slots=True)
-class _PartialRequest:
-    """The request that is being parsed."""
-
-    target: bytes = b""
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    host: str = ""
-    expects_continue: bool = False
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
-
-
-class _BadRequestError(Exception):
-    """An invalid request; `status` is the status of the response."""
-
-    def __init__(self, status: http.HTTPStatus) -> None:
-        super().__init__(status.phrase)
-        self.status = status
-
-
 class ServerConnection(asyncio.Protocol):
     """Connection of one caller."""
 
     def __init__(self, server: "HttpServer") -> None:
         self._server = server
-        self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._exchanges: deque[_Exchange] = deque()
-        self._partial = _PartialRequest()
-        self._header_bytes = 0
-        self._in_headers = False
         self._closing = False
         self._reading_paused = False
         self._unread_bytes = 0
         self._write_paused_since: float | None = None
         self._error_status: http.HTTPStatus | None = None
-        self._started_at = self._last_active_at = monotonic_s()
+        self._last_active_at = monotonic_s()
+        self._parser = RequestParser(self, self._last_active_at)
 
     @property
     def idle(self) -> bool:
         """Return whether no request is being read or served."""
-        return not self._exchanges and not self._in_headers and not self._partial.target
+        return not self._exchanges and not self._parser.in_request
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
@@ -117,18 +93,9 @@
         if self._closing:
             return
         try:
-            self._parser.feed_data(data)
-            self._count_header_bytes(len(data))
-        except _BadRequestError as error:
+            self._parser.feed(data, self._server.limits, self._last_active_at)
+        except BadRequestError as error:
             self._reject(error.status)
-        except httptools.HttpParserUpgrade:
-            self._reject(http.HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, _BadRequestError):
-                self._reject(cause.status)
-            else:
-                self._reject(http.HTTPStatus.BAD_REQUEST)
 
     def pause_writing(self) -> None:
         """Record that the write buffer is full: the caller reads too slowly."""
@@ -139,57 +106,17 @@
         self._write_paused_since = None
         self._flush()
 
-    def on_message_begin(self) -> None:
-        """Start parsing a request."""
-        self._partial = _PartialRequest()
-        self._in_headers = True
-        self._started_at = self._last_active_at
-
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the request target."""
-        self._partial.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        partial = self._partial
-        name_as_sent, lower = decode_header_name(name)
-        text = value.decode("latin-1")
-        partial.headers.append((name_as_sent, text))
-        if lower == "host":
-            partial.host = partial.host or text
-        elif lower == "expect" and text.lower() == "100-continue":
-            partial.expects_continue = True
-
-    def on_headers_complete(self) -> None:
-        """Send 100 Continue if the caller waits for it."""
-        self._in_headers = False
-        self._header_bytes = 0
-        expects_continue = self._partial.expects_continue
-        if expects_continue and not self._exchanges and self._transport is not None:
+    def handle_expect_continue(self) -> None:
+        """Send 100 Continue, unless responses to earlier requests come first."""
+        if not self._exchanges and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body(self, body: bytes) -> None:
-        """Store a part of the body; reject the request above the size limit."""
-        self._partial.body_bytes += len(body)
-        if self._partial.body_bytes > self._server.limits.max_body_bytes:
-            raise _BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        self._partial.body.append(body)
-
-    def on_message_complete(self) -> None:
+    def handle_request(self, request: Request, *, keep_alive: bool) -> None:
         """Start serving a complete request."""
-        partial = self._partial
-        self._partial = _PartialRequest()
         if self._closing:
             return
-        request = Request(
-            self._parser.get_method().decode("ascii"),
-            partial.host,
-            partial.target.decode("latin-1"),
-            tuple(partial.headers),
-            b"".join(partial.body),
-        )
         arrival = ReceivedRequest(request, self._last_active_at)
-        exchange = _Exchange(arrival, self._parser.should_keep_alive())
+        exchange = _Exchange(arrival, keep_alive)
         self._exchanges.append(exchange)
         exchange.task = asyncio.get_running_loop().create_task(self._serve(exchange))
         self._apply_backpressure()
@@ -203,7 +130,9 @@
             now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
         ):
             self._transport.abort()
-        elif self._in_headers and now - self._started_at > limits.header_timeout_s:
+        elif self._parser.in_headers and (
+            now - self._parser.started_at > limits.header_timeout_s
+        ):
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
         elif self.idle and now - self._last_active_at > limits.idle_timeout_s:
             self._transport.close()
@@ -293,14 +222,6 @@
         else:
             self._transport.resume_reading()
 
-    def _count_header_bytes(self, count: int) -> None:
-        """Reject headers that exceed the size limit."""
-        if not self._in_headers:
-            return
-        self._header_bytes += count
-        if self._header_bytes > self._server.limits.max_header_bytes:
-            raise _BadRequestError(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
 
 class HttpServer:
     """
