Wait for responses that are still being sent before the server ends

What callers saw: a truncated response if they read slowly while the daemon stopped. Cause: a response that was passed to the transport counted as delivered. Its connection was idle and not in flight, so the graceful stop ended, and the end of the event loop dropped the bytes in the transport's buffer.

Evidence, tests.adapters.http1.test_closing on the code before, under uvloop: assert received.endswith(BODY), f"{len(received)} bytes" AssertionError: 3588096 bytes (of 16 MiB), and the same connection was not counted: assert server.in_flight == 1 AssertionError Why the fix works: a connection is idle once the kernel has taken all bytes of its responses, also one that is closing, so in_flight covers it and the stop waits for it. Leaving the server's context waits up to close_timeout_s, and logs what it cuts off.

--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -14,6 +14,12 @@
 WRITE_STALL_TIMEOUT_S: Final = 15.0
 """Seconds without write progress before a connection is aborted, to free its buffer."""
 
+CLOSE_TIMEOUT_S: Final = 0.2
+"""Seconds that the close of a server waits until complete responses are sent."""
+
+FLUSH_POLL_S: Final = 0.02
+"""Seconds between checks whether complete responses are sent."""
+
 LISTEN_BACKLOG: Final = 1024
 """
 Maximum number of connections that wait to be accepted.
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -10,6 +10,8 @@
 from typing import Self, cast
 
 from damaskbay.adapters.http1.const import (
+    CLOSE_TIMEOUT_S,
+    FLUSH_POLL_S,
     MAX_PIPELINED_REQUESTS,
     MAX_UNREAD_BYTES,
     TIMEOUT_CHECK_INTERVAL_S,
@@ -69,8 +71,20 @@
 
     @property
     def idle(self) -> bool:
-        """Return whether no request is being read or served."""
-        return not self._exchanges and not self._parser.in_request
+        """Return whether no request is being read or served and all bytes are sent."""
+        return (
+            not self._exchanges
+            and not self._parser.in_request
+            and not self.unsent_bytes
+        )
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of complete responses that the kernel has not taken yet."""
+        if self._transport is None:
+            return 0
+        waiting = (exchange.encoded_response or b"" for exchange in self._exchanges)
+        return self._transport.get_write_buffer_size() + sum(map(len, waiting))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
@@ -228,7 +242,8 @@
     HTTP server on one address; an async context manager.
 
     While `draining` is set, each connection closes after its next response.
-    `memory` counts the response bytes that callers have not read yet.
+    `memory` counts the response bytes that callers have not read yet. Leaving the
+    context waits up to `close_timeout_s` seconds until complete responses are sent.
     """
 
     def __init__(
@@ -243,6 +258,7 @@
         self.limits = limits
         self.memory = memory
         self.draining = False
+        self.close_timeout_s = CLOSE_TIMEOUT_S
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task[None] | None = None
@@ -264,12 +280,19 @@
             self._timeout_task.cancel()
         self.stop_listening()
         self.close_idle()
+        await self._flush()
+        self.close_idle()
 
     @property
     def in_flight(self) -> int:
-        """Return the number of connections with a request in flight."""
+        """Return the number of connections with a request or response in flight."""
         return sum(1 for connection in self.connections if not connection.idle)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of complete responses that the kernel has not taken yet."""
+        return sum(connection.unsent_bytes for connection in self.connections)
+
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones continue."""
         if self._server is not None:
@@ -280,6 +303,22 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
+    async def _flush(self) -> None:
+        """Wait until all complete responses are sent; log what exceeds the timeout."""
+        ends_at = monotonic_s() + self.close_timeout_s
+        while self.unsent_bytes:
+            if monotonic_s() >= ends_at:
+                _LOGGER.warning(
+                    "edge: responses are cut off by the close.",
+                    extra={
+                        "address": str(self.address),
+                        "callers": self.in_flight,
+                        "unsent_bytes": self.unsent_bytes,
+                    },
+                )
+                return
+            await asyncio.sleep(FLUSH_POLL_S)
+
     async def _check_timeouts(self) -> None:
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
