Close a draining connection after its last request, cut none that was started

What callers saw: with several requests pipelined on a connection while the daemon began to drain, one response with Connection: close and then the end. Callers send what follows such a response again, whatever its kind, though it had been passed on. Cause: pipelined requests are started as they are read, but draining closed the connection after its next response and cancelled the requests behind it.

Evidence, tests.adapters.http1.test_pipelining on the code before: test_draining_cuts_no_pipelined_request_that_has_started, the first response: assert await _read_response(reader) == ("/a", False) AssertionError also test_a_request_read_before_the_close_is_announced_is_answered and test_a_malformed_request_behind_others_cuts_none_while_draining. Why the fix works: whether a response closes is decided when it is written. The close is announced once no started request is left, and nothing that is read later is started, so a repeated request cannot have run.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -19,6 +19,7 @@
 )
 from damaskbay.adapters.http1.exceptions import BadRequestError
 from damaskbay.adapters.http1.request_parser import RequestParser
+from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
 from damaskbay.adapters.http1.sockets import listen
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Request, Response
@@ -28,9 +29,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
-_PHRASES = {int(status): status.phrase for status in http.HTTPStatus}
-
 
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
@@ -46,12 +44,17 @@
 
 @dataclass(slots=True, eq=False)
 class _Exchange:
-    """A request of a connection with its encoded response, once available."""
+    """A request of a connection with its response, once available."""
 
     arrival: ReceivedRequest
     keep_alive: bool
     task: "asyncio.Task[None] | None" = None
-    encoded_response: bytes | None = None
+    response: EncodedResponse | None = None
+
+    @property
+    def response_bytes(self) -> int:
+        """Return the size of the response, 0 before it is available."""
+        return self.response.size_bytes if self.response is not None else 0
 
 
 class ServerConnection(asyncio.Protocol):
@@ -83,8 +86,8 @@
         """Return the bytes of complete responses that the kernel has not taken yet."""
         if self._transport is None:
             return 0
-        waiting = (exchange.encoded_response or b"" for exchange in self._exchanges)
-        return self._transport.get_write_buffer_size() + sum(map(len, waiting))
+        waiting = sum(exchange.response_bytes for exchange in self._exchanges)
+        return self._transport.get_write_buffer_size() + waiting
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
@@ -163,24 +166,21 @@
         except Exception:
             _LOGGER.exception("edge: handler failed.")
             response = Response(int(http.HTTPStatus.INTERNAL_SERVER_ERROR))
-        keep_alive = exchange.keep_alive and not self._server.draining
-        exchange.keep_alive = keep_alive
-        exchange.encoded_response = encode_response(
-            response, arrival.request.method, keep_alive
-        )
+        exchange.response = encode_response(response, arrival.request.method)
         if self._transport is not None:
-            self._count_unread(len(exchange.encoded_response))
+            self._count_unread(exchange.response_bytes)
         self._flush()
 
     def _flush(self) -> None:
         """Write the responses that are next in order."""
-        while self._exchanges and self._exchanges[0].encoded_response is not None:
+        while self._exchanges and (response := self._exchanges[0].response) is not None:
             if self._transport is None or self._write_paused_since is not None:
                 return
             exchange = self._exchanges.popleft()
             self._last_active_at = monotonic_s()
-            self._transport.write(exchange.encoded_response or b"")
-            if not exchange.keep_alive:
+            keep_alive = exchange.keep_alive and not self._should_announce_close()
+            self._transport.write(response.to_bytes(keep_alive=keep_alive))
+            if not keep_alive:
                 self._close_after_response()
                 return
         if not self._exchanges and self._error_status is not None:
@@ -188,11 +188,21 @@
         self._count_written()
         self._apply_backpressure()
 
+    def _should_announce_close(self) -> bool:
+        """
+        Return whether the next response announces the close of the connection.
+
+        A caller repeats requests that it sent behind a response that announces the
+        close, so all requests that were started have to be answered before.
+        """
+        answered = not self._exchanges and self._error_status is None
+        return self._server.draining and answered
+
     def _count_written(self) -> None:
         """Release the memory of written responses, unless the caller reads slowly."""
         if self._write_paused_since is None:
-            waiting = (exchange.encoded_response or b"" for exchange in self._exchanges)
-            self._count_unread(sum(map(len, waiting)) - self._unread_bytes)
+            waiting = sum(exchange.response_bytes for exchange in self._exchanges)
+            self._count_unread(waiting - self._unread_bytes)
 
     def _count_unread(self, change: int) -> None:
         self._unread_bytes += change
@@ -200,12 +210,8 @@
             self._server.memory.add(change)
 
     def _close_after_response(self) -> None:
-        """Close after the last response; cancel the requests pipelined behind it."""
+        """Close after the last response; what is read from now on starts nothing."""
         self._closing = True
-        for exchange in self._exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self._exchanges.clear()
         if self._transport is not None:
             self._transport.close()
 
@@ -219,7 +225,8 @@
             "edge: request is invalid.",
             extra={"status": int(status), "why": "malformed"},
         )
-        self._transport.write(encode_response(Response(int(status)), "GET", False))
+        response = encode_response(Response(int(status)), "GET")
+        self._transport.write(response.to_bytes(keep_alive=False))
         self._transport.close()
 
     def _apply_backpressure(self) -> None:
@@ -241,9 +248,10 @@
     """
     HTTP server on one address; an async context manager.
 
-    While `draining` is set, each connection closes after its next response.
-    `memory` counts the response bytes that callers have not read yet. Leaving the
-    context waits up to `close_timeout_s` seconds until complete responses are sent.
+    While `draining` is set, each connection closes after the response to the last
+    request that was read. `memory` counts the response bytes that callers have not
+    read yet. Leaving the context waits up to `close_timeout_s` seconds until complete
+    responses are sent.
     """
 
     def __init__(
@@ -325,17 +333,3 @@
             now = monotonic_s()
             for connection in tuple(self.connections):
                 connection.close_if_timed_out(now)
-
-
-def encode_response(response: Response, method: str, keep_alive: bool) -> bytes:
-    """Encode a response, adding Content-Length; its headers must lack it."""
-    no_body = method == "HEAD" or response.status in _STATUSES_WITHOUT_BODY
-    phrase = _PHRASES.get(response.status, "Unknown")
-    lines = [f"HTTP/1.1 {response.status} {phrase}"]
-    lines += [f"{name}: {value}" for name, value in response.headers]
-    if response.status not in _STATUSES_WITHOUT_BODY:
-        lines.append(f"Content-Length: {len(response.body)}")
-    if not keep_alive:
-        lines.append("Connection: close")
-    head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
-    return head if no_body else head + response.body
