Leave a new connection time for its first request while draining

What callers saw: a connection that closed just after it was accepted, before the first request on it arrived; each such attempt is wasted. Cause: a connection without any request counted as idle from its first moment, and a draining daemon closes idle connections every 50 ms.

Evidence, tests.adapters.http1.test_closing on the code before, test_a_new_connection_may_send_its_first_request_while_draining: assert server.in_flight == 1 AssertionError Why the fix works: a new connection counts as idle only after FIRST_REQUEST_WAIT_S. The graceful stop waits for it as for a call, up to its own end; leaving the server closes it at once.

--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -17,6 +17,9 @@
 CLOSE_TIMEOUT_S: Final = 0.2
 """Seconds that the close of a server waits until complete responses are sent."""
 
+FIRST_REQUEST_WAIT_S: Final = 0.25
+"""Seconds after which a new connection without a request counts as idle."""
+
 FLUSH_POLL_S: Final = 0.02
 """Seconds between checks whether complete responses are sent."""
 
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -11,6 +11,7 @@
 
 from damaskbay.adapters.http1.const import (
     CLOSE_TIMEOUT_S,
+    FIRST_REQUEST_WAIT_S,
     FLUSH_POLL_S,
     MAX_PIPELINED_REQUESTS,
     MAX_UNREAD_BYTES,
@@ -69,17 +70,21 @@
         self._unread_bytes = 0
         self._write_paused_since: float | None = None
         self._error_status: http.HTTPStatus | None = None
+        self._received_any = False
         self._last_active_at = monotonic_s()
         self._parser = RequestParser(self, self._last_active_at)
 
-    @property
-    def idle(self) -> bool:
-        """Return whether no request is being read or served and all bytes are sent."""
-        return (
-            not self._exchanges
-            and not self._parser.in_request
-            and not self.unsent_bytes
-        )
+    def is_idle(
+        self, now: float, first_request_wait_s: float = FIRST_REQUEST_WAIT_S
+    ) -> bool:
+        """
+        Return whether no request is being read or served and all bytes are sent.
+
+        A new connection counts as idle after `first_request_wait_s` seconds.
+        """
+        if self._exchanges or self._parser.in_request or self.unsent_bytes:
+            return False
+        return self._received_any or now - self._last_active_at >= first_request_wait_s
 
     @property
     def unsent_bytes(self) -> int:
@@ -106,6 +111,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, which may hold several requests."""
+        self._received_any = True
         self._last_active_at = monotonic_s()
         if self._closing:
             return
@@ -151,12 +157,12 @@
             now - self._parser.started_at > limits.header_timeout_s
         ):
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
-        elif self.idle and now - self._last_active_at > limits.idle_timeout_s:
+        elif self.is_idle(now) and now - self._last_active_at > limits.idle_timeout_s:
             self._transport.close()
 
-    def close_if_idle(self) -> None:
-        """Close at once if no request is in flight."""
-        if self.idle and self._transport is not None:
+    def close_if_idle(self, now: float, first_request_wait_s: float) -> None:
+        """Close if no request is in flight or about to arrive."""
+        if self._transport is not None and self.is_idle(now, first_request_wait_s):
             self._transport.close()
 
     async def _serve(self, exchange: _Exchange) -> None:
@@ -289,12 +295,13 @@
         self.stop_listening()
         self.close_idle()
         await self._flush()
-        self.close_idle()
+        self.close_idle(first_request_wait_s=0.0)
 
     @property
     def in_flight(self) -> int:
-        """Return the number of connections with a request or response in flight."""
-        return sum(1 for connection in self.connections if not connection.idle)
+        """Return the number of connections that aren't idle."""
+        now = monotonic_s()
+        return sum(1 for connection in self.connections if not connection.is_idle(now))
 
     @property
     def unsent_bytes(self) -> int:
@@ -306,10 +313,15 @@
         if self._server is not None:
             self._server.close()
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in flight."""
+    def close_idle(self, first_request_wait_s: float = FIRST_REQUEST_WAIT_S) -> None:
+        """
+        Close the connections without a request or response in flight.
+
+        New ones are left open for `first_request_wait_s` seconds.
+        """
+        now = monotonic_s()
         for connection in tuple(self.connections):
-            connection.close_if_idle()
+            connection.close_if_idle(now, first_request_wait_s)
 
     async def _flush(self) -> None:
         """Wait until all complete responses are sent; log what exceeds the timeout."""
--- a/tests/adapters/http1/test_closing.py
+++ b/tests/adapters/http1/test_closing.py
@@ -134,6 +134,70 @@
     assert "cut off by the close" in logs.output[0]
 
 
+async def _small_response(_: ReceivedRequest) -> Response:
+    return Response(200, (), b"a")
+
+
+def test_a_new_connection_may_send_its_first_request_while_draining() -> None:
+    """Guards against a first request that crosses the close of its connection."""
+
+    async def run() -> None:
+        async with HttpServer(ADDRESS, _small_response, CallerLimits()) as server:
+            server.draining = True
+            reader, writer = await asyncio.open_connection(
+                server.address.host, server.address.port
+            )
+            async with asyncio.timeout(WAIT_S):
+                while not server.connections:
+                    await asyncio.sleep(0)
+                server.close_idle()
+                await asyncio.sleep(0.02)
+                assert server.in_flight == 1
+                writer.write(REQUEST)
+                assert b"Connection: close" in await reader.readuntil(b"\r\n\r\n")
+                assert await reader.read() == b"a"
+            writer.close()
+
+    uvloop.run(run())
+
+
+def test_a_new_connection_without_a_request_is_closed_while_draining() -> None:
+    """A caller that connects and sends nothing does not delay the close for long."""
+
+    async def run() -> None:
+        async with HttpServer(ADDRESS, _small_response, CallerLimits()) as server:
+            server.draining = True
+            reader, writer = await asyncio.open_connection(
+                server.address.host, server.address.port
+            )
+            async with asyncio.timeout(WAIT_S):
+                while server.connections or not reader.at_eof():
+                    server.close_idle()
+                    await asyncio.sleep(0.02)
+            assert not server.in_flight
+            writer.close()
+
+    uvloop.run(run())
+
+
+def test_leaving_the_server_closes_new_connections() -> None:
+    """A connection without a request ends with its server."""
+
+    async def run() -> None:
+        async with HttpServer(ADDRESS, _small_response, CallerLimits()) as server:
+            reader, writer = await asyncio.open_connection(
+                server.address.host, server.address.port
+            )
+            while not server.connections:
+                await asyncio.sleep(0)
+        async with asyncio.timeout(WAIT_S):
+            assert await reader.read() == b""
+        assert not server.connections
+        writer.close()
+
+    uvloop.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
