--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -5,19 +5,22 @@
 import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from types import TracebackType
 from typing import Self, cast
 
-import httptools
-
 from damaskbay.adapters.http1.const import (
+    CLOSE_TIMEOUT_S,
+    FIRST_REQUEST_WAIT_S,
+    FLUSH_POLL_S,
     MAX_PIPELINED_REQUESTS,
     MAX_UNREAD_BYTES,
     TIMEOUT_CHECK_INTERVAL_S,
     WRITE_STALL_TIMEOUT_S,
 )
-from damaskbay.adapters.http1.names import decode_header_name
+from damaskbay.adapters.http1.exceptions import BadRequestError
+from damaskbay.adapters.http1.request_parser import RequestParser
+from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
 from damaskbay.adapters.http1.sockets import listen
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Request, Response
@@ -27,9 +30,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
-_PHRASES = {int(status): status.phrase for status in http.HTTPStatus}
-
 
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
@@ -45,32 +45,17 @@
 
 @dataclass(slots=True, eq=False)
 class _Exchange:
-    """A request of a connection with its encoded response, once available."""
+    """A request of a connection with its response, once available."""
 
     arrival: ReceivedRequest
     keep_alive: bool
     task: "asyncio.Task[None] | None" = None
-    encoded_response: bytes | None = None
-
-
-@dataclass(slots=True)
-class _PartialRequest:
-    """The request that is being parsed."""
+    response: EncodedResponse | None = None
 
-    target: bytes = b""
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    host: str = ""
-    expects_continue: bool = False
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
-
-
-class _BadRequestError(Exception):
-    """An invalid request; `status` is the status of the response."""
-
-    def __init__(self, status: http.HTTPStatus) -> None:
-        super().__init__(status.phrase)
-        self.status = status
+    @property
+    def response_bytes(self) -> int:
+        """Return the size of the response, 0 before it is available."""
+        return self.response.size_bytes if self.response is not None else 0
 
 
 class ServerConnection(asyncio.Protocol):
@@ -78,23 +63,36 @@
 
     def __init__(self, server: "HttpServer") -> None:
         self._server = server
-        self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._exchanges: deque[_Exchange] = deque()
-        self._partial = _PartialRequest()
-        self._header_bytes = 0
-        self._in_headers = False
         self._closing = False
         self._reading_paused = False
         self._unread_bytes = 0
         self._write_paused_since: float | None = None
         self._error_status: http.HTTPStatus | None = None
-        self._started_at = self._last_active_at = monotonic_s()
+        self._received_any = False
+        self._last_active_at = monotonic_s()
+        self._parser = RequestParser(self, self._last_active_at)
+
+    def is_idle(
+        self, now: float, first_request_wait_s: float = FIRST_REQUEST_WAIT_S
+    ) -> bool:
+        """
+        Return whether no request is being read or served and all bytes are sent.
+
+        A new connection counts as idle after `first_request_wait_s` seconds.
+        """
+        if self._exchanges or self._parser.in_request or self.unsent_bytes:
+            return False
+        return self._received_any or now - self._last_active_at >= first_request_wait_s
 
     @property
-    def idle(self) -> bool:
-        """Return whether no request is being read or served."""
-        return not self._exchanges and not self._in_headers and not self._partial.target
+    def unsent_bytes(self) -> int:
+        """Return the bytes of complete responses that the kernel has not taken yet."""
+        if self._transport is None:
+            return 0
+        waiting = sum(exchange.response_bytes for exchange in self._exchanges)
+        return self._transport.get_write_buffer_size() + waiting
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
@@ -113,22 +111,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, which may hold several requests."""
+        self._received_any = True
         self._last_active_at = monotonic_s()
         if self._closing:
             return
         try:
-            self._parser.feed_data(data)
-            self._count_header_bytes(len(data))
-        except _BadRequestError as error:
+            self._parser.feed(data, self._server.limits, self._last_active_at)
+        except BadRequestError as error:
             self._reject(error.status)
-        except httptools.HttpParserUpgrade:
-            self._reject(http.HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, _BadRequestError):
-                self._reject(cause.status)
-            else:
-                self._reject(http.HTTPStatus.BAD_REQUEST)
 
     def pause_writing(self) -> None:
         """Record that the write buffer is full: the caller reads too slowly."""
@@ -139,57 +129,17 @@
         self._write_paused_since = None
         self._flush()
 
-    def on_message_begin(self) -> None:
-        """Start parsing a request."""
-        self._partial = _PartialRequest()
-        self._in_headers = True
-        self._started_at = self._last_active_at
-
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the request target."""
-        self._partial.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        partial = self._partial
-        name_as_sent, lower = decode_header_name(name)
-        text = value.decode("latin-1")
-        partial.headers.append((name_as_sent, text))
-        if lower == "host":
-            partial.host = partial.host or text
-        elif lower == "expect" and text.lower() == "100-continue":
-            partial.expects_continue = True
-
-    def on_headers_complete(self) -> None:
-        """Send 100 Continue if the caller waits for it."""
-        self._in_headers = False
-        self._header_bytes = 0
-        expects_continue = self._partial.expects_continue
-        if expects_continue and not self._exchanges and self._transport is not None:
+    def handle_expect_continue(self) -> None:
+        """Send 100 Continue, unless responses to earlier requests come first."""
+        if not self._exchanges and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body(self, body: bytes) -> None:
-        """Store a part of the body; reject the request above the size limit."""
-        self._partial.body_bytes += len(body)
-        if self._partial.body_bytes > self._server.limits.max_body_bytes:
-            raise _BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        self._partial.body.append(body)
-
-    def on_message_complete(self) -> None:
+    def handle_request(self, request: Request, *, keep_alive: bool) -> None:
         """Start serving a complete request."""
-        partial = self._partial
-        self._partial = _PartialRequest()
         if self._closing:
             return
-        request = Request(
-            self._parser.get_method().decode("ascii"),
-            partial.host,
-            partial.target.decode("latin-1"),
-            tuple(partial.headers),
-            b"".join(partial.body),
-        )
         arrival = ReceivedRequest(request, self._last_active_at)
-        exchange = _Exchange(arrival, self._parser.should_keep_alive())
+        exchange = _Exchange(arrival, keep_alive)
         self._exchanges.append(exchange)
         exchange.task = asyncio.get_running_loop().create_task(self._serve(exchange))
         self._apply_backpressure()
@@ -203,14 +153,16 @@
             now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
         ):
             self._transport.abort()
-        elif self._in_headers and now - self._started_at > limits.header_timeout_s:
+        elif self._parser.in_headers and (
+            now - self._parser.started_at > limits.header_timeout_s
+        ):
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
-        elif self.idle and now - self._last_active_at > limits.idle_timeout_s:
+        elif self.is_idle(now) and now - self._last_active_at > limits.idle_timeout_s:
             self._transport.close()
 
-    def close_if_idle(self) -> None:
-        """Close at once if no request is in flight."""
-        if self.idle and self._transport is not None:
+    def close_if_idle(self, now: float, first_request_wait_s: float) -> None:
+        """Close if no request is in flight or about to arrive."""
+        if self._transport is not None and self.is_idle(now, first_request_wait_s):
             self._transport.close()
 
     async def _serve(self, exchange: _Exchange) -> None:
@@ -220,24 +172,21 @@
         except Exception:
             _LOGGER.exception("edge: handler failed.")
             response = Response(int(http.HTTPStatus.INTERNAL_SERVER_ERROR))
-        keep_alive = exchange.keep_alive and not self._server.draining
-        exchange.keep_alive = keep_alive
-        exchange.encoded_response = encode_response(
-            response, arrival.request.method, keep_alive
-        )
+        exchange.response = encode_response(response, arrival.request.method)
         if self._transport is not None:
-            self._count_unread(len(exchange.encoded_response))
+            self._count_unread(exchange.response_bytes)
         self._flush()
 
     def _flush(self) -> None:
         """Write the responses that are next in order."""
-        while self._exchanges and self._exchanges[0].encoded_response is not None:
+        while self._exchanges and (response := self._exchanges[0].response) is not None:
             if self._transport is None or self._write_paused_since is not None:
                 return
             exchange = self._exchanges.popleft()
             self._last_active_at = monotonic_s()
-            self._transport.write(exchange.encoded_response or b"")
-            if not exchange.keep_alive:
+            keep_alive = exchange.keep_alive and not self._should_announce_close()
+            self._transport.write(response.to_bytes(keep_alive=keep_alive))
+            if not keep_alive:
                 self._close_after_response()
                 return
         if not self._exchanges and self._error_status is not None:
@@ -245,11 +194,21 @@
         self._count_written()
         self._apply_backpressure()
 
+    def _should_announce_close(self) -> bool:
+        """
+        Return whether the next response announces the close of the connection.
+
+        A caller repeats requests that it sent behind a response that announces the
+        close, so all requests that were started have to be answered before.
+        """
+        answered = not self._exchanges and self._error_status is None
+        return self._server.draining and answered
+
     def _count_written(self) -> None:
         """Release the memory of written responses, unless the caller reads slowly."""
         if self._write_paused_since is None:
-            waiting = (exchange.encoded_response or b"" for exchange in self._exchanges)
-            self._count_unread(sum(map(len, waiting)) - self._unread_bytes)
+            waiting = sum(exchange.response_bytes for exchange in self._exchanges)
+            self._count_unread(waiting - self._unread_bytes)
 
     def _count_unread(self, change: int) -> None:
         self._unread_bytes += change
@@ -257,12 +216,8 @@
             self._server.memory.add(change)
 
     def _close_after_response(self) -> None:
-        """Close after the last response; cancel the requests pipelined behind it."""
+        """Close after the last response; what is read from now on starts nothing."""
         self._closing = True
-        for exchange in self._exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self._exchanges.clear()
         if self._transport is not None:
             self._transport.close()
 
@@ -276,7 +231,8 @@
             "edge: request is invalid.",
             extra={"status": int(status), "why": "malformed"},
         )
-        self._transport.write(encode_response(Response(int(status)), "GET", False))
+        response = encode_response(Response(int(status)), "GET")
+        self._transport.write(response.to_bytes(keep_alive=False))
         self._transport.close()
 
     def _apply_backpressure(self) -> None:
@@ -293,21 +249,15 @@
         else:
             self._transport.resume_reading()
 
-    def _count_header_bytes(self, count: int) -> None:
-        """Reject headers that exceed the size limit."""
-        if not self._in_headers:
-            return
-        self._header_bytes += count
-        if self._header_bytes > self._server.limits.max_header_bytes:
-            raise _BadRequestError(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
 
 class HttpServer:
     """
     HTTP server on one address; an async context manager.
 
-    While `draining` is set, each connection closes after its next response.
-    `memory` counts the response bytes that callers have not read yet.
+    While `draining` is set, each connection closes after the response to the last
+    request that was read. `memory` counts the response bytes that callers have not
+    read yet. Leaving the context waits up to `close_timeout_s` seconds until complete
+    responses are sent.
     """
 
     def __init__(
@@ -322,6 +272,7 @@
         self.limits = limits
         self.memory = memory
         self.draining = False
+        self.close_timeout_s = CLOSE_TIMEOUT_S
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task[None] | None = None
@@ -343,21 +294,50 @@
             self._timeout_task.cancel()
         self.stop_listening()
         self.close_idle()
+        await self._flush()
+        self.close_idle(first_request_wait_s=0.0)
 
     @property
     def in_flight(self) -> int:
-        """Return the number of connections with a request in flight."""
-        return sum(1 for connection in self.connections if not connection.idle)
+        """Return the number of connections that aren't idle."""
+        now = monotonic_s()
+        return sum(1 for connection in self.connections if not connection.is_idle(now))
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of complete responses that the kernel has not taken yet."""
+        return sum(connection.unsent_bytes for connection in self.connections)
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones continue."""
         if self._server is not None:
             self._server.close()
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in flight."""
+    def close_idle(self, first_request_wait_s: float = FIRST_REQUEST_WAIT_S) -> None:
+        """
+        Close the connections without a request or response in flight.
+
+        New ones are left open for `first_request_wait_s` seconds.
+        """
+        now = monotonic_s()
         for connection in tuple(self.connections):
-            connection.close_if_idle()
+            connection.close_if_idle(now, first_request_wait_s)
+
+    async def _flush(self) -> None:
+        """Wait until all complete responses are sent; log what exceeds the timeout."""
+        ends_at = monotonic_s() + self.close_timeout_s
+        while self.unsent_bytes:
+            if monotonic_s() >= ends_at:
+                _LOGGER.warning(
+                    "edge: responses are cut off by the close.",
+                    extra={
+                        "address": str(self.address),
+                        "callers": self.in_flight,
+                        "unsent_bytes": self.unsent_bytes,
+                    },
+                )
+                return
+            await asyncio.sleep(FLUSH_POLL_S)
 
     async def _check_timeouts(self) -> None:
         while True:
@@ -365,17 +345,3 @@
             now = monotonic_s()
             for connection in tuple(self.connections):
                 connection.close_if_timed_out(now)
-
-
-def encode_response(response: Response, method: str, keep_alive: bool) -> bytes:
-    """Encode a response, adding Content-Length; its headers must lack it."""
-    no_body = method == "HEAD" or response.status in _STATUSES_WITHOUT_BODY
-    phrase = _PHRASES.get(response.status, "Unknown")
-    lines = [f"HTTP/1.1 {response.status} {phrase}"]
-    lines += [f"{name}: {value}" for name, value in response.headers]
-    if response.status not in _STATUSES_WITHOUT_BODY:
-        lines.append(f"Content-Length: {len(response.body)}")
-    if not keep_alive:
-        lines.append("Connection: close")
-    head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
-    return head if no_body else head + response.body
