Answer the calls that outlast a leaving daemon before it ends

Cause: the stop waited for calls until its end and then left. What could still be said about them wasn't: a queued call has not run, one at a server may have.

Why it works: before the end the target ends its calls: a queued one as not run, so that its sender tries another server, one at the server as unknown. Requests at peers end as unknown, and the peers are told to cancel them. Then there is time left to send the responses. Nobody tries again at a time at which the answer couldn't be sent any more.

--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -39,6 +39,7 @@
 
 _REASONS_BY_PROBLEM = {
     PeerProblem.TIMEOUT: Reason.DEADLINE_PASSED,
+    PeerProblem.INTERRUPTED: Reason.SHUTTING_DOWN,
 }
 """Reasons for calls that a peer may have run; for other problems the link was lost."""
 
--- a/damaskbay/mesh/stopping.py
+++ b/damaskbay/mesh/stopping.py
@@ -1,4 +1,4 @@
-"""Graceful shutdown: announce it, keep serving, finish running calls."""
+"""Graceful shutdown: announce it, keep serving, finish or interrupt running calls."""
 
 import asyncio
 import logging
@@ -40,6 +40,8 @@
             self.callers.close_idle()
         self.callers.stop_listening()
         await self._wait_for_responses(plan.interrupts_at)
+        if self._has_calls():
+            self._interrupt()
         await self._wait_for_responses(plan.exits_at)
         _LOGGER.info(
             "daemon: graceful stop ends.",
@@ -58,5 +60,17 @@
             await asyncio.sleep(POLL_S)
             self.callers.close_idle()
 
+    def _interrupt(self) -> None:
+        """End the calls that have no result; their callers get a response."""
+        _LOGGER.warning(
+            "daemon: running calls are interrupted.",
+            extra={
+                "callers": self.ingress.in_flight,
+                "at_server": self.target.in_flight,
+            },
+        )
+        self.target.interrupt()
+        self.links.interrupt_requests()
+
     def _has_calls(self) -> bool:
         return bool(self.ingress.in_flight or self.target.in_flight)
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import Any
 
 from damaskbay.adapters.http1.client import (
     HttpClient,
@@ -54,9 +55,11 @@
 
 @dataclass(slots=True, eq=False)
 class _ActiveCall:
-    """A call in the queue or, once `sent`, at the server."""
+    """A call and the task that runs it, in the queue or, once `sent`, at the server."""
 
+    task: "asyncio.Task[Any] | None"
     sent: bool = False
+    interrupted: bool = False
 
 
 class Target:
@@ -80,9 +83,16 @@
         """Return the number of calls in the queue and at the server."""
         return len(self._active_calls)
 
+    def interrupt(self) -> None:
+        """End all calls; their senders get a result that says if they may have run."""
+        for active in tuple(self._active_calls):
+            if active.task is not None:
+                active.interrupted = True
+                active.task.cancel()
+
     async def run(self, context: CallContext, request: Request) -> CallResult:
         """Run a call; cancellation closes its connection to the server."""
-        active = _ActiveCall()
+        active = _ActiveCall(asyncio.current_task())
         self._active_calls.add(active)
         deadline = self._parts.lifetime.limit(context.deadline)
         if deadline < context.deadline:
@@ -90,8 +100,11 @@
         try:
             return await self._run(context, request, active)
         except asyncio.CancelledError:
-            self._log_cancelled(context, active)
-            raise
+            if not active.interrupted or active.task is None:
+                self._log_cancelled(context, active)
+                raise
+            active.task.uncancel()
+            return self._interrupted_result(context, active)
         finally:
             self._active_calls.discard(active)
 
@@ -278,10 +291,22 @@
             )
         return Response(response.status, headers, response.body)
 
+    def _interrupted_result(
+        self, context: CallContext, active: _ActiveCall
+    ) -> CallResult:
+        """Return the result of a call that the daemon's end interrupts."""
+        now = self._parts.clock()
+        if not active.sent:
+            return self._refused_result(context, not_run(Reason.SHUTTING_DOWN), now)
+        self._log_cancelled(context, active)
+        detail = "daemon stopped while the server ran the call"
+        return self._result(unknown(Reason.SHUTTING_DOWN, detail=detail), 1, None)
+
     def _log_cancelled(self, context: CallContext, active: _ActiveCall) -> None:
         """Log a call that its sender cancelled or that the daemon's end cuts."""
         parts = self._parts
-        why = "daemon ends" if parts.lifetime.ended else "sender cancelled"
+        daemon_ends = active.interrupted or parts.lifetime.ended
+        why = "daemon ends" if daemon_ends else "sender cancelled"
         _LOGGER.info(
             "target: call ends without a result.",
             extra={
