Log links that are closed as they receive nothing, and what is lost with them

A daemon wrote "link is lost" for the links that it had opened, whatever the reason, and nothing for accepted ones. The new line tells a timeout from a connection that the peer has closed, and how many requests and handlers end with it.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -192,6 +192,19 @@
     def _opened_links(self) -> tuple[Link, ...]:
         return (*self._links_by_peer.values(), *self._retired)
 
+    def _abort_silent(self, link: Link, now: float) -> None:
+        _LOGGER.warning(
+            "peer: link has timed out.",
+            extra={
+                "accepted": link in self._accepted,
+                "silent_s": round(now - link.last_received_at, 3),
+                "requests": link.requests_in_flight,
+                "handlers": link.handlers_running,
+                "unsent_bytes": link.unsent_bytes,
+            },
+        )
+        link.abort()
+
     def _set_suspect(self, link: Link, suspect: bool) -> None:
         if suspect is not link.suspect:
             link.suspect = suspect
@@ -255,7 +268,7 @@
                     # This process was suspended; the peer may still be alive.
                     link.last_received_at = now
                 if now - link.last_received_at > LINK_TIMEOUT_S:
-                    link.abort()
+                    self._abort_silent(link, now)
             all_links = round_number % MAX_NOTE_ROUNDS == 0
             for link in self._opened_links():
                 self._set_suspect(link, now - link.last_received_at > SUSPECT_AFTER_S)
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -94,6 +94,16 @@
         transport = self._transport
         return transport.get_write_buffer_size() if transport is not None else 0
 
+    @property
+    def requests_in_flight(self) -> int:
+        """Return the number of requests that wait for a reply of the peer."""
+        return len(self._pending)
+
+    @property
+    def handlers_running(self) -> int:
+        """Return the number of requests of the peer that run here."""
+        return len(self._running)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its TCP options."""
         self._transport = cast("asyncio.Transport", transport)
