Send notes on links that receive but send nothing, before the peer closes them

What callers saw: 502 for calls that ran at a peer, all those of one daemon at once, when replies kept coming on a link while no request went out, as at a daemon that is leaving or during a large response.

Cause: a link counted as quiet only while it received nothing. One that received replies got a note every 2 s; its other end, which hears nothing else, closes it after 1.5 s and cancels the calls that run there.

Fix: a link is quiet, too, if nothing was sent on it, so that either end receives bytes within two note intervals.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -272,5 +272,7 @@
             all_links = round_number % MAX_NOTE_ROUNDS == 0
             for link in self._opened_links():
                 self._set_suspect(link, now - link.last_received_at > SUSPECT_AFTER_S)
-                if all_links or now - link.last_received_at > QUIET_AFTER_S:
+                # Either end closes the link if it receives nothing.
+                last_at = min(link.last_received_at, link.last_sent_at)
+                if all_links or now - last_at > QUIET_AFTER_S:
                     link.send_note(note, encoded)
--- a/damaskbay/adapters/peer_link/const.py
+++ b/damaskbay/adapters/peer_link/const.py
@@ -7,7 +7,7 @@
 
 QUIET_AFTER_S: Final = 0.15
 """
-Seconds without a received byte before a link is quiet.
+Seconds without a received or without a sent byte before a link is quiet.
 
 The sum with NOTE_INTERVAL_S must be less than SUSPECT_AFTER_S: a link that is not yet
 quiet in one round then gets a note in the next round, before it becomes suspect.
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -59,9 +59,10 @@
     """
     One end of a connection.
 
-    `last_received_at` is the monotonic time of the last received bytes. PeerLinks sets
-    `suspect` after SUSPECT_AFTER_S without any; new requests avoid a suspect link.
-    `ended` is set when the connection is lost.
+    `last_received_at` and `last_sent_at` are the monotonic times of the last received
+    and the last written bytes. PeerLinks sets `suspect` after SUSPECT_AFTER_S without
+    received bytes; new requests avoid a suspect link. `ended` is set when the
+    connection is lost.
     """
 
     def __init__(self, handlers: LinkHandlers) -> None:
@@ -77,7 +78,7 @@
         self._closing = False
         self._retired = False
         self.ended = asyncio.Event()
-        self.last_received_at = monotonic_s()
+        self.last_received_at = self.last_sent_at = monotonic_s()
         self.suspect = False
 
     @property
@@ -107,7 +108,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its TCP options."""
         self._transport = cast("asyncio.Transport", transport)
-        self.last_received_at = monotonic_s()
+        self.last_received_at = self.last_sent_at = monotonic_s()
         set_tcp_options(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -140,7 +141,7 @@
 
         On timeout or cancellation the peer gets a CANCEL frame.
         """
-        if not self.open or self._transport is None:
+        if not self.open:
             return PeerFailure(PeerProblem.NOT_SENT, "link is down")
         if self._congested():
             return PeerFailure(PeerProblem.NOT_SENT, "peer reads too slowly")
@@ -152,7 +153,7 @@
         timer = loop.call_later(
             timeout_s, self._fail_and_cancel, number, PeerProblem.TIMEOUT
         )
-        self._transport.write(encode(FrameKind.REQUEST, number, pack(message)))
+        self._write(encode(FrameKind.REQUEST, number, pack(message)))
         try:
             return await future
         except asyncio.CancelledError:
@@ -170,10 +171,10 @@
 
     def send_note(self, note: Any, encoded: bytes) -> None:
         """Send a note and its form by `encode_note`, or a pulse if it is unchanged."""
-        if not self.open or self._transport is None:
+        if not self.open:
             return
         unchanged = self._peer_sends_status and note == self._sent_note
-        self._transport.write(PULSE if unchanged else encoded)
+        self._write(PULSE if unchanged else encoded)
         self._sent_note = note
 
     def close(self) -> None:
@@ -210,8 +211,13 @@
             future.set_result(PeerFailure(problem))
 
     def _write_frame(self, kind: FrameKind, number: int, payload: bytes = b"") -> None:
-        if self.open and self._transport is not None:
-            self._transport.write(encode(kind, number, payload))
+        if self.open:
+            self._write(encode(kind, number, payload))
+
+    def _write(self, data: bytes) -> None:
+        assert self._transport is not None
+        self._transport.write(data)
+        self.last_sent_at = monotonic_s()
 
     def _handle_frame(self, frame: Frame) -> None:
         if frame.kind is FrameKind.CANCEL:
--- a/tests/adapters/peer_link/test_link.py
+++ b/tests/adapters/peer_link/test_link.py
@@ -11,6 +11,8 @@
 from tests.adapters.peer_link.common import (
     NEVER,
     SLOW,
+    STAGGER_S,
+    STAGGERED,
     WAIT_S,
     LinkedDaemon,
     run_pair,
@@ -100,6 +102,18 @@
     run_pair(check)
 
 
+def test_a_link_that_only_receives_replies_is_not_taken_for_broken() -> None:
+    """Guards against: the peer cancels calls, as their caller sends nothing more."""
+
+    async def check(one: LinkedDaemon, two: LinkedDaemon) -> None:
+        count = round((LINK_TIMEOUT_S + 4 * NOTE_INTERVAL_S) / STAGGER_S)
+        requests = [one.request(two, STAGGERED + number) for number in range(count)]
+        for reply in await asyncio.gather(*requests):
+            assert isinstance(reply, ConfigReply), reply
+
+    run_pair(check)
+
+
 def test_a_request_that_gets_no_answer_in_time_ends_and_tells_the_peer() -> None:
     """The sender gets TIMEOUT and the peer's handler is cancelled."""
 
