Wait a moment past a deadline for the response of the server

Callers got our 504 in place of the server's own: both end at the same moment, and ours was a millisecond earlier, with a closed connection to the server. Since calls of a leaving daemon are limited by its end, that would break off a server at work, too. tests.mesh.test_fleet.test_a_servers_own_response_at_the_deadline_reaches_the_caller failed without the wait and passes with it. The wait is shorter than the one of the sending daemon, so the response arrives there in time.

--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -22,7 +22,11 @@
 from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.helpers.http_headers import HeaderFilter
-from damaskbay.mesh.const import NOT_READY_RETRY_S, UNREACHABLE_BACKOFF_S
+from damaskbay.mesh.const import (
+    NOT_READY_RETRY_S,
+    SERVER_REPLY_GRACE_S,
+    UNREACHABLE_BACKOFF_S,
+)
 from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import LocalServer
@@ -233,7 +237,7 @@
             forwarded,
             echo=context.request_id,
             fresh=not reuse_connection,
-            timeout_s=max(0.0, left_s),
+            timeout_s=max(0.0, left_s) + SERVER_REPLY_GRACE_S,
         )
 
     def _handle_failure(self, context: CallContext, failure: HttpFailure) -> Refusal:
--- a/tests/mesh/test_fleet.py
+++ b/tests/mesh/test_fleet.py
@@ -223,6 +223,27 @@
     _run(check, a="one", b="two")
 
 
+def test_a_servers_own_response_at_the_deadline_reaches_the_caller() -> None:
+    """Guards against a response of ours in place of the one of the server."""
+
+    async def check(fleet: Fleet) -> None:
+        async def timed_out(request: Request) -> Response:
+            headers = dict(request.headers)
+            await asyncio.sleep(int(headers["X-Deadline-Ms"]) / 1000.0)
+            own = (
+                ("X-Request-Id", headers["X-Request-Id"]),
+                ("X-Server-Stamp", "stamp"),
+            )
+            return Response(504, own)
+
+        fleet.nodes["a"].backend.override_response = timed_out
+        for node in fleet.nodes.values():
+            answer = await node.request("/safe/", deadline_ms=300)
+            assert (answer.status, _header(answer, "X-Server-Stamp")) == (504, "stamp")
+
+    _run(check, a="one", b="two")
+
+
 def test_a_stop_cuts_no_request() -> None:
     """Requests in flight complete, readiness fails, peers still reach the server."""
 
