--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -41,7 +41,7 @@
 """Time without attempts after the server refused a connection, seconds."""
 
 SERVER_REPLY_GRACE_S: Final = 0.03
-"""Wait past a deadline for the response of the server, which ends work then, seconds."""
+"""Wait past a deadline for the response of the server, which stops then, seconds."""
 
 REPLY_GRACE_S: Final = 0.06
 """Wait past a deadline for the target's reply, which says if the call ran, seconds."""
