Wait for the caller's close after the last response of a connection

What callers saw: a truncated response if they had sent another request behind one that closes the connection, and had not yet received all of its response. Cause: the server closed the socket at once. The kernel resets a connection that is closed with unread bytes, or that receives bytes after the close, and drops what is still in its send buffer.

Evidence, tests.adapters.http1.test_closing on the code before, test_a_request_behind_the_announced_close_destroys_no_response: assert received.endswith(bytes(BUFFERED_BYTES)), f"{len(received)} bytes" AssertionError: 24614 bytes (of 512 KiB). test_a_rejection_reaches_a_caller_that_is_still_sending passed before. Why the fix works: after the last response the server sends only the end of the stream, discards what still arrives, and closes once the caller has closed or after LINGER_TIMEOUT_S. Such a connection is not in flight; leaving the server waits for it within close_timeout_s. A rejection is written once, also if writing resumes later.

--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -23,6 +23,9 @@
 FLUSH_POLL_S: Final = 0.02
 """Seconds between checks whether complete responses are sent."""
 
+LINGER_TIMEOUT_S: Final = 2.0
+"""Seconds after the last response until a connection closes without its caller."""
+
 LISTEN_BACKLOG: Final = 1024
 """
 Maximum number of connections that wait to be accepted.
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -13,6 +13,7 @@
     CLOSE_TIMEOUT_S,
     FIRST_REQUEST_WAIT_S,
     FLUSH_POLL_S,
+    LINGER_TIMEOUT_S,
     MAX_PIPELINED_REQUESTS,
     MAX_UNREAD_BYTES,
     TIMEOUT_CHECK_INTERVAL_S,
@@ -66,6 +67,7 @@
         self._transport: asyncio.Transport | None = None
         self._exchanges: deque[_Exchange] = deque()
         self._closing = False
+        self._ended_at: float | None = None
         self._reading_paused = False
         self._unread_bytes = 0
         self._write_paused_since: float | None = None
@@ -74,17 +76,24 @@
         self._last_active_at = monotonic_s()
         self._parser = RequestParser(self, self._last_active_at)
 
-    def is_idle(
-        self, now: float, first_request_wait_s: float = FIRST_REQUEST_WAIT_S
-    ) -> bool:
+    def is_idle(self, now: float) -> bool:
         """
         Return whether no request is being read or served and all bytes are sent.
 
-        A new connection counts as idle after `first_request_wait_s` seconds.
+        A new connection counts as idle after FIRST_REQUEST_WAIT_S.
         """
-        if self._exchanges or self._parser.in_request or self.unsent_bytes:
+        if self._exchanges or self.unsent_bytes:
             return False
-        return self._received_any or now - self._last_active_at >= first_request_wait_s
+        if self.lingering:
+            return True
+        if self._parser.in_request:
+            return False
+        return self._received_any or now - self._last_active_at >= FIRST_REQUEST_WAIT_S
+
+    @property
+    def lingering(self) -> bool:
+        """Return whether the last response is written and the caller has to close."""
+        return self._ended_at is not None
 
     @property
     def unsent_bytes(self) -> int:
@@ -153,6 +162,11 @@
             now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
         ):
             self._transport.abort()
+        elif self._ended_at is not None:
+            if self.unsent_bytes:
+                self._ended_at = now
+            elif now - self._ended_at > LINGER_TIMEOUT_S:
+                self._transport.close()
         elif self._parser.in_headers and (
             now - self._parser.started_at > limits.header_timeout_s
         ):
@@ -160,9 +174,16 @@
         elif self.is_idle(now) and now - self._last_active_at > limits.idle_timeout_s:
             self._transport.close()
 
-    def close_if_idle(self, now: float, first_request_wait_s: float) -> None:
+    def close_if_idle(self, now: float) -> None:
         """Close if no request is in flight or about to arrive."""
-        if self._transport is not None and self.is_idle(now, first_request_wait_s):
+        if self._transport is None or self.lingering:
+            return
+        if self.is_idle(now):
+            self._transport.close()
+
+    def close_unless_serving(self) -> None:
+        """Close without waiting for the caller, unless a request is in flight."""
+        if self._transport is not None and not self._exchanges:
             self._transport.close()
 
     async def _serve(self, exchange: _Exchange) -> None:
@@ -187,7 +208,7 @@
             keep_alive = exchange.keep_alive and not self._should_announce_close()
             self._transport.write(response.to_bytes(keep_alive=keep_alive))
             if not keep_alive:
-                self._close_after_response()
+                self._end()
                 return
         if not self._exchanges and self._error_status is not None:
             self._reject(self._error_status)
@@ -215,17 +236,33 @@
         if self._server.memory is not None:
             self._server.memory.add(change)
 
-    def _close_after_response(self) -> None:
-        """Close after the last response; what is read from now on starts nothing."""
+    def _end(self) -> None:
+        """
+        Send the end of the connection after the last response; start nothing more.
+
+        The connection closes once the caller has closed it. If it closed at once, the
+        kernel would answer further bytes of the caller with a reset, which destroys
+        what the caller has not received yet.
+        """
         self._closing = True
-        if self._transport is not None:
+        self._ended_at = monotonic_s()
+        if self._transport is None:
+            return
+        try:
+            self._transport.write_eof()
+        except OSError as error:
+            _LOGGER.info("edge: caller has disconnected.", extra={"why": str(error)})
             self._transport.close()
+            return
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
 
     def _reject(self, status: http.HTTPStatus) -> None:
         """Send an error response after the responses to earlier requests, and close."""
         self._closing = True
         self._error_status = status
-        if self._exchanges or self._transport is None:
+        if self._exchanges or self._transport is None or self.lingering:
             return
         _LOGGER.info(
             "edge: request is invalid.",
@@ -233,7 +270,7 @@
         )
         response = encode_response(Response(int(status)), "GET")
         self._transport.write(response.to_bytes(keep_alive=False))
-        self._transport.close()
+        self._end()
 
     def _apply_backpressure(self) -> None:
         """Pause reading while the caller has too many requests or unread bytes."""
@@ -241,7 +278,9 @@
             len(self._exchanges) >= MAX_PIPELINED_REQUESTS
             or self._unread_bytes > MAX_UNREAD_BYTES
         )
-        if self._transport is None or too_many == self._reading_paused:
+        if self._transport is None or self.lingering:
+            return
+        if too_many == self._reading_paused:
             return
         self._reading_paused = too_many
         if too_many:
@@ -295,7 +334,8 @@
         self.stop_listening()
         self.close_idle()
         await self._flush()
-        self.close_idle(first_request_wait_s=0.0)
+        for connection in tuple(self.connections):
+            connection.close_unless_serving()
 
     @property
     def in_flight(self) -> int:
@@ -313,31 +353,29 @@
         if self._server is not None:
             self._server.close()
 
-    def close_idle(self, first_request_wait_s: float = FIRST_REQUEST_WAIT_S) -> None:
-        """
-        Close the connections without a request or response in flight.
-
-        New ones are left open for `first_request_wait_s` seconds.
-        """
+    def close_idle(self) -> None:
+        """Close the connections without a request or response in flight."""
         now = monotonic_s()
         for connection in tuple(self.connections):
-            connection.close_if_idle(now, first_request_wait_s)
+            connection.close_if_idle(now)
 
     async def _flush(self) -> None:
         """Wait until all complete responses are sent; log what exceeds the timeout."""
         ends_at = monotonic_s() + self.close_timeout_s
-        while self.unsent_bytes:
-            if monotonic_s() >= ends_at:
-                _LOGGER.warning(
-                    "edge: responses are cut off by the close.",
-                    extra={
-                        "address": str(self.address),
-                        "callers": self.in_flight,
-                        "unsent_bytes": self.unsent_bytes,
-                    },
-                )
-                return
+        while monotonic_s() < ends_at and (
+            self.unsent_bytes
+            or any(connection.lingering for connection in self.connections)
+        ):
             await asyncio.sleep(FLUSH_POLL_S)
+        if self.unsent_bytes:
+            _LOGGER.warning(
+                "edge: responses are cut off by the close.",
+                extra={
+                    "address": str(self.address),
+                    "callers": self.in_flight,
+                    "unsent_bytes": self.unsent_bytes,
+                },
+            )
 
     async def _check_timeouts(self) -> None:
         while True:
--- a/tests/adapters/http1/test_closing.py
+++ b/tests/adapters/http1/test_closing.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 import threading
 import time
@@ -23,6 +24,9 @@
 """Exceeds what the socket buffers of a loopback connection hold."""
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+BUFFERED_BYTES = 512 * 1024
+"""Fits into the socket buffers of a connection, but not into the caller's alone."""
+
 RECEIVE_BUFFER_BYTES = 16 * 1024
 WAIT_S = 20.0
 
@@ -198,6 +202,76 @@
     uvloop.run(run())
 
 
+def test_a_request_behind_the_announced_close_destroys_no_response() -> None:
+    """
+    Guards against a response that a connection reset destroys in the socket buffers.
+
+    The kernel resets a connection that is closed while it holds unread bytes.
+    """
+    served = asyncio.Event()
+
+    async def respond(_: ReceivedRequest) -> Response:
+        served.set()
+        return Response(200, (), bytes(BUFFERED_BYTES))
+
+    async def run() -> None:
+        async with HttpServer(ADDRESS, respond, CallerLimits()) as server:
+            server.draining = True
+            caller = _connect(server)
+            caller.sendall(REQUEST)
+            async with asyncio.timeout(WAIT_S):
+                await served.wait()
+                while server.unsent_bytes:
+                    await asyncio.sleep(0.01)
+                caller.sendall(REQUEST)
+                await asyncio.sleep(0.1)
+                received = await asyncio.to_thread(_SlowCaller(caller, 0.0).received)
+        assert received.endswith(bytes(BUFFERED_BYTES)), f"{len(received)} bytes"
+
+    uvloop.run(run())
+
+
+def test_a_caller_that_never_closes_is_closed_in_the_end() -> None:
+    """The connection of a caller that ignores the end of it is released."""
+
+    async def run() -> None:
+        async with HttpServer(ADDRESS, _small_response, CallerLimits()) as server:
+            server.draining = True
+            caller = _connect(server)
+            caller.sendall(REQUEST)
+            async with asyncio.timeout(WAIT_S):
+                while not server.connections:
+                    await asyncio.sleep(0.01)
+                while server.connections:
+                    await asyncio.sleep(0.01)
+            assert not server.in_flight
+            assert caller.recv(1024).endswith(b"a")
+            caller.close()
+
+    uvloop.run(run())
+
+
+def test_a_rejection_reaches_a_caller_that_is_still_sending() -> None:
+    """Guards against a 413 response that a connection reset destroys."""
+    limits = CallerLimits(max_body_bytes=1)
+
+    async def run() -> None:
+        async with HttpServer(ADDRESS, _small_response, limits) as server:
+            caller = _connect(server)
+            caller.sendall(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 999999\r\n")
+            caller.sendall(b"\r\n" + bytes(999))
+            await asyncio.sleep(0.1)
+            with contextlib.suppress(ConnectionError):
+                caller.sendall(bytes(99999))
+                await asyncio.sleep(0.1)
+                caller.sendall(bytes(99999))
+            received = await asyncio.to_thread(_SlowCaller(caller, 0.0).received)
+        assert received.startswith(b"HTTP/1.1 413"), received
+        assert b"<" not in received, received
+
+    uvloop.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
