Answer requests that are incomplete when the server ends with 408

What callers saw: the end of the connection without any byte, for a request of which the daemon had read a part. That promises nothing, so an unsafe request could not be sent again for sure, though it had not run. Cause: leaving the server dropped connections in the middle of a request.

Evidence, tests.adapters.http1.test_closing on the code before, test_an_incomplete_request_is_answered_when_the_server_ends: assert received.startswith(b"HTTP/1.1 408"), received AssertionError: b'' Why the fix works: 408 promises that the request has not run and never will, and the server starts nothing that it reads after the rejection.

tests.adapters.http1.*, tests.mesh.test_stopping, tests.mesh.test_fleet: 65 passed.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -181,6 +181,11 @@
         if self.is_idle(now):
             self._transport.close()
 
+    def reject_incomplete(self) -> None:
+        """Respond to a request that is still being read: it has not run."""
+        if self._parser.in_request and not self._exchanges and not self._closing:
+            self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
+
     def close_unless_serving(self) -> None:
         """Close without waiting for the caller, unless a request is in flight."""
         if self._transport is not None and not self._exchanges:
@@ -266,7 +271,12 @@
             return
         _LOGGER.info(
             "edge: request is invalid.",
-            extra={"status": int(status), "why": "malformed"},
+            extra={
+                "status": int(status),
+                "why": "incomplete"
+                if status is http.HTTPStatus.REQUEST_TIMEOUT
+                else "malformed",
+            },
         )
         response = encode_response(Response(int(status)), "GET")
         self._transport.write(response.to_bytes(keep_alive=False))
@@ -333,6 +343,8 @@
             self._timeout_task.cancel()
         self.stop_listening()
         self.close_idle()
+        for connection in tuple(self.connections):
+            connection.reject_incomplete()
         await self._flush()
         for connection in tuple(self.connections):
             connection.close_unless_serving()
--- a/tests/adapters/http1/test_closing.py
+++ b/tests/adapters/http1/test_closing.py
@@ -251,6 +251,35 @@
     uvloop.run(run())
 
 
+def test_an_incomplete_request_is_answered_when_the_server_ends() -> None:
+    """Guards against a caller that can't know whether its request has run."""
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
+    started = []
+
+    async def respond(arrival: ReceivedRequest) -> Response:
+        started.append(arrival)
+        return Response(200)
+
+    async def run(beginning: bytes) -> bytes:
+        async with HttpServer(ADDRESS, respond, CallerLimits()) as server:
+            caller = _connect(server)
+            caller.sendall(beginning)
+            async with asyncio.timeout(WAIT_S):
+                while not server.connections:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.1)
+                server.draining = True
+                server.close_idle()
+                assert server.in_flight == 1
+        return await asyncio.to_thread(_SlowCaller(caller, 0.0).received)
+
+    for beginning in (head[:20], head, head + b"\r\n1234"):
+        received = uvloop.run(run(beginning))
+        assert received.startswith(b"HTTP/1.1 408"), received
+        assert b"Connection: close" in received
+    assert not started
+
+
 def test_a_rejection_reaches_a_caller_that_is_still_sending() -> None:
     """Guards against a 413 response that a connection reset destroys."""
     limits = CallerLimits(max_body_bytes=1)
