--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -59,8 +59,10 @@
     """
     One end of a connection.
 
-    `last_received_at` is the monotonic time of the last received bytes. PeerLinks sets
-    `suspect` after SUSPECT_AFTER_S without any; new requests avoid a suspect link.
+    `last_received_at` and `last_sent_at` are the monotonic times of the last received
+    and the last written bytes. PeerLinks sets `suspect` after SUSPECT_AFTER_S without
+    received bytes; new requests avoid a suspect link. `ended` is set when the
+    connection is lost.
     """
 
     def __init__(self, handlers: LinkHandlers) -> None:
@@ -73,18 +75,40 @@
         self._received_note: Any = None
         self._sent_note: Any = None
         self._peer_sends_status = False
-        self.last_received_at = monotonic_s()
+        self._closing = False
+        self._retired = False
+        self.ended = asyncio.Event()
+        self.last_received_at = self.last_sent_at = monotonic_s()
         self.suspect = False
 
     @property
     def open(self) -> bool:
         """Return whether frames can be sent."""
-        return self._transport is not None and not self._transport.is_closing()
+        transport = self._transport
+        return (
+            transport is not None and not self._closing and not transport.is_closing()
+        )
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that wait in this process to be sent."""
+        transport = self._transport
+        return transport.get_write_buffer_size() if transport is not None else 0
+
+    @property
+    def requests_in_flight(self) -> int:
+        """Return the number of requests that wait for a reply of the peer."""
+        return len(self._pending)
+
+    @property
+    def handlers_running(self) -> int:
+        """Return the number of requests of the peer that run here."""
+        return len(self._running)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its TCP options."""
         self._transport = cast("asyncio.Transport", transport)
-        self.last_received_at = monotonic_s()
+        self.last_received_at = self.last_sent_at = monotonic_s()
         set_tcp_options(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -98,6 +122,7 @@
         for task in self._running.values():
             task.cancel()
         self._running.clear()
+        self.ended.set()
         self._handlers.on_end(self)
 
     def data_received(self, data: bytes) -> None:
@@ -116,7 +141,7 @@
 
         On timeout or cancellation the peer gets a CANCEL frame.
         """
-        if not self.open or self._transport is None:
+        if not self.open:
             return PeerFailure(PeerProblem.NOT_SENT, "link is down")
         if self._congested():
             return PeerFailure(PeerProblem.NOT_SENT, "peer reads too slowly")
@@ -125,8 +150,10 @@
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Any] = loop.create_future()
         self._pending[number] = future
-        timer = loop.call_later(timeout_s, self._on_timeout, number)
-        self._transport.write(encode(FrameKind.REQUEST, number, pack(message)))
+        timer = loop.call_later(
+            timeout_s, self._fail_and_cancel, number, PeerProblem.TIMEOUT
+        )
+        self._write(encode(FrameKind.REQUEST, number, pack(message)))
         try:
             return await future
         except asyncio.CancelledError:
@@ -135,36 +162,62 @@
         finally:
             timer.cancel()
             self._pending.pop(number, None)
+            self._close_if_retired()
+
+    def interrupt_requests(self) -> None:
+        """End the requests in flight as INTERRUPTED, and cancel them at the peer."""
+        for number in tuple(self._pending):
+            self._fail_and_cancel(number, PeerProblem.INTERRUPTED)
 
     def send_note(self, note: Any, encoded: bytes) -> None:
         """Send a note and its form by `encode_note`, or a pulse if it is unchanged."""
-        if not self.open or self._transport is None:
+        if not self.open:
             return
         unchanged = self._peer_sends_status and note == self._sent_note
-        self._transport.write(PULSE if unchanged else encoded)
+        self._write(PULSE if unchanged else encoded)
         self._sent_note = note
 
+    def close(self) -> None:
+        """
+        Send what is buffered and then the end of the stream; start no more handlers.
+
+        The connection ends when the peer has read everything and closes it, too.
+        """
+        if self.open and self._transport is not None:
+            self._closing = True
+            self._transport.write_eof()
+
+    def retire(self) -> None:
+        """Close when the requests in flight have ended; the caller sends no more."""
+        self._retired = True
+        self._close_if_retired()
+
     def abort(self) -> None:
         """Close the connection without flushing."""
         if self._transport is not None:
             self._transport.abort()
 
+    def _close_if_retired(self) -> None:
+        if self._retired and not self._pending:
+            self.close()
+
     def _congested(self) -> bool:
-        transport = self._transport
-        return (
-            transport is not None
-            and transport.get_write_buffer_size() > MAX_UNREAD_BYTES
-        )
+        return self.unsent_bytes > MAX_UNREAD_BYTES
 
-    def _on_timeout(self, number: int) -> None:
+    def _fail_and_cancel(self, number: int, problem: PeerProblem) -> None:
         future = self._pending.get(number)
         if future is not None and not future.done():
             self._write_frame(FrameKind.CANCEL, number)
-            future.set_result(PeerFailure(PeerProblem.TIMEOUT))
+            future.set_result(PeerFailure(problem))
 
     def _write_frame(self, kind: FrameKind, number: int, payload: bytes = b"") -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(encode(kind, number, payload))
+        if self.open:
+            self._write(encode(kind, number, payload))
+
+    def _write(self, data: bytes) -> None:
+        assert self._transport is not None
+        self._transport.write(data)
+        self.last_sent_at = monotonic_s()
 
     def _handle_frame(self, frame: Frame) -> None:
         if frame.kind is FrameKind.CANCEL:
@@ -213,6 +266,8 @@
             future.set_result(outcome)
 
     def _start_handler(self, number: int, message: Any) -> None:
+        if not self.open:
+            return
         if len(self._running) >= MAX_RUNNING_REQUESTS or self._congested():
             self._write_frame(FrameKind.REJECTED, number)
             return
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -13,6 +13,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
+from damaskbay.core.lifetime import Lifetime, links_close_timeout_s
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
 from damaskbay.core.response_memory import ResponseMemory
@@ -79,6 +80,7 @@
         self._incarnation = time.time_ns() // 1_000_000
         self.settings_history = SettingsHistory(settings.digest)
         self._stopping = asyncio.Event()
+        self._lifetime = Lifetime()
         self._tasks: list[asyncio.Task[None]] = []
         now = monotonic_s()
         self.configuration = Configuration()
@@ -128,6 +130,7 @@
             self._repeats,
             self._telemetry,
             memory,
+            self._lifetime,
             self._rng,
         )
         dialect = platform_parts.dialect
@@ -193,7 +196,13 @@
             )
             await self._stopping.wait()
             stop = GracefulStop(self._callers, self._ingress, self._target, self._links)
-            await stop.run(self.settings.grace_s)
+            plan = self._lifetime.plan
+            assert plan is not None
+            await stop.run(plan)
+            await self._links.close(
+                timeout_s=links_close_timeout_s(plan, monotonic_s())
+            )
+            self._lifetime.ended = True
         for task in self._tasks:
             task.cancel()
         _LOGGER.info("daemon: has stopped.")
@@ -233,6 +242,7 @@
 
     def stop(self) -> None:
         """Start the graceful shutdown."""
+        self._lifetime.begin_stop(self.settings.grace_s, monotonic_s())
         self._stopping.set()
 
     async def record_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -320,7 +330,11 @@
     async def _handle_request(self, message: Any) -> Any:
         if isinstance(message, CallMessage):
             context = context_of(message, now=monotonic_s())
-            result = await self._target.run(context, request_of(message))
+            self._lifetime.peer_calls += 1
+            try:
+                result = await self._target.run(context, request_of(message))
+            finally:
+                self._lifetime.peer_calls -= 1
             return to_result_message(result)
         reply = await self._control_plane.handle_request(message)
         if reply is NOT_HANDLED:
--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -1,5 +1,6 @@
 """Sends a call to a backend server and retries it where that is allowed."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -8,6 +9,7 @@
 from damaskbay.config.objects import Route
 from damaskbay.core.call import CallContext, CallResult, Request, Response
 from damaskbay.core.http_status import FIRST_SERVER_ERROR
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
 from damaskbay.core.retry.const import RETRYABLE_REASONS
 from damaskbay.core.routing import FAILURES_BY_REASON, FailureKind, RouteOutcome, Router
@@ -35,6 +37,13 @@
 """Error responses after which another server may succeed."""
 
 
+_REASONS_BY_PROBLEM = {
+    PeerProblem.TIMEOUT: Reason.DEADLINE_PASSED,
+    PeerProblem.INTERRUPTED: Reason.SHUTTING_DOWN,
+}
+"""Reasons for calls that a peer may have run; for other problems the link was lost."""
+
+
 @dataclass(frozen=True, slots=True)
 class DispatchParts:
     """Dependencies of Dispatcher."""
@@ -43,6 +52,7 @@
     router: Router
     target: Target
     links: PeerLinks
+    lifetime: Lifetime
     clock: Callable[[], float]
 
 
@@ -96,6 +106,12 @@
         try:
             result = await self._send(choice, context, request)
             failure, load = _failure_kind(result), result.load
+        except asyncio.CancelledError:
+            _LOGGER.info(
+                "ingress: attempt is cancelled.",
+                extra={"request_id": context.request_id, "at": choice.instance},
+            )
+            raise
         finally:
             ended = parts.clock()
             outcome = RouteOutcome(ended - now, None, failure, load)
@@ -125,10 +141,9 @@
         if not_sent:
             refusal = not_run(Reason.PEER_UNREACHABLE, retry_after_s=NOT_READY_RETRY_S)
             return CallResult(refusal, attempts=0, served_by=server.instance)
-        timed_out = (
-            isinstance(reply, PeerFailure) and reply.problem is PeerProblem.TIMEOUT
-        )
-        reason = Reason.DEADLINE_PASSED if timed_out else Reason.PEER_LOST
+        reason = Reason.PEER_LOST
+        if isinstance(reply, PeerFailure):
+            reason = _REASONS_BY_PROBLEM.get(reply.problem, reason)
         refusal = unknown(reason, detail=str(reply))
         return CallResult(refusal, served_by=server.instance)
 
@@ -145,8 +160,7 @@
             return self._should_retry_response(context, route, progress, result)
         if outcome.reason not in RETRYABLE_REASONS:
             return False
-        now = self._parts.clock()
-        if context.deadline - now < MIN_RETRY_TIME_LEFT_S:
+        if not self._has_time_to_retry(context):
             return False
         if result.attempts == 0 and not outcome.not_run:
             return False
@@ -160,6 +174,11 @@
         self._log_retry(context, result, outcome.reason.value)
         return True
 
+    def _has_time_to_retry(self, context: CallContext) -> bool:
+        parts = self._parts
+        left_s = parts.lifetime.limit(context.deadline) - parts.clock()
+        return left_s >= MIN_RETRY_TIME_LEFT_S
+
     def _log_retry(self, context: CallContext, result: CallResult, why: str) -> None:
         _LOGGER.info(
             "ingress: request is sent again.",
@@ -187,7 +206,7 @@
             and context.idempotent
             and not result.nested_failed
             and progress.attempts_made <= route.retries
-            and context.deadline - self._parts.clock() >= MIN_RETRY_TIME_LEFT_S
+            and self._has_time_to_retry(context)
         )
         if retry:
             progress.error_response = result
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -1,9 +1,11 @@
 """Runs calls at the local backend server."""
 
+import asyncio
 import logging
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Any
 
 from damaskbay.adapters.http1.client import (
     HttpClient,
@@ -13,12 +15,18 @@
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.admission import CallSample
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
+from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.http_status import FIRST_SERVER_ERROR
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.helpers.http_headers import HeaderFilter
-from damaskbay.mesh.const import NOT_READY_RETRY_S, UNREACHABLE_BACKOFF_S
+from damaskbay.mesh.const import (
+    NOT_READY_RETRY_S,
+    SERVER_REPLY_GRACE_S,
+    UNREACHABLE_BACKOFF_S,
+)
 from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import LocalServer
@@ -45,9 +53,19 @@
     repeats: ServerRetryBudget
     memory: ResponseMemory
     weight_of: Callable[[str], float]
+    lifetime: Lifetime
     clock: Callable[[], float]
 
 
+@dataclass(slots=True, eq=False)
+class _ActiveCall:
+    """A call and the task that runs it, in the queue or, once `sent`, at the server."""
+
+    task: "asyncio.Task[Any] | None"
+    sent: bool = False
+    interrupted: bool = False
+
+
 class Target:
     """Sends calls to the local server; as the only sender it knows the slots in use."""
 
@@ -60,18 +78,43 @@
             dropped=frozenset({parts.dialect.request_id.lower(), "content-length"}),
             read=frozenset({self._not_run_header, self._stamp_header}),
         )
-        self.in_flight = 0
+        self._active_calls: set[_ActiveCall] = set()
+        self._durations = DurationEstimates()
         self.draining = False
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls in the queue and at the server."""
+        return len(self._active_calls)
+
+    def interrupt(self) -> None:
+        """End all calls; their senders get a result that says if they may have run."""
+        for active in tuple(self._active_calls):
+            if active.task is not None:
+                active.interrupted = True
+                active.task.cancel()
+
     async def run(self, context: CallContext, request: Request) -> CallResult:
         """Run a call; cancellation closes its connection to the server."""
-        self.in_flight += 1
+        active = _ActiveCall(asyncio.current_task())
+        self._active_calls.add(active)
+        deadline = self._parts.lifetime.limit(context.deadline)
+        if deadline < context.deadline:
+            context = replace(context, deadline=deadline)
         try:
-            return await self._run(context, request)
+            return await self._run(context, request, active)
+        except asyncio.CancelledError:
+            if not active.interrupted or active.task is None:
+                self._log_cancelled(context, active)
+                raise
+            active.task.uncancel()
+            return self._interrupted_result(context, active)
         finally:
-            self.in_flight -= 1
+            self._active_calls.discard(active)
 
-    async def _run(self, context: CallContext, request: Request) -> CallResult:
+    async def _run(
+        self, context: CallContext, request: Request, active: _ActiveCall
+    ) -> CallResult:
         parts = self._parts
         now = parts.clock()
         refusal = self._refusal_before_queue(context, now)
@@ -94,8 +137,10 @@
             if refusal is not None:
                 return self._refused_result(context, refusal, now)
             self._count_attempt(context)
+            active.sent = True
             outcome = await self._send(context, request)
             took_s = parts.clock() - now
+            self._durations.record(context.route, took_s)
             sample = CallSample(took_s, succeeded=_succeeded(outcome))
         finally:
             parts.running.remove(call)
@@ -110,7 +155,7 @@
             return not_run(
                 Reason.NO_BACKEND_SERVER, detail="daemon serves another pool"
             )
-        if self.draining:
+        if self.draining or self._outlasts_daemon(context, now):
             return not_run(Reason.SHUTTING_DOWN, retry_after_s=NOT_READY_RETRY_S)
         if parts.local.state is ServerState.STARTING:
             return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=NOT_READY_RETRY_S)
@@ -130,6 +175,13 @@
             )
         return None
 
+    def _outlasts_daemon(self, context: CallContext, now: float) -> bool:
+        """Return whether a root call won't end here before the daemon does."""
+        if context.depth > 0:
+            return False
+        expected_s = self._durations.expected_s(context.route, context.objective_s or 0)
+        return self._parts.lifetime.outlasts(expected_s, now)
+
     def _count_attempt(self, context: CallContext) -> None:
         """Record an attempt that isn't a retry itself in the retry budget."""
         if context.is_retry:
@@ -185,7 +237,7 @@
             forwarded,
             echo=context.request_id,
             fresh=not reuse_connection,
-            timeout_s=max(0.0, left_s),
+            timeout_s=max(0.0, left_s) + SERVER_REPLY_GRACE_S,
         )
 
     def _handle_failure(self, context: CallContext, failure: HttpFailure) -> Refusal:
@@ -243,6 +295,34 @@
             )
         return Response(response.status, headers, response.body)
 
+    def _interrupted_result(
+        self, context: CallContext, active: _ActiveCall
+    ) -> CallResult:
+        """Return the result of a call that the daemon's end interrupts."""
+        now = self._parts.clock()
+        if not active.sent:
+            return self._refused_result(context, not_run(Reason.SHUTTING_DOWN), now)
+        self._log_cancelled(context, active)
+        detail = "daemon stopped while the server ran the call"
+        return self._result(unknown(Reason.SHUTTING_DOWN, detail=detail), 1, None)
+
+    def _log_cancelled(self, context: CallContext, active: _ActiveCall) -> None:
+        """Log a call that its sender cancelled or that the daemon's end cuts."""
+        parts = self._parts
+        daemon_ends = active.interrupted or parts.lifetime.ended
+        why = "daemon ends" if daemon_ends else "sender cancelled"
+        _LOGGER.info(
+            "target: call ends without a result.",
+            extra={
+                "request_id": context.request_id,
+                "route": context.route,
+                "why": why,
+                "at_server": active.sent,
+                "after_stop_s": parts.lifetime.since_stop_s(parts.clock()),
+                "left_s": round(context.deadline - parts.clock(), 3),
+            },
+        )
+
     def _refused_result(
         self, context: CallContext, refusal: Refusal, now: float
     ) -> CallResult:
