--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -14,7 +14,7 @@
 WRITE_STALL_TIMEOUT_S: Final = 15.0
 """Seconds without write progress before a connection is aborted, to free its buffer."""
 
-CLOSE_TIMEOUT_S: Final = 0.2
+CLOSE_TIMEOUT_S: Final = 0.1
 """Seconds that the close of a server waits until complete responses are sent."""
 
 FIRST_REQUEST_WAIT_S: Final = 0.25
