Answer the calls that outlast a threaded daemon before it ends

Callers of `damaskbay daemon` lost calls at the end of a graceful stop: those at the server, in the queue of admission, and those that the listener had read but had no thread for, which no counter of the stop included.

The stop follows the plan of core/lifetime.py. Deadlines of calls that are sent after SIGTERM end with the daemon's work, calls expected to take longer are refused as not run, and what is left at the end of the plan is cancelled: its callers get `shutting_down`, as unknown if it may have run.

--- a/damaskbay/daemon/app.py
+++ b/damaskbay/daemon/app.py
@@ -21,6 +21,7 @@
 from damaskbay.core.at_most_once import RequestOwner
 from damaskbay.core.edge import EdgeConcurrencyLimit
 from damaskbay.core.explain import DecisionLog
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.daemon.admission import AdmissionGate, AdmissionTicker
 from damaskbay.daemon.announcing import Announcer
@@ -39,16 +40,13 @@
 from damaskbay.daemon.routes import RouteTables
 from damaskbay.daemon.rules import CurrentRules
 from damaskbay.daemon.settings import DaemonSettings, TlsSettings
+from damaskbay.daemon.stopping import GracefulStop
 from damaskbay.daemon.target import Target
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress, PeerIdentity
 
 _LOGGER = logging.getLogger(__name__)
 
-DRAIN_ANNOUNCE_S = 2.0  # time for peers to learn that this server is draining
-DRAIN_POLL_S = 0.05
-IDLE_CONNECTIONS_GRACE_S = 3.0
-
 
 class Daemon:
     """
@@ -63,6 +61,7 @@
         self._secrets = secrets
         self._stack = contextlib.ExitStack()
         self._rng = random.Random()
+        self._lifetime = Lifetime()
         self._identity = PeerIdentity(
             settings.instance, time.time_ns() // 1_000_000, settings.failure_domain
         )
@@ -90,43 +89,17 @@
 
     def drain(self) -> None:
         """
-        Announce the drain, wait for running calls and close caller connections.
+        Announce the stop, finish or interrupt running calls and send their responses.
 
         Blocks for at most `graceful_stop_s`.
         """
-        started_at = monotonic_s()
-        stop_at = started_at + self._settings.limits.graceful_stop_s
-        _LOGGER.info("daemon: graceful stop begins.")
-        self._announcer.drain()
-        while monotonic_s() < min(started_at + DRAIN_ANNOUNCE_S, stop_at):
-            time.sleep(DRAIN_POLL_S)
-        self._callers.drain()
-        while monotonic_s() < stop_at and self._has_calls_in_flight():
-            time.sleep(DRAIN_POLL_S)
-        self._close_caller_connections(stop_at)
-        _LOGGER.info(
-            "daemon: graceful stop ends, %d calls left.", self._calls_in_flight()
+        self._lifetime.begin_stop(self._settings.limits.graceful_stop_s, monotonic_s())
+        stop = GracefulStop(
+            self._announcer, self._callers, self._ingress, self._peer_calls
         )
-
-    def _has_calls_in_flight(self) -> bool:
-        return self._calls_in_flight() > 0
-
-    def _calls_in_flight(self) -> int:
-        return self._ingress.in_flight + self._peer_calls.in_flight
-
-    def _close_caller_connections(self, stop_at: float) -> None:
-        """
-        Close idle caller connections, refuse new calls and wait for running ones.
-
-        Callers first get `IDLE_CONNECTIONS_GRACE_S` to use or close them.
-        """
-        close_at = min(stop_at, monotonic_s() + IDLE_CONNECTIONS_GRACE_S)
-        while monotonic_s() < close_at and self._callers.open_connections():
-            time.sleep(DRAIN_POLL_S)
-        self._ingress.drain()
-        self._callers.close_idle()
-        while monotonic_s() < stop_at and self._has_calls_in_flight():
-            time.sleep(DRAIN_POLL_S)
+        plan = self._lifetime.plan
+        assert plan is not None
+        stop.run(plan)
 
     def _start(self, stack: contextlib.ExitStack) -> None:
         settings = self._settings
@@ -256,6 +229,7 @@
             once=once,
             observer=observer,
             room=EdgeConcurrencyLimit(settings.limits.caller_threads),
+            lifetime=self._lifetime,
         )
         self._ingress = Ingress(parts, clock=clock, wall_clock=time.time)
         self._announcer = Announcer(
--- a/damaskbay/daemon/dispatch.py
+++ b/damaskbay/daemon/dispatch.py
@@ -258,6 +258,14 @@
         )
 
 
+def explain_interruption(result: CallResult) -> CallResult:
+    """Give the daemon's end as the reason of a call that it has cancelled."""
+    refusal = result.result
+    if not isinstance(refusal, Refusal) or refusal.reason is not Reason.CANCELLED:
+        return result
+    return replace(result, result=replace(refusal, reason=Reason.SHUTTING_DOWN))
+
+
 def _wait_for_reply(future: "Future[Any]", timeout_s: float) -> Any:
     try:
         return future.result(timeout_s)
--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -9,13 +9,19 @@
 
 from damaskbay.config.objects import Access, Route
 from damaskbay.core.call import CallContext, CallResult
+from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.edge import EdgeConcurrencyLimit
 from damaskbay.core.freshness import refuse_unproven
 from damaskbay.core.identify import Credentials, RouteMatcher, identify_root
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run
 from damaskbay.core.scrub import scrub
 from damaskbay.daemon.calls import CallRegistry
-from damaskbay.daemon.dispatch import Dispatcher, OutgoingCall
+from damaskbay.daemon.dispatch import (
+    Dispatcher,
+    OutgoingCall,
+    explain_interruption,
+)
 from damaskbay.daemon.once import AtMostOnceService
 from damaskbay.helpers.cancellation import Cancellation
 from damaskbay.ports.caller import IncomingCall, IssuedIds, ServedCall
@@ -43,6 +49,7 @@
     once: AtMostOnceService
     observer: CallObserver
     room: EdgeConcurrencyLimit
+    lifetime: Lifetime
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,18 +76,28 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._lock = threading.Lock()
-        self._in_flight = 0
+        self._running: set[Cancellation] = set()
+        self._durations = DurationEstimates()
         self._draining = False
+        self._interrupted = False
 
     @property
     def in_flight(self) -> int:
         """Return the number of calls in flight."""
-        return self._in_flight
+        return len(self._running)
 
     def drain(self) -> None:
         """Refuse new root calls; nested calls of running calls are still served."""
         self._draining = True
 
+    def interrupt(self) -> None:
+        """End the running calls; their callers get a refusal."""
+        self._interrupted = True
+        with self._lock:
+            running = tuple(self._running)
+        for cancellation in running:
+            cancellation.cancel()
+
     def issue_request_ids(self, count: int) -> IssuedIds:
         """Issue request ids for calls that must run at most once."""
         return self._parts.once.issue(count)
@@ -89,12 +106,18 @@
         """Serve one call and return its result."""
         started_at = self._clock()
         call_id = uuid.uuid4().hex
-        with self._counted_in_flight():
+        with self._counted_in_flight(cancellation):
             if call.call_token is None:
                 served = self._serve_root(call, call_id, cancellation)
             else:
                 served = self._serve_nested(call, cancellation)
+        took_s = self._clock() - started_at
         result = served.result
+        if self._interrupted:
+            result = explain_interruption(result)
+        if result.attempts:
+            with self._lock:
+                self._durations.record(served.route, took_s)
         if served.context is None and call.request_id is not None:
             result = _with_unknown_outcome(result)
         if served.context is not None:
@@ -103,7 +126,7 @@
             EndedCall(
                 call_id,
                 result,
-                took_s=self._clock() - started_at,
+                took_s=took_s,
                 context=served.context,
                 route=served.route,
                 set_version=served.set_version,
@@ -112,14 +135,14 @@
         return ServedCall(call_id, result)
 
     @contextmanager
-    def _counted_in_flight(self) -> Iterator[None]:
+    def _counted_in_flight(self, cancellation: Cancellation) -> Iterator[None]:
         with self._lock:
-            self._in_flight += 1
+            self._running.add(cancellation)
         try:
             yield
         finally:
             with self._lock:
-                self._in_flight -= 1
+                self._running.discard(cancellation)
 
     def _serve_root(
         self, call: IncomingCall, call_id: str, cancellation: Cancellation
@@ -190,10 +213,13 @@
     ) -> Refusal | None:
         if context.deadline <= now:
             return not_run(Reason.DEADLINE_PASSED)
+        refusal = self._refuse_outlasting(context, now)
+        if refusal is not None:
+            return refusal
         refusal = refuse_unproven(route, state, now)
         if refusal is not None:
             return refusal
-        refusal = self._parts.room.refuse(self._in_flight - 1, context.priority_rank)
+        refusal = self._parts.room.refuse(self.in_flight - 1, context.priority_rank)
         if refusal is not None:
             return refusal
         if route.access is Access.OPEN and not context.workspace and not route.limits:
@@ -202,6 +228,15 @@
             context.workspace, route.limits, deadline=context.deadline, now=now
         )
 
+    def _refuse_outlasting(self, context: CallContext, now: float) -> Refusal | None:
+        """Return a refusal if the call won't end before this daemon does."""
+        left_s = context.deadline - now
+        with self._lock:
+            expected_s = self._durations.expected_s(context.route, left_s)
+        if not self._parts.lifetime.outlasts(min(left_s, expected_s), now):
+            return None
+        return not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0)
+
     def _send(
         self,
         call: IncomingCall,
@@ -212,6 +247,8 @@
         request = scrub(call.request, call.key)
         if isinstance(request, Refusal):
             return refused_result(request)
+        deadline = self._parts.lifetime.limit(context.deadline)
+        context = replace(context, deadline=deadline)
         outgoing = OutgoingCall(context, request, cancellation, leaf=not route.calls)
         if context.request_id is not None and not context.idempotent:
             return self._parts.once.run(outgoing)
--- a/damaskbay/helpers/wsgi_server.py
+++ b/damaskbay/helpers/wsgi_server.py
@@ -105,6 +105,11 @@
         """Return the number of open connections."""
         return len(self._server.active_channels)
 
+    def unanswered_connections(self) -> int:
+        """Return the number of connections with a request that has no response yet."""
+        channels = list(self._server.active_channels.values())
+        return sum(1 for channel in channels if channel.requests)
+
     def close_idle(self) -> None:
         """Close connections that have no request in flight."""
         self._server.trigger.pull_trigger(self._close_idle)
--- a/tests/daemon/common.py
+++ b/tests/daemon/common.py
@@ -24,6 +24,7 @@
 from damaskbay.core.at_most_once import RequestOwner
 from damaskbay.core.call import CallContext, Request, Response
 from damaskbay.core.edge import EdgeConcurrencyLimit
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, unknown
 from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.daemon.admission import AdmissionGate
@@ -286,6 +287,7 @@
     gate: AdmissionGate
     calls: CallRegistry
     observer: FakeObserver
+    lifetime: Lifetime
 
     def call(
         self,
@@ -351,6 +353,7 @@
         rules = CurrentRules(self.config)
         backend = FakeBackend(identity.instance)
         observer = FakeObserver()
+        lifetime = Lifetime()
         gate = AdmissionGate(
             AdmissionOptions(slots=SLOTS),
             rng=rng,
@@ -410,9 +413,10 @@
             once=once,
             observer=observer,
             room=EdgeConcurrencyLimit(100),
+            lifetime=lifetime,
         )
         ingress = Ingress(parts, clock=clock, wall_clock=time.time)
-        return PathDaemon(identity, ingress, backend, gate, calls, observer)
+        return PathDaemon(identity, ingress, backend, gate, calls, observer, lifetime)
 
     def runs(self, target: str) -> int:
         """Return the number of runs of a target on all backend servers."""
--- /dev/null
+++ b/tests/daemon/test_leaving.py
@@ -0,0 +1,64 @@
+"""Calls at a daemon that is shutting down end before it does, or are refused."""
+
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from damaskbay.core.call import Response
+from damaskbay.core.outcome import Reason, Refusal, not_run
+from damaskbay.helpers.clock import monotonic_s
+from tests.common import function_suite
+from tests.daemon.common import TIMEOUT_S, PathDaemon, request_path
+
+GRACE_S = 3.0
+LONG_DEADLINE_S = 8.0
+
+
+def _begin_stop(daemon: PathDaemon) -> None:
+    daemon.lifetime.begin_stop(GRACE_S, monotonic_s())
+
+
+# Guards against LOST: a call that is taken after SIGTERM and cut at the daemon's end.
+def test_a_call_that_outlasts_the_daemon_is_refused_as_not_run() -> None:
+    """A call is taken if it is expected to end in time, or must end in time."""
+    with request_path("a") as path:
+        daemon = path.daemons_by_instance["a"]
+        _begin_stop(daemon)
+        refused = daemon.call("/file/1", deadline_s=LONG_DEADLINE_S)
+        assert refused == not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0)
+        assert path.runs("/file/1") == 0
+        assert isinstance(daemon.call("/file/2", deadline_s=0.5), Response)
+        assert isinstance(daemon.call("/file/3", deadline_s=LONG_DEADLINE_S), Response)
+
+
+# Guards against LOST: work that was accepted in time and outlives the daemon.
+def test_interrupted_calls_say_whether_they_may_have_run() -> None:
+    """A queued call has not run; one at the server may have run."""
+    with request_path("a") as path, ThreadPoolExecutor(32) as callers:
+        daemon = path.daemons_by_instance["a"]
+        daemon.backend.work_s = TIMEOUT_S
+        at_server = []
+        while daemon.gate.has_room():
+            at_server.append(callers.submit(daemon.call, "/file/run"))
+            _wait_until_running(daemon, len(at_server))
+        queued = callers.submit(daemon.call, "/file/wait")
+        while daemon.ingress.in_flight <= len(at_server) or daemon.gate.load() <= 1.0:
+            time.sleep(0.01)
+        daemon.ingress.interrupt()
+        assert queued.result(TIMEOUT_S) == not_run(Reason.SHUTTING_DOWN)
+        for sent in at_server:
+            outcome = sent.result(TIMEOUT_S)
+            assert isinstance(outcome, Refusal)
+            assert not outcome.not_run
+            assert outcome.reason is Reason.SHUTTING_DOWN
+        assert path.runs("/file/wait") == 0
+
+
+def _wait_until_running(daemon: PathDaemon, count: int) -> None:
+    while daemon.backend.runs_by_target.get("/file/run", 0) < count:
+        time.sleep(0.01)
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
