Give peers the results of the calls that outlast a threaded daemon

A call that another daemon had sent to a stopping one ended with its stream: the caller's daemon got no result, only a lost stream, and told its caller 502 `peer_lost`. Replies that were not written yet were lost with it: nothing called `PeerStreams.drain`. Peers with an old view could send calls up to the end.

Evidence, on the code before:

test_a_call_of_a_peer_gets_a_result_from_a_leaving_daemon AssertionError: Refusal(reason=<Reason.PEER_LOST: 'peer_lost'>, outcome=<Outcome.UNKNOWN: 'unknown'>, detail='connection closed by the peer')

Calls of peers end with the daemon's work, later ones are refused as not run, and those left at the end of the plan are cancelled and get a reply. The link then refuses further requests and waits until its replies are written.

--- a/damaskbay/daemon/app.py
+++ b/damaskbay/daemon/app.py
@@ -95,7 +95,7 @@
         """
         self._lifetime.begin_stop(self._settings.limits.graceful_stop_s, monotonic_s())
         stop = GracefulStop(
-            self._announcer, self._callers, self._ingress, self._peer_calls
+            self._announcer, self._callers, self._ingress, self._peer_calls, self._link
         )
         plan = self._lifetime.plan
         assert plan is not None
@@ -217,6 +217,7 @@
             executor=executor,
             max_calls=settings.limits.remote_calls,
             pool=settings.backend_server.pool,
+            lifetime=self._lifetime,
             clock=clock,
         )
         self._peer_calls.register(self._link)
--- a/damaskbay/daemon/stopping.py
+++ b/damaskbay/daemon/stopping.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from damaskbay.adapters.peer_stream import PeerStreams
 from damaskbay.core.lifetime import StopPlan
 from damaskbay.daemon.announcing import Announcer
 from damaskbay.daemon.ingress import Ingress
@@ -27,6 +28,7 @@
     callers: WsgiServer
     ingress: Ingress
     peer_calls: PeerCalls
+    link: PeerStreams
 
     def run(self, plan: StopPlan) -> None:
         """Return when all calls have their responses, or at the end of the plan."""
@@ -45,6 +47,7 @@
         if self._has_calls():
             self._interrupt()
         _wait(plan.exits_at, lambda: not self._has_calls())
+        self.link.drain(max(0.0, plan.exits_at - monotonic_s()))
         _LOGGER.info(
             "daemon: graceful stop ends, %d calls of callers and %d of peers left.",
             self.ingress.in_flight,
@@ -67,6 +70,7 @@
             self.peer_calls.in_flight,
         )
         self.ingress.interrupt()
+        self.peer_calls.interrupt()
 
 
 def _wait(until: float, is_over: Callable[[], bool]) -> None:
--- a/tests/daemon/common.py
+++ b/tests/daemon/common.py
@@ -402,6 +402,7 @@
             executor=self.executor,
             max_calls=100,
             pool=POOL,
+            lifetime=lifetime,
             clock=clock,
         ).register(link)
         parts = IngressParts(
--- a/tests/daemon/test_leaving.py
+++ b/tests/daemon/test_leaving.py
@@ -4,7 +4,7 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from damaskbay.core.call import Response
+from damaskbay.core.call import Request, Response
 from damaskbay.core.outcome import Reason, Refusal, not_run
 from damaskbay.helpers.clock import monotonic_s
 from tests.common import function_suite
@@ -14,8 +14,8 @@
 LONG_DEADLINE_S = 8.0
 
 
-def _begin_stop(daemon: PathDaemon) -> None:
-    daemon.lifetime.begin_stop(GRACE_S, monotonic_s())
+def _begin_stop(daemon: PathDaemon, grace_s: float = GRACE_S) -> None:
+    daemon.lifetime.begin_stop(grace_s, monotonic_s())
 
 
 # Guards against LOST: a call that is taken after SIGTERM and cut at the daemon's end.
@@ -31,6 +31,33 @@
         assert isinstance(daemon.call("/file/3", deadline_s=LONG_DEADLINE_S), Response)
 
 
+# Guards against LOST: a call of a peer that is still running when the daemon ends.
+def test_a_call_of_a_peer_ends_before_the_daemon() -> None:
+    """Its deadline is bounded; once no time is left, it is refused as not run."""
+    with request_path("a", "b") as path:
+        a, b = (path.daemons_by_instance[name] for name in "ab")
+        path.membership.servers_by_instance.pop("a")
+        deadlines: list[float] = []
+
+        def on_call(request: Request, token: str) -> None:
+            context = b.calls.context(token)
+            assert not isinstance(context, Refusal)
+            deadlines.append(context.deadline)
+
+        b.backend.on_call = on_call
+        _begin_stop(b)
+        assert isinstance(a.call("/file/1", deadline_s=LONG_DEADLINE_S), Response)
+        assert b.lifetime.plan is not None
+        assert deadlines == [b.lifetime.plan.work_until]
+        b.lifetime.plan = None
+        _begin_stop(b, grace_s=0.0)
+        outcome = a.call("/file/2")
+        assert isinstance(outcome, Refusal)
+        assert outcome.not_run
+        assert outcome.reason is Reason.SHUTTING_DOWN
+        assert path.runs("/file/2") == 0
+
+
 # Guards against LOST: work that was accepted in time and outlives the daemon.
 def test_interrupted_calls_say_whether_they_may_have_run() -> None:
     """A queued call has not run; one at the server may have run."""
--- a/tests/end_to_end/test_leaving.py
+++ b/tests/end_to_end/test_leaving.py
@@ -88,6 +88,19 @@
         assert len(running.seen(LEAVING)) == THREADS
 
 
+# Guards against LOST at the other end of a stream: the daemon beside the server leaves.
+def test_a_call_of_a_peer_gets_a_result_from_a_leaving_daemon() -> None:
+    """The caller's daemon gets a result instead of a lost stream."""
+    with _fleet() as running, ThreadPoolExecutor(THREADS) as callers:
+        sent = _send(running, callers, "lookup-a")
+        _wait_until_running(running, 1)
+        _stop(running)
+        outcome = sent.result(WAIT_S)
+        assert isinstance(outcome, Refusal)
+        assert not outcome.not_run
+        assert outcome.reason is Reason.SHUTTING_DOWN, outcome
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
