Wait until a stopping threaded daemon has sent its responses

A caller that read a large response slowly got a part of it when the daemon stopped: a call counted as ended once its response was handed to the listener, and connections with unsent bytes were closed 5 s after SIGTERM, with most of the time for the stop left.

The stop now ends when no connection is open or at the end of its plan. All connections close after their next response or when they are idle, so that this delays no other stop.

--- a/damaskbay/daemon/stopping.py
+++ b/damaskbay/daemon/stopping.py
@@ -46,12 +46,14 @@
         _wait(plan.interrupts_at, lambda: not self._has_calls())
         if self._has_calls():
             self._interrupt()
-        _wait(plan.exits_at, lambda: not self._has_calls())
+        _wait(plan.exits_at, self._has_sent_all)
         self.link.drain(max(0.0, plan.exits_at - monotonic_s()))
         _LOGGER.info(
-            "daemon: graceful stop ends, %d calls of callers and %d of peers left.",
+            "daemon: graceful stop ends, %d calls of callers, %d of peers and %d "
+            "connections left.",
             self.ingress.in_flight,
             self.peer_calls.in_flight,
+            self.callers.open_connections(),
         )
 
     def _has_calls(self) -> bool:
@@ -62,6 +64,11 @@
             or self.callers.unanswered_connections()
         )
 
+    def _has_sent_all(self) -> bool:
+        """Return whether all responses are sent; close connections without one."""
+        self.callers.close_idle()
+        return not (self._has_calls() or self.callers.open_connections())
+
     def _interrupt(self) -> None:
         """End the calls that have no result; their callers get a response."""
         _LOGGER.warning(
--- a/tests/end_to_end/test_leaving.py
+++ b/tests/end_to_end/test_leaving.py
@@ -1,34 +1,43 @@
 """What callers and peers get from a daemon process that is shutting down."""
 
 import signal
+import socket
+import threading
 import time
 import unittest
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import contextmanager
 
-from bench.fleet import Fleet, ServerPlan
+from bench.fleet import HOST, Fleet, ServerPlan
+from damaskbay.const import HEADER_KEY
 from damaskbay.core.call import Response
 from damaskbay.core.outcome import Reason, Refusal, not_run
-from damaskbay.stand_ins.backend import HEADER_WORK_MS
+from damaskbay.stand_ins.backend import HEADER_BYTES, HEADER_WORK_MS
 from tests.common import function_suite
-from tests.end_to_end.common import WAIT_S, Running, secrets_for_tests
+from tests.end_to_end.common import WAIT_S, WORKSPACES, Running, secrets_for_tests
 
 LEAVING = "ledger-a"
 GRACEFUL_STOP_S = 5.0
 OUTLASTING_MS = "9000"
 THREADS = 4
+BODY_BYTES = 8_000_000
+RECEIVE_BUFFER_BYTES = 65_536
+READ_BYTES = 100_000
+NOT_READING_S = 6.5
+"""Longer than the announcement and the wait for idle connections, seconds."""
+
 Outcome = Future[Response | Refusal]
 
 
 @contextmanager
-def _fleet() -> Iterator[Running]:
+def _fleet(graceful_stop_s: float = GRACEFUL_STOP_S) -> Iterator[Running]:
     """Yield a fleet with one server in the pool of the daemon that leaves."""
     plans = [
         ServerPlan("lookup-a", "domain-a", "lookup"),
         ServerPlan(LEAVING, "domain-a", "ledger", slots=16),
     ]
-    limits = {"caller_threads": THREADS, "graceful_stop_s": GRACEFUL_STOP_S}
+    limits = {"caller_threads": THREADS, "graceful_stop_s": graceful_stop_s}
     with Fleet(plans, {"limits": limits}) as fleet:
         running = Running(fleet, secrets_for_tests())
         for route in running.document["routes"].values():
@@ -101,6 +110,29 @@
         assert outcome.reason is Reason.SHUTTING_DOWN, outcome
 
 
+# Guards against LOST: a response that is ready but not yet read by its caller.
+def test_a_caller_that_reads_slowly_gets_the_complete_response() -> None:
+    """The daemon waits until the response is sent, within its grace time."""
+    with _fleet(graceful_stop_s=20.0) as running, socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        caller.settimeout(WAIT_S)
+        caller.connect((HOST, running.server(LEAVING).caller_port))
+        caller.sendall(
+            b"GET /ledger/x HTTP/1.1\r\nHost: service\r\n"
+            + f"{HEADER_KEY}: {running.secrets[WORKSPACES[0]]}\r\n".encode()
+            + f"{HEADER_BYTES}: {BODY_BYTES}\r\n\r\n".encode()
+        )
+        data = caller.recv(READ_BYTES)
+        stopping = threading.Thread(target=_stop, args=(running,))
+        stopping.start()
+        time.sleep(NOT_READING_S)
+        size = len(data)
+        while chunk := caller.recv(READ_BYTES):
+            size += len(chunk)
+        stopping.join(WAIT_S)
+        assert size > BODY_BYTES, size
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
