Answer the local server's reports before the event-driven daemon ends

A report that the control address had read when the stop ended was cut with the process: the server got no ack for its drain or deregistration. Nothing waited for the control listener, and a drain report waits up to 0.5 s for the store.

Evidence, on the code before, with a report every 50 ms and a store that doesn't respond (the reports of the last 0.4 s):

test_a_leaving_daemon_answers_each_report_that_it_has_read AssertionError: [27, 28, 29, 30, 31, 32, 33, 34] of 35

The control listener now closes after the last call, and the daemon ends once the reports that were read have their responses, at the end of its plan at the latest.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -51,7 +51,7 @@
     SettingsHistory,
     fields_that_need_a_restart,
 )
-from damaskbay.mesh.stopping import GracefulStop
+from damaskbay.mesh.stopping import GracefulStop, finish_reports
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress
 
@@ -199,6 +199,7 @@
             plan = self._lifetime.plan
             assert plan is not None
             await stop.run(plan)
+            await finish_reports(self._control, plan.exits_at)
             self._lifetime.ended = True
         for task in self._tasks:
             task.cancel()
--- a/damaskbay/mesh/stopping.py
+++ b/damaskbay/mesh/stopping.py
@@ -60,3 +60,18 @@
 
     def _has_calls(self) -> bool:
         return bool(self.ingress.in_flight or self.target.in_flight)
+
+
+async def finish_reports(control: HttpServer, until: float) -> None:
+    """Stop accepting reports of the local server and answer those that were read."""
+    control.stop_listening()
+    control.draining = True
+    control.close_idle()
+    while monotonic_s() < until and control.in_flight:
+        await asyncio.sleep(POLL_S)
+        control.close_idle()
+    if control.in_flight:
+        _LOGGER.warning(
+            "daemon: reports end without a response.",
+            extra={"connections": control.in_flight},
+        )
