Confirm a drain at a stopping daemon only if the next one will know of it

A server that reported `draining` or deregistered at a stopping event-driven daemon got 200 also when the store had not taken the record within 0.5 s. The daemon then ended, and the next one at its address restored the server as ready from the old record, so it could send calls to a server whose leaving had been confirmed, until its next heartbeat (none follows a deregistration). The last step is read in the code, not shown by a run.

Evidence, on the code before, with a store that answers 503 (200 instead):

test_a_leaving_daemon_confirms_no_drain_that_it_cannot_store assert await node.send_heartbeat("draining") == 503 AssertionError

A stopping daemon obeys the report, but answers 503 unless the record is stored, so that the server reports to the next daemon. The wait for the store ends with the daemon's work. A daemon that isn't stopping confirms as before.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -243,16 +243,28 @@
         self._lifetime.begin_stop(self.settings.grace_s, monotonic_s())
         self._stopping.set()
 
-    async def record_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Record a heartbeat of the local server."""
+    async def record_heartbeat(self, heartbeat: Heartbeat) -> bool:
+        """Record a heartbeat of the local server; return whether to confirm it."""
         self.local.record_heartbeat(heartbeat, monotonic_s())
-        if self.local.state is not ServerState.READY:
-            await self._control_plane.registration.write_now(DRAIN_WRITE_TIMEOUT_S)
+        return self.local.state is ServerState.READY or await self._store_drain()
 
-    async def record_deregistration(self, server: str, born_ms: int | None) -> None:
-        """Record that the local server has deregistered."""
-        if self.local.deregister(server, born_ms, monotonic_s()):
-            await self._control_plane.registration.write_now(DRAIN_WRITE_TIMEOUT_S)
+    async def record_deregistration(self, server: str, born_ms: int | None) -> bool:
+        """Record that the local server leaves; return whether to confirm it."""
+        if not self.local.deregister(server, born_ms, monotonic_s()):
+            return True
+        return await self._store_drain()
+
+    async def _store_drain(self) -> bool:
+        """
+        Store that the server takes no calls; return whether to confirm its report.
+
+        This daemon obeys the report in any case. The next one at this address knows
+        only the stored record, so a stopping daemon confirms only what is stored.
+        """
+        now = monotonic_s()
+        timeout_s = self._lifetime.limit(now + DRAIN_WRITE_TIMEOUT_S) - now
+        stored = await self._control_plane.registration.write_now(max(0.0, timeout_s))
+        return stored or self._lifetime.plan is None
 
     def _stored_record(self) -> MemberRecord:
         """Return the record with the server's own state, for the next daemon start."""
--- a/damaskbay/platform/heartbeats.py
+++ b/damaskbay/platform/heartbeats.py
@@ -19,16 +19,22 @@
 DEREGISTER_PATH = "/Instances.Deregister/"
 STATES_BY_NAME = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
 
-HeartbeatCallback = Callable[[Heartbeat], Awaitable[None]]
-DeregisterCallback = Callable[[str, int | None], Awaitable[None]]
-"""Takes the server and its start time in milliseconds, None if not reported."""
+HeartbeatCallback = Callable[[Heartbeat], Awaitable[bool]]
+"""Returns whether to confirm the report."""
+
+DeregisterCallback = Callable[[str, int | None], Awaitable[bool]]
+"""Takes the server and its start time in milliseconds, None if not reported.
+
+Returns whether to confirm the report.
+"""
 
 
 class HeartbeatListener:
     """
     Serves the control address for the backend server of this daemon.
 
-    An invalid report gets status 400 and changes nothing.
+    An invalid report gets status 400 and changes nothing. One that the next daemon
+    may not know of gets status 503, so that the server sends it again.
     """
 
     def __init__(
@@ -52,15 +58,19 @@
                 heartbeat = self._decode_heartbeat(
                     path.removeprefix(HEARTBEAT_PATH), request.body
                 )
-                await self._on_heartbeat(heartbeat)
+                confirmed = await self._on_heartbeat(heartbeat)
             elif request.method == "POST" and path.startswith(DEREGISTER_PATH):
                 born_ms = _decode_born_ms(request.body)
-                await self._on_deregister(path.removeprefix(DEREGISTER_PATH), born_ms)
+                server = path.removeprefix(DEREGISTER_PATH)
+                confirmed = await self._on_deregister(server, born_ms)
             else:
                 return Response(int(HTTPStatus.NOT_FOUND))
         except FieldError as error:
             _LOGGER.warning("backend: report is not taken.", extra={"why": str(error)})
             return Response(int(HTTPStatus.BAD_REQUEST))
+        if not confirmed:
+            _LOGGER.warning("backend: report is not confirmed.", extra={"path": path})
+            return Response(int(HTTPStatus.SERVICE_UNAVAILABLE))
         headers = (("Content-Type", "application/json"),)
         return Response(int(HTTPStatus.OK), headers, b"{}")
 
--- a/tests/mesh/test_reports_at_stop.py
+++ b/tests/mesh/test_reports_at_stop.py
@@ -4,10 +4,28 @@
 import unittest
 
 from damaskbay.adapters.http1.client import HttpProblem
+from damaskbay.ports.fleet import ServerState
 from tests.common import function_suite
 from tests.mesh.common import run_fleet
 
 
+# Guards against acks that are not obeyed: the next daemon knows nothing of the report.
+def test_a_leaving_daemon_confirms_no_drain_that_it_cannot_store() -> None:
+    """The report gets 503 while the store is down, and 200 once it is stored."""
+
+    async def run() -> None:
+        async with run_fleet(a="one") as fleet:
+            node = fleet.nodes["a"]
+            fleet.kv.faults.status = 503
+            node.daemon.stop()
+            assert await node.send_heartbeat("draining") == 503
+            assert node.daemon.local.state is ServerState.DRAINING
+            fleet.kv.faults.status = None
+            assert await node.send_heartbeat("draining") == 200
+
+    asyncio.run(run())
+
+
 # Guards against acks that are lost: a report that was read before the daemon's end.
 def test_a_leaving_daemon_answers_each_report_that_it_has_read() -> None:
     """The daemon ends after its responses, also if the store doesn't respond."""
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -52,11 +52,13 @@
         self.heartbeats: list[Heartbeat] = []
         self.deregistrations: list[tuple[str, int | None]] = []
 
-    async def on_heartbeat(self, heartbeat: Heartbeat) -> None:
+    async def on_heartbeat(self, heartbeat: Heartbeat) -> bool:
         self.heartbeats.append(heartbeat)
+        return True
 
-    async def on_deregister(self, server: str, born_ms: int | None) -> None:
+    async def on_deregister(self, server: str, born_ms: int | None) -> bool:
         self.deregistrations.append((server, born_ms))
+        return True
 
 
 def _post(path: str, body: bytes) -> tuple[int, _RecordedReports]:
