Cut running calls only in the last sixth of a short grace time

Cause: the margins before the kill were fixed, whatever the grace time. Evidence, tests.core.test_lifetime on the code before, test_a_running_call_is_interrupted_in_the_last_sixth_of_the_grace_time: assert plan.work_until >= last_sixth_at, grace_s AssertionError: 1.0 Why the fix works: the margins shrink with the grace time, so that work ends in its last sixth, however short it is; from 5.7 s on nothing changes.

--- a/damaskbay/core/lifetime.py
+++ b/damaskbay/core/lifetime.py
@@ -23,6 +23,13 @@
 LINKS_CLOSE_S = 1.0
 """Limit of the wait for peers that read slowly while links close, seconds."""
 
+MAX_MARGIN_SHARE = 1.0 / 6.0
+"""
+Limit of WORK_MARGIN_S as a part of the grace time; the other margins shrink with it.
+
+Callers expect that a running call is cut only in the last sixth of the grace time.
+"""
+
 MIN_LINKS_CLOSE_S = 0.1
 """Time to close links after a stop that used all of its time, seconds."""
 
@@ -47,13 +54,14 @@
 def plan_stop(grace_s: float, now: float) -> StopPlan:
     """Return the steps of a stop that begins now, `grace_s` before the kill."""
     announcement_s = min(ANNOUNCEMENT_S, ANNOUNCEMENT_SHARE * grace_s)
+    margin_scale = min(1.0, MAX_MARGIN_SHARE * grace_s / WORK_MARGIN_S)
     kill_at = now + grace_s
     return StopPlan(
         now,
         now + announcement_s,
-        max(now, kill_at - WORK_MARGIN_S),
-        max(now, kill_at - INTERRUPT_MARGIN_S),
-        max(now, kill_at - EXIT_MARGIN_S),
+        kill_at - margin_scale * WORK_MARGIN_S,
+        kill_at - margin_scale * INTERRUPT_MARGIN_S,
+        kill_at - margin_scale * EXIT_MARGIN_S,
     )
 
 
--- a/tests/core/test_lifetime.py
+++ b/tests/core/test_lifetime.py
@@ -8,6 +8,7 @@
 
 BEGAN_AT = 100.0
 GRACE_S = 6.0
+ROUNDING_S = 1e-6
 
 
 def test_the_steps_of_a_stop_follow_each_other_within_the_grace_time() -> None:
@@ -20,6 +21,15 @@
         assert plan.exits_at < BEGAN_AT + grace_s
 
 
+def test_a_running_call_is_interrupted_in_the_last_sixth_of_the_grace_time() -> None:
+    """Margins that suit a long grace time cut running calls early in a short one."""
+    for grace_s in (1.0, 3.0, GRACE_S, 30.0):
+        plan = plan_stop(grace_s, BEGAN_AT)
+        last_sixth_at = BEGAN_AT + grace_s * 5.0 / 6.0 - ROUNDING_S
+        assert plan.work_until >= last_sixth_at, grace_s
+        assert plan.interrupts_at >= last_sixth_at, grace_s
+
+
 def test_deadlines_are_limited_by_the_end_of_the_daemon() -> None:
     """Before a stop they are not; a second SIGTERM doesn't extend the first."""
     lifetime = Lifetime()
