Refuse half-read requests of a leaving daemon once no call is left

What callers saw: nobody listened at the address of a leaving daemon for up to 3 s if one caller sent its request slowly: the listener was closed, but the process waited for the rest of the request, which it would have refused as not run. Cause: the wait for the last responses counted connections with an incomplete request, which have none to wait for.

Evidence, tests.mesh.test_stopping.test_a_half_read_request_does_not_delay_the_next_daemon on the code before (grace time 6 s): assert took_s < 3.0, (took_s, refused) AssertionError: (5.43, True) Why the fix works: once the listener is closed, such requests get 408, which promises that they have not run and never will; nothing is started on their connection afterwards.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -343,8 +343,7 @@
             self._timeout_task.cancel()
         self.stop_listening()
         self.close_idle()
-        for connection in tuple(self.connections):
-            connection.reject_incomplete()
+        self.reject_incomplete()
         await self._flush()
         for connection in tuple(self.connections):
             connection.close_unless_serving()
@@ -371,6 +370,11 @@
         for connection in tuple(self.connections):
             connection.close_if_idle(now)
 
+    def reject_incomplete(self) -> None:
+        """Respond to requests that are still being read: they have not run."""
+        for connection in tuple(self.connections):
+            connection.reject_incomplete()
+
     async def _flush(self) -> None:
         """Wait until all complete responses are sent; log what exceeds the timeout."""
         ends_at = monotonic_s() + self.close_timeout_s
--- a/damaskbay/mesh/stopping.py
+++ b/damaskbay/mesh/stopping.py
@@ -39,6 +39,7 @@
             await asyncio.sleep(POLL_S)
             self.callers.close_idle()
         self.callers.stop_listening()
+        self.callers.reject_incomplete()
         await self._wait_for_responses(plan.interrupts_at)
         if self._has_calls():
             self._interrupt()
--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -106,6 +106,34 @@
     asyncio.run(run())
 
 
+# Guards against an address without a daemon while one caller sends a request slowly.
+def test_a_half_read_request_does_not_delay_the_next_daemon() -> None:
+    """It would be refused as not run once it is complete, so it is refused at once."""
+
+    async def run() -> None:
+        async def answer(_: ReceivedRequest) -> Response:
+            return Response(200)
+
+        async with HttpServer(PeerAddress("127.0.0.1", 0), answer, CallerLimits()) as s:
+            _reader, writer = await asyncio.open_connection(
+                s.address.host, s.address.port
+            )
+            writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1")
+            await asyncio.sleep(0.1)
+            plan = plan_stop(6.0, monotonic_s())
+            stopping = asyncio.create_task(_stop(s, 0).run(plan))
+            ends: list[float] = []
+            stopping.add_done_callback(lambda _: ends.append(monotonic_s()))
+            await asyncio.sleep(3.0)
+            refused = isinstance(await _request(s), HttpFailure)
+            await stopping
+            took_s = round(ends[0] - plan.began_at, 2)
+            writer.close()
+            assert took_s < 3.0, (took_s, refused)
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
