--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -5,7 +5,7 @@
 import itertools
 import unittest
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from damaskbay.adapters.http1.client import (
     HttpClient,
@@ -14,6 +14,7 @@
     HttpProblem,
 )
 from damaskbay.core.call import Request, Response
+from damaskbay.helpers.clock import monotonic_s
 from tests.common import function_suite
 from tests.mesh.common import Fleet, Node, run_fleet, wait_until
 
@@ -152,6 +153,28 @@
     _run(check, a="one", b="two")
 
 
+# Guards against LOST: a running request is cut before the last sixth.
+def test_a_short_grace_time_leaves_running_requests_five_sixths() -> None:
+    """A request ends at 1.55 s of 2 s; the last sixth begins at 1.67 s."""
+
+    async def check(fleet: Fleet) -> None:
+        node = fleet.nodes["a"]
+        node.daemon.settings = replace(node.daemon.settings, grace_s=2.0)
+        callers = Callers(node)
+        _answer_after(node, 1.6)
+        running = callers.send("/unsafe/", "POST")
+        await wait_until(lambda: running in node.backend.ids())
+        await asyncio.sleep(0.05)
+        began_at = monotonic_s()
+        node.daemon.stop()
+        await wait_until(lambda: running in callers.outcomes_by_id)
+        took_s = round(monotonic_s() - began_at, 2)
+        await node.run_task
+        assert callers.status(running) == 200, (callers.status(running), took_s)
+
+    _run(check, a="one", b="two")
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
