Try other servers until one is not leaving

What callers saw: 503 for a slow call while another server of the pool was idle, when several daemons left at once. Cause: each leaving daemon that a call would outlast refuses it, and the third refusal ended the call, as for overloaded servers.

Evidence, tests.mesh.test_leaving.test_a_slow_call_finds_the_one_server_that_stays on the code before, three of four servers leave: AssertionError: [503, 503, 200, 200, 503, 200, ...] Why the fix works: a refusal of a leaving daemon no longer counts. Each server is tried once, so the number of servers that are linked bounds it.

--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -26,7 +26,7 @@
 """
 
 MAX_REDIRECTS: Final = 3
-"""Daemons tried in turn while none has passed the call to its server."""
+"""Daemons tried in turn, without those that leave, until one passes the call on."""
 
 MIN_RETRY_TIME_LEFT_S: Final = 0.05
 """Time that must be left before the deadline for a retry, seconds."""
--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -165,7 +165,9 @@
         if result.attempts == 0 and not outcome.not_run:
             return False
         if result.attempts == 0:
-            progress.redirects += 1
+            # Many daemons may leave at the same time, each of which is tried once.
+            if outcome.reason is not Reason.SHUTTING_DOWN:
+                progress.redirects += 1
             return progress.redirects < MAX_REDIRECTS
         if not (outcome.not_run or context.idempotent):
             return False
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -153,6 +153,27 @@
     _run(check, a="one", b="two")
 
 
+# Guards against redirects that run out at leaving daemons while another has room.
+def test_a_slow_call_finds_the_one_server_that_stays() -> None:
+    """Servers that stop together refuse it before callers have been told."""
+
+    async def check(fleet: Fleet) -> None:
+        sender = fleet.nodes["b"]
+        leaving = [fleet.nodes[name] for name in ("a", "c", "d")]
+        for node in leaving:
+            node.daemon.settings = replace(node.daemon.settings, grace_s=3.0)
+            for route in ("r0", "r1"):
+                node.daemon._target._durations.record(route, 2.0)
+            node.daemon.stop()
+        await asyncio.sleep(0.1)
+        answers = [await sender.request("/safe/") for _ in range(24)]
+        assert not any(node.daemon._target.draining for node in leaving)
+        statuses = [answer.status for answer in answers]
+        assert statuses == [200] * 24, statuses
+
+    _run(check, a="one", b="two", c="one", d="one", e="one")
+
+
 # Guards against LOST: a running request is cut before the last sixth.
 def test_a_short_grace_time_leaves_running_requests_five_sixths() -> None:
     """A request ends at 1.55 s of 2 s; the last sixth begins at 1.67 s."""
