Wait for the response of a server until calls are interrupted

What callers saw: our own 504 in place of the server's, which arrived 60 ms after the end of work of a leaving daemon, for a request that the daemon had taken late after SIGTERM, too. Calls are interrupted only 0.15 s after the end of work. Cause: the wait past a deadline was 0.03 s at the target and 0.06 s at the sender.

Evidence, tests.mesh.test_leaving on the code before: test_the_response_of_a_server_at_the_end_of_work_reaches_its_caller: AssertionError: Response(status=504, ... without a stamp) test_a_late_request_gets_its_servers_response: the same, 5.08 s after SIGTERM Why the fix works: both waits fit between the end of work and the interruption; the sender's is longer than the target's.

--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -40,11 +40,15 @@
 UNREACHABLE_BACKOFF_S: Final = 0.3
 """Time without attempts after the server refused a connection, seconds."""
 
-SERVER_REPLY_GRACE_S: Final = 0.03
+SERVER_REPLY_GRACE_S: Final = 0.1
 """Wait past a deadline for the response of the server, which stops then, seconds."""
 
-REPLY_GRACE_S: Final = 0.06
-"""Wait past a deadline for the target's reply, which says if the call ran, seconds."""
+REPLY_GRACE_S: Final = 0.13
+"""
+Wait past a deadline for the target's reply, which says if the call ran, seconds.
+
+It is less than the time between the end of work and the interruption of calls.
+"""
 
 RELAYS_PER_DOMAIN: Final = 2
 """Daemons of each domain that all others link to: its relay and the standby."""
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -153,6 +153,79 @@
     _run(check, a="one", b="two")
 
 
+def _answer_at_deadline(node: Node, after_s: float = 0.0) -> None:
+    """Answer 504 at the time limit, as a server does that stops work there."""
+
+    async def slow(request: Request) -> Response | None:
+        headers = dict(request.headers)
+        await asyncio.sleep(int(headers["X-Deadline-Ms"]) / 1000.0 + after_s)
+        named = ("X-Request-Id", headers["X-Request-Id"])
+        return Response(504, (named, ("X-Server-Stamp", "stamp")))
+
+    node.backend.override_response = slow
+
+
+# Guards against LOST: the daemon's own answer in place of the server's at its end.
+def test_the_response_of_a_server_at_the_end_of_work_reaches_its_caller() -> None:
+    """There is time to wait for it until calls are interrupted."""
+
+    async def check(fleet: Fleet) -> None:
+        node = fleet.nodes["a"]
+        callers = Callers(node)
+        await node.send_heartbeat(slots=8)
+        callers.send("/safe/")
+        await wait_until(lambda: len(callers.outcomes_by_id) == 1)
+        _answer_at_deadline(node, 0.06)
+        node.daemon.stop()
+        late = callers.send("/safe/", deadline_ms=9000)
+        await node.run_task
+        await asyncio.sleep(0.1)
+        outcome = callers.outcomes_by_id[late]
+        assert isinstance(outcome, Response)
+        assert "X-Server-Stamp" in dict(outcome.headers), outcome
+
+    _run(check, a="one", b="two")
+
+
+# Guards against LOST: the daemon's own answer to a request that was taken late.
+def test_a_late_request_gets_its_servers_response() -> None:
+    """Its server responds 60 ms after the end of work, before calls are interrupted."""
+
+    async def check(fleet: Fleet) -> None:
+        leaving = fleet.nodes["a"]
+        leaving.daemon.settings = replace(leaving.daemon.settings, grace_s=6.0)
+        await leaving.send_heartbeat(slots=8)
+        callers = Callers(leaving)
+        other = await fleet.add("c", "one")
+        await fleet.wait_until_connected()
+        for count in range(1, 4):
+            callers.send("/safe/")
+            await wait_until(lambda count=count: len(callers.outcomes_by_id) == count)  # type: ignore[misc]
+
+        async def slow(request: Request) -> Response | None:
+            headers = dict(request.headers)
+            left_s = int(headers["X-Deadline-Ms"]) / 1000.0
+            await asyncio.sleep(8.0 if request.method == "POST" else left_s + 0.06)
+            named = ("X-Request-Id", headers["X-Request-Id"])
+            return Response(504, (named, ("X-Server-Stamp", "stamp")))
+
+        leaving.backend.override_response = other.backend.override_response = slow
+        callers.send("/unsafe/", "POST")
+        await asyncio.sleep(0.2)
+        began_at = monotonic_s()
+        leaving.daemon.stop()
+        await asyncio.sleep(3.2)
+        late = callers.send("/safe/", deadline_ms=9000)
+        await wait_until(lambda: late in callers.outcomes_by_id)
+        took_s = round(monotonic_s() - began_at, 2)
+        assert late in other.backend.ids()
+        outcome = callers.outcomes_by_id[late]
+        assert isinstance(outcome, Response)
+        assert "X-Server-Stamp" in dict(outcome.headers), (outcome, took_s)
+
+    _run(check, a="one", b="two")
+
+
 # Guards against redirects that run out at leaving daemons while another has room.
 def test_a_slow_call_finds_the_one_server_that_stays() -> None:
     """Servers that stop together refuse it before callers have been told."""
