Send safe calls that a leaving server gives up to another one

What callers saw: 504 with seconds left, from a server whose daemon was leaving, while another server had room. Cause: the leaving daemon limits the deadline of each call by its own end. Its server answers 504 then, or nothing, and the sender took either for the time limit of the call, after which there is nothing to try again. Calls that are interrupted a moment later were tried again.

Evidence, tests.mesh.test_leaving on the code before: test_a_safe_call_that_a_leaving_server_gives_up_goes_to_another: AssertionError: (504, []) test_a_safe_call_that_a_leaving_server_does_not_answer_goes_to_another: the same Why the fix works: 504 is tried again like 500 and 502, within the retry budget, if the call itself has time left; a deadline that passes because of the daemon's end has that as its reason. An unsafe call still ends there: it may have run.

--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -33,8 +33,12 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-_RETRIED_STATUSES = frozenset({500, 502})
-"""Error responses after which another server may succeed."""
+_RETRIED_STATUSES = frozenset({500, 502, 504})
+"""
+Error responses after which another server may succeed.
+
+A server whose daemon is leaving answers 504 while the call itself has time left.
+"""
 
 
 _REASONS_BY_PROBLEM = {
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -59,9 +59,14 @@
 
 @dataclass(slots=True, eq=False)
 class _ActiveCall:
-    """A call and the task that runs it, in the queue or, once `sent`, at the server."""
+    """
+    A call and the task that runs it, in the queue or, once `sent`, at the server.
+
+    `outlives` means that its sender waits for longer than this daemon can work.
+    """
 
     task: "asyncio.Task[Any] | None"
+    outlives: bool = False
     sent: bool = False
     interrupted: bool = False
 
@@ -96,13 +101,14 @@
 
     async def run(self, context: CallContext, request: Request) -> CallResult:
         """Run a call; cancellation closes its connection to the server."""
-        active = _ActiveCall(asyncio.current_task())
-        self._active_calls.add(active)
         deadline = self._parts.lifetime.limit(context.deadline)
-        if deadline < context.deadline:
+        active = _ActiveCall(asyncio.current_task(), deadline < context.deadline)
+        self._active_calls.add(active)
+        if active.outlives:
             context = replace(context, deadline=deadline)
         try:
-            return await self._run(context, request, active)
+            result = await self._run(context, request, active)
+            return _explain_shutdown(result) if active.outlives else result
         except asyncio.CancelledError:
             if not active.interrupted or active.task is None:
                 self._log_cancelled(context, active)
@@ -117,7 +123,7 @@
     ) -> CallResult:
         parts = self._parts
         now = parts.clock()
-        refusal = self._refusal_before_queue(context, now)
+        refusal = self._refusal_before_queue(context, active, now)
         if refusal is not None:
             return self._refused_result(context, refusal, now)
         if context.is_retry and not parts.repeats.spend(nested=context.depth > 0):
@@ -148,14 +154,16 @@
         attempts = 0 if _never_sent(outcome) else 1
         return self._result(outcome, attempts, took_s, call)
 
-    def _refusal_before_queue(self, context: CallContext, now: float) -> Refusal | None:
+    def _refusal_before_queue(
+        self, context: CallContext, active: _ActiveCall, now: float
+    ) -> Refusal | None:
         """Return a refusal if the call can't run here; senders try another daemon."""
         parts = self._parts
         if context.pool != parts.pool:
             return not_run(
                 Reason.NO_BACKEND_SERVER, detail="daemon serves another pool"
             )
-        if self.draining or self._outlasts_daemon(context, now):
+        if self.draining or (active.outlives and self._outlasts_daemon(context, now)):
             return not_run(Reason.SHUTTING_DOWN, retry_after_s=NOT_READY_RETRY_S)
         if parts.local.state is ServerState.STARTING:
             return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=NOT_READY_RETRY_S)
@@ -362,6 +370,14 @@
         )
 
 
+def _explain_shutdown(result: CallResult) -> CallResult:
+    """Give the daemon's end as the reason if a deadline that it limited has passed."""
+    refusal = result.result
+    if not isinstance(refusal, Refusal) or refusal.reason is not Reason.DEADLINE_PASSED:
+        return result
+    return replace(result, result=replace(refusal, reason=Reason.SHUTTING_DOWN))
+
+
 def _succeeded(outcome: Response | Refusal) -> bool:
     return isinstance(outcome, Response) and outcome.status < FIRST_SERVER_ERROR
 
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -165,6 +165,39 @@
     node.backend.override_response = slow
 
 
+def _check_moves_on(take: Callable[[Node], None]) -> None:
+    """Check that a safe call that a leaving server can't end is run by another one."""
+
+    async def check(fleet: Fleet) -> None:
+        leaving, sender = fleet.nodes["a"], fleet.nodes["b"]
+        callers = Callers(sender)
+        await leaving.send_heartbeat(slots=8)
+        callers.send("/safe/")
+        await wait_until(lambda: len(callers.outcomes_by_id) == 1)
+        take(leaving)
+        leaving.daemon.stop()
+        safe = callers.send("/safe/", deadline_ms=9000)
+        await wait_until(lambda: safe in leaving.backend.ids())
+        other = await fleet.add("c", "one")
+        await leaving.run_task
+        await wait_until(lambda: safe in callers.outcomes_by_id)
+        assert callers.status(safe) == 200, (callers.status(safe), other.backend.ids())
+
+    _run(check, a="one", b="two")
+
+
+# Guards against 504 at a deadline that only the leaving daemon had shortened.
+def test_a_safe_call_that_a_leaving_server_gives_up_goes_to_another() -> None:
+    """The server answers 504; the caller has time left, and another server has room."""
+    _check_moves_on(_answer_at_deadline)
+
+
+# Guards against 504 at a deadline that only the leaving daemon had shortened.
+def test_a_safe_call_that_a_leaving_server_does_not_answer_goes_to_another() -> None:
+    """The daemon's own end is the reason, not the time limit of the call."""
+    _check_moves_on(lambda node: _answer_after(node, 30.0))
+
+
 # Guards against LOST: the daemon's own answer in place of the server's at its end.
 def test_the_response_of_a_server_at_the_end_of_work_reaches_its_caller() -> None:
     """There is time to wait for it until calls are interrupted."""
