Judge what a leaving daemon has time for by running calls, too

What callers saw: when servers became slower at the moment of SIGTERM, requests were taken until 4.98 s after it (grace time 6 s) and all got 504 at its end: "taken long after SIGTERM and given up" once more. And a daemon that knew nothing of a route yet, as after its start, refused every request from SIGTERM on, also those of 0.02 s, while callers were only just being told. Cause: the estimate learned only from calls that had ended, and had the time limit as its value before the first of them.

Why the fix works: the estimate is not below the age of a running call that no later one has overtaken; one that was overtaken is an outlier and says nothing. Until callers know of the stop, a request of which nothing is known is taken.

--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -232,7 +232,9 @@
         """Return a refusal if the call won't end before this daemon does."""
         left_s = context.deadline - now
         with self._lock:
-            expected_s = self._durations.expected_s(context.route, left_s)
+            expected_s = self._durations.expected_s(context.route, now)
+        if expected_s is None:
+            expected_s = left_s if self._parts.lifetime.announced(now) else 0.0
         if not self._parts.lifetime.outlasts(min(left_s, expected_s), now):
             return None
         return not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0)
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -140,11 +140,8 @@
         if early is not None:
             return self._refuse(early, request_id, route, context.workspace)
         forwarded = self._forwarded_request(request, forwarded_headers, workspace)
-        result = await parts.dispatcher.dispatch(context, route, forwarded)
-        took_s = parts.clock() - arrival.arrived_at
-        self._record_result(context, result, took_s)
-        if result.attempts:
-            self._durations.record(route.name, took_s)
+        result = await self._dispatch(context, route, forwarded)
+        self._record_result(context, result, parts.clock() - arrival.arrived_at)
         if caller is not None:
             parts.running.record_nested_end(caller, result, parts.clock())
         else:
@@ -159,6 +156,24 @@
             headers = (*headers, (parts.dialect.request_id, request_id))
         return Response(outcome.status, headers, outcome.body)
 
+    async def _dispatch(
+        self, context: CallContext, route: Route, request: Request
+    ) -> CallResult:
+        """Send a call and record how long it takes, if a server has run it."""
+        parts, durations = self._parts, self._durations
+        started_at = parts.clock()
+        durations.start(route.name, started_at)
+        attempts = 0
+        try:
+            result = await parts.dispatcher.dispatch(context, route, request)
+            attempts = result.attempts
+        finally:
+            if attempts:
+                durations.end(route.name, started_at, parts.clock() - started_at)
+            else:
+                durations.discard(route.name, started_at)
+        return result
+
     def _log_unanswered(self, arrival: ReceivedRequest) -> None:
         """Log a request whose caller disconnected or that the daemon's end cuts."""
         lifetime, now = self._parts.lifetime, self._parts.clock()
@@ -228,9 +243,10 @@
         """
         Return a refusal if a stopping daemon takes no such request any more.
 
-        It takes what ends before the daemon does. Once callers know of the stop, it
-        takes root calls only while it has to stay for earlier ones. Nested calls are
-        taken as long as possible, as otherwise the call that made them fails.
+        It takes what ends before the daemon does, and what it knows nothing of until
+        callers know of the stop. From then on it takes root calls only while it has to
+        stay for earlier ones. Nested calls are taken as long as possible, as otherwise
+        the call that made them fails.
         """
         lifetime, now = self._parts.lifetime, self._parts.clock()
         if lifetime.plan is None:
@@ -239,10 +255,10 @@
         if caller is not None and left_s > 0:
             return None
         stays = self.in_flight > self._late_in_flight or lifetime.peer_calls > 0
-        default_s = timeout_s
-        if isinstance(route, WeightedRoute) and route.objective_s is not None:
-            default_s = route.objective_s
-        expected_s = min(timeout_s, self._durations.expected_s(route.name, default_s))
+        expected_s = self._durations.expected_s(route.name, now)
+        if expected_s is None:
+            expected_s = timeout_s if lifetime.announced(now) else 0.0
+        expected_s = min(timeout_s, expected_s)
         if stays and not lifetime.outlasts(expected_s, now):
             return None
         # The next daemon at this address starts after the last call of this one.
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -187,7 +187,7 @@
         """Return whether a root call won't end here before the daemon does."""
         if context.depth > 0:
             return False
-        expected_s = self._durations.expected_s(context.route, context.objective_s or 0)
+        expected_s = self._durations.expected_s(context.route, now) or 0.0
         return self._parts.lifetime.outlasts(expected_s, now)
 
     def _count_attempt(self, context: CallContext) -> None:
