Tell callers to return when a leaving daemon is expected to have ended

What callers saw: a Retry-After of 0.3 s while calls that had been taken late kept the daemon for seconds, so that they came back to another refusal; or one that counted to the end of the grace time, though the daemon ended up to 2.9 s earlier. Cause: the time was that of the end of work if an earlier call ran, and nothing otherwise.

Why the fix works: each call that is taken, of callers and of peers, moves the expected end of the daemon; without calls it is the moment at which callers have been told.

--- a/damaskbay/core/lifetime.py
+++ b/damaskbay/core/lifetime.py
@@ -76,11 +76,13 @@
     Bounds the work of a daemon by its own end.
 
     `plan` is None while the daemon isn't stopping. `peer_calls` is the number of calls
-    of peers that run here. `ended` is set when the daemon waits for no call any more.
+    of peers that run here. `busy_until` is when the calls that were taken are expected
+    to have ended. `ended` is set when the daemon waits for no call any more.
     """
 
     plan: StopPlan | None = None
     peer_calls: int = 0
+    busy_until: float = 0.0
     ended: bool = False
 
     def begin_stop(self, grace_s: float, now: float) -> None:
@@ -98,6 +100,19 @@
         """Return whether a call of `expected_s` would end after the work here."""
         return self.plan is not None and now + expected_s > self.plan.work_until
 
+    def expect_end(self, moment: float) -> None:
+        """Record when a call that was taken is expected to end."""
+        self.busy_until = max(self.busy_until, moment)
+
+    def expected_left_s(self, now: float, *, has_calls: bool) -> float:
+        """Return the seconds until a stopping daemon is expected to end its work."""
+        if self.plan is None:
+            return 0.0
+        until = self.plan.announced_at
+        if has_calls:
+            until = max(until, min(self.busy_until, self.plan.work_until))
+        return max(0.0, until - now)
+
     def announced(self, now: float) -> bool:
         """Return whether callers know by now that the daemon is leaving."""
         return self.plan is not None and now >= self.plan.announced_at
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -162,6 +162,8 @@
         """Send a call and record how long it takes, if a server has run it."""
         parts, durations = self._parts, self._durations
         started_at = parts.clock()
+        expected_s = durations.expected_s(route.name, started_at) or 0.0
+        parts.lifetime.expect_end(min(context.deadline, started_at + expected_s))
         durations.start(route.name, started_at)
         attempts = 0
         try:
@@ -262,7 +264,8 @@
         if stays and not lifetime.outlasts(expected_s, now):
             return None
         # The next daemon at this address starts after the last call of this one.
-        wait_s = max(0.0, left_s) if stays else 0.0
+        has_calls = self.in_flight > 1 or lifetime.peer_calls > 0
+        wait_s = lifetime.expected_left_s(now, has_calls=has_calls)
         return not_run(
             Reason.SHUTTING_DOWN,
             retry_after_s=wait_s + NOT_READY_RETRY_S,
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -143,6 +143,8 @@
             if refusal is not None:
                 return self._refused_result(context, refusal, now)
             self._count_attempt(context)
+            expected_s = self._durations.expected_s(context.route, now) or 0.0
+            parts.lifetime.expect_end(min(context.deadline, now + expected_s))
             active.sent = True
             outcome = await self._send(context, request)
             took_s = parts.clock() - now
--- a/tests/core/test_lifetime.py
+++ b/tests/core/test_lifetime.py
@@ -54,6 +54,25 @@
     assert lifetime.outlasts(1.0, BEGAN_AT + 4.5)
 
 
+def test_the_end_of_a_leaving_daemon_is_expected_with_its_last_call() -> None:
+    """Callers wait for the next daemon no longer than this one stays."""
+    lifetime = Lifetime()
+    assert lifetime.expected_left_s(BEGAN_AT, has_calls=True) == 0.0
+    lifetime.begin_stop(GRACE_S, BEGAN_AT)
+    plan = lifetime.plan
+    assert plan is not None
+    told_s = plan.announced_at - BEGAN_AT
+    assert lifetime.expected_left_s(BEGAN_AT, has_calls=False) == told_s
+    lifetime.expect_end(BEGAN_AT + 4.0)
+    lifetime.expect_end(BEGAN_AT + 3.0)
+    assert lifetime.expected_left_s(BEGAN_AT, has_calls=False) == told_s
+    assert lifetime.expected_left_s(BEGAN_AT + 2.5, has_calls=True) == 1.5
+    assert lifetime.expected_left_s(BEGAN_AT + 2.5, has_calls=False) == 0.0
+    lifetime.expect_end(BEGAN_AT + 60.0)
+    work_s = plan.work_until - BEGAN_AT
+    assert lifetime.expected_left_s(BEGAN_AT, has_calls=True) == work_s
+
+
 def test_an_estimate_covers_almost_all_calls_and_forgets_an_outlier() -> None:
     """One call that timed out doesn't make a route look slow for long."""
     estimates = DurationEstimates()
