Judge what a leaving threaded daemon has time for by running calls, too

What callers saw: when servers became slower at the moment of SIGTERM, the threaded daemon went on taking calls, and all of them ended as unknown at its end.

Evidence: test_a_leaving_daemon_notices_that_its_server_has_become_slower failed before with "assert refused == not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0)": the call was taken and ran. Why the fix works: the estimate isn't below the age of a running call that no later one has overtaken. Start and end are recorded under the ingress's lock, with the clock read under it, so that start times are in order.

--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -115,9 +115,6 @@
         result = served.result
         if self._interrupted:
             result = explain_interruption(result)
-        if result.attempts:
-            with self._lock:
-                self._durations.record(served.route, took_s)
         if served.context is None and call.request_id is not None:
             result = _with_unknown_outcome(result)
         if served.context is not None:
@@ -252,10 +249,32 @@
         deadline = self._parts.lifetime.limit(context.deadline)
         context = replace(context, deadline=deadline)
         outgoing = OutgoingCall(context, request, cancellation, leaf=not route.calls)
+        with self._lock:
+            started_at = self._clock()
+            self._durations.start(route.name, started_at)
+        attempts = 0
+        try:
+            result = self._dispatch(outgoing)
+            attempts = result.attempts
+        finally:
+            self._record_end(route.name, started_at, attempts)
+        return result
+
+    def _dispatch(self, outgoing: OutgoingCall) -> CallResult:
+        context = outgoing.context
         if context.request_id is not None and not context.idempotent:
             return self._parts.once.run(outgoing)
         return self._parts.dispatcher.dispatch(outgoing)
 
+    def _record_end(self, route: str, started_at: float, attempts: int) -> None:
+        """Record how long a call has taken, if a server has run it."""
+        with self._lock:
+            if attempts:
+                took_s = self._clock() - started_at
+                self._durations.end(route, started_at, took_s)
+            else:
+                self._durations.discard(route, started_at)
+
     def _serve_nested(
         self, call: IncomingCall, cancellation: Cancellation
     ) -> _IngressResult:
--- a/tests/daemon/test_leaving.py
+++ b/tests/daemon/test_leaving.py
@@ -2,14 +2,17 @@
 
 import time
 import unittest
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
 
 from damaskbay.core.call import Request, Response
 from damaskbay.core.lifetime import StopPlan
 from damaskbay.core.outcome import Reason, Refusal, not_run
+from damaskbay.helpers.cancellation import Cancellation
 from damaskbay.helpers.clock import monotonic_s
 from tests.common import function_suite
-from tests.daemon.common import TIMEOUT_S, PathDaemon, request_path
+from tests.daemon.common import TIMEOUT_S, PathDaemon, RequestPath, request_path
 
 GRACE_S = 3.0
 ANNOUNCED_S = 1.3
@@ -19,6 +22,11 @@
 """Expected to take twice as long after one such call, more than GRACE_S allows."""
 
 SLOW_DEADLINE_S = 2.0
+LATE_S = 2.0
+SLOWER_S = 0.6
+"""Longer than the time that calls have LATE_S after SIGTERM, seconds."""
+
+LEFT_DEADLINE_S = 0.2
 LONG_DEADLINE_S = 8.0
 SHORT_DEADLINE_S = 0.5
 
@@ -34,6 +42,24 @@
     return plan
 
 
+@contextmanager
+def _slow_call(path: RequestPath, sender: str, server: str) -> Iterator[None]:
+    """Run a call for longer than late calls have, after one that took no time."""
+    a, b = (path.daemons_by_instance[name] for name in (sender, server))
+    cancellation = Cancellation()
+    with ThreadPoolExecutor(1) as callers:
+        assert isinstance(a.call("/file/1"), Response)
+        b.backend.work_s = TIMEOUT_S
+        callers.submit(a.call, "/file/run", cancellation=cancellation)
+        _wait_until_running(b, 1)
+        b.backend.work_s = 0.0
+        time.sleep(SLOWER_S)
+        try:
+            yield
+        finally:
+            cancellation.cancel()
+
+
 def _record_deadlines(daemon: PathDaemon) -> list[float]:
     """Return a list to which the deadline of each call at the server is added."""
     deadlines: list[float] = []
@@ -104,6 +130,19 @@
         assert path.runs("/file/2") == 0
 
 
+# Guards against calls that are taken in a stop after their server has become slower.
+def test_a_leaving_daemon_notices_that_its_server_has_become_slower() -> None:
+    """Calls that run show it before any of them has ended."""
+    with request_path("a") as path, _slow_call(path, "a", "a"):
+        daemon = path.daemons_by_instance["a"]
+        _begin_stop(daemon, since_s=LATE_S)
+        refused = daemon.call("/file/2", deadline_s=LONG_DEADLINE_S)
+        assert refused == not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0)
+        assert path.runs("/file/2") == 0
+        short = daemon.call("/file/3", deadline_s=LEFT_DEADLINE_S)
+        assert isinstance(short, Response)
+
+
 # Guards against LOST: work that was accepted in time and outlives the daemon.
 def test_interrupted_calls_say_whether_they_may_have_run() -> None:
     """A queued call has not run; one at the server may have run."""
