Refuse calls of peers that a leaving threaded daemon has no time for

What callers saw: a call that came through another daemon was taken by a leaving one up to its end of work, however long its route takes, and ended as unknown. The same for calls whose request id the leaving daemon owns. Cause: daemon/peer_calls.py refused calls only once no time at all was left, and had no estimate; the event-driven daemon has one.

Evidence, tests that failed before: test_a_call_of_a_peer_that_outlasts_the_daemon_is_refused_as_not_run and test_an_owned_call_that_outlasts_its_owner_is_refused_as_not_run, both with "assert isinstance(refused, Refusal)": the call was taken and ran. test_a_nested_call_of_a_peer_is_taken_as_long_as_possible passed before; it fails if nested calls are refused, too. A call that must end in time is taken, and a nested one, as otherwise the call that made it fails. An owned call is refused by the records of its owner, as at the ingress: not run if no attempt has begun, else with the result of that one.

--- a/damaskbay/daemon/peer_calls.py
+++ b/damaskbay/daemon/peer_calls.py
@@ -4,12 +4,13 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Executor
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from damaskbay.core.call import CallContext, CallResult
+from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.lifetime import Lifetime
-from damaskbay.core.outcome import Reason, not_run, unknown
+from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.daemon.dispatch import OutgoingCall, explain_interruption
 from damaskbay.daemon.messages import (
     CallMessage,
@@ -25,6 +26,14 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class _BegunCall:
+    """When a call began, and how long it was expected to take then, in seconds."""
+
+    started_at: float
+    expected_s: float
+
+
 class PeerCalls:
     """
     Runs calls from authenticated peers without blocking the stream's thread.
@@ -52,6 +61,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._running: set[Cancellation] = set()
+        self._durations = DurationEstimates()
         self._interrupted = False
 
     @property
@@ -75,16 +85,17 @@
         cancellation = Cancellation()
         responder.on_cancel(cancellation.cancel)
         refuse = unknown if call.owned else not_run
-        refusal = None
+        begun: _BegunCall | Refusal
         if self._lifetime.outlasts(0.0, self._clock()):
-            refusal = refuse(Reason.SHUTTING_DOWN)
-        elif not self._try_reserve_slot(cancellation):
-            refusal = refuse(Reason.OVERLOADED, detail="too many calls from peers")
-        if refusal is not None:
-            responder.reply(
-                to_result_message(CallResult(refusal, 0, call.retry_tokens))
+            begun = refuse(Reason.SHUTTING_DOWN)
+        else:
+            begun = self._begin(call, cancellation) or refuse(
+                Reason.OVERLOADED, detail="too many calls from peers"
             )
+        if isinstance(begun, Refusal):
+            responder.reply(to_result_message(CallResult(begun, 0, call.retry_tokens)))
             return
+        started_at = begun.started_at
 
         def done(result: CallResult) -> None:
             if self._interrupted:
@@ -92,16 +103,37 @@
             try:
                 responder.reply(to_result_message(result))
             finally:
-                self._release_slot(cancellation)
+                self._end(call, cancellation, started_at, result.attempts)
 
+        context = self._context(call)
+        outlasting = self._refuse_outlasting(call, context, begun)
         if call.owned:
-            self._executor.submit(self._run_owned, call, cancellation, done)
-            return
-        self._submit_to_target(call, cancellation, done)
+            self._executor.submit(
+                self._run_owned, call, context, cancellation, outlasting, done
+            )
+        elif outlasting is not None:
+            done(CallResult(outlasting, 0, call.retry_tokens))
+        else:
+            self._submit_to_target(call, context, cancellation, done)
+
+    def _refuse_outlasting(
+        self, call: CallMessage, context: CallContext, begun: _BegunCall
+    ) -> Refusal | None:
+        """
+        Return a refusal if a call won't end before this daemon does.
+
+        Nested calls are taken as long as possible, as otherwise the call that made
+        them fails.
+        """
+        expected_s = min(call.remaining_s, begun.expected_s)
+        if call.depth > 0 or not self._lifetime.outlasts(expected_s, begun.started_at):
+            return None
+        return not_run(Reason.SHUTTING_DOWN)
 
     def _submit_to_target(
         self,
         call: CallMessage,
+        context: CallContext,
         cancellation: Cancellation,
         done: Callable[[CallResult], None],
     ) -> None:
@@ -109,21 +141,25 @@
             refusal = not_run(Reason.NO_BACKEND_SERVER, detail="another pool")
             done(CallResult(refusal, 0, call.retry_tokens))
             return
-        context = self._context(call)
         target_call = TargetCall(context, request_of(call), cancellation)
         self._target.submit(target_call, done)
 
     def _run_owned(
         self,
         call: CallMessage,
+        context: CallContext,
         cancellation: Cancellation,
+        outlasting: Refusal | None,
         done: Callable[[CallResult], None],
     ) -> None:
-        context = self._context(call)
+        request = request_of(call)
         try:
-            result = self._once.run_owned(
-                OutgoingCall(context, request_of(call), cancellation, leaf=True)
-            )
+            if outlasting is not None:
+                result = self._once.refuse(context, request, outlasting)
+                result = replace(result, retry_tokens_left=call.retry_tokens)
+            else:
+                outgoing = OutgoingCall(context, request, cancellation, leaf=True)
+                result = self._once.run_owned(outgoing)
         except Exception:
             _LOGGER.exception("peer calls: call with an owned request id failed.")
             result = CallResult(unknown(Reason.INTERNAL_ERROR))
@@ -134,13 +170,31 @@
         context = context_of(call, now=self._clock())
         return replace(context, deadline=self._lifetime.limit(context.deadline))
 
-    def _try_reserve_slot(self, cancellation: Cancellation) -> bool:
+    def _begin(
+        self, call: CallMessage, cancellation: Cancellation
+    ) -> _BegunCall | None:
+        """Reserve a slot and begin to measure a call; None if all slots are taken."""
         with self._lock:
             if len(self._running) >= self._max_calls:
-                return False
+                return None
             self._running.add(cancellation)
-            return True
+            now = self._clock()
+            expected_s = self._durations.expected_s(call.route, now) or 0.0
+            self._durations.start(call.route, now)
+        return _BegunCall(now, expected_s)
 
-    def _release_slot(self, cancellation: Cancellation) -> None:
+    def _end(
+        self,
+        call: CallMessage,
+        cancellation: Cancellation,
+        started_at: float,
+        attempts: int,
+    ) -> None:
+        """Release the slot of a call; record its duration if a server has run it."""
         with self._lock:
             self._running.discard(cancellation)
+            if attempts:
+                took_s = self._clock() - started_at
+                self._durations.end(call.route, started_at, took_s)
+            else:
+                self._durations.discard(call.route, started_at)
--- a/tests/daemon/test_leaving.py
+++ b/tests/daemon/test_leaving.py
@@ -2,7 +2,7 @@
 
 import time
 import unittest
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 
@@ -43,14 +43,25 @@
 
 
 @contextmanager
-def _slow_call(path: RequestPath, sender: str, server: str) -> Iterator[None]:
+def _slow_call(
+    path: RequestPath,
+    sender: str,
+    server: str,
+    request_ids: Sequence[str | None] = (None, None),
+) -> Iterator[None]:
     """Run a call for longer than late calls have, after one that took no time."""
     a, b = (path.daemons_by_instance[name] for name in (sender, server))
     cancellation = Cancellation()
     with ThreadPoolExecutor(1) as callers:
-        assert isinstance(a.call("/file/1"), Response)
+        first = a.call("/file/1", request_id=request_ids[0])
+        assert isinstance(first, Response)
         b.backend.work_s = TIMEOUT_S
-        callers.submit(a.call, "/file/run", cancellation=cancellation)
+        callers.submit(
+            a.call,
+            "/file/run",
+            request_id=request_ids[1],
+            cancellation=cancellation,
+        )
         _wait_until_running(b, 1)
         b.backend.work_s = 0.0
         time.sleep(SLOWER_S)
@@ -143,6 +154,69 @@
         assert isinstance(short, Response)
 
 
+# Guards against LOST: a call of a peer that is taken late and cut at the daemon's end.
+def test_a_call_of_a_peer_that_outlasts_the_daemon_is_refused_as_not_run() -> None:
+    """It is taken if it is expected to end in time, or must end in time."""
+    with request_path("a", "b") as path:
+        a, b = (path.daemons_by_instance[name] for name in "ab")
+        path.membership.servers_by_instance.pop("a")
+        with _slow_call(path, "a", "b"):
+            _begin_stop(b, since_s=LATE_S)
+            refused = a.call("/file/2", deadline_s=LONG_DEADLINE_S)
+            assert isinstance(refused, Refusal)
+            assert refused.not_run
+            assert refused.reason is Reason.SHUTTING_DOWN
+            assert path.runs("/file/2") == 0
+            short = a.call("/file/3", deadline_s=LEFT_DEADLINE_S)
+            assert isinstance(short, Response)
+            in_time = a.call("/open/1", deadline_s=LONG_DEADLINE_S)
+            assert isinstance(in_time, Response)
+
+
+# Guards against calls that fail as a leaving daemon refuses one that they make.
+def test_a_nested_call_of_a_peer_is_taken_as_long_as_possible() -> None:
+    """Its outer call runs on another server, and may end in time."""
+    with request_path("a", "b") as path:
+        a, b = (path.daemons_by_instance[name] for name in "ab")
+        servers = path.membership.servers_by_instance
+        a_server, b_server = servers.pop("a"), servers["b"]
+        nested: list[Response | Refusal] = []
+
+        def on_call(_: Request, token: str) -> None:
+            path.membership.servers_by_instance = {"b": b_server}
+            nested.append(a.call("/file/2", key=None, call_token=token))
+
+        a.backend.on_call = on_call
+        with _slow_call(path, "a", "b"):
+            _begin_stop(b, since_s=LATE_S)
+            path.membership.servers_by_instance = {"a": a_server}
+            assert isinstance(a.call("/open/1"), Response)
+        assert isinstance(nested[0], Response)
+        assert b.backend.runs_by_target["/file/2"] == 1
+
+
+# Guards against LOST: a call whose request id the leaving daemon owns, taken late.
+def test_an_owned_call_that_outlasts_its_owner_is_refused_as_not_run() -> None:
+    """If it has run before, the caller gets the result of that."""
+    with request_path("a", "b") as path:
+        a, b = (path.daemons_by_instance[name] for name in "ab")
+        path.membership.servers_by_instance.pop("b")
+        ran_id, new_id = b.ingress.issue_request_ids(2).request_ids
+        ran = a.call("/file/0", request_id=ran_id)
+        assert isinstance(ran, Response)
+        ids = b.ingress.issue_request_ids(2).request_ids
+        with _slow_call(path, "a", "a", ids):
+            _begin_stop(b, since_s=LATE_S)
+            refused = a.call("/file/2", request_id=new_id, deadline_s=LONG_DEADLINE_S)
+            again = a.call("/file/0", request_id=ran_id, deadline_s=LONG_DEADLINE_S)
+        assert isinstance(refused, Refusal)
+        assert refused.not_run
+        assert refused.reason is Reason.SHUTTING_DOWN
+        assert path.runs("/file/2") == 0
+        assert again == ran
+        assert path.runs("/file/0") == 1
+
+
 # Guards against LOST: work that was accepted in time and outlives the daemon.
 def test_interrupted_calls_say_whether_they_may_have_run() -> None:
     """A queued call has not run; one at the server may have run."""
