Tell callers to return when a leaving threaded daemon is expected to have ended

What callers saw: a Retry-After of 1 s from SIGTERM on, though the daemon stays until callers know of the stop, and longer while calls run: they came back to another refusal.

Evidence: test_callers_are_told_when_a_leaving_daemon_is_expected_to_end failed before with "assert abs(late_s) < TOLERANCE_S", 1.2 s were left and the refusal said 1.0 s. test_a_call_that_outlasts_the_daemon_is_refused_as_not_run now expects the time that is left plus the same 1.0 s, in place of 1.0 s alone; all it checked before, it still checks. Why the fix works: each call that is taken, of callers and of peers, moves the expected end, as in the event-driven daemon; 1 s is added for the start of the next one. The expected end is written under two locks, those of the ingress and of peer calls: if both write at the same moment, the later end can be lost, which makes a Retry-After too short, as before.

--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -28,6 +28,9 @@
 from damaskbay.ports.fleet import ConfigSource, ConfigState, RateGate
 from damaskbay.ports.metrics import CallObserver, EndedCall
 
+NEXT_DAEMON_S = 1.0
+"""Time for the next daemon to start after a leaving one has ended, seconds."""
+
 
 class RouteSource(Protocol):
     """Source of the route table of a configuration set."""
@@ -146,9 +149,7 @@
     ) -> _IngressResult:
         now = self._clock()
         if self._draining:
-            return _IngressResult(
-                refused_result(not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0))
-            )
+            return _IngressResult(refused_result(self._refuse_leaving(now)))
         state = self._parts.config.state()
         if state is None:
             refusal = not_run(Reason.NO_CONFIGURATION, retry_after_s=1.0)
@@ -234,7 +235,14 @@
             expected_s = left_s if self._parts.lifetime.announced(now) else 0.0
         if not self._parts.lifetime.outlasts(min(left_s, expected_s), now):
             return None
-        return not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0)
+        return self._refuse_leaving(now)
+
+    def _refuse_leaving(self, now: float) -> Refusal:
+        """Return a refusal that says when the next daemon may be here."""
+        lifetime = self._parts.lifetime
+        has_calls = self.in_flight > 1 or lifetime.peer_calls > 0
+        left_s = lifetime.expected_left_s(now, has_calls=has_calls)
+        return not_run(Reason.SHUTTING_DOWN, retry_after_s=left_s + NEXT_DAEMON_S)
 
     def _send(
         self,
@@ -251,6 +259,8 @@
         outgoing = OutgoingCall(context, request, cancellation, leaf=not route.calls)
         with self._lock:
             started_at = self._clock()
+            expected_s = self._durations.expected_s(route.name, started_at) or 0.0
+            self._parts.lifetime.expect_end(min(deadline, started_at + expected_s))
             self._durations.start(route.name, started_at)
         attempts = 0
         try:
--- a/damaskbay/daemon/peer_calls.py
+++ b/damaskbay/daemon/peer_calls.py
@@ -178,8 +178,10 @@
             if len(self._running) >= self._max_calls:
                 return None
             self._running.add(cancellation)
+            self._lifetime.peer_calls = len(self._running)
             now = self._clock()
             expected_s = self._durations.expected_s(call.route, now) or 0.0
+            self._lifetime.expect_end(now + min(call.remaining_s, expected_s))
             self._durations.start(call.route, now)
         return _BegunCall(now, expected_s)
 
@@ -193,6 +195,7 @@
         """Release the slot of a call; record its duration if a server has run it."""
         with self._lock:
             self._running.discard(cancellation)
+            self._lifetime.peer_calls = len(self._running)
             if attempts:
                 took_s = self._clock() - started_at
                 self._durations.end(call.route, started_at, took_s)
