Forget calls that no server has run without a search

What callers saw: nothing yet. DurationEstimates.discard searched the calls that run twice, under the ingress's lock in the threaded daemon and on the loop of the event-driven one, for each call that is refused after dispatch: most when servers are overloaded.

Figures, start and discard of the newest call, one thread, best of 5 x 200 on a busy machine: 2.8 us with 64 running calls, 32 us with 1,000 and 126 us with 4,000 before; 1.3 us with each of these numbers now. Start and end of a call with the lock: 2.5 us before, 3.0 us now. A call's start time is a key of an ordered mapping, so it is found and removed at once; equal start times are counted. The new test passed before, too: it guards the counting, which the list needed no code for.

--- a/damaskbay/core/durations.py
+++ b/damaskbay/core/durations.py
@@ -1,6 +1,6 @@
 """Expected duration of calls, by route."""
 
-from collections import deque
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 MEAN_GAIN = 0.125
@@ -20,14 +20,14 @@
     """
     Durations of the calls of a route; times in seconds.
 
-    `running_since` holds the start times of the calls that run, in order, without
-    those that began before the one at `overtaken_at`: a later call has ended before
-    them, so they are outliers and say nothing about the next call.
+    `running_since` counts the calls that run by start time, in order, without those
+    that began before the one at `overtaken_at`: a later call has ended before them,
+    so they are outliers and say nothing about the next call.
     """
 
     mean_s: float | None = None
     deviation_s: float = 0.0
-    running_since: deque[float] = field(default_factory=deque)
+    running_since: OrderedDict[float, int] = field(default_factory=OrderedDict)
     overtaken_at: float = 0.0
 
     def record(self, took_s: float) -> None:
@@ -43,8 +43,8 @@
     def drop_overtaken(self) -> None:
         """Forget the running calls that a later one has overtaken, and ended ones."""
         running = self.running_since
-        while running and running[0] <= self.overtaken_at:
-            running.popleft()
+        while running and next(iter(running)) <= self.overtaken_at:
+            running.popitem(last=False)
 
 
 class DurationEstimates:
@@ -57,7 +57,8 @@
         """Record that a call begins; `end` or `discard` has to follow."""
         durations = self._get_or_add(route)
         durations.drop_overtaken()
-        durations.running_since.append(now)
+        running = durations.running_since
+        running[now] = running.get(now, 0) + 1
 
     def end(self, route: str, started_at: float, took_s: float) -> None:
         """Record that a call has ended and how long it took."""
@@ -67,9 +68,12 @@
 
     def discard(self, route: str, started_at: float) -> None:
         """Record that a call has ended without a duration: no server has run it."""
-        durations = self._get_or_add(route)
-        if started_at in durations.running_since:
-            durations.running_since.remove(started_at)
+        running = self._get_or_add(route).running_since
+        count = running.get(started_at, 0)
+        if count > 1:
+            running[started_at] = count - 1
+        elif count:
+            del running[started_at]
 
     def record(self, route: str, took_s: float) -> None:
         """Record the duration of a call that was not started here."""
@@ -88,7 +92,7 @@
         durations.drop_overtaken()
         running_s = None
         if durations.running_since:
-            running_s = now - durations.running_since[0]
+            running_s = now - next(iter(durations.running_since))
         if durations.mean_s is None:
             return running_s
         estimate_s = durations.mean_s + DEVIATIONS * durations.deviation_s
--- a/tests/core/test_lifetime.py
+++ b/tests/core/test_lifetime.py
@@ -116,6 +116,18 @@
     assert estimates.expected_s("r", BEGAN_AT + 9.0) == expected_s
 
 
+def test_calls_that_begin_at_the_same_moment_are_counted_apart() -> None:
+    """One that no server has run doesn't hide the other."""
+    estimates = DurationEstimates()
+    estimates.start("r", BEGAN_AT)
+    estimates.start("r", BEGAN_AT)
+    estimates.start("r", BEGAN_AT + 1.0)
+    estimates.discard("r", BEGAN_AT)
+    assert estimates.expected_s("r", BEGAN_AT + 3.0) == 3.0
+    estimates.discard("r", BEGAN_AT)
+    assert estimates.expected_s("r", BEGAN_AT + 3.0) == 2.0
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
