Serve the connections that wait to be accepted when a threaded daemon leaves

What callers saw: connections that the listener had not accepted yet when it closed were reset, with their requests unanswered. The loop accepts one connection per round, so some wait in a burst; all that come above the limit of connections wait. Cause: the WSGI server closed its listener without a look at the connections that the kernel had completed.

Evidence: test_connections_that_were_not_accepted_yet_get_responses failed before with "AssertionError: (0, b'')". Why the fix works: the listener's thread accepts what waits, at most a backlog, right before it closes the listener. They are served or refused like others, and idle ones have the time that other idle connections have.

--- a/damaskbay/helpers/wsgi_server.py
+++ b/damaskbay/helpers/wsgi_server.py
@@ -1,6 +1,7 @@
 """Run a WSGI application with `waitress` on a thread, with graceful shutdown."""
 
 import logging
+import select
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -99,6 +100,7 @@
     def drain(self) -> None:
         """Stop accepting connections; close each open one after its next response."""
         self._drain_flag.active = True
+        self._server.trigger.pull_trigger(self._accept_waiting)
         self._server.trigger.pull_trigger(self._close_listener)
 
     def open_connections(self) -> int:
@@ -124,6 +126,17 @@
         self._close_listener()
         server.trigger.close()
 
+    def _accept_waiting(self) -> None:
+        """Accept the connections that callers have opened, even above the limit."""
+        if not self._server.accepting:
+            return
+        poll = select.poll()
+        poll.register(self._server.socket, select.POLLIN)
+        for _ in range(self._server.adj.backlog):
+            if not poll.poll(0):
+                return
+            self._server.handle_accept()
+
     def _close_listener(self) -> None:
         if self._server.accepting:
             self._server.accepting = False
--- /dev/null
+++ b/tests/helpers/test_wsgi_server.py
@@ -0,0 +1,83 @@
+"""What callers get from a WSGI server that drains."""
+
+import socket
+import threading
+import unittest
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager, suppress
+from typing import Any
+
+from damaskbay.helpers.wsgi_server import WsgiOptions, WsgiServer
+from tests.common import function_suite
+
+HOST = "127.0.0.1"
+WAIT_S = 5.0
+REQUEST = b"GET /%d HTTP/1.1\r\nHost: service\r\n\r\n"
+CALLERS = 8
+
+
+@contextmanager
+def _server(before: Callable[[str], None] = lambda path: None) -> Iterator[WsgiServer]:
+    """Run a server that answers with the path, after a call of `before` with it."""
+
+    def application(environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        before(path)
+        start("200 OK", [("Content-Length", str(len(path)))])
+        return [path.encode()]
+
+    options = WsgiOptions(HOST, 0, threads=2, max_body_bytes=1000, lookahead=1)
+    with WsgiServer(application, options, name="test") as server:
+        yield server
+
+
+def _connect(server: WsgiServer) -> socket.socket:
+    caller = socket.create_connection((HOST, server.port), WAIT_S)
+    caller.settimeout(WAIT_S)
+    return caller
+
+
+def _read_all(caller: socket.socket) -> bytes:
+    """Return what a caller receives until its connection ends."""
+    data = b""
+    with suppress(ConnectionError, TimeoutError):
+        while chunk := caller.recv(65_536):
+            data += chunk
+    return data
+
+
+def _hold_loop(server: WsgiServer) -> threading.Event:
+    """Stop the thread that accepts and reads until the returned event is set."""
+    held, release = threading.Event(), threading.Event()
+    trigger = server._server.trigger
+    readable = trigger.readable
+
+    def hold() -> bool:
+        held.set()
+        release.wait(WAIT_S)
+        return bool(readable())
+
+    trigger.readable = hold
+    assert held.wait(WAIT_S)
+    return release
+
+
+# Guards against LOST: a connection that waits to be accepted when the listener closes.
+def test_connections_that_were_not_accepted_yet_get_responses() -> None:
+    """A caller that has connected and sent its request before the end is served."""
+    with _server() as server:
+        release = _hold_loop(server)
+        callers = [_connect(server) for _ in range(CALLERS)]
+        for number, caller in enumerate(callers):
+            caller.sendall(REQUEST % number)
+        server.drain()
+        release.set()
+        for number, caller in enumerate(callers):
+            with caller:
+                data = _read_all(caller)
+                assert data.endswith(b"/%d" % number), (number, data)
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
