Close a draining connection of a threaded daemon after its last request

What callers saw: of requests that were pipelined on a connection of a leaving threaded daemon, only the first got a response; the others were dropped, also those that had been read.

Evidence: test_pipelined_requests_get_responses failed before with "assert data.count(b"HTTP/1.1 200") == CALLERS": one response, with Connection: close, to eight requests. Why the fix works: whether the response is the last is decided when its header is written, by the requests that have been read, the one that is read in part and what the socket holds. The last one says so, as before. A caller that always sends more is bounded by the end of the stop, when its requests are refused.

--- a/damaskbay/helpers/wsgi_server.py
+++ b/damaskbay/helpers/wsgi_server.py
@@ -2,6 +2,7 @@
 
 import logging
 import select
+import socket
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -48,8 +49,9 @@
     """
     Listener with worker threads; a context manager.
 
-    `drain` closes the listener and each open connection after its next response;
-    leaving the context closes the remaining connections.
+    `drain` closes the listener, and each open connection after the response to the
+    last request that its caller has sent; leaving the context closes the remaining
+    connections.
     """
 
     def __init__(
@@ -98,7 +100,7 @@
         self._executor.shutdown()
 
     def drain(self) -> None:
-        """Stop accepting connections; close each open one after its next response."""
+        """Stop accepting connections; close each open one after its last response."""
         self._drain_flag.active = True
         self._server.trigger.pull_trigger(self._accept_waiting)
         self._server.trigger.pull_trigger(self._close_listener)
@@ -149,16 +151,32 @@
                 channel.will_close = True
 
 
+def _has_next_request(channel: HTTPChannel) -> bool:
+    """Return whether a caller has sent more than the request that is served."""
+    return len(channel.requests) > 1 or _has_begun_request(channel)
+
+
+def _has_begun_request(channel: HTTPChannel) -> bool:
+    """Return whether a caller has sent bytes that belong to no complete request."""
+    if channel.request is not None:
+        return True
+    try:
+        return bool(channel.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 def _draining_server_class(drain_flag: _DrainFlag) -> type[TcpWSGIServer]:
     """Return a server class that sends `Connection: close` while draining."""
 
     class DrainingTask(WSGITask):  # type: ignore[misc]
-        """Task that closes its connection after the response while draining."""
+        """Task that closes its connection after the last response while draining."""
 
-        def start(self) -> None:
-            super().start()
-            if drain_flag.active:
+        def build_response_header(self) -> bytes:
+            if drain_flag.active and not _has_next_request(self.channel):
                 self.set_close_on_finish()
+            header: bytes = super().build_response_header()
+            return header
 
         def finish(self) -> None:
             super().finish()
--- a/tests/helpers/test_wsgi_server.py
+++ b/tests/helpers/test_wsgi_server.py
@@ -78,6 +78,20 @@
                 assert data.endswith(b"/%d" % number), (number, data)
 
 
+# Guards against LOST: a request behind the response that closes its connection.
+def test_pipelined_requests_get_responses() -> None:
+    """Only the last response of a connection closes it."""
+    with _server() as server, _connect(server) as caller:
+        release = _hold_loop(server)
+        server.drain()
+        for number in range(CALLERS):
+            caller.sendall(REQUEST % number)
+        release.set()
+        data = _read_all(caller)
+        assert data.count(b"HTTP/1.1 200") == CALLERS, data
+        assert data.count(b"Connection: close") == 1, data
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
