Read the request on a connection before a threaded daemon closes it as idle

What callers saw: a request that arrived on an idle connection just when a leaving daemon closed it was discarded without an answer, though it had reached the daemon. A request that was received in part was cut as idle, too. Cause: a connection counted as idle if no complete request had been read, whatever its socket or its parser held.

Evidence: test_a_request_on_a_connection_that_was_idle_gets_a_response failed before with "assert data.endswith(b"/2")": the second request got nothing. Why the fix works: the thread that reads is the one that closes; it leaves a connection open whose socket holds bytes or whose request isn't complete, and reads it in its next round.

--- a/damaskbay/helpers/wsgi_server.py
+++ b/damaskbay/helpers/wsgi_server.py
@@ -115,7 +115,7 @@
         return sum(1 for channel in channels if channel.requests)
 
     def close_idle(self) -> None:
-        """Close connections that have no request in flight."""
+        """Close connections that have no request in flight or partly received."""
         self._server.trigger.pull_trigger(self._close_idle)
 
     def _run(self) -> None:
@@ -147,7 +147,8 @@
 
     def _close_idle(self) -> None:
         for channel in list(self._server.active_channels.values()):
-            if not channel.requests and not channel.total_outbufs_len:
+            in_use = channel.requests or channel.total_outbufs_len
+            if not in_use and not _has_begun_request(channel):
                 channel.will_close = True
 
 
--- a/tests/helpers/test_wsgi_server.py
+++ b/tests/helpers/test_wsgi_server.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 import unittest
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager, suppress
@@ -92,6 +93,22 @@
         assert data.count(b"Connection: close") == 1, data
 
 
+# Guards against LOST: a request that arrives while its idle connection is closed.
+def test_a_request_on_a_connection_that_was_idle_gets_a_response() -> None:
+    """A connection with unread bytes is not idle."""
+    with _server() as server, _connect(server) as caller:
+        caller.sendall(REQUEST % 1)
+        data = caller.recv(65_536)
+        server.drain()
+        release = _hold_loop(server)
+        server.close_idle()
+        caller.sendall(REQUEST % 2)
+        time.sleep(0.05)
+        release.set()
+        data += _read_all(caller)
+        assert data.endswith(b"/2"), data
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
