Answer requests that are incomplete when a threaded daemon ends with 408

Why the fix works: once no call is left, or calls are interrupted, a request that is still incomplete becomes one with an error, which the server's threads answer like any bad request, and its connection closes after that. Until then its rest is read and served.

--- a/damaskbay/daemon/stopping.py
+++ b/damaskbay/daemon/stopping.py
@@ -66,6 +66,7 @@
 
     def _has_sent_all(self) -> bool:
         """Return whether all responses are sent; close connections without one."""
+        self.callers.reject_incomplete()
         self.callers.close_idle()
         return not (self._has_calls() or self.callers.open_connections())
 
--- a/damaskbay/helpers/wsgi_server.py
+++ b/damaskbay/helpers/wsgi_server.py
@@ -1,5 +1,6 @@
 """Run a WSGI application with `waitress` on a thread, with graceful shutdown."""
 
+import http
 import logging
 import select
 import socket
@@ -13,6 +14,7 @@
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer
 from waitress.task import ThreadedTaskDispatcher, WSGITask
+from waitress.utilities import Error
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -114,6 +116,10 @@
         channels = list(self._server.active_channels.values())
         return sum(1 for channel in channels if channel.requests)
 
+    def reject_incomplete(self) -> None:
+        """Respond with 408 to requests that are received in part: they haven't run."""
+        self._server.trigger.pull_trigger(self._reject_incomplete)
+
     def close_idle(self) -> None:
         """Close connections that have no request in flight or partly received."""
         self._server.trigger.pull_trigger(self._close_idle)
@@ -145,6 +151,17 @@
             self._server.del_channel()
             self._server.socket.close()
 
+    def _reject_incomplete(self) -> None:
+        for channel in list(self._server.active_channels.values()):
+            with channel.requests_lock:
+                request = channel.request
+                if request is None or channel.requests or channel.close_when_flushed:
+                    continue
+                request.error = _RequestTimeoutError("The server stops.")
+                channel.request = None
+                channel.requests.append(request)
+            self._server.add_task(channel)
+
     def _close_idle(self) -> None:
         for channel in list(self._server.active_channels.values()):
             in_use = channel.requests or channel.total_outbufs_len
@@ -152,6 +169,11 @@
                 channel.will_close = True
 
 
+class _RequestTimeoutError(Error):  # type: ignore[misc]
+    code = http.HTTPStatus.REQUEST_TIMEOUT
+    reason = http.HTTPStatus.REQUEST_TIMEOUT.phrase
+
+
 def _has_next_request(channel: HTTPChannel) -> bool:
     """Return whether a caller has sent more than the request that is served."""
     return len(channel.requests) > 1 or _has_begun_request(channel)
--- a/tests/end_to_end/test_leaving.py
+++ b/tests/end_to_end/test_leaving.py
@@ -110,6 +110,23 @@
         assert outcome.reason is Reason.SHUTTING_DOWN, outcome
 
 
+# Guards against LOST: a request that is read in part until the daemon ends.
+def test_a_half_read_request_gets_an_answer() -> None:
+    """It has not run, and its caller is told before the daemon ends."""
+    with _fleet() as running, socket.socket() as caller:
+        caller.settimeout(WAIT_S)
+        caller.connect((HOST, running.server(LEAVING).caller_port))
+        caller.sendall(
+            b"POST /ledger/file/x HTTP/1.1\r\nHost: service\r\n"
+            + f"{HEADER_KEY}: {running.secrets[WORKSPACES[0]]}\r\n".encode()
+            + b"Content-Length: 10\r\n\r\nhalf"
+        )
+        _stop(running)
+        data = caller.recv(READ_BYTES)
+        assert data.startswith(b"HTTP/1.1 408 "), data
+        assert running.seen(LEAVING) == []
+
+
 # Guards against LOST: a response that is ready but not yet read by its caller.
 def test_a_caller_that_reads_slowly_gets_the_complete_response() -> None:
     """The daemon waits until the response is sent, within its grace time."""
--- a/tests/helpers/test_wsgi_server.py
+++ b/tests/helpers/test_wsgi_server.py
@@ -63,6 +63,14 @@
     return release
 
 
+def _finish(server: WsgiServer) -> None:
+    """Close what is idle until no connection is left, as a stopping daemon does."""
+    give_up_at = time.monotonic() + WAIT_S
+    while server.open_connections() and time.monotonic() < give_up_at:
+        server.close_idle()
+        time.sleep(0.02)
+
+
 # Guards against LOST: a connection that waits to be accepted when the listener closes.
 def test_connections_that_were_not_accepted_yet_get_responses() -> None:
     """A caller that has connected and sent its request before the end is served."""
@@ -109,6 +117,29 @@
         assert data.endswith(b"/2"), data
 
 
+# Guards against LOST: a request that was read in part, and then cut without an answer.
+def test_a_half_read_request_is_read_or_answered() -> None:
+    """It is served if its rest comes in time, and else gets 408."""
+    ran: list[str] = []
+    with _server(ran.append) as server:
+        with _connect(server) as in_time, _connect(server) as late:
+            for caller in (in_time, late):
+                caller.sendall(REQUEST[:20])
+            time.sleep(0.1)
+            server.drain()
+            server.close_idle()
+            time.sleep(0.1)
+            in_time.sendall(REQUEST[20:])
+            data = _read_all(in_time)
+            assert data.startswith(b"HTTP/1.1 200"), data
+            server.reject_incomplete()
+            data = _read_all(late)
+            assert b" 408 Request Timeout\r\n" in data, data
+            assert b"Connection: close" in data
+            _finish(server)
+    assert len(ran) == 1
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
