Issue no request ids that outlast the threaded daemon that issued them

Clients keep a batch; each call with one of them ended as unknown once their owner was gone, though it had never run. Cause: the validity of ids was not bounded by the life of their owner.

Evidence: test_a_leaving_daemon_issues_no_request_ids_that_outlast_it failed before with "assert 0.0 < issued.valid_s <= plan.work_until - plan.began_at". Why the fix works: ids of a leaving daemon are valid until its end of work, so clients use them only while it answers, and once callers know of the stop, it refuses to issue any, as not run and with the time at which the next daemon can be there. Ids that were issued before SIGTERM still end as unknown if their owner is gone.

--- a/damaskbay/adapters/caller_http/application.py
+++ b/damaskbay/adapters/caller_http/application.py
@@ -90,6 +90,8 @@
         issued = self._service.issue_request_ids(
             max(1, min(int(count), MAX_REQUEST_IDS))
         )
+        if isinstance(issued, Refusal):
+            return _write_refusal(issued, "", environ, start_response)
         document = {
             "request_ids": list(issued.request_ids),
             "valid_s": issued.valid_s,
--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -1,5 +1,6 @@
 """Entry point of calls: authentication, routing, rate limits and dispatch."""
 
+import math
 import threading
 import uuid
 from collections.abc import Callable, Iterator
@@ -101,9 +102,14 @@
         for cancellation in running:
             cancellation.cancel()
 
-    def issue_request_ids(self, count: int) -> IssuedIds:
-        """Issue request ids for calls that must run at most once."""
-        return self._parts.once.issue(count)
+    def issue_request_ids(self, count: int) -> IssuedIds | Refusal:
+        """Issue request ids for calls that must run at most once, until the end."""
+        now, lifetime = self._clock(), self._parts.lifetime
+        if lifetime.announced(now):
+            return self._refuse_leaving(now, own_calls=0)
+        issued = self._parts.once.issue(count)
+        left_s = lifetime.limit(math.inf) - now
+        return replace(issued, valid_s=min(issued.valid_s, left_s))
 
     def serve(self, call: IncomingCall, cancellation: Cancellation) -> ServedCall:
         """Serve one call and return its result."""
@@ -237,10 +243,14 @@
             return None
         return self._refuse_leaving(now)
 
-    def _refuse_leaving(self, now: float) -> Refusal:
-        """Return a refusal that says when the next daemon may be here."""
+    def _refuse_leaving(self, now: float, *, own_calls: int = 1) -> Refusal:
+        """
+        Return a refusal that says when the next daemon may be here.
+
+        `own_calls` is the number of calls in flight that it ends.
+        """
         lifetime = self._parts.lifetime
-        has_calls = self.in_flight > 1 or lifetime.peer_calls > 0
+        has_calls = self.in_flight > own_calls or lifetime.peer_calls > 0
         left_s = lifetime.expected_left_s(now, has_calls=has_calls)
         return not_run(Reason.SHUTTING_DOWN, retry_after_s=left_s + NEXT_DAEMON_S)
 
--- a/damaskbay/ports/caller.py
+++ b/damaskbay/ports/caller.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from damaskbay.core.call import CallResult, Request
+from damaskbay.core.outcome import Refusal
 from damaskbay.helpers.cancellation import Cancellation
 
 
@@ -47,6 +48,6 @@
         """Run one call and return its result."""
         ...
 
-    def issue_request_ids(self, count: int) -> IssuedIds:
+    def issue_request_ids(self, count: int) -> IssuedIds | Refusal:
         """Issue up to `count` ids for requests that must run at most once."""
         ...
--- a/tests/adapters/caller_http/test_application.py
+++ b/tests/adapters/caller_http/test_application.py
@@ -39,13 +39,16 @@
     def __init__(self, serve: Serve) -> None:
         self._serve = serve
         self.calls: list[IncomingCall] = []
+        self.no_ids: Refusal | None = None
 
     def serve(self, call: IncomingCall, cancellation: Cancellation) -> ServedCall:
         self.calls.append(call)
         return ServedCall("call-1", CallResult(self._serve(call, cancellation)))
 
-    def issue_request_ids(self, count: int) -> IssuedIds:
-        return IssuedIds(tuple(f"id-{number}" for number in range(count)), 60.0)
+    def issue_request_ids(self, count: int) -> IssuedIds | Refusal:
+        return self.no_ids or IssuedIds(
+            tuple(f"id-{number}" for number in range(count)), 60.0
+        )
 
 
 @contextmanager
@@ -168,12 +171,18 @@
 
 def test_issue_request_ids() -> None:
     """Request ids are issued by POST only; an invalid count gets a 400."""
-    with _listener(lambda *_: Response(200)) as (server, _):
+    with _listener(lambda *_: Response(200)) as (server, service):
         _, body = _exchange(server, "POST", "/.damaskbay/request-ids?count=3")
         bad, _ = _exchange(server, "POST", "/.damaskbay/request-ids?count=x")
         get, _ = _exchange(server, "GET", "/.damaskbay/request-ids")
+        service.no_ids = not_run(Reason.SHUTTING_DOWN, retry_after_s=2.0)
+        none, _ = _exchange(server, "POST", "/.damaskbay/request-ids")
     assert json.loads(body)["request_ids"] == ["id-0", "id-1", "id-2"]
     assert (bad.status, get.status) == (400, 400)
+    assert none.status == 503
+    assert none.getheader(HEADER_OUTCOME) == "not_run"
+    assert none.getheader(HEADER_REASON) == "shutting_down"
+    assert none.getheader("Retry-After") == "2"
 
 
 def test_hang_up_cancels_the_call() -> None:
--- a/tests/daemon/common.py
+++ b/tests/daemon/common.py
@@ -38,7 +38,7 @@
 from damaskbay.helpers.cancellation import Cancellation
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.keys import digest_of
-from damaskbay.ports.caller import IncomingCall
+from damaskbay.ports.caller import IncomingCall, IssuedIds
 from damaskbay.ports.fleet import ConfigState, MemberView, ServerState, ServerView
 from damaskbay.ports.metrics import EndedCall
 from damaskbay.ports.peer import (
@@ -427,6 +427,13 @@
         )
 
 
+def issue_request_id(daemon: PathDaemon) -> str:
+    """Return a request id that a daemon owns."""
+    issued = daemon.ingress.issue_request_ids(1)
+    assert isinstance(issued, IssuedIds)
+    return issued.request_ids[0]
+
+
 @contextmanager
 def request_path(*instances: str) -> Iterator[RequestPath]:
     """Run the request paths of the given daemons."""
--- a/tests/daemon/test_leaving.py
+++ b/tests/daemon/test_leaving.py
@@ -12,8 +12,15 @@
 from damaskbay.daemon.ingress import NEXT_DAEMON_S
 from damaskbay.helpers.cancellation import Cancellation
 from damaskbay.helpers.clock import monotonic_s
+from damaskbay.ports.caller import IssuedIds
 from tests.common import function_suite
-from tests.daemon.common import TIMEOUT_S, PathDaemon, RequestPath, request_path
+from tests.daemon.common import (
+    TIMEOUT_S,
+    PathDaemon,
+    RequestPath,
+    issue_request_id,
+    request_path,
+)
 
 GRACE_S = 3.0
 ANNOUNCED_S = 1.3
@@ -216,10 +223,10 @@
     with request_path("a", "b") as path:
         a, b = (path.daemons_by_instance[name] for name in "ab")
         path.membership.servers_by_instance.pop("b")
-        ran_id, new_id = b.ingress.issue_request_ids(2).request_ids
+        ran_id, new_id = issue_request_id(b), issue_request_id(b)
         ran = a.call("/file/0", request_id=ran_id)
         assert isinstance(ran, Response)
-        ids = b.ingress.issue_request_ids(2).request_ids
+        ids = (issue_request_id(b), issue_request_id(b))
         with _slow_call(path, "a", "a", ids):
             _begin_stop(b, since_s=LATE_S)
             refused = a.call("/file/2", request_id=new_id, deadline_s=LONG_DEADLINE_S)
@@ -256,6 +263,22 @@
             assert isinstance(running.result(TIMEOUT_S), Response)
 
 
+# Guards against calls that end as unknown as the daemon that issued their id has left.
+def test_a_leaving_daemon_issues_no_request_ids_that_outlast_it() -> None:
+    """Ids are valid until its end of work; once callers know, it issues none."""
+    with request_path("a") as path:
+        daemon = path.daemons_by_instance["a"]
+        plan = _begin_stop(daemon)
+        issued = daemon.ingress.issue_request_ids(1)
+        assert isinstance(issued, IssuedIds)
+        assert 0.0 < issued.valid_s <= plan.work_until - plan.began_at
+        outcome = daemon.call("/file/1", request_id=issued.request_ids[0])
+        assert isinstance(outcome, Response)
+        plan = _begin_stop(daemon, since_s=ANNOUNCED_S)
+        refused = daemon.ingress.issue_request_ids(1)
+        assert refused == not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0)
+
+
 # Guards against LOST: work that was accepted in time and outlives the daemon.
 def test_interrupted_calls_say_whether_they_may_have_run() -> None:
     """A queued call has not run; one at the server may have run."""
--- a/tests/daemon/test_request_path.py
+++ b/tests/daemon/test_request_path.py
@@ -19,7 +19,7 @@
     SLOTS,
     TIMEOUT_S,
     Fault,
-    PathDaemon,
+    issue_request_id,
     request_path,
 )
 
@@ -40,10 +40,6 @@
 )
 
 
-def _issue_request_id(daemon: PathDaemon) -> str:
-    return daemon.ingress.issue_request_ids(1).request_ids[0]
-
-
 def test_an_answer_comes_from_the_pool() -> None:
     """A call received by any daemon runs on a backend server of the pool."""
     with request_path("a", "b") as path:
@@ -96,7 +92,7 @@
 ) -> None:
     """A request id runs at most once despite faults, retries and a restart."""
     with request_path("a", "b", "c") as path:
-        request_id = _issue_request_id(path.daemons_by_instance["a"])
+        request_id = issue_request_id(path.daemons_by_instance["a"])
         path.network.faults = list(faults)
         for daemon in path.daemons_by_instance.values():
             daemon.backend.outcomes = list(outcomes)
@@ -153,7 +149,7 @@
 def test_concurrent_repeats_run_once() -> None:
     """Retries that arrive while the first attempt runs are refused as unknown."""
     with request_path("a", "b") as path:
-        request_id = _issue_request_id(path.daemons_by_instance["a"])
+        request_id = issue_request_id(path.daemons_by_instance["a"])
         for daemon in path.daemons_by_instance.values():
             daemon.backend.work_s = 0.05
 
@@ -177,7 +173,7 @@
     """
     with request_path("a", "b") as path:
         a, b = (path.daemons_by_instance[name] for name in "ab")
-        request_id, fresh = _issue_request_id(a), _issue_request_id(a)
+        request_id, fresh = issue_request_id(a), issue_request_id(a)
         first = a.call("/file/1", request_id=request_id)
         assert isinstance(first, Response)
         path.rates.refusal = not_run(Reason.RATE_EXCEEDED)
