Obey a deregistration that arrives before the server is known

Calls could reach a server later than the drain time after the 200 that had confirmed its deregistration, by DRAIN.

Cause: a daemon that has just started knows no server until a report or the stored record names one. A deregistration meanwhile counted as that of another server: nothing was kept, but it was confirmed. The record of the earlier daemon, or a late heartbeat, then made the server ready. The same held for a later start than the known one.

Fix: deregistrations are ordered by the server's start, as heartbeats are. One of a later start than the last known one is taken, so the server is gone by its name and start: late heartbeats of that start change nothing, the stored record says so to the next daemon, and a record or heartbeat of a still later start is taken. One of an earlier start is ignored as before. A report without a start, while no server is known, can't be stored by its start: it gets 503, so that the server sends it again, and takes effect if the stored record names the server.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -255,6 +255,9 @@
         """Record that the local server leaves; return whether to confirm it."""
         if not self.local.deregister(server, born_ms, monotonic_s()):
             return True
+        if self.local.state is ServerState.STARTING:
+            # The stored record can't name a server whose start is unknown.
+            return False
         return await self._store_drain()
 
     async def _store_drain(self) -> bool:
--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -40,6 +40,7 @@
         self._sequence = -1
         self._send_until: float | None = None
         self._restored_draining: tuple[str, int] | None = None
+        self._left_unknown = ""
         self._on_change = on_change
 
     @property
@@ -79,24 +80,45 @@
         """
         Restore the server's last report from an earlier start of the daemon.
 
-        A server that was draining remains draining. If another server now listens at
-        the address, it refuses calls, which name the known server, until its report.
+        A server that was draining remains draining, one that has deregistered remains
+        gone. If another server now listens at the address, it refuses calls, which name
+        the known server, until its report.
         """
-        if self.state is not ServerState.STARTING or not known.server:
+        unheard = self.state in (ServerState.STARTING, ServerState.GONE)
+        if not unheard or not known.server or known.started_ms <= self._born_ms:
+            return
+        if known.server == self._left_unknown:
+            self.deregister(known.server, known.started_ms, now)
             return
         if known.state is not ServerState.READY:
             self._restored_draining = (known.server, known.started_ms)
             return
-        self.server, self.slots = known.server, known.slots
-        self._born_ms = known.started_ms
+        self._begin_start(known.server, known.started_ms)
+        self.slots = known.slots
         self._set_state(ServerState.READY, now)
         self._on_change()
 
     def deregister(self, server: str, born_ms: int | None, now: float) -> bool:
-        """Record a deregistration; return False for an older or another server."""
-        if server != self.server or (born_ms is not None and born_ms < self._born_ms):
+        """
+        Record a deregistration; return False for an older or another server.
+
+        A later start than the last known one is recorded as gone, too, so that neither
+        its late heartbeats nor a record of an earlier one revive the server. Without
+        `born_ms` and a known server, only `restore` can tell which start has left.
+        """
+        if born_ms is None and self.state is ServerState.STARTING:
+            restored, started_ms = self._restored_draining or ("", 0)
+            if server != restored:
+                self._left_unknown = server
+                return True
+            born_ms = started_ms
+        later = born_ms is not None and born_ms > self._born_ms
+        known = server == self.server and born_ms in (None, self._born_ms)
+        if not later and not known:
             return False
-        if self.state is not ServerState.GONE:
+        if later and born_ms is not None:
+            self._begin_start(server, born_ms)
+        if later or self.state is not ServerState.GONE:
             self._set_state(ServerState.GONE, now)
             self._on_change()
         return True
@@ -105,6 +127,11 @@
         """Return whether an admitted call may still be sent to the server."""
         return self._send_until is None or now < self._send_until
 
+    def _begin_start(self, server: str, started_ms: int) -> None:
+        self.server = server
+        self._born_ms, self._sequence = started_ms, -1
+        self._send_until = None
+
     def _set_state(self, state: ServerState, now: float) -> None:
         if state is not self.state:
             _LOGGER.info(
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -91,6 +91,14 @@
         )
         return answer.status
 
+    async def send_deregistration(self, body: bytes = b'{"born": 1000}') -> int:
+        """Deregister the server as it does itself; return the response status."""
+        path = f"/Instances.Deregister/{self.backend.server}"
+        answer = await _send(
+            self.daemon.settings.control, Request("POST", "c", path, (), body)
+        )
+        return answer.status
+
     async def request(
         self,
         path: str,
