Tell the peer which of its requests a closing link doesn't handle

What callers saw: 502 for an unsafe call that no daemon had handled, if it crossed the close of a link of a leaving daemon.

Cause: a link that closes starts no handler for what arrives after its end of the stream, and dropped such requests without a word. Their sender only saw the connection end, which may mean that they ran.

Evidence, before: tests.adapters.peer_link.test_crossing_close, "AssertionError: PeerFailure(problem=<PeerProblem.LOST: 'lost'>, detail='closed')"; tests.mesh.test_leaving_links, "AssertionError: [200, 502, 502, 200, 200, 502, 502, 200]".

Fix: before the end of the stream, the closing side sends the number of the first request that it doesn't handle. Numbers increase and the stream keeps their order, so all from there on are known as not handled (REJECTED), and the dispatcher sends them elsewhere or says 503. Earlier ones without a reply stay LOST.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -148,7 +148,7 @@
     def up(self, peer: PeerAddress) -> bool:
         """Return whether there is a link to the peer that is open and not suspect."""
         link = self._links_by_peer.get(peer)
-        return link is not None and link.open and not link.suspect
+        return link is not None and link.takes_requests and not link.suspect
 
     async def request(
         self, peer: PeerAddress, message: Any, *, timeout_s: float
--- a/damaskbay/adapters/peer_link/frames.py
+++ b/damaskbay/adapters/peer_link/frames.py
@@ -27,7 +27,9 @@
     """
     Acknowledges a note, so that both ends know that the link is alive.
 
-    The payload is the status of the acknowledging daemon, or empty.
+    The payload is the status of the acknowledging daemon, or empty. An empty one with a
+    number announces the end of the stream: requests from that number on are not
+    handled. It is no kind of its own, since earlier versions ignore it like this.
     """
 
     PULSE = 7
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -72,10 +72,12 @@
         self._pending: dict[int, asyncio.Future[Any]] = {}
         self._running: dict[int, asyncio.Task[None]] = {}
         self._last_number = 0
+        self._last_received_number = 0
         self._received_note: Any = None
         self._sent_note: Any = None
         self._peer_sends_status = False
         self._closing = False
+        self._peer_closing = False
         self._retired = False
         self.ended = asyncio.Event()
         self.last_received_at = self.last_sent_at = monotonic_s()
@@ -89,6 +91,11 @@
             transport is not None and not self._closing and not transport.is_closing()
         )
 
+    @property
+    def takes_requests(self) -> bool:
+        """Return whether the peer may still handle further requests."""
+        return self.open and not self._peer_closing
+
     @property
     def unsent_bytes(self) -> int:
         """Return the number of bytes that wait in this process to be sent."""
@@ -141,8 +148,8 @@
 
         On timeout or cancellation the peer gets a CANCEL frame.
         """
-        if not self.open:
-            return PeerFailure(PeerProblem.NOT_SENT, "link is down")
+        if not self.takes_requests:
+            return PeerFailure(PeerProblem.NOT_SENT, "link is down or closing")
         if self._congested():
             return PeerFailure(PeerProblem.NOT_SENT, "peer reads too slowly")
         self._last_number += 1
@@ -181,8 +188,10 @@
         """
         Send what is buffered and then the end of the stream; start no more handlers.
 
-        The connection ends when the peer has read everything and closes it, too.
+        The peer is told which of its requests are not handled. The connection ends when
+        it has read everything and closes it, too.
         """
+        self._write_frame(FrameKind.NOTE_ACK, self._last_received_number + 1)
         if self.open and self._transport is not None:
             self._closing = True
             self._transport.write_eof()
@@ -220,6 +229,10 @@
         self.last_sent_at = monotonic_s()
 
     def _handle_frame(self, frame: Frame) -> None:
+        if frame.kind is FrameKind.REQUEST:
+            if not self.open:
+                return
+            self._last_received_number = frame.number
         if frame.kind is FrameKind.CANCEL:
             task = self._running.pop(frame.number, None)
             if task is not None:
@@ -229,6 +242,8 @@
             self._handle_note(self._received_note)
             return
         if frame.kind is FrameKind.NOTE_ACK and not frame.payload:
+            if frame.number:
+                self._reject_from(frame.number)
             return
         if frame.kind is FrameKind.REJECTED:
             self._resolve(frame, PeerFailure(PeerProblem.REJECTED))
@@ -265,9 +280,14 @@
         if future is not None and not future.done():
             future.set_result(outcome)
 
+    def _reject_from(self, first_number: int) -> None:
+        self._peer_closing = True
+        failure = PeerFailure(PeerProblem.REJECTED, "peer is closing the link")
+        for number, future in self._pending.items():
+            if number >= first_number and not future.done():
+                future.set_result(failure)
+
     def _start_handler(self, number: int, message: Any) -> None:
-        if not self.open:
-            return
         if len(self._running) >= MAX_RUNNING_REQUESTS or self._congested():
             self._write_frame(FrameKind.REJECTED, number)
             return
--- a/damaskbay/ports/peer.py
+++ b/damaskbay/ports/peer.py
@@ -46,7 +46,11 @@
     """The sender is shutting down; the message may have been handled."""
 
     REJECTED = "rejected"
-    """The peer has no handler for this kind of message; it was not handled."""
+    """
+    The message was not handled.
+
+    The peer has no handler for its kind, too many run there, or its stream is ending.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/mesh/test_leaving_links.py
+++ b/tests/mesh/test_leaving_links.py
@@ -99,6 +99,34 @@
     asyncio.run(run())
 
 
+# Guards against LOST: unsafe calls that cross the close of a link got 502.
+def test_an_unsafe_call_that_crosses_the_close_of_a_link_goes_elsewhere() -> None:
+    """No daemon has handled it, so that it may be sent to another one."""
+
+    async def run() -> None:
+        async with run_fleet(a="one", b="two", c="one") as fleet:
+            a, b = fleet.nodes["a"], fleet.nodes["b"]
+            transport = _opened_link(b, a)._transport
+            assert transport is not None
+            transport.pause_reading()
+            closing = asyncio.create_task(a.daemon._links.close(timeout_s=3.0))
+            await asyncio.sleep(0.05)
+            calls = [
+                asyncio.create_task(b.request("/unsafe/", method="POST"))
+                for _ in range(8)
+            ]
+            crossing = _opened_link(b, a)
+            await wait_until(lambda: crossing.requests_in_flight > 0)
+            await asyncio.sleep(0.05)
+            transport.resume_reading()
+            statuses = [(await call).status for call in calls]
+            await closing
+            assert statuses == [200] * len(calls), statuses
+            assert not a.backend.seen
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
