Keep a stored drain until the daemon has read it, and after

What callers saw: nothing is on record; found beside the deregistration before the first read. Calls could reach a server later than the drain time after its daemon had confirmed that it leaves, by DRAIN.

Cause: what a server has reported is handed to the next daemon at its address by the stored record. A daemon whose first read fails wrote its own record, without a server, over the one that it had not read. One that had read it did the same, so that the daemon after it knew nothing. A late heartbeat then made the server ready.

Evidence, before: tests.mesh.test_local_server.test_a_stored_drain_outlasts_a_daemon_that_cannot_read_at_first, "assert node.daemon.local.state is ServerState.DRAINING", AssertionError; it fails with either half of the fix alone, too.

Fix: a record that names no server doesn't replace that of an earlier start until the records are read; other records, and the first one at an address, are written as before. A daemon that knows of the drain only from the record keeps it in its own one until the server reports.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -274,7 +274,13 @@
 
     def _stored_record(self) -> MemberRecord:
         """Return the record with the server's own state, for the next daemon start."""
-        return replace(self._make_record(), state=self.local.state)
+        record = replace(self._make_record(), state=self.local.state)
+        if self.local.restored_draining is None:
+            return record
+        server, born_ms = self.local.restored_draining
+        return replace(
+            record, state=ServerState.DRAINING, server=server, born_ms=born_ms
+        )
 
     def _restore_server(self, record: MemberRecord) -> None:
         """Restore the server's state from the record of an earlier daemon start."""
--- a/damaskbay/mesh/control_plane.py
+++ b/damaskbay/mesh/control_plane.py
@@ -29,6 +29,7 @@
 from damaskbay.mesh.registry import Registration
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.mesh.tokens import PooledTokens, TokenParts
+from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress
 
 NOT_HANDLED = object()
@@ -67,6 +68,7 @@
             platform.store,
             platform.member_prefix + parts.settings.instance,
             parts.stored_record,
+            self._may_replace,
         )
         self.members = Members(self._members_parts())
         self.config_watch = self._make_config_watch()
@@ -165,6 +167,10 @@
             clock=monotonic_s,
         )
 
+    def _may_replace(self, record: MemberRecord) -> bool:
+        """Return whether nothing of an earlier record is lost that is still needed."""
+        return self.members.has_read or record.state is not ServerState.STARTING
+
     def _watches_store(self) -> bool:
         return self.exchange.watches_store
 
--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -48,6 +48,11 @@
         """Return when the server started, in milliseconds since 1970."""
         return max(0, self._born_ms)
 
+    @property
+    def restored_draining(self) -> tuple[str, int] | None:
+        """Return the server that must not become ready, and its start."""
+        return self._restored_draining if self.state is ServerState.STARTING else None
+
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record a report; return False if it is older than the last one."""
         order = (heartbeat.started_ms, heartbeat.sequence)
--- a/damaskbay/mesh/registry.py
+++ b/damaskbay/mesh/registry.py
@@ -29,14 +29,23 @@
 
 
 class Registration:
-    """Writes the daemon's record under a lease whenever it has changed."""
+    """
+    Writes the daemon's record under a lease whenever it has changed.
+
+    `may_replace` returns whether a record may replace that of an earlier daemon start.
+    """
 
     def __init__(
-        self, store: Store, key: str, record: Callable[[], MemberRecord]
+        self,
+        store: Store,
+        key: str,
+        record: Callable[[], MemberRecord],
+        may_replace: Callable[[MemberRecord], bool] = lambda _record: True,
     ) -> None:
         self._store = store
         self._key = key
         self._record = record
+        self._may_replace = may_replace
         self._lease = 0
         self._revision = 0
         self._written: MemberRecord | None = None
@@ -105,6 +114,8 @@
                 self._revision, self._written = outcome, record
                 return True
             if isinstance(outcome, StoreConflict):
+                if not self._may_replace(record):
+                    return False
                 self._revision = outcome.revision
                 continue
             if outcome.problem is StoreProblem.NO_LEASE:
--- a/tests/mesh/test_local_server.py
+++ b/tests/mesh/test_local_server.py
@@ -1,10 +1,15 @@
 """State of the local backend server around the start of its daemon."""
 
 import asyncio
+import base64
 import unittest
 from dataclasses import replace
+from unittest import mock
 
+from damaskbay.core.call import Response
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
+from damaskbay.mesh.records import decode_record
+from damaskbay.platform.const import MEMBER_PREFIX
 from damaskbay.ports.fleet import ServerState
 from tests.common import function_suite
 from tests.mesh.common import Fleet, Node, run_fleet, wait_until
@@ -28,6 +33,20 @@
     )
 
 
+async def _wait_until_registered(fleet: Fleet, node: Node) -> None:
+    """Wait until the daemon has read the records and written its own."""
+    daemon = node.daemon
+    await wait_until(lambda: daemon._control_plane.members.has_read)
+    key = MEMBER_PREFIX + daemon.settings.instance
+
+    def is_written() -> bool:
+        item = fleet.kv.items.get(key)
+        record = decode_record(base64.b64decode(item["Value"])) if item else None
+        return record is not None and record.incarnation == daemon._incarnation
+
+    await wait_until(is_written)
+
+
 # Guards against an ack that is lost: the record of an earlier start revives the server.
 def test_a_deregistration_before_the_stored_record_is_read_is_obeyed() -> None:
     """A daemon that has just started knows no server yet, and confirms the report."""
@@ -138,6 +157,27 @@
     asyncio.run(run())
 
 
+# Guards against an ack that is lost: the next daemon replaces a record it hasn't read.
+def test_a_stored_drain_outlasts_a_daemon_that_cannot_read_at_first() -> None:
+    """A late report does not revive the server, at that daemon or the one after it."""
+
+    async def run() -> None:
+        async with run_fleet(a="one", b="two") as fleet:
+            node = fleet.nodes["b"]
+            assert await node.send_heartbeat("draining") == 200
+            unread = Response(503)
+            with mock.patch.object(fleet.kv, "_read_page", return_value=unread):
+                node = await _restart(fleet, node)
+                await asyncio.sleep(1.0)
+            await _wait_until_registered(fleet, node)
+            node = await _restart(fleet, node)
+            await _wait_until_registered(fleet, node)
+            await node.send_heartbeat()
+            assert node.daemon.local.state is ServerState.DRAINING
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
