Learn the duration of a route only from calls that servers have served

What callers saw: a leaving daemon took requests that it then had to give up, though it knew of calls that ran for long. Where full servers refused most calls within milliseconds, 20 requests of 20 sent 3.0 to 4.0 s after SIGTERM (grace time 6 s) ran and got 504; where impatient callers left early, 18. Calls of peers were taken by a daemon whose own server had become slower: 8 of 8 got 502 while another server was idle. Cause: refused, failed and cancelled calls counted as ended ones, or not at all. They lowered the estimate and hid the calls that ran. The daemon beside the server learned from ended calls alone, without the wait in its queue.

Why the fix works: only a served call overtakes others and lowers the estimate; one that ends otherwise would have taken longer, so it counts only if it raises the mean. Both daemons, at both ends of a link, measure calls in the same way, from their arrival on. Running calls are held in an ordered dict, so that the end of a call is not searched for.

--- a/damaskbay/core/durations.py
+++ b/damaskbay/core/durations.py
@@ -15,23 +15,31 @@
 """Routes with an estimate; bounds memory while sets with new route names follow."""
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class StartedCall:
+    """A call of a route that began at a time, seconds."""
+
+    route: str
+    started_at: float
+
+
 @dataclass(slots=True)
 class _RouteDurations:
     """
     Durations of the calls of a route; times in seconds.
 
-    `running_since` counts the calls that run by start time, in order, without those
-    that began before the one at `overtaken_at`: a later call has ended before them,
+    `running` holds the calls that run, in the order of their start, without those that
+    began before the one at `overtaken_at`: a later call has been completed before them,
     so they are outliers and say nothing about the next call.
     """
 
     mean_s: float | None = None
     deviation_s: float = 0.0
-    running_since: OrderedDict[float, int] = field(default_factory=OrderedDict)
+    running: OrderedDict[StartedCall, None] = field(default_factory=OrderedDict)
     overtaken_at: float = 0.0
 
     def record(self, took_s: float) -> None:
-        """Record the duration of a call."""
+        """Record a duration."""
         if self.mean_s is None:
             self.mean_s = took_s
             self.deviation_s = FIRST_DEVIATION_SHARE * took_s
@@ -41,10 +49,13 @@
         self.deviation_s += DEVIATION_GAIN * (abs(error) - self.deviation_s)
 
     def drop_overtaken(self) -> None:
-        """Forget the running calls that a later one has overtaken, and ended ones."""
-        running = self.running_since
-        while running and next(iter(running)) <= self.overtaken_at:
-            running.popitem(last=False)
+        """Forget the running calls that a later one has overtaken."""
+        while (call := self.first_running()) and call.started_at <= self.overtaken_at:
+            del self.running[call]
+
+    def first_running(self) -> StartedCall | None:
+        """Return the call that has been running for the longest time."""
+        return next(iter(self.running), None)
 
 
 class DurationEstimates:
@@ -53,46 +64,43 @@
     def __init__(self) -> None:
         self._by_route: dict[str, _RouteDurations] = {}
 
-    def start(self, route: str, now: float) -> None:
-        """Record that a call begins; `end` or `discard` has to follow."""
+    def start(self, route: str, now: float) -> StartedCall:
+        """Record that a call begins; `end` has to follow."""
+        call = StartedCall(route, now)
         durations = self._get_or_add(route)
         durations.drop_overtaken()
-        running = durations.running_since
-        running[now] = running.get(now, 0) + 1
+        durations.running[call] = None
+        return call
 
-    def end(self, route: str, started_at: float, took_s: float) -> None:
-        """Record that a call has ended and how long it took."""
-        durations = self._get_or_add(route)
-        durations.overtaken_at = max(durations.overtaken_at, started_at)
-        durations.record(took_s)
-
-    def discard(self, route: str, started_at: float) -> None:
-        """Record that a call has ended without a duration: no server has run it."""
-        running = self._get_or_add(route).running_since
-        count = running.get(started_at, 0)
-        if count > 1:
-            running[started_at] = count - 1
-        elif count:
-            del running[started_at]
-
-    def record(self, route: str, took_s: float) -> None:
-        """Record the duration of a call that was not started here."""
-        self._get_or_add(route).record(took_s)
+    def end(self, call: StartedCall, now: float, *, completed: bool) -> None:
+        """
+        Record the end of a call; it is `completed` if a server has served it.
+
+        A call that was refused, failed or cancelled would have taken longer than it
+        did, so its duration counts only if it is above the mean.
+        """
+        durations = self._get_or_add(call.route)
+        durations.running.pop(call, None)
+        took_s = now - call.started_at
+        if completed:
+            durations.overtaken_at = max(durations.overtaken_at, call.started_at)
+            durations.record(took_s)
+        elif durations.mean_s is not None and took_s > durations.mean_s:
+            durations.record(took_s)
 
     def expected_s(self, route: str, now: float) -> float | None:
         """
         Return the mean and four deviations, None if nothing is known of the route.
 
         It is not less than the time for which calls run that no later one has
-        overtaken: servers may have become slower since the last call that has ended.
+        overtaken: servers may have become slower since the last call was completed.
         """
         durations = self._by_route.get(route)
         if durations is None:
             return None
         durations.drop_overtaken()
-        running_s = None
-        if durations.running_since:
-            running_s = now - next(iter(durations.running_since))
+        call = durations.first_running()
+        running_s = None if call is None else now - call.started_at
         if durations.mean_s is None:
             return running_s
         estimate_s = durations.mean_s + DEVIATIONS * durations.deviation_s
--- a/damaskbay/core/http_status.py
+++ b/damaskbay/core/http_status.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Final
 
+from damaskbay.core.call import Response
 from damaskbay.core.outcome import Reason, Refusal
 
 FIRST_SERVER_ERROR: Final = 500
@@ -43,6 +44,11 @@
 }
 
 
+def is_success(outcome: Response | Refusal) -> bool:
+    """Return whether a server has served the call."""
+    return isinstance(outcome, Response) and outcome.status < FIRST_SERVER_ERROR
+
+
 def status_of(refusal: Refusal) -> int:
     """Return the HTTP status code of the response to a refused call."""
     return int(_STATUS_BY_REASON[refusal.reason])
--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -13,6 +13,7 @@
 from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.edge import EdgeConcurrencyLimit
 from damaskbay.core.freshness import refuse_unproven
+from damaskbay.core.http_status import is_success
 from damaskbay.core.identify import Credentials, RouteMatcher, identify_root
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run
@@ -268,16 +269,17 @@
         context = replace(context, deadline=deadline)
         outgoing = OutgoingCall(context, request, cancellation, leaf=not route.calls)
         with self._lock:
-            started_at = self._clock()
-            expected_s = self._durations.expected_s(route.name, started_at) or 0.0
-            self._parts.lifetime.expect_end(min(deadline, started_at + expected_s))
-            self._durations.start(route.name, started_at)
-        attempts = 0
+            now = self._clock()
+            expected_s = self._durations.expected_s(route.name, now) or 0.0
+            self._parts.lifetime.expect_end(min(deadline, now + expected_s))
+            started = self._durations.start(route.name, now)
+        completed = False
         try:
             result = self._dispatch(outgoing)
-            attempts = result.attempts
+            completed = is_success(result.result)
         finally:
-            self._record_end(route.name, started_at, attempts)
+            with self._lock:
+                self._durations.end(started, self._clock(), completed=completed)
         return result
 
     def _dispatch(self, outgoing: OutgoingCall) -> CallResult:
@@ -286,15 +288,6 @@
             return self._parts.once.run(outgoing)
         return self._parts.dispatcher.dispatch(outgoing)
 
-    def _record_end(self, route: str, started_at: float, attempts: int) -> None:
-        """Record how long a call has taken, if a server has run it."""
-        with self._lock:
-            if attempts:
-                took_s = self._clock() - started_at
-                self._durations.end(route, started_at, took_s)
-            else:
-                self._durations.discard(route, started_at)
-
     def _serve_nested(
         self, call: IncomingCall, cancellation: Cancellation
     ) -> _IngressResult:
--- a/damaskbay/daemon/peer_calls.py
+++ b/damaskbay/daemon/peer_calls.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from damaskbay.core.call import CallContext, CallResult
-from damaskbay.core.durations import DurationEstimates
+from damaskbay.core.durations import DurationEstimates, StartedCall
+from damaskbay.core.http_status import is_success
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.daemon.dispatch import OutgoingCall, explain_interruption
@@ -28,9 +29,9 @@
 
 @dataclass(frozen=True, slots=True)
 class _BegunCall:
-    """When a call began, and how long it was expected to take then, in seconds."""
+    """A call, and how long it was expected to take at its start, in seconds."""
 
-    started_at: float
+    started: StartedCall
     expected_s: float
 
 
@@ -95,7 +96,7 @@
         if isinstance(begun, Refusal):
             responder.reply(to_result_message(CallResult(begun, 0, call.retry_tokens)))
             return
-        started_at = begun.started_at
+        started = begun.started
 
         def done(result: CallResult) -> None:
             if self._interrupted:
@@ -103,7 +104,7 @@
             try:
                 responder.reply(to_result_message(result))
             finally:
-                self._end(call, cancellation, started_at, result.attempts)
+                self._end(started, cancellation, result)
 
         context = self._context(call)
         outlasting = self._refuse_outlasting(call, context, begun)
@@ -126,7 +127,8 @@
         them fails.
         """
         expected_s = min(call.remaining_s, begun.expected_s)
-        if call.depth > 0 or not self._lifetime.outlasts(expected_s, begun.started_at):
+        started_at = begun.started.started_at
+        if call.depth > 0 or not self._lifetime.outlasts(expected_s, started_at):
             return None
         return not_run(Reason.SHUTTING_DOWN)
 
@@ -182,22 +184,15 @@
             now = self._clock()
             expected_s = self._durations.expected_s(call.route, now) or 0.0
             self._lifetime.expect_end(now + min(call.remaining_s, expected_s))
-            self._durations.start(call.route, now)
-        return _BegunCall(now, expected_s)
+            started = self._durations.start(call.route, now)
+        return _BegunCall(started, expected_s)
 
     def _end(
-        self,
-        call: CallMessage,
-        cancellation: Cancellation,
-        started_at: float,
-        attempts: int,
+        self, started: StartedCall, cancellation: Cancellation, result: CallResult
     ) -> None:
-        """Release the slot of a call; record its duration if a server has run it."""
+        """Release the slot of a call and record its duration."""
         with self._lock:
             self._running.discard(cancellation)
             self._lifetime.peer_calls = len(self._running)
-            if attempts:
-                took_s = self._clock() - started_at
-                self._durations.end(call.route, started_at, took_s)
-            else:
-                self._durations.discard(call.route, started_at)
+            completed = is_success(result.result)
+            self._durations.end(started, self._clock(), completed=completed)
--- a/damaskbay/daemon/target.py
+++ b/damaskbay/daemon/target.py
@@ -7,7 +7,7 @@
 
 from damaskbay.core.admission import CallSample
 from damaskbay.core.call import CallContext, CallResult, Request, Response
-from damaskbay.core.http_status import FIRST_SERVER_ERROR
+from damaskbay.core.http_status import is_success
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.daemon.admission import AdmissionGate, Ticket
 from damaskbay.daemon.calls import CallRegistry
@@ -148,7 +148,7 @@
             ticket.finish(
                 CallSample(
                     backend_s,
-                    succeeded=_succeeded(outcome),
+                    succeeded=is_success(outcome),
                     cancelled=call.cancellation.cancelled,
                     nested_s=closed.nested_s,
                 )
@@ -169,7 +169,3 @@
             admission_level=self._gate.level(),
             served_by=self._instance,
         )
-
-
-def _succeeded(outcome: Response | Refusal) -> bool:
-    return isinstance(outcome, Response) and outcome.status < FIRST_SERVER_ERROR
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -11,7 +11,7 @@
 from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.durations import DurationEstimates
-from damaskbay.core.http_status import FIRST_SERVER_ERROR, status_of
+from damaskbay.core.http_status import FIRST_SERVER_ERROR, is_success, status_of
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, not_run
 from damaskbay.core.pressure import EdgeLoadShedder
@@ -140,7 +140,7 @@
         if early is not None:
             return self._refuse(early, request_id, route, context.workspace)
         forwarded = self._forwarded_request(request, forwarded_headers, workspace)
-        result = await self._dispatch(context, route, forwarded)
+        result = await self._dispatch(context, route, forwarded, arrival.arrived_at)
         self._record_result(context, result, parts.clock() - arrival.arrived_at)
         if caller is not None:
             parts.running.record_nested_end(caller, result, parts.clock())
@@ -157,23 +157,19 @@
         return Response(outcome.status, headers, outcome.body)
 
     async def _dispatch(
-        self, context: CallContext, route: Route, request: Request
+        self, context: CallContext, route: Route, request: Request, arrived_at: float
     ) -> CallResult:
-        """Send a call and record how long it takes, if a server has run it."""
+        """Send a call and record how long it takes from its arrival."""
         parts, durations = self._parts, self._durations
-        started_at = parts.clock()
-        expected_s = durations.expected_s(route.name, started_at) or 0.0
-        parts.lifetime.expect_end(min(context.deadline, started_at + expected_s))
-        durations.start(route.name, started_at)
-        attempts = 0
+        expected_s = durations.expected_s(route.name, parts.clock()) or 0.0
+        parts.lifetime.expect_end(min(context.deadline, arrived_at + expected_s))
+        call = durations.start(route.name, arrived_at)
+        completed = False
         try:
             result = await parts.dispatcher.dispatch(context, route, request)
-            attempts = result.attempts
+            completed = is_success(result.result)
         finally:
-            if attempts:
-                durations.end(route.name, started_at, parts.clock() - started_at)
-            else:
-                durations.discard(route.name, started_at)
+            durations.end(call, parts.clock(), completed=completed)
         return result
 
     def _log_unanswered(self, arrival: ReceivedRequest) -> None:
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -16,7 +16,7 @@
 from damaskbay.core.admission import CallSample
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.durations import DurationEstimates
-from damaskbay.core.http_status import FIRST_SERVER_ERROR
+from damaskbay.core.http_status import is_success
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.core.response_memory import ResponseMemory
@@ -129,6 +129,23 @@
         if context.is_retry and not parts.repeats.spend(nested=context.depth > 0):
             refusal = not_run(Reason.RETRY_BUDGET_SPENT)
             return self._refused_result(context, refusal, now)
+        expected_s = self._durations.expected_s(context.route, now) or 0.0
+        parts.lifetime.expect_end(min(context.deadline, now + expected_s))
+        call = self._durations.start(context.route, now)
+        completed = False
+        try:
+            result = await self._queue_and_send(context, request, active)
+            completed = is_success(result.result)
+        finally:
+            self._durations.end(call, parts.clock(), completed=completed)
+        return result
+
+    async def _queue_and_send(
+        self, context: CallContext, request: Request, active: _ActiveCall
+    ) -> CallResult:
+        """Wait for a slot of the server and send the call to it."""
+        parts = self._parts
+        now = parts.clock()
         admitted = await parts.gate.acquire(
             context, parts.weight_of(context.workspace), now
         )
@@ -143,13 +160,10 @@
             if refusal is not None:
                 return self._refused_result(context, refusal, now)
             self._count_attempt(context)
-            expected_s = self._durations.expected_s(context.route, now) or 0.0
-            parts.lifetime.expect_end(min(context.deadline, now + expected_s))
             active.sent = True
             outcome = await self._send(context, request)
             took_s = parts.clock() - now
-            self._durations.record(context.route, took_s)
-            sample = CallSample(took_s, succeeded=_succeeded(outcome))
+            sample = CallSample(took_s, succeeded=is_success(outcome))
         finally:
             parts.running.remove(call)
             parts.gate.release(admitted, sample, parts.clock())
@@ -380,10 +394,6 @@
     return replace(result, result=replace(refusal, reason=Reason.SHUTTING_DOWN))
 
 
-def _succeeded(outcome: Response | Refusal) -> bool:
-    return isinstance(outcome, Response) and outcome.status < FIRST_SERVER_ERROR
-
-
 def _never_sent(outcome: Response | Refusal) -> bool:
     """Return whether the call certainly did not reach the server."""
     return (
--- a/tests/core/test_lifetime.py
+++ b/tests/core/test_lifetime.py
@@ -73,19 +73,24 @@
     assert lifetime.expected_left_s(BEGAN_AT, has_calls=True) == work_s
 
 
+def _run_calls(estimates: DurationEstimates, *durations_s: float) -> None:
+    """Record calls of a route that end at `BEGAN_AT`."""
+    for took_s in durations_s:
+        call = estimates.start("r", BEGAN_AT - took_s)
+        estimates.end(call, BEGAN_AT, completed=True)
+
+
 def test_an_estimate_covers_almost_all_calls_and_forgets_an_outlier() -> None:
     """One call that timed out doesn't make a route look slow for long."""
     estimates = DurationEstimates()
     assert estimates.expected_s("r", BEGAN_AT) is None
-    for number in range(50):
-        estimates.record("r", 0.1 if number % 2 else 0.2)
+    _run_calls(estimates, *(25 * [0.2, 0.1]))
     usual_s = estimates.expected_s("r", BEGAN_AT)
     assert usual_s is not None and 0.2 <= usual_s < 1.0
-    estimates.record("r", 5.0)
+    _run_calls(estimates, 5.0)
     outlier_s = estimates.expected_s("r", BEGAN_AT)
     assert outlier_s is not None and outlier_s > 2.0
-    for number in range(30):
-        estimates.record("r", 0.1 if number % 2 else 0.2)
+    _run_calls(estimates, *(15 * [0.2, 0.1]))
     usual_s = estimates.expected_s("r", BEGAN_AT)
     assert usual_s is not None and usual_s < 1.0
 
@@ -94,37 +99,60 @@
 def test_an_estimate_is_not_below_the_age_of_running_calls() -> None:
     """They are known to take that long before any of them has ended."""
     estimates = DurationEstimates()
-    estimates.start("r", BEGAN_AT)
-    estimates.end("r", BEGAN_AT, 0.1)
+    call = estimates.start("r", BEGAN_AT)
+    estimates.end(call, BEGAN_AT + 0.1, completed=True)
     for number in range(20):
         estimates.start("r", BEGAN_AT + 1.0 + 0.1 * number)
     assert estimates.expected_s("r", BEGAN_AT + 4.0) == 3.0
 
 
 def test_a_call_that_later_ones_overtake_says_nothing_about_the_next() -> None:
-    """Neither does a call that no server has run."""
+    """It is an outlier."""
     estimates = DurationEstimates()
     estimates.start("r", BEGAN_AT)
     for number in range(1, 20):
         started_at = BEGAN_AT + 0.2 * number
-        estimates.start("r", started_at)
-        estimates.end("r", started_at, 0.1)
+        call = estimates.start("r", started_at)
+        estimates.end(call, started_at + 0.1, completed=True)
     expected_s = estimates.expected_s("r", BEGAN_AT + 5.0)
     assert expected_s is not None and expected_s < 0.5
-    estimates.start("r", BEGAN_AT + 5.0)
-    estimates.discard("r", BEGAN_AT + 5.0)
-    assert estimates.expected_s("r", BEGAN_AT + 9.0) == expected_s
+
+
+# Guards against calls that are taken in a stop since others were refused quickly.
+def test_quick_refusals_and_failures_say_nothing_about_a_route() -> None:
+    """They neither lower the estimate nor overtake the calls that run."""
+    estimates = DurationEstimates()
+    _run_calls(estimates, 1.0)
+    expected_s = estimates.expected_s("r", BEGAN_AT)
+    estimates.start("r", BEGAN_AT)
+    for number in range(1, 20):
+        started_at = BEGAN_AT + 0.2 * number
+        call = estimates.start("r", started_at)
+        estimates.end(call, started_at + 0.01, completed=False)
+    assert expected_s is not None and expected_s < 5.0
+    assert estimates.expected_s("r", BEGAN_AT + 5.0) == 5.0
+
+
+# Guards against calls that are taken in a stop since impatient callers had left.
+def test_a_call_that_its_caller_gave_up_raises_the_estimate() -> None:
+    """It would have taken longer than until then."""
+    estimates = DurationEstimates()
+    _run_calls(estimates, 0.1)
+    for _ in range(20):
+        call = estimates.start("r", BEGAN_AT)
+        estimates.end(call, BEGAN_AT + 2.0, completed=False)
+    expected_s = estimates.expected_s("r", BEGAN_AT + 2.0)
+    assert expected_s is not None and expected_s > 1.8
 
 
 def test_calls_that_begin_at_the_same_moment_are_counted_apart() -> None:
     """One that no server has run doesn't hide the other."""
     estimates = DurationEstimates()
-    estimates.start("r", BEGAN_AT)
-    estimates.start("r", BEGAN_AT)
+    refused = [estimates.start("r", BEGAN_AT) for _ in range(2)]
     estimates.start("r", BEGAN_AT + 1.0)
-    estimates.discard("r", BEGAN_AT)
+    estimates.end(refused[0], BEGAN_AT, completed=False)
     assert estimates.expected_s("r", BEGAN_AT + 3.0) == 3.0
-    estimates.discard("r", BEGAN_AT)
+    estimates.end(refused[1], BEGAN_AT, completed=False)
     assert estimates.expected_s("r", BEGAN_AT + 3.0) == 2.0
 
 
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -271,7 +271,9 @@
         for node in leaving:
             node.daemon.settings = replace(node.daemon.settings, grace_s=3.0)
             for route in ("r0", "r1"):
-                node.daemon._target._durations.record(route, 2.0)
+                durations = node.daemon._target._durations
+                call = durations.start(route, monotonic_s() - 2.0)
+                durations.end(call, monotonic_s(), completed=True)
             node.daemon.stop()
         await asyncio.sleep(0.1)
         answers = [await sender.request("/safe/") for _ in range(24)]
