Send a refused call again only if it can end before a leaving daemon does

What callers saw: 504 for an unsafe request in place of a refusal as not run. A call that its server refused late in a stop was sent to another server with half a second left, ran there, and was given up. Cause: a retry asked for 50 ms before the deadline, whatever the call takes; the daemon's own end shortens that deadline.

Why the fix works: a root call that has run nowhere is sent again only if its estimate ends before the daemon's work; else the refusal goes to the caller, who can repeat the request. Calls that may have run, and nested ones, are sent again as before.

--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -62,8 +62,13 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """Progress of a call; `error_response` is the last one that a server sent."""
+    """
+    Progress of a call; `error_response` is the last one that a server sent.
 
+    An attempt is expected to take `expected_s`, in seconds.
+    """
+
+    expected_s: float
     attempts_made: int = 0
     redirects: int = 0
     excluded: frozenset[str] = frozenset()
@@ -78,10 +83,14 @@
         self._parts = parts
 
     async def dispatch(
-        self, context: CallContext, route: Route, request: Request
+        self, context: CallContext, route: Route, request: Request, expected_s: float
     ) -> CallResult:
-        """Send a call, with retries; return its final response or refusal."""
-        progress = _Progress()
+        """
+        Send a call, with retries; return its final response or refusal.
+
+        An attempt is expected to take `expected_s`, in seconds.
+        """
+        progress = _Progress(expected_s)
         while True:
             if progress.attempts_made and not context.is_retry:
                 context = replace(context, is_retry=True)
@@ -164,7 +173,7 @@
             return self._should_retry_response(context, route, progress, result)
         if outcome.reason not in RETRYABLE_REASONS:
             return False
-        if not self._has_time_to_retry(context):
+        if not self._has_time_to_retry(context, progress):
             return False
         if result.attempts == 0 and not outcome.not_run:
             return False
@@ -180,10 +189,20 @@
         self._log_retry(context, result, outcome.reason.value)
         return True
 
-    def _has_time_to_retry(self, context: CallContext) -> bool:
+    def _has_time_to_retry(self, context: CallContext, progress: _Progress) -> bool:
+        """
+        Return whether another attempt may end in time.
+
+        A refusal as not run is worth more to a caller than an attempt that a leaving
+        daemon gives up. Nested calls go on, as otherwise the call that made them fails.
+        """
         parts = self._parts
-        left_s = parts.lifetime.limit(context.deadline) - parts.clock()
-        return left_s >= MIN_RETRY_TIME_LEFT_S
+        lifetime, now = parts.lifetime, parts.clock()
+        if lifetime.limit(context.deadline) - now < MIN_RETRY_TIME_LEFT_S:
+            return False
+        if progress.may_have_run or context.depth > 0:
+            return True
+        return not lifetime.outlasts(progress.expected_s, now)
 
     def _log_retry(self, context: CallContext, result: CallResult, why: str) -> None:
         _LOGGER.info(
@@ -212,7 +231,7 @@
             and context.idempotent
             and not result.nested_failed
             and progress.attempts_made <= route.retries
-            and self._has_time_to_retry(context)
+            and self._has_time_to_retry(context, progress)
         )
         if retry:
             progress.error_response = result
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -166,7 +166,9 @@
         call = durations.start(route.name, arrived_at)
         completed = False
         try:
-            result = await parts.dispatcher.dispatch(context, route, request)
+            result = await parts.dispatcher.dispatch(
+                context, route, request, expected_s
+            )
             completed = is_success(result.result)
         finally:
             durations.end(call, parts.clock(), completed=completed)
--- a/tests/mesh/test_late_calls.py
+++ b/tests/mesh/test_late_calls.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import replace
 
+from damaskbay.core.call import Request, Response
 from damaskbay.helpers.clock import monotonic_s
 from tests.common import function_suite
 from tests.mesh.common import Fleet, Node, wait_until
@@ -84,6 +85,47 @@
     _run(check, a="one", b="two")
 
 
+# Guards against 504 for a request that could truly be refused as not run.
+def test_a_refused_call_is_not_sent_again_if_it_would_outlast_the_daemon() -> None:
+    """A server refuses it late; another one would not end it in time."""
+
+    async def check(fleet: Fleet) -> None:
+        leaving = fleet.nodes["b"]
+        _use_grace_time(leaving)
+        callers = Callers(leaving)
+        for name in ("a", "c"):
+            await fleet.nodes[name].send_heartbeat(slots=100)
+            _answer_after(fleet.nodes[name], 1.0)
+        for _ in range(12):
+            callers.send("/unsafe/", "POST")
+        await wait_until(lambda: len(callers.outcomes_by_id) == 12)
+        refused: list[str] = []
+        ran: list[str] = []
+
+        async def respond(request: Request) -> Response | None:
+            request_id = dict(request.headers)["X-Request-Id"]
+            if not refused:
+                refused.append(request_id)
+                await asyncio.sleep(2.6)
+                return Response(421, (("X-Request-Id", request_id),))
+            ran.append(request_id)
+            await asyncio.sleep(1.0)
+            return None
+
+        for name in ("a", "c"):
+            fleet.nodes[name].backend.override_response = respond
+        leaving.daemon.stop()
+        await asyncio.sleep(1.9)
+        call = callers.send("/unsafe/", "POST")
+        await leaving.run_task
+        await asyncio.sleep(0.1)
+        assert refused == [call]
+        assert callers.status(call) == 503, (callers.status(call), ran)
+        assert not ran
+
+    _run(check, a="one", b="two", c="one")
+
+
 # Guards against 502 for an unsafe call of a peer that still has time.
 def test_a_leaving_daemon_notices_that_its_own_server_has_become_slower() -> None:
     """Peers' calls go elsewhere once the age of running ones exceeds the time left."""
