Refuse half-read requests that begin after a leaving daemon's listener closed

What callers saw: nobody listened at the address of a leaving daemon until 5.4 s after SIGTERM (grace time 6 s), though it had ended its work: one connection, accepted just before the listener closed, began a request after that and sent it slowly. Cause: half-read requests were refused once, when the listener closed; a new connection is kept for 0.25 s longer, and what it began in that time was waited for.

Why the fix works: each look at the connections while responses are awaited refuses such requests with 408, which promises that they have not run; a complete one would be refused as not run as well, since no earlier call is left.

--- a/damaskbay/mesh/stopping.py
+++ b/damaskbay/mesh/stopping.py
@@ -39,7 +39,6 @@
             await asyncio.sleep(POLL_S)
             self.callers.close_idle()
         self.callers.stop_listening()
-        self.callers.reject_incomplete()
         await self._wait_for_responses(plan.interrupts_at)
         if self._has_calls():
             self._interrupt()
@@ -54,12 +53,23 @@
         )
 
     async def _wait_for_responses(self, until: float) -> None:
-        """Wait until no connection has a request that is being read or served."""
+        """
+        Wait until no connection has a response in flight.
+
+        A request may begin on a connection that was accepted before the listener
+        closed; while it is incomplete there is nothing to wait for.
+        """
+        self.callers.reject_incomplete()
         await asyncio.sleep(POLL_S)
-        self.callers.close_idle()
+        self._close_unused()
         while monotonic_s() < until and (self._has_calls() or self.callers.in_flight):
             await asyncio.sleep(POLL_S)
-            self.callers.close_idle()
+            self._close_unused()
+
+    def _close_unused(self) -> None:
+        """Close idle connections and refuse requests that are still being read."""
+        self.callers.close_idle()
+        self.callers.reject_incomplete()
 
     def _interrupt(self) -> None:
         """End the calls that have no result; their callers get a response."""
--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -1,6 +1,7 @@
 """The graceful shutdown cuts off no accepted request."""
 
 import asyncio
+import contextlib
 import unittest
 from types import SimpleNamespace
 from typing import Any, cast
@@ -134,6 +135,38 @@
     asyncio.run(run())
 
 
+# Guards against an address without a daemon if the slow request begins a moment later.
+def test_a_request_that_begins_after_the_listener_closed_delays_nothing() -> None:
+    """A connection that was accepted just before may send its first bytes after it."""
+
+    async def run() -> None:
+        async def answer(_: ReceivedRequest) -> Response:
+            return Response(200)
+
+        async with HttpServer(PeerAddress("127.0.0.1", 0), answer, CallerLimits()) as s:
+            plan = plan_stop(6.0, monotonic_s())
+            stopping = asyncio.create_task(_stop(s, 0).run(plan))
+            ends: list[float] = []
+            stopping.add_done_callback(lambda _: ends.append(monotonic_s()))
+            await asyncio.sleep(plan.announced_at - monotonic_s())
+            reader, writer = await asyncio.open_connection(
+                s.address.host, s.address.port
+            )
+            with contextlib.closing(writer):
+                while not isinstance(await _request(s), HttpFailure):
+                    await asyncio.sleep(0.01)
+                writer.write(
+                    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1"
+                )
+                await stopping
+                took_s = round(ends[0] - plan.began_at, 2)
+                assert took_s < 3.0, took_s
+                status_line = await asyncio.wait_for(reader.readline(), 1.0)
+                assert status_line.startswith(b"HTTP/1.1 408"), status_line
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
