Compare the end of a stop with its plan in two tests, and read the 408 later

Two tests of half-read requests compared the length of a stop with 3.0 s, which a busy machine can exceed though nothing waits; house rules want no timed assertions. A draft of the second one hung for ten minutes on a busy machine: its request had begun only after the stop had ended, and the server, which refuses it as it ends, was left open. The response is read after the end of the server, which covers both.

--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -1,7 +1,6 @@
 """The graceful shutdown cuts off no accepted request."""
 
 import asyncio
-import contextlib
 import unittest
 from types import SimpleNamespace
 from typing import Any, cast
@@ -128,9 +127,9 @@
             await asyncio.sleep(3.0)
             refused = isinstance(await _request(s), HttpFailure)
             await stopping
-            took_s = round(ends[0] - plan.began_at, 2)
             writer.close()
-            assert took_s < 3.0, (took_s, refused)
+            took_s = round(ends[0] - plan.began_at, 2)
+            assert ends[0] < plan.interrupts_at, (took_s, refused)
 
     asyncio.run(run())
 
@@ -152,17 +151,16 @@
             reader, writer = await asyncio.open_connection(
                 s.address.host, s.address.port
             )
-            with contextlib.closing(writer):
-                while not isinstance(await _request(s), HttpFailure):
-                    await asyncio.sleep(0.01)
-                writer.write(
-                    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1"
-                )
-                await stopping
-                took_s = round(ends[0] - plan.began_at, 2)
-                assert took_s < 3.0, took_s
-                status_line = await asyncio.wait_for(reader.readline(), 1.0)
-                assert status_line.startswith(b"HTTP/1.1 408"), status_line
+            while not isinstance(await _request(s), HttpFailure):
+                await asyncio.sleep(0.01)
+            writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1")
+            await stopping
+            took_s = round(ends[0] - plan.began_at, 2)
+            assert ends[0] < plan.interrupts_at, took_s
+        # On a busy machine the request may begin only as the server ends.
+        status_line = await reader.readline()
+        writer.close()
+        assert status_line.startswith(b"HTTP/1.1 408"), status_line
 
     asyncio.run(run())
 
