Keep a cancellation that arrives as a connection has just been made

A request or link that is cancelled at the moment at which its connection is made went on as if it had not been: a link to a peer that is not wanted any more stayed up without an owner, and a task whose loop never ends kept its event loop, and with it the process, from ending. Cause: asyncio.wait_for() returns the result of a future that is done in place of raising CancelledError (before Python 3.12).

Evidence, both failed before: test_a_cancellation_while_a_connection_is_made_is_not_lost (the request finished with a result) and test_a_link_that_is_unwanted_once_it_is_made_is_closed (the link was up). Why the fix works: asyncio.timeout() awaits the connection in the task itself, so that a cancellation is raised there, or at the next await, where the connection is closed.

--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -388,14 +388,13 @@
         if timeout_s is not None:
             connect_timeout_s = min(connect_timeout_s, timeout_s)
         try:
-            _, connection = await asyncio.wait_for(
-                loop.create_connection(
+            # asyncio.wait_for() can lose a cancellation before Python 3.12.
+            async with asyncio.timeout(connect_timeout_s):
+                _, connection = await loop.create_connection(
                     lambda: ClientConnection(self._options),
                     self.address.host,
                     self.address.port,
-                ),
-                connect_timeout_s,
-            )
+                )
         except (OSError, TimeoutError) as error:
             return HttpFailure(HttpProblem.NOT_SENT, type(error).__name__)
         self.opened += 1
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -234,10 +234,11 @@
 
         while True:
             try:
-                _, link = await asyncio.wait_for(
-                    loop.create_connection(make_link, peer.host, peer.port),
-                    CONNECT_TIMEOUT_S,
-                )
+                # asyncio.wait_for() can lose a cancellation before Python 3.12.
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    _, link = await loop.create_connection(
+                        make_link, peer.host, peer.port
+                    )
             except (OSError, TimeoutError):
                 await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
--- a/tests/adapters/http1/test_client.py
+++ b/tests/adapters/http1/test_client.py
@@ -11,7 +11,7 @@
 )
 from damaskbay.core.call import Request, Response
 from damaskbay.ports.peer import PeerAddress
-from tests.common import function_suite
+from tests.common import call_once_connected, function_suite
 
 OPTIONS = HttpClientOptions(echo_header="X-Request-Id")
 REQUEST = Request("GET", "a", "/", (("X-Request-Id", "r1"),))
@@ -140,6 +140,24 @@
     assert _problem(asyncio.run(run())) is HttpProblem.NOT_SENT
 
 
+# Guards against a process that a request keeps running whose cancellation is lost.
+def test_a_cancellation_while_a_connection_is_made_is_not_lost() -> None:
+    """The request ends as cancelled, also if the connection has just been made."""
+
+    async def run() -> None:
+        server = _Server(None)
+        listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()[:2]
+        client = HttpClient(PeerAddress(host, port), OPTIONS)
+        sending = asyncio.create_task(client.send(REQUEST, echo="r1", timeout_s=5.0))
+        call_once_connected(asyncio.get_running_loop(), sending.cancel)
+        await asyncio.wait({sending})
+        listener.close()
+        assert sending.cancelled(), sending
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
--- a/tests/adapters/peer_link/test_link.py
+++ b/tests/adapters/peer_link/test_link.py
@@ -17,7 +17,7 @@
     LinkedDaemon,
     run_pair,
 )
-from tests.common import function_suite
+from tests.common import call_once_connected, function_suite
 
 
 def test_many_requests_share_a_link() -> None:
@@ -229,6 +229,27 @@
     _run_with_statuses(lambda: None, check)
 
 
+# Guards against a process that a task keeps running whose cancellation is lost.
+def test_a_link_that_is_unwanted_once_it_is_made_is_closed() -> None:
+    """No link stays, and no task that would outlast its daemon."""
+
+    async def run() -> None:
+        one, two = LinkedDaemon(), LinkedDaemon()
+        before = asyncio.all_tasks()
+        async with one.links, two.links:
+            call_once_connected(
+                asyncio.get_running_loop(),
+                lambda: one.links.set_wanted_links(frozenset()),
+            )
+            one.links.set_wanted_links(frozenset({two.address}))
+            await asyncio.sleep(0.5)
+            assert one.links.up_count == 0
+        await asyncio.sleep(0.1)
+        assert asyncio.all_tasks() == before
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
--- a/tests/common.py
+++ b/tests/common.py
@@ -1,5 +1,6 @@
 """Loader for test functions, and addresses for servers under test."""
 
+import asyncio
 import atexit
 import socket
 import unittest
@@ -56,3 +57,18 @@
         if name.startswith("test_") and callable(item)
     ]
     return unittest.TestSuite(_FunctionTestCase(item) for item in functions)
+
+
+def call_once_connected(
+    loop: asyncio.AbstractEventLoop, callback: Callable[[], object]
+) -> None:
+    """Call back once as soon as a client's connection is made, before it is used."""
+    create_connection = loop.create_connection
+
+    async def create(*args: Any, **options: Any) -> Any:
+        result = await create_connection(*args, **options)
+        loop.create_connection = create_connection  # type: ignore[method-assign]
+        loop.call_soon(callback)
+        return result
+
+    loop.create_connection = create  # type: ignore[method-assign]
