Trace the test run that did not end to the lost cancellation

It was reproduced once in 15 runs beside other work, on the code before, with the stacks of its tasks: the task of ConfigWatch.run() was being cancelled and slept between two readings of the store, so that the event loop never ended. Its read had just connected as the cancellation came. Also say in the docstring of REPLY_GRACE_S what a short grace time changes.

--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -47,7 +47,8 @@
 """
 Wait past a deadline for the target's reply, which says if the call ran, seconds.
 
-It is less than the time between the end of work and the interruption of calls.
+Except with a short grace time, it is less than the time between the end of work and
+the interruption of calls.
 """
 
 RELAYS_PER_DOMAIN: Final = 2
