Take the first share of a rate only once the number of daemons is known

Seen: right after a restart of many daemons, a large workspace could run more than its rate allows.

Cause: a daemon took its first share as soon as it knew one peer, also from a note that came before it had read the records from the store. It then counted two daemons and took half of the rate and of the burst for 0.4 s.

Now a note alone gives no share: until the records are read, a daemon has the share of one that knows nobody (0.02). If the store does not answer, it takes its share from the peers known by then with its first report, as before.

--- a/damaskbay/mesh/control_plane.py
+++ b/damaskbay/mesh/control_plane.py
@@ -196,5 +196,5 @@
         self.peer_config.fetch_newer(relay, version, remote=False)
 
     def _members_known(self) -> bool:
-        """Return whether peers are known, or the store's records have been read."""
-        return len(self._parts.directory.instances()) > 1 or self.members.has_read
+        """Return whether the records of all members have been read."""
+        return self.members.has_read
--- a/damaskbay/mesh/exchange.py
+++ b/damaskbay/mesh/exchange.py
@@ -26,7 +26,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeParts:
-    """Dependencies of Exchange; `fetch_config` starts to fetch a newer version."""
+    """
+    Dependencies of Exchange; `fetch_config` starts to fetch a newer version.
+
+    `members_known` is whether the records of all members have been read.
+    """
 
     instance: str
     failure_domain: str
@@ -83,10 +87,17 @@
         return self._relay_order(failure_domain)[:RELAYS_PER_DOMAIN]
 
     def members_changed(self) -> None:
-        """Start with even shares once the daemons are known, before demand reports."""
+        """
+        Start with even shares once the daemons are known, before demand reports.
+
+        A note that comes before the records have been read says nothing about the
+        number of daemons, which is needed for a share.
+        """
+        if not self._fleet_known and self._parts.members_known():
+            self._start_shares()
+
+    def _start_shares(self) -> None:
         parts = self._parts
-        if self._fleet_known or not parts.members_known():
-            return
         self._update_members()
         parts.shares.update_totals(parts.pool.totals_for(parts.instance))
         self._fleet_known = True
@@ -128,7 +139,10 @@
         parts = self._parts
         self.members_changed()
         if not self._fleet_known:
-            return
+            # The store may be down: use the peers that have sent notes since the start.
+            if len(parts.directory.instances()) <= 1:
+                return
+            self._start_shares()
         self._update_members()
         relay = self._select_relay()
         if relay is None:
