Keep a domain's share of a rate while it can't reach others and demand grows

Cause: a domain that can't be reached keeps its last total, but the local demand it was compared with was the present one. Each domain thus saw itself grow and the others not, and took most of the rate.

Now a remote total is taken to have grown as the local demand has since it arrived; without local demand then, it counts at least with the average. A total of the last round is unchanged, so nothing differs while domains reach each other. A domain that is cut off no longer gains a share if demand moves there.

Evidence: the new test fails before and passes after.

--- a/damaskbay/core/quota/demand_pool.py
+++ b/damaskbay/core/quota/demand_pool.py
@@ -34,6 +34,34 @@
         return {name: value * factor for name, value in self.demand.items()}
 
 
+@dataclass(frozen=True, slots=True)
+class _RemoteTotal:
+    """The total of a remote domain, and the local one at the time of its arrival."""
+
+    total: DomainTotal
+    local_total: DomainTotal
+
+    def demand_beside(self, local: Demand) -> Demand:
+        """
+        Return the remote demand while the local one is `local`.
+
+        A remote demand is taken to have grown since as the local one has, so that
+        domains that can't reach each other keep their shares when demand grows.
+        """
+        demand = dict(self.total.extrapolated())
+        local_before = self.local_total.extrapolated()
+        for name, value in local.items():
+            before = local_before.get(name, 0.0)
+            if value <= before:
+                continue
+            if before > 0.0:
+                demand[name] = demand.get(name, 0.0) * value / before
+                continue
+            average = value / self.local_total.daemons
+            demand[name] = max(demand.get(name, 0.0), average * self.total.daemons)
+        return demand
+
+
 @dataclass(frozen=True, slots=True)
 class DemandTotals:
     """
@@ -56,15 +84,15 @@
     round, and within the local domain by the reports of the current round. All
     daemons thus use the same figures at each level, also when demand starts
     everywhere at once. An unreachable domain keeps its last total while it has
-    members, since it may still serve calls; a domain without any total counts with
-    the average demand.
+    members, since it may still serve calls, and is taken to grow as the local one
+    does; a domain without any total counts with the average demand.
     """
 
     def __init__(self, failure_domain: str) -> None:
         self._local_domain = failure_domain
         self._members: dict[str, AbstractSet[str]] = {}
         self._reports: dict[str, Demand] = {}
-        self._remote_totals: dict[str, DomainTotal] = {}
+        self._remote_totals: dict[str, _RemoteTotal] = {}
         self._round_reports: dict[str, Demand] = {}
         self._local_total = self._previous_local_total = DomainTotal(_NO_DEMAND, 0, 1)
         self._fleet_demand: Demand = _NO_DEMAND
@@ -90,7 +118,7 @@
     def record_remote_total(self, domain: str, total: DomainTotal) -> None:
         """Record the total of a remote domain, unless no daemon reported there."""
         if total.reporting_daemons > 0:
-            self._remote_totals[domain] = total
+            self._remote_totals[domain] = _RemoteTotal(total, self._local_total)
 
     def close_round(self) -> None:
         """Count the recorded reports; results stay the same until the next round."""
@@ -122,11 +150,12 @@
             self._local_total.extrapolated(),
             self._previous_local_total.extrapolated(),
         )
-        remote = _sum(item.extrapolated() for item in self._remote_totals.values())
+        remote_totals = self._remote_totals.values()
+        remote = _sum(item.demand_beside(previous) for item in remote_totals)
         unknown = (
             self.daemons
             - self._previous_local_total.daemons
-            - sum(item.daemons for item in self._remote_totals.values())
+            - sum(item.total.daemons for item in remote_totals)
         )
         unknown_ratio = max(0, unknown) / self._previous_local_total.daemons
         even_share = min(1.0, self._local_total.daemons / self.daemons)
--- a/tests/core/quota/test_shares.py
+++ b/tests/core/quota/test_shares.py
@@ -27,8 +27,12 @@
         self.relays = {domain: DemandPool(domain) for domain in self.members}
         self.pools = {domain: TokenPool(domain, OPTIONS) for domain in self.members}
 
-    def exchange(self, now: float) -> None:
-        """Run one round: daemons report, relays count and exchange their totals."""
+    def exchange(self, now: float, *, connected: bool = True) -> None:
+        """
+        Run one round: daemons report, relays count and exchange their totals.
+
+        Domains that are not connected exchange none.
+        """
         for domain, relay in self.relays.items():
             relay.set_members(self.members)
             pool = self.pools[domain]
@@ -39,6 +43,8 @@
             relay.close_round()
             for name in self.members[domain]:
                 self.daemons[name].update_totals(relay.totals_for(name))
+        if not connected:
+            return
         for domain, relay in self.relays.items():
             for other, other_relay in self.relays.items():
                 if other != domain:
@@ -160,6 +166,30 @@
     assert _max_in_window(admitted_at) <= _bound(workspace)
 
 
+# Guards against domains that each take most of a rate while they can't reach others.
+def test_demand_that_grows_while_domains_are_cut_off_keeps_the_bound() -> None:
+    """All domains lose each other, and then demand grows everywhere."""
+    workspace = Workspace("w", 549.0, 549)
+    rng = random.Random(5)
+    names = [f"d{number}" for number in range(12)]
+    for before, after in ((0.6, 4.0), (0.6, 7.5), (0.001, 4.0)):
+        fleet = _Fleet(names)
+        fleet.exchange(0.0)
+        now, cut_at, grows_at = 0.0, 10.0, 10.5
+        exchanged_at = 0.0
+        admitted_at = []
+        while now < 18.0:
+            factor = before if now < grows_at else after
+            now += min(0.1, rng.expovariate(factor * workspace.rate_per_s))
+            if exchanged_at + EXCHANGE_S <= now:
+                exchanged_at += EXCHANGE_S
+                fleet.exchange(now, connected=now < cut_at)
+            if fleet.spend(rng.choice(names), workspace, now):
+                admitted_at.append(now)
+        highest = _max_in_window(admitted_at)
+        assert highest <= _bound(workspace), f"{highest} of {_bound(workspace)}"
+
+
 def test_a_workspace_within_its_rate_is_hardly_refused() -> None:
     """At 62 % of the rate, on sixteen daemons with uneven demand."""
     for rate in (50.0, 270.0):
