Add a known-red test: a relay that is cut off spends too much as demand grows

Seen in virtual time only: the relays of three domains of five daemons reach nobody, demand grows from 0.6 to 4 times the rate: 4,158 requests in 5 s where 3,643 are allowed. The relay that is cut off keeps the last reports of the others and compares its own present demand with them.

Not mended: a trial that counts a report for five rounds only passes this test, but test_a_domain_keeps_its_total_while_it_has_members counts reports for more rounds, and by reading, a daemon with most of a workspace's demand would lose part of its share while others of its domain are down.

Daemons of the test now have links of their own in place of one view of the network; the other tests are unchanged and pass.

--- a/tests/mesh/test_control_plane.py
+++ b/tests/mesh/test_control_plane.py
@@ -19,6 +19,7 @@
 from damaskbay.mesh.control_plane import ControlPlane, ControlPlaneParts
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.messages import Note
+from damaskbay.mesh.neighbours import relay_order
 from damaskbay.mesh.records import encode_record
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.ports.fleet import ServerState
@@ -52,22 +53,34 @@
 
 @dataclass
 class _Network:
-    """Delivers messages between daemons; `now` is the virtual time."""
+    """The daemons, those that reach no other, and the virtual time."""
 
     now: float = 0.0
     by_address: dict[PeerAddress, "_Daemon"] = field(default_factory=dict)
+    cut_off: set[PeerAddress] = field(default_factory=set)
 
     def clock(self) -> float:
         return self.now
 
+
+@dataclass
+class _Links:
+    """The links of the daemon at an address."""
+
+    local: PeerAddress
+    network: _Network
+
     def up(self, peer: PeerAddress) -> bool:
-        return peer in self.by_address
+        cut_off = self.network.cut_off
+        return peer in self.network.by_address and not {self.local, peer} & cut_off
 
     async def request(
         self, peer: PeerAddress, message: Any, *, timeout_s: float
     ) -> Any:
         assert timeout_s > 0.0
-        return await self.by_address[peer].control_plane.handle_request(message)
+        assert self.up(peer)
+        control_plane = self.network.by_address[peer].control_plane
+        return await control_plane.handle_request(message)
 
 
 class _Daemon:
@@ -76,7 +89,8 @@
     def __init__(self, record: MemberRecord, network: _Network) -> None:
         self.record = record
         self.shares = DemandShares(OPTIONS)
-        self.directory = Directory(record.instance, network.up)
+        links = _Links(record.address, network)
+        self.directory = Directory(record.instance, links.up)
         self.directory.put_local(record, network.now)
         self._network = network
         names = SimpleNamespace(
@@ -96,7 +110,7 @@
                     cast("PlatformParts", platform),
                     Configuration(),
                     self.directory,
-                    cast("PeerLinks", network),
+                    cast("PeerLinks", links),
                     self.shares,
                     TokenPool(record.failure_domain, OPTIONS),
                     random.Random(1),
@@ -192,6 +206,38 @@
             asyncio.run(_round(daemons))
         if rng.choice(daemons).shares.spend(WORKSPACE, network.now) is None:
             admitted_at.append(network.now)
+    _assert_within_bound(admitted_at)
+
+
+# Guards against a relay that counts the others by their last reports without end.
+def test_demand_that_grows_while_a_relay_is_cut_off_keeps_the_bound() -> None:
+    """The relays of all domains reach nobody, and then demand grows everywhere."""
+    network = _Network()
+    rng = random.Random(3)
+    daemons = [_Daemon(record, network) for record in RECORDS]
+    for daemon in daemons:
+        daemon.read_records()
+    cut_at, grows_at = 10.0, 10.5
+    admitted_at: list[float] = []
+    next_round_at = REPORT_INTERVAL_S
+    while network.now < 16.0:
+        factor = 0.6 if network.now < grows_at else 4.0
+        before = network.now
+        network.now += rng.expovariate(factor * WORKSPACE.rate_per_s)
+        if before < cut_at <= network.now:
+            network.cut_off = {
+                relay_order(RECORDS, f"domain{number}")[0].address
+                for number in range(DOMAINS)
+            }
+        if network.now >= next_round_at:
+            next_round_at += REPORT_INTERVAL_S
+            asyncio.run(_round(daemons))
+        if rng.choice(daemons).shares.spend(WORKSPACE, network.now) is None:
+            admitted_at.append(network.now)
+    _assert_within_bound(admitted_at)
+
+
+def _assert_within_bound(admitted_at: list[float]) -> None:
     limit = WORKSPACE.rate_per_s * WINDOW_S + WORKSPACE.burst
     bound = limit * (1.0 + OPTIONS.overage) + OPTIONS.slack
     highest = _max_in_window(admitted_at)
