Send safe calls that a leaving threaded daemon gives up to another one

What callers saw: `deadline_passed` for a safe call that had seconds left, while another server was free. Cause: a leaving daemon shortens the deadline of a peer's call to its own end of work, and gave the passed deadline back as the reason, after which the sender doesn't try another server.

Evidence: test_a_safe_call_that_a_leaving_server_gives_up_goes_to_another of tests.daemon.test_leaving failed before (AssertionError: Refusal(reason=<Reason.DEADLINE_PASSED: 'deadline_passed'>, outcome=<Outcome.UNKNOWN: 'unknown'>)). Why the fix works: if the call's sender waits for longer than this daemon works, its end is the reason, `shutting_down`, after which the sender tries another server if the call may run twice. The outcome stays unknown.

--- a/damaskbay/daemon/dispatch.py
+++ b/damaskbay/daemon/dispatch.py
@@ -258,10 +258,12 @@
         )
 
 
-def explain_interruption(result: CallResult) -> CallResult:
-    """Give the daemon's end as the reason of a call that it has cancelled."""
+def explain_shutdown(
+    result: CallResult, replaced: Reason = Reason.CANCELLED
+) -> CallResult:
+    """Give the daemon's end as the reason of a call that it cancelled or limited."""
     refusal = result.result
-    if not isinstance(refusal, Refusal) or refusal.reason is not Reason.CANCELLED:
+    if not isinstance(refusal, Refusal) or refusal.reason is not replaced:
         return result
     return replace(result, result=replace(refusal, reason=Reason.SHUTTING_DOWN))
 
--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -22,7 +22,7 @@
 from damaskbay.daemon.dispatch import (
     Dispatcher,
     OutgoingCall,
-    explain_interruption,
+    explain_shutdown,
 )
 from damaskbay.daemon.once import AtMostOnceService
 from damaskbay.helpers.cancellation import Cancellation
@@ -124,7 +124,7 @@
         took_s = self._clock() - started_at
         result = served.result
         if self._interrupted:
-            result = explain_interruption(result)
+            result = explain_shutdown(result)
         if served.context is None and call.request_id is not None:
             result = _with_unknown_outcome(result)
         if served.context is not None:
--- a/damaskbay/daemon/peer_calls.py
+++ b/damaskbay/daemon/peer_calls.py
@@ -12,7 +12,7 @@
 from damaskbay.core.http_status import is_success
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
-from damaskbay.daemon.dispatch import OutgoingCall, explain_interruption
+from damaskbay.daemon.dispatch import OutgoingCall, explain_shutdown
 from damaskbay.daemon.messages import (
     CallMessage,
     context_of,
@@ -97,10 +97,13 @@
             responder.reply(to_result_message(CallResult(begun, 0, call.retry_tokens)))
             return
         started = begun.started
+        outlives = self._lifetime.outlasts(call.remaining_s, started.started_at)
 
         def done(result: CallResult) -> None:
             if self._interrupted:
-                result = explain_interruption(result)
+                result = explain_shutdown(result)
+            if outlives:
+                result = explain_shutdown(result, Reason.DEADLINE_PASSED)
             try:
                 responder.reply(to_result_message(result))
             finally:
--- a/tests/daemon/test_leaving.py
+++ b/tests/daemon/test_leaving.py
@@ -8,7 +8,7 @@
 
 from damaskbay.core.call import Request, Response
 from damaskbay.core.lifetime import StopPlan
-from damaskbay.core.outcome import Reason, Refusal, not_run
+from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.daemon.ingress import NEXT_DAEMON_S
 from damaskbay.helpers.cancellation import Cancellation
 from damaskbay.helpers.clock import monotonic_s
@@ -281,6 +281,30 @@
         assert refused == not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0)
 
 
+# Guards against 504 at a deadline that only the leaving daemon had shortened.
+def test_a_safe_call_that_a_leaving_server_gives_up_goes_to_another() -> None:
+    """The caller has time left, and another server has room."""
+    with request_path("a", "b") as path, ThreadPoolExecutor(1) as callers:
+        sender, leaving = (path.daemons_by_instance[name] for name in "ab")
+        path.membership.servers_by_instance.pop("a")
+        _begin_stop(leaving)
+        leaving.backend.outcomes = [unknown(Reason.DEADLINE_PASSED)]
+
+        def work_until_deadline(_request: Request, token: str) -> None:
+            context = leaving.calls.context(token)
+            assert not isinstance(context, Refusal)
+            time.sleep(context.deadline - monotonic_s())
+
+        leaving.backend.on_call = work_until_deadline
+        safe = callers.submit(sender.call, "/read/1", deadline_s=LONG_DEADLINE_S)
+        while not leaving.backend.runs_by_target:
+            time.sleep(0.01)
+        path.membership.servers_by_instance.pop("b")
+        path.start("c")
+        outcome = safe.result()
+        assert isinstance(outcome, Response), outcome
+
+
 # Guards against LOST: work that was accepted in time and outlives the daemon.
 def test_interrupted_calls_say_whether_they_may_have_run() -> None:
     """A queued call has not run; one at the server may have run."""
