--- a/damaskbay/daemon/ingress.py
+++ b/damaskbay/daemon/ingress.py
@@ -1,5 +1,6 @@
 """Entry point of calls: authentication, routing, rate limits and dispatch."""
 
+import math
 import threading
 import uuid
 from collections.abc import Callable, Iterator
@@ -12,6 +13,7 @@
 from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.edge import EdgeConcurrencyLimit
 from damaskbay.core.freshness import refuse_unproven
+from damaskbay.core.http_status import is_success
 from damaskbay.core.identify import Credentials, RouteMatcher, identify_root
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run
@@ -28,6 +30,9 @@
 from damaskbay.ports.fleet import ConfigSource, ConfigState, RateGate
 from damaskbay.ports.metrics import CallObserver, EndedCall
 
+NEXT_DAEMON_S = 1.0
+"""Time for the next daemon to start after a leaving one has ended, seconds."""
+
 
 class RouteSource(Protocol):
     """Source of the route table of a configuration set."""
@@ -98,9 +103,14 @@
         for cancellation in running:
             cancellation.cancel()
 
-    def issue_request_ids(self, count: int) -> IssuedIds:
-        """Issue request ids for calls that must run at most once."""
-        return self._parts.once.issue(count)
+    def issue_request_ids(self, count: int) -> IssuedIds | Refusal:
+        """Issue request ids for calls that must run at most once, until the end."""
+        now, lifetime = self._clock(), self._parts.lifetime
+        if lifetime.announced(now):
+            return self._refuse_leaving(now, own_calls=0)
+        issued = self._parts.once.issue(count)
+        left_s = lifetime.limit(math.inf) - now
+        return replace(issued, valid_s=min(issued.valid_s, left_s))
 
     def serve(self, call: IncomingCall, cancellation: Cancellation) -> ServedCall:
         """Serve one call and return its result."""
@@ -115,9 +125,6 @@
         result = served.result
         if self._interrupted:
             result = explain_interruption(result)
-        if result.attempts:
-            with self._lock:
-                self._durations.record(served.route, took_s)
         if served.context is None and call.request_id is not None:
             result = _with_unknown_outcome(result)
         if served.context is not None:
@@ -149,9 +156,7 @@
     ) -> _IngressResult:
         now = self._clock()
         if self._draining:
-            return _IngressResult(
-                refused_result(not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0))
-            )
+            return _IngressResult(refused_result(self._refuse_leaving(now)))
         state = self._parts.config.state()
         if state is None:
             refusal = not_run(Reason.NO_CONFIGURATION, retry_after_s=1.0)
@@ -229,15 +234,31 @@
         )
 
     def _refuse_outlasting(self, context: CallContext, now: float) -> Refusal | None:
-        """Return a refusal if the call won't end before this daemon does."""
-        left_s = context.deadline - now
-        with self._lock:
-            expected_s = self._durations.expected_s(context.route, now)
-        if expected_s is None:
-            expected_s = left_s if self._parts.lifetime.announced(now) else 0.0
-        if not self._parts.lifetime.outlasts(min(left_s, expected_s), now):
+        """
+        Return a refusal if the call won't end before this daemon does.
+
+        Once callers know of the stop, its deadline counts: an estimate may be wrong.
+        """
+        lifetime = self._parts.lifetime
+        expected_s = context.deadline - now
+        if not lifetime.announced(now):
+            with self._lock:
+                estimate_s = self._durations.expected_s(context.route, now) or 0.0
+            expected_s = min(expected_s, estimate_s)
+        if not lifetime.outlasts(expected_s, now):
             return None
-        return not_run(Reason.SHUTTING_DOWN, retry_after_s=1.0)
+        return self._refuse_leaving(now)
+
+    def _refuse_leaving(self, now: float, *, own_calls: int = 1) -> Refusal:
+        """
+        Return a refusal that says when the next daemon may be here.
+
+        `own_calls` is the number of calls in flight that it ends.
+        """
+        lifetime = self._parts.lifetime
+        has_calls = self.in_flight > own_calls or lifetime.peer_calls > 0
+        left_s = lifetime.expected_left_s(now, has_calls=has_calls)
+        return not_run(Reason.SHUTTING_DOWN, retry_after_s=left_s + NEXT_DAEMON_S)
 
     def _send(
         self,
@@ -252,6 +273,22 @@
         deadline = self._parts.lifetime.limit(context.deadline)
         context = replace(context, deadline=deadline)
         outgoing = OutgoingCall(context, request, cancellation, leaf=not route.calls)
+        with self._lock:
+            now = self._clock()
+            expected_s = self._durations.expected_s(route.name, now) or 0.0
+            self._parts.lifetime.expect_end(min(deadline, now + expected_s))
+            started = self._durations.start(route.name, now)
+        completed = False
+        try:
+            result = self._dispatch(outgoing)
+            completed = is_success(result.result)
+        finally:
+            with self._lock:
+                self._durations.end(started, self._clock(), completed=completed)
+        return result
+
+    def _dispatch(self, outgoing: OutgoingCall) -> CallResult:
+        context = outgoing.context
         if context.request_id is not None and not context.idempotent:
             return self._parts.once.run(outgoing)
         return self._parts.dispatcher.dispatch(outgoing)
--- a/damaskbay/helpers/wsgi_server.py
+++ b/damaskbay/helpers/wsgi_server.py
@@ -1,6 +1,9 @@
 """Run a WSGI application with `waitress` on a thread, with graceful shutdown."""
 
+import http
 import logging
+import select
+import socket
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -11,6 +14,7 @@
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer
 from waitress.task import ThreadedTaskDispatcher, WSGITask
+from waitress.utilities import Error
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -47,8 +51,9 @@
     """
     Listener with worker threads; a context manager.
 
-    `drain` closes the listener and each open connection after its next response;
-    leaving the context closes the remaining connections.
+    `drain` closes the listener, and each open connection after the response to the
+    last request that its caller has sent; leaving the context closes the remaining
+    connections.
     """
 
     def __init__(
@@ -97,8 +102,9 @@
         self._executor.shutdown()
 
     def drain(self) -> None:
-        """Stop accepting connections; close each open one after its next response."""
+        """Stop accepting connections; close each open one after its last response."""
         self._drain_flag.active = True
+        self._server.trigger.pull_trigger(self._accept_waiting)
         self._server.trigger.pull_trigger(self._close_listener)
 
     def open_connections(self) -> int:
@@ -110,8 +116,12 @@
         channels = list(self._server.active_channels.values())
         return sum(1 for channel in channels if channel.requests)
 
+    def reject_incomplete(self) -> None:
+        """Respond with 408 to requests that are received in part: they haven't run."""
+        self._server.trigger.pull_trigger(self._reject_incomplete)
+
     def close_idle(self) -> None:
-        """Close connections that have no request in flight."""
+        """Close connections that have no request in flight or partly received."""
         self._server.trigger.pull_trigger(self._close_idle)
 
     def _run(self) -> None:
@@ -124,28 +134,72 @@
         self._close_listener()
         server.trigger.close()
 
+    def _accept_waiting(self) -> None:
+        """Accept the connections that callers have opened, even above the limit."""
+        if not self._server.accepting:
+            return
+        poll = select.poll()
+        poll.register(self._server.socket, select.POLLIN)
+        for _ in range(self._server.adj.backlog):
+            if not poll.poll(0):
+                return
+            self._server.handle_accept()
+
     def _close_listener(self) -> None:
         if self._server.accepting:
             self._server.accepting = False
             self._server.del_channel()
             self._server.socket.close()
 
+    def _reject_incomplete(self) -> None:
+        for channel in list(self._server.active_channels.values()):
+            with channel.requests_lock:
+                request = channel.request
+                if request is None or channel.requests or channel.close_when_flushed:
+                    continue
+                request.error = _RequestTimeoutError("The server stops.")
+                channel.request = None
+                channel.requests.append(request)
+            self._server.add_task(channel)
+
     def _close_idle(self) -> None:
         for channel in list(self._server.active_channels.values()):
-            if not channel.requests and not channel.total_outbufs_len:
+            in_use = channel.requests or channel.total_outbufs_len
+            if not in_use and not _has_begun_request(channel):
                 channel.will_close = True
 
 
+class _RequestTimeoutError(Error):  # type: ignore[misc]
+    code = http.HTTPStatus.REQUEST_TIMEOUT
+    reason = http.HTTPStatus.REQUEST_TIMEOUT.phrase
+
+
+def _has_next_request(channel: HTTPChannel) -> bool:
+    """Return whether a caller has sent more than the request that is served."""
+    return len(channel.requests) > 1 or _has_begun_request(channel)
+
+
+def _has_begun_request(channel: HTTPChannel) -> bool:
+    """Return whether a caller has sent bytes that belong to no complete request."""
+    if channel.request is not None:
+        return True
+    try:
+        return bool(channel.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 def _draining_server_class(drain_flag: _DrainFlag) -> type[TcpWSGIServer]:
     """Return a server class that sends `Connection: close` while draining."""
 
     class DrainingTask(WSGITask):  # type: ignore[misc]
-        """Task that closes its connection after the response while draining."""
+        """Task that closes its connection after the last response while draining."""
 
-        def start(self) -> None:
-            super().start()
-            if drain_flag.active:
+        def build_response_header(self) -> bytes:
+            if drain_flag.active and not _has_next_request(self.channel):
                 self.set_close_on_finish()
+            header: bytes = super().build_response_header()
+            return header
 
         def finish(self) -> None:
             super().finish()
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -11,7 +11,7 @@
 from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.durations import DurationEstimates
-from damaskbay.core.http_status import FIRST_SERVER_ERROR, status_of
+from damaskbay.core.http_status import FIRST_SERVER_ERROR, is_success, status_of
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.outcome import Reason, Refusal, not_run
 from damaskbay.core.pressure import EdgeLoadShedder
@@ -140,7 +140,7 @@
         if early is not None:
             return self._refuse(early, request_id, route, context.workspace)
         forwarded = self._forwarded_request(request, forwarded_headers, workspace)
-        result = await self._dispatch(context, route, forwarded)
+        result = await self._dispatch(context, route, forwarded, arrival.arrived_at)
         self._record_result(context, result, parts.clock() - arrival.arrived_at)
         if caller is not None:
             parts.running.record_nested_end(caller, result, parts.clock())
@@ -157,23 +157,21 @@
         return Response(outcome.status, headers, outcome.body)
 
     async def _dispatch(
-        self, context: CallContext, route: Route, request: Request
+        self, context: CallContext, route: Route, request: Request, arrived_at: float
     ) -> CallResult:
-        """Send a call and record how long it takes, if a server has run it."""
+        """Send a call and record how long it takes from its arrival."""
         parts, durations = self._parts, self._durations
-        started_at = parts.clock()
-        expected_s = durations.expected_s(route.name, started_at) or 0.0
-        parts.lifetime.expect_end(min(context.deadline, started_at + expected_s))
-        durations.start(route.name, started_at)
-        attempts = 0
+        expected_s = durations.expected_s(route.name, parts.clock()) or 0.0
+        parts.lifetime.expect_end(min(context.deadline, arrived_at + expected_s))
+        call = durations.start(route.name, arrived_at)
+        completed = False
         try:
-            result = await parts.dispatcher.dispatch(context, route, request)
-            attempts = result.attempts
+            result = await parts.dispatcher.dispatch(
+                context, route, request, expected_s
+            )
+            completed = is_success(result.result)
         finally:
-            if attempts:
-                durations.end(route.name, started_at, parts.clock() - started_at)
-            else:
-                durations.discard(route.name, started_at)
+            durations.end(call, parts.clock(), completed=completed)
         return result
 
     def _log_unanswered(self, arrival: ReceivedRequest) -> None:
@@ -245,10 +243,12 @@
         """
         Return a refusal if a stopping daemon takes no such request any more.
 
-        It takes what ends before the daemon does, and what it knows nothing of until
-        callers know of the stop. From then on it takes root calls only while it has to
-        stay for earlier ones. Nested calls are taken as long as possible, as otherwise
-        the call that made them fails.
+        Until callers know of the stop, it takes what is expected to end before the
+        daemon does. From then on it takes root calls only while it has to stay for
+        earlier ones, and only if their time limit ends before the daemon does: an
+        estimate may be wrong, and a refused call can be repeated elsewhere or later.
+        Nested calls are taken as long as possible, as otherwise the call that made them
+        fails.
         """
         lifetime, now = self._parts.lifetime, self._parts.clock()
         if lifetime.plan is None:
@@ -257,10 +257,10 @@
         if caller is not None and left_s > 0:
             return None
         stays = self.in_flight > self._late_in_flight or lifetime.peer_calls > 0
-        expected_s = self._durations.expected_s(route.name, now)
-        if expected_s is None:
-            expected_s = timeout_s if lifetime.announced(now) else 0.0
-        expected_s = min(timeout_s, expected_s)
+        expected_s = timeout_s
+        if not lifetime.announced(now):
+            estimate_s = self._durations.expected_s(route.name, now) or 0.0
+            expected_s = min(timeout_s, estimate_s)
         if stays and not lifetime.outlasts(expected_s, now):
             return None
         # The next daemon at this address starts after the last call of this one.
@@ -269,7 +269,7 @@
         return not_run(
             Reason.SHUTTING_DOWN,
             retry_after_s=wait_s + NOT_READY_RETRY_S,
-            detail=f"expected to take {expected_s:.3f} s, {left_s:.3f} s are left",
+            detail=f"may take {expected_s:.3f} s, {left_s:.3f} s are left",
         )
 
     async def _spend_token(self, workspace: Workspace, now: float) -> Refusal | None:
