Give each process of a test fleet a port of its own

Cause: free_port() closed the port before it was used, so that a later call could return it again, and the second process couldn't bind it. Why the fix works: a bound socket without a listener reserves the port, and the servers set SO_REUSEADDR. That the two failures had this cause isn't shown: the logs of those processes are gone with their folders.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,5 +1,6 @@
 """Fleet of real processes on loopback, for measurements and the demo."""
 
+import atexit
 import contextlib
 import http.client
 import json
@@ -29,6 +30,15 @@
     """A process did not start or a publication failed."""
 
 
+_reservations: list[socket.socket] = []
+
+
+@atexit.register
+def _release_reservations() -> None:
+    for reservation in _reservations:
+        reservation.close()
+
+
 @dataclass(frozen=True, slots=True)
 class ServerPlan:
     """Plan of a backend server and its daemon."""
@@ -259,15 +269,23 @@
 
 
 def free_port() -> int:
-    """Return a port that is currently free for TCP and UDP."""
-    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-        tcp.bind((HOST, 0))
-        port: int = tcp.getsockname()[1]
+    """
+    Return a port that is free for UDP, and for a TCP server that sets SO_REUSEADDR.
+
+    A bound socket that does not listen keeps the port from being used by an outgoing
+    connection until this process ends.
+    """
+    tcp = socket.socket()
+    tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    tcp.bind((HOST, 0))
+    _reservations.append(tcp)
+    port: int = tcp.getsockname()[1]
+    with socket.socket(type=socket.SOCK_DGRAM) as udp:
         try:
             udp.bind((HOST, port))
         except OSError:
             return free_port()
-        return port
+    return port
 
 
 def _address(port: int) -> dict[str, Any]:
