--- a/damaskbay/core/durations.py
+++ b/damaskbay/core/durations.py
@@ -28,7 +28,7 @@
     """
     Durations of the calls of a route; times in seconds.
 
-    `running` holds the calls that run, in the order of their start, without those that
+    `running` holds the calls that run, the first recorded one first, without those that
     began before the one at `overtaken_at`: a later call has been completed before them,
     so they are outliers and say nothing about the next call.
     """
--- a/damaskbay/daemon/peer_calls.py
+++ b/damaskbay/daemon/peer_calls.py
@@ -110,7 +110,7 @@
                 self._end(started, cancellation, result)
 
         context = self._context(call)
-        outlasting = self._refuse_outlasting(call, context, begun)
+        outlasting = self._refuse_outlasting(call, begun)
         if call.owned:
             self._executor.submit(
                 self._run_owned, call, context, cancellation, outlasting, done
@@ -121,7 +121,7 @@
             self._submit_to_target(call, context, cancellation, done)
 
     def _refuse_outlasting(
-        self, call: CallMessage, context: CallContext, begun: _BegunCall
+        self, call: CallMessage, begun: _BegunCall
     ) -> Refusal | None:
         """
         Return a refusal if a call won't end before this daemon does.
