Log the limit that a server names and its leaving, and read nothing else from them

A line when the limit that a server names changes and when a response says that the server leaves, each with the starts per second. No decision reads either yet.

--- a/damaskbay/mesh/dialect.py
+++ b/damaskbay/mesh/dialect.py
@@ -9,7 +9,8 @@
     Header names of one deployment.
 
     A server sets `not_run` on the response to a call that it did not run; the
-    statuses in `not_run_statuses` mean the same without this header.
+    statuses in `not_run_statuses` mean the same without this header. It names in
+    `limit` the requests per second that it takes, and sets `leaving` while it drains.
     """
 
     request_id: str
@@ -22,6 +23,8 @@
     server: str
     not_run: str
     retry_after: str
+    limit: str
+    leaving: str
     not_run_statuses: frozenset[int]
 
     @property
--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -9,6 +9,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+ServerStart = tuple[str, int]
+"""A start of a backend server: its id and the time in milliseconds since 1970."""
+
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
@@ -48,6 +51,11 @@
         """Return when the server started, in milliseconds since 1970."""
         return max(0, self._born_ms)
 
+    @property
+    def start(self) -> ServerStart:
+        """Return the start of the server that is known now."""
+        return self.server, self._born_ms
+
     @property
     def restored_draining(self) -> tuple[str, int] | None:
         """Return the server that must not become ready, and its start."""
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -29,8 +29,9 @@
 )
 from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.gate import Gate
-from damaskbay.mesh.local_server import LocalServer
+from damaskbay.mesh.local_server import LocalServer, ServerStart
 from damaskbay.mesh.running import RunningCall, RunningCalls
+from damaskbay.mesh.server_notices import ServerNotices
 from damaskbay.ports.fleet import ServerState
 
 _LOGGER = logging.getLogger(__name__)
@@ -79,9 +80,11 @@
         self._unreachable_until = 0.0
         self._not_run_header = parts.dialect.not_run.lower()
         self._stamp_header = parts.dialect.stamp.lower()
+        self._notices = ServerNotices(parts.dialect, parts.local, parts.clock())
         self._sieve = HeaderFilter(
             dropped=frozenset({parts.dialect.request_id.lower(), "content-length"}),
-            read=frozenset({self._not_run_header, self._stamp_header}),
+            read=frozenset({self._not_run_header, self._stamp_header})
+            | self._notices.headers,
         )
         self._active_calls: set[_ActiveCall] = set()
         self._durations = DurationEstimates()
@@ -226,6 +229,7 @@
 
     async def _send(self, context: CallContext, request: Request) -> Response | Refusal:
         """Send once; retry only if a reused connection turned out to be closed."""
+        start = self._parts.local.start
         outcome = await self._send_once(context, request, context.idempotent)
         if (
             isinstance(outcome, HttpFailure)
@@ -237,13 +241,15 @@
             if outcome.problem is HttpProblem.TIMED_OUT:
                 return unknown(Reason.DEADLINE_PASSED)
             return self._handle_failure(context, outcome)
-        return self._classify_response(context, outcome)
+        return self._classify_response(context, outcome, start)
 
     async def _send_once(
         self, context: CallContext, request: Request, reuse_connection: bool
     ) -> Response | HttpFailure:
         parts = self._parts
-        left_s = context.deadline - parts.clock()
+        now = parts.clock()
+        self._notices.record_start(now)
+        left_s = context.deadline - now
         left_ms = math.floor(left_s * 1000.0)
         id_headers: Headers = ()
         if context.request_id is not None:
@@ -288,11 +294,12 @@
         return unknown(Reason.BACKEND_SERVER_FAILED, detail=detail)
 
     def _classify_response(
-        self, context: CallContext, response: Response
+        self, context: CallContext, response: Response, start: ServerStart
     ) -> Response | Refusal:
         """Return the response without internal headers, or a refusal made from it."""
         dialect = self._parts.dialect
         headers, values = self._sieve.split(response.headers)
+        self._notices.record_response(values, start, self._parts.clock())
         if (
             self._not_run_header in values
             or response.status in dialect.not_run_statuses
--- a/damaskbay/platform/const.py
+++ b/damaskbay/platform/const.py
@@ -20,6 +20,8 @@
     server="X-Instance-Id",
     not_run="X-Not-Executed",
     retry_after="Retry-After",
+    limit="Server-Limit",
+    leaving="Server-Leaving",
     not_run_statuses=frozenset({421}),
 )
 
