Keep the starts at a server to the limit that its responses name

Cause: the capacity of a server was its slots alone, to each decision about it; no code read the header. Class: a limit that the served system states is not an input of the decisions that it limits.

The daemon beside a server is the only sender, so it counts for the whole fleet, with no split over daemons. One limit now rules the starts (a token bucket), the queue's length, the expected wait, the admission level, the load by which peers choose a server, and Retry-After. Until the first response of a server's start only four calls run at once, so that a daemon that restarts learns of a limit before it can exceed it; nothing has to be stored or asked of peers. When responses no longer name a limit the rate doubles each half second, and is unlimited after 2 s. Retries and the second send on a stale connection count like all others.

--- a/damaskbay/core/admission/const.py
+++ b/damaskbay/core/admission/const.py
@@ -44,3 +44,17 @@
 
 RETRY_AFTER_S = 1.0
 RETRY_AFTER_MAX_S = 15.0
+
+START_RATE_TIME_CONSTANT_S = 0.5
+"""Time constant of the measured rate of starts, in seconds."""
+
+LIMIT_MIN_PER_S = 0.5
+"""Lowest rate at which calls still start, so that a response shows a limit's end."""
+
+LIMIT_BURST_S = 0.25
+"""Starts that may follow each other at once, in seconds of the named limit."""
+
+LIMIT_RETURN_DOUBLING_S = 0.5
+LIMIT_RETURN_MAX_STEP_S = 0.5
+LIMIT_RETURN_S = 2.0
+"""Time of responses without a limit after which starts are no longer limited."""
--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -19,6 +19,7 @@
 from damaskbay.core.admission.latency import LatencyEstimate
 from damaskbay.core.admission.level import LevelController
 from damaskbay.core.admission.limit import CallSample, ConcurrencyLimit, GradientLimit
+from damaskbay.core.admission.named_limit import NamedLimit
 from damaskbay.core.admission.queue import PendingCall, QueueEntry, WaitingQueue
 from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Reason, Refusal, not_run
@@ -41,6 +42,9 @@
     nested calls may wait in a longer queue, because refusing one wastes the work
     already done for its root call. The admission level still decreases once the
     normal length is reached.
+
+    `unheard_calls` is the number of calls that may run until the server's first
+    response, None for any number.
     """
 
     slots: int
@@ -49,6 +53,7 @@
     nested_queue_per_slot: float | None = None
     level_headroom: float = LEVEL_HEADROOM
     limit: LimitFactory = GradientLimit
+    unheard_calls: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +80,8 @@
 
     When a call is refused for lack of capacity, no call of a less important rank
     is waiting, none has started since the call arrived, and the number of running
-    calls has reached the limit. Running calls are never preempted.
+    calls or the rate of starts has reached its limit. Running calls are never
+    preempted.
 
     Each method with a return type of decisions returns all decisions that became
     due. Each offered ticket gets one StartDecision or RefuseDecision unless it is
@@ -94,7 +100,8 @@
         self._waiting_for_nested: set[int] = set()
         self._last_probe_at = now - PROBE_INTERVAL_S
         self._mean_latency_s = 0.0
-        self._recent_refusals = 0.0
+        self._named_limit = NamedLimit(options.unheard_calls, now)
+        self._refusals_by_rank: dict[int, float] = {}
         self._last_refusal_at = now
 
     @property
@@ -117,15 +124,29 @@
         """Return the current limit of concurrent calls."""
         return self._limit.value()
 
-    def has_room(self) -> bool:
+    @property
+    def named_limit_per_s(self) -> float | None:
+        """Return the starts per second that the server takes, None if unlimited."""
+        return self._named_limit.rate_per_s
+
+    def has_room(self, now: float) -> bool:
         """Return whether a new call would start immediately."""
-        return not self._queue and self._has_free_slot()
+        return not self._queue and self._has_free_slot(now)
+
+    def load(self, now: float) -> float:
+        """Return the used share of the slots or of the named limit; may exceed 1."""
+        per_slot = (self.running + self.waiting) / max(1, self._slots)
+        return max(per_slot, self._named_limit.load(self.waiting, now))
+
+    def starts_per_s(self, now: float) -> float:
+        """Return the recent starts per second."""
+        return self._named_limit.starts_per_s(now)
 
     def offer(self, item: PendingCall, now: float) -> tuple[Decision, ...]:
         """Request admission of a call."""
         context = item.context
         self._level.record_arrival(context.priority_rank)
-        if self.has_room():
+        if self.has_room(now):
             decision = self._start_or_refuse(item, now)
             if isinstance(decision, StartDecision):
                 rank, workspace = context.priority_rank, context.workspace
@@ -190,12 +211,45 @@
         self._queue.forget_idle()
         return (*decisions, *self._process_queue(now))
 
-    def expected_wait_s(self, rank: int) -> float:
-        """Return the expected wait for a slot of a call of this rank, in seconds."""
-        if self.has_room():
+    def expected_wait_s(self, rank: int, now: float) -> float:
+        """Return the expected wait of a call of this rank for its start, in seconds."""
+        if self.has_room(now):
             return 0.0
         ahead = 1 + self._queue.count_up_to(rank)
-        return ahead * self._mean_latency_s / max(1, self.limit)
+        slot_wait_s = ahead * self._mean_latency_s / max(1, self.limit)
+        return max(slot_wait_s, self._named_limit.wait_s(ahead, now))
+
+    def refuse_long_wait(self, context: CallContext, now: float) -> Refusal:
+        """Return the refusal of a call that was not offered as it would wait long."""
+        rank = context.priority_rank
+        wait_s = self.expected_wait_s(rank, now)
+        retry_after_s = wait_s
+        if self._named_limit.rate_per_s is not None:
+            self._level.record_arrival(rank)
+            self._level.record_refusal()
+            self._count_refusal(rank, now)
+            retry_after_s = max(wait_s, self._retry_after_s(rank))
+        detail = f"expected wait {wait_s:.3f} s"
+        return not_run(Reason.QUEUE_FULL, retry_after_s=retry_after_s, detail=detail)
+
+    def record_response(
+        self, limit_per_s: float | None, now: float
+    ) -> tuple[Decision, ...]:
+        """Record the limit that a response names, None for a response without one."""
+        self._named_limit.record_response(limit_per_s, now)
+        return self._process_queue(now)
+
+    def record_extra_start(self, now: float) -> None:
+        """Count a started call that is sent to the server once more."""
+        self._named_limit.record_start(now)
+
+    def server_restarted(self, now: float) -> None:
+        """Forget what the responses of an earlier start of the server named."""
+        self._named_limit.reset(now)
+
+    def next_start_s(self, now: float) -> float:
+        """Return the seconds until the named limit allows the next start."""
+        return self._named_limit.wait_s(1, now)
 
     def level(self, now: float) -> int:
         """Return the current admission level, which each response carries."""
@@ -211,7 +265,7 @@
     def _process_queue(self, now: float) -> tuple[Decision, ...]:
         """Start queued calls in free slots; refuse those beyond the maximum length."""
         decisions: list[Decision] = []
-        while self._queue and self._has_free_slot():
+        while self._queue and self._has_free_slot(now):
             decisions.append(self._decide_next_queued(now))
         lower_rank_length = self._max_queue_length(LOWER_RANK)
         while len(self._queue) > lower_rank_length:
@@ -221,13 +275,17 @@
             if len(self._queue) <= self._max_queue_length_with_nested(candidate):
                 self._level.record_refusal()
                 break
-            refusal = self._capacity_refusal(Reason.QUEUE_FULL)
+            refusal = self._capacity_refusal(Reason.QUEUE_FULL, candidate.rank)
             decisions.append(self._refuse(candidate, refusal, now))
         self._level.update(now)
         return tuple(decisions)
 
-    def _has_free_slot(self) -> bool:
-        return self.active < self.limit and self.running < self._slots
+    def _has_free_slot(self, now: float) -> bool:
+        return (
+            self.active < self.limit
+            and self.running < self._slots
+            and self._named_limit.allows_start(self.running, now)
+        )
 
     def _decide_next_queued(self, now: float) -> Decision:
         entry = self._queue.next_to_start(now)
@@ -242,9 +300,10 @@
         """Start a call in a free slot, or refuse it if it can't meet its deadline."""
         refusal = self._expired_refusal(item, now) or self._too_short_refusal(item, now)
         if refusal is not None:
-            self._count_refusal(now)
+            self._count_refusal(item.context.priority_rank, now)
             return RefuseDecision(item.ticket, refusal)
         self._running[item.ticket] = item.context
+        self._named_limit.record_start(now)
         self._level.record_start()
         return StartDecision(item.ticket)
 
@@ -257,7 +316,7 @@
         """Return a refusal after a long wait unless a less important call is queued."""
         if now < entry.wait_until or entry.rank < self._queue.least_important_rank():
             return None
-        return self._capacity_refusal(Reason.OVERLOADED)
+        return self._capacity_refusal(Reason.OVERLOADED, entry.rank)
 
     def _too_short_refusal(self, item: PendingCall, now: float) -> Refusal | None:
         """
@@ -294,28 +353,43 @@
         self._queue.remove(entry.item.ticket)
         if refusal.reason is Reason.QUEUE_FULL:
             self._level.record_refusal()
-        self._count_refusal(now)
+        self._count_refusal(entry.rank, now)
         return RefuseDecision(entry.item.ticket, refusal)
 
-    def _count_refusal(self, now: float) -> None:
-        """Add one to the count of recent refusals, which halves every second."""
-        elapsed_s = now - self._last_refusal_at
+    def _count_refusal(self, rank: int, now: float) -> None:
+        """Add one to the rank's count of recent refusals, which halves every second."""
+        decay = 0.5 ** max(0.0, now - self._last_refusal_at)
         self._last_refusal_at = now
-        self._recent_refusals *= 0.5**elapsed_s
-        self._recent_refusals += 1.0
+        refusals = {key: count * decay for key, count in self._refusals_by_rank.items()}
+        refusals[rank] = refusals.get(rank, 0.0) + 1.0
+        self._refusals_by_rank = refusals
 
-    def _capacity_refusal(self, reason: Reason) -> Refusal:
-        """Return a refusal whose random retry delay grows with recent refusals."""
-        refusals_per_slot = self._recent_refusals / max(1, self._slots)
-        mean_s = min(RETRY_AFTER_MAX_S, RETRY_AFTER_S * (1.0 + refusals_per_slot))
-        return not_run(reason, retry_after_s=self._rng.uniform(0.5, 1.5) * mean_s)
+    def _capacity_refusal(self, reason: Reason, rank: int) -> Refusal:
+        return not_run(reason, retry_after_s=self._retry_after_s(rank))
+
+    def _retry_after_s(self, rank: int) -> float:
+        """
+        Return a random retry delay that grows with recent refusals, in seconds.
+
+        Under a named limit it is the time in which the server takes the refused calls
+        of this and of more important ranks, so that those return first.
+        """
+        per_slot = sum(self._refusals_by_rank.values()) / max(1, self._slots)
+        mean_s = RETRY_AFTER_S * (1.0 + per_slot)
+        rate_per_s = self._named_limit.rate_per_s
+        if rate_per_s is not None:
+            refused = sum(
+                count for key, count in self._refusals_by_rank.items() if key <= rank
+            )
+            mean_s = max(RETRY_AFTER_S, refused / rate_per_s)
+        return self._rng.uniform(0.5, 1.5) * min(RETRY_AFTER_MAX_S, mean_s)
 
     def _max_queue_length_with_nested(self, candidate: QueueEntry) -> int:
         """Return the maximum queue length if a nested call is refused next, else 0."""
         per_slot = self._options.nested_queue_per_slot
         if per_slot is None or candidate.item.cost == 0:
             return 0
-        return int(per_slot * self._slots)
+        return max(QUEUE_MIN_LENGTH, int(per_slot * self._capacity(self._slots)))
 
     def _max_queue_length(self, lowest_rank: int) -> int:
         """
@@ -325,5 +399,9 @@
         with the slots, so that the low limit of a cold server doesn't refuse the
         most important calls.
         """
-        concurrency = self._slots if lowest_rank == 0 else self.limit
+        concurrency = self._capacity(self._slots if lowest_rank == 0 else self.limit)
         return max(QUEUE_MIN_LENGTH, int(self._options.queue_per_slot * concurrency))
+
+    def _capacity(self, concurrency: int) -> int:
+        """Return how many of these calls can run at once under the named limit."""
+        return self._named_limit.capacity(concurrency, self._mean_latency_s)
--- a/damaskbay/daemon/admission.py
+++ b/damaskbay/daemon/admission.py
@@ -167,7 +167,7 @@
     def has_room(self) -> bool:
         """Return whether a call submitted now would start immediately."""
         with self._lock:
-            return self._controller.has_room()
+            return self._controller.has_room(self._clock())
 
     def load(self) -> float:
         """Return running plus waiting calls as a fraction of the current limit."""
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -86,6 +86,7 @@
         self.configuration = Configuration()
         self._mean_load = TimeAverage(LOAD_AVERAGE_S, now)
         self.local = LocalServer(settings.drain_s, self._server_changed)
+        self._known_start = self.local.start
         self._gate = Gate(1, self._rng, now)
         self._links = PeerLinks(
             settings.peers,
@@ -323,7 +324,9 @@
     def _make_status(self) -> PeerStatus:
         now, members = monotonic_s(), self._control_plane.members
         return PeerStatus(
-            load_permille=round(1000.0 * self._mean_load.add(self._gate.load(), now)),
+            load_permille=round(
+                1000.0 * self._mean_load.add(self._gate.load(now), now)
+            ),
             cold_ms=round(1000.0 * max(0.0, self.local.slow_until - now)),
             members_revision=members.revision,
             members_age_ms=round(1000.0 * members.age_s(now)),
@@ -375,6 +378,9 @@
 
     def _server_changed(self) -> None:
         now = monotonic_s()
+        if self.local.start != self._known_start:
+            self._known_start = self.local.start
+            self._gate.server_restarted(now)
         if self.local.slots and self.local.slots != self._gate.slots:
             self._gate.set_slots(self.local.slots, now)
         self._directory.put_local(self._make_record(), now)
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -14,7 +14,7 @@
     RefuseDecision,
 )
 from damaskbay.core.call import CallContext
-from damaskbay.core.outcome import Reason, Refusal, not_run
+from damaskbay.core.outcome import Refusal
 
 NESTED_QUEUE_PER_SLOT = 10.0
 """Nested calls that may wait per slot: a fraction of a second of work."""
@@ -22,9 +22,14 @@
 EXPIRE_INTERVAL_S = 0.04
 """Seconds between checks for queued calls that have waited too long."""
 
+MIN_CHECK_INTERVAL_S = 0.002
+
 MAX_WAIT_SHARE = 0.5
 """Part of its latency objective that a root call may wait, or it is refused."""
 
+UNHEARD_CALLS = 4
+"""Calls that run at once until the server's first response, which may name a limit."""
+
 
 class Gate:
     """Turns decisions of the admission controller into futures of one event loop."""
@@ -35,6 +40,7 @@
             nested_queue_per_slot=NESTED_QUEUE_PER_SLOT,
             level_headroom=1.0,
             limit=lambda count, _now: FixedLimit(count),
+            unheard_calls=UNHEARD_CALLS,
         )
         self._controller = AdmissionController(options, rng, now)
         self._waiting: dict[int, asyncio.Future[Refusal | None]] = {}
@@ -52,9 +58,18 @@
         """Return the number of calls that wait for a slot."""
         return self._controller.waiting
 
-    def load(self) -> float:
-        """Return the running and waiting calls per slot."""
-        return (self.running + self.waiting) / max(1, self.slots)
+    @property
+    def named_limit_per_s(self) -> float | None:
+        """Return the starts per second that the server takes, None if unlimited."""
+        return self._controller.named_limit_per_s
+
+    def load(self, now: float) -> float:
+        """Return the used share of the slots or of the named limit; may exceed 1."""
+        return self._controller.load(now)
+
+    def starts_per_s(self, now: float) -> float:
+        """Return the recent starts per second."""
+        return self._controller.starts_per_s(now)
 
     def level(self, now: float) -> int:
         """Return the admission level to report with responses."""
@@ -65,10 +80,9 @@
     ) -> int | Refusal:
         """Wait for a slot; return its ticket, or a refusal."""
         if context.depth == 0 and context.objective_s is not None:
-            wait_s = self._controller.expected_wait_s(context.priority_rank)
+            wait_s = self._controller.expected_wait_s(context.priority_rank, now)
             if wait_s > MAX_WAIT_SHARE * context.objective_s:
-                detail = f"expected wait {wait_s:.3f} s"
-                return not_run(Reason.QUEUE_FULL, retry_after_s=wait_s, detail=detail)
+                return self._controller.refuse_long_wait(context, now)
         self._last_ticket += 1
         ticket = self._last_ticket
         item = PendingCall(ticket, context, weight, context.depth)
@@ -102,15 +116,36 @@
         self.slots = slots
         self._apply_decisions(self._controller.set_slots(slots, now))
 
+    def record_response(self, limit_per_s: float | None, now: float) -> None:
+        """Record the limit that a response names, None for a response without one."""
+        self._apply_decisions(self._controller.record_response(limit_per_s, now))
+
+    def record_extra_start(self, now: float) -> None:
+        """Count a started call that is sent to the server once more."""
+        self._controller.record_extra_start(now)
+
+    def server_restarted(self, now: float) -> None:
+        """Forget what the responses of an earlier start of the server named."""
+        self._controller.server_restarted(now)
+
     async def run_expiry(self, clock: Callable[[], float]) -> None:
-        """Refuse calls that wait too long, until cancelled; sleep while none waits."""
+        """
+        Refuse calls that wait too long, and start those that the named limit allows.
+
+        Runs until cancelled; sleeps while no call waits.
+        """
         while True:
             await self._queued.wait()
-            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            await asyncio.sleep(self._next_check_s(clock()))
             self._apply_decisions(self._controller.expire(clock()))
             if not self._waiting:
                 self._queued.clear()
 
+    def _next_check_s(self, now: float) -> float:
+        """Return the seconds until the named limit allows a start, or the interval."""
+        next_start_s = self._controller.next_start_s(now) or EXPIRE_INTERVAL_S
+        return min(EXPIRE_INTERVAL_S, max(MIN_CHECK_INTERVAL_S, next_start_s))
+
     def _apply_decisions(self, decisions: Sequence[Decision]) -> None:
         for decision in decisions:
             future = self._waiting.pop(decision.ticket, None)
--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -70,7 +70,7 @@
         self._born_ms, self._sequence = order
         if not restarted and self.state in (ServerState.DRAINING, ServerState.GONE):
             return True
-        changed = (heartbeat.server, heartbeat.slots, heartbeat.state) != (
+        changed = restarted or (heartbeat.server, heartbeat.slots, heartbeat.state) != (
             self.server,
             self.slots,
             self.state,
--- a/damaskbay/mesh/observing.py
+++ b/damaskbay/mesh/observing.py
@@ -16,6 +16,9 @@
 from damaskbay.mesh.members import Members
 from damaskbay.mesh.settings import SettingsHistory
 
+NO_LIMIT = -1.0
+"""Value of the limit metric while the server names none."""
+
 NO_PROOF = -1.0
 """Value of the proof age metric while there is no proof."""
 
@@ -63,6 +66,8 @@
         parts, gauge = self._parts, self._telemetry.gauge
         gauge("calls_running", "Calls at the server", lambda: parts.gate.running)
         gauge("calls_waiting", "Calls that wait", lambda: parts.gate.waiting)
+        gauge("server_limit_per_second", "-1: none named", self._named_limit_per_s)
+        gauge("server_starts_per_second", "Sent lately", self._starts_per_s)
         gauge("config_version", "In force", lambda: parts.configuration.version)
         gauge("config_proof_age_seconds", "-1: no proof", self._proof_age_s)
         gauge("daemons_known", "Alive", lambda: len(parts.directory.instances()))
@@ -74,6 +79,13 @@
         gauge("settings_refused", "Invalid files", lambda: parts.settings.refused)
         gauge("settings_digest", "First 48 bits of SHA-256", self._settings_digest)
 
+    def _named_limit_per_s(self) -> float:
+        limit_per_s = self._parts.gate.named_limit_per_s
+        return NO_LIMIT if limit_per_s is None else limit_per_s
+
+    def _starts_per_s(self) -> float:
+        return self._parts.gate.starts_per_s(self._parts.clock())
+
     def _members_age_s(self) -> float:
         return self._parts.members.age_s(self._parts.clock())
 
--- a/damaskbay/mesh/server_notices.py
+++ b/damaskbay/mesh/server_notices.py
@@ -3,28 +3,30 @@
 import logging
 from collections.abc import Mapping
 
-from damaskbay.core.admission.named_limit import StartRate, parse_limit
+from damaskbay.core.admission.named_limit import parse_limit
 from damaskbay.mesh.dialect import HeaderNames
+from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import LocalServer, ServerStart
 
 _LOGGER = logging.getLogger(__name__)
 
+LEAVING = "1"
+"""Value of the header with which a server says that it leaves."""
+
+MAX_LOGGED_VALUE = 40
+"""Characters of an invalid value that are logged."""
+
 
 class ServerNotices:
-    """Reads the limit that the server names, and whether it leaves."""
+    """Applies the limit that the server names in its responses, and its leaving."""
 
-    def __init__(self, dialect: HeaderNames, local: LocalServer, now: float) -> None:
+    def __init__(self, dialect: HeaderNames, local: LocalServer, gate: Gate) -> None:
         self._local = local
+        self._gate = gate
         self._limit_header = dialect.limit.lower()
         self._leaving_header = dialect.leaving.lower()
         self.headers = frozenset({self._limit_header, self._leaving_header})
-        self._start_rate = StartRate(now)
         self._limit_per_s: float | None = None
-        self._leaving: ServerStart | None = None
-
-    def record_start(self, now: float) -> None:
-        """Count a request that is sent to the server."""
-        self._start_rate.record_start(now)
 
     def record_response(
         self, values: Mapping[str, str], start: ServerStart, now: float
@@ -37,22 +39,27 @@
         """
         if start != self._local.start:
             return
-        text = values.get(self._limit_header)
+        self._record_limit(values.get(self._limit_header), now)
+
+    def _record_limit(self, text: str | None, now: float) -> None:
         limit_per_s = parse_limit(text) if text is not None else None
         if text is not None and limit_per_s is None:
-            self._log("backend: named limit is not a number.", now, value=text[:40])
+            # An unreadable limit is no sign that the server takes everything again.
+            self._log(
+                "backend: named limit is not a number.",
+                now,
+                value=text[:MAX_LOGGED_VALUE],
+            )
             return
+        self._gate.record_response(limit_per_s, now)
         if limit_per_s != self._limit_per_s:
             self._limit_per_s = limit_per_s
             self._log("backend: named limit has changed.", now, limit_per_s=limit_per_s)
-        if self._leaving_header in values and self._leaving != start:
-            self._leaving = start
-            self._log("backend: response says that the server leaves.", now)
 
     def _log(self, message: str, now: float, **fields: object) -> None:
         extra = {
             "server": self._local.server,
-            "starts_per_s": round(self._start_rate.per_s(now), 1),
+            "starts_per_s": round(self._gate.starts_per_s(now), 1),
             **fields,
         }
         _LOGGER.info(message, extra=extra)
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -80,7 +80,7 @@
         self._unreachable_until = 0.0
         self._not_run_header = parts.dialect.not_run.lower()
         self._stamp_header = parts.dialect.stamp.lower()
-        self._notices = ServerNotices(parts.dialect, parts.local, parts.clock())
+        self._notices = ServerNotices(parts.dialect, parts.local, parts.gate)
         self._sieve = HeaderFilter(
             dropped=frozenset({parts.dialect.request_id.lower(), "content-length"}),
             read=frozenset({self._not_run_header, self._stamp_header})
@@ -236,6 +236,7 @@
             and outcome.problem is HttpProblem.STALE
             and context.idempotent
         ):
+            self._parts.gate.record_extra_start(self._parts.clock())
             outcome = await self._send_once(context, request, False)
         if isinstance(outcome, HttpFailure):
             if outcome.problem is HttpProblem.TIMED_OUT:
@@ -247,9 +248,7 @@
         self, context: CallContext, request: Request, reuse_connection: bool
     ) -> Response | HttpFailure:
         parts = self._parts
-        now = parts.clock()
-        self._notices.record_start(now)
-        left_s = context.deadline - now
+        left_s = context.deadline - parts.clock()
         left_ms = math.floor(left_s * 1000.0)
         id_headers: Headers = ()
         if context.request_id is not None:
@@ -388,7 +387,7 @@
             admission_level=level,
             served_by=parts.instance,
             backend_s=took_s,
-            load=round(parts.gate.load(), 3),
+            load=round(parts.gate.load(now), 3),
             nested_failed=call is not None and call.nested_failed,
         )
 
