Take a response that says that the server leaves as its report

A server that says in its responses that it leaves went on getting requests until its heartbeat or deregistration arrived. Cause: two signs of one fact, of which one was read. The daemon beside the server now drains it at the first of them; later reports of the same start don't undo it.

--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -136,6 +136,13 @@
             self._on_change()
         return True
 
+    def record_leaving(self, start: ServerStart, now: float) -> None:
+        """Record that a response of this start says that the server leaves."""
+        if start != self.start or self.state is not ServerState.READY:
+            return
+        self._set_state(ServerState.DRAINING, now)
+        self._on_change()
+
     def may_send(self, now: float) -> bool:
         """Return whether an admitted call may still be sent to the server."""
         return self._send_until is None or now < self._send_until
--- a/damaskbay/mesh/server_notices.py
+++ b/damaskbay/mesh/server_notices.py
@@ -40,6 +40,8 @@
         if start != self._local.start:
             return
         self._record_limit(values.get(self._limit_header), now)
+        if values.get(self._leaving_header) == LEAVING:
+            self._local.record_leaving(start, now)
 
     def _record_limit(self, text: str | None, now: float) -> None:
         limit_per_s = parse_limit(text) if text is not None else None
