Tell callers of full servers when the first of these takes calls again

Where each server of a small pool was full, the caller got the delay for a pool without any server, 0.3 s, since the last choice found no server left that was not tried. Cause: two places set Retry-After, and the one that knows least came last. Now the refusal of the server that has room first is the call's.

--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -41,6 +41,9 @@
 """
 
 
+_CAPACITY_REASONS = frozenset({Reason.QUEUE_FULL, Reason.OVERLOADED})
+"""Reasons for which a server that is reachable takes no call now."""
+
 _REASONS_BY_PROBLEM = {
     PeerProblem.TIMEOUT: Reason.DEADLINE_PASSED,
     PeerProblem.INTERRUPTED: Reason.SHUTTING_DOWN,
@@ -65,7 +68,8 @@
     """
     Progress of a call; `error_response` is the last one that a server sent.
 
-    An attempt is expected to take `expected_s`, in seconds.
+    An attempt is expected to take `expected_s`, in seconds. `full` is the result of the
+    full server that takes calls again first.
     """
 
     expected_s: float
@@ -74,6 +78,7 @@
     excluded: frozenset[str] = frozenset()
     may_have_run: bool = False
     error_response: CallResult | None = None
+    full: CallResult | None = None
 
 
 class Dispatcher:
@@ -95,6 +100,7 @@
             if progress.attempts_made and not context.is_retry:
                 context = replace(context, is_retry=True)
             result = await self._attempt(context, request, progress)
+            _record_full_server(progress, result)
             if not self._should_retry(context, route, progress, result):
                 return self._final_result(progress, result)
 
@@ -242,10 +248,13 @@
         """
         Return the final result of a call.
 
-        An earlier error response replaces a refusal. The outcome of a refusal is
-        unknown if an attempt may have run.
+        An earlier error response replaces a refusal, and the refusal of the server that
+        takes calls again first replaces those of other full servers. The outcome of a
+        refusal is unknown if an attempt may have run.
         """
         outcome = result.result
+        if progress.full is not None and _is_out_of_servers(outcome):
+            result, outcome = progress.full, progress.full.result
         if isinstance(outcome, Refusal) and progress.error_response is not None:
             return progress.error_response
         if isinstance(outcome, Refusal) and outcome.not_run and progress.may_have_run:
@@ -253,6 +262,35 @@
         return result
 
 
+def _record_full_server(progress: _Progress, result: CallResult) -> None:
+    """Keep the refusal of the full server that takes calls again first."""
+    retry_after_s = _retry_after_of_full_server(result)
+    if retry_after_s is None:
+        return
+    known_s = None
+    if progress.full is not None:
+        known_s = _retry_after_of_full_server(progress.full)
+    if known_s is None or retry_after_s < known_s:
+        progress.full = result
+
+
+def _retry_after_of_full_server(result: CallResult) -> float | None:
+    """Return when a full server takes calls again, in seconds; else None."""
+    outcome = result.result
+    if isinstance(outcome, Response) or result.attempts or not outcome.not_run:
+        return None
+    return outcome.retry_after_s if outcome.reason in _CAPACITY_REASONS else None
+
+
+def _is_out_of_servers(outcome: Response | Refusal) -> bool:
+    """Return whether a call ends because no server takes it."""
+    return (
+        isinstance(outcome, Refusal)
+        and outcome.not_run
+        and outcome.reason in _CAPACITY_REASONS | {Reason.NO_BACKEND_SERVER}
+    )
+
+
 def _failure_kind(result: CallResult) -> FailureKind | None:
     outcome = result.result
     if isinstance(outcome, Response):
--- a/tests/mesh/test_server_notices.py
+++ b/tests/mesh/test_server_notices.py
@@ -8,6 +8,7 @@
 
 from damaskbay.core.call import Headers, Request, Response
 from damaskbay.helpers.clock import monotonic_s
+from damaskbay.mesh.const import NOT_READY_RETRY_S
 from tests.common import function_suite
 from tests.mesh.common import Fleet, Node, run_fleet, wait_until
 
@@ -154,6 +155,23 @@
     _run(check, a="one", b="one", c="two")
 
 
+# Callers got a fixed Retry-After, far below the time until a limited pool had room.
+def test_callers_of_full_servers_get_the_retry_delay_of_these_servers() -> None:
+    """The delay for a pool without any server stands only for such a pool."""
+
+    async def check(fleet: Fleet) -> None:
+        for name in ("a", "b"):
+            LimitedServer(limit="1").install(fleet.nodes[name])
+        answers = await _press([fleet.nodes["c"]], per_s=40.0, for_s=3.0)
+        delays = [
+            dict(item.headers)["Retry-After"] for item in answers if item.status == 503
+        ]
+        assert len(delays) > len(answers) / 2
+        assert f"{NOT_READY_RETRY_S:.3f}" not in delays
+
+    _run(check, a="one", b="one", c="two")
+
+
 def test_a_limit_ends_when_responses_no_longer_name_it() -> None:
     """All requests are served again a few seconds later."""
 
