Give the servers of the soak limits that they name, change and drop

Servers also say in their responses that they leave. Checked is that none gets more in any 4 s than one and a half times its limit plus 5, from 3 s after it named one, counting all requests, also those of daemons that were killed or frozen. The limits have random numbers of their own, so that seeds that failed before play as before.

--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -227,12 +227,15 @@
 
     async def drain(self) -> None:
         """Report the server as draining; record when the daemon acknowledged that."""
+        self.backend.leaving = True
         self.state = "draining"
         if await self._send_heartbeat():
             self.drain_acked_at = time.monotonic()
 
     def replace_server(self) -> None:
         """Replace the drained server with a new one that has another id."""
+        self.backend.leaving = False
+        self.backend.limits.set_limit(None, time.monotonic())
         number = int(self.backend.server.rpartition("-")[2]) + 1
         self.backend.server = f"i-{self.name}-{number}"
         self._born_ms = int(time.time() * 1000)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from damaskbay.core.call import Response
+from tests.soak.limits import LimitRecord
 from tests.soak.machines import REVOKE_S
 from tests.soak.planned import LagRecorder, find_interruption
 from tests.soak.records import Execution, ExecutionLog, SentRequest, Stop
@@ -85,6 +86,11 @@
                         f"{request_id}: reached {server} {late_s:.1f} s after it left"
                     )
 
+    def check_limits(self, machine: str, limits: LimitRecord) -> None:
+        """Check that a server got no more requests than the limits that it named."""
+        for excess in limits.find_excess():
+            self.violations.append(f"{machine}: its server got {excess}")
+
     def record_late_stop(self, machine: str) -> None:
         """Record a daemon that was still running at the end of its grace time."""
         if self.planned:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -19,12 +19,15 @@
 from damaskbay.mesh.running import SEPARATOR
 from damaskbay.ports.peer import PeerAddress
 from tests.mesh.common import HOST
+from tests.soak.limits import LimitRecord
 from tests.soak.records import Execution, ExecutionLog, SentRequest
 
 HOST_HEADER = "a.example"
 QUICK_TARGET = "/safe/quick"
 """Target of requests that every server answers at once."""
 
+LIMIT_HEADER = "Server-Limit"
+LEAVING_HEADER = "Server-Leaving"
 BIG_PREFIX = "/big/"
 BIG_BODY_BYTES = 2 * 1024 * 1024
 NESTED_TARGET = "/open/nested"
@@ -54,7 +57,8 @@
     Backend server of one machine; an async context manager.
 
     `server` is its id, `slow_until` the end of a phase in which every request takes
-    long. `nested` holds the calls that it made over its own daemon.
+    long. `limits` holds the limits that it names. While `leaving`, its responses say
+    so. `nested` holds the calls that it made over its own daemon.
     """
 
     def __init__(
@@ -62,6 +66,8 @@
     ) -> None:
         self.server = f"i-{options.machine}-1"
         self.slow_until = 0.0
+        self.limits = LimitRecord()
+        self.leaving = False
         self.nested: list[SentRequest] = []
         self._options = options
         self._executions = executions
@@ -95,6 +101,7 @@
         id_header: Headers = (("X-Request-Id", request_id),)
         if headers.get("x-expect-instance") != server:
             return Response(421, id_header)
+        self.limits.arrivals.append(time.monotonic())
         execution = Execution(
             server, self._options.machine, time.monotonic(), headers, request.method
         )
@@ -108,7 +115,16 @@
         if request.target.startswith(BIG_PREFIX) and status == 200:
             body = body.ljust(BIG_BODY_BYTES, b".")
         stamp = f"{request_id}{SEPARATOR}{server}{SEPARATOR}{len(body)}"
-        return Response(status, (*id_header, ("X-Server-Stamp", stamp)), body)
+        own: Headers = (*id_header, ("X-Server-Stamp", stamp), *self._notices())
+        return Response(status, own, body)
+
+    def _notices(self) -> Headers:
+        """Return the headers in which the server speaks of itself."""
+        notices: Headers = ()
+        limit = self.limits.name_limit(time.monotonic())
+        if limit is not None:
+            notices = ((LIMIT_HEADER, f"{limit:g}"),)
+        return (*notices, (LEAVING_HEADER, "1")) if self.leaving else notices
 
     async def _execute(self, request: Request, headers: dict[str, str]) -> int:
         """Run a request and return the status: 504 at its time limit."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -33,6 +33,9 @@
 NESTED_POOL = "two"
 """Pool of the open route, which servers of the other pool call."""
 
+NAMED_LIMITS = (0.0, 0.7, 2.0, 5.0, 12.5)
+"""Limits that servers name, requests per second."""
+
 GRACE_S = 3.0
 PLANNED_GRACE_S = 6.0
 TIMEOUT_S = 2.0
@@ -51,7 +54,8 @@
 
     `planned` means that the only faults are stops, set changes, changed settings, and
     slow and draining servers. `long_share` is the part of requests, 0 to 1, that take
-    long at their server. `pipelines` adds callers that pipeline requests.
+    long at their server. `pipelines` adds callers that pipeline requests, `limits`
+    servers that name limits, change and drop them.
     """
 
     seed: int
@@ -61,6 +65,7 @@
     grace_s: float = GRACE_S
     long_share: float = 0.1
     pipelines: bool = True
+    limits: bool = False
 
 
 def options_of(
@@ -69,7 +74,9 @@
     """Return the options of a seed; each fifth one is planned in any case."""
     planned = planned or seed % PLANNED_SEED_INTERVAL == 0
     grace_s = PLANNED_GRACE_S if planned else GRACE_S
-    return SoakOptions(seed, machine_count, fault_duration_s, planned, grace_s)
+    return SoakOptions(
+        seed, machine_count, fault_duration_s, planned, grace_s, limits=True
+    )
 
 
 class Soak:
@@ -79,6 +86,7 @@
         self._options = options
         self._rng = random.Random(options.seed)
         self._caller_rng = random.Random(options.seed)
+        self._limit_rng = random.Random(options.seed)
         self._kv = KvStandIn()
         execution_log = ExecutionLog()
         self._workspaces_by_key = {"k1": "t1", "k2": "t2", "k3": "t2"}
@@ -129,7 +137,10 @@
             stack.callback(lag_task.cancel)
             caller_task = asyncio.create_task(self._run_callers())
             stack.callback(caller_task.cancel)
-            await self._inject_faults()
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._inject_faults())
+                if self._options.limits:
+                    group.create_task(self._inject_limits())
             await asyncio.sleep(SETTLE_S)
             caller_task.cancel()
             await self._check_recovery()
@@ -138,6 +149,8 @@
             for machine in self._machines:
                 requests += machine.backend.nested
             self.checker.check_executions(requests)
+            for machine in self._machines:
+                self.checker.check_limits(machine.name, machine.backend.limits)
             if self.checker.planned:
                 stops = {machine.name: machine.stops for machine in self._machines}
                 self.checker.check_interruptions(requests, stops, lag)
@@ -228,6 +241,25 @@
                 group.create_task(fault(machine))
                 await asyncio.sleep(self._rng.expovariate(1.0))
 
+    async def _inject_limits(self) -> None:
+        """Let servers name limits at random times; those of one server overlap."""
+        end = time.monotonic() + self._options.fault_duration_s
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < end:
+                machine = self._limit_rng.choice(self._machines)
+                group.create_task(self._limit_server(machine))
+                await asyncio.sleep(self._limit_rng.expovariate(0.5))
+
+    async def _limit_server(self, machine: Machine) -> None:
+        """Let a server name limits one after the other, then none."""
+        for _ in range(self._limit_rng.randint(1, 3)):
+            limit = self._limit_rng.choice(NAMED_LIMITS)
+            self._record_event(f"limit {limit:g}", machine)
+            machine.backend.limits.set_limit(limit, time.monotonic())
+            await asyncio.sleep(self._limit_rng.uniform(1.0, 8.0))
+        self._record_event("no limit", machine)
+        machine.backend.limits.set_limit(None, time.monotonic())
+
     def _record_event(self, name: str, machine: Machine) -> None:
         at_s = time.monotonic() - self._started_at
         self.events.append(f"{at_s:.2f} s {name} {machine.name}")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -76,6 +76,13 @@
     assert not violations, violations
 
 
+# A server got more requests than the limit it named, while daemons came and went.
+def test_servers_that_name_limits_keep_to_them_under_faults() -> None:
+    """Limits begin, change and end beside restarts, freezes and lost links."""
+    violations = _run_soak(SoakOptions(seed=31, fault_duration_s=16.0, limits=True))
+    assert not violations, violations
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Return a suite of the test functions in this module."""
     return function_suite(globals())
