Tell peers how many calls a server can run under the limit it names

Cause: peers chose servers by a load averaged over a second, per slot of 105, so that they sent too many calls in turns, which waited. By Little's law a limit times the mean latency is the number of calls that run at once; it is now the denominator of the load and the slots in the notes, so that a sender counts its own calls in flight against it. Where no response came for a second, the full slots are announced, since senders that avoid the server would never learn that its limit has ended; the starts stay limited meanwhile.

A value that is no number no longer keeps a new daemon at four calls.

--- a/damaskbay/core/admission/const.py
+++ b/damaskbay/core/admission/const.py
@@ -54,6 +54,9 @@
 LIMIT_BURST_S = 0.25
 """Starts that may follow each other at once, in seconds of the named limit."""
 
+LIMIT_STALE_S = 1.0
+"""Time without responses after which senders have to find out if a limit holds."""
+
 LIMIT_RETURN_DOUBLING_S = 0.5
 LIMIT_RETURN_MAX_STEP_S = 0.5
 LIMIT_RETURN_S = 2.0
--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -133,10 +133,23 @@
         """Return whether a new call would start immediately."""
         return not self._queue and self._has_free_slot(now)
 
-    def load(self, now: float) -> float:
-        """Return the used share of the slots or of the named limit; may exceed 1."""
-        per_slot = (self.running + self.waiting) / max(1, self._slots)
-        return max(per_slot, self._named_limit.load(self.waiting, now))
+    @property
+    def capacity(self) -> int:
+        """Return how many calls can run at once under the slots and the named limit."""
+        return self._capacity(self._slots)
+
+    def announced_slots(self, now: float) -> int:
+        """
+        Return the slots to announce to senders: the capacity, or all of the slots.
+
+        Senders would avoid a server with a low limit for good if they were not asked
+        to find out from time to time whether it still holds.
+        """
+        return self._slots if self._named_limit.is_stale(now) else self.capacity
+
+    def load(self) -> float:
+        """Return the running and waiting calls as a share of the capacity."""
+        return (self.running + self.waiting) / max(1, self.capacity)
 
     def starts_per_s(self, now: float) -> float:
         """Return the recent starts per second."""
--- a/damaskbay/core/admission/named_limit.py
+++ b/damaskbay/core/admission/named_limit.py
@@ -8,6 +8,7 @@
     LIMIT_RETURN_DOUBLING_S,
     LIMIT_RETURN_MAX_STEP_S,
     LIMIT_RETURN_S,
+    LIMIT_STALE_S,
     START_RATE_TIME_CONSTANT_S,
 )
 
@@ -65,7 +66,7 @@
         self._rate_per_s: float | None = None
         self._tokens = 0.0
         self._tokens_at = now
-        self._return_at = now
+        self._response_at = now
         self._return_s = 0.0
 
     @property
@@ -82,9 +83,14 @@
         self._heard = True
         if limit_per_s is not None:
             self._set_rate(max(LIMIT_MIN_PER_S, limit_per_s), now)
-            self._return_at, self._return_s = now, 0.0
+            self._return_s = 0.0
         elif self._rate_per_s is not None:
             self._raise_rate(self._rate_per_s, now)
+        self._response_at = now
+
+    def is_stale(self, now: float) -> bool:
+        """Return whether a limit holds that no recent response has confirmed."""
+        return self._rate_per_s is not None and now - self._response_at > LIMIT_STALE_S
 
     def record_start(self, now: float) -> None:
         """Count a request that is sent to the server."""
@@ -109,14 +115,8 @@
         self._refill(self._rate_per_s, now)
         return max(0.0, (starts - self._tokens) / self._rate_per_s)
 
-    def load(self, waiting: int, now: float) -> float:
-        """Return the recent starts and the waiting calls as a share of the limit."""
-        if self._rate_per_s is None:
-            return 0.0
-        return (self.starts_per_s(now) + waiting) / self._rate_per_s
-
     def capacity(self, slots: int, latency_s: float) -> int:
-        """Return how many of the slots are in use at the limit, at least 1."""
+        """Return how many of the slots calls of this latency use at the limit."""
         if self._rate_per_s is None or latency_s <= 0.0:
             return slots
         return min(slots, max(1, math.ceil(self._rate_per_s * latency_s)))
@@ -131,8 +131,7 @@
 
     def _raise_rate(self, rate_per_s: float, now: float) -> None:
         """Raise the rate by the time since the last response, and end it at last."""
-        step_s = min(LIMIT_RETURN_MAX_STEP_S, max(0.0, now - self._return_at))
-        self._return_at = now
+        step_s = min(LIMIT_RETURN_MAX_STEP_S, max(0.0, now - self._response_at))
         self._return_s += step_s
         if self._return_s >= LIMIT_RETURN_S:
             self._rate_per_s = None
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -135,7 +135,13 @@
             self._rng,
         )
         dialect = platform_parts.dialect
-        self._target = make_target(settings, dialect, shared_parts, self._weight_of)
+        self._target = make_target(
+            settings,
+            dialect,
+            shared_parts,
+            self._weight_of,
+            on_capacity_change=self._links.broadcast_note,
+        )
         self._ingress = make_ingress(settings, dialect, shared_parts, self._target)
         self._status = StatusEndpoints(
             StatusParts(
@@ -307,7 +313,11 @@
         )
 
     def _make_note(self) -> Note:
-        record = self._make_record()
+        """Return the note for peers; the local router learns the same slots."""
+        now, record = monotonic_s(), self._make_record()
+        slots = min(record.slots, self._gate.announced_slots(now))
+        record = replace(record, slots=slots)
+        self._directory.put_local(record, now)
         return Note(
             record.instance,
             record.incarnation,
@@ -324,9 +334,7 @@
     def _make_status(self) -> PeerStatus:
         now, members = monotonic_s(), self._control_plane.members
         return PeerStatus(
-            load_permille=round(
-                1000.0 * self._mean_load.add(self._gate.load(now), now)
-            ),
+            load_permille=round(1000.0 * self._mean_load.add(self._gate.load(), now)),
             cold_ms=round(1000.0 * max(0.0, self.local.slow_until - now)),
             members_revision=members.revision,
             members_age_ms=round(1000.0 * members.age_s(now)),
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -71,6 +71,7 @@
     dialect: HeaderNames,
     shared_parts: SharedParts,
     weight_of: Callable[[str], float],
+    on_capacity_change: Callable[[], None],
 ) -> Target:
     """Return the component that sends calls to the local server."""
     options = HttpClientOptions(
@@ -89,6 +90,7 @@
             repeats=shared_parts.repeats,
             memory=shared_parts.memory,
             weight_of=weight_of,
+            on_capacity_change=on_capacity_change,
             lifetime=shared_parts.lifetime,
             clock=monotonic_s,
         )
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -63,9 +63,13 @@
         """Return the starts per second that the server takes, None if unlimited."""
         return self._controller.named_limit_per_s
 
-    def load(self, now: float) -> float:
-        """Return the used share of the slots or of the named limit; may exceed 1."""
-        return self._controller.load(now)
+    def announced_slots(self, now: float) -> int:
+        """Return the slots to announce to senders, fewer under a named limit."""
+        return self._controller.announced_slots(now)
+
+    def load(self) -> float:
+        """Return the running and waiting calls as a share of the capacity."""
+        return self._controller.load()
 
     def starts_per_s(self, now: float) -> float:
         """Return the recent starts per second."""
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -41,7 +41,12 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetParts:
-    """Dependencies of Target; `weight_of` returns the weight of a workspace."""
+    """
+    Dependencies of Target.
+
+    `weight_of` returns the weight of a workspace. `on_capacity_change` is called when
+    the server names another limit.
+    """
 
     instance: str
     pool: str
@@ -54,6 +59,7 @@
     repeats: ServerRetryBudget
     memory: ResponseMemory
     weight_of: Callable[[str], float]
+    on_capacity_change: Callable[[], None]
     lifetime: Lifetime
     clock: Callable[[], float]
 
@@ -80,7 +86,9 @@
         self._unreachable_until = 0.0
         self._not_run_header = parts.dialect.not_run.lower()
         self._stamp_header = parts.dialect.stamp.lower()
-        self._notices = ServerNotices(parts.dialect, parts.local, parts.gate)
+        self._notices = ServerNotices(
+            parts.dialect, parts.local, parts.gate, parts.on_capacity_change
+        )
         self._sieve = HeaderFilter(
             dropped=frozenset({parts.dialect.request_id.lower(), "content-length"}),
             read=frozenset({self._not_run_header, self._stamp_header})
@@ -387,7 +395,7 @@
             admission_level=level,
             served_by=parts.instance,
             backend_s=took_s,
-            load=round(parts.gate.load(now), 3),
+            load=round(parts.gate.load(), 3),
             nested_failed=call is not None and call.nested_failed,
         )
 
--- a/tests/mesh/test_server_notices.py
+++ b/tests/mesh/test_server_notices.py
@@ -188,6 +188,23 @@
     _run(check, a="one")
 
 
+def test_an_unreadable_limit_changes_nothing() -> None:
+    """Neither does it limit, nor does it end the limit that was named before."""
+
+    async def check(fleet: Fleet) -> None:
+        server, node = LimitedServer(limit="many"), fleet.nodes["a"]
+        server.install(node)
+        answers = await _press([node], per_s=60.0, for_s=1.0)
+        assert [item.status for item in answers] == [200] * len(answers)
+        server.limit = "3"
+        await _press([node], per_s=60.0, for_s=1.0)
+        server.limit = "-1"
+        await _press([node], per_s=60.0, for_s=1.0)
+        assert node.daemon._gate.named_limit_per_s == 3.0
+
+    _run(check, a="one")
+
+
 def test_headers_of_a_limited_server_reach_the_caller_unchanged() -> None:
     """Also through two daemons."""
 
