Return the retry budget of retries that a full server refuses

A retry spent the budget of its server before it was admitted, so that under a named limit, where admission refuses much, later retries were refused that the server would have taken. Failed before: test_a_retry_that_a_full_server_refuses_costs_no_retry_budget (the method did not exist; left fell by 5).

--- a/damaskbay/core/retry/repeats.py
+++ b/damaskbay/core/retry/repeats.py
@@ -53,6 +53,10 @@
         self._retries_left -= 1.0
         return True
 
+    def give_back(self) -> None:
+        """Return a spent retry that was not sent after all."""
+        self._retries_left = min(self._options.saved, self._retries_left + 1.0)
+
     def record_nested_attempt(self) -> None:
         """Count a nested call made by a retried call; it is never refused."""
         self._retries_left -= 1.0
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -149,6 +149,8 @@
             completed = is_success(result.result)
         finally:
             self._durations.end(call, parts.clock(), completed=completed)
+            if context.is_retry and not active.sent:
+                parts.repeats.give_back()
         return result
 
     async def _queue_and_send(
--- a/tests/mesh/test_server_notices.py
+++ b/tests/mesh/test_server_notices.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from damaskbay.core.call import Headers, Request, Response
+from damaskbay.core.call import CallContext, Headers, Request, Response
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.mesh.const import NOT_READY_RETRY_S
 from tests.common import function_suite
@@ -172,6 +172,27 @@
     _run(check, a="one", b="one", c="two")
 
 
+# Retries that a full server refused used up the budget of those that it would take.
+def test_a_retry_that_a_full_server_refuses_costs_no_retry_budget() -> None:
+    """Only what is sent to the server counts."""
+
+    async def check(fleet: Fleet) -> None:
+        node = fleet.nodes["a"]
+        LimitedServer(limit="0").install(node)
+        await _press([node], per_s=40.0, for_s=0.5)
+        left = node.daemon._repeats.left
+        context = CallContext(
+            "", "t", 1, monotonic_s() + 0.2, "r", "one", True, is_retry=True
+        )
+        request = Request("GET", "a.example", "/safe/", (), b"")
+        for _ in range(5):
+            result = await node.daemon._target.run(context, request)
+            assert result.attempts == 0
+        assert node.daemon._repeats.left == left
+
+    _run(check, a="one")
+
+
 def test_a_limit_ends_when_responses_no_longer_name_it() -> None:
     """All requests are served again a few seconds later."""
 
