Change only the slots of the local server where notes are made

Suspected cause: the note entered the daemon in its own directory before its server's first report, so that more daemons took themselves for the relay of their domain while the fleet starts.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -314,10 +314,9 @@
 
     def _make_note(self) -> Note:
         """Return the note for peers; the local router learns the same slots."""
-        now, record = monotonic_s(), self._make_record()
-        slots = min(record.slots, self._gate.announced_slots(now))
-        record = replace(record, slots=slots)
-        self._directory.put_local(record, now)
+        record = self._make_record()
+        slots = min(record.slots, self._gate.announced_slots(monotonic_s()))
+        self._directory.set_local_slots(slots)
         return Note(
             record.instance,
             record.incarnation,
@@ -326,7 +325,7 @@
             record.address.port,
             record.pool,
             record.state,
-            record.slots,
+            slots,
             0.0,
             self.configuration.version,
         )
--- a/damaskbay/mesh/directory.py
+++ b/damaskbay/mesh/directory.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections.abc import Callable, Iterable, Set as AbstractSet
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from damaskbay.core.routing.const import SLOW_START_S
 from damaskbay.mesh.messages import Note, PeerStatus
@@ -77,6 +77,13 @@
         """Record the state of this daemon and its server."""
         self._update(record, now, listed=True)
 
+    def set_local_slots(self, slots: int) -> None:
+        """Change the slots of the local server, if it is known."""
+        member = self._by_instance.get(self._instance)
+        if member is not None and member.record.slots != slots:
+            member.record = replace(member.record, slots=slots)
+            self._views_by_pool.pop(member.record.pool, None)
+
     def mark_unlisted(self, instance: str, now: float) -> None:
         """Record that the store no longer lists a daemon."""
         member = self._by_instance.get(instance)
