--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -267,6 +267,7 @@
     async def _kill(self, machine: Machine) -> None:
         """Kill the daemon and start it again."""
         machine.send_signal(signal.SIGKILL)
+        await machine.wait()
         await self._restart(machine)
 
     async def _pause(self, machine: Machine) -> None:
@@ -315,8 +316,7 @@
                 await asyncio.sleep(self._rng.uniform(0.0, 1.5))
 
     async def _restart(self, machine: Machine) -> None:
-        """Start the daemon again after its exit, unless another fault restarted it."""
-        await machine.wait()
+        """Start the exited daemon again, unless another fault restarted it."""
         await asyncio.sleep(self._rng.uniform(0.05, 0.5))
         if not machine.running:
             await machine.start_daemon()
