Count only calls to the present start of a server before its first response

Found by reading: where a server is lost without a word, calls to it wait until their time limits. If another start reported meanwhile, these calls took all four places that are open before the first response, so that the new server got nothing for seconds. Failed before: test_calls_of_an_earlier_server_start_do_not_hold_back_new_ones. The last assertion of test_few_calls_run_until_the_first_response demanded the fault (no room after a restart while calls of before run); it now demands that exactly four calls start, and then no more.

--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -101,6 +101,7 @@
         self._last_probe_at = now - PROBE_INTERVAL_S
         self._mean_latency_s = 0.0
         self._named_limit = NamedLimit(options.unheard_calls, now)
+        self._of_server_start: set[int] = set()
         self._refusals_by_rank: dict[int, float] = {}
         self._last_refusal_at = now
 
@@ -178,6 +179,7 @@
         if ticket not in self._running:
             return ()
         self._waiting_for_nested.discard(ticket)
+        self._of_server_start.discard(ticket)
         self._limit.observe(sample, self.active, now)
         context = self._running.pop(ticket)
         if not sample.cancelled:
@@ -257,7 +259,13 @@
         self._named_limit.record_start(now)
 
     def server_restarted(self, now: float) -> None:
-        """Forget what the responses of an earlier start of the server named."""
+        """
+        Forget what the responses of an earlier start of the server named.
+
+        Calls that were sent to the earlier start say nothing about the new one, also
+        while they still wait for a response.
+        """
+        self._of_server_start.clear()
         self._named_limit.reset(now)
 
     def next_start_s(self, now: float) -> float:
@@ -297,7 +305,7 @@
         return (
             self.active < self.limit
             and self.running < self._slots
-            and self._named_limit.allows_start(self.running, now)
+            and self._named_limit.allows_start(len(self._of_server_start), now)
         )
 
     def _decide_next_queued(self, now: float) -> Decision:
@@ -316,6 +324,7 @@
             self._count_refusal(item.context.priority_rank, now)
             return RefuseDecision(item.ticket, refusal)
         self._running[item.ticket] = item.context
+        self._of_server_start.add(item.ticket)
         self._named_limit.record_start(now)
         self._level.record_start()
         return StartDecision(item.ticket)
--- a/damaskbay/core/admission/named_limit.py
+++ b/damaskbay/core/admission/named_limit.py
@@ -100,7 +100,11 @@
             self._tokens -= 1.0
 
     def allows_start(self, running: int, now: float) -> bool:
-        """Return whether a call may start beside the running ones."""
+        """
+        Return whether a call may start.
+
+        `running` is the number of calls that run at the server since its start.
+        """
         if not self._heard and self._unheard_calls is not None:
             return running < self._unheard_calls
         if self._rate_per_s is None:
--- a/tests/core/admission/test_named_limit.py
+++ b/tests/core/admission/test_named_limit.py
@@ -119,9 +119,26 @@
     decisions = controller.record_response(None, 0.1)
     assert len(starts(decisions)) == 10 - UNHEARD_CALLS
     controller.server_restarted(0.2)
+    started = [starts(controller.offer(call(20 + item), 0.2)) for item in range(10)]
+    assert sum(len(item) for item in started) == UNHEARD_CALLS
     assert not controller.has_room(0.2)
 
 
+# Calls that a crashed server never answers kept calls from the server that replaced it.
+def test_calls_of_an_earlier_server_start_do_not_hold_back_new_ones() -> None:
+    """They only keep their slots until they end."""
+    controller = _controller(unheard_calls=UNHEARD_CALLS)
+    controller.record_response(None, 0.0)
+    for ticket in range(20):
+        controller.offer(call(ticket), 0.0)
+    assert controller.running == 20
+    controller.server_restarted(0.1)
+    started = [starts(controller.offer(call(20 + item), 0.1)) for item in range(10)]
+    assert sum(len(item) for item in started) == UNHEARD_CALLS
+    assert starts(controller.finish(0, CallSample(5.0), 0.2)) == []
+    assert len(starts(controller.finish(20, CallSample(0.1), 0.2))) == 1
+
+
 def test_starts_return_step_by_step_after_a_limit() -> None:
     """One response without a limit, read out of order, ends nothing."""
     limit = NamedLimit(None, 0.0)
