Ask the server before a stored READY of it is trusted after a restart

The store refused its daemon's record, the daemon was killed, and the next one restored the older record, READY, until the server's first response said that it leaves (35 ms). Peers that had passed on such a response are bound by it. Cause: a stored state was trusted though it may be older than the server's last word. The new daemon now sends one health check and waits for the server's next report if that doesn't confirm it; no health check is sent otherwise.

--- a/damaskbay/config/objects.py
+++ b/damaskbay/config/objects.py
@@ -84,12 +84,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """The backend servers that share one name."""
+    """
+    The backend servers that share one name.
+
+    `health_path` is the path of their health check, empty if they have none.
+    """
 
     name: str
     slots_per_server: int
     connections_per_server: int
     other_domains: bool = True
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -46,6 +46,7 @@
 from damaskbay.mesh.neighbours import wanted_neighbours
 from damaskbay.mesh.observing import StatusEndpoints, StatusParts
 from damaskbay.mesh.running import RunningCalls
+from damaskbay.mesh.server_check import ServerCheck
 from damaskbay.mesh.settings import (
     MeshSettings,
     SettingsHistory,
@@ -116,6 +117,13 @@
                 on_members_change=self._members_changed,
             )
         )
+        self._server_check = ServerCheck(
+            settings.server,
+            settings.pool,
+            platform_parts.dialect,
+            self.configuration,
+            monotonic_s,
+        )
         self._repeats = make_retry_budget(settings)
         self._telemetry = BoundTelemetry()
         memory = ResponseMemory(int(RESPONSE_MEMORY_SHARE * settings.memory_bytes))
@@ -291,12 +299,25 @@
 
     def _restore_server(self, record: MemberRecord) -> None:
         """Restore the server's state from the record of an earlier daemon start."""
-        if record.incarnation < self._incarnation:
-            known = Heartbeat(
-                record.server, record.state, record.slots, 0, record.born_ms
-            )
+        if record.incarnation >= self._incarnation:
+            return
+        known = Heartbeat(record.server, record.state, record.slots, 0, record.born_ms)
+        if known.state is ServerState.READY:
+            loop = asyncio.get_running_loop()
+            self._tasks.append(loop.create_task(self._restore_ready(known)))
+        else:
             self.local.restore(known, monotonic_s())
 
+    async def _restore_ready(self, known: Heartbeat) -> None:
+        """
+        Restore a server as ready unless it says otherwise.
+
+        The earlier daemon may have ended before it could store that the server leaves.
+        """
+        state = await self._server_check.state_of(known.server)
+        if state is not ServerState.STARTING:
+            self.local.restore(replace(known, state=state), monotonic_s())
+
     def _make_record(self) -> MemberRecord:
         settings = self.settings
         state = ServerState.DRAINING if self._target.draining else self.local.state
--- a/damaskbay/platform/manifest.py
+++ b/damaskbay/platform/manifest.py
@@ -105,6 +105,7 @@
         name,
         slots_per_server=1,
         connections_per_server=read_integer(spec, "MaxConnections", 0),
+        health_path=read_string(spec, "HealthCheckPath", ""),
     )
 
 
--- a/tests/mesh/test_late_calls.py
+++ b/tests/mesh/test_late_calls.py
@@ -95,6 +95,8 @@
         callers = Callers(leaving)
         for name in ("a", "c"):
             await fleet.nodes[name].send_heartbeat(slots=100)
+            # Before its first response a server gets few calls at once.
+            assert (await fleet.nodes[name].request("/safe/")).status == 200
             _answer_after(fleet.nodes[name], 1.0)
         for _ in range(12):
             callers.send("/unsafe/", "POST")
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -18,7 +18,7 @@
 from damaskbay.core.call import Headers, Request, Response
 from damaskbay.mesh.running import SEPARATOR
 from damaskbay.ports.peer import PeerAddress
-from tests.mesh.common import HOST
+from tests.mesh.common import HEALTH_PATH, HOST
 from tests.soak.limits import LimitRecord
 from tests.soak.records import Execution, ExecutionLog, SentRequest
 
@@ -96,6 +96,9 @@
     async def _serve(self, arrival: ReceivedRequest) -> Response:
         """Serve a call; the body names the request and the server."""
         request = arrival.request
+        if request.target == HEALTH_PATH:
+            status = 503 if self.leaving else 200
+            return Response(status, (("X-Instance-Id", self.server), *self._notices()))
         headers = {name.lower(): value for name, value in request.headers}
         request_id, server = headers["x-request-id"], self.server
         id_header: Headers = (("X-Request-Id", request_id),)
