Take the limit that a server names in its health check after a restart

A daemon killed n times within four seconds beside a server with a low limit lets 4 n calls through before first responses, worked out from the constants: more than a limit below one a second allows from the third restart on. The check that is sent anyway may name the limit; then it holds from the first call on. A check without a limit proves nothing, so that four calls at once remain until a response.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -314,9 +314,13 @@
 
         The earlier daemon may have ended before it could store that the server leaves.
         """
-        state = await self._server_check.state_of(known.server)
-        if state is not ServerState.STARTING:
-            self.local.restore(replace(known, state=state), monotonic_s())
+        checked = await self._server_check.check(known.server)
+        now = monotonic_s()
+        if checked.state is not ServerState.STARTING:
+            self.local.restore(replace(known, state=checked.state), now)
+        same_start = self.local.start == (known.server, known.started_ms)
+        if checked.limit_per_s is not None and same_start:
+            self._gate.record_response(checked.limit_per_s, now)
 
     def _make_record(self) -> MemberRecord:
         settings = self.settings
--- a/damaskbay/mesh/server_check.py
+++ b/damaskbay/mesh/server_check.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from damaskbay.adapters.http1.client import (
@@ -10,6 +11,7 @@
     HttpClientOptions,
     HttpFailure,
 )
+from damaskbay.core.admission.named_limit import parse_limit
 from damaskbay.core.call import Request, Response
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.dialect import HeaderNames
@@ -27,6 +29,19 @@
 POLL_INTERVAL_S = 0.02
 
 
+@dataclass(frozen=True, slots=True)
+class CheckedServer:
+    """
+    What a server says of itself.
+
+    `state` is STARTING if only a report of the server can tell. `limit_per_s` is the
+    limit that it names, in requests per second, None if it names none.
+    """
+
+    state: ServerState
+    limit_per_s: float | None = None
+
+
 class ServerCheck:
     """Asks the local server by its health check who it is and whether it leaves."""
 
@@ -42,18 +57,19 @@
         self._pool = pool
         self._server_header = dialect.server.lower()
         self._leaving_header = dialect.leaving.lower()
+        self._limit_header = dialect.limit.lower()
         self._configuration = configuration
         self._clock = clock
 
-    async def state_of(self, server: str) -> ServerState:
+    async def check(self, server: str) -> CheckedServer:
         """
-        Return READY or DRAINING, or STARTING if only a report of the server can tell.
+        Return what the server says, READY in a pool without a health check.
 
-        In a pool without a health check every server is taken as READY.
+        A response of another server than the expected one says nothing.
         """
         path = await self._health_path()
         if not path:
-            return ServerState.READY
+            return CheckedServer(ServerState.READY)
         client = HttpClient(self._address, HttpClientOptions())
         try:
             outcome = await client.send(
@@ -61,13 +77,13 @@
             )
         finally:
             client.close()
-        state, why = self._classify(outcome, server)
-        if state is not ServerState.READY:
+        checked, why = self._read(outcome, server)
+        if checked.state is not ServerState.READY:
             _LOGGER.info(
                 "backend: stored state is not confirmed.",
                 extra={"server": server, "why": why},
             )
-        return state
+        return checked
 
     async def _health_path(self) -> str:
         wait_until = self._clock() + CONFIG_WAIT_S
@@ -77,17 +93,20 @@
         pool = config.pools_by_name.get(self._pool) if config is not None else None
         return pool.health_path if pool is not None else ""
 
-    def _classify(
+    def _read(
         self, outcome: Response | HttpFailure, server: str
-    ) -> tuple[ServerState, str]:
-        """Return the state that a response shows, and the reason if it isn't READY."""
+    ) -> tuple[CheckedServer, str]:
+        """Return what a response says, and the reason if that isn't READY."""
         if isinstance(outcome, HttpFailure):
-            return ServerState.STARTING, outcome.problem.value
+            return CheckedServer(ServerState.STARTING), outcome.problem.value
         headers = {name.lower(): value for name, value in outcome.headers}
         if headers.get(self._server_header) != server:
-            return ServerState.STARTING, "another server or none named"
+            why = "another server or none named"
+            return CheckedServer(ServerState.STARTING), why
+        limit_per_s = parse_limit(headers.get(self._limit_header, ""))
         if self._leaving_header in headers:
-            return ServerState.DRAINING, "server leaves"
+            return CheckedServer(ServerState.DRAINING, limit_per_s), "server leaves"
         if outcome.status != HTTPStatus.OK:
-            return ServerState.STARTING, f"status {outcome.status}"
-        return ServerState.READY, ""
+            why = f"status {outcome.status}"
+            return CheckedServer(ServerState.STARTING, limit_per_s), why
+        return CheckedServer(ServerState.READY, limit_per_s), ""
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -39,13 +39,14 @@
     """
     A backend server; `override_response` may override its responses.
 
-    Its health check says whether it is `leaving`.
+    Its health check says whether it is `leaving`, and names its `limit`.
     """
 
     pool: str
     server: str
     address: PeerAddress
     leaving: bool = False
+    limit: str | None = None
     seen: list[Request] = field(default_factory=list)
     override_response: Callable[[Request], Awaitable[Response | None]] | None = None
 
@@ -68,6 +69,8 @@
 
     def _health(self) -> Response:
         headers: Headers = (("X-Instance-Id", self.server),)
+        if self.limit is not None:
+            headers = (*headers, ("Server-Limit", self.limit))
         if self.leaving:
             return Response(503, (*headers, ("Server-Leaving", "1")))
         return Response(200, headers)
--- a/tests/mesh/test_server_notices.py
+++ b/tests/mesh/test_server_notices.py
@@ -287,12 +287,14 @@
 
 
 def test_a_stored_state_that_the_server_confirms_is_restored() -> None:
-    """Calls don't have to wait for the server's next report."""
+    """Calls don't have to wait for its next report, and the limit is known to them."""
 
     async def check(fleet: Fleet) -> None:
+        fleet.nodes["a"].backend.limit = "50"
         await _restart_daemon(fleet, "a")
         node = fleet.nodes["a"]
         await wait_until(lambda: node.daemon.local.state is ServerState.READY)
+        assert node.daemon._gate.named_limit_per_s == 50.0
         assert (await node.request("/safe/")).status == 200
 
     _run(check, a="one", b="two")
