--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -118,11 +118,7 @@
             )
         )
         self._server_check = ServerCheck(
-            settings.server,
-            settings.pool,
-            platform_parts.dialect,
-            self.configuration,
-            monotonic_s,
+            settings, platform_parts.dialect, self.configuration, self.local, self._gate
         )
         self._repeats = make_retry_budget(settings)
         self._telemetry = BoundTelemetry()
@@ -303,25 +299,11 @@
             return
         known = Heartbeat(record.server, record.state, record.slots, 0, record.born_ms)
         if known.state is ServerState.READY:
-            loop = asyncio.get_running_loop()
-            self._tasks.append(loop.create_task(self._restore_ready(known)))
+            restore = self._server_check.restore_ready(known)
+            self._tasks.append(asyncio.get_running_loop().create_task(restore))
         else:
             self.local.restore(known, monotonic_s())
 
-    async def _restore_ready(self, known: Heartbeat) -> None:
-        """
-        Restore a server as ready unless it says otherwise.
-
-        The earlier daemon may have ended before it could store that the server leaves.
-        """
-        checked = await self._server_check.check(known.server)
-        now = monotonic_s()
-        if checked.state is not ServerState.STARTING:
-            self.local.restore(replace(known, state=checked.state), now)
-        same_start = self.local.start == (known.server, known.started_ms)
-        if checked.limit_per_s is not None and same_start:
-            self._gate.record_response(checked.limit_per_s, now)
-
     def _make_record(self) -> MemberRecord:
         settings = self.settings
         state = ServerState.DRAINING if self._target.draining else self.local.state
--- a/damaskbay/mesh/server_check.py
+++ b/damaskbay/mesh/server_check.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 from damaskbay.adapters.http1.client import (
@@ -13,10 +12,13 @@
 )
 from damaskbay.core.admission.named_limit import parse_limit
 from damaskbay.core.call import Request, Response
+from damaskbay.helpers.clock import monotonic_s
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.dialect import HeaderNames
+from damaskbay.mesh.gate import Gate
+from damaskbay.mesh.local_server import Heartbeat, LocalServer
+from damaskbay.mesh.settings import MeshSettings
 from damaskbay.ports.fleet import ServerState
-from damaskbay.ports.peer import PeerAddress
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -47,19 +49,34 @@
 
     def __init__(
         self,
-        address: PeerAddress,
-        pool: str,
+        settings: MeshSettings,
         dialect: HeaderNames,
         configuration: Configuration,
-        clock: Callable[[], float],
+        local: LocalServer,
+        gate: Gate,
     ) -> None:
-        self._address = address
-        self._pool = pool
+        self._address = settings.server
+        self._pool = settings.pool
         self._server_header = dialect.server.lower()
         self._leaving_header = dialect.leaving.lower()
         self._limit_header = dialect.limit.lower()
         self._configuration = configuration
-        self._clock = clock
+        self._local = local
+        self._gate = gate
+
+    async def restore_ready(self, known: Heartbeat) -> None:
+        """
+        Restore a server that was ready at an earlier daemon start, unless it denies it.
+
+        The earlier daemon may have ended before it could store that the server leaves.
+        """
+        checked = await self.check(known.server)
+        now = monotonic_s()
+        if checked.state is not ServerState.STARTING:
+            self._local.restore(replace(known, state=checked.state), now)
+        same_start = self._local.start == (known.server, known.started_ms)
+        if checked.limit_per_s is not None and same_start:
+            self._gate.record_response(checked.limit_per_s, now)
 
     async def check(self, server: str) -> CheckedServer:
         """
@@ -86,8 +103,8 @@
         return checked
 
     async def _health_path(self) -> str:
-        wait_until = self._clock() + CONFIG_WAIT_S
-        while self._configuration.config is None and self._clock() < wait_until:
+        wait_until = monotonic_s() + CONFIG_WAIT_S
+        while self._configuration.config is None and monotonic_s() < wait_until:
             await asyncio.sleep(POLL_INTERVAL_S)
         config = self._configuration.config
         pool = config.pools_by_name.get(self._pool) if config is not None else None
