--- a/damaskbay/mesh/server_check.py
+++ b/damaskbay/mesh/server_check.py
@@ -17,6 +17,7 @@
 from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
+from damaskbay.mesh.server_notices import LEAVING
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.ports.fleet import ServerState
 
@@ -121,7 +122,7 @@
             why = "another server or none named"
             return CheckedServer(ServerState.STARTING), why
         limit_per_s = parse_limit(headers.get(self._limit_header, ""))
-        if self._leaving_header in headers:
+        if headers.get(self._leaving_header) == LEAVING:
             return CheckedServer(ServerState.DRAINING, limit_per_s), "server leaves"
         if outcome.status != HTTPStatus.OK:
             why = f"status {outcome.status}"
