--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -140,6 +140,10 @@
         """Record that a response of this start says that the server leaves."""
         if start != self.start or self.state is not ServerState.READY:
             return
+        _LOGGER.info(
+            "backend: response says that the server leaves.",
+            extra={"server": self.server},
+        )
         self._set_state(ServerState.DRAINING, now)
         self._on_change()
 
