--- a/damaskbay/config/objects.py
+++ b/damaskbay/config/objects.py
@@ -84,16 +84,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """
-    The backend servers that share one name.
-
-    `health_path` is the path of their health check, empty if they have none.
-    """
+    """The backend servers that share one name."""
 
     name: str
     slots_per_server: int
     connections_per_server: int
     other_domains: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class HealthCheckedPool(Pool):
+    """A pool whose servers have a health check at `health_path`, empty for none."""
+
     health_path: str = ""
 
 
--- a/damaskbay/mesh/server_check.py
+++ b/damaskbay/mesh/server_check.py
@@ -10,6 +10,7 @@
     HttpClientOptions,
     HttpFailure,
 )
+from damaskbay.config.objects import HealthCheckedPool
 from damaskbay.core.admission.named_limit import parse_limit
 from damaskbay.core.call import Request, Response
 from damaskbay.helpers.clock import monotonic_s
@@ -109,7 +110,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         config = self._configuration.config
         pool = config.pools_by_name.get(self._pool) if config is not None else None
-        return pool.health_path if pool is not None else ""
+        return pool.health_path if isinstance(pool, HealthCheckedPool) else ""
 
     def _read(
         self, outcome: Response | HttpFailure, server: str
--- a/damaskbay/platform/manifest.py
+++ b/damaskbay/platform/manifest.py
@@ -9,6 +9,7 @@
     Access,
     CallerLimits,
     ConfigSet,
+    HealthCheckedPool,
     Key,
     Pool,
     Priority,
@@ -101,7 +102,7 @@
 
 
 def _decode_pool(name: str, spec: Table) -> Pool:
-    return Pool(
+    return HealthCheckedPool(
         name,
         slots_per_server=1,
         connections_per_server=read_integer(spec, "MaxConnections", 0),
