Accept a pool whose health check path is empty

Found by reading the diff: reads a field that was ignored before, and refused the whole set where its path is empty, so that no caller would have been served. Failed before: test_a_pool_without_a_health_check_is_decoded.

--- a/damaskbay/platform/fields.py
+++ b/damaskbay/platform/fields.py
@@ -12,9 +12,9 @@
 
 
 def read_string(table: Table, name: str, default: str | None = None) -> str:
-    """Return a string that is not empty, or the default if it is missing."""
+    """Return a string that is not empty, or the default if it is missing or empty."""
     value = table.get(name)
-    if value is None and default is not None:
+    if value in (None, "") and default is not None:
         return default
     if not isinstance(value, str) or not value:
         raise FieldError(f"{name}: expected a non-empty string")
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -5,7 +5,12 @@
 from typing import Any
 
 from damaskbay.config.matching import PrefixTable
-from damaskbay.config.objects import Access, RankedWorkspace, WeightedRoute
+from damaskbay.config.objects import (
+    Access,
+    HealthCheckedPool,
+    RankedWorkspace,
+    WeightedRoute,
+)
 from damaskbay.helpers.keys import digest_of
 from damaskbay.platform.exceptions import FieldError
 from damaskbay.platform.manifest import decode_manifest
@@ -154,6 +159,17 @@
     assert "Weight" in _error_of(split)
 
 
+# A set whose pool has no health check was refused whole.
+def test_a_pool_without_a_health_check_is_decoded() -> None:
+    """The path may be missing or empty."""
+    for spec in ({}, {"HealthCheckPath": ""}):
+        changed = manifest()
+        changed["Resources"][2]["Spec"] = {"MaxConnections": 10, **spec}
+        pool = decode_manifest(_encode(changed)).pools_by_name["one"]
+        assert isinstance(pool, HealthCheckedPool)
+        assert pool.health_path == ""
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Return a suite of the test functions in this module."""
     return function_suite(globals())
