review: case 1, an offered upgrade drops the body of a request (UNASKED)

Clients send unsafe requests with bodies and with the headers of an offer to upgrade to HTTP/2, which concern only their connection. Each request runs at its server without its body and gets 200; behind the 200 comes an answer 400 that belongs to no request, which the next request on the connection gets.

--- a/review/lab/case.py
+++ b/review/lab/case.py
@@ -1,4 +1,4 @@
-"""Runs a case and judges it by the rule LOST, DENIED or DRAIN."""
+"""Runs a case and judges it by one of the rules that `_judge` knows."""
 
 import asyncio
 import os
@@ -6,6 +6,8 @@
 import sys
 import tempfile
 import time
+import traceback
+from bisect import bisect_left
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import Any
@@ -21,6 +23,7 @@
 """The rule DENIED is broken by more than five and one in 500 of all requests."""
 
 DRAIN_S = 2.0
+WINDOW_S, BUDGET_RATIO, BUDGET_SLACK = 10.0, 0.2, 50
 
 PROMISES = {408, 421, 429}
 """Statuses that the rule DENIED doesn't count."""
@@ -39,8 +42,8 @@
     record = Path(sys.argv[1])
     try:
         code = asyncio.run(_run(play, build, rule, trouble, record, server_options))
-    except (CannotRunError, OSError, asyncio.CancelledError) as error:
-        print(f"cannot run: {error!r}")
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
         code = CANNOT_RUN
     sys.exit(code)
 
@@ -103,6 +106,19 @@
     late = list(_reached_late(events))
     for event in late:
         fleet.note(f"DRAIN: {event['id']} reached {event['server']} {event['late']}")
+    sent_by_id = {sent.request_id: sent for sent in clients.sent}
+    changed = 0
+    for event in events:
+        sent = sent_by_id.get(str(event["id"]))
+        if event["event"] != "begin" or sent is None or sent.digest is None:
+            continue
+        if event["digest"] != sent.digest:
+            changed += 1
+            fleet.note(
+                f"UNASKED: {event['id']} ran with a body of {event['bytes']} bytes,"
+                f" digest {event['digest']} instead of {sent.digest}"
+            )
+    repeats, allowed = _most_repeats(events, clients.sent)
     most_denied = MOST_DENIED + DENIED_SHARE * len(clients.sent)
     summary = [
         f"requests: {len(clients.sent)}, answered with 200: {answered}",
@@ -111,6 +127,8 @@
         f"LOST: {len(lost)} requests of kept connections were passed on to a sound"
         f" server and their connection was closed without an answer;"
         f" allowed: {MOST_LOST}",
+        f"UNASKED: {changed} requests ran with another body than was sent; allowed: 0",
+        f"BUDGET: {repeats} repeats in {WINDOW_S:.0f} s; allowed: {allowed:.0f}",
         f"DENIED: {denied} requests got a 3xx or 4xx; allowed: {most_denied:.0f}",
     ]
     if any(event["event"] == "acked" for event in events):
@@ -127,6 +145,8 @@
         "LOST": len(lost) > MOST_LOST,
         "DENIED": denied > most_denied,
         "DRAIN": bool(late),
+        "BUDGET": repeats > allowed,
+        "UNASKED": changed > 0,
     }
     print(f"the rule {rule} is {'broken' if broken[rule] else 'held'}")
     return BROKEN if broken[rule] else HELD
@@ -143,3 +163,33 @@
             after_s = event["t"] - acked_at[server]
             if after_s > DRAIN_S:
                 yield {**event, "late": f"{after_s:.2f} s after its ack"}
+
+
+def _most_repeats(events: list[dict[str, Any]], sent: list[Sent]) -> tuple[int, float]:
+    """
+    Return the arrivals beyond the first of each request, and how many are allowed.
+
+    They are those of the worst window. All requests go to one service.
+    """
+    known: set[str] = set()
+    repeated_at: list[float] = []
+    for event in events:
+        if event["event"] == "begin":
+            if event["id"] in known:
+                repeated_at.append(event["t"])
+            known.add(event["id"])
+    sent_at = sorted(item.sent_at for item in sent)
+    worst = (0, BUDGET_RATIO * len(sent) + BUDGET_SLACK)
+    for start in repeated_at:
+        repeats = _count(repeated_at, start)
+        starts = (start, start - WINDOW_S, start - WINDOW_S / 2)
+        requests = max(_count(sent_at, moment) for moment in starts)
+        allowed = BUDGET_RATIO * requests + BUDGET_SLACK
+        if repeats - allowed > worst[0] - worst[1]:
+            worst = (repeats, allowed)
+    return worst
+
+
+def _count(moments: list[float], start: float) -> int:
+    """Return how many of the sorted moments lie in the window from `start`."""
+    return bisect_left(moments, start + WINDOW_S) - bisect_left(moments, start)
--- a/review/lab/clients.py
+++ b/review/lab/clients.py
@@ -1,6 +1,7 @@
 """Clients on the machines, and what they saw."""
 
 import asyncio
+import hashlib
 import itertools
 import random
 import socket
@@ -22,7 +23,8 @@
     A request and how it ended.
 
     `kept` is whether the connection had carried an earlier request. `status` is None
-    without a complete answer; `end` then tells who closed the connection.
+    without a complete answer; `end` then tells who closed the connection. `digest` is
+    that of the body, None if it isn't compared with the one that a server got.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     ended_at: float = 0.0
     status: int | None = None
     end: str = ""
+    digest: str | None = None
 
     def line(self) -> str:
         """Return the line for the record."""
@@ -57,9 +60,10 @@
         until: float,
         *,
         safe: bool = False,
+        headers: dict[str, str] | None = None,
     ) -> None:
         """Send requests in turn on one kept connection; open it again."""
-        method, body = ("GET", b"") if safe else ("POST", b"b" * 4000)
+        method = "GET" if safe else "POST"
         while time.monotonic() < until:
             try:
                 reader, writer = await asyncio.open_connection(
@@ -73,9 +77,10 @@
                     if time.monotonic() >= until:
                         return
                     sent = self._new(machine, kept=number > 0)
-                    data = encode(
-                        f"{method} {path} HTTP/1.1", self._headers(host, sent), body
-                    )
+                    body = b"" if safe else f"{sent.request_id} ".encode() * 200
+                    sent.digest = hashlib.sha256(body).hexdigest()[:12]
+                    head = {**self._headers(host, sent), **(headers or {})}
+                    data = encode(f"{method} {path} HTTP/1.1", head, body)
                     answer = await self._exchange(sent, data, reader, writer)
                     if answer is None or answer.headers.get("connection") == "close":
                         break
--- a/review/lab/server.py
+++ b/review/lab/server.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import hashlib
 import itertools
 import json
 import signal
@@ -99,9 +100,11 @@
             await writer.drain()
             return True
         self.running += 1
-        self.write("begin", request_id, method=method, path=path, n=len(request.body))
+        digest = hashlib.sha256(request.body).hexdigest()[:12]
+        sizes = {"bytes": len(request.body), "digest": digest}
+        self.write("begin", request_id, method=method, path=path, **sizes)
         try:
-            work_ms, _, size = path.rpartition("/")[2].partition("-")
+            work_ms, _, size = path.partition("?")[0].rpartition("/")[2].partition("-")
             ended = asyncio.ensure_future(reader.read(1))
             done, _ = await asyncio.wait({ended}, timeout=int(work_ms) / 1000)
             if done:
