--- a/review/lab/case.py
+++ b/review/lab/case.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from lab.clients import Clients, Sent
+from lab.clients import TIME_LIMIT_S, Clients, Sent
 from lab.fleet import CannotRunError, Fleet
 
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
@@ -22,7 +22,7 @@
 MOST_DENIED, DENIED_SHARE = 5, 1 / 500
 """The rule DENIED is broken by more than five and one in 500 of all requests."""
 
-DRAIN_S = 2.0
+DRAIN_S, GRACE_S = 2.0, 6.0
 WINDOW_S, BUDGET_RATIO, BUDGET_SLACK = 10.0, 0.2, 50
 
 PROMISES = {408, 421, 429}
@@ -118,6 +118,9 @@
                 f"UNASKED: {event['id']} ran with a body of {event['bytes']} bytes,"
                 f" digest {event['digest']} instead of {sent.digest}"
             )
+    broken_off = _broken_off(fleet, clients.sent, by_id)
+    for item in broken_off:
+        fleet.note(f"LOST: {item.request_id} was broken off while its server worked")
     repeats, allowed = _most_repeats(events, clients.sent)
     most_denied = MOST_DENIED + DENIED_SHARE * len(clients.sent)
     summary = [
@@ -136,13 +139,18 @@
             f"DRAIN: {len(late)} requests reached a server later than {DRAIN_S} s after"
             " the ack that it leaves; allowed: 0"
         )
+    if any(machine.stopped_at is not None for machine in fleet.machines):
+        summary.append(
+            f"LOST: {len(broken_off)} requests were broken off after a SIGTERM while"
+            " their servers were at work, and answered by the daemon; allowed: 0"
+        )
     for line in summary:
         fleet.note(line)
         print(line)
     if answered == 0:
         raise CannotRunError("no request was answered")
     broken = {
-        "LOST": len(lost) > MOST_LOST,
+        "LOST": len(lost) > MOST_LOST or bool(broken_off),
         "DENIED": denied > most_denied,
         "DRAIN": bool(late),
         "BUDGET": repeats > allowed,
@@ -165,6 +173,33 @@
                 yield {**event, "late": f"{after_s:.2f} s after its ack"}
 
 
+def _broken_off(
+    fleet: Fleet, all_sent: list[Sent], by_id: dict[str, list[str]]
+) -> list[Sent]:
+    """
+    Return the requests that a stopping daemon broke off and answered itself.
+
+    Not counted are those whose time limit was reached, and those whose server was
+    still at work in the last sixth of Grace.
+    """
+    stops = {machine.name: machine.stopped_at for machine in fleet.machines}
+    found = []
+    for sent in all_sent:
+        stopped_at = stops[sent.machine]
+        if stopped_at is None or sent.status is None or sent.status < 500:
+            continue
+        ran = [text.split()[0] for text in by_id.get(sent.request_id, [])]
+        after_s = sent.ended_at - stopped_at
+        if (
+            "begin" in ran
+            and "end" not in ran
+            and 0.0 < after_s < GRACE_S * 5 / 6
+            and sent.ended_at - sent.sent_at < TIME_LIMIT_S
+        ):
+            found.append(sent)
+    return found
+
+
 def _most_repeats(events: list[dict[str, Any]], sent: list[Sent]) -> tuple[int, float]:
     """
     Return the arrivals beyond the first of each request, and how many are allowed.
--- a/review/lab/fleet.py
+++ b/review/lab/fleet.py
@@ -47,6 +47,7 @@
     server: asyncio.subprocess.Process | None = None
     most_kib: int = 0
     own_ends: list[float] = field(default_factory=list)
+    stopped_at: float | None = None
 
     @property
     def outbound(self) -> int:
@@ -243,6 +244,13 @@
                         events.append(json.loads(line))
         return sorted(events, key=lambda event: float(event["t"]))
 
+    def stop_daemon(self, machine: Machine) -> None:
+        """Send SIGTERM to the daemon of a machine, once; it is started again."""
+        assert machine.daemon is not None
+        machine.stopped_at = time.monotonic()
+        machine.daemon.terminate()
+        self.note(f"platform: SIGTERM for {machine.name}")
+
     def signal_server(self, machine: Machine, number: signal.Signals) -> None:
         """Send a signal to the server of a machine."""
         assert machine.server is not None
@@ -269,7 +277,8 @@
                 self.note(f"platform: {machine.name} uses {used} KiB and is killed")
                 daemon.kill()
             await daemon.wait()
-            machine.own_ends.append(time.monotonic())
+            if machine.stopped_at is None:
+                machine.own_ends.append(time.monotonic())
             self.note(f"platform: {machine.name} has ended: {daemon.returncode}")
             await asyncio.sleep(RESTART_DELAY_S)
             await self._start_daemon(machine)
