Count a response body at what it occupies

What callers saw: a backend server sent bodies in chunks of two bytes without end.

Cause: HttpClient kept each received piece of a body as an object of its own, until the response was complete. A piece of two bytes occupies about 43, which the limits (16 MiB for a body, an eighth of the memory for all) counted as two.

Change: a body is collected in one buffer, and MemoryAccount counts it with the copy that completes it. Headers count with their objects, too. As the account now counts what is occupied, its limit is what the process has beside its code and buffers.

--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -19,7 +19,12 @@
 from damaskbay.adapters.http1.sockets import set_tcp_options
 from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 from damaskbay.core.call import Request, Response
-from damaskbay.core.response_memory import ResponseMemory
+from damaskbay.core.memory_account import (
+    BODY_COPIES,
+    Holding,
+    MemoryAccount,
+    header_bytes,
+)
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
@@ -63,7 +68,7 @@
     A connection idle for `idle_s` is not reused. A timeout in the server's Keep-Alive
     header, less `idle_margin_s`, takes precedence. With `echo_header` a response is
     matched to the request only if it repeats the request's value of this header.
-    `memory` limits the bytes of all responses that are being received.
+    `memory` counts the responses that are being received.
     """
 
     max_connections: int = 256
@@ -72,7 +77,7 @@
     idle_margin_s: float = 1.0
     max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
     echo_header: str | None = None
-    memory: ResponseMemory | None = None
+    memory: MemoryAccount = field(default_factory=MemoryAccount)
 
 
 @dataclass(slots=True)
@@ -85,8 +90,7 @@
     echo: str | None = None
     has_length: bool = False
     encoded: bool = False
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
+    body: bytearray = field(default_factory=bytearray)
     ends_at_close: bool = False
 
 
@@ -105,7 +109,7 @@
         self._received_any = False
         self._received_bytes = 0
         self._late_responses = 0
-        self._reserved_bytes = 0
+        self._holding = Holding(options.memory)
         self._uses = 0
         self.reusable = True
         self.idle_until = 0.0
@@ -151,13 +155,19 @@
 
     def on_message_begin(self) -> None:
         """Start parsing a response."""
+        self._holding.release()
         self._partial = _PartialResponse()
         if self._pending is None:
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header and the framing information in it."""
+        """
+        Store a header and the framing information in it.
+
+        Raise BadAnswerError if there is no memory for it.
+        """
         partial = self._partial
+        self._hold(header_bytes(name, value))
         name_as_sent, lower = decode_header_name(name)
         text = value.decode("latin-1")
         partial.headers.append((name_as_sent, text))
@@ -183,15 +193,11 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body; raise BadAnswerError above the size limits."""
-        self._partial.body_bytes += len(body)
-        if self._partial.body_bytes > self._options.max_body_bytes:
+        received = self._partial.body
+        if len(received) + len(body) > self._options.max_body_bytes:
             raise BadAnswerError("response body exceeds the size limit")
-        memory = self._options.memory
-        if memory is not None:
-            if not memory.reserve(len(body)):
-                raise BadAnswerError("no memory is left for the response body")
-            self._reserved_bytes += len(body)
-        self._partial.body.append(body)
+        self._hold(BODY_COPIES * len(body))
+        received += body
 
     def on_message_complete(self) -> None:
         """Finish the request if the complete response belongs to it."""
@@ -231,7 +237,7 @@
             return await pending
         except asyncio.CancelledError:
             self._pending = None
-            self._release_memory()
+            self._holding.release()
             self._abort()
             raise
         finally:
@@ -259,15 +265,15 @@
             return
         self._received_bytes += len(data)
         self._parser.feed_data(data)
-        body_bytes = self._partial.body_bytes
+        body_bytes = len(self._partial.body)
         limit = MAX_RESPONSE_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * body_bytes
         if self._pending is not None and self._received_bytes - body_bytes > limit:
             raise BadAnswerError("head, framing or trailers exceed the size limit")
 
-    def _release_memory(self) -> None:
-        if self._options.memory is not None:
-            self._options.memory.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+    def _hold(self, count: int) -> None:
+        """Count bytes that are kept; raise BadAnswerError if they do not fit."""
+        if not self._holding.grow(count):
+            raise BadAnswerError("no memory is left for the response")
 
     def _on_timeout(self) -> None:
         self._finish(
@@ -291,9 +297,7 @@
 
     def _to_outcome(self, partial: _PartialResponse) -> Response | HttpFailure | None:
         """Return the response, or None if it belongs to an earlier request."""
-        response = Response(
-            partial.status, tuple(partial.headers), b"".join(partial.body)
-        )
+        response = Response(partial.status, tuple(partial.headers), bytes(partial.body))
         if not self._echo_name or self._expected_echo is None:
             return response
         if partial.echo == self._expected_echo:
@@ -303,7 +307,7 @@
         return None
 
     def _finish(self, outcome: Response | HttpFailure | None) -> None:
-        self._release_memory()
+        self._holding.release()
         if outcome is None:
             self._discard_late_response()
             return
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -25,7 +25,7 @@
 from damaskbay.adapters.http1.sockets import listen
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Request, Response
-from damaskbay.core.response_memory import ResponseMemory
+from damaskbay.core.memory_account import Holding, MemoryAccount
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
@@ -69,7 +69,7 @@
         self._closing = False
         self._ended_at: float | None = None
         self._reading_paused = False
-        self._unread_bytes = 0
+        self._unread = Holding(server.memory)
         self._write_paused_since: float | None = None
         self._error_status: http.HTTPStatus | None = None
         self._received_any = False
@@ -112,7 +112,7 @@
         """Cancel the requests in flight."""
         self._transport = None
         self._server.connections.discard(self)
-        self._count_unread(-self._unread_bytes)
+        self._unread.release()
         for exchange in self._exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
@@ -200,7 +200,7 @@
             response = Response(int(http.HTTPStatus.INTERNAL_SERVER_ERROR))
         exchange.response = encode_response(response, arrival.request.method)
         if self._transport is not None:
-            self._count_unread(exchange.response_bytes)
+            self._unread.set(self._unread.held_bytes + exchange.response_bytes)
         self._flush()
 
     def _flush(self) -> None:
@@ -234,12 +234,7 @@
         """Release the memory of written responses, unless the caller reads slowly."""
         if self._write_paused_since is None:
             waiting = sum(exchange.response_bytes for exchange in self._exchanges)
-            self._count_unread(waiting - self._unread_bytes)
-
-    def _count_unread(self, change: int) -> None:
-        self._unread_bytes += change
-        if self._server.memory is not None:
-            self._server.memory.add(change)
+            self._unread.set(waiting)
 
     def _end(self) -> None:
         """
@@ -286,7 +281,7 @@
         """Pause reading while the caller has too many requests or unread bytes."""
         too_many = (
             len(self._exchanges) >= MAX_PIPELINED_REQUESTS
-            or self._unread_bytes > MAX_UNREAD_BYTES
+            or self._unread.held_bytes > MAX_UNREAD_BYTES
         )
         if self._transport is None or self.lingering:
             return
@@ -314,12 +309,12 @@
         address: PeerAddress,
         handler: Handler,
         limits: CallerLimits,
-        memory: ResponseMemory | None = None,
+        memory: MemoryAccount | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
         self.limits = limits
-        self.memory = memory
+        self.memory = memory or MemoryAccount()
         self.draining = False
         self.close_timeout_s = CLOSE_TIMEOUT_S
         self.connections: set[ServerConnection] = set()
--- /dev/null
+++ b/damaskbay/core/memory_account.py
@@ -0,0 +1,87 @@
+"""Account of the memory that a daemon holds for requests and responses."""
+
+import sys
+from types import TracebackType
+from typing import Final, Self
+
+BODY_COPIES: Final = 2
+"""Copies of a body at a time: its parts are joined, and it is encoded to be sent on."""
+
+HEADER_BYTES: Final = 200
+"""What a header occupies beside its text, in bytes: a tuple and two strings."""
+
+ADMISSION_SHARE: Final = 0.9
+"""Part of the limit up to which calls are admitted; the rest is for running ones."""
+
+
+class MemoryAccount:
+    """
+    Bytes that all requests and responses in the daemon occupy together.
+
+    It counts what is held for callers, backend servers and peers: requests and
+    responses that are being received, run, or wait to be read. Not thread-safe.
+    """
+
+    def __init__(self, limit_bytes: int = sys.maxsize) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    def fits(self, count: int) -> bool:
+        """Return whether there is room for so many bytes."""
+        return self.held_bytes + count <= self.limit_bytes
+
+    def admits(self, count: int, *, nested: bool) -> bool:
+        """
+        Return whether a call may start that is expected to hold so many bytes.
+
+        Without its nested calls a running call fails, so they get all that is left.
+        """
+        if nested:
+            return self.fits(count)
+        return self.held_bytes + count <= ADMISSION_SHARE * self.limit_bytes
+
+
+class Holding:
+    """
+    What one holder has in the account; a context manager that releases it.
+
+    A holder that is refused more bytes has to give up its request or response.
+    """
+
+    __slots__ = ("_account", "held_bytes")
+
+    def __init__(self, account: MemoryAccount) -> None:
+        self._account = account
+        self.held_bytes = 0
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.release()
+
+    def grow(self, count: int) -> bool:
+        """Hold more bytes; return False, holding no more, if they do not fit."""
+        if not self._account.fits(count):
+            return False
+        self.set(self.held_bytes + count)
+        return True
+
+    def set(self, count: int) -> None:
+        """Hold so many bytes in all, which exist in any case."""
+        self._account.held_bytes += count - self.held_bytes
+        self.held_bytes = count
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+        self.set(0)
+
+
+def header_bytes(name: bytes, value: bytes) -> int:
+    """Return what a header occupies, in bytes."""
+    return HEADER_BYTES + len(name) + len(value)
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -14,9 +14,9 @@
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
 from damaskbay.core.lifetime import Lifetime, links_close_timeout_s
+from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
-from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.core.time_average import TimeAverage
 from damaskbay.daemon.messages import (
     CallMessage,
@@ -34,9 +34,11 @@
 )
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
+    ACCOUNT_SHARE,
+    BASE_MEMORY_BYTES,
     EXPIRY_INTERVAL_S,
     LOAD_AVERAGE_S,
-    RESPONSE_MEMORY_SHARE,
+    MIN_ACCOUNT_SHARE,
 )
 from damaskbay.mesh.control_plane import NOT_HANDLED, ControlPlane, ControlPlaneParts
 from damaskbay.mesh.directory import Directory, MemberRecord
@@ -66,6 +68,12 @@
 """Returns the HTTP handler for reports of the local server."""
 
 
+def account_limit_bytes(memory_bytes: int) -> int:
+    """Return the memory for requests and responses in a process of `memory_bytes`."""
+    free_bytes = memory_bytes - BASE_MEMORY_BYTES
+    return int(max(MIN_ACCOUNT_SHARE * memory_bytes, ACCOUNT_SHARE * free_bytes))
+
+
 class MeshDaemon:
     """One daemon; `run` serves until `stop` is called, then shuts down gracefully."""
 
@@ -122,7 +130,7 @@
         )
         self._repeats = make_retry_budget(settings)
         self._telemetry = BoundTelemetry()
-        memory = ResponseMemory(int(RESPONSE_MEMORY_SHARE * settings.memory_bytes))
+        memory = MemoryAccount(account_limit_bytes(settings.memory_bytes))
         shared_parts = SharedParts(
             self.configuration,
             self.local,
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -8,9 +8,9 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.lifetime import Lifetime
+from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.core.pressure import EdgeLoadShedder
 from damaskbay.core.quota.shares import DemandShares
-from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.core.retry.repeats import ServerRetryBudget, ServerRetryOptions
 from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.helpers.clock import monotonic_s
@@ -61,7 +61,7 @@
     running: RunningCalls
     repeats: ServerRetryBudget
     telemetry: BoundTelemetry
-    memory: ResponseMemory
+    memory: MemoryAccount
     lifetime: Lifetime
     rng: Random
 
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -18,12 +18,14 @@
 DRAIN_MARGIN_S: Final = 0.4
 """Margin below the drain time limit, seconds: a send may wait for the event loop."""
 
-RESPONSE_MEMORY_SHARE: Final = 0.125
-"""
-Part of the process's memory for responses that are being received or wait to be read.
+BASE_MEMORY_BYTES: Final = 64 * 1024 * 1024
+"""Memory of the process without requests and responses, bytes."""
 
-A response is copied up to four times on its way through a daemon.
-"""
+ACCOUNT_SHARE: Final = 0.75
+"""Part of the remaining memory for requests and responses; allocators need the rest."""
+
+MIN_ACCOUNT_SHARE: Final = 0.125
+"""Part of a small process's memory for requests and responses."""
 
 MAX_REDIRECTS: Final = 3
 """Daemons tried in turn, without those that leave, until one passes the call on."""
--- a/damaskbay/mesh/observing.py
+++ b/damaskbay/mesh/observing.py
@@ -8,7 +8,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.call import Response
-from damaskbay.core.response_memory import ResponseMemory
+from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.directory import Directory
@@ -33,7 +33,7 @@
     links: PeerLinks
     repeats: ServerRetryBudget
     members: Members
-    memory: ResponseMemory
+    memory: MemoryAccount
     settings: SettingsHistory
     clock: Callable[[], float]
 
@@ -74,7 +74,8 @@
         gauge("repeats_left", "For the server now", lambda: parts.repeats.left)
         gauge("links_up", "Opened to peers", lambda: parts.links.up_count)
         gauge("members_age_seconds", "Since the records' proof", self._members_age_s)
-        gauge("response_bytes", "Held now", lambda: parts.memory.held_bytes)
+        gauge("held_bytes", "For calls, now", lambda: parts.memory.held_bytes)
+        gauge("held_bytes_limit", "For calls", lambda: parts.memory.limit_bytes)
         gauge("settings_applied", "Files read", lambda: parts.settings.applied)
         gauge("settings_refused", "Invalid files", lambda: parts.settings.refused)
         gauge("settings_digest", "First 48 bits of SHA-256", self._settings_digest)
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -18,8 +18,8 @@
 from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.http_status import is_success
 from damaskbay.core.lifetime import Lifetime
+from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
-from damaskbay.core.response_memory import ResponseMemory
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.helpers.http_headers import HeaderFilter
 from damaskbay.mesh.const import (
@@ -57,7 +57,7 @@
     running: RunningCalls
     telemetry: BoundTelemetry
     repeats: ServerRetryBudget
-    memory: ResponseMemory
+    memory: MemoryAccount
     weight_of: Callable[[str], float]
     on_capacity_change: Callable[[], None]
     lifetime: Lifetime
@@ -200,11 +200,11 @@
             return not_run(
                 Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S
             )
-        if parts.memory.full:
+        if not parts.memory.admits(0, nested=context.depth > 0):
             return not_run(
                 Reason.OVERLOADED,
                 retry_after_s=NOT_READY_RETRY_S,
-                detail=f"{parts.memory.held_bytes} response bytes are held",
+                detail=f"{parts.memory.held_bytes} bytes are held",
             )
         if now < self._unreachable_until:
             return not_run(
--- a/tests/adapters/http1/test_endless.py
+++ b/tests/adapters/http1/test_endless.py
@@ -17,7 +17,7 @@
 )
 from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 from damaskbay.core.call import Request, Response
-from damaskbay.core.response_memory import ResponseMemory
+from damaskbay.core.memory_account import BODY_COPIES, Holding, MemoryAccount
 from tests.common import function_suite
 from tests.endless_server import FORMS_BY_NAME, EndlessForm, endless_server
 
@@ -37,7 +37,7 @@
 
 
 def _send(
-    form: EndlessForm, memory: ResponseMemory, *, timeout_s: float, pause_s: float = 0.0
+    form: EndlessForm, memory: MemoryAccount, *, timeout_s: float, pause_s: float = 0.0
 ) -> tuple[Response | HttpFailure, int, int]:
     """Return the outcome, the bytes that the server wrote and the peak memory."""
 
@@ -60,7 +60,7 @@
 
 
 def _check(name: str) -> None:
-    memory = ResponseMemory(2 * MAX_BODY_BYTES)
+    memory = MemoryAccount(2 * BODY_COPIES * MAX_BODY_BYTES)
     outcome, sent_bytes, peak_bytes = _send(
         FORMS_BY_NAME[name], memory, timeout_s=WAIT_S
     )
@@ -139,7 +139,7 @@
 def test_a_slow_endless_head_ends_at_the_deadline() -> None:
     """Below the limit of bytes, the time limit of the request ends the wait."""
     form = EndlessForm(b"HTTP/1.1 200 OK\r\n", b"A: b\r\n")
-    memory = ResponseMemory(MAX_BODY_BYTES)
+    memory = MemoryAccount(MAX_BODY_BYTES)
     outcome, _, _ = _send(form, memory, timeout_s=0.3, pause_s=0.01)
     assert isinstance(outcome, HttpFailure)
     assert outcome.problem is HttpProblem.TIMED_OUT
@@ -147,13 +147,24 @@
 
 def test_bodies_share_one_limit_of_memory() -> None:
     """A body that does not fit beside the others is cut off below its own limit."""
-    memory = ResponseMemory(MAX_BODY_BYTES)
-    memory.add(MAX_BODY_BYTES // 2)
+    memory = MemoryAccount(BODY_COPIES * MAX_BODY_BYTES)
+    other = Holding(memory)
+    other.set(MAX_BODY_BYTES)
     outcome, _, _ = _send(FORMS_BY_NAME["chunks"], memory, timeout_s=WAIT_S)
     assert isinstance(outcome, HttpFailure)
-    assert outcome.detail == "no memory is left for the response body"
-    assert memory.held_bytes == MAX_BODY_BYTES // 2
-    assert memory.full
+    assert outcome.detail == "no memory is left for the response"
+    assert memory.held_bytes == other.held_bytes
+
+
+# A daemon held a body in short chunks as small objects and exceeded its memory.
+def test_a_body_in_short_chunks_occupies_no_more_than_is_counted() -> None:
+    """Beside what was received last, the account covers what a body occupies."""
+    memory = MemoryAccount(BODY_COPIES * MAX_BODY_BYTES)
+    _, _, peak_bytes = _send(
+        FORMS_BY_NAME["chunks of two bytes"], memory, timeout_s=WAIT_S
+    )
+    assert peak_bytes <= memory.limit_bytes + 4 * READ_BYTES, peak_bytes
+    assert memory.held_bytes == 0
 
 
 def load_tests(*_: object) -> unittest.TestSuite:
--- a/tests/adapters/http1/test_slow_reader.py
+++ b/tests/adapters/http1/test_slow_reader.py
@@ -12,7 +12,7 @@
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
-from damaskbay.core.response_memory import ResponseMemory
+from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.ports.peer import PeerAddress
 from tests.common import function_suite
 
@@ -29,7 +29,7 @@
 
     def __init__(self) -> None:
         self.count = 0
-        self.memory = ResponseMemory(100 * len(BODY))
+        self.memory = MemoryAccount(100 * len(BODY))
 
     async def serve(self, _arrival: ReceivedRequest) -> Response:
         self.count += 1
--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -32,6 +32,7 @@
     ),
     "chunks": EndlessForm(_CHUNKED, b"1000\r\n" + _BLOCK + b"\r\n"),
     "small chunks": EndlessForm(_CHUNKED, b"1\r\nx\r\n" * 512),
+    "chunks of two bytes": EndlessForm(_CHUNKED, b"2\r\nxx\r\n" * 512),
     "body without length": EndlessForm(_STATUS + b"\r\n", _BLOCK),
     "chunk extension": EndlessForm(_CHUNKED + b"1;a=", _BLOCK),
     "chunk extensions": EndlessForm(_CHUNKED, b"1;a=" + b"x" * 512 + b"\r\nx\r\n"),
