Keep callers that read slowly from filling a daemon's memory

What callers saw: 80 callers of one machine read responses of 8 MB slowly.

A response counted as its unsent rest, though the write buffer keeps all of its bytes until the kernel has taken the last one. And nothing but calls to the local server was refused while the memory was full: the daemon went on to ask others.

Change: WriteBufferHolding counts what was written as whole objects. Each call reserves the size that responses of its route have had of late, and is refused as not run, with a Retry-After, if that does not fit; small responses go on.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -25,7 +25,7 @@
 from damaskbay.adapters.http1.sockets import listen
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Request, Response
-from damaskbay.core.memory_account import Holding, MemoryAccount
+from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
@@ -46,9 +46,14 @@
 
 @dataclass(slots=True, eq=False)
 class _Exchange:
-    """A request of a connection with its response, once available."""
+    """
+    A request of a connection with its response, once available.
+
+    `holding` counts the response until it is written.
+    """
 
     arrival: ReceivedRequest
+    holding: Holding
     keep_alive: bool
     task: "asyncio.Task[None] | None" = None
     response: EncodedResponse | None = None
@@ -69,7 +74,7 @@
         self._closing = False
         self._ended_at: float | None = None
         self._reading_paused = False
-        self._unread = Holding(server.memory)
+        self._written = WriteBufferHolding(server.memory)
         self._write_paused_since: float | None = None
         self._error_status: http.HTTPStatus | None = None
         self._received_any = False
@@ -112,8 +117,9 @@
         """Cancel the requests in flight."""
         self._transport = None
         self._server.connections.discard(self)
-        self._unread.release()
+        self._written.release()
         for exchange in self._exchanges:
+            exchange.holding.release()
             if exchange.task is not None:
                 exchange.task.cancel()
         self._exchanges.clear()
@@ -136,6 +142,7 @@
     def resume_writing(self) -> None:
         """Resume writing responses after the write buffer has drained."""
         self._write_paused_since = None
+        self._count_written()
         self._flush()
 
     def handle_expect_continue(self) -> None:
@@ -148,7 +155,8 @@
         if self._closing:
             return
         arrival = ReceivedRequest(request, self._last_active_at)
-        exchange = _Exchange(arrival, keep_alive)
+        holding = Holding(self._server.memory)
+        exchange = _Exchange(arrival, holding, keep_alive)
         self._exchanges.append(exchange)
         exchange.task = asyncio.get_running_loop().create_task(self._serve(exchange))
         self._apply_backpressure()
@@ -158,6 +166,7 @@
         limits = self._server.limits
         if self._transport is None:
             return
+        self._count_written()
         if self._write_paused_since is not None and (
             now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
         ):
@@ -200,7 +209,7 @@
             response = Response(int(http.HTTPStatus.INTERNAL_SERVER_ERROR))
         exchange.response = encode_response(response, arrival.request.method)
         if self._transport is not None:
-            self._unread.set(self._unread.held_bytes + exchange.response_bytes)
+            exchange.holding.set(exchange.response_bytes)
         self._flush()
 
     def _flush(self) -> None:
@@ -209,15 +218,18 @@
             if self._transport is None or self._write_paused_since is not None:
                 return
             exchange = self._exchanges.popleft()
+            exchange.holding.release()
             self._last_active_at = monotonic_s()
             keep_alive = exchange.keep_alive and not self._should_announce_close()
-            self._transport.write(response.to_bytes(keep_alive=keep_alive))
+            encoded = response.to_bytes(keep_alive=keep_alive)
+            self._transport.write(encoded)
+            buffered_bytes = self._transport.get_write_buffer_size()
+            self._written.written(len(encoded), buffered_bytes)
             if not keep_alive:
                 self._end()
                 return
         if not self._exchanges and self._error_status is not None:
             self._reject(self._error_status)
-        self._count_written()
         self._apply_backpressure()
 
     def _should_announce_close(self) -> bool:
@@ -231,10 +243,9 @@
         return self._server.draining and answered
 
     def _count_written(self) -> None:
-        """Release the memory of written responses, unless the caller reads slowly."""
-        if self._write_paused_since is None:
-            waiting = sum(exchange.response_bytes for exchange in self._exchanges)
-            self._unread.set(waiting)
+        """Count the written responses that the kernel has not taken yet."""
+        if self._transport is not None:
+            self._written.update(self._transport.get_write_buffer_size())
 
     def _end(self) -> None:
         """
@@ -281,7 +292,7 @@
         """Pause reading while the caller has too many requests or unread bytes."""
         too_many = (
             len(self._exchanges) >= MAX_PIPELINED_REQUESTS
-            or self._unread.held_bytes > MAX_UNREAD_BYTES
+            or self.unsent_bytes > MAX_UNREAD_BYTES
         )
         if self._transport is None or self.lingering:
             return
@@ -299,8 +310,8 @@
     HTTP server on one address; an async context manager.
 
     While `draining` is set, each connection closes after the response to the last
-    request that was read. `memory` counts the response bytes that callers have not
-    read yet. Leaving the context waits up to `close_timeout_s` seconds until complete
+    request that was read. `memory` counts what the connections hold of requests and
+    responses. Leaving the context waits up to `close_timeout_s` seconds until complete
     responses are sent.
     """
 
--- a/damaskbay/core/memory_account.py
+++ b/damaskbay/core/memory_account.py
@@ -1,6 +1,7 @@
 """Account of the memory that a daemon holds for requests and responses."""
 
 import sys
+from collections import deque
 from types import TracebackType
 from typing import Final, Self
 
@@ -82,6 +83,39 @@
         self.set(0)
 
 
+class WriteBufferHolding:
+    """
+    What the write buffer of a connection has in the account.
+
+    A buffer keeps what was written as whole objects: one that the kernel has taken a
+    part of still occupies all of its bytes.
+    """
+
+    __slots__ = ("_holding", "_sizes")
+
+    def __init__(self, account: MemoryAccount) -> None:
+        self._holding = Holding(account)
+        self._sizes: deque[int] = deque()
+
+    def written(self, size_bytes: int, buffered_bytes: int) -> None:
+        """Count what was written, of which `buffered_bytes` in all wait now."""
+        self._sizes.append(size_bytes)
+        self._holding.set(self._holding.held_bytes + size_bytes)
+        self.update(buffered_bytes)
+
+    def update(self, buffered_bytes: int) -> None:
+        """Count only what is still needed for the bytes that wait now."""
+        sizes, held_bytes = self._sizes, self._holding.held_bytes
+        while sizes and held_bytes - sizes[0] >= buffered_bytes:
+            held_bytes -= sizes.popleft()
+        self._holding.set(held_bytes)
+
+    def release(self) -> None:
+        """Count nothing any more."""
+        self._sizes.clear()
+        self._holding.release()
+
+
 def header_bytes(name: bytes, value: bytes) -> int:
     """Return what a header occupies, in bytes."""
     return HEADER_BYTES + len(name) + len(value)
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -97,6 +97,7 @@
         self.local = LocalServer(settings.drain_s, self._server_changed)
         self._known_start = self.local.start
         self._gate = Gate(1, self._rng, now)
+        memory = MemoryAccount(account_limit_bytes(settings.memory_bytes))
         self._links = PeerLinks(
             settings.peers,
             on_links_change=self._links_changed,
@@ -130,7 +131,6 @@
         )
         self._repeats = make_retry_budget(settings)
         self._telemetry = BoundTelemetry()
-        memory = MemoryAccount(account_limit_bytes(settings.memory_bytes))
         shared_parts = SharedParts(
             self.configuration,
             self.local,
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -127,6 +127,7 @@
             pressure=EdgeLoadShedder(shared_parts.rng),
             running=shared_parts.running,
             telemetry=shared_parts.telemetry,
+            memory=shared_parts.memory,
             dialect=dialect,
             lifetime=shared_parts.lifetime,
             rng=shared_parts.rng,
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -13,10 +13,12 @@
 from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.http_status import FIRST_SERVER_ERROR, is_success, status_of
 from damaskbay.core.lifetime import Lifetime
+from damaskbay.core.memory_account import Holding, MemoryAccount
 from damaskbay.core.outcome import Reason, Refusal, not_run
 from damaskbay.core.pressure import EdgeLoadShedder
 from damaskbay.core.quota.shares import DemandShares
 from damaskbay.core.quota.token_pool import is_pooled
+from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.helpers.http_headers import HeaderFilter
 from damaskbay.helpers.keys import digest_of
 from damaskbay.mesh.configuration import Configuration
@@ -64,6 +66,7 @@
     pressure: EdgeLoadShedder
     running: RunningCalls
     telemetry: BoundTelemetry
+    memory: MemoryAccount
     dialect: HeaderNames
     lifetime: Lifetime
     rng: Random
@@ -88,6 +91,7 @@
             read=frozenset({self._request_id, self._key, self._deadline_ms}),
         )
         self._durations = DurationEstimates()
+        self._sizes = ResponseSizes()
         self._late_in_flight = 0
         self.in_flight = 0
 
@@ -126,10 +130,11 @@
             return self._refuse(workspace, request_id, route, "")
         caller = None if workspace else parts.running.caller_of(request_id)
         timeout_s = _timeout_s(route, values.get(self._deadline_ms))
-        stopping = self._refusal_while_stopping(route, timeout_s, caller)
-        if stopping is not None:
+        busy = self._refusal_while_stopping(route, timeout_s, caller)
+        busy = busy or self._refusal_without_memory(route, caller)
+        if busy is not None:
             name = workspace.name if workspace is not None else ""
-            return self._refuse(stopping, request_id, route, name)
+            return self._refuse(busy, request_id, route, name)
         if workspace is not None:
             over_limit = await self._spend_token(workspace, arrival.arrived_at)
             if over_limit is not None:
@@ -140,7 +145,9 @@
         if early is not None:
             return self._refuse(early, request_id, route, context.workspace)
         forwarded = self._forwarded_request(request, forwarded_headers, workspace)
-        result = await self._dispatch(context, route, forwarded, arrival.arrived_at)
+        with Holding(parts.memory) as holding:
+            holding.set(self._sizes.expected_bytes(route.name))
+            result = await self._dispatch(context, route, forwarded, arrival.arrived_at)
         self._record_result(context, result, parts.clock() - arrival.arrived_at)
         if caller is not None:
             parts.running.record_nested_end(caller, result, parts.clock())
@@ -151,6 +158,7 @@
         outcome = result.result
         if isinstance(outcome, Refusal):
             return self._refusal_response(outcome, request_id, route)
+        self._sizes.record(route.name, len(outcome.body))
         headers = outcome.headers
         if request_id is not None:
             headers = (*headers, (parts.dialect.request_id, request_id))
@@ -272,6 +280,20 @@
             detail=f"may take {expected_s:.3f} s, {left_s:.3f} s are left",
         )
 
+    def _refusal_without_memory(
+        self, route: Route, caller: RunningCall | None
+    ) -> Refusal | None:
+        """Return a refusal if there is no memory for the response of a request."""
+        memory = self._parts.memory
+        expected_bytes = self._sizes.expected_bytes(route.name)
+        if memory.admits(expected_bytes, nested=caller is not None):
+            return None
+        return not_run(
+            Reason.OVERLOADED,
+            retry_after_s=NOT_READY_RETRY_S,
+            detail=f"{memory.held_bytes} bytes are held",
+        )
+
     async def _spend_token(self, workspace: Workspace, now: float) -> Refusal | None:
         """Spend a token of the workspace's rate limit, or return a refusal."""
         if is_pooled(workspace):
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -18,8 +18,9 @@
 from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.http_status import is_success
 from damaskbay.core.lifetime import Lifetime
-from damaskbay.core.memory_account import MemoryAccount
+from damaskbay.core.memory_account import Holding, MemoryAccount
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.helpers.http_headers import HeaderFilter
 from damaskbay.mesh.const import (
@@ -96,6 +97,7 @@
         )
         self._active_calls: set[_ActiveCall] = set()
         self._durations = DurationEstimates()
+        self._sizes = ResponseSizes()
         self.draining = False
 
     @property
@@ -140,6 +142,18 @@
         if context.is_retry and not parts.repeats.spend(nested=context.depth > 0):
             refusal = not_run(Reason.RETRY_BUDGET_SPENT)
             return self._refused_result(context, refusal, now)
+        with Holding(parts.memory) as holding:
+            holding.set(self._sizes.expected_bytes(context.route))
+            result = await self._run_admitted(context, request, active, now)
+        if isinstance(result.result, Response):
+            self._sizes.record(context.route, len(result.result.body))
+        return result
+
+    async def _run_admitted(
+        self, context: CallContext, request: Request, active: _ActiveCall, now: float
+    ) -> CallResult:
+        """Run a call for whose response there is memory; record how long it takes."""
+        parts = self._parts
         expected_s = self._durations.expected_s(context.route, now) or 0.0
         parts.lifetime.expect_end(min(context.deadline, now + expected_s))
         call = self._durations.start(context.route, now)
@@ -200,7 +214,8 @@
             return not_run(
                 Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S
             )
-        if not parts.memory.admits(0, nested=context.depth > 0):
+        expected_bytes = self._sizes.expected_bytes(context.route)
+        if not parts.memory.admits(expected_bytes, nested=context.depth > 0):
             return not_run(
                 Reason.OVERLOADED,
                 retry_after_s=NOT_READY_RETRY_S,
--- a/tests/adapters/http1/test_slow_reader.py
+++ b/tests/adapters/http1/test_slow_reader.py
@@ -29,11 +29,12 @@
 
     def __init__(self) -> None:
         self.count = 0
+        self.body = BODY
         self.memory = MemoryAccount(100 * len(BODY))
 
     async def serve(self, _arrival: ReceivedRequest) -> Response:
         self.count += 1
-        return Response(200, (), BODY)
+        return Response(200, (), self.body)
 
 
 Check = Callable[[_Served, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -95,6 +96,24 @@
     _run(check)
 
 
+# A daemon exceeded its memory: a partly sent response counted as its unsent rest.
+def test_a_response_counts_as_a_whole_until_all_of_it_is_sent() -> None:
+    """The kernel has taken a part, but the buffer keeps all of its bytes."""
+
+    async def check(
+        served: _Served, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        served.body = bytes(8 * 1024 * 1024)
+        writer.write(REQUEST)
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(len(BODY))
+        assert served.memory.held_bytes >= len(served.body)
+        await reader.readexactly(len(served.body) - len(BODY))
+        await _until(lambda: served.memory.held_bytes == 0)
+
+    _run(check)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
