Count request bodies, and refuse what finds no memory

What callers saw: two callers of a machine sent bodies of 60 MB each at the same time, which the operator's set allows.

Cause: nothing counted a request, neither while it was read nor while it ran.

Change: RequestParser counts target, headers and body in the daemon's account, the body with the copy that is sent on, from the first byte until the request is answered. One that does not fit gets 503 with a Retry-After: from its head if it names a length, else midway. The connection then stays until its caller has stopped sending, so that the caller gets the answer and no reset. A body that stops arriving gets 408 after the idle timeout; before, it was kept for good.

--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -26,6 +26,12 @@
 LINGER_TIMEOUT_S: Final = 2.0
 """Seconds after the last response until a connection closes without its caller."""
 
+MAX_LINGER_S: Final = 15.0
+"""Longest wait, seconds, for a caller that still sends after the last response."""
+
+NO_MEMORY_RETRY_S: Final = 1
+"""Retry delay for callers whose request found no memory, whole seconds."""
+
 LISTEN_BACKLOG: Final = 1024
 """
 Maximum number of connections that wait to be accepted.
--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -10,6 +10,12 @@
 from damaskbay.adapters.http1.names import decode_header_name
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Request
+from damaskbay.core.memory_account import (
+    BODY_COPIES,
+    Holding,
+    MemoryAccount,
+    header_bytes,
+)
 
 
 class RequestReceiver(Protocol):
@@ -18,35 +24,46 @@
     def handle_expect_continue(self) -> None:
         """Handle the head of a request whose body waits for 100 Continue."""
 
-    def handle_request(self, request: Request, *, keep_alive: bool) -> None:
-        """Handle a complete request; its connection closes without `keep_alive`."""
+    def handle_request(
+        self, request: Request, holding: Holding, *, keep_alive: bool
+    ) -> None:
+        """
+        Handle a complete request; its connection closes without `keep_alive`.
+
+        The receiver has to release the holding once the request has ended.
+        """
 
 
 @dataclass(slots=True)
 class _PartialRequest:
     """The request that is being parsed."""
 
+    holding: Holding
     target: bytes = b""
     headers: list[tuple[str, str]] = field(default_factory=list)
     host: str = ""
     expects_continue: bool = False
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
+    length: int | None = None
+    body: bytearray = field(default_factory=bytearray)
 
 
 class RequestParser:
     """
     Parses the requests of one connection and passes each complete one on.
 
-    `started_at` is the monotonic time at which the current request began.
+    `started_at` is the monotonic time at which the current request began. What is read
+    counts in `memory`.
     """
 
-    def __init__(self, receiver: RequestReceiver, now: float) -> None:
+    def __init__(
+        self, receiver: RequestReceiver, memory: MemoryAccount, now: float
+    ) -> None:
         self._receiver = receiver
+        self._memory = memory
         self._parser = httptools.HttpRequestParser(self)
         self._limits = CallerLimits()
         self._now = self.started_at = now
-        self._partial = _PartialRequest()
+        self._partial = _PartialRequest(Holding(memory))
         self._header_bytes = 0
         self.in_headers = False
 
@@ -69,19 +86,26 @@
             raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
         self._count_header_bytes(len(data))
 
+    def close(self) -> None:
+        """Forget the incomplete request."""
+        self._partial.holding.release()
+        self._partial = _PartialRequest(Holding(self._memory))
+
     def on_message_begin(self) -> None:
         """Start parsing a request."""
-        self._partial = _PartialRequest()
+        self.close()
         self.in_headers = True
         self.started_at = self._now
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
+        self._hold(len(url))
         self._partial.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
         partial = self._partial
+        self._hold(header_bytes(name, value))
         name_as_sent, lower = decode_header_name(name)
         text = value.decode("latin-1")
         partial.headers.append((name_as_sent, text))
@@ -89,34 +113,51 @@
             partial.host = partial.host or text
         elif lower == "expect" and text.lower() == "100-continue":
             partial.expects_continue = True
+        elif lower == "content-length" and text.isdigit():
+            partial.length = int(text)
 
     def on_headers_complete(self) -> None:
-        """Report a caller that waits for 100 Continue."""
+        """
+        Report a caller that waits for 100 Continue.
+
+        A body that is too large, or finds no room now, is rejected before it is sent.
+        """
         self.in_headers = False
         self._header_bytes = 0
+        length = self._partial.length or 0
+        if length > self._limits.max_body_bytes:
+            raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        if not self._memory.fits(BODY_COPIES * length):
+            raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
         if self._partial.expects_continue:
             self._receiver.handle_expect_continue()
 
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body; raise BadRequestError above the size limit."""
-        self._partial.body_bytes += len(body)
-        if self._partial.body_bytes > self._limits.max_body_bytes:
+        """Store a part of the body; raise BadRequestError above the size limits."""
+        received = self._partial.body
+        if len(received) + len(body) > self._limits.max_body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        self._partial.body.append(body)
+        self._hold(BODY_COPIES * len(body))
+        received += body
 
     def on_message_complete(self) -> None:
         """Pass on a complete request."""
         partial = self._partial
-        self._partial = _PartialRequest()
+        self._partial = _PartialRequest(Holding(self._memory))
         request = Request(
             self._parser.get_method().decode("ascii"),
             partial.host,
             partial.target.decode("latin-1"),
             tuple(partial.headers),
-            b"".join(partial.body),
+            bytes(partial.body),
         )
         keep_alive = self._parser.should_keep_alive()
-        self._receiver.handle_request(request, keep_alive=keep_alive)
+        self._receiver.handle_request(request, partial.holding, keep_alive=keep_alive)
+
+    def _hold(self, count: int) -> None:
+        """Count bytes that are kept; raise BadRequestError if they do not fit."""
+        if not self._partial.holding.grow(count):
+            raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _count_header_bytes(self, count: int) -> None:
         """Reject headers that exceed the size limit."""
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -14,8 +14,10 @@
     FIRST_REQUEST_WAIT_S,
     FLUSH_POLL_S,
     LINGER_TIMEOUT_S,
+    MAX_LINGER_S,
     MAX_PIPELINED_REQUESTS,
     MAX_UNREAD_BYTES,
+    NO_MEMORY_RETRY_S,
     TIMEOUT_CHECK_INTERVAL_S,
     WRITE_STALL_TIMEOUT_S,
 )
@@ -24,7 +26,7 @@
 from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
 from damaskbay.adapters.http1.sockets import listen
 from damaskbay.config.objects import CallerLimits
-from damaskbay.core.call import Request, Response
+from damaskbay.core.call import Headers, Request, Response
 from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
@@ -40,6 +42,11 @@
     arrived_at: float
 
 
+_REJECTION_REASONS = {
+    http.HTTPStatus.REQUEST_TIMEOUT: "incomplete",
+    http.HTTPStatus.SERVICE_UNAVAILABLE: "no memory",
+}
+
 Handler = Callable[[ReceivedRequest], Awaitable[Response]]
 """Serves one request; cancelled when the caller disconnects."""
 
@@ -49,7 +56,7 @@
     """
     A request of a connection with its response, once available.
 
-    `holding` counts the response until it is written.
+    `holding` counts the request, then its response until that is written.
     """
 
     arrival: ReceivedRequest
@@ -73,13 +80,14 @@
         self._exchanges: deque[_Exchange] = deque()
         self._closing = False
         self._ended_at: float | None = None
+        self._linger_until = 0.0
         self._reading_paused = False
         self._written = WriteBufferHolding(server.memory)
         self._write_paused_since: float | None = None
         self._error_status: http.HTTPStatus | None = None
         self._received_any = False
         self._last_active_at = monotonic_s()
-        self._parser = RequestParser(self, self._last_active_at)
+        self._parser = RequestParser(self, server.memory, self._last_active_at)
 
     def is_idle(self, now: float) -> bool:
         """
@@ -118,6 +126,7 @@
         self._transport = None
         self._server.connections.discard(self)
         self._written.release()
+        self._parser.close()
         for exchange in self._exchanges:
             exchange.holding.release()
             if exchange.task is not None:
@@ -129,6 +138,7 @@
         self._received_any = True
         self._last_active_at = monotonic_s()
         if self._closing:
+            self._extend_linger()
             return
         try:
             self._parser.feed(data, self._server.limits, self._last_active_at)
@@ -150,12 +160,14 @@
         if not self._exchanges and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def handle_request(self, request: Request, *, keep_alive: bool) -> None:
+    def handle_request(
+        self, request: Request, holding: Holding, *, keep_alive: bool
+    ) -> None:
         """Start serving a complete request."""
         if self._closing:
+            holding.release()
             return
         arrival = ReceivedRequest(request, self._last_active_at)
-        holding = Holding(self._server.memory)
         exchange = _Exchange(arrival, holding, keep_alive)
         self._exchanges.append(exchange)
         exchange.task = asyncio.get_running_loop().create_task(self._serve(exchange))
@@ -176,9 +188,7 @@
                 self._ended_at = now
             elif now - self._ended_at > LINGER_TIMEOUT_S:
                 self._transport.close()
-        elif self._parser.in_headers and (
-            now - self._parser.started_at > limits.header_timeout_s
-        ):
+        elif self._sends_too_slowly(now):
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
         elif self.is_idle(now) and now - self._last_active_at > limits.idle_timeout_s:
             self._transport.close()
@@ -247,6 +257,20 @@
         if self._transport is not None:
             self._written.update(self._transport.get_write_buffer_size())
 
+    def _sends_too_slowly(self, now: float) -> bool:
+        """Return whether a head takes too long, or a body has stopped arriving."""
+        limits = self._server.limits
+        if self._parser.in_headers:
+            return now - self._parser.started_at > limits.header_timeout_s
+        if not self._parser.in_request or self._reading_paused or self._closing:
+            return False
+        return now - self._last_active_at > limits.idle_timeout_s
+
+    def _extend_linger(self) -> None:
+        """Keep a connection whose caller still sends a body that was rejected."""
+        if self._ended_at is not None and self._last_active_at < self._linger_until:
+            self._ended_at = self._last_active_at
+
     def _end(self) -> None:
         """
         Send the end of the connection after the last response; start nothing more.
@@ -257,6 +281,7 @@
         """
         self._closing = True
         self._ended_at = monotonic_s()
+        self._linger_until = self._ended_at + MAX_LINGER_S
         if self._transport is None:
             return
         try:
@@ -273,18 +298,21 @@
         """Send an error response after the responses to earlier requests, and close."""
         self._closing = True
         self._error_status = status
+        self._parser.close()
         if self._exchanges or self._transport is None or self.lingering:
             return
         _LOGGER.info(
-            "edge: request is invalid.",
+            "edge: request is rejected.",
             extra={
                 "status": int(status),
-                "why": "incomplete"
-                if status is http.HTTPStatus.REQUEST_TIMEOUT
-                else "malformed",
+                "why": _REJECTION_REASONS.get(status, "malformed"),
+                "held_bytes": self._server.memory.held_bytes,
             },
         )
-        response = encode_response(Response(int(status)), "GET")
+        headers: Headers = ()
+        if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
+            headers = (("Retry-After", str(NO_MEMORY_RETRY_S)),)
+        response = encode_response(Response(int(status), headers), "GET")
         self._transport.write(response.to_bytes(keep_alive=False))
         self._end()
 
--- /dev/null
+++ b/tests/adapters/http1/test_request_memory.py
@@ -0,0 +1,155 @@
+"""
+Pattern: callers send bodies that the daemon has no memory for, or never finish them.
+
+What a request occupies is counted from its first byte until it is answered, and one
+that does not fit is refused as not run while others are served.
+"""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
+from damaskbay.config.objects import CallerLimits
+from damaskbay.core.call import Response
+from damaskbay.core.memory_account import BODY_COPIES, MemoryAccount
+from damaskbay.ports.peer import PeerAddress
+from tests.common import function_suite
+
+LIMIT_BYTES = 1024 * 1024
+PIECE = bytes(64 * 1024)
+SMALL = b"GET /small HTTP/1.1\r\nHost: a\r\n\r\n"
+IDLE_TIMEOUT_S = 1.0
+WAIT_S = 20.0
+
+
+class _Served:
+    """Serves requests and records what they hold while they run."""
+
+    def __init__(self) -> None:
+        self.memory = MemoryAccount(LIMIT_BYTES)
+        self.targets: list[str] = []
+        self.held_bytes = 0
+
+    async def serve(self, arrival: ReceivedRequest) -> Response:
+        self.targets.append(arrival.request.target)
+        self.held_bytes = self.memory.held_bytes
+        return Response(200)
+
+
+class _Caller:
+    """Connection of one caller."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self.writer = writer
+
+    async def read_head(self) -> bytes:
+        return await self._reader.readuntil(b"\r\n\r\n")
+
+
+Connect = Callable[[], Awaitable[_Caller]]
+Check = Callable[[_Served, Connect], Awaitable[None]]
+
+
+def _run(check: Check) -> None:
+    async def run() -> None:
+        served = _Served()
+        limits = CallerLimits(idle_timeout_s=IDLE_TIMEOUT_S)
+        address = PeerAddress("127.0.0.1", 0)
+        server = HttpServer(address, served.serve, limits, served.memory)
+        callers: list[_Caller] = []
+
+        async def connect() -> _Caller:
+            callers.append(
+                _Caller(
+                    *await asyncio.open_connection(
+                        server.address.host, server.address.port
+                    )
+                )
+            )
+            return callers[-1]
+
+        async with server, asyncio.timeout(WAIT_S):
+            await check(served, connect)
+            for caller in callers:
+                caller.writer.close()
+            while served.memory.held_bytes:
+                await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def _head(framing: str) -> bytes:
+    return f"POST /body HTTP/1.1\r\nHost: a\r\n{framing}\r\n\r\n".encode()
+
+
+# Two request bodies made a daemon exceed its memory: nothing counted them.
+def test_a_body_that_does_not_fit_is_refused_before_it_is_sent() -> None:
+    """The caller learns from the head alone that it can try again later."""
+
+    async def check(served: _Served, connect: Connect) -> None:
+        caller = await connect()
+        caller.writer.write(_head(f"Content-Length: {LIMIT_BYTES}"))
+        head = await caller.read_head()
+        assert head.startswith(b"HTTP/1.1 503 "), head
+        assert b"\r\nRetry-After: 1\r\n" in head
+        assert not served.targets
+
+    _run(check)
+
+
+def test_bodies_that_do_not_fit_together_leave_room_for_other_requests() -> None:
+    """One of two bodies without a length is refused midway; small requests run."""
+
+    async def check(served: _Served, connect: Connect) -> None:
+        one, two, other = await connect(), await connect(), await connect()
+        for caller in (one, two):
+            caller.writer.write(_head("Transfer-Encoding: chunked"))
+        chunk = f"{len(PIECE):x}\r\n".encode() + PIECE + b"\r\n"
+        heads = {asyncio.create_task(item.read_head()): item for item in (one, two)}
+        while not any(task.done() for task in heads):
+            one.writer.write(chunk)
+            two.writer.write(chunk)
+            await asyncio.sleep(0.01)
+        refused, taken = sorted(heads, key=lambda task: not task.done())
+        assert (await refused).startswith(b"HTTP/1.1 503 ")
+        other.writer.write(SMALL)
+        assert (await other.read_head()).startswith(b"HTTP/1.1 200 ")
+        heads[taken].writer.write(b"0\r\n\r\n")
+        assert (await taken).startswith(b"HTTP/1.1 200 ")
+        assert served.targets == ["/small", "/body"]
+
+    _run(check)
+
+
+def test_a_request_is_counted_while_it_runs() -> None:
+    """Its body counts with the copy that is sent on."""
+
+    async def check(served: _Served, connect: Connect) -> None:
+        caller = await connect()
+        caller.writer.write(_head(f"Content-Length: {len(PIECE)}") + PIECE)
+        await caller.read_head()
+        assert served.held_bytes >= BODY_COPIES * len(PIECE)
+
+    _run(check)
+
+
+def test_a_body_that_never_ends_frees_its_memory() -> None:
+    """A caller that stops in the middle of a body gets 408 after the idle timeout."""
+
+    async def check(served: _Served, connect: Connect) -> None:
+        caller = await connect()
+        caller.writer.write(_head(f"Content-Length: {2 * len(PIECE)}") + PIECE)
+        head = await caller.read_head()
+        assert head.startswith(b"HTTP/1.1 408 "), head
+        assert served.memory.held_bytes <= len(head) + BODY_COPIES
+
+    _run(check)
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
