Send long messages between daemons in parts

What callers saw: a request body of 20 MB, which the operator's set allows, cut the link to the daemon beside its server.

Cause: a message was one frame, and a reader closes the link at a frame above 17 MiB. Nothing kept a longer one from being sent. What links held was not counted either: read buffers, running requests and unsent frames.

Change: a payload above 256 KiB is sent in parts, each once the peer has read the one before, so that other messages pass between them. The receiver counts the parts and refuses the one message that finds no memory. Notes and their acknowledgements say that a daemon takes parts; one of an earlier version gets whole frames up to what it reads. A link closes after replies in parts have been sent.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -24,6 +24,7 @@
     RequestHandler,
     encode_note,
 )
+from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
 
@@ -37,8 +38,9 @@
     Requests and regular notes are sent on the links opened here, `broadcast_note` also
     uses the accepted ones. `note` returns the message that is sent every
     `NOTE_INTERVAL_S`; `on_note` receives the notes of peers. Peers acknowledge with
-    the message that their `status` returns, for `on_status`. Use it as an async
-    context manager; the exit aborts the links that `close` has not closed.
+    the message that their `status` returns, for `on_status`. What the links hold counts
+    in `memory`. Use it as an async context manager; the exit aborts the links that
+    `close` has not closed.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         note: Callable[[], Any],
         status: Callable[[], Any] = lambda: None,
         on_status: Callable[[PeerAddress, Any], None] = lambda _peer, _status: None,
+        memory: MemoryAccount | None = None,
     ) -> None:
         self._address = address
         self._on_links_change = on_links_change
@@ -59,6 +62,7 @@
         self._note = note
         self._status = status
         self._on_status = on_status
+        self._memory = memory or MemoryAccount()
         self._tasks_by_peer: dict[PeerAddress, asyncio.Task[None]] = {}
         self._links_by_peer: dict[PeerAddress, Link] = {}
         self._retired: set[Link] = set()
@@ -221,7 +225,7 @@
         handlers = LinkHandlers(
             self._on_request, self._on_note, self._status, on_status, on_end
         )
-        return Link(handlers)
+        return Link(handlers, self._memory)
 
     async def _maintain_link(self, peer: PeerAddress) -> None:
         """Connect to the peer, and reconnect after a failure, until cancelled."""
@@ -268,6 +272,7 @@
                 if was_suspended:
                     # This process was suspended; the peer may still be alive.
                     link.last_received_at = now
+                link.count_unsent()
                 if now - link.last_received_at > LINK_TIMEOUT_S:
                     self._abort_silent(link, now)
             all_links = round_number % MAX_NOTE_ROUNDS == 0
--- a/damaskbay/adapters/peer_link/const.py
+++ b/damaskbay/adapters/peer_link/const.py
@@ -33,7 +33,19 @@
 """Seconds between attempts to connect to a peer."""
 
 MAX_FRAME_BYTES: Final = 17 * 1024 * 1024
-"""Maximum frame size; fits a body of the maximum size with its headers."""
+"""Maximum frame size; a longer payload is sent in parts."""
+
+PART_BYTES: Final = 256 * 1024
+"""Size of the parts of a long payload; other frames are sent between them."""
+
+PARTS_VERSION: Final = 1
+"""Number in notes and their acknowledgements of daemons that take parts."""
+
+KEPT_BUFFER_BYTES: Final = 256 * 1024
+"""Receive buffer that a link keeps between frames; a larger one is freed."""
+
+ALWAYS_ACCEPTED_BYTES: Final = 64 * 1024
+"""Payload that is accepted however full the memory is; control messages are smaller."""
 
 FRAME_VALUES: Final = 3
 """Values of a frame: kind, number and payload."""
--- a/damaskbay/adapters/peer_link/frames.py
+++ b/damaskbay/adapters/peer_link/frames.py
@@ -6,7 +6,11 @@
 
 import msgpack
 
-from damaskbay.adapters.peer_link.const import FRAME_VALUES, MAX_FRAME_BYTES
+from damaskbay.adapters.peer_link.const import (
+    FRAME_VALUES,
+    KEPT_BUFFER_BYTES,
+    MAX_FRAME_BYTES,
+)
 from damaskbay.adapters.peer_link.exceptions import BadFrameError
 
 
@@ -40,6 +44,15 @@
     earlier versions close the link on an unknown kind.
     """
 
+    REQUEST_PART = 8
+    REPLY_PART = 9
+    """
+    Parts of the payload of a request or a reply, whose own frame holds the last part.
+
+    They are sent only to a daemon whose notes or acknowledgements carry PARTS_VERSION,
+    since earlier versions close the link on an unknown kind.
+    """
+
 
 _KINDS = {kind.value: kind for kind in FrameKind}
 
@@ -62,25 +75,41 @@
     """Incremental decoder of a byte stream into frames."""
 
     def __init__(self) -> None:
-        # Only arrays of three with a binary payload are frames, so that a peer which
-        # sends other bytes without end is noticed at once.
-        self._unpacker = msgpack.Unpacker(
-            use_list=False,
-            max_buffer_size=MAX_FRAME_BYTES,
-            max_array_len=FRAME_VALUES,
-            max_map_len=0,
-            max_str_len=0,
-            max_ext_len=0,
-        )
+        self._unpacker = _make_unpacker()
+        self._fed_bytes = self._largest_bytes = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the number of received bytes of an incomplete frame."""
+        return self._fed_bytes - int(self._unpacker.tell())
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Add received bytes and yield the complete frames; raise BadFrameError."""
         try:
             self._unpacker.feed(data)
+            self._fed_bytes += len(data)
+            self._largest_bytes = max(self._largest_bytes, self.buffered_bytes)
             for item in self._unpacker:
                 yield _parse_frame(item)
         except (ValueError, msgpack.exceptions.UnpackException) as error:
             raise BadFrameError(f"not msgpack: {type(error).__name__}") from None
+        if self._largest_bytes > KEPT_BUFFER_BYTES and not self.buffered_bytes:
+            # The unpacker never shrinks its buffer.
+            self._unpacker = _make_unpacker()
+            self._fed_bytes = self._largest_bytes = 0
+
+
+def _make_unpacker() -> msgpack.Unpacker:
+    # Only arrays of three with a binary payload are frames, so that a peer which
+    # sends other bytes without end is noticed at once.
+    return msgpack.Unpacker(
+        use_list=False,
+        max_buffer_size=MAX_FRAME_BYTES,
+        max_array_len=FRAME_VALUES,
+        max_map_len=0,
+        max_str_len=0,
+        max_ext_len=0,
+    )
 
 
 def _parse_frame(item: object) -> Frame:
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -11,6 +11,8 @@
     MAX_FRAME_BYTES,
     MAX_RUNNING_REQUESTS,
     MAX_UNREAD_BYTES,
+    PART_BYTES,
+    PARTS_VERSION,
 )
 from damaskbay.adapters.peer_link.exceptions import BadFrameError
 from damaskbay.adapters.peer_link.frames import (
@@ -19,6 +21,8 @@
     FrameReader,
     encode,
 )
+from damaskbay.adapters.peer_link.parts import PART_KINDS, PartialPayloads
+from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.messages import InvalidMessage, pack, unpack
 from damaskbay.ports.peer import PeerFailure, PeerProblem
@@ -49,10 +53,13 @@
 
 PULSE = encode(FrameKind.PULSE)
 
+MAX_PAYLOAD_BYTES = MAX_FRAME_BYTES - 64
+"""Maximum payload of one frame, whose other values take less than the rest."""
+
 
 def encode_note(message: Any) -> bytes:
     """Encode a note once, to send it on several links."""
-    return encode(FrameKind.NOTE, 0, pack(message))
+    return encode(FrameKind.NOTE, PARTS_VERSION, pack(message))
 
 
 class Link(asyncio.Protocol):
@@ -62,20 +69,29 @@
     `last_received_at` and `last_sent_at` are the monotonic times of the last received
     and the last written bytes. PeerLinks sets `suspect` after SUSPECT_AFTER_S without
     received bytes; new requests avoid a suspect link. `ended` is set when the
-    connection is lost.
+    connection is lost. What the link holds counts in `memory`.
     """
 
-    def __init__(self, handlers: LinkHandlers) -> None:
+    def __init__(self, handlers: LinkHandlers, memory: MemoryAccount) -> None:
         self._handlers = handlers
+        self._received = Holding(memory)
+        self._unsent = WriteBufferHolding(memory)
+        self._parts = PartialPayloads(memory)
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._senders: set[asyncio.Task[None]] = set()
         self._transport: asyncio.Transport | None = None
         self._reader = FrameReader()
         self._pending: dict[int, asyncio.Future[Any]] = {}
         self._running: dict[int, asyncio.Task[None]] = {}
         self._last_number = 0
         self._last_received_number = 0
+        self._replies_in_parts = 0
         self._received_note: Any = None
         self._sent_note: Any = None
         self._peer_sends_status = False
+        self._peer_takes_parts = False
+        self._ending = False
         self._closing = False
         self._peer_closing = False
         self._retired = False
@@ -94,7 +110,7 @@
     @property
     def takes_requests(self) -> bool:
         """Return whether the peer may still handle further requests."""
-        return self.open and not self._peer_closing
+        return self.open and not self._ending and not self._peer_closing
 
     @property
     def unsent_bytes(self) -> int:
@@ -121,6 +137,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the requests in flight and cancel the handlers of received requests."""
         self._transport = None
+        self._received.release()
+        self._unsent.release()
+        self._parts.clear()
+        self._writable.set()
         failure = PeerFailure(PeerProblem.LOST, str(exc or "closed"))
         pending, self._pending = self._pending, {}
         for future in pending.values():
@@ -141,6 +161,20 @@
         except BadFrameError as error:
             _LOGGER.warning("peer: invalid frame.", extra={"why": str(error)})
             self.abort()
+        self._received.set(self._reader.buffered_bytes)
+
+    def pause_writing(self) -> None:
+        """Hold back long payloads while the peer reads slowly."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with long payloads after the write buffer has drained."""
+        self._writable.set()
+        self.count_unsent()
+
+    def count_unsent(self) -> None:
+        """Count the frames that the kernel has not taken yet."""
+        self._unsent.update(self.unsent_bytes)
 
     async def request(self, message: Any, *, timeout_s: float) -> Any:
         """
@@ -152,6 +186,9 @@
             return PeerFailure(PeerProblem.NOT_SENT, "link is down or closing")
         if self._congested():
             return PeerFailure(PeerProblem.NOT_SENT, "peer reads too slowly")
+        payload = pack(message)
+        if not self._takes(payload):
+            return PeerFailure(PeerProblem.NOT_SENT, "message is too long for the peer")
         self._last_number += 1
         number = self._last_number
         loop = asyncio.get_running_loop()
@@ -160,7 +197,12 @@
         timer = loop.call_later(
             timeout_s, self._fail_and_cancel, number, PeerProblem.TIMEOUT
         )
-        self._write(encode(FrameKind.REQUEST, number, pack(message)))
+        if len(payload) <= PART_BYTES:
+            self._write(encode(FrameKind.REQUEST, number, payload))
+        else:
+            sender = loop.create_task(self._send(FrameKind.REQUEST, number, payload))
+            self._senders.add(sender)
+            sender.add_done_callback(self._senders.discard)
         try:
             return await future
         except asyncio.CancelledError:
@@ -169,6 +211,7 @@
         finally:
             timer.cancel()
             self._pending.pop(number, None)
+            self._parts.drop(FrameKind.REPLY, number)
             self._close_if_retired()
 
     def interrupt_requests(self) -> None:
@@ -188,10 +231,21 @@
         """
         Send what is buffered and then the end of the stream; start no more handlers.
 
-        The peer is told which of its requests are not handled. The connection ends when
-        it has read everything and closes it, too.
+        The peer is told which of its requests are not handled. Replies that are being
+        sent in parts come before the end. The connection ends when the peer has read
+        everything and closes it, too.
         """
-        self._write_frame(FrameKind.NOTE_ACK, self._last_received_number + 1)
+        if not self._ending:
+            self._ending = True
+            for number in self._parts.request_numbers:
+                self._parts.drop(FrameKind.REQUEST, number)
+                self._write_frame(FrameKind.REJECTED, number)
+            self._write_frame(FrameKind.NOTE_ACK, self._last_received_number + 1)
+        self._close_if_sent()
+
+    def _close_if_sent(self) -> None:
+        if not self._ending or self._replies_in_parts:
+            return
         if self.open and self._transport is not None:
             self._closing = True
             self._transport.write_eof()
@@ -219,6 +273,43 @@
             self._write_frame(FrameKind.CANCEL, number)
             future.set_result(PeerFailure(problem))
 
+    def _takes(self, payload: bytes) -> bool:
+        """Return whether the peer can take a payload, whole or in parts."""
+        return self._peer_takes_parts or len(payload) <= MAX_PAYLOAD_BYTES
+
+    async def _send(self, kind: FrameKind, number: int, payload: bytes) -> None:
+        """
+        Send a payload, a long one in parts, each after the peer has read the last.
+
+        A request that has ended meanwhile is cancelled at the peer.
+        """
+        part_bytes = PART_BYTES if self._peer_takes_parts else len(payload)
+        sent = 0
+        while self.open and (kind is FrameKind.REPLY or self._is_pending(number)):
+            part = payload[sent : sent + part_bytes]
+            sent += part_bytes
+            if sent >= len(payload):
+                self._write_frame(kind, number, part)
+                return
+            self._write_frame(PART_KINDS[kind], number, part)
+            await asyncio.sleep(0)
+            await self._writable.wait()
+        if kind is FrameKind.REQUEST:
+            self._write_frame(FrameKind.CANCEL, number)
+
+    async def _send_reply(self, number: int, payload: bytes) -> None:
+        """Send a reply; the link doesn't close before."""
+        self._replies_in_parts += 1
+        try:
+            await self._send(FrameKind.REPLY, number, payload)
+        finally:
+            self._replies_in_parts -= 1
+            self._close_if_sent()
+
+    def _is_pending(self, number: int) -> bool:
+        future = self._pending.get(number)
+        return future is not None and not future.done()
+
     def _write_frame(self, kind: FrameKind, number: int, payload: bytes = b"") -> None:
         if self.open:
             self._write(encode(kind, number, payload))
@@ -226,52 +317,102 @@
     def _write(self, data: bytes) -> None:
         assert self._transport is not None
         self._transport.write(data)
+        self._unsent.written(len(data), self.unsent_bytes)
         self.last_sent_at = monotonic_s()
 
     def _handle_frame(self, frame: Frame) -> None:
-        if frame.kind is FrameKind.REQUEST:
-            if not self.open:
-                return
-            self._last_received_number = frame.number
-        if frame.kind is FrameKind.CANCEL:
-            task = self._running.pop(frame.number, None)
-            if task is not None:
-                task.cancel()
-            return
-        if frame.kind is FrameKind.PULSE:
+        if frame.kind in (FrameKind.REQUEST, FrameKind.REPLY):
+            self._handle_message(frame)
+        elif frame.kind in (FrameKind.REQUEST_PART, FrameKind.REPLY_PART):
+            self._handle_part(frame)
+        elif frame.kind is FrameKind.CANCEL:
+            self._cancel_handler(frame.number)
+        elif frame.kind is FrameKind.PULSE:
             self._handle_note(self._received_note)
-            return
-        if frame.kind is FrameKind.NOTE_ACK and not frame.payload:
+        elif frame.kind is FrameKind.NOTE_ACK and not frame.payload:
             if frame.number:
                 self._reject_from(frame.number)
-            return
-        if frame.kind is FrameKind.REJECTED:
+        elif frame.kind is FrameKind.REJECTED:
             self._resolve(frame, PeerFailure(PeerProblem.REJECTED))
-            return
-        if frame.kind is FrameKind.FAILED:
+        elif frame.kind is FrameKind.FAILED:
             self._resolve(frame, PeerFailure(PeerProblem.LOST, "handler failed"))
-            return
+        else:
+            self._handle_notice(frame)
+
+    def _handle_notice(self, frame: Frame) -> None:
+        """Handle a note, or a status that acknowledges one."""
         message = unpack(frame.payload, max_bytes=MAX_FRAME_BYTES)
         if isinstance(message, InvalidMessage):
             _LOGGER.warning("peer: bad message.", extra={"why": message.detail})
-            if frame.kind is FrameKind.REQUEST:
-                self._write_frame(FrameKind.REJECTED, frame.number)
             return
-        if frame.kind is FrameKind.REPLY:
-            self._resolve(frame, message)
-        elif frame.kind is FrameKind.NOTE:
+        self._peer_takes_parts = frame.number >= PARTS_VERSION
+        if frame.kind is FrameKind.NOTE:
             self._received_note = message
             self._handle_note(message)
-        elif frame.kind is FrameKind.NOTE_ACK:
+        else:
             self._peer_sends_status = True
             self._handlers.on_status(message)
-        elif frame.kind is FrameKind.REQUEST:
-            self._start_handler(frame.number, message)
+
+    def _handle_part(self, frame: Frame) -> None:
+        if not self._is_wanted(frame):
+            return
+        known = self._parts.is_refused(frame)
+        if self._parts.add(frame).refused and not known:
+            self._refuse(frame)
+
+    def _handle_message(self, frame: Frame) -> None:
+        """Handle a request or a reply, if there is memory for it."""
+        if not self._is_wanted(frame):
+            return
+        is_request = frame.kind is FrameKind.REQUEST
+        payload = self._parts.complete(frame)
+        if is_request:
+            self._last_received_number = max(self._last_received_number, frame.number)
+        if payload.refused:
+            self._refuse(frame)
+            return
+        message = unpack(payload.data, max_bytes=len(payload.data))
+        if isinstance(message, InvalidMessage):
+            _LOGGER.warning("peer: bad message.", extra={"why": message.detail})
+            payload.holding.release()
+            if is_request:
+                self._write_frame(FrameKind.REJECTED, frame.number)
+        elif is_request:
+            self._start_handler(frame.number, message, payload.holding)
+        else:
+            self._resolve(frame, message)
+            payload.holding.release()
+
+    def _is_wanted(self, frame: Frame) -> bool:
+        """Return whether a request is still handled, or a reply waited for."""
+        if frame.kind in (FrameKind.REPLY, FrameKind.REPLY_PART):
+            return self._is_pending(frame.number)
+        return self.open and not self._ending
+
+    def _refuse(self, frame: Frame) -> None:
+        """Refuse a request, or give up one whose reply finds no memory."""
+        _LOGGER.warning(
+            "peer: no memory is left for a message.", extra={"kind": frame.kind.name}
+        )
+        if frame.kind in (FrameKind.REQUEST, FrameKind.REQUEST_PART):
+            self._write_frame(FrameKind.REJECTED, frame.number)
+            return
+        self._write_frame(FrameKind.CANCEL, frame.number)
+        failure = PeerFailure(PeerProblem.LOST, "no memory is left for the reply")
+        self._resolve(frame, failure)
+
+    def _cancel_handler(self, number: int) -> None:
+        self._parts.drop(FrameKind.REQUEST, number)
+        task = self._running.pop(number, None)
+        if task is not None:
+            task.cancel()
 
     def _handle_note(self, note: Any) -> None:
         status = self._handlers.status()
-        payload = b"" if status is None else pack(status)
-        self._write_frame(FrameKind.NOTE_ACK, 0, payload)
+        if status is None:
+            self._write_frame(FrameKind.NOTE_ACK, 0)
+        else:
+            self._write_frame(FrameKind.NOTE_ACK, PARTS_VERSION, pack(status))
         if note is not None:
             self._handlers.on_note(note)
 
@@ -287,17 +428,27 @@
             if number >= first_number and not future.done():
                 future.set_result(failure)
 
-    def _start_handler(self, number: int, message: Any) -> None:
+    def _start_handler(self, number: int, message: Any, holding: Holding) -> None:
         if len(self._running) >= MAX_RUNNING_REQUESTS or self._congested():
+            holding.release()
             self._write_frame(FrameKind.REJECTED, number)
             return
-        task = asyncio.get_running_loop().create_task(self._serve(number, message))
+        serve = self._serve(number, message, holding)
+        task = asyncio.get_running_loop().create_task(serve)
+        task.add_done_callback(lambda _: holding.release())
         self._running[number] = task
 
-    async def _serve(self, number: int, message: Any) -> None:
+    async def _serve(self, number: int, message: Any, holding: Holding) -> None:
         try:
-            reply = await self._handlers.on_request(message)
-            self._write_frame(FrameKind.REPLY, number, pack(reply))
+            payload = pack(await self._handlers.on_request(message))
+            if len(payload) <= PART_BYTES:
+                self._write_frame(FrameKind.REPLY, number, payload)
+            elif self._takes(payload):
+                holding.set(holding.held_bytes + len(payload))
+                await self._send_reply(number, payload)
+            else:
+                _LOGGER.error("peer: reply is too long for the peer.")
+                self._write_frame(FrameKind.FAILED, number)
         except Exception:
             _LOGGER.exception("peer: request failed.")
             self._write_frame(FrameKind.FAILED, number)
--- a/damaskbay/helpers/messages.py
+++ b/damaskbay/helpers/messages.py
@@ -71,7 +71,7 @@
     return _encoder.encode((codec.kind, codec.field_values(item)))
 
 
-def unpack(data: bytes, *, max_bytes: int) -> Any | InvalidMessage:
+def unpack(data: bytes | bytearray, *, max_bytes: int) -> Any | InvalidMessage:
     """Return the decoded message, or InvalidMessage if invalid or over `max_bytes`."""
     if len(data) > max_bytes:
         return InvalidMessage(f"{len(data)} bytes exceed the limit of {max_bytes}")
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -106,6 +106,7 @@
             note=self._make_note,
             status=self._make_status,
             on_status=self._handle_status,
+            memory=memory,
         )
         self._directory = Directory(settings.instance, self._links.up)
         options = QuotaOptions(settings.quota_overage, settings.quota_slack)
