--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -39,6 +39,9 @@
 Further attempts to connect are dropped, which delays the caller by seconds.
 """
 
+BIND_RETRY_S: Final = 0.1
+"""Seconds between attempts to listen on an address that is in use."""
+
 MAX_RESPONSE_BODY_BYTES: Final = 16 * 1024 * 1024
 """Maximum size of one response body."""
 
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -339,7 +339,8 @@
 
     While `draining` is set, each connection closes after the response to the last
     request that was read. `memory` counts what the connections hold of requests and
-    responses. Leaving the context waits up to `close_timeout_s` seconds until complete
+    responses. Entering the context waits up to `bind_wait_s` seconds for an address
+    that is in use. Leaving it waits up to `close_timeout_s` seconds until complete
     responses are sent.
     """
 
@@ -356,12 +357,15 @@
         self.memory = memory or MemoryAccount()
         self.draining = False
         self.close_timeout_s = CLOSE_TIMEOUT_S
+        self.bind_wait_s = 0.0
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
-        self._server = await listen(self.address, lambda: ServerConnection(self))
+        self._server = await listen(
+            self.address, lambda: ServerConnection(self), wait_s=self.bind_wait_s
+        )
         port = self._server.sockets[0].getsockname()[1]
         self.address = PeerAddress(self.address.host, port)
         self._timeout_task = asyncio.create_task(self._check_timeouts())
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -1,26 +1,55 @@
 """Listening TCP sockets, and TCP options that detect an unresponsive peer."""
 
 import asyncio
+import errno
+import logging
 import socket
 from collections.abc import Callable
 
 from damaskbay.adapters.http1.const import (
+    BIND_RETRY_S,
     KEEPALIVE_IDLE_S,
     KEEPALIVE_PROBES,
     LISTEN_BACKLOG,
     USER_TIMEOUT_MS,
 )
+from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
+_LOGGER = logging.getLogger(__name__)
+
 
 async def listen(
-    address: PeerAddress, protocol_factory: Callable[[], asyncio.BaseProtocol]
+    address: PeerAddress,
+    protocol_factory: Callable[[], asyncio.BaseProtocol],
+    *,
+    wait_s: float = 0.0,
 ) -> asyncio.Server:
     """
     Listen on an address; `protocol_factory` creates the protocol of a connection.
 
-    Accepted connections inherit the TCP options of the listening socket.
+    Accepted connections inherit the TCP options of the listening socket. Raise OSError
+    if the address is still in use after `wait_s` seconds: an earlier process may just
+    be ending.
     """
+    ends_at = monotonic_s() + wait_s
+    is_first = True
+    while True:
+        try:
+            return await _listen(address, protocol_factory)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or monotonic_s() >= ends_at:
+                raise
+            if is_first:
+                extra = {"address": str(address), "wait_s": wait_s}
+                _LOGGER.warning("edge: address is in use.", extra=extra)
+            is_first = False
+        await asyncio.sleep(BIND_RETRY_S)
+
+
+async def _listen(
+    address: PeerAddress, protocol_factory: Callable[[], asyncio.BaseProtocol]
+) -> asyncio.Server:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -37,9 +66,9 @@
 
 def set_tcp_options(sock: socket.socket) -> None:
     """Enable keepalive and the user timeout, and disable Nagle's algorithm."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -62,6 +62,7 @@
         self._note = note
         self._status = status
         self._on_status = on_status
+        self.bind_wait_s = 0.0
         self._memory = memory or MemoryAccount()
         self._tasks_by_peer: dict[PeerAddress, asyncio.Task[None]] = {}
         self._links_by_peer: dict[PeerAddress, Link] = {}
@@ -73,7 +74,9 @@
         self._interrupted = False
 
     async def __aenter__(self) -> Self:
-        self._server = await listen(self._address, self._accept)
+        self._server = await listen(
+            self._address, self._accept, wait_s=self.bind_wait_s
+        )
         self._monitor_task = asyncio.create_task(self._monitor_links())
         return self
 
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -36,6 +36,7 @@
 from damaskbay.mesh.const import (
     ACCOUNT_SHARE,
     BASE_MEMORY_BYTES,
+    BIND_WAIT_S,
     EXPIRY_INTERVAL_S,
     LOAD_AVERAGE_S,
     MIN_ACCOUNT_SHARE,
@@ -193,11 +194,9 @@
     async def run(self) -> None:
         """Serve until `stop` is called, then shut down gracefully."""
         async with contextlib.AsyncExitStack() as stack:
-            await stack.enter_async_context(self._links)
-            await stack.enter_async_context(self._control)
-            await stack.enter_async_context(self._readiness)
-            await stack.enter_async_context(self._callers)
-            await self._serve_metrics(stack)
+            if not await self._listen(stack):
+                _LOGGER.info("daemon: is stopped before it serves.")
+                return
             loop = asyncio.get_running_loop()
             for run in (
                 *self._control_plane.tasks(),
@@ -228,6 +227,29 @@
             task.cancel()
         _LOGGER.info("daemon: has stopped.")
 
+    async def _listen(self, stack: contextlib.AsyncExitStack) -> bool:
+        """Open the listeners; return whether that was done before a stop."""
+        loop = asyncio.get_running_loop()
+        listening = loop.create_task(self._open_listeners(stack))
+        stopping = loop.create_task(self._stopping.wait())
+        tasks = (listening, stopping)
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if self._stopping.is_set():
+                return False
+            await listening
+            return True
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _open_listeners(self, stack: contextlib.AsyncExitStack) -> None:
+        for listener in (self._links, self._control, self._readiness, self._callers):
+            listener.bind_wait_s = BIND_WAIT_S
+            await stack.enter_async_context(listener)
+        await self._serve_metrics(stack)
+
     async def _serve_metrics(self, stack: contextlib.AsyncExitStack) -> None:
         """Serve metrics; continue without them if their port is in use."""
         try:
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -18,6 +18,9 @@
 DRAIN_MARGIN_S: Final = 0.4
 """Margin below the drain time limit, seconds: a send may wait for the event loop."""
 
+BIND_WAIT_S: Final = 4.0
+"""Wait at a start for an address that the daemon before still uses, seconds."""
+
 BASE_MEMORY_BYTES: Final = 64 * 1024 * 1024
 """Memory of the process without requests and responses, bytes."""
 
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -15,13 +15,13 @@
 from damaskbay.mesh.app import MeshDaemon
 from damaskbay.mesh.assembly import PlatformParts
 from damaskbay.mesh.settings import MeshSettings
-from damaskbay.platform.__main__ import decode_config
 from damaskbay.platform.const import (
     CONFIG_KEY,
     CONFIG_PREFIX,
     HEADER_NAMES,
     MEMBER_PREFIX,
 )
+from damaskbay.platform.daemon import decode_config
 from damaskbay.platform.heartbeats import HeartbeatListener
 from damaskbay.platform.store import KvStore
 from damaskbay.ports.peer import PeerAddress
--- a/tests/platform/test_settings_reload.py
+++ b/tests/platform/test_settings_reload.py
@@ -17,7 +17,7 @@
     SettingsHistory,
     fields_that_need_a_restart,
 )
-from damaskbay.platform.__main__ import reload_settings
+from damaskbay.platform.daemon import reload_settings
 from damaskbay.platform.settings import load_settings
 from tests.common import function_suite
 
