Keep the connections of callers that read slowly or pause

What callers saw: a response that was ready was cut off (LOST) if its caller read nothing for 4 s, for example because its process was paused, or read steadily but slowly for 15 s.

Accepted connections had a TCP user timeout of 4 s, which ends a connection also while the receive window of a living caller is closed; it is meant for peers and servers that have died. And the limit for callers that read nothing counted from the moment at which the write buffer had filled, whatever was read since.

Change: callers' connections have no user timeout. Each check compares the unsent bytes with those of the check before, and only a caller that has read nothing in between is getting closer to the limit.

Found by reading while looking for the users' LOST; that it is one of those cases is only suspected.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -84,6 +84,7 @@
         self._reading_paused = False
         self._written = WriteBufferHolding(server.memory)
         self._write_paused_since: float | None = None
+        self._unsent_at_check = 0
         self._error_status: http.HTTPStatus | None = None
         self._received_any = False
         self._last_active_at = monotonic_s()
@@ -179,9 +180,7 @@
         if self._transport is None:
             return
         self._count_written()
-        if self._write_paused_since is not None and (
-            now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
-        ):
+        if self._is_write_stalled(now):
             self._transport.abort()
         elif self._ended_at is not None:
             if self.unsent_bytes:
@@ -257,6 +256,16 @@
         if self._transport is not None:
             self._written.update(self._transport.get_write_buffer_size())
 
+    def _is_write_stalled(self, now: float) -> bool:
+        """Return whether the caller has read nothing for WRITE_STALL_TIMEOUT_S."""
+        if self._transport is None or self._write_paused_since is None:
+            return False
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes < self._unsent_at_check:
+            self._write_paused_since = now
+        self._unsent_at_check = unsent_bytes
+        return now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
+
     def _sends_too_slowly(self, now: float) -> bool:
         """Return whether a head takes too long, or a body has stopped arriving."""
         limits = self._server.limits
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -28,9 +28,10 @@
     """
     Listen on an address; `protocol_factory` creates the protocol of a connection.
 
-    Accepted connections inherit the TCP options of the listening socket. Raise OSError
-    if the address is still in use after `wait_s` seconds: an earlier process may just
-    be ending.
+    Accepted connections inherit the keepalive of the listening socket, but no user
+    timeout, which would end those of callers that read nothing for a while. Raise
+    OSError if the address is still in use after `wait_s` seconds: an earlier process
+    may just be ending.
     """
     ends_at = monotonic_s() + wait_s
     is_first = True
@@ -53,7 +54,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        set_tcp_options(sock)
+        set_keepalive(sock)
         sock.setblocking(False)
         sock.bind((address.host, address.port))
         return await asyncio.get_running_loop().create_server(
@@ -65,8 +66,18 @@
 
 
 def set_tcp_options(sock: socket.socket) -> None:
-    """Enable keepalive and the user timeout, and disable Nagle's algorithm."""
+    """
+    Set the options of a connection to a server or a peer.
+
+    Data that is not acknowledged, or finds the receive window closed, for
+    USER_TIMEOUT_MS ends the connection.
+    """
+    set_keepalive(sock)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def set_keepalive(sock: socket.socket) -> None:
+    """Enable keepalive, and disable Nagle's algorithm."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
