Let the soak bring signals, memory and descriptors to their limits

The soak left SIGHUP out for the first 3 s of a process, which hid that it ends one that starts. It now sends series of SIGHUPs that meet starts, stops and each other, empties the settings file as it writes it, publishes sets with 2,000 more routes, moves callers to one machine, resets connections to the store, lets servers send bodies in short chunks without end, lets callers send bodies of 1 to 7 MB at the same time and gives daemons 160 descriptors in every third seed.

It fails if a daemon ends that was not asked to, exceeds 300 MB, or stops with another status than 0; and if an undisturbed machine closes a connection without the response to a request that a sound server ran.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,7 +13,7 @@
 from damaskbay.core.call import Headers, Request, Response
 from damaskbay.ports.peer import PeerAddress
 from tests.soak.machines import Machine
-from tests.soak.planned import OVERDUE, OVERDUE_S
+from tests.soak.planned import CALLER_CLOSED, OVERDUE, OVERDUE_S
 from tests.soak.records import SentRequest
 from tests.soak.servers import HOST_HEADER
 
@@ -77,6 +77,7 @@
         self._writer = writer
         self._waiting: deque[SentRequest] = deque()
         self.open = True
+        self._gave_up = False
 
     @classmethod
     async def connect(
@@ -124,12 +125,15 @@
     async def read(self, sent: SentRequest, read_s: float = 0.0) -> None:
         """Read the response to the oldest request, slowly over `read_s` seconds."""
         sent.read_s = read_s
+        if self._gave_up:
+            sent.failure = sent.failure or CALLER_CLOSED
         timeout_s = sent.limit_s + OVERDUE_S + 2.0 * read_s
         try:
             async with asyncio.timeout(timeout_s):
                 sent.response = await self._read_response(sent, read_s)
         except TimeoutError:
             sent.failure = sent.failure or OVERDUE
+            self._gave_up = True
             self.close()
         except (OSError, asyncio.IncompleteReadError, ValueError) as error:
             sent.failure = sent.failure or _describe(error)
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -5,10 +5,11 @@
 import itertools
 import json
 import os
+import resource
 import signal
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -22,15 +23,17 @@
 from tests.common import reserve_address
 from tests.mesh.common import HOST
 from tests.soak.proxy import LoopbackProxy
-from tests.soak.records import ExecutionLog, Stop
+from tests.soak.records import Disturbance, ExecutionLog, Stop
 from tests.soak.servers import ServerOptions, SoakServer
 
 SLOTS = 8
 DRAIN_S = 2.0
 REVOKE_S = 5.0
 READY_TIMEOUT_S = 15.0
-SIGNAL_HANDLERS_SET_S = 3.0
-"""Seconds after its start at which a daemon handles SIGHUP, which ends it before."""
+MEMORY_MB = 300
+WATCH_INTERVAL_S = 0.05
+TORN_WRITE_RANGE_S = (0.01, 0.3)
+"""Seconds for which a settings file that is being written is empty."""
 
 _NETWORK = f"127.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}"
 """Loopback network of this process; the metrics port is fixed, so hosts must differ."""
@@ -40,7 +43,11 @@
 
 @dataclass(frozen=True)
 class MachineOptions:
-    """Name and place of a machine, grace time in seconds, service times."""
+    """
+    Name and place of a machine, grace time in seconds, service times.
+
+    The daemon may have `max_fds` descriptors, None for no limit of its own.
+    """
 
     name: str
     failure_domain: str
@@ -48,6 +55,7 @@
     grace_s: float
     long_share: float
     makes_nested_calls: bool
+    max_fds: int | None = None
 
 
 class FaultyStore:
@@ -78,7 +86,8 @@
     Daemon process with its backend server, behind proxies that inject faults.
 
     Signals go only to the process that was started here, by its process id. `stops`
-    holds the stops of all its daemon processes.
+    holds the stops of all its daemon processes, `own_ends` how processes ended that
+    were not asked to. As the platform does, it kills one that exceeds its memory.
     """
 
     def __init__(
@@ -96,6 +105,14 @@
         self.drain_acked_at: float | None = None
         self.state = "ready"
         self.stops: list[Stop] = []
+        self.own_ends: list[str] = []
+        self.disturbances: list[Disturbance] = []
+        self.server_disturbances: list[Disturbance] = []
+        self.peak_kib = 0
+        self._max_fds = options.max_fds
+        self._asked_to_end: set[int] = set()
+        self._killed: set[int] = set()
+        self._watch_tasks: set[asyncio.Task[None]] = set()
         self._host = f"{_NETWORK}.{next(_hosts) % 250 + 1}"
         self.caller_address = self._new_address()
         self._control_address = self._new_address()
@@ -118,7 +135,7 @@
         self.backend = SoakServer(server_options, execution_log, rng)
         self.proxy: LoopbackProxy
         self._process: asyncio.subprocess.Process | None = None
-        self._process_started_at = 0.0
+        self._closing = False
         self._stopped_process: asyncio.subprocess.Process | None = None
         self._born_ms = int(time.time() * 1000)
         self._sequence = 0
@@ -138,6 +155,8 @@
 
     async def start_daemon(self) -> None:
         """Start the daemon process; its output is appended to a log file."""
+        if self._closing:
+            return
         log = (self._folder / f"{self.name}.log").open("ab")
         environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_path())}
         self._process = await asyncio.create_subprocess_exec(
@@ -147,9 +166,33 @@
             stdout=log,
             stderr=log,
             env=environment,
+            preexec_fn=self._limit_descriptors,
         )
-        self._process_started_at = time.monotonic()
         log.close()
+        watching = asyncio.create_task(self._watch(self._process))
+        self._watch_tasks.add(watching)
+        watching.add_done_callback(self._watch_tasks.discard)
+
+    def _limit_descriptors(self) -> None:
+        """Limit the descriptors of the process that is being started."""
+        if self._max_fds is not None:
+            limits = (self._max_fds, self._max_fds)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        """Kill a daemon that exceeds its memory; record how it ended by itself."""
+        exceeded = ""
+        while process.returncode is None:
+            used_kib = _read_status(process.pid, "VmRSS", 10)
+            self.peak_kib = max(self.peak_kib, used_kib)
+            if used_kib > MEMORY_MB * 1024 and not exceeded:
+                exceeded = f"used {used_kib} KiB, "
+                process.kill()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WATCH_INTERVAL_S):
+                    await process.wait()
+        if process.pid not in self._asked_to_end or exceeded:
+            self.own_ends.append(f"{exceeded}exit status {process.returncode}")
 
     @property
     def running(self) -> bool:
@@ -164,8 +207,34 @@
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the daemon process if it is running."""
         if self._process is not None and self._process.returncode is None:
+            if number in (signal.SIGKILL, signal.SIGTERM):
+                self._asked_to_end.add(self._process.pid)
+            if number is signal.SIGKILL:
+                self._killed.add(self._process.pid)
             self._process.send_signal(number)
 
+    def handles_signals(self) -> bool:
+        """Return whether the process handles SIGHUP by now, or lets it wait."""
+        if self._process is None or self._process.returncode is not None:
+            return False
+        pid, bit = self._process.pid, 1 << (signal.SIGHUP - 1)
+        handled = _read_status(pid, "SigBlk", 16) | _read_status(pid, "SigCgt", 16)
+        return bool(handled & bit)
+
+    def disturbed(self) -> contextlib.AbstractContextManager[None]:
+        """Record a disturbance of the machine."""
+        return _record_disturbance(self.disturbances)
+
+    def disturbed_server(self) -> contextlib.AbstractContextManager[None]:
+        """Record a disturbance of the way to the server, which is not sound then."""
+        return _record_disturbance(self.server_disturbances)
+
+    def reset_store_connections(self) -> None:
+        """Reset the daemon's connections to the store."""
+        for connection in tuple(self._store_server.connections):
+            if connection._transport is not None:
+                connection._transport.abort()
+
     async def stop_daemon(self) -> bool | None:
         """
         Send SIGTERM, wait until the daemon has exited, kill it after the grace time.
@@ -177,9 +246,10 @@
         if not self.running or self.stopping or process is None:
             return None
         self._stopped_process = process
+        handled = self.handles_signals()
         stop = Stop(time.monotonic(), self.grace_s)
         self.stops.append(stop)
-        process.send_signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
         in_time = True
         try:
             async with asyncio.timeout(self.grace_s):
@@ -189,25 +259,41 @@
             process.kill()
             await process.wait()
         stop.exited_at = time.monotonic()
+        was_killed = process.pid in self._killed
+        if in_time and handled and process.returncode and not was_killed:
+            self.own_ends.append(f"stopped with exit status {process.returncode}")
         return in_time
 
     def change_settings(self, *, with_signal: bool) -> None:
-        """Change the settings file; send SIGHUP to a daemon that can handle it."""
+        """Change the settings file; with a signal, send SIGHUP to the daemon."""
         self._quota_slack += 1
         changed_path = self._settings_path().with_suffix(".new")
         changed_path.write_text(self._settings_toml())
         changed_path.replace(self._settings_path())
-        age_s = time.monotonic() - self._process_started_at
-        if with_signal and age_s > SIGNAL_HANDLERS_SET_S:
+        if with_signal:
+            self.hang_up()
+
+    def hang_up(self) -> None:
+        """Send SIGHUP, unless the interpreter hasn't begun to run the daemon."""
+        if self.handles_signals():
             self.send_signal(signal.SIGHUP)
 
+    async def tear_settings(self, empty_s: float) -> None:
+        """Write the settings file anew in place; it is empty for a while."""
+        self._settings_path().write_text("")
+        self.hang_up()
+        await asyncio.sleep(empty_s)
+        self._settings_path().write_text(self._settings_toml())
+        self.hang_up()
+
     async def wait(self) -> None:
         """Wait until the daemon process has exited."""
         if self._process is not None:
             await self._process.wait()
 
     async def kill(self) -> None:
-        """Kill the daemon process, also a paused one, and wait until it has exited."""
+        """Kill the daemon process, also a paused one; start none any more."""
+        self._closing = True
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal.SIGKILL)
         await self.wait()
@@ -285,6 +371,8 @@
 Outbound = "{self.caller_address}"
 Readiness = "{self._readiness_address}"
 Control = "{self._control_address}"
+[Limits]
+MemoryMb = {MEMORY_MB}
 [Bounds]
 Drain = "{DRAIN_S}s"
 Grace = "{self.grace_s}s"
@@ -298,6 +386,25 @@
 """
 
 
+@contextlib.contextmanager
+def _record_disturbance(disturbances: list[Disturbance]) -> Iterator[None]:
+    disturbance = Disturbance(time.monotonic())
+    disturbances.append(disturbance)
+    try:
+        yield
+    finally:
+        disturbance.ended_at = time.monotonic()
+
+
+def _read_status(pid: int, name: str, base: int) -> int:
+    """Return a value of the status of a process, 0 if it has ended."""
+    with contextlib.suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith(f"{name}:"):
+                return int(line.split()[1], base)
+    return 0
+
+
 async def _request(address: PeerAddress, request: Request) -> Response | None:
     client = HttpClient(address, HttpClientOptions(connect_timeout_s=0.5))
     outcome = await client.send(request, timeout_s=1.0)
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -18,6 +18,9 @@
 OVERDUE = "no response after the time limit"
 """Failure of a request that its caller gave up OVERDUE_S after the limit."""
 
+CALLER_CLOSED = "closed by the caller"
+"""Failure of a request behind one that its caller gave up."""
+
 LAST_SHARE = 1.0 / 6.0
 """Last part of the grace time, 0 to 1, in which a running request may be cut."""
 
@@ -71,6 +74,8 @@
         return None
     if sent.response is not None and _has_stamp(sent):
         return None
+    if sent.failure == CALLER_CLOSED:
+        return None
     if sent.failure == OVERDUE:
         waits_for_caller = sent.is_behind or sent.read_s
         return None if waits_for_caller else f"{OVERDUE} of {sent.limit_s:.1f} s"
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,8 +7,22 @@
 from damaskbay.core.call import Response
 from tests.soak.limits import LimitRecord
 from tests.soak.machines import REVOKE_S
-from tests.soak.planned import LagRecorder, find_interruption
-from tests.soak.records import Execution, ExecutionLog, SentRequest, Stop
+from tests.soak.planned import (
+    CALLER_CLOSED,
+    OVERDUE,
+    LagRecorder,
+    find_interruption,
+)
+from tests.soak.records import (
+    Disturbance,
+    Execution,
+    ExecutionLog,
+    SentRequest,
+    Stop,
+)
+
+CONTACT_S = 3.0
+"""Seconds without a disturbance after which a machine is sound again."""
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 DRAIN_ARRIVAL_SLACK_S = 0.3
@@ -91,6 +105,38 @@
         for excess in limits.find_excess():
             self.violations.append(f"{machine}: its server got {excess}")
 
+    def check_own_ends(self, machine: str, own_ends: Sequence[str]) -> None:
+        """Check that no daemon ended without being asked to."""
+        self.violations.extend(f"{machine}: ended by itself, {end}" for end in own_ends)
+
+    def check_lost(
+        self,
+        requests: Sequence[SentRequest],
+        disturbed_by_machine: Mapping[str, Sequence[Disturbance]],
+        unsound_by_machine: Mapping[str, Sequence[Disturbance]],
+    ) -> None:
+        """
+        Check that undisturbed machines answered what sound servers have run.
+
+        `unsound_by_machine` holds when the server of a machine was not sound.
+        """
+        for sent in requests:
+            executions = self.execution_log.of_request(sent.request_id)
+            closed = sent.ended_at and sent.response is None
+            if not closed or not executions or sent.failure in (OVERDUE, CALLER_CLOSED):
+                continue
+            start, end = sent.sent_at - CONTACT_S, sent.ended_at
+            if any(
+                disturbance.touches(start, end)
+                for disturbance in disturbed_by_machine[sent.machine]
+            ) or any(
+                disturbance.touches(start, end)
+                for execution in executions
+                for disturbance in unsound_by_machine[execution.machine]
+            ):
+                continue
+            self._record_violation(sent, f"ran, but was closed: {sent.failure}")
+
     def record_late_stop(self, machine: str) -> None:
         """Record a daemon that was still running at the end of its grace time."""
         if self.planned:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -8,6 +8,9 @@
 from damaskbay.ports.peer import PeerAddress
 
 CHUNK_BYTES = 65_536
+ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_CHUNKS = b"2\r\nxx\r\n" * 1024
+ENDLESS_PAUSE_S = 0.002
 
 
 @dataclass
@@ -17,12 +20,14 @@
 
     `delay_s` delays each chunk. `drop_all` drops the data of both directions,
     `drop_from_server` only that of the server. `reset_new` resets new connections.
+    With `endless`, a body in short chunks without an end replaces each response.
     """
 
     delay_s: float = 0.0
     drop_all: bool = False
     drop_from_server: bool = False
     reset_new: bool = False
+    endless: bool = False
 
 
 class LoopbackProxy:
@@ -73,6 +78,14 @@
         )
         self._writers -= {writer, server_writer}
 
+    async def _send_without_end(self, writer: asyncio.StreamWriter) -> None:
+        """Send chunks until the other end closes, or the fault ends."""
+        writer.write(ENDLESS_HEAD)
+        while self.faults.endless and not writer.is_closing():
+            writer.write(ENDLESS_CHUNKS)
+            await writer.drain()
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+
     async def _forward(
         self,
         reader: asyncio.StreamReader,
@@ -89,6 +102,9 @@
                     from_server and self.faults.drop_from_server
                 ):
                     continue
+                if from_server and self.faults.endless:
+                    await self._send_without_end(writer)
+                    break
                 writer.write(chunk)
                 await writer.drain()
         writer.close()
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -67,6 +67,20 @@
         return self.response.status if self.response is not None else 0
 
 
+@dataclass
+class Disturbance:
+    """Time in which a machine, or the way to its server, is not sound; seconds."""
+
+    started_at: float
+    ended_at: float | None = None
+
+    def touches(self, start: float, end: float) -> bool:
+        """Return whether it overlaps the time between two moments."""
+        return self.started_at <= end and (
+            self.ended_at is None or self.ended_at >= start
+        )
+
+
 @dataclass
 class Stop:
     """SIGTERM of a daemon; `exited_at` is None while it runs; times in seconds."""
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -163,8 +163,10 @@
             or self._rng.random() >= NESTED_SHARE
         ):
             return True
+        run = len(self._executions.of_request(request_id))
         for number in range(self._rng.randint(1, 2)):
-            nested_id = f"{request_id}{SEPARATOR}{number}"
+            # A request that runs again makes calls of its own, with ids of their own.
+            nested_id = f"{request_id}{SEPARATOR}{10 * run + number}"
             if not await self._make_nested_call(nested_id, ends_at):
                 return False
         return True
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,10 +13,15 @@
 from tests.mesh.common import HEALTH_PATH
 from tests.platform.kv_stand_in import KvStandIn
 from tests.soak.callers import MachineCallers, RequestSource, send_once
-from tests.soak.machines import DRAIN_S, Machine, MachineOptions
+from tests.soak.machines import (
+    DRAIN_S,
+    TORN_WRITE_RANGE_S,
+    Machine,
+    MachineOptions,
+)
 from tests.soak.planned import LagRecorder
 from tests.soak.promises import InvariantChecker
-from tests.soak.records import ExecutionLog
+from tests.soak.records import Disturbance, ExecutionLog
 from tests.soak.servers import QUICK_TARGET
 
 DOMAINS = ("a", "b")
@@ -34,6 +39,9 @@
 NESTED_POOL = "two"
 """Pool of the open route, which servers of the other pool call."""
 
+_EXTRA = {"Kind": "safe", "Service": NESTED_POOL, "AuthExempt": True}
+"""Fields of the routes of a big set, which no caller uses."""
+
 NAMED_LIMITS = (0.0, 0.7, 2.0, 5.0, 12.5)
 """Limits that servers name, requests per second."""
 
@@ -44,6 +52,13 @@
 SIGNAL_SHARE = 0.3
 """Part of the stops, 0 to 1, with another signal before them, or during them."""
 
+LIMITED_FDS = 160
+"""Descriptors of a daemon in seeds in which they are short."""
+
+BIG_CONFIG_ROUTES = (350, 2000)
+SIGNALS_RANGE = (1, 12)
+"""Number of SIGHUPs in one series."""
+
 STOP_AFTER_START_SHARE = 0.25
 """Part of the restarts, 0 to 1, that are followed by another stop at once."""
 
@@ -56,7 +71,8 @@
     `planned` means that the only faults are stops, set changes, changed settings, and
     slow and draining servers. `long_share` is the part of requests, 0 to 1, that take
     long at their server. `pipelines` adds callers that pipeline requests, `limits`
-    servers that name limits, change and drop them.
+    servers that name limits, change and drop them, `harsh` the faults that bring
+    memory, descriptors and signals to their limits.
     """
 
     seed: int
@@ -67,6 +83,7 @@
     long_share: float = 0.1
     pipelines: bool = True
     limits: bool = False
+    harsh: bool = False
 
 
 def options_of(
@@ -76,7 +93,13 @@
     planned = planned or seed % PLANNED_SEED_INTERVAL == 0
     grace_s = PLANNED_GRACE_S if planned else GRACE_S
     return SoakOptions(
-        seed, machine_count, fault_duration_s, planned, grace_s, limits=True
+        seed,
+        machine_count,
+        fault_duration_s,
+        planned,
+        grace_s,
+        limits=True,
+        harsh=True,
     )
 
 
@@ -98,6 +121,7 @@
         self._timeout_s = PLANNED_TIMEOUT_S if options.planned else TIMEOUT_S
         self._source = RequestSource(options.seed, self._caller_rng, self._timeout_s)
         self._version = 0
+        self._extra_routes = 0
         self.events: list[str] = []
         self._started_at = 0.0
         self._machines = [
@@ -113,6 +137,7 @@
 
     def _machine_options(self, number: int) -> MachineOptions:
         pool = POOLS[number // 2 % 2]
+        is_short = self._options.harsh and self._options.seed % 3 == 0
         return MachineOptions(
             f"m{number}",
             DOMAINS[number % 2],
@@ -120,6 +145,7 @@
             self._options.grace_s,
             self._options.long_share,
             makes_nested_calls=pool != NESTED_POOL,
+            max_fds=LIMITED_FDS if is_short else None,
         )
 
     async def run_seed(self) -> list[str]:
@@ -152,11 +178,31 @@
             self.checker.check_executions(requests)
             for machine in self._machines:
                 self.checker.check_limits(machine.name, machine.backend.limits)
+                self.checker.check_own_ends(machine.name, machine.own_ends)
+            self._check_lost()
             if self.checker.planned:
                 stops = {machine.name: machine.stops for machine in self._machines}
                 self.checker.check_interruptions(requests, stops, lag)
         return self.checker.violations
 
+    def _check_lost(self) -> None:
+        """Check that no sound machine closed a connection without its response."""
+        unsound = {
+            machine.name: [*machine.disturbances, *machine.server_disturbances]
+            for machine in self._machines
+        }
+        disturbed = {
+            machine.name: [
+                *machine.disturbances,
+                *(
+                    Disturbance(stop.started_at, stop.exited_at)
+                    for stop in machine.stops
+                ),
+            ]
+            for machine in self._machines
+        }
+        self.checker.check_lost(self._source.requests, disturbed, unsound)
+
     async def _run_callers(self) -> None:
         """Run the callers of all machines until cancelled."""
         on_end, pipelines = self.checker.check_response, self._options.pipelines
@@ -199,6 +245,10 @@
             for path, kind in paths
         ]
         service = {"MaxConnections": 90, "HealthCheckPath": HEALTH_PATH}
+        entries += [
+            ("Routes", f"extra-{number}", {**spec, **_EXTRA, "Prefix": f"/x{number}/"})
+            for number in range(self._extra_routes)
+        ]
         entries += [("Services", pool, service) for pool in POOLS]
         for workspace in sorted(set(self._workspaces_by_key.values())):
             keys = [
@@ -234,6 +284,16 @@
                 self._server,
                 self._server,
             ]
+        if self._options.harsh:
+            faults += [
+                self._hang_up,
+                self._hang_up_several,
+                self._tear_settings,
+                self._big_config,
+                self._shift,
+            ]
+        if self._options.harsh and not self.checker.planned:
+            faults += [self._reset_store, self._endless, self._upload]
         end = time.monotonic() + self._options.fault_duration_s
         async with asyncio.TaskGroup() as group:
             while time.monotonic() < end:
@@ -268,15 +328,92 @@
 
     async def _kill(self, machine: Machine) -> None:
         """Kill the daemon and start it again."""
-        machine.send_signal(signal.SIGKILL)
-        await machine.wait()
-        await self._restart(machine)
+        with machine.disturbed():
+            machine.send_signal(signal.SIGKILL)
+            await machine.wait()
+            await self._restart(machine)
 
     async def _pause(self, machine: Machine) -> None:
         """Suspend the daemon process for a while."""
-        machine.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self._rng.uniform(0.2, 6.0))
-        machine.send_signal(signal.SIGCONT)
+        with machine.disturbed():
+            machine.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.2, 6.0))
+            machine.send_signal(signal.SIGCONT)
+
+    async def _hang_up(self, machine: Machine) -> None:
+        """Send a series of SIGHUPs, some of them with changed settings."""
+        for _ in range(self._rng.randint(*SIGNALS_RANGE)):
+            if self._rng.random() < SIGNAL_SHARE:
+                machine.change_settings(with_signal=False)
+            machine.hang_up()
+            await asyncio.sleep(self._rng.expovariate(10.0))
+
+    async def _hang_up_several(self, _machine: Machine) -> None:
+        """Restart a machine while series of SIGHUPs meet it and others."""
+        count = self._rng.randint(2, max(2, len(self._machines) // 2))
+        machines = self._rng.sample(self._machines, count)
+        async with asyncio.TaskGroup() as group:
+            for machine in machines:
+                group.create_task(self._hang_up(machine))
+                await asyncio.sleep(self._rng.uniform(0.0, 0.3))
+            group.create_task(self._stop(machines[0]))
+            for _ in range(SIGNALS_RANGE[1]):
+                await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+                machines[0].hang_up()
+
+    async def _tear_settings(self, machine: Machine) -> None:
+        """Write the settings file in place, during a restart, too."""
+        empty_s = self._rng.uniform(*TORN_WRITE_RANGE_S)
+        if self._rng.random() < SIGNAL_SHARE:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._stop(machine))
+                group.create_task(machine.tear_settings(empty_s))
+            return
+        await machine.tear_settings(empty_s)
+
+    async def _big_config(self, _machine: Machine) -> None:
+        """Publish a set with many more routes, and go back some time later."""
+        self._extra_routes = self._rng.choice(BIG_CONFIG_ROUTES)
+        await self._publish()
+        await asyncio.sleep(self._rng.uniform(0.5, 3.0))
+        self._extra_routes = 0
+        await self._publish()
+
+    async def _shift(self, machine: Machine) -> None:
+        """Let many more callers come to one machine for some seconds."""
+        callers = MachineCallers(
+            machine, self._source, self._caller_rng, self.checker.check_response, 1.0
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._rng.uniform(1.0, 4.0)):
+                async with asyncio.TaskGroup() as group:
+                    for _ in range(self._rng.randint(2, 6)):
+                        group.create_task(callers.run(pipelines=True))
+
+    async def _reset_store(self, machine: Machine) -> None:
+        """Reset the connections to the store, in series."""
+        for _ in range(self._rng.randint(1, 5)):
+            machine.reset_store_connections()
+            await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+
+    async def _endless(self, machine: Machine) -> None:
+        """Let a server send bodies in short chunks without an end."""
+        with machine.disturbed_server():
+            machine.proxy.faults.endless = True
+            await asyncio.sleep(self._rng.uniform(0.5, 3.0))
+            machine.proxy.faults.endless = False
+
+    async def _upload(self, machine: Machine) -> None:
+        """Let callers send long bodies at the same time."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self._rng.randint(1, 6)):
+                group.create_task(self._send_upload(machine))
+
+    async def _send_upload(self, machine: Machine) -> None:
+        sent, request = self._source.new(machine, "unsafe", ["k1"])
+        body = bytes(self._rng.randint(1, 7) * 1024 * 1024)
+        await send_once(machine, sent, replace(request, body=body))
+        self.checker.check_response(sent)
 
     async def _stop(self, machine: Machine) -> None:
         """Stop the daemon gracefully, sometimes with other signals, and restart it."""
@@ -361,6 +498,10 @@
 
     async def _server(self, machine: Machine) -> None:
         """Inject a network fault between the daemon and its backend server."""
+        with machine.disturbed_server():
+            await self._disturb_server(machine)
+
+    async def _disturb_server(self, machine: Machine) -> None:
         faults = machine.proxy.faults
         kind = self._rng.choice(
             ["delay", "reset", "drop_all", "drop_from_server", "reset_new"]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -83,6 +83,15 @@
     assert not violations, violations
 
 
+# A SIGHUP during a start ended the process; short chunks made it exceed its memory.
+def test_signals_and_full_memory_end_no_daemon() -> None:
+    """Series of SIGHUPs, torn settings, large sets, uploads and endless bodies."""
+    violations = _run_soak(
+        SoakOptions(seed=36, machine_count=4, fault_duration_s=12.0, harsh=True)
+    )
+    assert not violations, violations
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Return a suite of the test functions in this module."""
     return function_suite(globals())
