Send a request again to its own server only within the retry budget

Cause: a safe request whose reused connection closed before any byte of the response was sent to its server once more at once. That the connection was closed before the server had received the request was assumed, not known, so neither the budget nor the state of the server was asked.

Change: the repeat spends a retry of the server's budget and needs a server that still takes calls. Without them the failure goes to the dispatcher, which may try another.

--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -253,13 +253,19 @@
         return None
 
     async def _send(self, context: CallContext, request: Request) -> Response | Refusal:
-        """Send once; retry only if a reused connection turned out to be closed."""
+        """
+        Send once; repeat only if a reused connection turned out to be closed.
+
+        The server may have received the request before it closed, so that the repeat
+        needs the retry budget and a server that still takes calls.
+        """
         start = self._parts.local.start
         outcome = await self._send_once(context, request, context.idempotent)
         if (
             isinstance(outcome, HttpFailure)
             and outcome.problem is HttpProblem.STALE
             and context.idempotent
+            and self._may_repeat(context)
         ):
             self._parts.gate.record_extra_start(self._parts.clock())
             outcome = await self._send_once(context, request, False)
@@ -269,6 +275,13 @@
             return self._handle_failure(context, outcome)
         return self._classify_response(context, outcome, start)
 
+    def _may_repeat(self, context: CallContext) -> bool:
+        """Return whether the server may get a call again; spend a retry for it."""
+        parts = self._parts
+        if not parts.local.may_send(parts.clock()):
+            return False
+        return parts.repeats.spend(nested=context.depth > 0)
+
     async def _send_once(
         self, context: CallContext, request: Request, reuse_connection: bool
     ) -> Response | HttpFailure:
--- /dev/null
+++ b/tests/mesh/test_repeats.py
@@ -0,0 +1,100 @@
+"""Which calls the daemon sends to its server again after a connection was closed."""
+
+import asyncio
+import contextlib
+import unittest
+from collections.abc import AsyncIterator
+from typing import cast
+from unittest.mock import patch
+
+from damaskbay.mesh.const import RETRY_RATIO_SHARE, RETRY_SLACK_SHARE
+from damaskbay.mesh.local_server import LocalServer
+from tests.common import function_suite, reserve_address
+from tests.mesh.common import Backend, Fleet, Node
+
+REQUESTS = 60
+RETRY_RATIO = 0.2
+RETRY_SLACK = 50.0
+
+
+class _ResettingServer(asyncio.Protocol):
+    """Answers the first request of a connection; resets it at the next one."""
+
+    def __init__(self, arrivals: list[str]) -> None:
+        self._arrivals = arrivals
+        self._transport: asyncio.Transport | None = None
+        self._answered = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast("asyncio.Transport", transport)
+
+    def data_received(self, data: bytes) -> None:
+        assert self._transport is not None
+        lines = data.decode().split("\r\n")
+        headers = dict(line.split(": ", 1) for line in lines[1:] if ": " in line)
+        request_id = headers.get("X-Request-Id", "")
+        if request_id:
+            self._arrivals.append(request_id)
+        if self._answered:
+            self._transport.abort()
+            return
+        self._answered = True
+        head = f"X-Request-Id: {request_id}\r\nX-Server-Stamp: s\r\n"
+        answer = f"HTTP/1.1 200 OK\r\n{head}Content-Length: 0\r\n\r\n"
+        self._transport.write(answer.encode())
+
+
+@contextlib.asynccontextmanager
+async def _resetting_server() -> AsyncIterator[tuple[Fleet, Node, list[str]]]:
+    """Yield a fleet of one daemon whose server resets reused connections."""
+    arrivals: list[str] = []
+    address = reserve_address()
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: _ResettingServer(arrivals), address.host, address.port
+    )
+    async with server, contextlib.AsyncExitStack() as stack:
+        fleet = Fleet(stack)
+        await fleet.start()
+        await fleet.publish()
+        backend = Backend("one", "i-a", address)
+        node = await fleet.add_daemon(
+            "a", backend, retry_ratio=RETRY_RATIO, retry_slack=RETRY_SLACK
+        )
+        await node.send_heartbeat()
+        yield fleet, node, arrivals
+
+
+# Guards against BUDGET: each request whose server crashed was sent to it twice.
+def test_repeats_after_a_closed_connection_need_the_retry_budget() -> None:
+    """The server may have received the request before it closed."""
+
+    async def run() -> None:
+        async with _resetting_server() as (_, node, arrivals):
+            for _ in range(REQUESTS):
+                await node.request("/safe/x")
+            repeats = len(arrivals) - len(set(arrivals))
+            ratio = RETRY_RATIO_SHARE * RETRY_RATIO
+            allowed = RETRY_SLACK_SHARE * RETRY_SLACK + ratio * REQUESTS
+            assert 0 < repeats <= allowed, repeats
+
+    asyncio.run(run())
+
+
+# Guards against DRAIN: a repeat reached a server that had left since the first send.
+def test_a_server_that_has_left_gets_no_repeat() -> None:
+    """The connection is closed after the drain time."""
+
+    async def run() -> None:
+        async with _resetting_server() as (_, node, arrivals):
+            assert (await node.request("/safe/x")).status == 200
+            with patch.object(LocalServer, "may_send", side_effect=[True, False]):
+                await node.request("/safe/x")
+            assert len(arrivals) == 2, arrivals
+
+    asyncio.run(run())
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
