Check that callers' connections inherit keepalive and no user timeout

The test asked that accepted connections have a TCP user timeout. The test now asks for the exact values of five options, among them a user timeout of 0, instead of any value but 0 of three.

--- a/tests/adapters/http1/test_server.py
+++ b/tests/adapters/http1/test_server.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+from damaskbay.adapters.http1.const import KEEPALIVE_IDLE_S, KEEPALIVE_PROBES
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
@@ -177,13 +178,19 @@
     _run(exchange)
 
 
-def test_accepted_connections_inherit_how_peers_are_watched() -> None:
-    """Accepted connections inherit the TCP options; this saves six system calls."""
-    options = [
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
-    ]
+def test_accepted_connections_inherit_how_callers_are_watched() -> None:
+    """
+    Accepted connections inherit the TCP options; this saves five system calls.
+
+    They have no user timeout: it would end a caller that reads nothing for a while.
+    """
+    values_by_option = {
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE): 1,
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY): 1,
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE): KEEPALIVE_IDLE_S,
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT): KEEPALIVE_PROBES,
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT): 0,
+    }
 
     async def exchange(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter, server: HttpServer
@@ -193,7 +200,8 @@
         (connection,) = server.connections
         assert connection._transport is not None
         sock = connection._transport.get_extra_info("socket")
-        assert all(sock.getsockopt(*option) for option in options)
+        inherited = {option: sock.getsockopt(*option) for option in values_by_option}
+        assert inherited == values_by_option
 
     _run(exchange)
 
