Serve a request that offers an upgrade with its body

What callers saw: a request with `Connection: Upgrade` and `Upgrade: h2c`, which some HTTP clients send by default, ran without its body and got 200.

Cause: for an offered upgrade the parser library ends the message after its head, and raises an exception with the rest. The request had been passed on by then.

Change: such a request is not passed on. Its head is parsed once more without the offer, which a server may ignore (RFC 9110, 7.8), and then the rest. CONNECT gets 400; before, it was served, and 400 followed.

--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -76,9 +76,7 @@
         """Parse bytes of one or more requests; raise BadRequestError if invalid."""
         self._limits, self._now = limits, now
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
+            self._feed(data)
         except httptools.HttpParserError as error:
             cause = error.__context__
             if isinstance(cause, BadRequestError):
@@ -86,6 +84,30 @@
             raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
         self._count_header_bytes(len(data))
 
+    def _feed(self, data: bytes) -> None:
+        """Parse bytes; a request that offers an upgrade is parsed without the offer."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as offer:
+            if self._parser.get_method() == b"CONNECT":
+                raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from offer
+            head = self._head_without_upgrade()
+            self._parser = httptools.HttpRequestParser(self)
+            self._feed(head + data[offer.args[0] :])
+
+    def _head_without_upgrade(self) -> bytes:
+        """Return the head of the current request as if it offered no upgrade."""
+        partial = self._partial
+        version = self._parser.get_http_version().encode()
+        method = self._parser.get_method()
+        lines = [method + b" " + partial.target + b" HTTP/" + version]
+        for name, value in partial.headers:
+            lower = name.lower()
+            kept = _without_upgrade(value) if lower == "connection" else value
+            if lower != "upgrade" and (kept or lower != "connection"):
+                lines.append(f"{name}: {kept}".encode("latin-1"))
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def close(self) -> None:
         """Forget the incomplete request."""
         self._partial.holding.release()
@@ -124,6 +146,8 @@
         """
         self.in_headers = False
         self._header_bytes = 0
+        if self._parser.should_upgrade():
+            return
         length = self._partial.length or 0
         if length > self._limits.max_body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -141,7 +165,9 @@
         received += body
 
     def on_message_complete(self) -> None:
-        """Pass on a complete request."""
+        """Pass on a complete request, except one whose head is parsed again."""
+        if self._parser.should_upgrade():
+            return
         partial = self._partial
         self._partial = _PartialRequest(Holding(self._memory))
         request = Request(
@@ -166,3 +192,9 @@
         self._header_bytes += count
         if self._header_bytes > self._limits.max_header_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+
+def _without_upgrade(connection: str) -> str:
+    """Return the value of a Connection header without the upgrade."""
+    options = (option.strip() for option in connection.split(","))
+    return ", ".join(option for option in options if option.lower() != "upgrade")
--- a/tests/adapters/http1/test_server.py
+++ b/tests/adapters/http1/test_server.py
@@ -61,12 +61,55 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+def _post(path: str, body: bytes, *headers: str) -> bytes:
+    lines = [f"POST {path} HTTP/1.1", "Host: a", f"Content-Length: {len(body)}"]
+    return "\r\n".join([*lines, *headers]).encode() + b"\r\n\r\n" + body
+
+
 async def _read_response(reader: asyncio.StreamReader) -> tuple[int, bytes, bytes]:
     head = await reader.readuntil(b"\r\n\r\n")
     length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
     return int(head.split()[1]), head, await reader.readexactly(length)
 
 
+# Guards against UNASKED: an offered upgrade dropped the body of a request.
+def test_an_offered_upgrade_is_ignored() -> None:
+    """The request is served with its body, and so is the one behind it."""
+
+    async def exchange(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _: HttpServer
+    ) -> None:
+        offer = (
+            "Connection: Upgrade, HTTP2-Settings",
+            "Upgrade: h2c",
+            "HTTP2-Settings: a",
+        )
+        request = _post("/a", b"body", *offer)
+        for start in range(0, len(request), 7):
+            writer.write(request[start : start + 7])
+            await asyncio.sleep(0.001)
+        writer.write(_post("/b", b"other", "Connection: upgrade", "Upgrade: h2c"))
+        writer.write(_get("/c", "Upgrade: h2c", "Connection: Upgrade"))
+        bodies = [(await _read_response(reader))[2] for _ in range(3)]
+        assert bodies == [b"/a", b"/b", b"/c"]
+
+    seen = [arrival.request for arrival in _run(exchange).seen]
+    assert [request.body for request in seen] == [b"body", b"other", b""]
+    assert not any(name == "Upgrade" for request in seen for name, _ in request.headers)
+
+
+def test_a_tunnel_is_refused() -> None:
+    """CONNECT gets 400."""
+
+    async def exchange(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _: HttpServer
+    ) -> None:
+        writer.write(b"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n")
+        assert (await _read_response(reader))[0] == 400
+
+    assert not _run(exchange).seen
+
+
 def test_pipelined_requests_are_answered_in_order() -> None:
     """A slow first request delays the responses to later ones."""
 
