Count only bytes of a head as bytes of a head

Cause: when received bytes ended within a head, all of them counted as its bytes, also the body of the request before it.

Change: of the bytes in which a head begins, what comes before it does not count. Where that can't be told for sure, since a body looks like the end of a head, fewer count; what is received later and ends within the head counts as before.

--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -17,6 +17,9 @@
     header_bytes,
 )
 
+_HEAD_END = b"\r\n\r\n"
+"""End of a head, and of a body in chunks."""
+
 
 class RequestReceiver(Protocol):
     """Receives what a RequestParser reads."""
@@ -64,6 +67,8 @@
         self._limits = CallerLimits()
         self._now = self.started_at = now
         self._partial = _PartialRequest(Holding(memory))
+        self._began_here = False
+        self._body_bytes_here = 0
         self._header_bytes = 0
         self.in_headers = False
 
@@ -75,6 +80,8 @@
     def feed(self, data: bytes, limits: CallerLimits, now: float) -> None:
         """Parse bytes of one or more requests; raise BadRequestError if invalid."""
         self._limits, self._now = limits, now
+        self._began_here = False
+        self._body_bytes_here = 0
         try:
             self._feed(data)
         except httptools.HttpParserError as error:
@@ -82,7 +89,8 @@
             if isinstance(cause, BadRequestError):
                 raise cause from None
             raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
-        self._count_header_bytes(len(data))
+        if self.in_headers:
+            self._check_header_bytes(self._count_head_at_end(data))
 
     def _feed(self, data: bytes) -> None:
         """Parse bytes; a request that offers an upgrade is parsed without the offer."""
@@ -116,6 +124,8 @@
     def on_message_begin(self) -> None:
         """Start parsing a request."""
         self.close()
+        self._began_here = True
+        self._header_bytes = 0
         self.in_headers = True
         self.started_at = self._now
 
@@ -145,7 +155,7 @@
         A body that is too large, or finds no room now, is rejected before it is sent.
         """
         self.in_headers = False
-        self._header_bytes = 0
+        self._header_bytes = self._body_bytes_here = 0
         if self._parser.should_upgrade():
             return
         length = self._partial.length or 0
@@ -163,6 +173,8 @@
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         self._hold(BODY_COPIES * len(body))
         received += body
+        if self._partial.length is not None:
+            self._body_bytes_here += len(body)
 
     def on_message_complete(self) -> None:
         """Pass on a complete request, except one whose head is parsed again."""
@@ -185,10 +197,15 @@
         if not self._partial.holding.grow(count):
             raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
 
-    def _count_header_bytes(self, count: int) -> None:
-        """Reject headers that exceed the size limit."""
-        if not self.in_headers:
-            return
+    def _count_head_at_end(self, data: bytes) -> int:
+        """Return how many of the received bytes belong to the head that ends them."""
+        if not self._began_here:
+            return len(data)
+        before = data.rfind(_HEAD_END) + len(_HEAD_END) if _HEAD_END in data else 0
+        return max(0, len(data) - before - self._body_bytes_here)
+
+    def _check_header_bytes(self, count: int) -> None:
+        """Add bytes of a head that has not ended; reject it above the size limit."""
         self._header_bytes += count
         if self._header_bytes > self._limits.max_header_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
--- a/tests/adapters/http1/test_server.py
+++ b/tests/adapters/http1/test_server.py
@@ -249,6 +249,43 @@
     _run(exchange)
 
 
+# Guards against DENIED: bytes of a body counted as bytes of the head behind it.
+def test_bytes_of_a_body_do_not_count_as_those_of_the_next_head() -> None:
+    """Pipelined requests arrive in pieces that end within a head."""
+    limits = CallerLimits(max_header_bytes=1024)
+    request = _post("/a", bytes(24_000), f"X-Long: {'x' * 600}")
+
+    async def exchange(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _: HttpServer
+    ) -> None:
+        count = 5
+        stream = count * request
+        end = 0
+        for number in range(1, count + 1):
+            start, end = end, min(number * len(request) + 300, len(stream))
+            writer.write(stream[start:end])
+            await asyncio.sleep(0.02)
+        statuses = [(await _read_response(reader))[0] for _ in range(count)]
+        assert statuses == count * [200]
+
+    _run(exchange, limits)
+
+
+def test_a_head_above_the_limit_is_refused() -> None:
+    """It is refused before it ends, whatever came before it."""
+    limits = CallerLimits(max_header_bytes=1024)
+    long_head = _get("/b", *(f"X-{number}: {'x' * 100}" for number in range(20)))
+
+    async def exchange(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _: HttpServer
+    ) -> None:
+        writer.write(_post("/a", bytes(2_000)) + long_head[:1500])
+        statuses = [(await _read_response(reader))[0] for _ in range(2)]
+        assert statuses == [200, 431]
+
+    _run(exchange, limits)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
