Send a request no more under which several servers have ended

Nothing connected a lost connection with the request that ran on it. And a crash under a reused connection was reported as "not run" if the repeat found nobody listening, so that it didn't count as an attempt, and the promise was not true.

Change: a daemon that loses calls looks whether its server still listens. If not, the server has ended, and each of these calls may be the cause; the daemon remembers them by method, host, target and body, and tells its peers. A request under which three servers have ended gets 503 for 60 s. One that was served in the last 10 s only ran beside the cause. A repeat that was not sent no longer hides what became of the first send.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -13,6 +13,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
+from damaskbay.core.fatal_calls import FatalCalls
 from damaskbay.core.lifetime import Lifetime, links_close_timeout_s
 from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
@@ -45,7 +46,7 @@
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
-from damaskbay.mesh.messages import Note, PeerStatus
+from damaskbay.mesh.messages import Note, PeerStatus, ServerEnd
 from damaskbay.mesh.neighbours import wanted_neighbours
 from damaskbay.mesh.observing import StatusEndpoints, StatusParts
 from damaskbay.mesh.running import RunningCalls
@@ -133,6 +134,7 @@
         )
         self._repeats = make_retry_budget(settings)
         self._telemetry = BoundTelemetry()
+        self._fatal_calls = FatalCalls()
         shared_parts = SharedParts(
             self.configuration,
             self.local,
@@ -145,6 +147,7 @@
             self._repeats,
             self._telemetry,
             memory,
+            self._fatal_calls,
             self._lifetime,
             self._rng,
         )
@@ -406,6 +409,9 @@
             finally:
                 self._lifetime.peer_calls -= 1
             return to_result_message(result)
+        if isinstance(message, ServerEnd):
+            self._fatal_calls.record_end(message.digests, monotonic_s())
+            return self._make_status()
         reply = await self._control_plane.handle_request(message)
         if reply is NOT_HANDLED:
             raise TypeError(f"no handler for message {type(message).__name__}")
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -7,6 +7,7 @@
 from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
+from damaskbay.core.fatal_calls import FatalCalls
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.core.pressure import EdgeLoadShedder
@@ -24,6 +25,7 @@
 from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
 from damaskbay.mesh.local_server import LocalServer
 from damaskbay.mesh.running import RunningCalls
+from damaskbay.mesh.server_ends import ServerEnds
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.mesh.target import Target, TargetParts
 from damaskbay.mesh.tokens import PooledTokens
@@ -62,6 +64,7 @@
     repeats: ServerRetryBudget
     telemetry: BoundTelemetry
     memory: MemoryAccount
+    fatal_calls: FatalCalls
     lifetime: Lifetime
     rng: Random
 
@@ -89,6 +92,13 @@
             telemetry=shared_parts.telemetry,
             repeats=shared_parts.repeats,
             memory=shared_parts.memory,
+            fatal_calls=shared_parts.fatal_calls,
+            server_ends=ServerEnds(
+                settings.server,
+                shared_parts.fatal_calls,
+                shared_parts.links,
+                monotonic_s,
+            ),
             weight_of=weight_of,
             on_capacity_change=on_capacity_change,
             lifetime=shared_parts.lifetime,
@@ -128,6 +138,7 @@
             running=shared_parts.running,
             telemetry=shared_parts.telemetry,
             memory=shared_parts.memory,
+            fatal_calls=shared_parts.fatal_calls,
             dialect=dialect,
             lifetime=shared_parts.lifetime,
             rng=shared_parts.rng,
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -11,6 +11,7 @@
 from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.durations import DurationEstimates
+from damaskbay.core.fatal_calls import FatalCalls
 from damaskbay.core.http_status import FIRST_SERVER_ERROR, is_success, status_of
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import Holding, MemoryAccount
@@ -30,6 +31,7 @@
 from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.dispatch import Dispatcher
 from damaskbay.mesh.running import RunningCall, RunningCalls
+from damaskbay.mesh.target import refusal_of_fatal_call
 from damaskbay.mesh.tokens import PooledTokens
 from damaskbay.mesh.weights import WeightedChoice
 
@@ -67,6 +69,7 @@
     running: RunningCalls
     telemetry: BoundTelemetry
     memory: MemoryAccount
+    fatal_calls: FatalCalls
     dialect: HeaderNames
     lifetime: Lifetime
     rng: Random
@@ -131,7 +134,11 @@
         caller = None if workspace else parts.running.caller_of(request_id)
         timeout_s = _timeout_s(route, values.get(self._deadline_ms))
         busy = self._refusal_while_stopping(route, timeout_s, caller)
-        busy = busy or self._refusal_without_memory(route, caller)
+        busy = (
+            busy
+            or self._refusal_without_memory(route, caller)
+            or refusal_of_fatal_call(parts.fatal_calls, request, parts.clock())
+        )
         if busy is not None:
             name = workspace.name if workspace is not None else ""
             return self._refuse(busy, request_id, route, name)
--- a/damaskbay/mesh/messages.py
+++ b/damaskbay/mesh/messages.py
@@ -46,6 +46,14 @@
     members_age_ms: int
 
 
+@message("mesh.server_end")
+@dataclass(frozen=True, slots=True)
+class ServerEnd:
+    """Digests of the requests that a server ran as it ended; answered by a status."""
+
+    digests: tuple[bytes, ...]
+
+
 @message("mesh.members_wanted")
 @dataclass(frozen=True, slots=True)
 class MembersRequest:
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -16,7 +16,8 @@
 from damaskbay.core.admission import CallSample
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.durations import DurationEstimates
-from damaskbay.core.http_status import is_success
+from damaskbay.core.fatal_calls import FatalCalls
+from damaskbay.core.http_status import FIRST_SERVER_ERROR, is_success
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import Holding, MemoryAccount
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
@@ -32,6 +33,7 @@
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import LocalServer, ServerStart
 from damaskbay.mesh.running import RunningCall, RunningCalls
+from damaskbay.mesh.server_ends import ServerEnds
 from damaskbay.mesh.server_notices import ServerNotices
 from damaskbay.ports.fleet import ServerState
 
@@ -59,6 +61,8 @@
     telemetry: BoundTelemetry
     repeats: ServerRetryBudget
     memory: MemoryAccount
+    fatal_calls: FatalCalls
+    server_ends: ServerEnds
     weight_of: Callable[[str], float]
     on_capacity_change: Callable[[], None]
     lifetime: Lifetime
@@ -183,7 +187,7 @@
         sample = CallSample(0.0, cancelled=True)
         call = parts.running.add(context)
         try:
-            refusal = self._refusal_at_send(context, now)
+            refusal = self._refusal_at_send(context, request, now)
             if refusal is not None:
                 return self._refused_result(context, refusal, now)
             self._count_attempt(context)
@@ -243,14 +247,16 @@
         else:
             self._parts.repeats.record_first_attempt()
 
-    def _refusal_at_send(self, context: CallContext, now: float) -> Refusal | None:
+    def _refusal_at_send(
+        self, context: CallContext, request: Request, now: float
+    ) -> Refusal | None:
         if now >= context.deadline:
             return not_run(Reason.DEADLINE_PASSED)
         if not self._parts.local.may_send(now):
             return not_run(
                 Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S
             )
-        return None
+        return refusal_of_fatal_call(self._parts.fatal_calls, request, now)
 
     async def _send(self, context: CallContext, request: Request) -> Response | Refusal:
         """
@@ -268,11 +274,19 @@
             and self._may_repeat(context)
         ):
             self._parts.gate.record_extra_start(self._parts.clock())
-            outcome = await self._send_once(context, request, False)
+            self._parts.server_ends.record_lost(request)
+            first, outcome = outcome, await self._send_once(context, request, False)
+            if _is_not_sent(outcome):
+                # The first send may have run, and may have ended the server.
+                outcome = first
         if isinstance(outcome, HttpFailure):
             if outcome.problem is HttpProblem.TIMED_OUT:
                 return unknown(Reason.DEADLINE_PASSED)
+            if outcome.problem in (HttpProblem.LOST, HttpProblem.STALE):
+                self._parts.server_ends.record_lost(request)
             return self._handle_failure(context, outcome)
+        if outcome.status < FIRST_SERVER_ERROR:
+            self._parts.fatal_calls.record_served(request, self._parts.clock())
         return self._classify_response(context, outcome, start)
 
     def _may_repeat(self, context: CallContext) -> bool:
@@ -438,6 +452,24 @@
     return replace(result, result=replace(refusal, reason=Reason.SHUTTING_DOWN))
 
 
+def refusal_of_fatal_call(
+    fatal_calls: FatalCalls, request: Request, now: float
+) -> Refusal | None:
+    """Return a refusal of a request under which several servers have ended."""
+    blocked_s = fatal_calls.blocked_s(request, now)
+    if not blocked_s:
+        return None
+    return not_run(
+        Reason.BACKEND_SERVER_FAILED,
+        retry_after_s=blocked_s,
+        detail="several servers have ended under this request",
+    )
+
+
+def _is_not_sent(outcome: Response | HttpFailure) -> bool:
+    return isinstance(outcome, HttpFailure) and outcome.problem is HttpProblem.NOT_SENT
+
+
 def _never_sent(outcome: Response | Refusal) -> bool:
     """Return whether the call certainly did not reach the server."""
     return (
