--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,12 +13,8 @@
 from tests.mesh.common import HEALTH_PATH
 from tests.platform.kv_stand_in import KvStandIn
 from tests.soak.callers import MachineCallers, RequestSource, send_once
-from tests.soak.machines import (
-    DRAIN_S,
-    TORN_WRITE_RANGE_S,
-    Machine,
-    MachineOptions,
-)
+from tests.soak.harsh import Fault, HarshFaults, HarshParts
+from tests.soak.machines import DRAIN_S, Machine, MachineOptions
 from tests.soak.planned import LagRecorder
 from tests.soak.promises import InvariantChecker
 from tests.soak.records import Disturbance, ExecutionLog
@@ -55,10 +51,6 @@
 LIMITED_FDS = 160
 """Descriptors of a daemon in seeds in which they are short."""
 
-BIG_CONFIG_ROUTES = (350, 2000)
-SIGNALS_RANGE = (1, 12)
-"""Number of SIGHUPs in one series."""
-
 STOP_AFTER_START_SHARE = 0.25
 """Part of the restarts, 0 to 1, that are followed by another stop at once."""
 
@@ -135,6 +127,18 @@
             for number in range(options.machine_count)
         ]
 
+        self._harsh = HarshFaults(
+            HarshParts(
+                self._machines,
+                self._source,
+                self.checker,
+                self._rng,
+                self._caller_rng,
+                self._stop,
+                self._publish_routes,
+            )
+        )
+
     def _machine_options(self, number: int) -> MachineOptions:
         pool = POOLS[number // 2 % 2]
         is_short = self._options.harsh and self._options.seed % 3 == 0
@@ -264,10 +268,20 @@
         document = {"Version": self._version, "Resources": resources}
         await self._kv.put(CONFIG_KEY, json.dumps(document).encode())
 
+    async def _publish_routes(self, count: int) -> None:
+        """Publish a set with so many routes more, which no caller uses."""
+        self._extra_routes = count
+        await self._publish()
+
     async def _inject_faults(self) -> None:
         """Start faults at random times; they overlap, and each ends by itself."""
         # The method names appear in the printed events.
-        faults = [self._stop, self._withdraw, self._drain, self._slow_server]
+        faults: list[Fault] = [
+            self._stop,
+            self._withdraw,
+            self._drain,
+            self._slow_server,
+        ]
         if self.checker.planned:
             faults += [
                 self._stop,
@@ -285,15 +299,9 @@
                 self._server,
             ]
         if self._options.harsh:
-            faults += [
-                self._hang_up,
-                self._hang_up_several,
-                self._tear_settings,
-                self._big_config,
-                self._shift,
-            ]
-        if self._options.harsh and not self.checker.planned:
-            faults += [self._reset_store, self._endless, self._upload]
+            faults += self._harsh.planned()
+            if not self.checker.planned:
+                faults += self._harsh.unplanned()
         end = time.monotonic() + self._options.fault_duration_s
         async with asyncio.TaskGroup() as group:
             while time.monotonic() < end:
@@ -340,81 +348,6 @@
             await asyncio.sleep(self._rng.uniform(0.2, 6.0))
             machine.send_signal(signal.SIGCONT)
 
-    async def _hang_up(self, machine: Machine) -> None:
-        """Send a series of SIGHUPs, some of them with changed settings."""
-        for _ in range(self._rng.randint(*SIGNALS_RANGE)):
-            if self._rng.random() < SIGNAL_SHARE:
-                machine.change_settings(with_signal=False)
-            machine.hang_up()
-            await asyncio.sleep(self._rng.expovariate(10.0))
-
-    async def _hang_up_several(self, _machine: Machine) -> None:
-        """Restart a machine while series of SIGHUPs meet it and others."""
-        count = self._rng.randint(2, max(2, len(self._machines) // 2))
-        machines = self._rng.sample(self._machines, count)
-        async with asyncio.TaskGroup() as group:
-            for machine in machines:
-                group.create_task(self._hang_up(machine))
-                await asyncio.sleep(self._rng.uniform(0.0, 0.3))
-            group.create_task(self._stop(machines[0]))
-            for _ in range(SIGNALS_RANGE[1]):
-                await asyncio.sleep(self._rng.uniform(0.0, 1.0))
-                machines[0].hang_up()
-
-    async def _tear_settings(self, machine: Machine) -> None:
-        """Write the settings file in place, during a restart, too."""
-        empty_s = self._rng.uniform(*TORN_WRITE_RANGE_S)
-        if self._rng.random() < SIGNAL_SHARE:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self._stop(machine))
-                group.create_task(machine.tear_settings(empty_s))
-            return
-        await machine.tear_settings(empty_s)
-
-    async def _big_config(self, _machine: Machine) -> None:
-        """Publish a set with many more routes, and go back some time later."""
-        self._extra_routes = self._rng.choice(BIG_CONFIG_ROUTES)
-        await self._publish()
-        await asyncio.sleep(self._rng.uniform(0.5, 3.0))
-        self._extra_routes = 0
-        await self._publish()
-
-    async def _shift(self, machine: Machine) -> None:
-        """Let many more callers come to one machine for some seconds."""
-        callers = MachineCallers(
-            machine, self._source, self._caller_rng, self.checker.check_response, 1.0
-        )
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._rng.uniform(1.0, 4.0)):
-                async with asyncio.TaskGroup() as group:
-                    for _ in range(self._rng.randint(2, 6)):
-                        group.create_task(callers.run(pipelines=True))
-
-    async def _reset_store(self, machine: Machine) -> None:
-        """Reset the connections to the store, in series."""
-        for _ in range(self._rng.randint(1, 5)):
-            machine.reset_store_connections()
-            await asyncio.sleep(self._rng.uniform(0.0, 0.5))
-
-    async def _endless(self, machine: Machine) -> None:
-        """Let a server send bodies in short chunks without an end."""
-        with machine.disturbed_server():
-            machine.proxy.faults.endless = True
-            await asyncio.sleep(self._rng.uniform(0.5, 3.0))
-            machine.proxy.faults.endless = False
-
-    async def _upload(self, machine: Machine) -> None:
-        """Let callers send long bodies at the same time."""
-        async with asyncio.TaskGroup() as group:
-            for _ in range(self._rng.randint(1, 6)):
-                group.create_task(self._send_upload(machine))
-
-    async def _send_upload(self, machine: Machine) -> None:
-        sent, request = self._source.new(machine, "unsafe", ["k1"])
-        body = bytes(self._rng.randint(1, 7) * 1024 * 1024)
-        await send_once(machine, sent, replace(request, body=body))
-        self.checker.check_response(sent)
-
     async def _stop(self, machine: Machine) -> None:
         """Stop the daemon gracefully, sometimes with other signals, and restart it."""
         if self._rng.random() < SIGNAL_SHARE:
