--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -187,7 +187,7 @@
             self.peak_kib = max(self.peak_kib, used_kib)
             if used_kib > MEMORY_MB * 1024 and not exceeded:
                 exceeded = f"used {used_kib} KiB, "
-                process.kill()
+                _kill(process)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(WATCH_INTERVAL_S):
                     await process.wait()
@@ -211,7 +211,8 @@
                 self._asked_to_end.add(self._process.pid)
             if number is signal.SIGKILL:
                 self._killed.add(self._process.pid)
-            self._process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
 
     def handles_signals(self) -> bool:
         """Return whether the process handles SIGHUP by now, or lets it wait."""
@@ -256,7 +257,7 @@
                 await process.wait()
         except TimeoutError:
             in_time = False
-            process.kill()
+            _kill(process)
             await process.wait()
         stop.exited_at = time.monotonic()
         was_killed = process.pid in self._killed
@@ -386,6 +387,12 @@
 """
 
 
+def _kill(process: asyncio.subprocess.Process) -> None:
+    """Kill a process, which may have ended before asyncio knows."""
+    with contextlib.suppress(ProcessLookupError):
+        process.kill()
+
+
 @contextlib.contextmanager
 def _record_disturbance(disturbances: list[Disturbance]) -> Iterator[None]:
     disturbance = Disturbance(time.monotonic())
