Report a refused repeat as one that may have run

What callers saw: 503, which promises that a request has not run, though its first send may have run: the reused connection was reset, and the server refused the repeat.

Cause: the answer to the repeat was taken for the outcome of both sends.

Change: whatever the server answers to a repeat, a refusal of it is unknown (502). A repeat that found nobody listening gives its retry back. A request that a server says it has not run no longer counts as served where ends of servers are remembered. `refusal_of_fatal_call` stands beside what it reads, since two callers use it.

Found when the change was read once more; only safe requests are repeated so.

--- a/damaskbay/core/fatal_calls.py
+++ b/damaskbay/core/fatal_calls.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from damaskbay.core.call import Request
+from damaskbay.core.outcome import Reason, Refusal, not_run
 
 MAX_ENDS: Final = 3
 """Ends of servers under a request from which it is not sent any more."""
@@ -95,3 +96,17 @@
     digest = hashlib.blake2b(head.encode(), digest_size=DIGEST_BYTES)
     digest.update(memoryview(request.body)[:HASHED_BODY_BYTES])
     return digest.digest()
+
+
+def refusal_of_fatal_call(
+    fatal_calls: FatalCalls, request: Request, now: float
+) -> Refusal | None:
+    """Return a refusal of a request under which several servers have ended."""
+    blocked_s = fatal_calls.blocked_s(request, now)
+    if not blocked_s:
+        return None
+    return not_run(
+        Reason.BACKEND_SERVER_FAILED,
+        retry_after_s=blocked_s,
+        detail="several servers have ended under this request",
+    )
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -11,7 +11,7 @@
 from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.durations import DurationEstimates
-from damaskbay.core.fatal_calls import FatalCalls
+from damaskbay.core.fatal_calls import FatalCalls, refusal_of_fatal_call
 from damaskbay.core.http_status import FIRST_SERVER_ERROR, is_success, status_of
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import Holding, MemoryAccount
@@ -31,7 +31,6 @@
 from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.dispatch import Dispatcher
 from damaskbay.mesh.running import RunningCall, RunningCalls
-from damaskbay.mesh.target import refusal_of_fatal_call
 from damaskbay.mesh.tokens import PooledTokens
 from damaskbay.mesh.weights import WeightedChoice
 
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -16,11 +16,11 @@
 from damaskbay.core.admission import CallSample
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.durations import DurationEstimates
-from damaskbay.core.fatal_calls import FatalCalls
-from damaskbay.core.http_status import FIRST_SERVER_ERROR, is_success
+from damaskbay.core.fatal_calls import FatalCalls, refusal_of_fatal_call
+from damaskbay.core.http_status import is_success
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import Holding, MemoryAccount
-from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
 from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.helpers.http_headers import HeaderFilter
@@ -273,21 +273,51 @@
             and context.idempotent
             and self._may_repeat(context)
         ):
-            self._parts.gate.record_extra_start(self._parts.clock())
-            self._parts.server_ends.record_lost(request)
-            first, outcome = outcome, await self._send_once(context, request, False)
-            if _is_not_sent(outcome):
-                # The first send may have run, and may have ended the server.
-                outcome = first
+            return await self._send_again(context, request, outcome, start)
+        return self._to_result(context, request, outcome, start)
+
+    async def _send_again(
+        self,
+        context: CallContext,
+        request: Request,
+        first: HttpFailure,
+        start: ServerStart,
+    ) -> Response | Refusal:
+        """
+        Repeat a send on a new connection.
+
+        The first send may have run, whatever becomes of the repeat.
+        """
+        parts = self._parts
+        parts.server_ends.record_lost(request)
+        parts.gate.record_extra_start(parts.clock())
+        outcome = await self._send_once(context, request, False)
+        if isinstance(outcome, HttpFailure) and outcome.problem is HttpProblem.NOT_SENT:
+            parts.repeats.give_back()
+            return self._to_result(context, request, first, start)
+        result = self._to_result(context, request, outcome, start)
+        if isinstance(result, Refusal) and result.not_run:
+            return replace(result, outcome=Outcome.UNKNOWN, retry_after_s=None)
+        return result
+
+    def _to_result(
+        self,
+        context: CallContext,
+        request: Request,
+        outcome: Response | HttpFailure,
+        start: ServerStart,
+    ) -> Response | Refusal:
+        """Return what the outcome of the last send means for the call."""
         if isinstance(outcome, HttpFailure):
             if outcome.problem is HttpProblem.TIMED_OUT:
                 return unknown(Reason.DEADLINE_PASSED)
             if outcome.problem in (HttpProblem.LOST, HttpProblem.STALE):
                 self._parts.server_ends.record_lost(request)
             return self._handle_failure(context, outcome)
-        if outcome.status < FIRST_SERVER_ERROR:
+        result = self._classify_response(context, outcome, start)
+        if is_success(result):
             self._parts.fatal_calls.record_served(request, self._parts.clock())
-        return self._classify_response(context, outcome, start)
+        return result
 
     def _may_repeat(self, context: CallContext) -> bool:
         """Return whether the server may get a call again; spend a retry for it."""
@@ -452,24 +482,6 @@
     return replace(result, result=replace(refusal, reason=Reason.SHUTTING_DOWN))
 
 
-def refusal_of_fatal_call(
-    fatal_calls: FatalCalls, request: Request, now: float
-) -> Refusal | None:
-    """Return a refusal of a request under which several servers have ended."""
-    blocked_s = fatal_calls.blocked_s(request, now)
-    if not blocked_s:
-        return None
-    return not_run(
-        Reason.BACKEND_SERVER_FAILED,
-        retry_after_s=blocked_s,
-        detail="several servers have ended under this request",
-    )
-
-
-def _is_not_sent(outcome: Response | HttpFailure) -> bool:
-    return isinstance(outcome, HttpFailure) and outcome.problem is HttpProblem.NOT_SENT
-
-
 def _never_sent(outcome: Response | Refusal) -> bool:
     """Return whether the call certainly did not reach the server."""
     return (
--- a/tests/mesh/test_repeats.py
+++ b/tests/mesh/test_repeats.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import unittest
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import cast
 from unittest.mock import patch
 
@@ -20,8 +20,9 @@
 class _ResettingServer(asyncio.Protocol):
     """Answers the first request of a connection; resets it at the next one."""
 
-    def __init__(self, arrivals: list[str]) -> None:
+    def __init__(self, arrivals: list[str], refuses: Callable[[], bool]) -> None:
         self._arrivals = arrivals
+        self._refuses = refuses
         self._transport: asyncio.Transport | None = None
         self._answered = False
 
@@ -40,18 +41,26 @@
             return
         self._answered = True
         head = f"X-Request-Id: {request_id}\r\nX-Server-Stamp: s\r\n"
+        if self._refuses():
+            head += "X-Not-Executed: 1\r\n"
         answer = f"HTTP/1.1 200 OK\r\n{head}Content-Length: 0\r\n\r\n"
         self._transport.write(answer.encode())
 
 
 @contextlib.asynccontextmanager
-async def _resetting_server() -> AsyncIterator[tuple[Fleet, Node, list[str]]]:
-    """Yield a fleet of one daemon whose server resets reused connections."""
+async def _resetting_server(
+    refuses: Callable[[], bool] = lambda: False,
+) -> AsyncIterator[tuple[Fleet, Node, list[str]]]:
+    """
+    Yield a fleet of one daemon whose server resets reused connections.
+
+    The server answers that it has not run a request while it `refuses`.
+    """
     arrivals: list[str] = []
     address = reserve_address()
     loop = asyncio.get_running_loop()
     server = await loop.create_server(
-        lambda: _ResettingServer(arrivals), address.host, address.port
+        lambda: _ResettingServer(arrivals, refuses), address.host, address.port
     )
     async with server, contextlib.AsyncExitStack() as stack:
         fleet = Fleet(stack)
@@ -77,6 +86,8 @@
             ratio = RETRY_RATIO_SHARE * RETRY_RATIO
             allowed = RETRY_SLACK_SHARE * RETRY_SLACK + ratio * REQUESTS
             assert 0 < repeats <= allowed, repeats
+            # The server still listens, so it has not ended under any request.
+            assert not node.daemon._fatal_calls._ends_by_digest
 
     asyncio.run(run())
 
@@ -95,6 +106,22 @@
     asyncio.run(run())
 
 
+# Guards against REFUSED: the refusal of a repeat hid that the first send may have run.
+def test_a_refused_repeat_is_not_reported_as_not_run() -> None:
+    """Only the second of two sends was refused by the server."""
+
+    async def run() -> None:
+        refusing = asyncio.Event()
+        async with _resetting_server(refusing.is_set) as (_, node, arrivals):
+            assert (await node.request("/safe/x")).status == 200
+            refusing.set()
+            response = await node.request("/safe/x")
+            assert len(arrivals) == 3, arrivals
+            assert response.status == 502, response.status
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
