Make small pieces of the change read in one way

The second entry point of the platform's daemon is gone: it did not let signals wait. A payload that was refused is left alone before anything is counted for it.

--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -356,8 +356,8 @@
     def _handle_part(self, frame: Frame) -> None:
         if not self._is_wanted(frame):
             return
-        known = self._parts.is_refused(frame)
-        if self._parts.add(frame).refused and not known:
+        was_refused = self._parts.is_refused(frame)
+        if self._parts.add(frame).refused and not was_refused:
             self._refuse(frame)
 
     def _handle_message(self, frame: Frame) -> None:
--- a/damaskbay/adapters/peer_link/parts.py
+++ b/damaskbay/adapters/peer_link/parts.py
@@ -27,12 +27,12 @@
 
     def append(self, part: bytes) -> None:
         """Add a part, or refuse the payload if there is no memory for it."""
+        if self.refused:
+            return
         size_bytes = len(self.data) + len(part)
-        fits = self.holding.grow(BODY_COPIES * len(part))
-        if not fits and size_bytes <= ALWAYS_ACCEPTED_BYTES:
+        if size_bytes <= ALWAYS_ACCEPTED_BYTES:
             self.holding.set(BODY_COPIES * size_bytes)
-            fits = True
-        if self.refused or not fits:
+        elif not self.holding.grow(BODY_COPIES * len(part)):
             self.refuse()
             return
         if not self.data:
--- a/damaskbay/mesh/server_ends.py
+++ b/damaskbay/mesh/server_ends.py
@@ -23,7 +23,7 @@
 """Seconds that a peer has to confirm the message."""
 
 MAX_LOST_CALLS: Final = 512
-"""Calls of one end that are remembered; a server runs fewer at a time."""
+"""Calls of one end that are remembered; bounds the message to peers."""
 
 
 class ServerEnds:
--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -167,7 +167,3 @@
         print(error, file=sys.stderr)
         return EXIT_INVALID
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
