Block deadly requests beside the servers alone

- The refusal of a blocked request had the reason of a server that has failed.
Routers took the sound server that refused it for unreachable and avoided it, and the request was tried at further servers.
It now says that no server takes it.
- A daemon told every peer of its server's end.

--- a/damaskbay/core/fatal_calls.py
+++ b/damaskbay/core/fatal_calls.py
@@ -101,12 +101,16 @@
 def refusal_of_fatal_call(
     fatal_calls: FatalCalls, request: Request, now: float
 ) -> Refusal | None:
-    """Return a refusal of a request under which several servers have ended."""
+    """
+    Return a refusal of a request under which several servers have ended.
+
+    It is not tried at another server, and says nothing against the one that refuses it.
+    """
     blocked_s = fatal_calls.blocked_s(request, now)
     if not blocked_s:
         return None
     return not_run(
-        Reason.BACKEND_SERVER_FAILED,
+        Reason.NO_BACKEND_SERVER,
         retry_after_s=blocked_s,
         detail="several servers have ended under this request",
     )
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -25,7 +25,7 @@
 from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
 from damaskbay.mesh.local_server import LocalServer
 from damaskbay.mesh.running import RunningCalls
-from damaskbay.mesh.server_ends import ServerEnds
+from damaskbay.mesh.server_ends import ServerEnds, ServerEndsParts
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.mesh.target import Target, TargetParts
 from damaskbay.mesh.tokens import PooledTokens
@@ -94,10 +94,14 @@
             memory=shared_parts.memory,
             fatal_calls=shared_parts.fatal_calls,
             server_ends=ServerEnds(
-                settings.server,
-                shared_parts.fatal_calls,
-                shared_parts.links,
-                monotonic_s,
+                ServerEndsParts(
+                    settings.server,
+                    settings.pool,
+                    shared_parts.directory,
+                    shared_parts.links,
+                    shared_parts.fatal_calls,
+                    monotonic_s,
+                )
             ),
             weight_of=weight_of,
             on_capacity_change=on_capacity_change,
@@ -138,7 +142,6 @@
             running=shared_parts.running,
             telemetry=shared_parts.telemetry,
             memory=shared_parts.memory,
-            fatal_calls=shared_parts.fatal_calls,
             dialect=dialect,
             lifetime=shared_parts.lifetime,
             rng=shared_parts.rng,
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -11,7 +11,6 @@
 from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.durations import DurationEstimates
-from damaskbay.core.fatal_calls import FatalCalls, refusal_of_fatal_call
 from damaskbay.core.http_status import FIRST_SERVER_ERROR, is_success, status_of
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import Holding, MemoryAccount
@@ -68,7 +67,6 @@
     running: RunningCalls
     telemetry: BoundTelemetry
     memory: MemoryAccount
-    fatal_calls: FatalCalls
     dialect: HeaderNames
     lifetime: Lifetime
     rng: Random
@@ -133,11 +131,7 @@
         caller = None if workspace else parts.running.caller_of(request_id)
         timeout_s = _timeout_s(route, values.get(self._deadline_ms))
         busy = self._refusal_while_stopping(route, timeout_s, caller)
-        busy = (
-            busy
-            or self._refusal_without_memory(route, caller)
-            or refusal_of_fatal_call(parts.fatal_calls, request, parts.clock())
-        )
+        busy = busy or self._refusal_without_memory(route, caller)
         if busy is not None:
             name = workspace.name if workspace is not None else ""
             return self._refuse(busy, request_id, route, name)
--- a/damaskbay/mesh/server_ends.py
+++ b/damaskbay/mesh/server_ends.py
@@ -1,13 +1,15 @@
-"""Finds out that the local server has ended, and tells peers what it ran then."""
+"""Finds out that the local server has ended, and tells its pool what it ran then."""
 
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any, Final
 
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.core.call import Request
 from damaskbay.core.fatal_calls import FatalCalls, digest_of_request
+from damaskbay.mesh.directory import Directory
 from damaskbay.mesh.messages import ServerEnd
 from damaskbay.ports.peer import PeerAddress
 
@@ -26,25 +28,29 @@
 """Calls of one end that are remembered; bounds the message to peers."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerEndsParts:
+    """Address and pool of the local server, and dependencies of ServerEnds."""
+
+    server: PeerAddress
+    pool: str
+    directory: Directory
+    links: PeerLinks
+    fatal_calls: FatalCalls
+    clock: Callable[[], float]
+
+
 class ServerEnds:
     """
     Watches calls whose connection to the server was lost.
 
     If nothing listens at the server's address then, it has ended, and each of these
-    calls may be the cause.
+    calls may be the cause. The daemons beside other servers of the pool are told, as
+    far as this one has links to them; their number is bounded.
     """
 
-    def __init__(
-        self,
-        server: PeerAddress,
-        fatal_calls: FatalCalls,
-        links: PeerLinks,
-        clock: Callable[[], float],
-    ) -> None:
-        self._server = server
-        self._fatal_calls = fatal_calls
-        self._links = links
-        self._clock = clock
+    def __init__(self, parts: ServerEndsParts) -> None:
+        self._parts = parts
         self._lost: set[bytes] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._checking = False
@@ -64,19 +70,21 @@
         if await self._listens():
             return
         _LOGGER.warning("target: server has ended.", extra={"calls": len(lost)})
-        suspects = self._fatal_calls.record_end(lost, self._clock())
+        parts = self._parts
+        suspects = parts.fatal_calls.record_end(lost, parts.clock())
         if not suspects:
             return
         message = ServerEnd(suspects)
-        for peer in self._links.up_peers():
-            self._start(self._tell(peer, message))
+        for server in parts.directory.servers(parts.pool):
+            if not server.local:
+                self._start(self._tell(server.address, message))
 
     async def _listens(self) -> bool:
         """Return whether the server may still be there."""
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(
-                    self._server.host, self._server.port
+                    self._parts.server.host, self._parts.server.port
                 )
         except ConnectionRefusedError:
             return False
@@ -87,7 +95,7 @@
         return True
 
     async def _tell(self, peer: PeerAddress, message: ServerEnd) -> None:
-        await self._links.request(peer, message, timeout_s=TELL_TIMEOUT_S)
+        await self._parts.links.request(peer, message, timeout_s=TELL_TIMEOUT_S)
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/tests/mesh/test_fatal_calls.py
+++ b/tests/mesh/test_fatal_calls.py
@@ -6,20 +6,25 @@
 from collections.abc import AsyncIterator
 from typing import cast
 
-from damaskbay.core.call import Request
+from damaskbay.core.call import CallResult, Request
 from damaskbay.core.fatal_calls import (
     MAX_ENDS,
     REMEMBERED_S,
     SERVED_LATELY_S,
     FatalCalls,
     digest_of_request,
+    refusal_of_fatal_call,
 )
+from damaskbay.core.retry.const import RETRYABLE_REASONS
+from damaskbay.core.routing import FailureKind
+from damaskbay.mesh.dispatch import _failure_kind
 from damaskbay.ports.peer import PeerAddress
 from tests.common import function_suite, reserve_address
 from tests.mesh.common import Backend, Fleet
 
 DEADLY = "/safe/deadly"
 SERVERS = 4
+OTHER_POOL = "other"
 ROUNDS = 12
 RESTART_S = 0.1
 REQUEST = Request("GET", "a.example", DEADLY, (), b"")
@@ -99,6 +104,7 @@
             stack.callback(server.stop)
             node = await fleet.add_daemon(f"m{number}", server.backend)
             await node.send_heartbeat()
+        await fleet.add(OTHER_POOL, "two")
         await fleet.wait_until_connected()
         yield fleet, servers
 
@@ -119,6 +125,9 @@
             assert statuses[-SERVERS:] == SERVERS * [503]
             for node in fleet.nodes.values():
                 assert (await node.request("/safe/other")).status == 200
+            # Only the daemons beside the pool's servers need to know.
+            other = fleet.nodes[OTHER_POOL]
+            assert not other.daemon._fatal_calls._ends_by_digest
 
     asyncio.run(run())
 
@@ -136,6 +145,20 @@
     assert calls.record_end(DIGESTS, late) == DIGESTS
 
 
+# A sound server that refused a blocked request was avoided as one that had failed.
+def test_the_refusal_of_a_blocked_request_says_nothing_against_the_server() -> None:
+    """It counts neither as unreachable nor is another server tried."""
+    calls = FatalCalls()
+    for number in range(MAX_ENDS):
+        calls.record_end(DIGESTS, float(number))
+    refusal = refusal_of_fatal_call(calls, REQUEST, float(MAX_ENDS))
+    assert refusal is not None
+    assert refusal.not_run
+    assert refusal.reason not in RETRYABLE_REASONS
+    result = CallResult(refusal, attempts=0)
+    assert _failure_kind(result) is FailureKind.REFUSED
+
+
 def test_a_request_may_be_sent_again_after_its_time() -> None:
     """Only the same request is blocked, and not for good."""
     calls = FatalCalls()
