Split what sends calls to the server from what admits them

ServerCalls sends to the local server and reads what becomes of a call; Target admits calls. Listeners opens the listeners of a start, with the wait for addresses in use; the limit of the memory account stands beside the account. The soak's options and its operator's set have modules of their own. Nothing else changes; one test patches a constant at its new place.

--- a/damaskbay/core/memory_account.py
+++ b/damaskbay/core/memory_account.py
@@ -14,6 +14,15 @@
 ADMISSION_SHARE: Final = 0.9
 """Part of the limit up to which calls are admitted; the rest is for running ones."""
 
+BASE_MEMORY_BYTES: Final = 64 * 1024 * 1024
+"""Memory of the process without requests and responses, bytes."""
+
+ACCOUNT_SHARE: Final = 0.75
+"""Part of the remaining memory for requests and responses; allocators need the rest."""
+
+MIN_ACCOUNT_SHARE: Final = 0.125
+"""Part of a small process's memory for requests and responses."""
+
 
 class MemoryAccount:
     """
@@ -119,3 +128,9 @@
 def header_bytes(name: bytes, value: bytes) -> int:
     """Return what a header occupies, in bytes."""
     return HEADER_BYTES + len(name) + len(value)
+
+
+def account_limit_bytes(memory_bytes: int) -> int:
+    """Return the memory for requests and responses in a process of `memory_bytes`."""
+    free_bytes = memory_bytes - BASE_MEMORY_BYTES
+    return int(max(MIN_ACCOUNT_SHARE * memory_bytes, ACCOUNT_SHARE * free_bytes))
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -15,7 +15,7 @@
 from damaskbay.config.objects import CallerLimits, ConfigSet
 from damaskbay.core.fatal_calls import FatalCalls
 from damaskbay.core.lifetime import Lifetime, links_close_timeout_s
-from damaskbay.core.memory_account import MemoryAccount
+from damaskbay.core.memory_account import MemoryAccount, account_limit_bytes
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
 from damaskbay.core.time_average import TimeAverage
@@ -35,16 +35,13 @@
 )
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
-    ACCOUNT_SHARE,
-    BASE_MEMORY_BYTES,
-    BIND_WAIT_S,
     EXPIRY_INTERVAL_S,
     LOAD_AVERAGE_S,
-    MIN_ACCOUNT_SHARE,
 )
 from damaskbay.mesh.control_plane import NOT_HANDLED, ControlPlane, ControlPlaneParts
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.gate import Gate
+from damaskbay.mesh.listeners import Listeners
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
 from damaskbay.mesh.messages import Note, PeerStatus, ServerEnd
 from damaskbay.mesh.neighbours import wanted_neighbours
@@ -70,12 +67,6 @@
 """Returns the HTTP handler for reports of the local server."""
 
 
-def account_limit_bytes(memory_bytes: int) -> int:
-    """Return the memory for requests and responses in a process of `memory_bytes`."""
-    free_bytes = memory_bytes - BASE_MEMORY_BYTES
-    return int(max(MIN_ACCOUNT_SHARE * memory_bytes, ACCOUNT_SHARE * free_bytes))
-
-
 class MeshDaemon:
     """One daemon; `run` serves until `stop` is called, then shuts down gracefully."""
 
@@ -187,6 +178,9 @@
         self._metrics = HttpServer(
             settings.metrics, self._status.metrics, CallerLimits()
         )
+        self._listeners = Listeners(
+            (self._links, self._control, self._readiness, self._callers), self._metrics
+        )
         self.configuration.subscribe(self._config_changed)
 
     @property
@@ -197,7 +191,7 @@
     async def run(self) -> None:
         """Serve until `stop` is called, then shut down gracefully."""
         async with contextlib.AsyncExitStack() as stack:
-            if not await self._listen(stack):
+            if not await self._listeners.open(stack, self._stopping):
                 _LOGGER.info("daemon: is stopped before it serves.")
                 return
             loop = asyncio.get_running_loop()
@@ -230,39 +224,6 @@
             task.cancel()
         _LOGGER.info("daemon: has stopped.")
 
-    async def _listen(self, stack: contextlib.AsyncExitStack) -> bool:
-        """Open the listeners; return whether that was done before a stop."""
-        loop = asyncio.get_running_loop()
-        listening = loop.create_task(self._open_listeners(stack))
-        stopping = loop.create_task(self._stopping.wait())
-        tasks = (listening, stopping)
-        try:
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            if self._stopping.is_set():
-                return False
-            await listening
-            return True
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
-    async def _open_listeners(self, stack: contextlib.AsyncExitStack) -> None:
-        for listener in (self._links, self._control, self._readiness, self._callers):
-            listener.bind_wait_s = BIND_WAIT_S
-            await stack.enter_async_context(listener)
-        await self._serve_metrics(stack)
-
-    async def _serve_metrics(self, stack: contextlib.AsyncExitStack) -> None:
-        """Serve metrics; continue without them if their port is in use."""
-        try:
-            await stack.enter_async_context(self._metrics)
-        except OSError as error:
-            _LOGGER.error(
-                "daemon: metrics are not served.",
-                extra={"address": str(self.settings.metrics), "why": str(error)},
-            )
-
     def reload(self, settings: MeshSettings) -> None:
         """Apply changed limits; log the other changes, which need a restart."""
         names = fields_that_need_a_restart(self.settings, settings)
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -25,6 +25,7 @@
 from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
 from damaskbay.mesh.local_server import LocalServer
 from damaskbay.mesh.running import RunningCalls
+from damaskbay.mesh.server_calls import ServerCalls, ServerCallsParts
 from damaskbay.mesh.server_ends import ServerEnds, ServerEndsParts
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.mesh.target import Target, TargetParts
@@ -80,31 +81,42 @@
     options = HttpClientOptions(
         echo_header=dialect.request_id, memory=shared_parts.memory
     )
+    server_ends = ServerEnds(
+        ServerEndsParts(
+            settings.server,
+            settings.pool,
+            shared_parts.directory,
+            shared_parts.links,
+            shared_parts.fatal_calls,
+            monotonic_s,
+        )
+    )
+    calls = ServerCalls(
+        ServerCallsParts(
+            local=shared_parts.local,
+            gate=shared_parts.gate,
+            client=HttpClient(settings.server, options),
+            dialect=dialect,
+            repeats=shared_parts.repeats,
+            fatal_calls=shared_parts.fatal_calls,
+            server_ends=server_ends,
+            on_capacity_change=on_capacity_change,
+            clock=monotonic_s,
+        )
+    )
     return Target(
         TargetParts(
             instance=settings.instance,
             pool=settings.pool,
             local=shared_parts.local,
             gate=shared_parts.gate,
-            client=HttpClient(settings.server, options),
-            dialect=dialect,
+            calls=calls,
             running=shared_parts.running,
             telemetry=shared_parts.telemetry,
             repeats=shared_parts.repeats,
             memory=shared_parts.memory,
             fatal_calls=shared_parts.fatal_calls,
-            server_ends=ServerEnds(
-                ServerEndsParts(
-                    settings.server,
-                    settings.pool,
-                    shared_parts.directory,
-                    shared_parts.links,
-                    shared_parts.fatal_calls,
-                    monotonic_s,
-                )
-            ),
             weight_of=weight_of,
-            on_capacity_change=on_capacity_change,
             lifetime=shared_parts.lifetime,
             clock=monotonic_s,
         )
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -21,15 +21,6 @@
 BIND_WAIT_S: Final = 4.0
 """Wait at a start for an address that the daemon before still uses, seconds."""
 
-BASE_MEMORY_BYTES: Final = 64 * 1024 * 1024
-"""Memory of the process without requests and responses, bytes."""
-
-ACCOUNT_SHARE: Final = 0.75
-"""Part of the remaining memory for requests and responses; allocators need the rest."""
-
-MIN_ACCOUNT_SHARE: Final = 0.125
-"""Part of a small process's memory for requests and responses."""
-
 MAX_REDIRECTS: Final = 3
 """Daemons tried in turn, without those that leave, until one passes the call on."""
 
--- /dev/null
+++ b/damaskbay/mesh/server_calls.py
@@ -0,0 +1,223 @@
+"""Sends calls to the local backend server and reads what becomes of them."""
+
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from damaskbay.adapters.http1.client import (
+    HttpClient,
+    HttpFailure,
+    HttpProblem,
+)
+from damaskbay.core.call import CallContext, Headers, Request, Response
+from damaskbay.core.fatal_calls import FatalCalls
+from damaskbay.core.http_status import is_success
+from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
+from damaskbay.core.retry.repeats import ServerRetryBudget
+from damaskbay.helpers.http_headers import HeaderFilter
+from damaskbay.mesh.const import (
+    NOT_READY_RETRY_S,
+    SERVER_REPLY_GRACE_S,
+    UNREACHABLE_BACKOFF_S,
+)
+from damaskbay.mesh.dialect import HeaderNames
+from damaskbay.mesh.gate import Gate
+from damaskbay.mesh.local_server import LocalServer, ServerStart
+from damaskbay.mesh.server_ends import ServerEnds
+from damaskbay.mesh.server_notices import ServerNotices
+
+_LOGGER = logging.getLogger(__name__)
+
+FIRST_REDIRECT = 300
+
+
+@dataclass(frozen=True, slots=True)
+class ServerCallsParts:
+    """
+    Dependencies of ServerCalls.
+
+    `on_capacity_change` is called when the server names another limit.
+    """
+
+    local: LocalServer
+    gate: Gate
+    client: HttpClient
+    dialect: HeaderNames
+    repeats: ServerRetryBudget
+    fatal_calls: FatalCalls
+    server_ends: ServerEnds
+    on_capacity_change: Callable[[], None]
+    clock: Callable[[], float]
+
+
+class ServerCalls:
+    """
+    Sends admitted calls to the local server.
+
+    `unreachable_until` is the monotonic time until which the server gets no calls,
+    since it refused a connection.
+    """
+
+    def __init__(self, parts: ServerCallsParts) -> None:
+        self._parts = parts
+        self.unreachable_until = 0.0
+        self._not_run_header = parts.dialect.not_run.lower()
+        self._stamp_header = parts.dialect.stamp.lower()
+        self._notices = ServerNotices(
+            parts.dialect, parts.local, parts.gate, parts.on_capacity_change
+        )
+        self._sieve = HeaderFilter(
+            dropped=frozenset({parts.dialect.request_id.lower(), "content-length"}),
+            read=frozenset({self._not_run_header, self._stamp_header})
+            | self._notices.headers,
+        )
+
+    async def send(self, context: CallContext, request: Request) -> Response | Refusal:
+        """
+        Send once; repeat only if a reused connection turned out to be closed.
+
+        The server may have received the request before it closed, so that the repeat
+        needs the retry budget and a server that still takes calls.
+        """
+        start = self._parts.local.start
+        outcome = await self._send_once(context, request, context.idempotent)
+        if (
+            isinstance(outcome, HttpFailure)
+            and outcome.problem is HttpProblem.STALE
+            and context.idempotent
+            and self._may_repeat(context)
+        ):
+            return await self._send_again(context, request, outcome, start)
+        return self._to_result(context, request, outcome, start)
+
+    async def _send_again(
+        self,
+        context: CallContext,
+        request: Request,
+        first: HttpFailure,
+        start: ServerStart,
+    ) -> Response | Refusal:
+        """
+        Repeat a send on a new connection.
+
+        The first send may have run, whatever becomes of the repeat.
+        """
+        parts = self._parts
+        parts.server_ends.record_lost(request)
+        parts.gate.record_extra_start(parts.clock())
+        outcome = await self._send_once(context, request, False)
+        if isinstance(outcome, HttpFailure) and outcome.problem is HttpProblem.NOT_SENT:
+            parts.repeats.give_back()
+            return self._to_result(context, request, first, start)
+        result = self._to_result(context, request, outcome, start)
+        if isinstance(result, Refusal) and result.not_run:
+            return replace(result, outcome=Outcome.UNKNOWN, retry_after_s=None)
+        return result
+
+    def _to_result(
+        self,
+        context: CallContext,
+        request: Request,
+        outcome: Response | HttpFailure,
+        start: ServerStart,
+    ) -> Response | Refusal:
+        """Return what the outcome of the last send means for the call."""
+        if isinstance(outcome, HttpFailure):
+            if outcome.problem is HttpProblem.TIMED_OUT:
+                return unknown(Reason.DEADLINE_PASSED)
+            if outcome.problem in (HttpProblem.LOST, HttpProblem.STALE):
+                self._parts.server_ends.record_lost(request)
+            return self._handle_failure(context, outcome)
+        result = self._classify_response(context, outcome, start)
+        if is_success(result):
+            self._parts.fatal_calls.record_served(request, self._parts.clock())
+        return result
+
+    def _may_repeat(self, context: CallContext) -> bool:
+        """Return whether the server may get a call again; spend a retry for it."""
+        parts = self._parts
+        if not parts.local.may_send(parts.clock()):
+            return False
+        return parts.repeats.spend(nested=context.depth > 0)
+
+    async def _send_once(
+        self, context: CallContext, request: Request, reuse_connection: bool
+    ) -> Response | HttpFailure:
+        parts = self._parts
+        left_s = context.deadline - parts.clock()
+        left_ms = math.floor(left_s * 1000.0)
+        id_headers: Headers = ()
+        if context.request_id is not None:
+            id_headers = ((parts.dialect.request_id, context.request_id),)
+        headers: Headers = (
+            *request.headers,
+            *id_headers,
+            (parts.dialect.deadline_ms, str(max(1, left_ms))),
+            (parts.dialect.expected_server, parts.local.server),
+        )
+        forwarded = Request(
+            request.method, request.host, request.target, headers, request.body
+        )
+        return await parts.client.send(
+            forwarded,
+            echo=context.request_id,
+            fresh=not reuse_connection,
+            timeout_s=max(0.0, left_s) + SERVER_REPLY_GRACE_S,
+        )
+
+    def _handle_failure(self, context: CallContext, failure: HttpFailure) -> Refusal:
+        detail = f"{failure.problem.value}: {failure.detail}"
+        _LOGGER.warning(
+            "target: server gave no answer.",
+            extra={
+                "request_id": context.request_id,
+                "route": context.route,
+                "why": failure.problem.value,
+                "detail": failure.detail,
+                "server": self._parts.local.server,
+            },
+        )
+        if failure.problem is HttpProblem.NOT_SENT:
+            self.unreachable_until = self._parts.clock() + UNREACHABLE_BACKOFF_S
+            return not_run(
+                Reason.BACKEND_SERVER_FAILED,
+                retry_after_s=NOT_READY_RETRY_S,
+                detail=detail,
+            )
+        if failure.problem is HttpProblem.GARBLED:
+            return unknown(Reason.ANSWER_INCOMPLETE, detail=detail)
+        return unknown(Reason.BACKEND_SERVER_FAILED, detail=detail)
+
+    def _classify_response(
+        self, context: CallContext, response: Response, start: ServerStart
+    ) -> Response | Refusal:
+        """Return the response without internal headers, or a refusal made from it."""
+        dialect = self._parts.dialect
+        headers, values = self._sieve.split(response.headers)
+        self._notices.record_response(values, start, self._parts.clock())
+        if (
+            self._not_run_header in values
+            or response.status in dialect.not_run_statuses
+        ):
+            _LOGGER.info(
+                "target: server refused.",
+                extra={
+                    "request_id": context.request_id,
+                    "route": context.route,
+                    "why": "not run",
+                    "status": response.status,
+                    "server": self._parts.local.server,
+                    "running": self._parts.gate.running,
+                },
+            )
+            return not_run(
+                Reason.OVERLOADED,
+                retry_after_s=NOT_READY_RETRY_S,
+                detail=f"server refused with status {response.status}",
+            )
+        if response.status < FIRST_REDIRECT and self._stamp_header not in values:
+            return unknown(
+                Reason.ANSWER_INCOMPLETE, detail="server stamp header is missing"
+            )
+        return Response(response.status, headers, response.body)
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -1,70 +1,49 @@
-"""Runs calls at the local backend server."""
+"""Admits calls to the local backend server."""
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
-from damaskbay.adapters.http1.client import (
-    HttpClient,
-    HttpFailure,
-    HttpProblem,
-)
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.admission import CallSample
-from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
+from damaskbay.core.call import CallContext, CallResult, Request, Response
 from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.fatal_calls import FatalCalls, refusal_of_fatal_call
 from damaskbay.core.http_status import is_success
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import Holding, MemoryAccount
-from damaskbay.core.outcome import Outcome, Reason, Refusal, not_run, unknown
+from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.core.retry.repeats import ServerRetryBudget
-from damaskbay.helpers.http_headers import HeaderFilter
 from damaskbay.mesh.const import (
     NOT_READY_RETRY_S,
-    SERVER_REPLY_GRACE_S,
-    UNREACHABLE_BACKOFF_S,
 )
-from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.gate import Gate
-from damaskbay.mesh.local_server import LocalServer, ServerStart
+from damaskbay.mesh.local_server import LocalServer
 from damaskbay.mesh.running import RunningCall, RunningCalls
-from damaskbay.mesh.server_ends import ServerEnds
-from damaskbay.mesh.server_notices import ServerNotices
+from damaskbay.mesh.server_calls import ServerCalls
 from damaskbay.ports.fleet import ServerState
 
 _LOGGER = logging.getLogger(__name__)
 
-FIRST_REDIRECT = 300
-
 
 @dataclass(frozen=True, slots=True)
 class TargetParts:
-    """
-    Dependencies of Target.
-
-    `weight_of` returns the weight of a workspace. `on_capacity_change` is called when
-    the server names another limit.
-    """
+    """Dependencies of Target; `weight_of` returns the weight of a workspace."""
 
     instance: str
     pool: str
     local: LocalServer
     gate: Gate
-    client: HttpClient
-    dialect: HeaderNames
+    calls: ServerCalls
     running: RunningCalls
     telemetry: BoundTelemetry
     repeats: ServerRetryBudget
     memory: MemoryAccount
     fatal_calls: FatalCalls
-    server_ends: ServerEnds
     weight_of: Callable[[str], float]
-    on_capacity_change: Callable[[], None]
     lifetime: Lifetime
     clock: Callable[[], float]
 
@@ -84,21 +63,10 @@
 
 
 class Target:
-    """Sends calls to the local server; as the only sender it knows the slots in use."""
+    """Admits calls to the local server; their only sender knows the slots in use."""
 
     def __init__(self, parts: TargetParts) -> None:
         self._parts = parts
-        self._unreachable_until = 0.0
-        self._not_run_header = parts.dialect.not_run.lower()
-        self._stamp_header = parts.dialect.stamp.lower()
-        self._notices = ServerNotices(
-            parts.dialect, parts.local, parts.gate, parts.on_capacity_change
-        )
-        self._sieve = HeaderFilter(
-            dropped=frozenset({parts.dialect.request_id.lower(), "content-length"}),
-            read=frozenset({self._not_run_header, self._stamp_header})
-            | self._notices.headers,
-        )
         self._active_calls: set[_ActiveCall] = set()
         self._durations = DurationEstimates()
         self._sizes = ResponseSizes()
@@ -192,7 +160,7 @@
                 return self._refused_result(context, refusal, now)
             self._count_attempt(context)
             active.sent = True
-            outcome = await self._send(context, request)
+            outcome = await parts.calls.send(context, request)
             took_s = parts.clock() - now
             sample = CallSample(took_s, succeeded=is_success(outcome))
         finally:
@@ -225,7 +193,7 @@
                 retry_after_s=NOT_READY_RETRY_S,
                 detail=f"{parts.memory.held_bytes} bytes are held",
             )
-        if now < self._unreachable_until:
+        if now < parts.calls.unreachable_until:
             return not_run(
                 Reason.BACKEND_SERVER_FAILED, retry_after_s=NOT_READY_RETRY_S
             )
@@ -258,155 +226,6 @@
             )
         return refusal_of_fatal_call(self._parts.fatal_calls, request, now)
 
-    async def _send(self, context: CallContext, request: Request) -> Response | Refusal:
-        """
-        Send once; repeat only if a reused connection turned out to be closed.
-
-        The server may have received the request before it closed, so that the repeat
-        needs the retry budget and a server that still takes calls.
-        """
-        start = self._parts.local.start
-        outcome = await self._send_once(context, request, context.idempotent)
-        if (
-            isinstance(outcome, HttpFailure)
-            and outcome.problem is HttpProblem.STALE
-            and context.idempotent
-            and self._may_repeat(context)
-        ):
-            return await self._send_again(context, request, outcome, start)
-        return self._to_result(context, request, outcome, start)
-
-    async def _send_again(
-        self,
-        context: CallContext,
-        request: Request,
-        first: HttpFailure,
-        start: ServerStart,
-    ) -> Response | Refusal:
-        """
-        Repeat a send on a new connection.
-
-        The first send may have run, whatever becomes of the repeat.
-        """
-        parts = self._parts
-        parts.server_ends.record_lost(request)
-        parts.gate.record_extra_start(parts.clock())
-        outcome = await self._send_once(context, request, False)
-        if isinstance(outcome, HttpFailure) and outcome.problem is HttpProblem.NOT_SENT:
-            parts.repeats.give_back()
-            return self._to_result(context, request, first, start)
-        result = self._to_result(context, request, outcome, start)
-        if isinstance(result, Refusal) and result.not_run:
-            return replace(result, outcome=Outcome.UNKNOWN, retry_after_s=None)
-        return result
-
-    def _to_result(
-        self,
-        context: CallContext,
-        request: Request,
-        outcome: Response | HttpFailure,
-        start: ServerStart,
-    ) -> Response | Refusal:
-        """Return what the outcome of the last send means for the call."""
-        if isinstance(outcome, HttpFailure):
-            if outcome.problem is HttpProblem.TIMED_OUT:
-                return unknown(Reason.DEADLINE_PASSED)
-            if outcome.problem in (HttpProblem.LOST, HttpProblem.STALE):
-                self._parts.server_ends.record_lost(request)
-            return self._handle_failure(context, outcome)
-        result = self._classify_response(context, outcome, start)
-        if is_success(result):
-            self._parts.fatal_calls.record_served(request, self._parts.clock())
-        return result
-
-    def _may_repeat(self, context: CallContext) -> bool:
-        """Return whether the server may get a call again; spend a retry for it."""
-        parts = self._parts
-        if not parts.local.may_send(parts.clock()):
-            return False
-        return parts.repeats.spend(nested=context.depth > 0)
-
-    async def _send_once(
-        self, context: CallContext, request: Request, reuse_connection: bool
-    ) -> Response | HttpFailure:
-        parts = self._parts
-        left_s = context.deadline - parts.clock()
-        left_ms = math.floor(left_s * 1000.0)
-        id_headers: Headers = ()
-        if context.request_id is not None:
-            id_headers = ((parts.dialect.request_id, context.request_id),)
-        headers: Headers = (
-            *request.headers,
-            *id_headers,
-            (parts.dialect.deadline_ms, str(max(1, left_ms))),
-            (parts.dialect.expected_server, parts.local.server),
-        )
-        forwarded = Request(
-            request.method, request.host, request.target, headers, request.body
-        )
-        return await parts.client.send(
-            forwarded,
-            echo=context.request_id,
-            fresh=not reuse_connection,
-            timeout_s=max(0.0, left_s) + SERVER_REPLY_GRACE_S,
-        )
-
-    def _handle_failure(self, context: CallContext, failure: HttpFailure) -> Refusal:
-        detail = f"{failure.problem.value}: {failure.detail}"
-        _LOGGER.warning(
-            "target: server gave no answer.",
-            extra={
-                "request_id": context.request_id,
-                "route": context.route,
-                "why": failure.problem.value,
-                "detail": failure.detail,
-                "server": self._parts.local.server,
-            },
-        )
-        if failure.problem is HttpProblem.NOT_SENT:
-            self._unreachable_until = self._parts.clock() + UNREACHABLE_BACKOFF_S
-            return not_run(
-                Reason.BACKEND_SERVER_FAILED,
-                retry_after_s=NOT_READY_RETRY_S,
-                detail=detail,
-            )
-        if failure.problem is HttpProblem.GARBLED:
-            return unknown(Reason.ANSWER_INCOMPLETE, detail=detail)
-        return unknown(Reason.BACKEND_SERVER_FAILED, detail=detail)
-
-    def _classify_response(
-        self, context: CallContext, response: Response, start: ServerStart
-    ) -> Response | Refusal:
-        """Return the response without internal headers, or a refusal made from it."""
-        dialect = self._parts.dialect
-        headers, values = self._sieve.split(response.headers)
-        self._notices.record_response(values, start, self._parts.clock())
-        if (
-            self._not_run_header in values
-            or response.status in dialect.not_run_statuses
-        ):
-            _LOGGER.info(
-                "target: server refused.",
-                extra={
-                    "request_id": context.request_id,
-                    "route": context.route,
-                    "why": "not run",
-                    "status": response.status,
-                    "server": self._parts.local.server,
-                    "running": self._parts.gate.running,
-                },
-            )
-            return not_run(
-                Reason.OVERLOADED,
-                retry_after_s=NOT_READY_RETRY_S,
-                detail=f"server refused with status {response.status}",
-            )
-        if response.status < FIRST_REDIRECT and self._stamp_header not in values:
-            return unknown(
-                Reason.ANSWER_INCOMPLETE, detail="server stamp header is missing"
-            )
-        return Response(response.status, headers, response.body)
-
     def _interrupted_result(
         self, context: CallContext, active: _ActiveCall
     ) -> CallResult:
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -17,7 +17,7 @@
 from damaskbay.core import lifetime
 from damaskbay.core.call import Request, Response
 from damaskbay.helpers.clock import monotonic_s
-from damaskbay.mesh import dispatch, target
+from damaskbay.mesh import dispatch, server_calls
 from damaskbay.mesh.const import REPLY_GRACE_S, SERVER_REPLY_GRACE_S
 from tests.common import function_suite
 from tests.mesh.common import Fleet, Node, run_fleet, wait_until
@@ -172,7 +172,7 @@
     work_margin_s = lifetime.INTERRUPT_MARGIN_S + MARGIN_SCALE * gap_s
     with (
         patch.object(
-            target, "SERVER_REPLY_GRACE_S", MARGIN_SCALE * SERVER_REPLY_GRACE_S
+            server_calls, "SERVER_REPLY_GRACE_S", MARGIN_SCALE * SERVER_REPLY_GRACE_S
         ),
         patch.object(dispatch, "REPLY_GRACE_S", MARGIN_SCALE * REPLY_GRACE_S),
         patch.object(lifetime, "WORK_MARGIN_S", work_margin_s),
--- a/tests/mesh/test_memory.py
+++ b/tests/mesh/test_memory.py
@@ -5,8 +5,12 @@
 from collections.abc import Awaitable, Callable
 
 from damaskbay.core.call import Request, Response
-from damaskbay.core.memory_account import ADMISSION_SHARE, Holding, MemoryAccount
-from damaskbay.mesh.app import account_limit_bytes
+from damaskbay.core.memory_account import (
+    ADMISSION_SHARE,
+    Holding,
+    MemoryAccount,
+    account_limit_bytes,
+)
 from tests.common import function_suite
 from tests.mesh.common import Fleet, Node, run_fleet
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,7 +6,8 @@
 import tempfile
 from pathlib import Path
 
-from tests.soak.soak import Soak, options_of
+from tests.soak.options import options_of
+from tests.soak.soak import Soak
 
 MAX_PRINTED = 100
 LOG_FOLDER_PREFIX = "damaskbay-soak-"
--- /dev/null
+++ b/tests/soak/manifest.py
@@ -0,0 +1,68 @@
+"""The operator's set of the soak."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from tests.mesh.common import HEALTH_PATH
+
+POOLS = ("one", "two")
+NESTED_POOL = "two"
+"""Pool of the open route, which servers of the other pool call."""
+
+_EXTRA = {"Kind": "safe", "Service": NESTED_POOL, "AuthExempt": True}
+"""Fields of the routes of a big set, which no caller uses."""
+
+
+def make_manifest(
+    version: int,
+    timeout_s: float,
+    workspaces_by_key: Mapping[str, str],
+    workspaces: Sequence[str],
+    extra_routes: int,
+) -> dict[str, Any]:
+    """Return a set with the active keys and so many routes that no caller uses."""
+    spec = {
+        "Host": "a.example",
+        "Timeout": f"{timeout_s}s",
+        "TargetLatency": "500ms",
+        "Priority": 1,
+        "NumAttempts": 2,
+    }
+    paths = (
+        ("safe", "safe"),
+        ("unsafe", "unsafe"),
+        ("open", "safe"),
+        ("big", "safe"),
+    )
+    entries: list[tuple[str, str, dict[str, object]]] = [
+        (
+            "Routes",
+            f"r-{path}",
+            {
+                **spec,
+                "Prefix": f"/{path}/",
+                "Kind": kind,
+                "Service": NESTED_POOL if path == "open" else "one",
+                "AuthExempt": path in ("open", "big"),
+            },
+        )
+        for path, kind in paths
+    ]
+    service = {"MaxConnections": 90, "HealthCheckPath": HEALTH_PATH}
+    entries += [
+        ("Routes", f"extra-{number}", {**spec, **_EXTRA, "Prefix": f"/x{number}/"})
+        for number in range(extra_routes)
+    ]
+    entries += [("Services", pool, service) for pool in POOLS]
+    for workspace in workspaces:
+        keys = [
+            key
+            for key, key_workspace in workspaces_by_key.items()
+            if key_workspace == workspace
+        ]
+        entries.append(("Tenants", workspace, {"ApiKeys": keys, "Priority": 1}))
+    resources = [
+        {"Type": kind, "Metadata": {"Name": name}, "Spec": body}
+        for kind, name, body in entries
+    ]
+    return {"Version": version, "Resources": resources}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,22 +6,22 @@
 import random
 import signal
 import time
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from pathlib import Path
 
 from damaskbay.platform.const import CONFIG_KEY
-from tests.mesh.common import HEALTH_PATH
 from tests.platform.kv_stand_in import KvStandIn
 from tests.soak.callers import MachineCallers, RequestSource, send_once
 from tests.soak.harsh import Fault, HarshFaults, HarshParts
 from tests.soak.machines import DRAIN_S, Machine, MachineOptions
+from tests.soak.manifest import NESTED_POOL, POOLS, make_manifest
+from tests.soak.options import SoakOptions
 from tests.soak.planned import LagRecorder
 from tests.soak.promises import InvariantChecker
 from tests.soak.records import Disturbance, ExecutionLog
 from tests.soak.servers import QUICK_TARGET
 
 DOMAINS = ("a", "b")
-POOLS = ("one", "two")
 SETTLE_S = 8.0
 """Seconds without faults at the end: proof, links and ejected servers recover."""
 
@@ -29,20 +29,9 @@
 FULL_RATE_MACHINES = 6
 """Number of machines above which the rate of all requests no longer grows."""
 
-PLANNED_SEED_INTERVAL = 5
-"""Each fifth seed has planned work only, which must not cut any call."""
-
-NESTED_POOL = "two"
-"""Pool of the open route, which servers of the other pool call."""
-
-_EXTRA = {"Kind": "safe", "Service": NESTED_POOL, "AuthExempt": True}
-"""Fields of the routes of a big set, which no caller uses."""
-
 NAMED_LIMITS = (0.0, 0.7, 2.0, 5.0, 12.5)
 """Limits that servers name, requests per second."""
 
-GRACE_S = 3.0
-PLANNED_GRACE_S = 6.0
 TIMEOUT_S = 2.0
 PLANNED_TIMEOUT_S = 5.0
 SIGNAL_SHARE = 0.3
@@ -55,46 +44,6 @@
 """Part of the restarts, 0 to 1, that are followed by another stop at once."""
 
 
-@dataclass(frozen=True)
-class SoakOptions:
-    """
-    Seed, number of machines, seconds in which faults start; times in seconds.
-
-    `planned` means that the only faults are stops, set changes, changed settings, and
-    slow and draining servers. `long_share` is the part of requests, 0 to 1, that take
-    long at their server. `pipelines` adds callers that pipeline requests, `limits`
-    servers that name limits, change and drop them, `harsh` the faults that bring
-    memory, descriptors and signals to their limits.
-    """
-
-    seed: int
-    machine_count: int = 6
-    fault_duration_s: float = 12.0
-    planned: bool = False
-    grace_s: float = GRACE_S
-    long_share: float = 0.1
-    pipelines: bool = True
-    limits: bool = False
-    harsh: bool = False
-
-
-def options_of(
-    seed: int, machine_count: int, fault_duration_s: float, *, planned: bool
-) -> SoakOptions:
-    """Return the options of a seed; each fifth one is planned in any case."""
-    planned = planned or seed % PLANNED_SEED_INTERVAL == 0
-    grace_s = PLANNED_GRACE_S if planned else GRACE_S
-    return SoakOptions(
-        seed,
-        machine_count,
-        fault_duration_s,
-        planned,
-        grace_s,
-        limits=True,
-        harsh=True,
-    )
-
-
 class Soak:
     """Runs one seed; `checker` holds the violations, `events` the injected faults."""
 
@@ -221,51 +170,13 @@
     async def _publish(self) -> None:
         """Publish a manifest of the next version with the active keys."""
         self._version += self._rng.randint(1, 3)
-        spec = {
-            "Host": "a.example",
-            "Timeout": f"{self._timeout_s}s",
-            "TargetLatency": "500ms",
-            "Priority": 1,
-            "NumAttempts": 2,
-        }
-        paths = (
-            ("safe", "safe"),
-            ("unsafe", "unsafe"),
-            ("open", "safe"),
-            ("big", "safe"),
+        document = make_manifest(
+            self._version,
+            self._timeout_s,
+            self._active_keys,
+            sorted(set(self._workspaces_by_key.values())),
+            self._extra_routes,
         )
-        entries: list[tuple[str, str, dict[str, object]]] = [
-            (
-                "Routes",
-                f"r-{path}",
-                {
-                    **spec,
-                    "Prefix": f"/{path}/",
-                    "Kind": kind,
-                    "Service": NESTED_POOL if path == "open" else "one",
-                    "AuthExempt": path in ("open", "big"),
-                },
-            )
-            for path, kind in paths
-        ]
-        service = {"MaxConnections": 90, "HealthCheckPath": HEALTH_PATH}
-        entries += [
-            ("Routes", f"extra-{number}", {**spec, **_EXTRA, "Prefix": f"/x{number}/"})
-            for number in range(self._extra_routes)
-        ]
-        entries += [("Services", pool, service) for pool in POOLS]
-        for workspace in sorted(set(self._workspaces_by_key.values())):
-            keys = [
-                key
-                for key, key_workspace in self._active_keys.items()
-                if key_workspace == workspace
-            ]
-            entries.append(("Tenants", workspace, {"ApiKeys": keys, "Priority": 1}))
-        resources = [
-            {"Type": kind, "Metadata": {"Name": name}, "Spec": body}
-            for kind, name, body in entries
-        ]
-        document = {"Version": self._version, "Resources": resources}
         await self._kv.put(CONFIG_KEY, json.dumps(document).encode())
 
     async def _publish_routes(self, count: int) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 
 from tests.common import function_suite
-from tests.soak.soak import PLANNED_GRACE_S, Soak, SoakOptions
+from tests.soak.options import PLANNED_GRACE_S, SoakOptions
+from tests.soak.soak import Soak
 
 SHORT_RUN_S = 5.0
 
