--- a/tests/adapters/http1/test_slow_reader.py
+++ b/tests/adapters/http1/test_slow_reader.py
@@ -26,7 +26,7 @@
 REQUESTS = 24
 """More responses than the socket buffers of a loopback connection hold."""
 
-WAIT_S = 30.0
+WAIT_S = 20.0
 STALL_TIMEOUT_S = 1.0
 PAUSE_S = 2.0 + USER_TIMEOUT_MS / 1000.0
 
@@ -103,7 +103,7 @@
     _run(check)
 
 
-# A daemon exceeded its memory: a partly sent response counted as its unsent rest.
+# Guards against LOST: a daemon whose slow callers count too little exceeds its memory.
 def test_a_response_counts_as_a_whole_until_all_of_it_is_sent() -> None:
     """The kernel has taken a part, but the buffer keeps all of its bytes."""
 
