Refuse callers for whom there is no descriptor, in place of closing them

What callers saw: where more callers connect than the process has descriptors, those beyond are closed without an answer, whether or not their request had been sent. The log did not name them.

Cause: when accept fails with EMFILE, libuv accepts and closes all that waits in the queue. The soft limit of the process counted, which is often 1,024, not the limit that the platform grants. So a stall of a few tenths of a second beside many callers is enough.

Change: the soft limit is raised to the platform's. Half of the descriptors are for callers that are served, who get 503 with a Retry-After beyond that; from six tenths on no connections are accepted until others have left, so that servers, peers and the store keep theirs. A listener that pauses leaves its queue as it is. It also accepts what waits in its queue before it closes.

--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -29,15 +29,8 @@
 MAX_LINGER_S: Final = 15.0
 """Longest wait, seconds, for a caller that still sends after the last response."""
 
-NO_MEMORY_RETRY_S: Final = 1
-"""Retry delay for callers whose request found no memory, whole seconds."""
-
-LISTEN_BACKLOG: Final = 1024
-"""
-Maximum number of connections that wait to be accepted.
-
-Further attempts to connect are dropped, which delays the caller by seconds.
-"""
+OVERLOADED_RETRY_S: Final = 1
+"""Retry delay for callers that found no memory or descriptor, whole seconds."""
 
 BIND_RETRY_S: Final = 0.1
 """Seconds between attempts to listen on an address that is in use."""
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -17,16 +17,17 @@
     MAX_LINGER_S,
     MAX_PIPELINED_REQUESTS,
     MAX_UNREAD_BYTES,
-    NO_MEMORY_RETRY_S,
+    OVERLOADED_RETRY_S,
     TIMEOUT_CHECK_INTERVAL_S,
     WRITE_STALL_TIMEOUT_S,
 )
 from damaskbay.adapters.http1.exceptions import BadRequestError
 from damaskbay.adapters.http1.request_parser import RequestParser
 from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
-from damaskbay.adapters.http1.sockets import listen
+from damaskbay.adapters.http1.sockets import Listener
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Headers, Request, Response
+from damaskbay.core.descriptors import ConnectionLimits
 from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
@@ -47,6 +48,8 @@
     http.HTTPStatus.SERVICE_UNAVAILABLE: "no memory",
 }
 
+_TOO_MANY_CONNECTIONS = "too many connections"
+
 Handler = Callable[[ReceivedRequest], Awaitable[Response]]
 """Serves one request; cancelled when the caller disconnects."""
 
@@ -79,6 +82,7 @@
         self._transport: asyncio.Transport | None = None
         self._exchanges: deque[_Exchange] = deque()
         self._closing = False
+        self._is_refused = False
         self._ended_at: float | None = None
         self._linger_until = 0.0
         self._reading_paused = False
@@ -120,12 +124,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         self._transport = cast("asyncio.Transport", transport)
-        self._server.connections.add(self)
+        self._is_refused = self._server.exceeds_connections
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in flight."""
         self._transport = None
-        self._server.connections.discard(self)
+        self._server.remove_connection(self)
         self._written.release()
         self._parser.close()
         for exchange in self._exchanges:
@@ -168,6 +172,10 @@
         if self._closing:
             holding.release()
             return
+        if self._is_refused:
+            holding.release()
+            self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE, _TOO_MANY_CONNECTIONS)
+            return
         arrival = ReceivedRequest(request, self._last_active_at)
         exchange = _Exchange(arrival, holding, keep_alive)
         self._exchanges.append(exchange)
@@ -189,7 +197,10 @@
                 self._transport.close()
         elif self._sends_too_slowly(now):
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
-        elif self.is_idle(now) and now - self._last_active_at > limits.idle_timeout_s:
+        elif self.is_idle(now) and (
+            now - self._last_active_at > limits.idle_timeout_s
+            or self._server.exceeds_connections
+        ):
             self._transport.close()
 
     def close_if_idle(self, now: float) -> None:
@@ -249,7 +260,8 @@
         close, so all requests that were started have to be answered before.
         """
         answered = not self._exchanges and self._error_status is None
-        return self._server.draining and answered
+        closes = self._server.draining or self._server.exceeds_connections
+        return closes and answered
 
     def _count_written(self) -> None:
         """Count the written responses that the kernel has not taken yet."""
@@ -303,7 +315,7 @@
             self._reading_paused = False
             self._transport.resume_reading()
 
-    def _reject(self, status: http.HTTPStatus) -> None:
+    def _reject(self, status: http.HTTPStatus, why: str | None = None) -> None:
         """Send an error response after the responses to earlier requests, and close."""
         self._closing = True
         self._error_status = status
@@ -314,15 +326,19 @@
             "edge: request is rejected.",
             extra={
                 "status": int(status),
-                "why": _REJECTION_REASONS.get(status, "malformed"),
+                "why": why or _REJECTION_REASONS.get(status, "malformed"),
                 "held_bytes": self._server.memory.held_bytes,
             },
         )
         headers: Headers = ()
         if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
-            headers = (("Retry-After", str(NO_MEMORY_RETRY_S)),)
+            headers = (("Retry-After", str(OVERLOADED_RETRY_S)),)
         response = encode_response(Response(int(status), headers), "GET")
         self._transport.write(response.to_bytes(keep_alive=False))
+        if self._is_refused:
+            # All of the request has been read, and the descriptor is needed.
+            self._transport.close()
+            return
         self._end()
 
     def _apply_backpressure(self) -> None:
@@ -348,8 +364,9 @@
 
     While `draining` is set, each connection closes after the response to the last
     request that was read. `memory` counts what the connections hold of requests and
-    responses. Entering the context waits up to `bind_wait_s` seconds for an address
-    that is in use. Leaving it waits up to `close_timeout_s` seconds until complete
+    responses. Requests on connections beyond `connection_limits` are refused. Entering
+    the context waits up to `bind_wait_s` seconds for an address that is in use. Leaving
+    it waits up to `close_timeout_s` seconds until complete
     responses are sent.
     """
 
@@ -359,24 +376,22 @@
         handler: Handler,
         limits: CallerLimits,
         memory: MemoryAccount | None = None,
+        connection_limits: ConnectionLimits | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
         self.limits = limits
         self.memory = memory or MemoryAccount()
+        self.connection_limits = connection_limits or ConnectionLimits()
         self.draining = False
         self.close_timeout_s = CLOSE_TIMEOUT_S
         self.bind_wait_s = 0.0
         self.connections: set[ServerConnection] = set()
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(self._make_connection, self.connection_limits.backlog)
         self._timeout_task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
-        self._server = await listen(
-            self.address, lambda: ServerConnection(self), wait_s=self.bind_wait_s
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = PeerAddress(self.address.host, port)
+        self.address = await self._listener.open(self.address, wait_s=self.bind_wait_s)
         self._timeout_task = asyncio.create_task(self._check_timeouts())
         return self
 
@@ -395,6 +410,11 @@
         for connection in tuple(self.connections):
             connection.close_unless_serving()
 
+    @property
+    def exceeds_connections(self) -> bool:
+        """Return whether more connections are open than may be served."""
+        return len(self.connections) > self.connection_limits.served
+
     @property
     def in_flight(self) -> int:
         """Return the number of connections that aren't idle."""
@@ -407,9 +427,14 @@
         return sum(connection.unsent_bytes for connection in self.connections)
 
     def stop_listening(self) -> None:
-        """Stop accepting connections; open ones continue."""
-        if self._server is not None:
-            self._server.close()
+        """Stop accepting connections, except those that wait; open ones continue."""
+        self._listener.close()
+
+    def remove_connection(self, connection: ServerConnection) -> None:
+        """Remove a connection that has ended, so that others can be accepted."""
+        self.connections.discard(connection)
+        if not self.exceeds_connections:
+            self._listener.resume()
 
     def close_idle(self) -> None:
         """Close the connections without a request or response in flight."""
@@ -422,6 +447,17 @@
         for connection in tuple(self.connections):
             connection.reject_incomplete()
 
+    def _make_connection(self) -> ServerConnection:
+        connection = ServerConnection(self)
+        self.connections.add(connection)
+        if len(self.connections) >= self.connection_limits.most:
+            _LOGGER.warning(
+                "edge: no connections are accepted for a while.",
+                extra={"connections": len(self.connections)},
+            )
+            self._listener.pause()
+        return connection
+
     async def _flush(self) -> None:
         """Wait until all complete responses are sent; log what exceeds the timeout."""
         ends_at = monotonic_s() + self.close_timeout_s
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -8,7 +8,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from damaskbay.adapters.http1.sockets import listen
+from damaskbay.adapters.http1.sockets import Listener
 from damaskbay.adapters.peer_link.const import (
     CONNECT_TIMEOUT_S,
     LINK_TIMEOUT_S,
@@ -69,15 +69,13 @@
         self._links_by_peer: dict[PeerAddress, Link] = {}
         self._retired: set[Link] = set()
         self._accepted: set[Link] = set()
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(self._accept)
         self._monitor_task: asyncio.Task[None] | None = None
         self._closing = False
         self._interrupted = False
 
     async def __aenter__(self) -> Self:
-        self._server = await listen(
-            self._address, self._accept, wait_s=self.bind_wait_s
-        )
+        await self._listener.open(self._address, wait_s=self.bind_wait_s)
         self._monitor_task = asyncio.create_task(self._monitor_links())
         return self
 
@@ -188,8 +186,7 @@
 
     def _stop_connecting(self) -> None:
         self._closing = True
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         for task in self._tasks_by_peer.values():
             task.cancel()
         self._tasks_by_peer.clear()
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -13,6 +13,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
+from damaskbay.core.descriptors import divide_descriptors
 from damaskbay.core.fatal_calls import FatalCalls
 from damaskbay.core.lifetime import Lifetime, links_close_timeout_s
 from damaskbay.core.memory_account import MemoryAccount, account_limit_bytes
@@ -26,6 +27,7 @@
     to_result_message,
 )
 from damaskbay.helpers.clock import monotonic_s
+from damaskbay.helpers.descriptors import raise_descriptor_limit
 from damaskbay.mesh.assembly import (
     PlatformParts,
     SharedParts,
@@ -173,7 +175,16 @@
             settings.readiness, self._status.readiness, CallerLimits()
         )
         self._callers = HttpServer(
-            settings.callers, self._ingress.serve, CallerLimits(), memory
+            settings.callers,
+            self._ingress.serve,
+            CallerLimits(),
+            memory,
+            divide_descriptors(raise_descriptor_limit(settings.max_descriptors)),
+        )
+        limits, connections = self._callers.connection_limits, self._callers.connections
+        self._telemetry.gauge("caller_connections", "Open", lambda: len(connections))
+        self._telemetry.gauge(
+            "caller_connections_limit", "Served", lambda: limits.served
         )
         self._metrics = HttpServer(
             settings.metrics, self._status.metrics, CallerLimits()
--- a/damaskbay/mesh/settings.py
+++ b/damaskbay/mesh/settings.py
@@ -7,6 +7,9 @@
 DEFAULT_MEMORY_BYTES = 200 * 1024 * 1024
 """Memory of the process if the platform does not limit it."""
 
+DEFAULT_MAX_DESCRIPTORS = 4096
+"""Descriptors of the process if the platform does not limit them."""
+
 APPLIED_WHILE_RUNNING = frozenset(
     {"drain_s", "grace_s", "revoke_s", "quota_overage", "quota_slack", "digest"}
 )
@@ -21,7 +24,8 @@
     The local server at `server` belongs to `pool`. The fleet may send a pool at
     most `retry_ratio` times its calls, plus `retry_slack`, as retries. A workspace
     may exceed its rate and burst by the part `quota_overage` and `quota_slack`
-    requests. The process may use `memory_bytes`. `digest` identifies the settings file.
+    requests. The process may use `memory_bytes` and open `max_descriptors`. `digest`
+    identifies the settings file.
     """
 
     instance: str
@@ -42,6 +46,7 @@
     quota_overage: float
     quota_slack: float
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
     digest: str = ""
 
 
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -6,7 +6,11 @@
 from dataclasses import replace
 from pathlib import Path
 
-from damaskbay.mesh.settings import DEFAULT_MEMORY_BYTES, MeshSettings
+from damaskbay.mesh.settings import (
+    DEFAULT_MAX_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+    MeshSettings,
+)
 from damaskbay.platform.const import SETTINGS_VARIABLE
 from damaskbay.platform.exceptions import FieldError
 from damaskbay.platform.fields import (
@@ -24,6 +28,7 @@
 """Hexadecimal digits of a digest; a gauge holds so many without rounding."""
 
 MEGABYTE = 1024 * 1024
+DEFAULT_MEMORY_MB = DEFAULT_MEMORY_BYTES // MEGABYTE
 METRICS_PORT = 9464
 """Equals the port in the deploy file; the settings file doesn't contain it."""
 
@@ -69,7 +74,8 @@
         retry_slack=read_number(bounds, "RetryBudgetSlack", 0.0),
         quota_overage=read_number(bounds, "QuotaOverage", 0.0),
         quota_slack=read_number(bounds, "QuotaSlack", 0.0),
-        memory_bytes=_read_memory_bytes(document),
+        memory_bytes=MEGABYTE * _read_limit(document, "MemoryMb", DEFAULT_MEMORY_MB),
+        max_descriptors=_read_limit(document, "MaxFds", DEFAULT_MAX_DESCRIPTORS),
     )
 
 
@@ -81,13 +87,12 @@
     return PeerAddress(host, int(port))
 
 
-def _read_memory_bytes(document: Table) -> int:
+def _read_limit(document: Table, name: str, default: int) -> int:
+    """Return a limit of the process; 0 and none stand for the default."""
     if "Limits" not in document:
-        return DEFAULT_MEMORY_BYTES
+        return default
     limits = read_table(document, "Limits")
-    if not limits.get("MemoryMb"):
-        return DEFAULT_MEMORY_BYTES
-    return read_integer(limits, "MemoryMb") * MEGABYTE
+    return read_integer(limits, name) if limits.get(name) else default
 
 
 def _read_first_port(document: Table) -> int:
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -40,7 +40,7 @@
         "Control": "10.0.0.1:2",
         "Readiness": "10.0.0.1:3",
     },
-    "Limits": {"MemoryMb": 300},
+    "Limits": {"MemoryMb": 300, "MaxFds": 4100},
     "Bounds": {"Drain": "2000ms", "Revoke": "5s", "QuotaOverage": 0.1},
     "Platform": {"Address": "10.200.1.7:8545"},
     "SomethingNew": {"a": 1},
@@ -111,6 +111,7 @@
     assert settings.peers == PeerAddress("10.0.0.1", 7000)
     assert (settings.drain_s, settings.revoke_s) == (2.0, 5.0)
     assert settings.memory_bytes == 300 * 1024 * 1024
+    assert settings.max_descriptors == 4100
 
 
 def test_wrong_settings_name_the_field() -> None:
