--- a/damaskbay/mesh/observing.py
+++ b/damaskbay/mesh/observing.py
@@ -10,6 +10,7 @@
 from damaskbay.core.call import Response
 from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.core.retry.repeats import ServerRetryBudget
+from damaskbay.helpers.loop_monitor import LoopMonitor
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.directory import Directory
 from damaskbay.mesh.gate import Gate
@@ -35,6 +36,7 @@
     members: Members
     memory: MemoryAccount
     settings: SettingsHistory
+    loop: LoopMonitor
     clock: Callable[[], float]
 
 
@@ -78,6 +80,9 @@
         gauge("held_bytes_limit", "For calls", lambda: parts.memory.limit_bytes)
         gauge("settings_applied", "Files read", lambda: parts.settings.applied)
         gauge("settings_refused", "Invalid files", lambda: parts.settings.refused)
+        gauge("loop_blocks", "Of the event loop", lambda: parts.loop.blocks)
+        gauge("loop_busy_blocks", "By own work", lambda: parts.loop.busy_blocks)
+        gauge("loop_longest_block_seconds", "Lately", self._longest_block_s)
         gauge("settings_digest", "First 48 bits of SHA-256", self._settings_digest)
 
     def _named_limit_per_s(self) -> float:
@@ -90,6 +95,9 @@
     def _members_age_s(self) -> float:
         return self._parts.members.age_s(self._parts.clock())
 
+    def _longest_block_s(self) -> float:
+        return self._parts.loop.longest_s(self._parts.clock())
+
     def _settings_digest(self) -> int:
         return int(self._parts.settings.digest or "0", 16)
 
