Decode sets beside the event loop

Cause: the set was decoded on the event loop, at all daemons at once.

Change: one worker thread decodes the sets, in the order in which they arrive; the loop activates them. A value that arrives again while it is decoded, from the store or a peer, waits for the same result, and peers are not asked for a version that is being decoded. A proof still counts from the start of the request that it came with, and only once its version is in force. The thread yields after 0.5 ms, handles no signals, and a stop doesn't wait for it.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     "at_most_once",
     "capacity",
     "documents",
+    "blocks",
 )
 EXIT_USAGE = 2
 
--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 from typing import Any, Protocol
 
@@ -49,8 +49,12 @@
 PEER_TIMEOUT_S = 1.0
 """Timeout of a request to a peer, seconds; an unresponsive link is suspect by then."""
 
-DecodeConfig = Callable[[bytes], ConfigSet | str]
-"""Returns the configuration set in a stored value, or why the value is invalid."""
+DecodeConfig = Callable[[bytes], Awaitable[ConfigSet | str]]
+"""
+Returns the configuration set in a stored value, or why the value is invalid.
+
+Values given to it at the same time are decoded in their order.
+"""
 
 
 class ConfigWatch:
@@ -78,6 +82,7 @@
         self._decode = decode
         self._configuration = configuration
         self._clock = clock
+        self._activations_by_document: dict[bytes, asyncio.Task[None]] = {}
         self.store_reached = True
 
     async def run(self) -> None:
@@ -95,7 +100,7 @@
             self._record_store_success()
             for item in reading.items:
                 if item.key == self._key and item.value is not None:
-                    self._apply_stored(item.value, started_at)
+                    await self._apply_stored(item.value, started_at)
             await self._watch_changes(reading.revision)
 
     async def _watch_changes(self, revision: int) -> None:
@@ -114,15 +119,31 @@
             values = [item.value for item in reading.items if item.key == self._key]
             for value in values:
                 if value is not None:
-                    self._apply_stored(value, started_at)
+                    await self._apply_stored(value, started_at)
             if not values:
                 self._configuration.record_proof(
                     self._configuration.version, started_at
                 )
 
-    def activate_document(self, document: bytes, source: str) -> None:
-        """Activate a stored value if it is a newer configuration set."""
-        decoded = self._decode(document)
+    async def activate_document(self, document: bytes, source: str) -> None:
+        """
+        Activate a stored value if it is a newer configuration set.
+
+        A value that arrives again while it is decoded is not decoded twice. It is
+        activated even if the caller is cancelled.
+        """
+        task = self._activations_by_document.get(document)
+        if task is None:
+            loop = asyncio.get_running_loop()
+            task = loop.create_task(self._activate(document, source))
+            self._activations_by_document[document] = task
+        await asyncio.shield(task)
+
+    async def _activate(self, document: bytes, source: str) -> None:
+        try:
+            decoded = await self._decode(document)
+        finally:
+            del self._activations_by_document[document]
         if isinstance(decoded, str):
             _LOGGER.error(
                 "config: stored set is not taken.",
@@ -131,9 +152,9 @@
             return
         self._configuration.activate(decoded, document, source)
 
-    def _apply_stored(self, document: bytes, started_at: float) -> None:
+    async def _apply_stored(self, document: bytes, started_at: float) -> None:
         if document != self._configuration.document:
-            self.activate_document(document, "store")
+            await self.activate_document(document, "store")
         if document == self._configuration.document:
             self._configuration.record_proof(self._configuration.version, started_at)
 
@@ -187,6 +208,7 @@
         self._clock = clock
         self._fetch_tasks: set[asyncio.Task[None]] = set()
         self._fetching_until = 0.0
+        self._arriving_version = 0
         self._remote_fetch: asyncio.TimerHandle | None = None
 
     def handle_config_request(self, wanted: ConfigRequest) -> ConfigReply:
@@ -214,7 +236,7 @@
 
         From a remote failure domain it is fetched after a delay, if still needed.
         """
-        if version <= self._configuration.version:
+        if version <= self._fetched_version():
             return
         if not remote:
             now = self._clock()
@@ -229,7 +251,7 @@
 
     def _fetch_remote(self, peer: PeerAddress, version: int) -> None:
         self._remote_fetch = None
-        if version > self._configuration.version:
+        if version > self._fetched_version():
             self.fetch(peer)
 
     def fetch(self, peer: PeerAddress) -> None:
@@ -240,14 +262,23 @@
 
     async def _fetch(self, peer: PeerAddress) -> None:
         started_at = self._clock()
-        wanted = ConfigRequest(self._configuration.version)
+        wanted = ConfigRequest(self._fetched_version())
         reply = await self._request(peer, wanted, timeout_s=PEER_TIMEOUT_S)
         self._fetching_until = 0.0
         if not isinstance(reply, ConfigReply):
             return
-        if reply.document and reply.version > self._configuration.version:
-            self._watch.activate_document(reply.document, str(peer))
+        if reply.document and reply.version > self._fetched_version():
+            self._arriving_version = reply.version
+            try:
+                await self._watch.activate_document(reply.document, str(peer))
+            finally:
+                if self._arriving_version == reply.version:
+                    self._arriving_version = 0
         if reply.proof_age_s is not None:
             self._configuration.record_proof(
                 reply.version, started_at - reply.proof_age_s
             )
+
+    def _fetched_version(self) -> int:
+        """Return the highest version that is active or being decoded."""
+        return max(self._configuration.version, self._arriving_version)
--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 
 import uvloop
@@ -15,6 +16,7 @@
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.logs import set_up_queued_logging
 from damaskbay.helpers.signals import deliver_signals, hold_signals
+from damaskbay.helpers.worker import WorkerThread
 from damaskbay.mesh.app import MeshDaemon
 from damaskbay.mesh.assembly import PlatformParts
 from damaskbay.mesh.settings import MeshSettings
@@ -40,6 +42,9 @@
 GC_THRESHOLD_ALLOCATIONS = 20_000
 """Allocations between collections; calls create few cycles and collecting is slow."""
 
+SWITCH_INTERVAL_S = 0.0005
+"""Seconds after which the thread that decodes a set yields to the event loop."""
+
 SETTINGS_POLL_S = 0.5
 """Seconds between checks of the file: a quarter of the time allowed to apply it."""
 
@@ -61,6 +66,18 @@
         return str(error)
 
 
+def make_parts(store: KvStore, worker: WorkerThread) -> PlatformParts:
+    """Return the platform-specific parts of a daemon; the worker decodes its sets."""
+    return PlatformParts(
+        store,
+        HEADER_NAMES,
+        partial(worker.run, decode_config),
+        CONFIG_PREFIX,
+        CONFIG_KEY,
+        MEMBER_PREFIX,
+    )
+
+
 def reload_settings(daemon: MeshDaemon, path: Path, cause: str) -> None:
     """Apply changed settings; keep the active ones if the file is invalid."""
     try:
@@ -127,6 +144,7 @@
     path = settings_path()
     settings, stamp = await read_settings(path)
     store = KvStore(settings.store)
+    worker = WorkerThread("config")
 
     def control_handler(daemon: MeshDaemon) -> Handler:
         listener = HeartbeatListener(
@@ -137,10 +155,7 @@
         )
         return listener.serve
 
-    platform_parts = PlatformParts(
-        store, HEADER_NAMES, decode_config, CONFIG_PREFIX, CONFIG_KEY, MEMBER_PREFIX
-    )
-    daemon = MeshDaemon(settings, platform_parts, control_handler)
+    daemon = MeshDaemon(settings, make_parts(store, worker), control_handler)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, daemon.stop)
@@ -148,7 +163,7 @@
     deliver_signals()
     settings_task = loop.create_task(watch_settings(daemon, path, stamp))
     try:
-        with contextlib.closing(store):
+        with contextlib.closing(store), worker:
             await daemon.run()
     finally:
         # The loop takes its handlers away when it closes.
@@ -161,6 +176,7 @@
     set_up_queued_logging(level="INFO", lines_per_s=LOG_LINES_PER_S, stream=sys.stdout)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     try:
         uvloop.run(serve())
     except (FieldError, OSError) as error:
--- /dev/null
+++ b/tests/helpers/test_worker.py
@@ -0,0 +1,49 @@
+"""Tests of the thread beside an event loop."""
+
+import asyncio
+import signal
+import threading
+import unittest
+
+from damaskbay.helpers.signals import HANDLED_SIGNALS
+from damaskbay.helpers.worker import WorkerThread
+from tests.common import function_suite
+
+WAIT_S = 20.0
+
+
+def test_the_thread_leaves_signals_to_the_main_thread() -> None:
+    """A signal that it took during an exit would end the process."""
+
+    async def run() -> set[int]:
+        with WorkerThread("test") as worker:
+            return await worker.run(signal.pthread_sigmask, signal.SIG_BLOCK, ())
+
+    assert asyncio.run(run()) >= HANDLED_SIGNALS
+
+
+def test_the_exit_does_not_wait_for_the_running_function() -> None:
+    """Functions that have not begun are dropped."""
+    started, released, dropped = (threading.Event() for _ in range(3))
+
+    def wait() -> bool:
+        started.set()
+        return released.wait(WAIT_S)
+
+    async def run() -> None:
+        with WorkerThread("test") as worker:
+            running = asyncio.create_task(worker.run(wait))
+            waiting = asyncio.create_task(worker.run(dropped.set))
+            while not started.is_set():
+                await asyncio.sleep(0)
+        released.set()
+        assert await running
+        await asyncio.wait((waiting,))
+        assert waiting.cancelled() and not dropped.is_set()
+
+    asyncio.run(run())
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -12,16 +12,11 @@
 from damaskbay.adapters.http1.server import Handler, HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Headers, Request, Response
+from damaskbay.helpers.worker import WorkerThread
 from damaskbay.mesh.app import MeshDaemon
-from damaskbay.mesh.assembly import PlatformParts
 from damaskbay.mesh.settings import MeshSettings
-from damaskbay.platform.const import (
-    CONFIG_KEY,
-    CONFIG_PREFIX,
-    HEADER_NAMES,
-    MEMBER_PREFIX,
-)
-from damaskbay.platform.daemon import decode_config
+from damaskbay.platform.const import CONFIG_KEY
+from damaskbay.platform.daemon import make_parts
 from damaskbay.platform.heartbeats import HeartbeatListener
 from damaskbay.platform.store import KvStore
 from damaskbay.ports.peer import PeerAddress
@@ -153,6 +148,7 @@
         self.nodes: dict[str, Node] = {}
         self.version = 0
         self._stack = stack
+        self._worker = stack.enter_context(WorkerThread("config"))
         self._store_address = PeerAddress(HOST, 0)
 
     async def start(self) -> None:
@@ -182,14 +178,7 @@
     async def add_daemon(self, name: str, backend: Backend, **changes: Any) -> Node:
         """Start a daemon for a running server and wait until it serves."""
         settings = _settings(name, backend, self._store_address, changes)
-        platform_parts = PlatformParts(
-            KvStore(settings.store),
-            HEADER_NAMES,
-            decode_config,
-            CONFIG_PREFIX,
-            CONFIG_KEY,
-            MEMBER_PREFIX,
-        )
+        platform_parts = make_parts(KvStore(settings.store), self._worker)
 
         def control(daemon: MeshDaemon) -> Handler:
             return HeartbeatListener(
--- a/tests/mesh/test_config_fetch.py
+++ b/tests/mesh/test_config_fetch.py
@@ -20,6 +20,7 @@
 from tests.mesh.test_members import SETTLED_S, _Store, _StoreOfDaemon
 
 NEWEST = 9
+DECODING_S = 0.05
 PEERS = [PeerAddress("10.0.0.1", 7000 + number) for number in range(12)]
 
 
@@ -51,8 +52,9 @@
             clock=lambda: asyncio.get_running_loop().time(),
         )
 
-    def _decode(self, document: bytes) -> ConfigSet:
+    async def _decode(self, document: bytes) -> ConfigSet:
         self.decoded += 1
+        await asyncio.sleep(DECODING_S)
         return ConfigSet(int(document), document.decode())
 
     async def _request(
