Go on watching the store after a set that can't be decoded

What an operator saw: after a set on which the decoder raises another exception than its own, for instance a burst of Infinity, a daemon took no further set until it was restarted. Nothing was logged until its exit.

Cause: the exception ended the task that watches the store.

Change: it is logged as an error, and the set is not taken.

Evidence: test_a_set_that_fails_to_decode_does_not_end_the_watch fails without the change.

--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -142,6 +142,10 @@
     async def _activate(self, document: bytes, source: str) -> None:
         try:
             decoded = await self._decode(document)
+        except Exception:
+            # The next set must find a watch that still runs.
+            _LOGGER.exception("config: stored set can't be decoded.")
+            return
         finally:
             del self._activations_by_document[document]
         if isinstance(decoded, str):
--- a/tests/mesh/test_config_decoding.py
+++ b/tests/mesh/test_config_decoding.py
@@ -76,6 +76,27 @@
     asyncio.run(run())
 
 
+def test_a_set_that_fails_to_decode_does_not_end_the_watch() -> None:
+    """The next one is activated."""
+
+    async def run() -> None:
+        async with run_fleet(a="one") as fleet:
+            configuration = fleet.nodes["a"].daemon.configuration
+            failed = threading.Event()
+
+            def fail(_document: bytes) -> ConfigSet:
+                failed.set()
+                raise ZeroDivisionError
+
+            with patch(DECODE, fail):
+                await fleet.publish()
+                await wait_until(failed.is_set)
+            await fleet.publish()
+            await wait_until(lambda: configuration.version == fleet.version)
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
