Count connections as in flight as soon as they are accepted at the close

What callers saw: a new connection to a stopping daemon, with the whole request sent, is reset; the daemon's log does not name it.

Cause: the listener closed over its accept queue. uvloop's libuv (1.52.1) accepts one connection per pass of the event loop, so that connections which came in a long pass still wait some passes later, when the stop closes the listener. A trial with ten connections in the queue of a loop with nothing else to do: ten passes until all are accepted.

Change: all sockets are accepted and the listener is closed without anything in between; then the protocols are created at once, which puts them into HttpServer.connections. A connection that fails tells its protocol. "edge: listener is closed." has the number of connections.

--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -3,9 +3,11 @@
 import asyncio
 import errno
 import logging
+import select
 import socket
-from collections.abc import Callable, Coroutine, Iterator
-from typing import Any
+from collections.abc import Callable, Coroutine, Iterable, Iterator
+from functools import partial
+from typing import Any, Final
 
 from damaskbay.adapters.http1.const import (
     BIND_RETRY_S,
@@ -19,6 +21,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+READ_PASSES: Final = 8
+"""Passes of the event loop after which what arrived on new connections is handled."""
+
 
 class Listener:
     """
@@ -35,6 +40,7 @@
     ) -> None:
         self._protocol_factory = protocol_factory
         self._backlog = backlog
+        self._port = 0
         self._sock: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -61,11 +67,6 @@
                 is_first = False
             await asyncio.sleep(BIND_RETRY_S)
 
-    @property
-    def connecting(self) -> int:
-        """Return the number of accepted connections that have no protocol yet."""
-        return len(self._tasks)
-
     def pause(self) -> None:
         """
         Accept no connections for a while, except those that wait in the queue.
@@ -89,16 +90,25 @@
                 self._sock.listen(self._backlog)
 
     def close(self) -> None:
-        """Accept the connections that wait in the queue, then stop listening."""
+        """
+        Accept the connections that wait in the queue, then stop listening.
+
+        Their protocols are created at once, and connected by the next passes of the
+        event loop.
+        """
         sock, self._sock = self._sock, None
+        server, self._server = self._server, None
         if sock is None:
             return
-        loop = asyncio.get_running_loop()
-        for accepted in _accept_waiting(sock, self._backlog + 1):
-            self._start(loop.connect_accepted_socket(self._protocol_factory, accepted))
-        if self._server is not None:
-            self._server.close()
+        # The kernel resets connections that join the queue after the last look at it.
+        accepted = list(_accept_waiting(sock, 2 * (self._backlog + 1)))
+        if server is not None:
+            server.close()
         sock.close()
+        extra = {"port": self._port, "accepted": len(accepted)}
+        _LOGGER.info("edge: listener is closed.", extra=extra)
+        for connection in accepted:
+            self._adopt(connection)
 
     def _stop_accepting(self) -> None:
         if self._sock is None or self._server is None or not self._is_paused:
@@ -116,18 +126,32 @@
             self._sock.close()
             self._sock = None
             raise
-        return PeerAddress(address.host, self._sock.getsockname()[1])
+        self._port = self._sock.getsockname()[1]
+        return PeerAddress(address.host, self._port)
 
     async def _accept(self) -> None:
-        if self._sock is not None:
-            self._server = await asyncio.get_running_loop().create_server(
-                self._protocol_factory, sock=self._sock, backlog=self._backlog
-            )
+        if self._sock is None:
+            return
+        server = await asyncio.get_running_loop().create_server(
+            self._protocol_factory, sock=self._sock, backlog=self._backlog
+        )
+        if self._sock is None:
+            server.close()
+        else:
+            self._server = server
+
+    def _adopt(self, sock: socket.socket) -> None:
+        """Connect an accepted socket to a new protocol."""
+        protocol = self._protocol_factory()
+        loop = asyncio.get_running_loop()
+        task = self._start(loop.connect_accepted_socket(lambda: protocol, sock))
+        task.add_done_callback(partial(_report_failure, protocol))
 
-    def _start(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+    def _start(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._finish)
+        return task
 
     def _finish(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
@@ -135,6 +159,12 @@
             _LOGGER.warning("edge: connection is lost.", extra={"why": str(error)})
 
 
+def _report_failure(protocol: asyncio.BaseProtocol, task: asyncio.Task[Any]) -> None:
+    """Tell a protocol that it has not been connected."""
+    if not task.cancelled() and isinstance(error := task.exception(), Exception):
+        protocol.connection_lost(error)
+
+
 def _bind(address: PeerAddress) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -155,6 +185,9 @@
             sock, _address = listening.accept()
         except BlockingIOError:
             return
+        except ConnectionError:
+            # The caller has left the queue.
+            continue
         except OSError as error:
             _LOGGER.warning("edge: can't accept.", extra={"why": str(error)})
             return
@@ -162,6 +195,31 @@
         yield sock
 
 
+async def read_arrived() -> None:
+    """
+    Let the event loop read what has arrived.
+
+    A pass of the loop runs what is due by the clock before it reads sockets, so that a
+    decision by the clock right after a long pass knows nothing of its bytes.
+    """
+    for _ in range(READ_PASSES):
+        await asyncio.sleep(0)
+
+
+def ready_descriptors(
+    descriptors: Iterable[int], events: int = select.POLLIN
+) -> set[int]:
+    """
+    Return the descriptors that are ready for `events`, without waiting.
+
+    An error or the end of a connection counts, too.
+    """
+    poll = select.poll()
+    for descriptor in descriptors:
+        poll.register(descriptor, events)
+    return {descriptor for descriptor, _ in poll.poll(0)}
+
+
 def set_tcp_options(sock: socket.socket) -> None:
     """
     Set the options of a connection to a server or a peer.
--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -1,10 +1,14 @@
 """The graceful shutdown cuts off no accepted request."""
 
 import asyncio
+import socket
+import time
 import unittest
 from types import SimpleNamespace
 from typing import Any, cast
 
+import uvloop
+
 from damaskbay.adapters.http1.client import (
     HttpClient,
     HttpClientOptions,
@@ -22,6 +26,9 @@
 
 GRACE_S = 2.0
 REQUEST = Request("GET", "h", "/")
+NEW_CALLERS = 10
+BLOCKED_S = 0.4
+"""Longer than a stopping daemon waits for the request of a new connection, seconds."""
 
 
 def _stop(server: HttpServer, in_flight: int) -> GracefulStop:
@@ -165,6 +172,40 @@
     asyncio.run(run())
 
 
+# Guards against LOST: requests sent while a stopping daemon read a set of 2,000 routes.
+def test_requests_that_arrive_while_the_loop_is_blocked_are_answered() -> None:
+    """The next steps of the stop are due before the loop reads them."""
+
+    async def run() -> None:
+        async def answer(_: ReceivedRequest) -> Response:
+            return Response(200)
+
+        async with HttpServer(PeerAddress("127.0.0.1", 0), answer, CallerLimits()) as s:
+            address = (s.address.host, s.address.port)
+            callers = [socket.create_connection(address)]
+
+            def block() -> None:
+                callers.extend(
+                    socket.create_connection(address) for _ in range(NEW_CALLERS)
+                )
+                for caller in callers:
+                    caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                time.sleep(BLOCKED_S)
+
+            stop = _stop(s, 0)
+            loop = asyncio.get_running_loop()
+            stop.links.broadcast_note = lambda: loop.call_soon(block)  # type: ignore[assignment, method-assign]
+            await stop.run(_plan())
+        for caller in callers:
+            caller.settimeout(GRACE_S)
+            status_line = caller.recv(1024)
+            assert b" 200 " in status_line, status_line
+            caller.close()
+
+    uvloop.run(run())
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
