Look for unread bytes before a connection is closed by the clock

What callers saw: a reset, or 408, for a request that had arrived as a whole, at a stop, after an idle time, or at the end of the process.

Cause: a pass of the event loop runs timers and callbacks before it reads sockets. The exit of a server's context closed at once what no handler served.

Change: before connections are closed as idle or requests are rejected, one poll() over all candidates tells which have unread bytes. These stay, and count as in flight, so that a stop waits for them. The same holds for the timeouts, and a caller that reads again is not taken for a stalled one. The exit lets the loop read first; complete requests get 503 with a Retry-After from then on, the others 408. It waits no longer than before, except for one more look if its timer was late. Calls are interrupted at the end of a stop after the results that have arrived are read.

The log tells the cases apart: "edge: connections have unread bytes." counts what was spared, "edge: connections are closed over unread bytes." what was lost at an exit.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -3,8 +3,9 @@
 import asyncio
 import http
 import logging
+import select
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass
 from types import TracebackType
 from typing import Self, cast
@@ -24,7 +25,11 @@
 from damaskbay.adapters.http1.exceptions import BadRequestError
 from damaskbay.adapters.http1.request_parser import RequestParser
 from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
-from damaskbay.adapters.http1.sockets import Listener
+from damaskbay.adapters.http1.sockets import (
+    Listener,
+    read_arrived,
+    ready_descriptors,
+)
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Headers, Request, Response
 from damaskbay.core.descriptors import ConnectionLimits
@@ -49,6 +54,7 @@
 }
 
 _TOO_MANY_CONNECTIONS = "too many connections"
+_ENDING = "server ends"
 
 Handler = Callable[[ReceivedRequest], Awaitable[Response]]
 """Serves one request; cancelled when the caller disconnects."""
@@ -98,9 +104,10 @@
         """
         Return whether no request is being read or served and all bytes are sent.
 
-        A new connection counts as idle after FIRST_REQUEST_WAIT_S.
+        A new connection counts as idle after FIRST_REQUEST_WAIT_S. Bytes that the
+        event loop has not read yet are not considered, see `descriptor`.
         """
-        if self._exchanges or self.unsent_bytes:
+        if self._transport is None or self._exchanges or self.unsent_bytes:
             return False
         if self.lingering:
             return True
@@ -113,6 +120,19 @@
         """Return whether the last response is written and the caller has to close."""
         return self._ended_at is not None
 
+    @property
+    def descriptor(self) -> int | None:
+        """Return the descriptor of the socket, None if nothing is read from it."""
+        if self._transport is None or self._transport.is_closing():
+            return None
+        descriptor: int = self._transport.get_extra_info("socket").fileno()
+        return descriptor if descriptor >= 0 else None
+
+    @property
+    def is_incomplete(self) -> bool:
+        """Return whether a request is being read and nothing else is in flight."""
+        return self._parser.in_request and not self._exchanges and not self._closing
+
     @property
     def unsent_bytes(self) -> int:
         """Return the bytes of complete responses that the kernel has not taken yet."""
@@ -172,9 +192,10 @@
         if self._closing:
             holding.release()
             return
-        if self._is_refused:
+        if self._is_refused or self._server.ending:
             holding.release()
-            self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE, _TOO_MANY_CONNECTIONS)
+            why = _TOO_MANY_CONNECTIONS if self._is_refused else _ENDING
+            self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE, why)
             return
         arrival = ReceivedRequest(request, self._last_active_at)
         exchange = _Exchange(arrival, holding, keep_alive)
@@ -184,7 +205,6 @@
 
     def close_if_timed_out(self, now: float) -> None:
         """Close the connection if one of its timeouts has expired."""
-        limits = self._server.limits
         if self._transport is None:
             return
         self._count_written()
@@ -193,32 +213,30 @@
         elif self._ended_at is not None:
             if self.unsent_bytes:
                 self._ended_at = now
-            elif now - self._ended_at > LINGER_TIMEOUT_S:
+            elif now - self._ended_at > LINGER_TIMEOUT_S and (
+                now >= self._linger_until or not self._is_ready(select.POLLIN)
+            ):
                 self._transport.close()
         elif self._sends_too_slowly(now):
-            self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
-        elif self.is_idle(now) and (
-            now - self._last_active_at > limits.idle_timeout_s
-            or self._server.exceeds_connections
-        ):
+            if not self._is_ready(select.POLLIN):
+                self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
+        elif self._is_idle_too_long(now) and not self._is_ready(select.POLLIN):
             self._transport.close()
 
-    def close_if_idle(self, now: float) -> None:
-        """Close if no request is in flight or about to arrive."""
-        if self._transport is None or self.lingering:
-            return
-        if self.is_idle(now):
+    def close(self) -> None:
+        """Close the connection after the responses that are written."""
+        if self._transport is not None:
             self._transport.close()
 
     def reject_incomplete(self) -> None:
         """Respond to a request that is still being read: it has not run."""
-        if self._parser.in_request and not self._exchanges and not self._closing:
+        if self.is_incomplete:
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
 
     def close_unless_serving(self) -> None:
         """Close without waiting for the caller, unless a request is in flight."""
-        if self._transport is not None and not self._exchanges:
-            self._transport.close()
+        if not self._exchanges:
+            self.close()
 
     async def _serve(self, exchange: _Exchange) -> None:
         arrival = exchange.arrival
@@ -273,11 +291,23 @@
         if self._transport is None or self._write_paused_since is None:
             return False
         unsent_bytes = self._transport.get_write_buffer_size()
-        if unsent_bytes < self._unsent_at_check:
+        if unsent_bytes < self._unsent_at_check or self._is_ready(select.POLLOUT):
             self._write_paused_since = now
         self._unsent_at_check = unsent_bytes
         return now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
 
+    def _is_idle_too_long(self, now: float) -> bool:
+        if not self.is_idle(now):
+            return False
+        idle_s = now - self._last_active_at
+        limit_s = self._server.limits.idle_timeout_s
+        return idle_s > limit_s or self._server.exceeds_connections
+
+    def _is_ready(self, events: int) -> bool:
+        """Return whether the event loop has yet to read, or write, what it can."""
+        descriptor = self.descriptor
+        return descriptor is not None and bool(ready_descriptors([descriptor], events))
+
     def _sends_too_slowly(self, now: float) -> bool:
         """Return whether a head takes too long, or a body has stopped arriving."""
         limits = self._server.limits
@@ -335,7 +365,7 @@
             headers = (("Retry-After", str(OVERLOADED_RETRY_S)),)
         response = encode_response(Response(int(status), headers), "GET")
         self._transport.write(response.to_bytes(keep_alive=False))
-        if self._is_refused:
+        if self._is_refused and not self._is_ready(select.POLLIN):
             # All of the request has been read, and the descriptor is needed.
             self._transport.close()
             return
@@ -366,8 +396,8 @@
     request that was read. `memory` counts what the connections hold of requests and
     responses. Requests on connections beyond `connection_limits` are refused. Entering
     the context waits up to `bind_wait_s` seconds for an address that is in use. Leaving
-    it waits up to `close_timeout_s` seconds until complete
-    responses are sent.
+    it sets `ending`, which refuses the requests that are still read, and waits up to
+    `close_timeout_s` seconds until complete responses are sent.
     """
 
     def __init__(
@@ -384,6 +414,7 @@
         self.memory = memory or MemoryAccount()
         self.connection_limits = connection_limits or ConnectionLimits()
         self.draining = False
+        self.ending = False
         self.close_timeout_s = CLOSE_TIMEOUT_S
         self.bind_wait_s = 0.0
         self.connections: set[ServerConnection] = set()
@@ -403,12 +434,15 @@
     ) -> None:
         if self._timeout_task is not None:
             self._timeout_task.cancel()
+        self.ending = True
         self.stop_listening()
-        self.close_idle()
-        self.reject_incomplete()
-        await self._flush()
-        for connection in tuple(self.connections):
-            connection.close_unless_serving()
+        try:
+            await read_arrived()
+            self.close_idle()
+            self.reject_incomplete()
+            await self._flush()
+        finally:
+            self._close_connections()
 
     @property
     def exceeds_connections(self) -> bool:
@@ -417,9 +451,12 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the number of connections that aren't idle."""
+        """Return the number of connections that aren't idle or have unread bytes."""
         now = monotonic_s()
-        return sum(1 for connection in self.connections if not connection.is_idle(now))
+        idle = [
+            connection for connection in self.connections if connection.is_idle(now)
+        ]
+        return len(self.connections) - len(idle) + len(_with_unread_bytes(idle))
 
     @property
     def unsent_bytes(self) -> int:
@@ -439,12 +476,20 @@
     def close_idle(self) -> None:
         """Close the connections without a request or response in flight."""
         now = monotonic_s()
-        for connection in tuple(self.connections):
-            connection.close_if_idle(now)
+        idle = [
+            connection
+            for connection in self.connections
+            if connection.is_idle(now) and not connection.lingering
+        ]
+        for connection in _without_unread_bytes(idle):
+            connection.close()
 
     def reject_incomplete(self) -> None:
         """Respond to requests that are still being read: they have not run."""
-        for connection in tuple(self.connections):
+        incomplete = [
+            connection for connection in self.connections if connection.is_incomplete
+        ]
+        for connection in _without_unread_bytes(incomplete):
             connection.reject_incomplete()
 
     def _make_connection(self) -> ServerConnection:
@@ -461,11 +506,14 @@
     async def _flush(self) -> None:
         """Wait until all complete responses are sent; log what exceeds the timeout."""
         ends_at = monotonic_s() + self.close_timeout_s
-        while monotonic_s() < ends_at and (
-            self.unsent_bytes
-            or any(connection.lingering for connection in self.connections)
-        ):
+        while self._is_pending():
+            # The timer may fire late; the loop reads at least once before it does.
+            is_over = monotonic_s() >= ends_at
             await asyncio.sleep(FLUSH_POLL_S)
+            self.close_idle()
+            self.reject_incomplete()
+            if is_over:
+                break
         if self.unsent_bytes:
             _LOGGER.warning(
                 "edge: responses are cut off by the close.",
@@ -476,9 +524,50 @@
                 },
             )
 
+    def _is_pending(self) -> bool:
+        """Return whether something is to be sent, or read and refused."""
+        return bool(
+            self.unsent_bytes
+            or any(connection.lingering for connection in self.connections)
+            or _with_unread_bytes(self.connections)
+        )
+
+    def _close_connections(self) -> None:
+        """Close what is left; log what callers sent and nobody has read."""
+        if unread := _with_unread_bytes(self.connections):
+            _LOGGER.warning(
+                "edge: connections are closed over unread bytes.",
+                extra={"address": str(self.address), "connections": len(unread)},
+            )
+        for connection in tuple(self.connections):
+            connection.close_unless_serving()
+
     async def _check_timeouts(self) -> None:
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
             now = monotonic_s()
             for connection in tuple(self.connections):
                 connection.close_if_timed_out(now)
+
+
+def _with_unread_bytes(
+    connections: Iterable[ServerConnection],
+) -> set[ServerConnection]:
+    """Return the connections from which the event loop has yet to read something."""
+    by_descriptor = {
+        descriptor: connection
+        for connection in connections
+        if (descriptor := connection.descriptor) is not None
+    }
+    return {by_descriptor[ready] for ready in ready_descriptors(by_descriptor)}
+
+
+def _without_unread_bytes(
+    connections: Collection[ServerConnection],
+) -> set[ServerConnection]:
+    """Return the connections from which everything is read; log the others."""
+    unread = _with_unread_bytes(connections)
+    if unread:
+        extra = {"connections": len(unread)}
+        _LOGGER.info("edge: connections have unread bytes.", extra=extra)
+    return set(connections) - unread
--- a/damaskbay/mesh/stopping.py
+++ b/damaskbay/mesh/stopping.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from damaskbay.adapters.http1.server import HttpServer
+from damaskbay.adapters.http1.sockets import read_arrived
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.core.lifetime import StopPlan
 from damaskbay.helpers.clock import monotonic_s
@@ -40,6 +41,8 @@
             self.callers.close_idle()
         self.callers.stop_listening()
         await self._wait_for_responses(plan.interrupts_at)
+        # Results that have arrived are delivered, however late this step comes.
+        await read_arrived()
         if self._has_calls():
             self._interrupt()
         await self._wait_for_responses(plan.exits_at)
