Close links that wait to be accepted after they are connected

What peers saw: a link to a daemon that ends is reset over a request that was sent on it, whose call ends as lost.

Cause: the close of the links covered those that the event loop had connected.

Change: open links are closed as before, at once, so that what crosses the close is not run. Then the loop connects the accepted ones, answers what was sent on them, and they are closed, too.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -8,7 +8,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from damaskbay.adapters.http1.sockets import Listener
+from damaskbay.adapters.http1.sockets import Listener, read_arrived
 from damaskbay.adapters.peer_link.const import (
     CONNECT_TIMEOUT_S,
     LINK_TIMEOUT_S,
@@ -98,6 +98,11 @@
         After `timeout_s` seconds the remaining links are aborted.
         """
         self._stop_connecting()
+        connected = [link for link in self._all_links() if link.open]
+        for link in connected:
+            link.close()
+        # Links that were accepted just now are connected before they are closed.
+        await read_arrived()
         links = self._all_links()
         extra = {"links": len(links), "unsent_bytes": self.unsent_bytes}
         _LOGGER.info("peer: links are closing.", extra=extra)
--- a/tests/adapters/peer_link/test_closing.py
+++ b/tests/adapters/peer_link/test_closing.py
@@ -1,13 +1,20 @@
 """Closing the links of a daemon that leaves loses no reply that is ready."""
 
 import asyncio
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 
 import uvloop
 
-from damaskbay.adapters.peer_link.frames import Frame, FrameKind
-from damaskbay.mesh.messages import ConfigReply
+from damaskbay.adapters.peer_link.frames import (
+    Frame,
+    FrameKind,
+    FrameReader,
+    encode,
+)
+from damaskbay.helpers.messages import pack
+from damaskbay.mesh.messages import ConfigReply, ConfigRequest
 from damaskbay.ports.peer import PeerFailure, PeerProblem
 from tests.adapters.peer_link.common import (
     LARGE,
@@ -165,6 +172,38 @@
     _run(check)
 
 
+# Guards against LOST: the listener closed over a peer's link in its accept queue.
+def test_a_request_on_a_link_that_waits_to_be_accepted_is_answered() -> None:
+    """The event loop does not turn between the request and the close."""
+
+    async def check(_one: LinkedDaemon, two: LinkedDaemon) -> None:
+        with socket.socket() as peer:
+            peer.settimeout(WAIT_S)
+            sent = asyncio.Event()
+
+            def send_request() -> None:
+                peer.connect((two.address.host, two.address.port))
+                peer.sendall(encode(FrameKind.REQUEST, 1, pack(ConfigRequest(1))))
+                sent.set()
+
+            asyncio.get_running_loop().call_soon(send_request)
+            closing = asyncio.create_task(two.links.close(timeout_s=WAIT_S))
+            await sent.wait()
+            received = await asyncio.to_thread(_read_to_end, peer)
+        await closing
+        frames = list(FrameReader().feed(received))
+        assert FrameKind.REPLY in {frame.kind for frame in frames}, frames
+
+    _run(check)
+
+
+def _read_to_end(peer: socket.socket) -> bytes:
+    received = b""
+    while data := peer.recv(4096):
+        received += data
+    return received
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
