Go on with an idle connection if a request comes before its socket closes

What callers saw: a reset on a kept connection of a stopping daemon, for a request that was sent after the decision to close it.

Cause: transports close their socket in a later pass of the event loop. Other callbacks and the reading of other sockets come in between, which may take long on a busy machine; bytes that arrive by then are lost.

Change: when the transport is about to close the socket of an idle connection, unread bytes are looked for again. If there are some, a copy of the descriptor goes on as a new connection, as if it had been accepted just now. "edge: connection is reopened." says so.

Evidence: the new test sends its request right after the close, before the loop turns.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -3,7 +3,9 @@
 import asyncio
 import http
 import logging
+import os
 import select
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass
@@ -89,6 +91,7 @@
         self._exchanges: deque[_Exchange] = deque()
         self._closing = False
         self._is_refused = False
+        self._reopens = False
         self._ended_at: float | None = None
         self._linger_until = 0.0
         self._reading_paused = False
@@ -148,6 +151,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in flight."""
+        if self._reopens and exc is None and self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            self._server.reopen_if_unread(sock.fileno())
         self._transport = None
         self._server.remove_connection(self)
         self._written.release()
@@ -221,11 +227,17 @@
             if not self._is_ready(select.POLLIN):
                 self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
         elif self._is_idle_too_long(now) and not self._is_ready(select.POLLIN):
-            self._transport.close()
+            self.close_idle()
 
-    def close(self) -> None:
-        """Close the connection after the responses that are written."""
+    def close_idle(self) -> None:
+        """
+        Close a connection without a request or response in flight.
+
+        The transport closes the socket in a later pass of the event loop. If something
+        has arrived by then, the connection stays open with another transport.
+        """
         if self._transport is not None:
+            self._reopens = True
             self._transport.close()
 
     def reject_incomplete(self) -> None:
@@ -235,8 +247,8 @@
 
     def close_unless_serving(self) -> None:
         """Close without waiting for the caller, unless a request is in flight."""
-        if not self._exchanges:
-            self.close()
+        if self._transport is not None and not self._exchanges:
+            self._transport.close()
 
     async def _serve(self, exchange: _Exchange) -> None:
         arrival = exchange.arrival
@@ -440,6 +452,7 @@
             await read_arrived()
             self.close_idle()
             self.reject_incomplete()
+            await read_arrived()
             await self._flush()
         finally:
             self._close_connections()
@@ -473,6 +486,19 @@
         if not self.exceeds_connections:
             self._listener.resume()
 
+    def reopen_if_unread(self, descriptor: int) -> None:
+        """Go on with a connection that is about to be closed over unread bytes."""
+        if not ready_descriptors([descriptor]):
+            return
+        _LOGGER.info("edge: connection is reopened.")
+        try:
+            sock = socket.socket(fileno=os.dup(descriptor))
+        except OSError as error:
+            _LOGGER.warning("edge: connection is lost.", extra={"why": str(error)})
+            return
+        sock.setblocking(False)
+        self._listener.adopt(sock)
+
     def close_idle(self) -> None:
         """Close the connections without a request or response in flight."""
         now = monotonic_s()
@@ -482,7 +508,7 @@
             if connection.is_idle(now) and not connection.lingering
         ]
         for connection in _without_unread_bytes(idle):
-            connection.close()
+            connection.close_idle()
 
     def reject_incomplete(self) -> None:
         """Respond to requests that are still being read: they have not run."""
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -108,7 +108,14 @@
         extra = {"port": self._port, "accepted": len(accepted)}
         _LOGGER.info("edge: listener is closed.", extra=extra)
         for connection in accepted:
-            self._adopt(connection)
+            self.adopt(connection)
+
+    def adopt(self, sock: socket.socket) -> None:
+        """Connect an accepted socket to a new protocol."""
+        protocol = self._protocol_factory()
+        loop = asyncio.get_running_loop()
+        task = self._start(loop.connect_accepted_socket(lambda: protocol, sock))
+        task.add_done_callback(partial(_report_failure, protocol))
 
     def _stop_accepting(self) -> None:
         if self._sock is None or self._server is None or not self._is_paused:
@@ -140,13 +147,6 @@
         else:
             self._server = server
 
-    def _adopt(self, sock: socket.socket) -> None:
-        """Connect an accepted socket to a new protocol."""
-        protocol = self._protocol_factory()
-        loop = asyncio.get_running_loop()
-        task = self._start(loop.connect_accepted_socket(lambda: protocol, sock))
-        task.add_done_callback(partial(_report_failure, protocol))
-
     def _start(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
--- a/tests/adapters/http1/test_unread_requests.py
+++ b/tests/adapters/http1/test_unread_requests.py
@@ -146,6 +146,23 @@
         _run(check)
 
 
+# Guards against LOST: the transport of an idle connection closes its socket later on.
+def test_a_request_that_arrives_before_the_socket_is_closed_is_served() -> None:
+    """The decision to close the connection is older than the request."""
+
+    async def check() -> None:
+        for connect in (_accepted, _kept):
+            for close in (HttpServer.close_idle, _close_timed_out):
+                async with _server() as server:
+                    caller = await connect(server)
+                    close(server)
+                    caller.sendall(REQUEST)
+                    await _check_status(200, caller)
+
+    with patch.object(server_module, "FIRST_REQUEST_WAIT_S", 0.0):
+        _run(check)
+
+
 # Guards against 408 for a request that has arrived.
 def test_a_request_whose_rest_is_unread_is_not_rejected() -> None:
     """Neither as the server ends nor by the time limit of slow callers."""
