Repeat no call at the server whose deadline has passed

What callers saw: nothing. Servers got a call again after its time limit, with a deadline of 1 ms.

Evidence: test_a_call_whose_deadline_has_passed_is_not_repeated saw the call twice at the server before (['q1', 'late', 'late']) and sees it once now. This limit is stricter than before.

--- a/damaskbay/mesh/server_calls.py
+++ b/damaskbay/mesh/server_calls.py
@@ -137,7 +137,8 @@
     def _may_repeat(self, context: CallContext) -> bool:
         """Return whether the server may get a call again; spend a retry for it."""
         parts = self._parts
-        if not parts.local.may_send(parts.clock()):
+        now = parts.clock()
+        if now >= context.deadline or not parts.local.may_send(now):
             return False
         return parts.repeats.spend(nested=context.depth > 0)
 
--- a/tests/mesh/test_repeats.py
+++ b/tests/mesh/test_repeats.py
@@ -7,6 +7,8 @@
 from typing import cast
 from unittest.mock import patch
 
+from damaskbay.core.call import CallContext, Request
+from damaskbay.helpers.clock import monotonic_s
 from damaskbay.mesh.const import RETRY_RATIO_SHARE, RETRY_SLACK_SHARE
 from damaskbay.mesh.local_server import LocalServer
 from tests.common import function_suite, reserve_address
@@ -122,6 +124,23 @@
     asyncio.run(run())
 
 
+# Guards against BUDGET: a call is repeated after its time limit.
+def test_a_call_whose_deadline_has_passed_is_not_repeated() -> None:
+    """The loop reads late that the connection was closed."""
+
+    async def run() -> None:
+        async with _resetting_server() as (_, node, arrivals):
+            assert (await node.request("/safe/x")).status == 200
+            context = CallContext(
+                "", "w", 1, monotonic_s(), "r", "one", True, request_id="late"
+            )
+            request = Request("GET", "a", "/safe/x")
+            await node.daemon._target._parts.calls.send(context, request)
+            assert arrivals.count("late") == 1, arrivals
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
