Read what has arrived before a link counts as silent or suspect

What callers saw: 502 for all unsafe calls on a link whose peer was well, and no new calls to this peer until the link was up again.

Cause: the check of the links runs by a timer. In a loop that is late it saw the time of the last byte that it had read, while notes of the peer were waiting in the socket.

Evidence: test_a_link_whose_bytes_are_not_read_yet_is_not_silent blocks the loop as the check is due, with a pulse in the socket. Before, the link was aborted; now it is neither closed nor suspect.

Why it works: the check takes the time, lets the loop read, and then compares: what had arrived by that time ends the silence. A peer that has sent nothing is found at the same age as before. The line "link has timed out" says how late the check was.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -25,6 +25,7 @@
     encode_note,
 )
 from damaskbay.core.memory_account import MemoryAccount
+from damaskbay.helpers.arrivals import read_arrived
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
 
@@ -197,12 +198,13 @@
     def _opened_links(self) -> tuple[Link, ...]:
         return (*self._links_by_peer.values(), *self._retired)
 
-    def _abort_silent(self, link: Link, now: float) -> None:
+    def _abort_silent(self, link: Link, now: float, late_s: float) -> None:
         _LOGGER.warning(
             "peer: link has timed out.",
             extra={
                 "accepted": link in self._accepted,
                 "silent_s": round(now - link.last_received_at, 3),
+                "late_s": round(late_s, 3),
                 "requests": link.requests_in_flight,
                 "handlers": link.handlers_running,
                 "unsent_bytes": link.unsent_bytes,
@@ -265,17 +267,19 @@
         for round_number in itertools.count():
             await asyncio.sleep(NOTE_INTERVAL_S)
             now = monotonic_s()
-            was_suspended = now - due_at > NOTE_INTERVAL_S
+            late_s = now - due_at
             due_at = now + NOTE_INTERVAL_S
+            # What has arrived by now ends a silence that is counted up to now.
+            await read_arrived()
             note = self._note()
             encoded = encode_note(note)
             for link in self._all_links():
-                if was_suspended:
+                if late_s > NOTE_INTERVAL_S:
                     # This process was suspended; the peer may still be alive.
-                    link.last_received_at = now
+                    link.last_received_at = max(link.last_received_at, now)
                 link.count_unsent()
                 if now - link.last_received_at > LINK_TIMEOUT_S:
-                    self._abort_silent(link, now)
+                    self._abort_silent(link, now, late_s)
             all_links = round_number % MAX_NOTE_ROUNDS == 0
             for link in self._opened_links():
                 self._set_suspect(link, now - link.last_received_at > SUSPECT_AFTER_S)
--- a/tests/adapters/peer_link/test_late_loop.py
+++ b/tests/adapters/peer_link/test_late_loop.py
@@ -12,7 +12,14 @@
 
 import uvloop
 
+from damaskbay.adapters.peer_link.const import (
+    LINK_TIMEOUT_S,
+    NOTE_INTERVAL_S,
+    SUSPECT_AFTER_S,
+)
 from damaskbay.adapters.peer_link.frames import FrameKind, encode
+from damaskbay.adapters.peer_link.link import PULSE
+from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.messages import pack
 from damaskbay.mesh.messages import ConfigReply, ConfigRequest
 from damaskbay.ports.peer import PeerAddress
@@ -43,6 +50,19 @@
     uvloop.run(run())
 
 
+async def _links_are_checked(daemon: LinkedDaemon) -> None:
+    """Wait for the next check of the links, in which a note is made."""
+    checked, note = asyncio.Event(), daemon.links._note
+
+    def record_check() -> object:
+        checked.set()
+        return note()
+
+    daemon.links._note = record_check
+    await checked.wait()
+    daemon.links._note = note
+
+
 # Guards against 504 for a call whose reply has arrived, and against a refusal (429) by
 # a workspace's limit where the reply grants a token.
 def test_a_reply_that_has_arrived_by_the_timeout_is_returned() -> None:
@@ -66,6 +86,34 @@
     _run(check)
 
 
+# Guards against 502 for all unsafe calls on a link whose peer is well.
+def test_a_link_whose_bytes_are_not_read_yet_is_not_silent() -> None:
+    """The loop is blocked as the link is checked, and a pulse of the peer waits."""
+
+    async def check(
+        daemon: LinkedDaemon, address: PeerAddress, peer: socket.socket
+    ) -> None:
+        link = daemon.links._links_by_peer[address]
+        changes: list[bool] = []
+        daemon.links._on_links_change = lambda: changes.append(link.suspect)
+        for silent_s in (SUSPECT_AFTER_S, LINK_TIMEOUT_S):
+            peer.sendall(PULSE)
+            await _links_are_checked(daemon)
+
+            def pulse_and_block(silent_s: float = silent_s) -> None:
+                time.sleep(0.75 * NOTE_INTERVAL_S)
+                link.last_received_at = monotonic_s() - silent_s
+                peer.sendall(PULSE)
+                time.sleep(0.5 * NOTE_INTERVAL_S)
+
+            await block_loop(pulse_and_block)
+            await asyncio.sleep(0.5 * NOTE_INTERVAL_S)
+            assert not link.ended.is_set()
+        assert not changes
+
+    _run(check)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
