Return answers of the store that have arrived by the time limit

What callers saw: nothing directly. A lease, a version or the state of a server was known a retry later, and a write whose answer was discarded counted as unanswered.

Cause: the store client cancelled the request by its own timer, which a loop that is late runs before it reads the answer.

Evidence: test_an_answer_that_has_arrived_by_the_timeout_is_returned blocks the loop until the time limit of a watch has passed.

The age of a proof still counts from before the request was sent, so that a late answer proves no more than it did: the limit for withdrawn keys is unchanged.

--- a/damaskbay/platform/store.py
+++ b/damaskbay/platform/store.py
@@ -1,6 +1,5 @@
 """HTTP client of the platform's metadata store."""
 
-import asyncio
 import base64
 import binascii
 import json
@@ -145,13 +144,9 @@
         data = b"" if body is None else json.dumps(body).encode()
         headers = (("Content-Type", "application/json"),) if data else ()
         request = Request(method, self._host, target, headers, data)
-        try:
-            async with asyncio.timeout(timeout_s):
-                reply = await self._client.send(request)
-        except TimeoutError:
-            return StoreFailure(StoreProblem.UNANSWERED, "no reply within the timeout")
+        reply = await self._client.send(request, timeout_s=timeout_s)
         if isinstance(reply, HttpFailure):
-            not_sent = reply.problem is HttpProblem.NOT_SENT
+            not_sent = reply.problem in (HttpProblem.NOT_SENT, HttpProblem.EXPIRED)
             problem = StoreProblem.UNAVAILABLE if not_sent else StoreProblem.UNANSWERED
             return StoreFailure(problem, reply.problem.value)
         return reply
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,13 +1,18 @@
 """Tests of the store client against the stand-in of the store."""
 
 import asyncio
+import socket
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
+import uvloop
+
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
+from damaskbay.platform.const import WATCH_TIMEOUT_MARGIN_S
 from damaskbay.platform.store import KvStore
 from damaskbay.ports.peer import PeerAddress
 from damaskbay.ports.store import (
@@ -16,9 +21,13 @@
     StoreProblem,
     StoreSnapshot,
 )
-from tests.common import function_suite
+from tests.common import block_loop, function_suite
 from tests.platform.kv_stand_in import KvStandIn
 
+WAIT_S = 10.0
+EMPTY_WATCH = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{"events": [], "StoreRevision": 5}'
+)
 Check = Callable[[KvStandIn, KvStore], Awaitable[None]]
 
 
@@ -160,6 +169,30 @@
     asyncio.run(run())
 
 
+# Guards against a lease, a version or a server's state that is known a retry later: a
+# busy loop runs the timer before it reads the answer.
+def test_an_answer_that_has_arrived_by_the_timeout_is_returned() -> None:
+    """The loop is blocked until the timeout has passed, and the answer waits."""
+
+    async def run() -> StoreSnapshot | StoreFailure:
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            listening.settimeout(WAIT_S)
+            store = KvStore(PeerAddress(*listening.getsockname()))
+            watching = asyncio.create_task(store.watch("k", after=0, wait_s=0.0))
+            server, _address = await asyncio.to_thread(listening.accept)
+            await asyncio.to_thread(server.recv, 1024)
+
+            def answer_and_block() -> None:
+                server.sendall(EMPTY_WATCH)
+                time.sleep(1.2 * WATCH_TIMEOUT_MARGIN_S)
+
+            with server:
+                await block_loop(answer_and_block)
+                return await watching
+
+    assert uvloop.run(run()) == StoreSnapshot((), 5)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Return a suite of the test functions in this module."""
     return function_suite(globals())
