Count a record as stored whose answer has arrived by the time limit

What callers saw: nothing directly. A stopping daemon refused its server's report of leaving, though the state was stored; a daemon wrote the record again.

Cause: Registration.write_now cancelled the write by a timer, which a loop that is late runs before it reads the answer of the store.

Evidence: test_a_write_that_is_answered_by_the_timeout_is_stored blocks the loop until the time limit has passed. write_now returned False before and True now.

Why it works: the write is cancelled only after the loop has read. A write without an answer still counts as not stored.

--- a/damaskbay/mesh/registry.py
+++ b/damaskbay/mesh/registry.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable
 
+from damaskbay.helpers.arrivals import timeout_after_reading
 from damaskbay.mesh.directory import MemberRecord
 from damaskbay.mesh.records import encode_record
 from damaskbay.ports.store import (
@@ -59,7 +60,7 @@
     async def write_now(self, timeout_s: float) -> bool:
         """Write a changed record at once; return whether the store has it."""
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timeout_after_reading(timeout_s):
                 return await self._write()
         except TimeoutError:
             self.schedule_write()
--- a/tests/mesh/test_registry.py
+++ b/tests/mesh/test_registry.py
@@ -1,10 +1,14 @@
 """The daemon's record in a store that fails."""
 
 import asyncio
+import socket
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
+import uvloop
+
 from damaskbay.mesh.directory import MemberRecord
 from damaskbay.mesh.records import decode_record, encode_record
 from damaskbay.mesh.registry import RETRY_DELAY_S, Registration
@@ -17,19 +21,24 @@
     StoreProblem,
     StoreSnapshot,
 )
-from tests.common import function_suite
+from tests.common import block_loop, function_suite
 
 KEY = "members/d1"
 RECORD = MemberRecord(
     "d1", 5, "zone", PeerAddress("10.0.0.1", 7000), "p", ServerState.READY, 4, "i", 9
 )
+WRITE_TIMEOUT_S = 1.0
 RETURN_S = 2.0
 """Required time, seconds: records return this soon after the store."""
 
 
 @dataclass
 class _Store:
-    """A store of one key and one lease; `lose_reply` loses the reply to a write."""
+    """
+    A store of one key and one lease.
+
+    `lose_reply` loses the reply to a write; with `answered` it waits for that.
+    """
 
     revision: int = 1
     item: StoreItem | None = None
@@ -37,6 +46,7 @@
     problem: StoreProblem | None = None
     lose_reply: bool = False
     writes: int = 0
+    answered: asyncio.Future[None] | None = None
 
     def _failure(self) -> StoreFailure | None:
         return None if self.problem is None else StoreFailure(self.problem)
@@ -71,6 +81,8 @@
         self.item = StoreItem(key, value, self.revision)
         if self.lose_reply:
             return StoreFailure(StoreProblem.UNANSWERED)
+        if self.answered is not None:
+            await self.answered
         return self.revision
 
     async def create_lease(self, ttl_s: float) -> int | StoreFailure:
@@ -179,6 +191,35 @@
     _run(check)
 
 
+# Guards against a report of a leaving server that gets no confirmation though its state
+# is stored: a busy loop runs the timer before it reads the store's answer.
+def test_a_write_that_is_answered_by_the_timeout_is_stored() -> None:
+    """The loop is blocked until the timeout has passed, and the answer waits."""
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        answered: asyncio.Future[None] = loop.create_future()
+        store, daemon = _Store(answered=answered), _Daemon()
+        registration = Registration(store, KEY, lambda: daemon.record)
+        writing = asyncio.create_task(registration.write_now(WRITE_TIMEOUT_S))
+        answer, server = socket.socketpair()
+
+        def read_answer() -> None:
+            loop.remove_reader(answer)
+            answered.set_result(None)
+
+        def answer_and_block() -> None:
+            server.send(b"x")
+            time.sleep(1.2 * WRITE_TIMEOUT_S)
+
+        with answer, server:
+            loop.add_reader(answer, read_answer)
+            await block_loop(answer_and_block)
+            assert await writing
+
+    uvloop.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
