Read responses that free slots before queued calls count as waiting too long

What callers saw: 503 for calls that could have started.

Cause: the check of the queue runs by a timer. In a loop that is late it refused calls of the least important rank by the length of their wait, while responses that free slots were waiting in the sockets.

Evidence: test_a_late_check_comes_after_responses_that_free_slots blocks the loop until a call has waited too long, with a response waiting. It was refused as OVERLOADED before and gets its slot now.

Why it works: a check that is late by more than its interval lets the loop read first. Checks that are on time cost nothing more.

--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -15,6 +15,7 @@
 )
 from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Refusal
+from damaskbay.helpers.arrivals import read_arrived
 
 NESTED_QUEUE_PER_SLOT = 10.0
 """Nested calls that may wait per slot: a fraction of a second of work."""
@@ -140,7 +141,12 @@
         """
         while True:
             await self._queued.wait()
-            await asyncio.sleep(self._next_check_s(clock()))
+            now = clock()
+            due_at = now + self._next_check_s(now)
+            await asyncio.sleep(due_at - now)
+            if clock() - due_at > EXPIRE_INTERVAL_S:
+                # Responses that have arrived may free slots for calls that wait.
+                await read_arrived()
             self._apply_decisions(self._controller.expire(clock()))
             if not self._waiting:
                 self._queued.clear()
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -2,18 +2,23 @@
 
 import asyncio
 import contextlib
+import socket
+import time
 import unittest
 from dataclasses import replace
 from random import Random
 
+import uvloop
+
 from damaskbay.core.admission import CallSample
 from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Refusal
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.mesh.gate import Gate
-from tests.common import function_suite
+from tests.common import block_loop, function_suite
 
 WAIT_S = 5.0
+QUEUE_WAIT_S = 1.0
 
 
 def _context(left_s: float) -> CallContext:
@@ -79,6 +84,41 @@
     asyncio.run(acquire())
 
 
+# Guards against 503 for calls that can start: a busy loop checks their wait before it
+# reads the responses that free slots.
+def test_a_late_check_comes_after_responses_that_free_slots() -> None:
+    """The loop is blocked until a call has waited too long, and a response waits."""
+
+    async def run() -> int | Refusal:
+        gate = Gate(1, Random(1), monotonic_s())
+        expiring = asyncio.create_task(gate.run_expiry(monotonic_s))
+        first = await gate.acquire(_context(WAIT_S), 1.0, monotonic_s())
+        assert isinstance(first, int)
+        waiting = asyncio.create_task(
+            gate.acquire(_context(2 * QUEUE_WAIT_S), 1.0, monotonic_s())
+        )
+        response, server = socket.socketpair()
+
+        def release() -> None:
+            loop.remove_reader(response)
+            gate.release(first, CallSample(0.01, succeeded=True), monotonic_s())
+
+        def respond_and_block() -> None:
+            time.sleep(1.2 * QUEUE_WAIT_S)
+            server.send(b"x")
+
+        loop = asyncio.get_running_loop()
+        with response, server:
+            loop.add_reader(response, release)
+            await block_loop(respond_and_block)
+            result = await waiting
+        expiring.cancel()
+        return result
+
+    result = uvloop.run(run())
+    assert isinstance(result, int), result
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
