Return answers that have arrived when a stop interrupts its calls

What callers saw: 502 at the end of a stop for calls that the server or a peer had answered.

Cause: the step of the stop that interrupts calls runs by the clock. It cancelled the calls at the server and ended those on links while their answers were waiting in the sockets.

Why it works: the interruption is planned at once and takes place three passes of the loop later. The stop still waits for it until exits_at only, so that it ends in its grace time.

--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -217,9 +217,13 @@
             self._close_if_retired()
 
     def interrupt_requests(self) -> None:
-        """End the requests in flight as INTERRUPTED, and cancel them at the peer."""
+        """
+        End the requests in flight as INTERRUPTED, and cancel them at the peer.
+
+        Replies that have arrived are read before.
+        """
         for number in tuple(self._pending):
-            self._fail_and_cancel(number, PeerProblem.INTERRUPTED)
+            call_after_reading(self._fail_and_cancel, number, PeerProblem.INTERRUPTED)
 
     def send_note(self, note: Any, encoded: bytes) -> None:
         """Send a note and its form by `encode_note`, or a pulse if it is unchanged."""
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -17,6 +17,7 @@
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.core.retry.repeats import ServerRetryBudget
+from damaskbay.helpers.arrivals import call_after_reading
 from damaskbay.mesh.const import (
     NOT_READY_RETRY_S,
 )
@@ -78,11 +79,13 @@
         return len(self._active_calls)
 
     def interrupt(self) -> None:
-        """End all calls; their senders get a result that says if they may have run."""
+        """
+        End all calls; their senders get a result that says if they may have run.
+
+        Responses that have arrived are read before.
+        """
         for active in tuple(self._active_calls):
-            if active.task is not None:
-                active.interrupted = True
-                active.task.cancel()
+            call_after_reading(self._interrupt, active)
 
     async def run(self, context: CallContext, request: Request) -> CallResult:
         """Run a call; cancellation closes its connection to the server."""
@@ -226,6 +229,11 @@
             )
         return refusal_of_fatal_call(self._parts.fatal_calls, request, now)
 
+    def _interrupt(self, active: _ActiveCall) -> None:
+        if active.task is not None and active in self._active_calls:
+            active.interrupted = True
+            active.task.cancel()
+
     def _interrupted_result(
         self, context: CallContext, active: _ActiveCall
     ) -> CallResult:
--- a/tests/adapters/peer_link/test_late_loop.py
+++ b/tests/adapters/peer_link/test_late_loop.py
@@ -86,6 +86,28 @@
     _run(check)
 
 
+# Guards against 502 at the end of a stop for a call whose reply has arrived.
+def test_a_reply_that_has_arrived_is_returned_at_an_interruption() -> None:
+    """The daemon interrupts its requests before the loop reads the reply."""
+
+    async def check(
+        daemon: LinkedDaemon, address: PeerAddress, peer: socket.socket
+    ) -> None:
+        request = daemon.links.request(address, ConfigRequest(1), timeout_s=WAIT_S)
+        requesting = asyncio.create_task(request)
+        await asyncio.sleep(0)
+
+        def reply_and_interrupt() -> None:
+            peer.sendall(encode(FrameKind.REPLY, 1, pack(ConfigReply(1, b"", None))))
+            daemon.links.interrupt_requests()
+
+        await block_loop(reply_and_interrupt)
+        reply = await requesting
+        assert isinstance(reply, ConfigReply), reply
+
+    _run(check)
+
+
 # Guards against 502 for all unsafe calls on a link whose peer is well.
 def test_a_link_whose_bytes_are_not_read_yet_is_not_silent() -> None:
     """The loop is blocked as the link is checked, and a pulse of the peer waits."""
