Let a daemon advertise another address to its peers

Peers learn a daemon's address from the store and from notes, and it was always the one at which it listens, so that nothing could stand between two daemons.

The optional `Advertised` in the table `Listen` is the address that goes into the store and the notes. Without it nothing changes. The soak's proxy counts what it accepts and can let open connections go silent for good.

test_peers_connect_to_the_advertised_address failed with the record made as before (no connection through the proxy), and passes now.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -317,7 +317,7 @@
             settings.instance,
             self._incarnation,
             settings.failure_domain,
-            settings.peers,
+            settings.advertised or settings.peers,
             settings.pool,
             state,
             self.local.slots,
--- a/damaskbay/mesh/settings.py
+++ b/damaskbay/mesh/settings.py
@@ -21,6 +21,7 @@
     Addresses and limits of one daemon; times in seconds.
 
     The daemon listens on `callers`, `control`, `readiness`, `peers` and `metrics`.
+    Peers reach it at `advertised`, None for `peers`.
     The local server at `server` belongs to `pool`. The fleet may send a pool at
     most `retry_ratio` times its calls, plus `retry_slack`, as retries. A workspace
     may exceed its rate and burst by the part `quota_overage` and `quota_slack`
@@ -47,6 +48,7 @@
     quota_slack: float
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
+    advertised: PeerAddress | None = None
     digest: str = ""
 
 
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -76,6 +76,9 @@
         quota_slack=read_number(bounds, "QuotaSlack", 0.0),
         memory_bytes=MEGABYTE * _read_limit(document, "MemoryMb", DEFAULT_MEMORY_MB),
         max_descriptors=_read_limit(document, "MaxFds", DEFAULT_MAX_DESCRIPTORS),
+        advertised=(
+            _read_address(listen, "Advertised") if "Advertised" in listen else None
+        ),
     )
 
 
--- a/tests/mesh/test_fleet.py
+++ b/tests/mesh/test_fleet.py
@@ -9,8 +9,9 @@
 from damaskbay.core.call import Request, Response
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
-from tests.common import function_suite
+from tests.common import function_suite, reserve_address
 from tests.mesh.common import HOST, WAIT_S, Fleet, Node, run_fleet, wait_until
+from tests.soak.proxy import LoopbackProxy
 
 REVOKE_S = 5.0
 """Time limit for the use of a withdrawn key, as in the fleet's settings."""
@@ -60,6 +61,20 @@
     _run(check, a="one", b="two")
 
 
+def test_peers_connect_to_the_advertised_address() -> None:
+    """It differs from the address at which the daemon listens."""
+
+    async def check(fleet: Fleet) -> None:
+        peers = reserve_address()
+        async with LoopbackProxy(peers) as proxy:
+            await fleet.add("a", "one", peers=peers, advertised=proxy.address)
+            await fleet.wait_until_connected()
+            assert (await fleet.nodes["b"].request("/safe/")).status == 200
+            assert proxy.accepted
+
+    _run(check, b="two")
+
+
 def test_unknown_routes_and_keys_have_their_statuses() -> None:
     """Statuses are 404 and 401; an open route needs no key."""
 
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -112,6 +112,10 @@
     assert (settings.drain_s, settings.revoke_s) == (2.0, 5.0)
     assert settings.memory_bytes == 300 * 1024 * 1024
     assert settings.max_descriptors == 4100
+    assert settings.advertised is None
+    listen = {**SETTINGS["Listen"], "Advertised": "10.0.0.9:7100"}
+    settings = decode_settings({**SETTINGS, "Listen": listen})
+    assert settings.advertised == PeerAddress("10.0.0.9", 7100)
 
 
 def test_wrong_settings_name_the_field() -> None:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -31,13 +31,19 @@
 
 
 class LoopbackProxy:
-    """Forwards connections to one address; an async context manager."""
+    """
+    Forwards connections to one address; an async context manager.
+
+    `accepted` counts the connections that it took.
+    """
 
     def __init__(self, target: PeerAddress) -> None:
         self.address = PeerAddress(target.host, 0)
         self.faults = ProxyFaults()
+        self.accepted = 0
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def __aenter__(self) -> Self:
@@ -56,9 +62,14 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def silence_open(self) -> None:
+        """Pass nothing on any more on the open connections; new ones work."""
+        self._silent |= self._writers
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.accepted += 1
         if self.faults.reset_new:
             writer.transport.abort()
             return
@@ -77,6 +88,9 @@
             self._forward(server_reader, writer, from_server=True),
         )
         self._writers -= {writer, server_writer}
+        self._silent -= {writer, server_writer}
+        writer.close()
+        server_writer.close()
 
     async def _send_without_end(self, writer: asyncio.StreamWriter) -> None:
         """Send chunks until the other end closes, or the fault ends."""
@@ -98,8 +112,10 @@
             while chunk := await reader.read(CHUNK_BYTES):
                 if self.faults.delay_s:
                     await asyncio.sleep(self.faults.delay_s)
-                if self.faults.drop_all or (
-                    from_server and self.faults.drop_from_server
+                if (
+                    self.faults.drop_all
+                    or (from_server and self.faults.drop_from_server)
+                    or writer in self._silent
                 ):
                     continue
                 if from_server and self.faults.endless:
@@ -107,4 +123,5 @@
                     break
                 writer.write(chunk)
                 await writer.drain()
-        writer.close()
+        if writer not in self._silent:
+            writer.close()
