Soak a whole site on few cores

The soak had six machines, each on all cores, and some hundred requests a second.

Servers and callers run in worker processes; the checks on what they saw are those of the soak, after the reports of all workers were joined. Links between daemons, to the store and to servers are reset or go silent; machines are removed and added at new addresses; servers end before their daemon.

What the soak's machines share with those of a site is now in daemons.py.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,9 +12,8 @@
 from damaskbay.adapters.http1.client import encode_request
 from damaskbay.core.call import Headers, Request, Response
 from damaskbay.ports.peer import PeerAddress
-from tests.soak.machines import Machine
 from tests.soak.planned import CALLER_CLOSED, OVERDUE, OVERDUE_S
-from tests.soak.records import SentRequest
+from tests.soak.records import CalledMachine, SentRequest
 from tests.soak.servers import HOST_HEADER
 
 CONNECT_TIMEOUT_S = 1.0
@@ -36,16 +35,16 @@
 
 
 class RequestSource:
-    """Creates requests with unique ids; `requests` holds all that were sent."""
+    """Creates requests whose ids begin with a name; `requests` holds all of them."""
 
-    def __init__(self, seed: int, rng: Random, timeout_s: float) -> None:
+    def __init__(self, name: str, rng: Random, timeout_s: float) -> None:
         self.requests: list[SentRequest] = []
-        self._ids = (f"s{seed}-{number}" for number in itertools.count())
+        self._ids = (f"{name}-{number}" for number in itertools.count())
         self._rng = rng
         self._timeout_s = timeout_s
 
     def new(
-        self, machine: Machine, kind: str, keys: Sequence[str] = ("k1", "k3")
+        self, machine: CalledMachine, kind: str, keys: Sequence[str] = ("k1", "k3")
     ) -> tuple[SentRequest, Request]:
         """Return a request of a kind for a machine, with one of the keys if needed."""
         limit_ms = self._rng.choice(LIMITS_MS)
@@ -182,7 +181,7 @@
 
     def __init__(
         self,
-        machine: Machine,
+        machine: CalledMachine,
         source: RequestSource,
         rng: Random,
         on_end: Callable[[SentRequest], None],
@@ -288,7 +287,9 @@
         await asyncio.sleep(self._slowdown * self._rng.expovariate(1.0 / PAUSE_S))
 
 
-async def send_once(machine: Machine, sent: SentRequest, request: Request) -> None:
+async def send_once(
+    machine: CalledMachine, sent: SentRequest, request: Request
+) -> None:
     """Send a request on a new connection; it gets no response if that fails."""
     connection = await CallerConnection.connect(machine.caller_address)
     if connection is not None:
--- a/tests/soak/harsh.py
+++ b/tests/soak/harsh.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from tests.soak.callers import MachineCallers, RequestSource, send_once
-from tests.soak.machines import TORN_WRITE_RANGE_S, Machine
+from tests.soak.daemons import TORN_WRITE_RANGE_S
+from tests.soak.machines import Machine
 from tests.soak.promises import InvariantChecker
 
 BIG_CONFIG_ROUTES = (350, 2000)
--- a/tests/soak/manifest.py
+++ b/tests/soak/manifest.py
@@ -7,7 +7,16 @@
 
 POOLS = ("one", "two")
 NESTED_POOL = "two"
-"""Pool of the open route, which servers of the other pool call."""
+"""Pool of the open route, which servers of the other pools call."""
+
+POOLS_BY_PATH = {"safe": "one", "unsafe": "one", "open": NESTED_POOL, "big": "one"}
+SITE_POOLS = ("one", "two", "three", "four")
+SITE_POOLS_BY_PATH = {
+    "safe": "one",
+    "unsafe": "three",
+    "open": NESTED_POOL,
+    "big": "four",
+}
 
 _EXTRA = {"Kind": "safe", "Service": NESTED_POOL, "AuthExempt": True}
 """Fields of the routes of a big set, which no caller uses."""
@@ -19,6 +28,7 @@
     workspaces_by_key: Mapping[str, str],
     workspaces: Sequence[str],
     extra_routes: int,
+    pools_by_path: Mapping[str, str] = POOLS_BY_PATH,
 ) -> dict[str, Any]:
     """Return a set with the active keys and so many routes that no caller uses."""
     spec = {
@@ -28,12 +38,6 @@
         "Priority": 1,
         "NumAttempts": 2,
     }
-    paths = (
-        ("safe", "safe"),
-        ("unsafe", "unsafe"),
-        ("open", "safe"),
-        ("big", "safe"),
-    )
     entries: list[tuple[str, str, dict[str, object]]] = [
         (
             "Routes",
@@ -41,19 +45,21 @@
             {
                 **spec,
                 "Prefix": f"/{path}/",
-                "Kind": kind,
-                "Service": NESTED_POOL if path == "open" else "one",
+                "Kind": "unsafe" if path == "unsafe" else "safe",
+                "Service": pool,
                 "AuthExempt": path in ("open", "big"),
             },
         )
-        for path, kind in paths
+        for path, pool in pools_by_path.items()
     ]
     service = {"MaxConnections": 90, "HealthCheckPath": HEALTH_PATH}
     entries += [
         ("Routes", f"extra-{number}", {**spec, **_EXTRA, "Prefix": f"/x{number}/"})
         for number in range(extra_routes)
     ]
-    entries += [("Services", pool, service) for pool in POOLS]
+    entries += [
+        ("Services", pool, service) for pool in sorted(set(pools_by_path.values()))
+    ]
     for workspace in workspaces:
         keys = [
             key
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -1,8 +1,11 @@
 """Checks of seeds whose only faults are stops, set changes and draining servers."""
 
 import asyncio
+import bisect
+import itertools
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from operator import itemgetter
 
 from tests.soak.records import Execution, SentRequest, Stop
 
@@ -54,9 +57,13 @@
 
     def total_s(self, start: float, end: float) -> float:
         """Return the sum of the lags between two times, seconds."""
-        return sum(
-            lag_s for ended_at, lag_s in self._lags if start < ended_at < end + lag_s
-        )
+        first = bisect.bisect_right(self._lags, start, key=itemgetter(0))
+        total_s = 0.0
+        for ended_at, lag_s in itertools.islice(self._lags, first, None):
+            if ended_at >= end + lag_s:
+                break
+            total_s += lag_s
+        return total_s
 
 
 def find_interruption(
@@ -80,7 +87,7 @@
         waits_for_caller = sent.is_behind or sent.read_s
         return None if waits_for_caller else f"{OVERDUE} of {sent.limit_s:.1f} s"
     if not executions:
-        return _find_unanswered(sent, caller_lag_s)
+        return _find_unanswered(sent, stops_by_machine, caller_lag_s)
     if executions[-1].status not in (None, 200):
         return None
     waited_s = sent.ended_at - (sent.last_byte_at or sent.sent_at)
@@ -107,7 +114,11 @@
     return sent.response is None and sent.response_began
 
 
-def _find_unanswered(sent: SentRequest, caller_lag_s: float) -> str | None:
+def _find_unanswered(
+    sent: SentRequest,
+    stops_by_machine: Mapping[str, Sequence[Stop]],
+    caller_lag_s: float,
+) -> str | None:
     """Check a request that reached no server and had no complete response."""
     if sent.response is not None or not sent.last_byte_at:
         return None
@@ -116,7 +127,10 @@
     waited_s = sent.ended_at - sent.last_byte_at
     if sent.is_behind or waited_s - caller_lag_s <= UNREAD_WAIT_S:
         return None
-    return f"no response: {sent.failure} after {waited_s:.3f} s"
+    return (
+        f"no response: {sent.failure} after {waited_s:.3f} s; "
+        f"sent after SIGTERM: {_since_stops([sent.machine], sent, stops_by_machine)}"
+    )
 
 
 def _may_interrupt(stop: Stop, sent: SentRequest, execution: Execution) -> bool:
@@ -141,17 +155,27 @@
         for execution in executions
     )
     machines = dict.fromkeys([sent.machine, *(item.machine for item in executions)])
-    since = ", ".join(
-        f"{machine} {sent.sent_at - stop.started_at:.3f} s"
-        for machine in machines
-        for stop in stops_by_machine.get(machine, ())
-        if stop.overlaps(sent)
-    )
+    since = _since_stops(machines, sent, stops_by_machine)
     behind = ", behind another request" if sent.is_behind else ""
     cut = ", response cut" if _is_cut(sent) else ""
     why = f"{sent.status} {sent.failure}".strip()
     took_s = sent.ended_at - sent.sent_at
     return (
         f"ended after {took_s:.3f} s with {why}{cut}{behind}; limit {sent.limit_s:.1f} "
-        f"s; ran at {runs}; sent after SIGTERM: {since or 'none'}"
+        f"s; ran at {runs}; sent after SIGTERM: {since}"
+    )
+
+
+def _since_stops(
+    machines: Iterable[str],
+    sent: SentRequest,
+    stops_by_machine: Mapping[str, Sequence[Stop]],
+) -> str:
+    """Return how long after the stops of machines a request was sent."""
+    since = ", ".join(
+        f"{machine} {sent.sent_at - stop.started_at:.3f} s"
+        for machine in machines
+        for stop in stops_by_machine.get(machine, ())
+        if stop.overlaps(sent)
     )
+    return since or "none"
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 
 from damaskbay.core.call import Response
+from tests.soak.daemons import REVOKE_S
 from tests.soak.limits import LimitRecord
-from tests.soak.machines import REVOKE_S
 from tests.soak.planned import (
     CALLER_CLOSED,
     OVERDUE,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -2,8 +2,30 @@
 
 import time
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from damaskbay.core.call import Response
+from damaskbay.ports.peer import PeerAddress
+
+
+class CalledMachine(Protocol):
+    """What callers know of a machine."""
+
+    @property
+    def name(self) -> str:
+        """Return the name of the machine."""
+
+    @property
+    def pool(self) -> str:
+        """Return the pool of its server."""
+
+    @property
+    def caller_address(self) -> PeerAddress:
+        """Return the address at which its daemon takes requests."""
+
+    @property
+    def stopping(self) -> bool:
+        """Return whether its daemon was asked to stop."""
 
 
 @dataclass
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -42,7 +42,9 @@
     Options of a backend server.
 
     `long_share` is the part of requests, 0 to 1, that take a time of LONG_RANGE_S.
-    Nested calls go over the daemon at `daemon`.
+    Nested calls go over the daemon at `daemon`. With `service_range_s`, requests take
+    a time of that range, small ones more often; with `body_range`, their responses have
+    so many bytes. The server listens on `port`, 0 for any.
     """
 
     machine: str
@@ -50,6 +52,9 @@
     daemon: PeerAddress
     long_share: float
     makes_nested_calls: bool
+    service_range_s: tuple[float, float] | None = None
+    body_range: tuple[int, int] | None = None
+    port: int = 0
 
 
 class SoakServer:
@@ -72,7 +77,9 @@
         self._options = options
         self._executions = executions
         self._rng = rng
-        self._listener = HttpServer(PeerAddress(HOST, 0), self._serve, CallerLimits())
+        self._listener = HttpServer(
+            PeerAddress(HOST, options.port), self._serve, CallerLimits()
+        )
         self._daemon = HttpClient(options.daemon, HttpClientOptions())
 
     async def __aenter__(self) -> Self:
@@ -88,6 +95,13 @@
         self._daemon.close()
         await self._listener.__aexit__(exc_type, exc, traceback)
 
+    def reset_all(self) -> None:
+        """Stop listening and reset all connections, as a process that is killed."""
+        self._listener.stop_listening()
+        for connection in tuple(self._listener.connections):
+            if connection._transport is not None:
+                connection._transport.abort()
+
     @property
     def address(self) -> PeerAddress:
         """Return the address at which the server listens."""
@@ -117,6 +131,8 @@
         body = f"{request_id} {server} ".encode()
         if request.target.startswith(BIG_PREFIX) and status == 200:
             body = body.ljust(BIG_BODY_BYTES, b".")
+        elif self._options.body_range is not None:
+            body = body.ljust(self._rng.randint(*self._options.body_range), b".")
         stamp = f"{request_id}{SEPARATOR}{server}{SEPARATOR}{len(body)}"
         own: Headers = (*id_header, ("X-Server-Stamp", stamp), *self._notices())
         return Response(status, own, body)
@@ -151,6 +167,9 @@
         is_slow = time.monotonic() < self.slow_until
         if is_slow or self._rng.random() < self._options.long_share:
             return self._rng.uniform(*LONG_RANGE_S)
+        if self._options.service_range_s is not None:
+            least_s, most_s = self._options.service_range_s
+            return float(least_s * (most_s / least_s) ** self._rng.random())
         return self._rng.expovariate(1.0 / MEAN_SHORT_S)
 
     async def _make_nested_calls(
--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,274 @@
+"""One seeded run of a whole site: many daemons on few cores, under load."""
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import re
+import time
+from collections import Counter
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from damaskbay.platform.const import CONFIG_KEY
+from tests.platform.kv_stand_in import KvStandIn
+from tests.soak.callers import RequestSource, send_once
+from tests.soak.daemons import MachineOptions
+from tests.soak.manifest import (
+    NESTED_POOL,
+    SITE_POOLS,
+    SITE_POOLS_BY_PATH,
+    make_manifest,
+)
+from tests.soak.promises import InvariantChecker
+from tests.soak.records import Disturbance, ExecutionLog
+from tests.soak.servers import QUICK_TARGET
+from tests.soak.site_callers import CallerCounts
+from tests.soak.site_faults import SiteFaults, SiteParts
+from tests.soak.site_machines import SiteMachine
+from tests.soak.soak import MIN_SERVED_SHARE, SETTLE_S
+from tests.soak.workers import Command, WorkerOptions, WorkerProcess, WorkerReport
+
+DOMAINS = ("a", "b", "c")
+GRACE_S = 6.0
+TIMEOUT_S = 5.0
+SLOTS = 40
+LONG_SHARE = 0.02
+"""Part of requests, 0 to 1, that take long at their server."""
+
+FIRST_START_S = 60.0
+WARM_UP_S = 2.0
+MEAN_PAUSE_S = 1.0
+"""Mean time between the starts of two faults, seconds."""
+
+PLANNED_SEED_INTERVAL = 2
+"""Each second seed has planned work only."""
+
+LOST_PATTERN = re.compile("no response: |ran, but |response is cut")
+WORKSPACES_BY_KEY = {"k1": "t1", "k2": "t2", "k3": "t2"}
+
+
+@dataclass(frozen=True)
+class SiteOptions:
+    """
+    Options of a run; times in seconds.
+
+    All daemons share `cores` cores. `kept_callers` callers of each machine send on kept
+    connections; `workers` processes run servers and callers. `planned` leaves planned
+    work as the only fault.
+    """
+
+    seed: int
+    machine_count: int = 14
+    cores: int = 2
+    kept_callers: int = 6
+    workers: int = 2
+    fault_duration_s: float = 30.0
+    planned: bool = False
+
+
+class Site:
+    """Runs one seed; `checker` holds the violations, `events` the injected faults."""
+
+    def __init__(self, options: SiteOptions, folder: Path) -> None:
+        self._options, self._folder = options, folder
+        self._rng = random.Random(options.seed)
+        self._kv = KvStandIn()
+        self._version = 0
+        self._started_at = 0.0
+        self._machines: list[SiteMachine] = []
+        self._late_stops: list[str] = []
+        self._stack = contextlib.AsyncExitStack()
+        available = sorted(os.sched_getaffinity(0))
+        # Runs that are started at the same time use different cores.
+        first = os.getpid() % len(available)
+        self._cores = frozenset((available * 2)[first : first + options.cores])
+        self.events: list[str] = []
+        self.checker = InvariantChecker(
+            ExecutionLog(), WORKSPACES_BY_KEY, options.planned
+        )
+        self._source = RequestSource(f"s{options.seed}", self._rng, TIMEOUT_S)
+        self._workers = [self._make_worker(number) for number in range(options.workers)]
+
+    def _make_worker(self, number: int) -> WorkerProcess:
+        return WorkerProcess(
+            WorkerOptions(
+                f"w{number}",
+                self._options.seed,
+                TIMEOUT_S,
+                WORKSPACES_BY_KEY,
+                CallerCounts(self._options.kept_callers),
+                has_proxies=not self._options.planned,
+            )
+        )
+
+    async def run_seed(self) -> list[str]:
+        """Run the seed; return the violations."""
+        async with self._stack as stack:
+            for worker in self._workers:
+                await stack.enter_async_context(worker)
+            await self._publish_routes(0)
+            for _ in range(self._options.machine_count):
+                await self._add_machine()
+            async with asyncio.timeout(FIRST_START_S):
+                while not all(machine.ready_times for machine in self._machines):
+                    await asyncio.sleep(0.1)
+            self._started_at = time.monotonic()
+            for machine in self._machines:
+                machine.tell_worker("call")
+            await asyncio.sleep(WARM_UP_S)
+            await self._inject_faults()
+            await asyncio.sleep(SETTLE_S)
+            for machine in self._machines:
+                machine.tell_worker("stop_callers")
+            await self._check_recovery()
+            reports = [await worker.ask(Command("finish")) for worker in self._workers]
+            self._check(reports)
+        return self.checker.violations
+
+    def summary(self) -> str:
+        """Return what a run did, as lines."""
+        machines, checker = self._machines, self.checker
+        statuses: Counter[str] = Counter()
+        for name, count in checker.statuses.items():
+            statuses[name.split()[1]] += count
+        ready = max((max(machine.ready_times, default=0.0)) for machine in machines)
+        own_ends = [
+            f"{machine.name} {end}" for machine in machines for end in machine.own_ends
+        ]
+        lost = [found for found in checker.violations if LOST_PATTERN.search(found)]
+        return (
+            f"requests {checker.statuses.total()}, statuses {dict(statuses)}\n"
+            f"lost {len(lost)}, own ends {len(own_ends)} {own_ends}\n"
+            f"longest time to ready {ready:.1f} s, "
+            f"peak memory {max(one.peak_kib for one in machines) // 1024} MiB"
+        )
+
+    async def _add_machine(self) -> None:
+        """Start a machine at new addresses."""
+        number = len(self._machines)
+        pool = SITE_POOLS[number % len(SITE_POOLS)]
+        machine = SiteMachine(
+            MachineOptions(
+                f"m{number}",
+                DOMAINS[number % len(DOMAINS)],
+                pool,
+                GRACE_S,
+                LONG_SHARE,
+                makes_nested_calls=pool != NESTED_POOL,
+                cores=self._cores,
+                slots=SLOTS,
+                restarts=True,
+            ),
+            self._workers[number % len(self._workers)],
+            self._kv.serve,
+            self._folder,
+            has_proxies=not self._options.planned,
+        )
+        self._machines.append(machine)
+        await self._stack.enter_async_context(machine)
+        if self._started_at:
+            machine.tell_worker("call")
+
+    async def _publish_routes(self, count: int) -> None:
+        """Publish a set with so many routes that no caller uses."""
+        self._version += 1
+        document = make_manifest(
+            self._version,
+            TIMEOUT_S,
+            WORKSPACES_BY_KEY,
+            sorted(set(WORKSPACES_BY_KEY.values())),
+            count,
+            SITE_POOLS_BY_PATH,
+        )
+        await self._kv.put(CONFIG_KEY, json.dumps(document).encode())
+
+    async def _inject_faults(self) -> None:
+        """Start faults at random times; they overlap, and each ends by itself."""
+        parts = SiteParts(
+            self._machines,
+            self._rng,
+            self._publish_routes,
+            self._add_machine,
+            self._record_event,
+            self._late_stops,
+        )
+        site_faults = SiteFaults(parts)
+        faults = site_faults.planned()
+        if not self._options.planned:
+            faults += site_faults.unplanned()
+        end = time.monotonic() + self._options.fault_duration_s
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < end:
+                group.create_task(self._rng.choice(faults)())
+                await asyncio.sleep(self._rng.expovariate(1.0 / MEAN_PAUSE_S))
+
+    def _record_event(self, name: str, machine: str) -> None:
+        at_s = time.monotonic() - self._started_at
+        self.events.append(f"{at_s:.2f} s {name} {machine}")
+
+    def _check(self, reports: list[WorkerReport]) -> None:
+        """Check the reports of all workers together."""
+        checker = self.checker
+        executions = checker.execution_log.executions
+        for report in reports:
+            for request_id, found in report.executions.items():
+                executions.setdefault(request_id, []).extend(found)
+                executions[request_id].sort(key=lambda one: one.arrived_at)
+            checker.statuses.update(report.statuses)
+            checker.violations += report.violations
+        stops = {machine.name: machine.stops for machine in self._machines}
+        for machine in self._machines:
+            checker.check_own_ends(machine.name, machine.own_ends)
+        for name in self._late_stops:
+            checker.record_late_stop(name)
+        disturbed = {
+            machine.name: [
+                *machine.disturbances,
+                *(
+                    Disturbance(stop.started_at, stop.exited_at)
+                    for stop in machine.stops
+                ),
+            ]
+            for machine in self._machines
+        }
+        unsound = {machine.name: machine.disturbances for machine in self._machines}
+        checker.check_executions(self._source.requests)
+        for report in reports:
+            checker.check_executions(report.requests)
+            checker.check_lost(report.requests, disturbed, unsound)
+            if checker.planned:
+                checker.check_interruptions(report.requests, stops, report.lag)
+
+    async def _check_recovery(self) -> None:
+        """Check that each machine serves again after the time without faults."""
+        for machine in self._machines:
+            if machine.removed_at is not None:
+                continue
+            served = 0
+            for _ in range(20):
+                sent, request = self._source.new(machine, "safe", ["k1"])
+                await send_once(machine, sent, replace(request, target=QUICK_TARGET))
+                served += sent.status == 200
+            if served < MIN_SERVED_SHARE * 20:
+                self.checker.violations.append(
+                    f"{machine.name}: serves {served} of 20 after {SETTLE_S} s of calm"
+                )
+
+
+def site_options_of(
+    seed: int,
+    machine_count: int,
+    fault_duration_s: float,
+    *,
+    cores: int,
+    kept_callers: int,
+    workers: int,
+    planned: bool,
+) -> SiteOptions:
+    """Return the options of a seed; each second one is planned in any case."""
+    planned = planned or seed % PLANNED_SEED_INTERVAL == 0
+    return SiteOptions(
+        seed, machine_count, cores, kept_callers, workers, fault_duration_s, planned
+    )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,8 +12,9 @@
 from damaskbay.platform.const import CONFIG_KEY
 from tests.platform.kv_stand_in import KvStandIn
 from tests.soak.callers import MachineCallers, RequestSource, send_once
+from tests.soak.daemons import DRAIN_S, MachineOptions
 from tests.soak.harsh import Fault, HarshFaults, HarshParts
-from tests.soak.machines import DRAIN_S, Machine, MachineOptions
+from tests.soak.machines import Machine
 from tests.soak.manifest import NESTED_POOL, POOLS, make_manifest
 from tests.soak.options import SoakOptions
 from tests.soak.planned import LagRecorder
@@ -60,7 +61,9 @@
             execution_log, self._workspaces_by_key, options.planned
         )
         self._timeout_s = PLANNED_TIMEOUT_S if options.planned else TIMEOUT_S
-        self._source = RequestSource(options.seed, self._caller_rng, self._timeout_s)
+        self._source = RequestSource(
+            f"s{options.seed}", self._caller_rng, self._timeout_s
+        )
         self._version = 0
         self._extra_routes = 0
         self.events: list[str] = []
@@ -138,6 +141,10 @@
                 self.checker.check_interruptions(requests, stops, lag)
         return self.checker.violations
 
+    def summary(self) -> str:
+        """Return the statuses of a run."""
+        return str(dict(sorted(self.checker.statuses.items())))
+
     def _check_lost(self) -> None:
         """Check that no sound machine closed a connection without its response."""
         unsound = {
