--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -27,15 +27,12 @@
 from damaskbay.adapters.http1.exceptions import BadRequestError
 from damaskbay.adapters.http1.request_parser import RequestParser
 from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
-from damaskbay.adapters.http1.sockets import (
-    Listener,
-    read_arrived,
-    ready_descriptors,
-)
+from damaskbay.adapters.http1.sockets import Listener, ready_descriptors
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Headers, Request, Response
 from damaskbay.core.descriptors import ConnectionLimits
 from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
+from damaskbay.helpers.arrivals import read_new_connections
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
@@ -449,10 +446,10 @@
         self.ending = True
         self.stop_listening()
         try:
-            await read_arrived()
+            await read_new_connections()
             self.close_idle()
             self.reject_incomplete()
-            await read_arrived()
+            await read_new_connections()
             await self._flush()
         finally:
             self._close_connections()
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Callable, Coroutine, Iterable, Iterator
 from functools import partial
-from typing import Any, Final
+from typing import Any
 
 from damaskbay.adapters.http1.const import (
     BIND_RETRY_S,
@@ -21,9 +21,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-READ_PASSES: Final = 8
-"""Passes of the event loop after which what arrived on new connections is handled."""
-
 
 class Listener:
     """
@@ -195,17 +192,6 @@
         yield sock
 
 
-async def read_arrived() -> None:
-    """
-    Let the event loop read what has arrived.
-
-    A pass of the loop runs what is due by the clock before it reads sockets, so that a
-    decision by the clock right after a long pass knows nothing of its bytes.
-    """
-    for _ in range(READ_PASSES):
-        await asyncio.sleep(0)
-
-
 def ready_descriptors(
     descriptors: Iterable[int], events: int = select.POLLIN
 ) -> set[int]:
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -8,7 +8,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from damaskbay.adapters.http1.sockets import Listener, read_arrived
+from damaskbay.adapters.http1.sockets import Listener
 from damaskbay.adapters.peer_link.const import (
     CONNECT_TIMEOUT_S,
     LINK_TIMEOUT_S,
@@ -25,7 +25,11 @@
     encode_note,
 )
 from damaskbay.core.memory_account import MemoryAccount
-from damaskbay.helpers.arrivals import read_arrived, timeout_after_reading
+from damaskbay.helpers.arrivals import (
+    read_arrived,
+    read_new_connections,
+    timeout_after_reading,
+)
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
 
@@ -103,7 +107,7 @@
         for link in connected:
             link.close()
         # Links that were accepted just now are connected before they are closed.
-        await read_arrived()
+        await read_new_connections()
         links = self._all_links()
         extra = {"links": len(links), "unsent_bytes": self.unsent_bytes}
         _LOGGER.info("peer: links are closing.", extra=extra)
--- a/damaskbay/helpers/arrivals.py
+++ b/damaskbay/helpers/arrivals.py
@@ -19,6 +19,10 @@
 """
 
 
+NEW_CONNECTION_PASSES: Final = 8
+"""Passes of the loop that also connect an accepted socket before."""
+
+
 def call_after_reading(callback: Callable[..., object], *args: Any) -> None:
     """Call back in this loop once it has read what has arrived by now."""
     _call_after_passes(asyncio.get_running_loop(), PASSES, callback, args)
@@ -30,6 +34,12 @@
         await asyncio.sleep(0)
 
 
+async def read_new_connections() -> None:
+    """Return once the loop has read what came on sockets that were accepted by now."""
+    for _ in range(NEW_CONNECTION_PASSES):
+        await asyncio.sleep(0)
+
+
 @contextlib.asynccontextmanager
 async def timeout_after_reading(delay_s: float) -> AsyncIterator[None]:
     """
--- a/damaskbay/mesh/stopping.py
+++ b/damaskbay/mesh/stopping.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 
 from damaskbay.adapters.http1.server import HttpServer
-from damaskbay.adapters.http1.sockets import read_arrived
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.core.lifetime import StopPlan
+from damaskbay.helpers.arrivals import read_new_connections
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.mesh.ingress import Ingress
 from damaskbay.mesh.target import Target
@@ -42,7 +42,7 @@
         self.callers.stop_listening()
         await self._wait_for_responses(plan.interrupts_at)
         # Results that have arrived are delivered, however late this step comes.
-        await read_arrived()
+        await read_new_connections()
         if self._has_calls():
             self._interrupt()
         await self._wait_for_responses(plan.exits_at)
