--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -26,7 +26,7 @@
     MemoryAccount,
     header_bytes,
 )
-from damaskbay.helpers.arrivals import call_after_reading, timeout_after_reading
+from damaskbay.helpers.arrivals import call_later_after_reading, timeout_after_reading
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
@@ -240,8 +240,7 @@
         self._pending = pending
         timer = None
         if timeout_s is not None:
-            due_at = loop.time() + timeout_s
-            timer = loop.call_later(timeout_s, self._on_timeout, pending, due_at)
+            timer = call_later_after_reading(timeout_s, self._time_out, pending)
         transport.write(encode_request(request))
         try:
             return await pending
@@ -285,10 +284,6 @@
         if not self._holding.grow(count):
             raise BadAnswerError("no memory is left for the response")
 
-    def _on_timeout(self, pending: _PendingOutcome, due_at: float) -> None:
-        late_s = asyncio.get_running_loop().time() - due_at
-        call_after_reading(self._time_out, pending, late_s)
-
     def _time_out(self, pending: _PendingOutcome, late_s: float) -> None:
         """Fail a request whose timer fired `late_s` late, unless it has ended."""
         if self._pending is not pending or pending.done():
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -18,11 +18,11 @@
     RECONNECT_DELAY_S,
     SUSPECT_AFTER_S,
 )
+from damaskbay.adapters.peer_link.frames import encode_note
 from damaskbay.adapters.peer_link.link import (
     Link,
     LinkHandlers,
     RequestHandler,
-    encode_note,
 )
 from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.helpers.arrivals import read_arrived, timeout_after_reading
--- a/damaskbay/adapters/peer_link/const.py
+++ b/damaskbay/adapters/peer_link/const.py
@@ -35,6 +35,9 @@
 MAX_FRAME_BYTES: Final = 17 * 1024 * 1024
 """Maximum frame size; a longer payload is sent in parts."""
 
+MAX_PAYLOAD_BYTES: Final = MAX_FRAME_BYTES - 64
+"""Maximum payload of one frame, whose other values take less than the rest."""
+
 PART_BYTES: Final = 256 * 1024
 """Size of the parts of a long payload; other frames are sent between them."""
 
--- a/damaskbay/adapters/peer_link/frames.py
+++ b/damaskbay/adapters/peer_link/frames.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 from enum import Enum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgpack
 
@@ -10,8 +10,10 @@
     FRAME_VALUES,
     KEPT_BUFFER_BYTES,
     MAX_FRAME_BYTES,
+    PARTS_VERSION,
 )
 from damaskbay.adapters.peer_link.exceptions import BadFrameError
+from damaskbay.helpers.messages import pack
 
 
 class FrameKind(Enum):
@@ -71,6 +73,14 @@
     return encoded
 
 
+PULSE = encode(FrameKind.PULSE)
+
+
+def encode_note(message: Any) -> bytes:
+    """Encode a note once, to send it on several links."""
+    return encode(FrameKind.NOTE, PARTS_VERSION, pack(message))
+
+
 class FrameReader:
     """Incremental decoder of a byte stream into frames."""
 
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -9,6 +9,7 @@
 from damaskbay.adapters.http1.sockets import set_tcp_options
 from damaskbay.adapters.peer_link.const import (
     MAX_FRAME_BYTES,
+    MAX_PAYLOAD_BYTES,
     MAX_RUNNING_REQUESTS,
     MAX_UNREAD_BYTES,
     PART_BYTES,
@@ -16,6 +17,7 @@
 )
 from damaskbay.adapters.peer_link.exceptions import BadFrameError
 from damaskbay.adapters.peer_link.frames import (
+    PULSE,
     Frame,
     FrameKind,
     FrameReader,
@@ -23,7 +25,7 @@
 )
 from damaskbay.adapters.peer_link.parts import PART_KINDS, PartialPayloads
 from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
-from damaskbay.helpers.arrivals import call_after_reading
+from damaskbay.helpers.arrivals import call_after_reading, call_later_after_reading
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.messages import InvalidMessage, pack, unpack
 from damaskbay.ports.peer import PeerFailure, PeerProblem
@@ -52,17 +54,6 @@
     on_end: Callable[["Link"], None]
 
 
-PULSE = encode(FrameKind.PULSE)
-
-MAX_PAYLOAD_BYTES = MAX_FRAME_BYTES - 64
-"""Maximum payload of one frame, whose other values take less than the rest."""
-
-
-def encode_note(message: Any) -> bytes:
-    """Encode a note once, to send it on several links."""
-    return encode(FrameKind.NOTE, PARTS_VERSION, pack(message))
-
-
 class Link(asyncio.Protocol):
     """
     One end of a connection.
@@ -196,9 +187,7 @@
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Any] = loop.create_future()
         self._pending[number] = future
-        timer = loop.call_later(
-            timeout_s, self._on_timeout, number, loop.time() + timeout_s
-        )
+        timer = call_later_after_reading(timeout_s, self._time_out, number)
         if len(payload) <= PART_BYTES:
             self._write(encode(FrameKind.REQUEST, number, payload))
         else:
@@ -217,11 +206,7 @@
             self._close_if_retired()
 
     def interrupt_requests(self) -> None:
-        """
-        End the requests in flight as INTERRUPTED, and cancel them at the peer.
-
-        Replies that have arrived are read before.
-        """
+        """End the requests that have no reply by now as INTERRUPTED; cancel them."""
         for number in tuple(self._pending):
             call_after_reading(self._fail_and_cancel, number, PeerProblem.INTERRUPTED)
 
@@ -273,21 +258,13 @@
     def _congested(self) -> bool:
         return self.unsent_bytes > MAX_UNREAD_BYTES
 
-    def _on_timeout(self, number: int, due_at: float) -> None:
-        late_s = asyncio.get_running_loop().time() - due_at
-        call_after_reading(self._time_out, number, late_s)
-
     def _time_out(self, number: int, late_s: float) -> None:
         """Fail a request whose timer fired `late_s` late, unless it has ended."""
         if not self._is_pending(number):
             return
-        _LOGGER.info(
-            "peer: request has timed out.",
-            extra={
-                "late_s": round(late_s, 3),
-                "silent_s": round(monotonic_s() - self.last_received_at, 3),
-            },
-        )
+        silent_s = monotonic_s() - self.last_received_at
+        extra = {"late_s": round(late_s, 3), "silent_s": round(silent_s, 3)}
+        _LOGGER.info("peer: request has timed out.", extra=extra)
         self._fail_and_cancel(number, PeerProblem.TIMEOUT)
 
     def _fail_and_cancel(self, number: int, problem: PeerProblem) -> None:
--- a/damaskbay/helpers/arrivals.py
+++ b/damaskbay/helpers/arrivals.py
@@ -24,6 +24,20 @@
     _call_after_passes(asyncio.get_running_loop(), PASSES, callback, args)
 
 
+def call_later_after_reading(
+    delay_s: float, callback: Callable[..., object], *args: Any
+) -> asyncio.TimerHandle:
+    """
+    Call back after `delay_s` seconds, once what had arrived then was read.
+
+    The last argument of the callback is how late the timer fired, in seconds. The
+    handle can't be cancelled any more then, so the callback checks if it is needed.
+    """
+    loop = asyncio.get_running_loop()
+    due_at = loop.time() + delay_s
+    return loop.call_later(delay_s, _on_timer, loop, due_at, callback, args)
+
+
 async def read_arrived() -> None:
     """Return once the running loop has read what has arrived by now."""
     for _ in range(PASSES):
@@ -53,6 +67,15 @@
             timer.cancel()
 
 
+def _on_timer(
+    loop: asyncio.AbstractEventLoop,
+    due_at: float,
+    callback: Callable[..., object],
+    args: tuple[Any, ...],
+) -> None:
+    call_after_reading(callback, *args, loop.time() - due_at)
+
+
 def _call_after_passes(
     loop: asyncio.AbstractEventLoop,
     passes: int,
--- a/tests/adapters/peer_link/test_late_loop.py
+++ b/tests/adapters/peer_link/test_late_loop.py
@@ -17,8 +17,7 @@
     NOTE_INTERVAL_S,
     SUSPECT_AFTER_S,
 )
-from damaskbay.adapters.peer_link.frames import FrameKind, encode
-from damaskbay.adapters.peer_link.link import PULSE
+from damaskbay.adapters.peer_link.frames import PULSE, FrameKind, encode
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.messages import pack
 from damaskbay.mesh.messages import ConfigReply, ConfigRequest
