--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -28,7 +28,6 @@
 )
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import raise_descriptor_limit
-from damaskbay.helpers.loop_monitor import LoopMonitor, take_sample
 from damaskbay.mesh.assembly import (
     PlatformParts,
     SharedParts,
@@ -154,7 +153,6 @@
             on_capacity_change=self._links.broadcast_note,
         )
         self._ingress = make_ingress(settings, dialect, shared_parts, self._target)
-        self._loop_monitor = LoopMonitor(take_sample())
         self._status = StatusEndpoints(
             StatusParts(
                 self.configuration,
@@ -165,7 +163,6 @@
                 self._control_plane.members,
                 memory,
                 self.settings_history,
-                self._loop_monitor,
                 monotonic_s,
             ),
             self._telemetry,
@@ -213,7 +210,7 @@
                 *self._control_plane.tasks(),
                 self._remove_expired_members,
                 self._expire_waiting_calls,
-                self._loop_monitor.run,
+                self._status.loop_monitor.run,
             ):
                 self._tasks.append(loop.create_task(run()))
             _LOGGER.info(
--- a/damaskbay/mesh/observing.py
+++ b/damaskbay/mesh/observing.py
@@ -11,7 +11,7 @@
 from damaskbay.core.call import Response
 from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.core.retry.repeats import ServerRetryBudget
-from damaskbay.helpers.loop_monitor import LoopMonitor
+from damaskbay.helpers.loop_monitor import LoopMonitor, take_sample
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.directory import Directory
 from damaskbay.mesh.gate import Gate
@@ -37,12 +37,11 @@
     members: Members
     memory: MemoryAccount
     settings: SettingsHistory
-    loop: LoopMonitor
     clock: Callable[[], float]
 
 
 class StatusEndpoints:
-    """Serves readiness and metrics over HTTP."""
+    """Serves readiness and metrics over HTTP; `loop_monitor` feeds some of them."""
 
     def __init__(
         self,
@@ -53,6 +52,7 @@
         self._parts = parts
         self._telemetry = telemetry
         self._is_ready = is_ready
+        self.loop_monitor = LoopMonitor(take_sample())
         self._register_gauges()
 
     async def readiness(self, _arrival: ReceivedRequest) -> Response:
@@ -71,6 +71,7 @@
 
     def _register_gauges(self) -> None:
         parts, gauge = self._parts, self._telemetry.gauge
+        monitor = self.loop_monitor
         gauge("calls_running", "Calls at the server", lambda: parts.gate.running)
         gauge("calls_waiting", "Calls that wait", lambda: parts.gate.waiting)
         gauge("server_limit_per_second", "-1: none named", self._named_limit_per_s)
@@ -85,8 +86,8 @@
         gauge("held_bytes_limit", "For calls", lambda: parts.memory.limit_bytes)
         gauge("settings_applied", "Files read", lambda: parts.settings.applied)
         gauge("settings_refused", "Invalid files", lambda: parts.settings.refused)
-        gauge("loop_blocks", "Of the event loop", lambda: parts.loop.blocks)
-        gauge("loop_busy_blocks", "By own work", lambda: parts.loop.busy_blocks)
+        gauge("loop_blocks", "Of the event loop", lambda: monitor.blocks)
+        gauge("loop_busy_blocks", "By own work", lambda: monitor.busy_blocks)
         gauge("loop_longest_block_seconds", "Lately", self._longest_block_s)
         gauge("settings_digest", "First 48 bits of SHA-256", self._settings_digest)
 
@@ -101,7 +102,7 @@
         return self._parts.members.age_s(self._parts.clock())
 
     def _longest_block_s(self) -> float:
-        return self._parts.loop.longest_s(self._parts.clock())
+        return self.loop_monitor.longest_s(self._parts.clock())
 
     def _settings_digest(self) -> int:
         return int(self._parts.settings.digest or "0", 16)
