--- a/tests/mesh/test_config_fetch.py
+++ b/tests/mesh/test_config_fetch.py
@@ -20,7 +20,6 @@
 from tests.mesh.test_members import SETTLED_S, _Store, _StoreOfDaemon
 
 NEWEST = 9
-DECODING_S = 0.05
 PEERS = [PeerAddress("10.0.0.1", 7000 + number) for number in range(12)]
 
 
@@ -30,9 +29,11 @@
     def __init__(self) -> None:
         self.configuration = Configuration()
         self.decoded = 0
+        self.may_decode = asyncio.Event()
+        self.may_decode.set()
         self.asked: list[PeerAddress] = []
         self.down: set[PeerAddress] = set()
-        watch = ConfigWatch(
+        self.watch = ConfigWatch(
             _StoreOfDaemon(_Store([]), "d"),  # type: ignore[arg-type]
             prefix="op/",
             key="op/config",
@@ -44,7 +45,7 @@
             clock=lambda: asyncio.get_running_loop().time(),
         )
         self.peer_config = PeerConfig(
-            watch,
+            self.watch,
             self.configuration,
             peers=lambda: PEERS,
             request=self._request,
@@ -54,7 +55,7 @@
 
     async def _decode(self, document: bytes) -> ConfigSet:
         self.decoded += 1
-        await asyncio.sleep(DECODING_S)
+        await self.may_decode.wait()
         return ConfigSet(int(document), document.decode())
 
     async def _request(
@@ -148,6 +149,28 @@
     _run(check)
 
 
+# Decoding beside the loop leaves time for further announcements of the same set.
+def test_a_set_that_is_being_decoded_is_neither_fetched_nor_decoded_again() -> None:
+    """Neither when a peer announces it, nor when the store has it too."""
+
+    async def check(daemon: _Daemon) -> None:
+        daemon.may_decode.clear()
+        daemon.hear(PEERS[0], remote=False)
+        while not daemon.decoded:
+            await asyncio.sleep(0)
+        daemon.hear(PEERS[1], remote=False)
+        document = str(NEWEST).encode()
+        stored = asyncio.create_task(daemon.watch.activate_document(document, "store"))
+        await asyncio.sleep(SETTLED_S)
+        assert daemon.configuration.version == 0
+        daemon.may_decode.set()
+        await stored
+        assert daemon.configuration.version == NEWEST
+        assert (len(daemon.asked), daemon.decoded) == (1, 1)
+
+    _run(check)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
