Accept all connections that wait, not one in a pass of the event loop

What callers saw: where passes of the event loop take long, a new connection waits for as many passes as connections came before it. The longer the queue, the more of it a stop finds there.

Change: with each connection that the loop accepts, up to 64 others are accepted by hand; none once the listener is paused for the number of descriptors.

--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -21,6 +21,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+ACCEPTS_IN_A_ROW: Final = 64
+"""Connections that are accepted with one, before the event loop does other work."""
+
 READ_PASSES: Final = 8
 """Passes of the event loop after which what arrived on new connections is handled."""
 
@@ -140,13 +143,27 @@
         if self._sock is None:
             return
         server = await asyncio.get_running_loop().create_server(
-            self._protocol_factory, sock=self._sock, backlog=self._backlog
+            self._accept_all, sock=self._sock, backlog=self._backlog
         )
         if self._sock is None:
             server.close()
         else:
             self._server = server
 
+    def _accept_all(self) -> asyncio.BaseProtocol:
+        """
+        Return the protocol of a connection, and accept others that wait.
+
+        uvloop accepts one connection in a pass, so that many wait for as many passes.
+        """
+        protocol = self._protocol_factory()
+        if self._sock is not None:
+            for accepted in _accept_waiting(self._sock, ACCEPTS_IN_A_ROW):
+                self.adopt(accepted)
+                if self._is_paused:
+                    break
+        return protocol
+
     def _start(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
--- a/tests/adapters/http1/test_unread_requests.py
+++ b/tests/adapters/http1/test_unread_requests.py
@@ -16,6 +16,7 @@
 
 from damaskbay.adapters.http1 import server as server_module
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
+from damaskbay.adapters.http1.sockets import READ_PASSES, read_arrived
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
 from damaskbay.helpers.clock import monotonic_s
@@ -128,6 +129,22 @@
     assert CALLERS in counts, counts
 
 
+# Guards against connections that wait for as many passes of a slow event loop.
+def test_connections_that_wait_are_accepted_together() -> None:
+    """Their number does not add to the passes until the last one is accepted."""
+
+    async def check() -> None:
+        async with _server() as server:
+            callers = [_connect(server) for _ in range(CALLERS * READ_PASSES)]
+            await read_arrived()
+            assert len(server.connections) == len(callers)
+            for caller in callers:
+                caller.sendall(REQUEST)
+            await _check_status(200, *callers)
+
+    _run(check)
+
+
 # Guards against LOST: a connection closed as idle over a request in the kernel.
 def test_a_connection_with_an_unread_request_is_not_idle() -> None:
     """It is served, whether it is its first request or a later one."""
