Hold signals before the interpreter looks for packages

A SIGHUP that met a start ended the process with status -1, so that its machine served nobody until the next start. The interpreter ran `site`, `runpy`, the package and `signal` (enum, functools, collections) before the first line that holds signals, all of it processor time, so that the window grew with the number of starts on a core.

Its first statements hold the signals by the C module alone, then it puts the repository root on the path in place of its own folder and runs what `site` does. `python -m damaskbay.platform` shares the code, and works with and without -S.

Evidence: test_signals_before_the_packages_are_found_do_not_end_the_process ended with -1 before and passes now.

The soak and the tests start daemons with the command of the deploy file.

--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -1,12 +1,40 @@
-"""Run the daemon on the external platform: `python -m damaskbay.platform`."""
+"""
+Run the daemon on the external platform, as a file or as a module.
+
+`python3 -S damaskbay/platform/__main__.py` lets signals wait before the interpreter
+looks for packages, `python3 -m damaskbay.platform` only afterwards.
+"""
+
+# `signal` imports other modules first, and until here a signal ends the process.
+from _signal import (  # type: ignore[import-not-found]
+    SIG_BLOCK,
+    SIGHUP,
+    SIGINT,
+    SIGTERM,
+    pthread_sigmask,
+)
+
+if __name__ == "__main__":
+    pthread_sigmask(SIG_BLOCK, (SIGHUP, SIGINT, SIGTERM))
 
 import sys
+from pathlib import Path
+
+
+def _complete_path() -> None:
+    """Let modules be found as in `python3 -m`, also from a file and with -S."""
+    if not __package__:
+        folder = Path(__file__).resolve().parent
+        others = [entry for entry in sys.path if entry != str(folder)]
+        sys.path[:] = [str(folder.parents[1]), *others]
+    if sys.flags.no_site:
+        import site
+
+        site.main()
 
-from damaskbay.helpers.signals import hold_signals
 
 if __name__ == "__main__":
-    # Imports take a while, in which a signal would end the process.
-    hold_signals()
+    _complete_path()
     from damaskbay.platform.daemon import main
 
     sys.exit(main())
--- a/tests/common.py
+++ b/tests/common.py
@@ -1,14 +1,19 @@
-"""Loader for test functions, and addresses for servers under test."""
+"""Loader for test functions, addresses and the command of daemons under test."""
 
 import asyncio
 import atexit
 import socket
+import sys
+import tomllib
 import unittest
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from damaskbay.ports.peer import PeerAddress
 
+ROOT = Path(__file__).resolve().parents[1]
+
 _reservations: list[socket.socket] = []
 
 
@@ -32,6 +37,12 @@
     return PeerAddress("127.0.0.1", sock.getsockname()[1])
 
 
+def daemon_command() -> list[str]:
+    """Return the command of the deploy file, run by the interpreter of the tests."""
+    deploy_file = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    return [sys.executable, *deploy_file["roles"]["sidecar"]["run"].split()[1:]]
+
+
 class _FunctionTestCase(unittest.FunctionTestCase):
     """A test function whose id contains its module."""
 
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import sysconfig
 import tempfile
 import time
 import unittest
@@ -18,15 +19,26 @@
 
 from damaskbay.platform.const import SETTINGS_VARIABLE
 from damaskbay.platform.daemon import EXIT_INVALID
-from tests.common import function_suite, reserve_address
+from tests.common import ROOT, daemon_command, function_suite, reserve_address
 
 WAIT_S = 20.0
 SIGNAL_INTERVAL_S = 0.002
 IMPORTED_FIRST = "uvloop"
 """Extension module with whose import the slow part of a start begins."""
 
+SLOW_SITE = """
+import pathlib, time
+folder = pathlib.Path(__file__).parent
+(folder / "begun").touch()
+while not (folder / "go").exists():
+    time.sleep(0.01)
+"""
+"""A `sitecustomize` module that waits until the test lets it end."""
+
 GRACE_S = 1.0
 SETTINGS_DELAY_S = 0.6
+STARTS_AT_ONCE = 6
+SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
 
 class _Process:
@@ -59,11 +71,15 @@
 Address = "{self.host}:2"
 """
 
-    def start(self) -> subprocess.Popen[bytes]:
-        """Start the process."""
+    def start(self, *, packages: Path | None = None) -> subprocess.Popen[bytes]:
+        """Start the process; `packages` is a folder to find modules in first."""
+        environment = {**os.environ, SETTINGS_VARIABLE: str(self.path)}
+        if packages is not None:
+            environment["PYTHONPATH"] = str(packages)
         self._process = subprocess.Popen(
-            [sys.executable, "-m", "damaskbay.platform"],
-            env={**os.environ, SETTINGS_VARIABLE: str(self.path)},
+            daemon_command(),
+            cwd=ROOT,
+            env=environment,
             stdout=subprocess.DEVNULL,
             stderr=subprocess.DEVNULL,
         )
@@ -101,6 +117,18 @@
         time.sleep(pause_s)
 
 
+def _tasks(pid: int) -> Iterator[Path]:
+    """Yield the folder of each thread of a process."""
+    return Path(f"/proc/{pid}/task").iterdir()
+
+
+def _holds_signals(pid: int, thread: int | None = None) -> bool:
+    """Return whether a thread, by default the main one, lets SIGNALS wait."""
+    status = Path(f"/proc/{pid}/task/{thread or pid}/status").read_text()
+    held = int(status.partition("SigBlk:")[2].split()[0], 16)
+    return all(held & 1 << (number - 1) for number in SIGNALS)
+
+
 def _until_imports(process: subprocess.Popen[bytes]) -> None:
     """Wait until the process imports the modules of the daemon."""
     maps = Path(f"/proc/{process.pid}/maps")
@@ -133,6 +161,78 @@
         assert process.poll() is None, process.returncode
 
 
+# The interpreter imported its packages before the first line that holds signals.
+def test_signals_before_the_packages_are_found_do_not_end_the_process() -> None:
+    """SIGHUP while `site` runs, as the interpreter does before a module of `-m`."""
+    with _daemon() as daemon, tempfile.TemporaryDirectory() as folder:
+        packages = Path(folder)
+        (packages / "sitecustomize.py").write_text(SLOW_SITE)
+        process = daemon.start(packages=packages)
+        _until((packages / "begun").exists)
+        process.send_signal(signal.SIGHUP)
+        (packages / "go").touch()
+        _until(lambda: daemon.listens() or process.poll() is not None)
+        assert process.poll() is None, process.returncode
+
+
+# Starts that share a core held signals up to 0.8 s late.
+def test_signals_from_the_first_line_on_do_not_end_many_starts_at_once() -> None:
+    """SIGHUP meets each of them in series, SIGTERM then ends them with status 0."""
+    allowed = os.sched_getaffinity(0)
+    with contextlib.ExitStack() as stack:
+        daemons = [stack.enter_context(_daemon()) for _ in range(STARTS_AT_ONCE)]
+        try:
+            os.sched_setaffinity(0, {min(allowed)})
+            processes = [daemon.start() for daemon in daemons]
+        finally:
+            os.sched_setaffinity(0, allowed)
+        for process in processes:
+            _until(lambda p=process: _holds_signals(p.pid), SIGNAL_INTERVAL_S)  # type: ignore[misc]
+        for daemon, process in zip(daemons, processes, strict=True):
+            _signal_until(process, signal.SIGHUP, daemon.listens)
+            process.send_signal(signal.SIGTERM)
+        assert [process.wait(WAIT_S) for process in processes] == [0] * STARTS_AT_ONCE
+
+
+def test_the_command_finds_packages_and_the_project() -> None:
+    """As a file and as a module, in an environment and with packages on the path."""
+    packages = sysconfig.get_path("purelib")
+    environment = {k: v for k, v in os.environ.items() if k != SETTINGS_VARIABLE}
+    on_path = {**environment, "PYTHONPATH": packages}
+    base = getattr(sys, "_base_executable", sys.executable)
+    module = ["-m", "damaskbay.platform"]
+    file = [str(ROOT / part) if "/" in part else part for part in daemon_command()[1:]]
+    for command, variables, folder in (
+        ([sys.executable, *file], environment, "/"),
+        ([base, *file], on_path, "/"),
+        ([sys.executable, *file[-1:]], environment, "/"),
+        ([sys.executable, *module], environment, ROOT),
+        ([base, "-S", *module], on_path, ROOT),
+    ):
+        result = subprocess.run(
+            command,
+            cwd=folder,
+            env=variables,
+            capture_output=True,
+            text=True,
+            timeout=WAIT_S,
+            check=False,
+        )
+        assert result.returncode == EXIT_INVALID, (command, result)
+        assert result.stderr.startswith(SETTINGS_VARIABLE), (command, result)
+
+
+def test_threads_leave_signals_to_the_loop() -> None:
+    """A thread that took one while the loop has no handler would end the process."""
+    with _daemon() as daemon:
+        process = daemon.start()
+        _until(daemon.listens)
+        threads = [int(path.name) for path in _tasks(process.pid)]
+        assert len(threads) > 1
+        holding = [thread for thread in threads if _holds_signals(process.pid, thread)]
+        assert set(threads) - set(holding) == {process.pid}
+
+
 def test_a_stop_during_a_start_is_not_forgotten() -> None:
     """SIGTERM during the imports ends the process as one that was stopped."""
     with _daemon() as daemon:
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -7,7 +7,6 @@
 import os
 import resource
 import signal
-import sys
 import time
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
@@ -20,7 +19,7 @@
 from damaskbay.core.call import Request, Response
 from damaskbay.platform.const import SETTINGS_VARIABLE
 from damaskbay.ports.peer import PeerAddress
-from tests.common import reserve_address
+from tests.common import ROOT, daemon_command, reserve_address
 from tests.mesh.common import HOST
 from tests.soak.proxy import LoopbackProxy
 from tests.soak.records import Disturbance, ExecutionLog, Stop
@@ -160,9 +159,8 @@
         log = (self._folder / f"{self.name}.log").open("ab")
         environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_path())}
         self._process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "damaskbay.platform",
+            *daemon_command(),
+            cwd=ROOT,
             stdout=log,
             stderr=log,
             env=environment,
