Wait for settings and addresses until the daemon is stopped

A start ended with status 3 after 2 s without settings, or 4 s at an address in use. On a starved machine the write of the file or the end of the process before takes longer, and each end counts as one of the daemon's own, followed by another start that waits for the same.

A start now waits for a file that is missing, empty or no TOML, and for an address in use, until SIGTERM ends it with status 0; log lines say what it waits for. A file with an invalid field ends it as before, with the field on standard error, once it has not changed for 2 s: a file that is cut at the end of a line may be valid TOML. Signals are handled from the wait on. SIGHUP sets an event, so that a series of signals reads the file once in a pass of the loop, not once each.

Evidence: test_a_start_waits_for_an_address_that_is_in_use and test_a_start_waits_for_settings_that_are_being_written wait longer (4.5 s and 2.5 s in place of 0.6 s) and ended with status 3 before; test_a_stop_ends_the_wait_for_settings failed before (the start had ended with status 3).

--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -35,6 +35,9 @@
 BIND_RETRY_S: Final = 0.1
 """Seconds between attempts to listen on an address that is in use."""
 
+BIND_LOG_INTERVAL_S: Final = 10.0
+"""Seconds between log lines about an address that is in use."""
+
 MAX_RESPONSE_BODY_BYTES: Final = 16 * 1024 * 1024
 """Maximum size of one response body."""
 
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from damaskbay.adapters.http1.const import (
+    BIND_LOG_INTERVAL_S,
     BIND_RETRY_S,
     KEEPALIVE_IDLE_S,
     KEEPALIVE_PROBES,
@@ -47,18 +48,18 @@
         Raise OSError if it is still in use after `wait_s` seconds: an earlier process
         may just be ending.
         """
-        ends_at = monotonic_s() + wait_s
-        is_first = True
+        began_at = log_at = monotonic_s()
         while True:
             try:
                 return await self._listen(address)
             except OSError as error:
-                if error.errno != errno.EADDRINUSE or monotonic_s() >= ends_at:
+                now = monotonic_s()
+                if error.errno != errno.EADDRINUSE or now - began_at >= wait_s:
                     raise
-                if is_first:
-                    extra = {"address": str(address), "wait_s": wait_s}
+                if now >= log_at:
+                    log_at = now + BIND_LOG_INTERVAL_S
+                    extra = {"address": str(address), "waited_s": now - began_at}
                     _LOGGER.warning("edge: address is in use.", extra=extra)
-                is_first = False
             await asyncio.sleep(BIND_RETRY_S)
 
     @property
--- a/damaskbay/mesh/const.py
+++ b/damaskbay/mesh/const.py
@@ -1,5 +1,6 @@
 """Time constants and limits of the event-driven daemon."""
 
+import math
 from typing import Final
 
 NOT_READY_RETRY_S: Final = 0.3
@@ -18,8 +19,12 @@
 DRAIN_MARGIN_S: Final = 0.4
 """Margin below the drain time limit, seconds: a send may wait for the event loop."""
 
-BIND_WAIT_S: Final = 4.0
-"""Wait at a start for an address that the daemon before still uses, seconds."""
+BIND_WAIT_S: Final = math.inf
+"""
+Wait at a start for an address that the daemon before still uses, seconds.
+
+An end of the start would only be followed by another one.
+"""
 
 MAX_REDIRECTS: Final = 3
 """Daemons tried in turn, without those that leave, until one passes the call on."""
--- a/damaskbay/mesh/listeners.py
+++ b/damaskbay/mesh/listeners.py
@@ -26,7 +26,7 @@
         """
         Open all; return whether that was done before a stop.
 
-        Raise OSError if a required address stays in use for BIND_WAIT_S.
+        Raise OSError if a required address can't be used; one in use is waited for.
         """
         loop = asyncio.get_running_loop()
         opening = loop.create_task(self._open(stack))
--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -24,7 +24,7 @@
     HEADER_NAMES,
     MEMBER_PREFIX,
 )
-from damaskbay.platform.exceptions import FieldError
+from damaskbay.platform.exceptions import FieldError, IncompleteError
 from damaskbay.platform.heartbeats import HeartbeatListener
 from damaskbay.platform.manifest import decode_manifest
 from damaskbay.platform.settings import load_settings, settings_path
@@ -44,7 +44,7 @@
 """Seconds between checks of the file: a quarter of the time allowed to apply it."""
 
 SETTINGS_WAIT_S = 2.0
-"""Seconds that a start waits for valid settings: the file may just be written."""
+"""Seconds for which a file with invalid settings must not change to end a start."""
 
 SETTINGS_RETRY_S = 0.05
 """Seconds between attempts to read the settings at a start."""
@@ -79,40 +79,64 @@
     daemon.reload(settings)
 
 
-async def read_settings(path: Path) -> tuple[MeshSettings, FileStamp | None]:
+async def read_settings(
+    path: Path, stopping: asyncio.Event
+) -> tuple[MeshSettings, FileStamp | None] | None:
     """
-    Return the settings of a start, and the stamp of their file.
+    Return the settings of a start, and the stamp of their file; None if it is stopped.
 
-    Raise FieldError, OSError if they are still invalid after SETTINGS_WAIT_S.
+    A file that is missing, or is no TOML, is waited for: it may just be written. Raise
+    FieldError if a field is invalid and the file stays the same for SETTINGS_WAIT_S.
     """
-    ends_at = monotonic_s() + SETTINGS_WAIT_S
-    is_first = True
-    while True:
+    last_stamp: FileStamp | None = None
+    last_why = ""
+    changed_at = monotonic_s()
+    while not stopping.is_set():
         stamp = _file_stamp(path)
+        now = monotonic_s()
+        if stamp != last_stamp:
+            last_stamp, changed_at = stamp, now
         try:
             return load_settings(path), stamp
-        except (FieldError, OSError) as error:
-            if monotonic_s() >= ends_at:
+        except (IncompleteError, OSError) as error:
+            why = str(error)
+        except FieldError as error:
+            if now - changed_at >= SETTINGS_WAIT_S:
                 raise
-            if is_first:
-                extra = {"why": str(error), "wait_s": SETTINGS_WAIT_S}
-                _LOGGER.error("daemon: settings are invalid.", extra=extra)
-            is_first = False
-        await asyncio.sleep(SETTINGS_RETRY_S)
+            why = str(error)
+        if why != last_why:
+            last_why = why
+            _LOGGER.error("daemon: settings are invalid.", extra={"why": why})
+        await _wait(stopping, SETTINGS_RETRY_S)
+    return None
 
 
 async def watch_settings(
-    daemon: MeshDaemon, path: Path, last_stamp: FileStamp | None
+    daemon: MeshDaemon,
+    path: Path,
+    last_stamp: FileStamp | None,
+    hang_up: asyncio.Event,
 ) -> None:
-    """Poll the settings file, which may change without a signal; reload on changes."""
+    """Reload the settings file after a signal, or as it has changed without one."""
     while True:
-        await asyncio.sleep(SETTINGS_POLL_S)
+        await _wait(hang_up, SETTINGS_POLL_S)
         stamp = _file_stamp(path)
-        if stamp not in (last_stamp, None):
+        if hang_up.is_set():
+            hang_up.clear()
+            last_stamp = stamp
+            reload_settings(daemon, path, "signal")
+        elif stamp not in (last_stamp, None):
             last_stamp = stamp
             reload_settings(daemon, path, "file")
 
 
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    """Wait for an event, `timeout_s` seconds at most."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+
+
 def _file_stamp(path: Path) -> FileStamp | None:
     """Return the stamp of a file; None if stat fails."""
     try:
@@ -125,7 +149,30 @@
 async def serve() -> None:
     """Run the daemon until SIGTERM or SIGINT; raise FieldError, OSError."""
     path = settings_path()
-    settings, stamp = await read_settings(path)
+    stopping, hang_up = asyncio.Event(), asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, hang_up.set)
+    deliver_signals()
+    try:
+        found = await read_settings(path, stopping)
+        if found is None:
+            _LOGGER.info("daemon: is stopped before it has settings.")
+            return
+        await _run(path, *found, stopping, hang_up)
+    finally:
+        # The loop takes its handlers away when it closes.
+        hold_signals()
+
+
+async def _run(
+    path: Path,
+    settings: MeshSettings,
+    stamp: FileStamp | None,
+    stopping: asyncio.Event,
+    hang_up: asyncio.Event,
+) -> None:
     store = KvStore(settings.store)
 
     def control_handler(daemon: MeshDaemon) -> Handler:
@@ -142,18 +189,21 @@
     )
     daemon = MeshDaemon(settings, platform_parts, control_handler)
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, daemon.stop)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, daemon, path, "signal")
-    deliver_signals()
-    settings_task = loop.create_task(watch_settings(daemon, path, stamp))
+    tasks = (
+        loop.create_task(watch_settings(daemon, path, stamp, hang_up)),
+        loop.create_task(_stop_after(stopping, daemon)),
+    )
     try:
         with contextlib.closing(store):
             await daemon.run()
     finally:
-        # The loop takes its handlers away when it closes.
-        hold_signals()
-        settings_task.cancel()
+        for task in tasks:
+            task.cancel()
+
+
+async def _stop_after(stopping: asyncio.Event, daemon: MeshDaemon) -> None:
+    await stopping.wait()
+    daemon.stop()
 
 
 def main() -> int:
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -12,7 +12,7 @@
     MeshSettings,
 )
 from damaskbay.platform.const import SETTINGS_VARIABLE
-from damaskbay.platform.exceptions import FieldError
+from damaskbay.platform.exceptions import FieldError, IncompleteError
 from damaskbay.platform.fields import (
     Table,
     read_integer,
@@ -42,12 +42,18 @@
 
 
 def load_settings(path: Path) -> MeshSettings:
-    """Return the settings of a TOML file; raise FieldError, OSError."""
+    """
+    Return the settings of a TOML file.
+
+    Raise IncompleteError if it is empty or no TOML, FieldError, OSError.
+    """
     try:
         content = path.read_bytes()
         document = tomllib.loads(content.decode())
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise FieldError(f"{path}: {error}") from None
+        raise IncompleteError(f"{path}: {error}") from None
+    if not document:
+        raise IncompleteError(f"{path}: the file is empty")
     digest = hashlib.sha256(content).hexdigest()[:DIGEST_DIGITS]
     return replace(decode_settings(document), digest=digest)
 
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -36,7 +36,8 @@
 """A `sitecustomize` module that waits until the test lets it end."""
 
 GRACE_S = 1.0
-SETTINGS_DELAY_S = 0.6
+SETTINGS_DELAY_S = 2.5
+ADDRESS_DELAY_S = 4.5
 STARTS_AT_ONCE = 6
 SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
@@ -260,7 +261,7 @@
         earlier.listen()
         process = daemon.start()
         _until_imports(process)
-        time.sleep(SETTINGS_DELAY_S)
+        time.sleep(ADDRESS_DELAY_S)
         assert process.poll() is None, process.returncode
         earlier.close()
         _until(daemon.listens)
@@ -279,6 +280,18 @@
         _until(daemon.listens)
 
 
+# SIGTERM waited until the wait for settings ended, which it now may never do.
+def test_a_stop_ends_the_wait_for_settings() -> None:
+    """The status is that of a process that was stopped."""
+    with _daemon() as daemon:
+        daemon.path.write_text("")
+        process = daemon.start()
+        _until_imports(process)
+        time.sleep(SETTINGS_DELAY_S)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+
+
 def test_settings_that_stay_invalid_end_a_start() -> None:
     """The exit status says so."""
     with _daemon() as daemon:
