Bound the wait for the log at an exit

With a standard output that nobody reads, a daemon that had stopped stayed until it was killed: the exit of the interpreter joined the log's thread, which was blocked in a write, and then waited for the lock of its stream.

The writer is a thread of our own that is stopped within 0.2 s, inside the margin that a stop leaves before the kill. If the stream takes no lines by then, the process exits without the interpreter's clean-up, with the status that it would have had.

--- a/damaskbay/helpers/logs.py
+++ b/damaskbay/helpers/logs.py
@@ -1,6 +1,5 @@
 """Set up logging: text or JSON lines, redacted keys, rate-limited messages."""
 
-import atexit
 import logging
 import logging.handlers
 import queue
@@ -19,6 +18,9 @@
 MAX_TRACKED_MESSAGES: Final = 1000
 MAX_QUEUED_LINES: Final = 2000
 
+STOP_TIMEOUT_S: Final = 0.2
+"""Limit of the wait for queued lines at an exit, which has a time limit, seconds."""
+
 
 class RateLimitFilter(logging.Filter):
     """
@@ -96,26 +98,57 @@
         return record
 
 
+class LogWriter:
+    """Thread that writes queued records to a stream."""
+
+    def __init__(
+        self, records: queue.Queue[logging.LogRecord | None], stream: TextIO
+    ) -> None:
+        self._records = records
+        self._handler = logging.StreamHandler(stream)
+        self._handler.setFormatter(JsonFormatter(JSON_FORMAT))
+        self._thread = threading.Thread(target=self._run, name="log", daemon=True)
+        self._thread.start()
+
+    def stop(self, *, timeout_s: float = STOP_TIMEOUT_S) -> bool:
+        """
+        Write the queued records; return whether the stream took all in time.
+
+        If not, an exit of the interpreter would wait for the stream.
+        """
+        ends_at = monotonic_s() + timeout_s
+        try:
+            self._records.put(None, timeout=timeout_s)
+        except queue.Full:
+            return False
+        self._thread.join(max(0.0, ends_at - monotonic_s()))
+        return not self._thread.is_alive()
+
+    def _run(self) -> None:
+        while (record := self._records.get()) is not None:
+            self._handler.handle(record)
+
+
 def set_up_queued_logging(
     *, level: str, lines_per_s: float, stream: TextIO
-) -> BoundedQueueHandler:
-    """Write JSON lines to a stream from a separate thread; never block a caller."""
-    writer = logging.StreamHandler(stream)
-    writer.setFormatter(JsonFormatter(JSON_FORMAT))
-    records: queue.Queue[logging.LogRecord] = queue.Queue(MAX_QUEUED_LINES)
+) -> tuple[BoundedQueueHandler, LogWriter]:
+    """
+    Write JSON lines to a stream from a separate thread; never block a caller.
+
+    The writer is to be stopped before the process exits.
+    """
+    records: queue.Queue[logging.LogRecord | None] = queue.Queue(MAX_QUEUED_LINES)
     handler = BoundedQueueHandler(records)
     handler.addFilter(RateLimitFilter(lines_per_s))
     handler.addFilter(RedactFilter())
-    listener = logging.handlers.QueueListener(records, writer)
-    listener.start()
-    atexit.register(listener.stop)
+    writer = LogWriter(records, stream)
     # Each of these fields costs a lookup per record, one of them a system call, and
     # the format does not use them.
     logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
-    return handler
+    return handler, writer
 
 
 def set_up_logging(
--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -4,6 +4,7 @@
 import contextlib
 import gc
 import logging
+import os
 import signal
 import sys
 from pathlib import Path
@@ -208,12 +209,18 @@
 
 def main() -> int:
     """Run the daemon; return its exit status, EXIT_INVALID for invalid settings."""
-    set_up_queued_logging(level="INFO", lines_per_s=LOG_LINES_PER_S, stream=sys.stdout)
+    _, log_writer = set_up_queued_logging(
+        level="INFO", lines_per_s=LOG_LINES_PER_S, stream=sys.stdout
+    )
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
+    status = 0
     try:
         uvloop.run(serve())
     except (FieldError, OSError) as error:
         print(error, file=sys.stderr)
-        return EXIT_INVALID
-    return 0
+        status = EXIT_INVALID
+    if not log_writer.stop():
+        # The interpreter's own exit would wait for the log without a limit.
+        os._exit(status)
+    return status
--- a/tests/helpers/test_logs.py
+++ b/tests/helpers/test_logs.py
@@ -61,12 +61,17 @@
     root = logging.getLogger()
     handlers, level = root.handlers[:], root.level
     stream = _BlockedStream()
-    handler = set_up_queued_logging(level="INFO", lines_per_s=1e9, stream=stream)
+    handler, writer = set_up_queued_logging(
+        level="INFO", lines_per_s=1e9, stream=stream
+    )
     logger = logging.getLogger("tests.flood")
     try:
         for number in range(3 * MAX_QUEUED_LINES):
             logger.info("ingress: request refused.", extra={"request_id": number})
         assert handler.dropped >= 2 * MAX_QUEUED_LINES - 10
+        assert not writer.stop(timeout_s=0.1)
+        stream.unblocked.set()
+        assert writer.stop(timeout_s=60.0)
     finally:
         stream.unblocked.set()
         root.handlers[:], root.level = handlers, level
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -72,7 +72,9 @@
 Address = "{self.host}:2"
 """
 
-    def start(self, *, packages: Path | None = None) -> subprocess.Popen[bytes]:
+    def start(
+        self, *, stdout: int = subprocess.DEVNULL, packages: Path | None = None
+    ) -> subprocess.Popen[bytes]:
         """Start the process; `packages` is a folder to find modules in first."""
         environment = {**os.environ, SETTINGS_VARIABLE: str(self.path)}
         if packages is not None:
@@ -81,7 +83,7 @@
             daemon_command(),
             cwd=ROOT,
             env=environment,
-            stdout=subprocess.DEVNULL,
+            stdout=stdout,
             stderr=subprocess.DEVNULL,
         )
         return self._process
@@ -292,6 +294,33 @@
         assert process.wait(WAIT_S) == 0
 
 
+# An exit waited for the log thread, and so for a reader, without a limit.
+def test_a_log_that_nobody_reads_does_not_delay_an_exit() -> None:
+    """The pipe is full from the start on."""
+    reader, writer = os.pipe()
+    with _daemon() as daemon, os.fdopen(reader), os.fdopen(writer):
+        os.set_blocking(writer, False)
+        with contextlib.suppress(BlockingIOError):
+            while os.write(writer, b"\n" * 4096):
+                pass
+        os.set_blocking(writer, True)
+        process = daemon.start(stdout=writer)
+        _until(daemon.listens)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+
+
+def test_a_log_whose_reader_has_gone_does_not_change_the_status() -> None:
+    """The reader goes before the first line is written."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    with _daemon() as daemon, os.fdopen(writer):
+        process = daemon.start(stdout=writer)
+        _until(daemon.listens)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+
+
 def test_settings_that_stay_invalid_end_a_start() -> None:
     """The exit status says so."""
     with _daemon() as daemon:
