Log a task that fails, and run it again

A daemon whose task died of an unexpected exception ran on without it: no lease renewed, no new version, no link to a peer, no change of settings. The exception was logged when the process ended at the earliest, since the daemon keeps its tasks.

The tasks that run for as long as the daemon (leases, watches, reports, links, timeouts of connections, settings) now log an exception with its traceback and start again after a second. An unexpected exception of the daemon itself is logged, too, before it ends the process with status 1.

Evidence: test_a_failure_as_a_version_comes_into_force_does_not_end_the_watch timed out before: the next version never came into force. No task of a real run was seen to die so. Tasks of single requests are as before.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -30,6 +30,7 @@
 from damaskbay.core.descriptors import ConnectionLimits
 from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
 from damaskbay.helpers.clock import monotonic_s
+from damaskbay.helpers.supervision import keep_running
 from damaskbay.ports.peer import PeerAddress
 
 _LOGGER = logging.getLogger(__name__)
@@ -392,7 +393,7 @@
 
     async def __aenter__(self) -> Self:
         self.address = await self._listener.open(self.address, wait_s=self.bind_wait_s)
-        self._timeout_task = asyncio.create_task(self._check_timeouts())
+        self._timeout_task = asyncio.create_task(keep_running(self._check_timeouts))
         return self
 
     async def __aexit__(
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -26,6 +26,7 @@
 )
 from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.helpers.clock import monotonic_s
+from damaskbay.helpers.supervision import keep_running
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
 
 _LOGGER = logging.getLogger(__name__)
@@ -76,7 +77,7 @@
 
     async def __aenter__(self) -> Self:
         await self._listener.open(self._address, wait_s=self.bind_wait_s)
-        self._monitor_task = asyncio.create_task(self._monitor_links())
+        self._monitor_task = asyncio.create_task(keep_running(self._monitor_links))
         return self
 
     async def __aexit__(
@@ -140,7 +141,9 @@
                 link.retire()
         loop = asyncio.get_running_loop()
         for peer in peers - self._tasks_by_peer.keys():
-            self._tasks_by_peer[peer] = loop.create_task(self._maintain_link(peer))
+            self._tasks_by_peer[peer] = loop.create_task(
+                keep_running(partial(self._maintain_link, peer))
+            )
 
     def up_peers(self) -> tuple[PeerAddress, ...]:
         """Return the peers that new requests can be sent to."""
--- /dev/null
+++ b/damaskbay/helpers/supervision.py
@@ -0,0 +1,28 @@
+"""Tasks that never end by themselves."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+_LOGGER = logging.getLogger(__name__)
+
+RESTART_DELAY_S: Final = 1.0
+"""Seconds between the failure of a task and its next start."""
+
+
+async def keep_running(
+    run: Callable[[], Coroutine[Any, Any, None]],
+    *,
+    restart_delay_s: float = RESTART_DELAY_S,
+) -> None:
+    """Run until cancelled; log an exception and run again after a delay."""
+    while True:
+        try:
+            await run()
+        except Exception:
+            _LOGGER.exception(
+                "daemon: a task has failed and starts again.",
+                extra={"task": repr(run), "delay_s": restart_delay_s},
+            )
+        await asyncio.sleep(restart_delay_s)
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -28,6 +28,7 @@
 )
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import raise_descriptor_limit
+from damaskbay.helpers.supervision import keep_running
 from damaskbay.mesh.assembly import (
     PlatformParts,
     SharedParts,
@@ -211,7 +212,7 @@
                 self._remove_expired_members,
                 self._expire_waiting_calls,
             ):
-                self._tasks.append(loop.create_task(run()))
+                self._tasks.append(loop.create_task(keep_running(run)))
             _LOGGER.info(
                 "daemon: has started.",
                 extra={
--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 
 import uvloop
@@ -16,6 +17,7 @@
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.logs import set_up_queued_logging
 from damaskbay.helpers.signals import deliver_signals, hold_signals
+from damaskbay.helpers.supervision import keep_running
 from damaskbay.mesh.app import MeshDaemon
 from damaskbay.mesh.assembly import PlatformParts
 from damaskbay.mesh.settings import MeshSettings
@@ -36,6 +38,7 @@
 LOG_LINES_PER_S = 20.0
 """Log lines per second for each message and reason; further ones are only counted."""
 
+EXIT_FAILED = 1
 EXIT_INVALID = 3
 
 GC_THRESHOLD_ALLOCATIONS = 20_000
@@ -189,9 +192,10 @@
         store, HEADER_NAMES, decode_config, CONFIG_PREFIX, CONFIG_KEY, MEMBER_PREFIX
     )
     daemon = MeshDaemon(settings, platform_parts, control_handler)
+    watch = partial(watch_settings, daemon, path, stamp, hang_up)
     loop = asyncio.get_running_loop()
     tasks = (
-        loop.create_task(watch_settings(daemon, path, stamp, hang_up)),
+        loop.create_task(keep_running(watch)),
         loop.create_task(_stop_after(stopping, daemon)),
     )
     try:
@@ -220,6 +224,9 @@
     except (FieldError, OSError) as error:
         print(error, file=sys.stderr)
         status = EXIT_INVALID
+    except Exception:
+        _LOGGER.exception("daemon: has failed.")
+        status = EXIT_FAILED
     if not log_writer.stop():
         # The interpreter's own exit would wait for the log without a limit.
         os._exit(status)
--- /dev/null
+++ b/tests/helpers/test_supervision.py
@@ -0,0 +1,36 @@
+"""Tests of helpers.supervision."""
+
+import asyncio
+import unittest
+
+from damaskbay.helpers.supervision import keep_running
+from tests.common import function_suite
+
+
+# A task that died stopped leases or the watch of settings without a log line.
+def test_a_task_that_fails_is_logged_and_runs_again() -> None:
+    """Its second run goes on until it is cancelled."""
+    failures = [ValueError("unexpected")]
+
+    async def run() -> None:
+        if failures:
+            raise failures.pop()
+        second_run.set()
+        await asyncio.Event().wait()
+
+    async def check() -> None:
+        task = asyncio.create_task(keep_running(run, restart_delay_s=0.0))
+        await asyncio.wait_for(second_run.wait(), 60.0)
+        task.cancel()
+        await asyncio.wait([task])
+        assert task.cancelled()
+
+    second_run = asyncio.Event()
+    with unittest.TestCase().assertLogs("damaskbay.helpers.supervision") as logs:
+        asyncio.run(check())
+    assert "ValueError: unexpected" in logs.output[0]
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Collect this module's functions."""
+    return function_suite(globals())
--- a/tests/mesh/test_fleet.py
+++ b/tests/mesh/test_fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 
+from damaskbay.config.objects import ConfigSet
 from damaskbay.core.call import Request, Response
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
@@ -329,6 +330,26 @@
     _run(check, a="one", b="one", c="two")
 
 
+# An exception ended the watch of the store without a log line, so no version came.
+def test_a_failure_as_a_version_comes_into_force_does_not_end_the_watch() -> None:
+    """The next version is in force, too."""
+    failures = [ValueError("unexpected")]
+
+    def fail_once(_config: ConfigSet) -> None:
+        if failures:
+            raise failures.pop()
+
+    async def check(fleet: Fleet) -> None:
+        node = fleet.nodes["a"]
+        node.daemon.configuration.subscribe(fail_once)
+        await fleet.publish()
+        await wait_until(lambda: not failures)
+        await fleet.publish()
+        await wait_until(partial(_has_version, node, fleet.version))
+
+    _run(check, a="one")
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
