Ignore SIGHUP in the threaded daemon

`damaskbay daemon` reads its settings at a start only and kept the default action of SIGHUP, which ended it without a drain.

Evidence: in test_sighup_does_not_end_a_daemon the daemon reset the connection to its operator listener before; now it responds, and SIGTERM ends it with status 0. Open: a signal during its imports still ends it with the signal's status, before it listens.

--- a/damaskbay/cli/daemon.py
+++ b/damaskbay/cli/daemon.py
@@ -56,6 +56,8 @@
     stop = threading.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: stop.set())
+    # The settings are read at a start only; by default SIGHUP ends the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         with Daemon(settings, secrets) as daemon:
             print(f"daemon: {settings.instance} listens on {daemon.caller_address}.")
--- a/tests/end_to_end/test_settings.py
+++ b/tests/end_to_end/test_settings.py
@@ -1,17 +1,19 @@
 """End-to-end tests of daemon settings: TLS and invalid files."""
 
 import json
+import signal
 import tempfile
 import unittest
 from pathlib import Path
 
 from bench.fleet import Fleet, ServerPlan
-from damaskbay.cli.const import EXIT_INVALID
+from damaskbay.cli.const import EXIT_INVALID, EXIT_OK
 from damaskbay.core.call import Response
 from tests.common import function_suite
 from tests.end_to_end.common import POOLS, Running, secrets_for_tests
 
 PEM = str(Path(__file__).parent.parent / "adapters/peer_stream/data/peer.pem")
+STOP_TIMEOUT_S = 60.0
 TLS = {"certificate": PEM, "private_key": PEM, "authority": PEM}
 
 
@@ -37,6 +39,18 @@
     assert f"{path}: failure_domain: " in result.stderr
 
 
+# SIGHUP had its default action in the threaded daemon, which it ended.
+def test_sighup_does_not_end_a_daemon() -> None:
+    """The daemon still responds, and stops at SIGTERM as before."""
+    with Fleet([ServerPlan("ledger-a", "domain-a", "ledger", slots=16)]) as fleet:
+        server = fleet.servers_by_instance["ledger-a"]
+        assert server.daemon is not None
+        fleet.signal_daemon("ledger-a", signal.SIGHUP)
+        fleet.get_json(server, "/health")
+        fleet.signal_daemon("ledger-a", signal.SIGTERM)
+        assert server.daemon.wait(STOP_TIMEOUT_S) == EXIT_OK
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
