--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -213,6 +213,8 @@
 
 def main() -> int:
     """Run the daemon; return its exit status, EXIT_INVALID for invalid settings."""
+    # Threads inherit that, and so leave signals to the main thread.
+    hold_signals()
     _, log_writer = set_up_queued_logging(
         level="INFO", lines_per_s=LOG_LINES_PER_S, stream=sys.stdout
     )
