--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -36,7 +36,8 @@
 """A `sitecustomize` module that waits until the test lets it end."""
 
 GRACE_S = 1.0
-SETTINGS_DELAY_S = 0.6
+SETTINGS_DELAY_S = 2.5
+ADDRESS_DELAY_S = 4.5
 STARTS_AT_ONCE = 6
 SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
@@ -71,7 +72,9 @@
 Address = "{self.host}:2"
 """
 
-    def start(self, *, packages: Path | None = None) -> subprocess.Popen[bytes]:
+    def start(
+        self, *, stdout: int = subprocess.DEVNULL, packages: Path | None = None
+    ) -> subprocess.Popen[bytes]:
         """Start the process; `packages` is a folder to find modules in first."""
         environment = {**os.environ, SETTINGS_VARIABLE: str(self.path)}
         if packages is not None:
@@ -80,7 +83,7 @@
             daemon_command(),
             cwd=ROOT,
             env=environment,
-            stdout=subprocess.DEVNULL,
+            stdout=stdout,
             stderr=subprocess.DEVNULL,
         )
         return self._process
@@ -122,13 +125,23 @@
     return Path(f"/proc/{pid}/task").iterdir()
 
 
-def _holds_signals(pid: int, thread: int | None = None) -> bool:
-    """Return whether a thread, by default the main one, lets SIGNALS wait."""
-    status = Path(f"/proc/{pid}/task/{thread or pid}/status").read_text()
-    held = int(status.partition("SigBlk:")[2].split()[0], 16)
+def _held_signals(pid: int, thread: int) -> int:
+    """Return the mask of the signals that a thread lets wait."""
+    status = Path(f"/proc/{pid}/task/{thread}/status").read_text()
+    return int(status.partition("SigBlk:")[2].split()[0], 16)
+
+
+def _holds_signals(pid: int, thread: int) -> bool:
+    """Return whether a thread lets all of SIGNALS wait."""
+    held = _held_signals(pid, thread)
     return all(held & 1 << (number - 1) for number in SIGNALS)
 
 
+def _holds_hang_ups(pid: int) -> bool:
+    """Return whether the main thread lets SIGHUP wait."""
+    return bool(_held_signals(pid, pid) & 1 << (signal.SIGHUP - 1))
+
+
 def _until_imports(process: subprocess.Popen[bytes]) -> None:
     """Wait until the process imports the modules of the daemon."""
     maps = Path(f"/proc/{process.pid}/maps")
@@ -187,13 +200,25 @@
         finally:
             os.sched_setaffinity(0, allowed)
         for process in processes:
-            _until(lambda p=process: _holds_signals(p.pid), SIGNAL_INTERVAL_S)  # type: ignore[misc]
+            _until(lambda p=process: _holds_hang_ups(p.pid), SIGNAL_INTERVAL_S)  # type: ignore[misc]
         for daemon, process in zip(daemons, processes, strict=True):
             _signal_until(process, signal.SIGHUP, daemon.listens)
             process.send_signal(signal.SIGTERM)
         assert [process.wait(WAIT_S) for process in processes] == [0] * STARTS_AT_ONCE
 
 
+# SIGTERM waited for the imports, for seconds where many starts share a core.
+def test_a_stop_ends_a_start_that_serves_nothing_yet() -> None:
+    """It comes while the interpreter looks for packages."""
+    with _daemon() as daemon, tempfile.TemporaryDirectory() as folder:
+        packages = Path(folder)
+        (packages / "sitecustomize.py").write_text(SLOW_SITE)
+        process = daemon.start(packages=packages)
+        _until((packages / "begun").exists)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+
+
 def test_the_command_finds_packages_and_the_project() -> None:
     """As a file and as a module, in an environment and with packages on the path."""
     packages = sysconfig.get_path("purelib")
@@ -260,7 +285,7 @@
         earlier.listen()
         process = daemon.start()
         _until_imports(process)
-        time.sleep(SETTINGS_DELAY_S)
+        time.sleep(ADDRESS_DELAY_S)
         assert process.poll() is None, process.returncode
         earlier.close()
         _until(daemon.listens)
@@ -279,6 +304,45 @@
         _until(daemon.listens)
 
 
+# SIGTERM waited until the wait for settings ended, which it now may never do.
+def test_a_stop_ends_the_wait_for_settings() -> None:
+    """The status is that of a process that was stopped."""
+    with _daemon() as daemon:
+        daemon.path.write_text("")
+        process = daemon.start()
+        _until_imports(process)
+        time.sleep(SETTINGS_DELAY_S)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+
+
+# An exit waited for the log thread, and so for a reader, without a limit.
+def test_a_log_that_nobody_reads_does_not_delay_an_exit() -> None:
+    """The pipe is full from the start on."""
+    reader, writer = os.pipe()
+    with _daemon() as daemon, os.fdopen(reader), os.fdopen(writer):
+        os.set_blocking(writer, False)
+        with contextlib.suppress(BlockingIOError):
+            while os.write(writer, b"\n" * 4096):
+                pass
+        os.set_blocking(writer, True)
+        process = daemon.start(stdout=writer)
+        _until(daemon.listens)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+
+
+def test_a_log_whose_reader_has_gone_does_not_change_the_status() -> None:
+    """The reader goes before the first line is written."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    with _daemon() as daemon, os.fdopen(writer):
+        process = daemon.start(stdout=writer)
+        _until(daemon.listens)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+
+
 def test_settings_that_stay_invalid_end_a_start() -> None:
     """The exit status says so."""
     with _daemon() as daemon:
