--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -197,7 +197,7 @@
         site_faults = SiteFaults(parts)
         faults = site_faults.planned()
         if not self._options.planned:
-            faults += site_faults.unplanned()
+            faults += [*site_faults.unplanned(), *site_faults.unplanned()]
         end = time.monotonic() + self._options.fault_duration_s
         async with asyncio.TaskGroup() as group:
             while time.monotonic() < end:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,12 +4,19 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Any
 
 from tests.common import function_suite
 from tests.soak.options import PLANNED_GRACE_S, SoakOptions
+from tests.soak.site import Site, SiteOptions
 from tests.soak.soak import Soak
 
 SHORT_RUN_S = 5.0
+SHORT_SITE: dict[str, Any] = {
+    "kept_callers": 1,
+    "workers": 1,
+    "fault_duration_s": 12.0,
+}
 
 
 def _run_soak(options: SoakOptions) -> list[str]:
@@ -17,6 +24,11 @@
         return asyncio.run(Soak(options, Path(folder)).run_seed())
 
 
+def _run_site(options: SiteOptions) -> list[str]:
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(Site(options, Path(folder)).run_seed())
+
+
 def test_a_short_run_breaks_no_promise() -> None:
     """Four daemons keep all invariants under a few seconds of overlapping faults."""
     violations = _run_soak(
@@ -93,6 +105,21 @@
     assert not violations, violations
 
 
+# New connections to a stopping daemon were closed unanswered beside a large set, and a
+# SIGHUP soon after the start of a process ended it.
+def test_planned_work_on_a_site_with_few_cores_loses_nothing() -> None:
+    """Stops, large sets and SIGHUPs overlap on daemons that share two cores."""
+    violations = _run_site(SiteOptions(seed=2, planned=True, **SHORT_SITE))
+    assert not violations, violations
+
+
+# Links that went silent or were reset had not been tried.
+def test_a_site_with_silent_links_keeps_its_promises() -> None:
+    """Links, machines and servers fail beside planned work."""
+    violations = _run_site(SiteOptions(seed=1, **SHORT_SITE))
+    assert not violations, violations
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Return a suite of the test functions in this module."""
     return function_suite(globals())
