End a stopped process without the interpreter's clean-up

Cause: the interpreter's clean-up takes processor time after the last line of ours, and joins threads that still decode a set.

Change: the process ends as soon as its log is written.

--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -42,4 +42,6 @@
     _complete_path()
     from damaskbay.platform.daemon import main
 
-    sys.exit(main())
+    # The interpreter's clean-up takes processor time that the end of a grace time may
+    # lack, and waits without a limit for a log that nobody reads.
+    _exit(main())
--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -4,7 +4,6 @@
 import contextlib
 import gc
 import logging
-import os
 import signal
 import sys
 from functools import partial
@@ -226,7 +225,11 @@
 
 
 def main() -> int:
-    """Run the daemon; return its exit status, EXIT_INVALID for invalid settings."""
+    """
+    Run the daemon; return its exit status, EXIT_INVALID for invalid settings.
+
+    The log is written as far as its stream takes it; the caller ends the process.
+    """
     # Threads inherit that, and so leave signals to the main thread.
     hold_signals()
     _, log_writer = set_up_queued_logging(
@@ -244,7 +247,5 @@
     except Exception:
         _LOGGER.exception("daemon: has failed.")
         status = EXIT_FAILED
-    if not log_writer.stop():
-        # The interpreter's own exit would wait for the log without a limit.
-        os._exit(status)
+    log_writer.stop()
     return status
