Hold SIGHUP once SIGTERM ends a start in order

The soak, and whoever watches SigBlk, takes a process that holds SIGHUP for one that handles SIGTERM, too; for an instant it did not.

--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -17,10 +17,10 @@
 from posix import _exit
 
 if __name__ == "__main__":
-    pthread_sigmask(SIG_BLOCK, (SIGHUP,))
     # Nothing is served yet, and on a busy machine the imports outlast a grace time.
     for stop_signal in (SIGINT, SIGTERM):
         signal(stop_signal, lambda *_: _exit(0))
+    pthread_sigmask(SIG_BLOCK, (SIGHUP,))
 
 import sys
 from pathlib import Path
