--- /dev/null
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -0,0 +1,408 @@
+"""Connection of a caller; pipelined requests get their responses in order."""
+
+import asyncio
+import http
+import logging
+import select
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol, cast
+
+from damaskbay.adapters.http1.const import (
+    FIRST_REQUEST_WAIT_S,
+    LINGER_TIMEOUT_S,
+    MAX_LINGER_S,
+    MAX_PIPELINED_REQUESTS,
+    MAX_UNREAD_BYTES,
+    OVERLOADED_RETRY_S,
+    WRITE_STALL_TIMEOUT_S,
+)
+from damaskbay.adapters.http1.exceptions import BadRequestError
+from damaskbay.adapters.http1.request_parser import RequestParser
+from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
+from damaskbay.adapters.http1.sockets import ready_descriptors
+from damaskbay.config.objects import CallerLimits
+from damaskbay.core.call import Headers, Request, Response
+from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
+from damaskbay.helpers.clock import monotonic_s
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """A complete request and the monotonic time at which its last byte was read."""
+
+    request: Request
+    arrived_at: float
+
+
+_REJECTION_REASONS = {
+    http.HTTPStatus.REQUEST_TIMEOUT: "incomplete",
+    http.HTTPStatus.SERVICE_UNAVAILABLE: "no memory",
+}
+
+_TOO_MANY_CONNECTIONS = "too many connections"
+_ENDING = "server ends"
+
+Handler = Callable[[ReceivedRequest], Awaitable[Response]]
+"""Serves one request; cancelled when the caller disconnects."""
+
+
+@dataclass(slots=True, eq=False)
+class _Exchange:
+    """
+    A request of a connection with its response, once available.
+
+    `holding` counts the request, then its response until that is written.
+    """
+
+    arrival: ReceivedRequest
+    holding: Holding
+    keep_alive: bool
+    task: "asyncio.Task[None] | None" = None
+    response: EncodedResponse | None = None
+
+    @property
+    def response_bytes(self) -> int:
+        """Return the size of the response, 0 before it is available."""
+        return self.response.size_bytes if self.response is not None else 0
+
+
+class ConnectionServer(Protocol):
+    """What a connection needs of its server, see HttpServer."""
+
+    handler: Handler
+    limits: CallerLimits
+    memory: MemoryAccount
+    draining: bool
+    ending: bool
+
+    @property
+    def exceeds_connections(self) -> bool:
+        """Return whether more connections are open than may be served."""
+
+    def remove_connection(self, connection: "ServerConnection") -> None:
+        """Remove a connection that has ended."""
+
+    def reopen_if_unread(self, descriptor: int) -> None:
+        """Go on with a connection that is about to be closed over unread bytes."""
+
+
+class ServerConnection(asyncio.Protocol):
+    """Connection of one caller."""
+
+    def __init__(self, server: ConnectionServer) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._exchanges: deque[_Exchange] = deque()
+        self._closing = False
+        self._is_refused = False
+        self._reopens = False
+        self._ended_at: float | None = None
+        self._linger_until = 0.0
+        self._reading_paused = False
+        self._written = WriteBufferHolding(server.memory)
+        self._write_paused_since: float | None = None
+        self._unsent_at_check = 0
+        self._error_status: http.HTTPStatus | None = None
+        self._received_any = False
+        self._last_active_at = monotonic_s()
+        self._parser = RequestParser(self, server.memory, self._last_active_at)
+
+    def is_idle(self, now: float) -> bool:
+        """
+        Return whether no request is being read or served and all bytes are sent.
+
+        A new connection counts as idle after FIRST_REQUEST_WAIT_S. Bytes that the
+        event loop has not read yet are not considered, see `descriptor`.
+        """
+        if self._transport is None or self._exchanges or self.unsent_bytes:
+            return False
+        if self.lingering:
+            return True
+        if self._parser.in_request:
+            return False
+        return self._received_any or now - self._last_active_at >= FIRST_REQUEST_WAIT_S
+
+    @property
+    def lingering(self) -> bool:
+        """Return whether the last response is written and the caller has to close."""
+        return self._ended_at is not None
+
+    @property
+    def descriptor(self) -> int | None:
+        """Return the descriptor of the socket, None if nothing is read from it."""
+        if self._transport is None or self._transport.is_closing():
+            return None
+        descriptor: int = self._transport.get_extra_info("socket").fileno()
+        return descriptor if descriptor >= 0 else None
+
+    @property
+    def is_incomplete(self) -> bool:
+        """Return whether a request is being read and nothing else is in flight."""
+        return self._parser.in_request and not self._exchanges and not self._closing
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of complete responses that the kernel has not taken yet."""
+        if self._transport is None:
+            return 0
+        waiting = sum(exchange.response_bytes for exchange in self._exchanges)
+        return self._transport.get_write_buffer_size() + waiting
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport and register the connection."""
+        self._transport = cast("asyncio.Transport", transport)
+        self._is_refused = self._server.exceeds_connections
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the requests in flight."""
+        if self._reopens and exc is None and self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            self._server.reopen_if_unread(sock.fileno())
+        self._transport = None
+        self._server.remove_connection(self)
+        self._written.release()
+        self._parser.close()
+        for exchange in self._exchanges:
+            exchange.holding.release()
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self._exchanges.clear()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, which may hold several requests."""
+        self._received_any = True
+        self._last_active_at = monotonic_s()
+        if self._closing:
+            self._extend_linger()
+            return
+        try:
+            self._parser.feed(data, self._server.limits, self._last_active_at)
+        except BadRequestError as error:
+            self._reject(error.status)
+
+    def pause_writing(self) -> None:
+        """Record that the write buffer is full: the caller reads too slowly."""
+        self._write_paused_since = monotonic_s()
+
+    def resume_writing(self) -> None:
+        """Resume writing responses after the write buffer has drained."""
+        self._write_paused_since = None
+        self._count_written()
+        self._flush()
+
+    def handle_expect_continue(self) -> None:
+        """Send 100 Continue, unless responses to earlier requests come first."""
+        if not self._exchanges and self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def handle_request(
+        self, request: Request, holding: Holding, *, keep_alive: bool
+    ) -> None:
+        """Start serving a complete request."""
+        if self._closing:
+            holding.release()
+            return
+        if self._is_refused or self._server.ending:
+            holding.release()
+            why = _TOO_MANY_CONNECTIONS if self._is_refused else _ENDING
+            self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE, why)
+            return
+        arrival = ReceivedRequest(request, self._last_active_at)
+        exchange = _Exchange(arrival, holding, keep_alive)
+        self._exchanges.append(exchange)
+        exchange.task = asyncio.get_running_loop().create_task(self._serve(exchange))
+        self._apply_backpressure()
+
+    def close_if_timed_out(self, now: float) -> None:
+        """Close the connection if one of its timeouts has expired."""
+        if self._transport is None:
+            return
+        self._count_written()
+        if self._is_write_stalled(now):
+            self._transport.abort()
+        elif self._ended_at is not None:
+            if self.unsent_bytes:
+                self._ended_at = now
+            elif now - self._ended_at > LINGER_TIMEOUT_S and (
+                now >= self._linger_until or not self._is_ready(select.POLLIN)
+            ):
+                self._transport.close()
+        elif self._sends_too_slowly(now):
+            if not self._is_ready(select.POLLIN):
+                self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
+        elif self._is_idle_too_long(now) and not self._is_ready(select.POLLIN):
+            self.close_idle()
+
+    def close_idle(self) -> None:
+        """
+        Close a connection without a request or response in flight.
+
+        The transport closes the socket in a later pass of the event loop. If something
+        has arrived by then, the connection stays open with another transport.
+        """
+        if self._transport is not None:
+            self._reopens = True
+            self._transport.close()
+
+    def reject_incomplete(self) -> None:
+        """Respond to a request that is still being read: it has not run."""
+        if self.is_incomplete:
+            self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
+
+    def close_unless_serving(self) -> None:
+        """Close without waiting for the caller, unless a request is in flight."""
+        if self._transport is not None and not self._exchanges:
+            self._transport.close()
+
+    async def _serve(self, exchange: _Exchange) -> None:
+        arrival = exchange.arrival
+        try:
+            response = await self._server.handler(arrival)
+        except Exception:
+            _LOGGER.exception("edge: handler failed.")
+            response = Response(int(http.HTTPStatus.INTERNAL_SERVER_ERROR))
+        exchange.response = encode_response(response, arrival.request.method)
+        if self._transport is not None:
+            exchange.holding.set(exchange.response_bytes)
+        self._flush()
+
+    def _flush(self) -> None:
+        """Write the responses that are next in order."""
+        while self._exchanges and (response := self._exchanges[0].response) is not None:
+            if self._transport is None or self._write_paused_since is not None:
+                return
+            exchange = self._exchanges.popleft()
+            exchange.holding.release()
+            self._last_active_at = monotonic_s()
+            keep_alive = exchange.keep_alive and not self._should_announce_close()
+            encoded = response.to_bytes(keep_alive=keep_alive)
+            self._transport.write(encoded)
+            buffered_bytes = self._transport.get_write_buffer_size()
+            self._written.written(len(encoded), buffered_bytes)
+            if not keep_alive:
+                self._end()
+                return
+        if not self._exchanges and self._error_status is not None:
+            self._reject(self._error_status)
+        self._apply_backpressure()
+
+    def _should_announce_close(self) -> bool:
+        """
+        Return whether the next response announces the close of the connection.
+
+        A caller repeats requests that it sent behind a response that announces the
+        close, so all requests that were started have to be answered before.
+        """
+        answered = not self._exchanges and self._error_status is None
+        closes = self._server.draining or self._server.exceeds_connections
+        return closes and answered
+
+    def _count_written(self) -> None:
+        """Count the written responses that the kernel has not taken yet."""
+        if self._transport is not None:
+            self._written.update(self._transport.get_write_buffer_size())
+
+    def _is_write_stalled(self, now: float) -> bool:
+        """Return whether the caller has read nothing for WRITE_STALL_TIMEOUT_S."""
+        if self._transport is None or self._write_paused_since is None:
+            return False
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes < self._unsent_at_check or self._is_ready(select.POLLOUT):
+            self._write_paused_since = now
+        self._unsent_at_check = unsent_bytes
+        return now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
+
+    def _is_idle_too_long(self, now: float) -> bool:
+        if not self.is_idle(now):
+            return False
+        idle_s = now - self._last_active_at
+        limit_s = self._server.limits.idle_timeout_s
+        return idle_s > limit_s or self._server.exceeds_connections
+
+    def _is_ready(self, events: int) -> bool:
+        """Return whether the event loop has yet to read, or write, what it can."""
+        descriptor = self.descriptor
+        return descriptor is not None and bool(ready_descriptors([descriptor], events))
+
+    def _sends_too_slowly(self, now: float) -> bool:
+        """Return whether a head takes too long, or a body has stopped arriving."""
+        limits = self._server.limits
+        if self._parser.in_headers:
+            return now - self._parser.started_at > limits.header_timeout_s
+        if not self._parser.in_request or self._reading_paused or self._closing:
+            return False
+        return now - self._last_active_at > limits.idle_timeout_s
+
+    def _extend_linger(self) -> None:
+        """Keep a connection whose caller still sends a body that was rejected."""
+        if self._ended_at is not None and self._last_active_at < self._linger_until:
+            self._ended_at = self._last_active_at
+
+    def _end(self) -> None:
+        """
+        Send the end of the connection after the last response; start nothing more.
+
+        The connection closes once the caller has closed it. If it closed at once, the
+        kernel would answer further bytes of the caller with a reset, which destroys
+        what the caller has not received yet.
+        """
+        self._closing = True
+        self._ended_at = monotonic_s()
+        self._linger_until = self._ended_at + MAX_LINGER_S
+        if self._transport is None:
+            return
+        try:
+            self._transport.write_eof()
+        except OSError as error:
+            _LOGGER.info("edge: caller has disconnected.", extra={"why": str(error)})
+            self._transport.close()
+            return
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
+    def _reject(self, status: http.HTTPStatus, why: str | None = None) -> None:
+        """Send an error response after the responses to earlier requests, and close."""
+        self._closing = True
+        self._error_status = status
+        self._parser.close()
+        if self._exchanges or self._transport is None or self.lingering:
+            return
+        _LOGGER.info(
+            "edge: request is rejected.",
+            extra={
+                "status": int(status),
+                "why": why or _REJECTION_REASONS.get(status, "malformed"),
+                "held_bytes": self._server.memory.held_bytes,
+            },
+        )
+        headers: Headers = ()
+        if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
+            headers = (("Retry-After", str(OVERLOADED_RETRY_S)),)
+        response = encode_response(Response(int(status), headers), "GET")
+        self._transport.write(response.to_bytes(keep_alive=False))
+        if self._is_refused and not self._is_ready(select.POLLIN):
+            # All of the request has been read, and the descriptor is needed.
+            self._transport.close()
+            return
+        self._end()
+
+    def _apply_backpressure(self) -> None:
+        """Pause reading while the caller has too many requests or unread bytes."""
+        too_many = (
+            len(self._exchanges) >= MAX_PIPELINED_REQUESTS
+            or self.unsent_bytes > MAX_UNREAD_BYTES
+        )
+        if self._transport is None or self.lingering:
+            return
+        if too_many == self._reading_paused:
+            return
+        self._reading_paused = too_many
+        if too_many:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
--- a/tests/adapters/http1/test_slow_reader.py
+++ b/tests/adapters/http1/test_slow_reader.py
@@ -156,7 +156,8 @@
         await reader.readexactly(left)
 
     with patch(
-        "damaskbay.adapters.http1.server.WRITE_STALL_TIMEOUT_S", STALL_TIMEOUT_S
+        "damaskbay.adapters.http1.server_connection.WRITE_STALL_TIMEOUT_S",
+        STALL_TIMEOUT_S,
     ):
         _run(check)
 
--- a/tests/adapters/http1/test_unread_requests.py
+++ b/tests/adapters/http1/test_unread_requests.py
@@ -14,7 +14,7 @@
 
 import uvloop
 
-from damaskbay.adapters.http1 import server as server_module
+from damaskbay.adapters.http1 import server_connection
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.adapters.http1.sockets import READ_PASSES, read_arrived
 from damaskbay.config.objects import CallerLimits
@@ -159,7 +159,7 @@
                     assert server.in_flight == 1
                     await _check_status(200, caller)
 
-    with patch.object(server_module, "FIRST_REQUEST_WAIT_S", 0.0):
+    with patch.object(server_connection, "FIRST_REQUEST_WAIT_S", 0.0):
         _run(check)
 
 
@@ -176,7 +176,7 @@
                     caller.sendall(REQUEST)
                     await _check_status(200, caller)
 
-    with patch.object(server_module, "FIRST_REQUEST_WAIT_S", 0.0):
+    with patch.object(server_connection, "FIRST_REQUEST_WAIT_S", 0.0):
         _run(check)
 
 
