Finish the calls of peers when a daemon is stopped as it starts

Cause: listeners open one after the other, that of peers first. Peers and the local server know the address from before and send at once. A SIGTERM until the last listener was open ended the daemon on the spot, and cut what its server ran. The logs of the daemons of all nine requests have "is stopped before it serves" shortly before.

Change: such a daemon finishes the calls that it has, as in any stop. Without calls it still ends at once, and its links close in order, so that peers know which calls were not handled.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -26,6 +26,7 @@
     request_of,
     to_result_message,
 )
+from damaskbay.helpers.arrivals import read_new_connections
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import raise_descriptor_limit
 from damaskbay.helpers.supervision import keep_running
@@ -203,40 +204,50 @@
     async def run(self) -> None:
         """Serve until `stop` is called, then shut down gracefully."""
         async with contextlib.AsyncExitStack() as stack:
-            if not await self._listeners.open(stack, self._stopping):
+            if await self._listeners.open(stack, self._stopping):
+                self._start_tasks()
+                await self._stopping.wait()
+                await self._shut_down()
+            else:
                 _LOGGER.info("daemon: is stopped before it serves.")
-                return
-            loop = asyncio.get_running_loop()
-            for run in (
-                *self._control_plane.tasks(),
-                self._remove_expired_members,
-                self._expire_waiting_calls,
-                self._status.loop_monitor.run,
-            ):
-                self._tasks.append(loop.create_task(keep_running(run)))
-            _LOGGER.info(
-                "daemon: has started.",
-                extra={
-                    "instance": self.settings.instance,
-                    "pool": self.settings.pool,
-                    "incarnation": self._incarnation,
-                    "digest": self.settings.digest,
-                },
-            )
-            await self._stopping.wait()
-            stop = GracefulStop(self._callers, self._ingress, self._target, self._links)
-            plan = self._lifetime.plan
-            assert plan is not None
-            await stop.run(plan)
-            await self._links.close(
-                timeout_s=links_close_timeout_s(plan, monotonic_s())
-            )
-            await finish_reports(self._control, plan.exits_at)
-            self._lifetime.ended = True
+                # Peers and the local server send as soon as their listener is open.
+                await read_new_connections()
+                self._target.draining = not self._target.in_flight
+                await self._shut_down()
         for task in self._tasks:
             task.cancel()
         _LOGGER.info("daemon: has stopped.")
 
+    def _start_tasks(self) -> None:
+        loop = asyncio.get_running_loop()
+        for run in (
+            *self._control_plane.tasks(),
+            self._remove_expired_members,
+            self._expire_waiting_calls,
+            self._status.loop_monitor.run,
+        ):
+            self._tasks.append(loop.create_task(keep_running(run)))
+        _LOGGER.info(
+            "daemon: has started.",
+            extra={
+                "instance": self.settings.instance,
+                "pool": self.settings.pool,
+                "incarnation": self._incarnation,
+                "digest": self.settings.digest,
+            },
+        )
+
+    async def _shut_down(self) -> None:
+        """Finish the calls, then close the links; a draining daemon has no calls."""
+        plan = self._lifetime.plan
+        assert plan is not None
+        if not self._target.draining:
+            stop = GracefulStop(self._callers, self._ingress, self._target, self._links)
+            await stop.run(plan)
+        await self._links.close(timeout_s=links_close_timeout_s(plan, monotonic_s()))
+        await finish_reports(self._control, plan.exits_at)
+        self._lifetime.ended = True
+
     def reload(self, settings: MeshSettings) -> None:
         """Apply changed limits; log the other changes, which need a restart."""
         names = fields_that_need_a_restart(self.settings, settings)
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -177,6 +177,14 @@
 
     async def add_daemon(self, name: str, backend: Backend, **changes: Any) -> Node:
         """Start a daemon for a running server and wait until it serves."""
+        node = self.start_daemon(name, backend, **changes)
+        await wait_until(lambda: node.daemon.ready or node.run_task.done())
+        if node.run_task.done():
+            node.run_task.result()
+        return node
+
+    def start_daemon(self, name: str, backend: Backend, **changes: Any) -> Node:
+        """Start a daemon for a running server."""
         settings = _settings(name, backend, self._store_address, changes)
         platform_parts = make_parts(KvStore(settings.store), self._worker)
 
@@ -192,9 +200,6 @@
         node = Node(daemon, backend, asyncio.create_task(daemon.run()))
         self.nodes[name] = node
         self._stack.callback(node.run_task.cancel)
-        await wait_until(lambda: daemon.ready or node.run_task.done())
-        if node.run_task.done():
-            node.run_task.result()
         return node
 
     async def wait_until_connected(self) -> None:
