Finish the callers' requests, too, when a daemon is stopped as it starts

Found by reading: a stop can come in the same pass of the loop in which the last listener is opened. The daemon then looked at its server's calls alone and refused requests of callers that another daemon was running.

The end of the links and of the reports moves to mesh/stopping.py.

--- a/damaskbay/core/lifetime.py
+++ b/damaskbay/core/lifetime.py
@@ -90,6 +90,11 @@
         if self.plan is None:
             self.plan = plan_stop(grace_s, now)
 
+    def require_plan(self) -> StopPlan:
+        """Return the plan of a daemon that is stopping."""
+        assert self.plan is not None
+        return self.plan
+
     def limit(self, deadline: float) -> float:
         """Return the earlier of a deadline and the end of work here."""
         if self.plan is None:
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -15,7 +15,7 @@
 from damaskbay.config.objects import CallerLimits, ConfigSet
 from damaskbay.core.descriptors import divide_descriptors
 from damaskbay.core.fatal_calls import FatalCalls
-from damaskbay.core.lifetime import Lifetime, links_close_timeout_s
+from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import MemoryAccount, account_limit_bytes
 from damaskbay.core.quota.shares import DemandShares, QuotaOptions
 from damaskbay.core.quota.token_pool import TokenPool
@@ -38,10 +38,7 @@
     make_target,
 )
 from damaskbay.mesh.configuration import Configuration
-from damaskbay.mesh.const import (
-    EXPIRY_INTERVAL_S,
-    LOAD_AVERAGE_S,
-)
+from damaskbay.mesh.const import EXPIRY_INTERVAL_S, LOAD_AVERAGE_S
 from damaskbay.mesh.control_plane import NOT_HANDLED, ControlPlane, ControlPlaneParts
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.gate import Gate
@@ -57,7 +54,7 @@
     SettingsHistory,
     fields_that_need_a_restart,
 )
-from damaskbay.mesh.stopping import GracefulStop, finish_reports
+from damaskbay.mesh.stopping import GracefulStop, finish_messages
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress
 
@@ -183,11 +180,7 @@
             memory,
             divide_descriptors(raise_descriptor_limit(settings.max_descriptors)),
         )
-        limits, connections = self._callers.connection_limits, self._callers.connections
-        self._telemetry.gauge("caller_connections", "Open", lambda: len(connections))
-        self._telemetry.gauge(
-            "caller_connections_limit", "Served", lambda: limits.served
-        )
+        self._status.observe_callers(self._callers)
         self._metrics = HttpServer(
             settings.metrics, self._status.metrics, CallerLimits()
         )
@@ -207,13 +200,18 @@
             if await self._listeners.open(stack, self._stopping):
                 self._start_tasks()
                 await self._stopping.wait()
-                await self._shut_down()
+                await self._finish_calls()
             else:
                 _LOGGER.info("daemon: is stopped before it serves.")
                 # Peers and the local server send as soon as their listener is open.
                 await read_new_connections()
-                self._target.draining = not self._target.in_flight
-                await self._shut_down()
+                if self._target.in_flight or self._ingress.in_flight:
+                    await self._finish_calls()
+                self._target.draining = True
+            await finish_messages(
+                self._links, self._control, self._lifetime.require_plan()
+            )
+            self._lifetime.ended = True
         for task in self._tasks:
             task.cancel()
         _LOGGER.info("daemon: has stopped.")
@@ -237,16 +235,9 @@
             },
         )
 
-    async def _shut_down(self) -> None:
-        """Finish the calls, then close the links; a draining daemon has no calls."""
-        plan = self._lifetime.plan
-        assert plan is not None
-        if not self._target.draining:
-            stop = GracefulStop(self._callers, self._ingress, self._target, self._links)
-            await stop.run(plan)
-        await self._links.close(timeout_s=links_close_timeout_s(plan, monotonic_s()))
-        await finish_reports(self._control, plan.exits_at)
-        self._lifetime.ended = True
+    async def _finish_calls(self) -> None:
+        stop = GracefulStop(self._callers, self._ingress, self._target, self._links)
+        await stop.run(self._lifetime.require_plan())
 
     def reload(self, settings: MeshSettings) -> None:
         """Apply changed limits; log the other changes, which need a restart."""
--- a/damaskbay/mesh/observing.py
+++ b/damaskbay/mesh/observing.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from damaskbay.adapters.http1.server import ReceivedRequest
+from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.call import Response
@@ -55,6 +55,12 @@
         self.loop_monitor = LoopMonitor(take_sample())
         self._register_gauges()
 
+    def observe_callers(self, callers: HttpServer) -> None:
+        """Register the gauges of the server that callers connect to."""
+        limits, gauge = callers.connection_limits, self._telemetry.gauge
+        gauge("caller_connections", "Open", lambda: len(callers.connections))
+        gauge("caller_connections_limit", "Served", lambda: limits.served)
+
     async def readiness(self, _arrival: ReceivedRequest) -> Response:
         """Return status 200 if the daemon accepts callers, else 503."""
         status = HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
--- a/damaskbay/mesh/stopping.py
+++ b/damaskbay/mesh/stopping.py
@@ -6,7 +6,7 @@
 
 from damaskbay.adapters.http1.server import HttpServer
 from damaskbay.adapters.peer_link.client import PeerLinks
-from damaskbay.core.lifetime import StopPlan
+from damaskbay.core.lifetime import StopPlan, links_close_timeout_s
 from damaskbay.helpers.arrivals import read_new_connections
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.mesh.ingress import Ingress
@@ -90,6 +90,14 @@
         return bool(self.ingress.in_flight or self.target.in_flight)
 
 
+async def finish_messages(
+    links: PeerLinks, control: HttpServer, plan: StopPlan
+) -> None:
+    """Close the links to peers and answer the reports of the local server."""
+    await links.close(timeout_s=links_close_timeout_s(plan, monotonic_s()))
+    await finish_reports(control, plan.exits_at)
+
+
 async def finish_reports(control: HttpServer, until: float) -> None:
     """Stop accepting reports of the local server and answer those that were read."""
     control.stop_listening()
