Let refused callers finish sending before their connection closes

What callers saw: a connection beyond the limit of connections whose request is rejected before its body was read (413, 408, 400, or 503 for want of memory) is reset while the caller still sends, and the answer is lost with it.

Cause: a refused connection is closed at once if no bytes are unread at that moment. That is right for 503 for want of descriptors, which follows a complete request; other rejections come while bytes are on their way.

Only the answer to a complete request closes at once now; all others linger as on any other connection.

Evidence: the new test fails on the parent commit ("connection is closed") and passes with the change.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -375,7 +375,7 @@
             headers = (("Retry-After", str(OVERLOADED_RETRY_S)),)
         response = encode_response(Response(int(status), headers), "GET")
         self._transport.write(response.to_bytes(keep_alive=False))
-        if self._is_refused and not self._is_ready(select.POLLIN):
+        if why == _TOO_MANY_CONNECTIONS and not self._is_ready(select.POLLIN):
             # All of the request has been read, and the descriptor is needed.
             self._transport.close()
             return
--- a/tests/adapters/http1/test_connection_limits.py
+++ b/tests/adapters/http1/test_connection_limits.py
@@ -74,6 +74,26 @@
     uvloop.run(run())
 
 
+# Guards against a reset in place of 413: the rest of a rejected body was not read.
+def test_a_refused_caller_that_still_sends_gets_its_answer() -> None:
+    """Only a request that has been read completely is answered by a close."""
+
+    async def run() -> None:
+        async with _server(ConnectionLimits(served=0)) as server:
+            reader, writer = await _connect(server)
+            length = server.limits.max_body_bytes + 1
+            writer.write(b"POST / HTTP/1.1\r\nHost: a\r\n")
+            writer.write(b"Content-Length: %d\r\n\r\n" % length)
+            while not any(connection.lingering for connection in server.connections):
+                await asyncio.sleep(0.01)
+                assert server.connections, "connection is closed"
+            writer.write(bytes(length))
+            assert b" 413 " in await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+
+    uvloop.run(run())
+
+
 def test_more_callers_than_descriptors_get_an_answer() -> None:
     """All connect and send at once while the server is busy with something else."""
     process = subprocess.Popen(
