Check once more, with a connection at hand, whether a call may be sent

What callers and servers saw: a call whose deadline passes while a connection to its server is made is still sent, with X-Deadline-Ms of 1 ms though nothing is left. A call whose server has been leaving for longer than the limit to send is sent as well, if connecting took long.

Cause: deadline and drain limit were checked before connecting only. Connecting may take up to a second, or longer since connections that were made while the loop was blocked are used; the timeout of a call is 0.1 s longer than its deadline.

The check now runs again when the request is made for a connection. If it fails, nothing is written, the connection is kept, and the refusal says so truthfully: not run.

Two tests are replaced by equally strict ones, since they relied on sending calls that may not be sent. The deadline of test_a_call_whose_deadline_has_passed_is_not_repeated passes between the first send and its failure now, no longer before the first send. In test_a_server_that_has_left_gets_no_repeat the server leaves with the arrival of the first send, no longer at the second look.

--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -42,7 +42,7 @@
     """No connection could be established; nothing was sent."""
 
     EXPIRED = "expired"
-    """A connection was established after the timeout; nothing was sent."""
+    """A connection was established too late; nothing was sent."""
 
     LOST = "lost"
     """The connection closed before a complete response; the request may have run."""
@@ -352,7 +352,7 @@
 
     async def send(
         self,
-        request: Request | Callable[[], Request],
+        request: Request | Callable[[], Request | None],
         *,
         echo: str | None = None,
         fresh: bool = False,
@@ -363,8 +363,8 @@
 
         With `fresh`, open a new connection instead of reusing an idle one.
         `timeout_s` covers connecting and waiting for the response, in seconds. A
-        callable is called for the request once there is a connection.
-        Cancellation aborts the request.
+        callable is called for the request once there is a connection; if it returns
+        None, nothing is sent. Cancellation aborts the request.
         """
         connection = None if fresh else self._take_idle()
         if connection is None:
@@ -380,7 +380,12 @@
                     return HttpFailure(HttpProblem.EXPIRED, "connected too late")
         try:
             sent = request() if callable(request) else request
-            response = await connection.send(sent, echo, timeout_s)
+            if sent is None:
+                response: Response | HttpFailure = HttpFailure(
+                    HttpProblem.EXPIRED, "request may not be sent any more"
+                )
+            else:
+                response = await connection.send(sent, echo, timeout_s)
         except BaseException:
             connection.close()
             raise
--- a/damaskbay/mesh/server_calls.py
+++ b/damaskbay/mesh/server_calls.py
@@ -75,6 +75,16 @@
             | self._notices.headers,
         )
 
+    def refusal_at_send(self, context: CallContext, now: float) -> Refusal | None:
+        """Return a refusal if the server may not be sent an admitted call any more."""
+        if now >= context.deadline:
+            return not_run(Reason.DEADLINE_PASSED)
+        if not self._parts.local.may_send(now):
+            return not_run(
+                Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S
+            )
+        return None
+
     async def send(self, context: CallContext, request: Request) -> Response | Refusal:
         """
         Send once; repeat only if a reused connection turned out to be closed.
@@ -129,7 +139,7 @@
             if outcome.problem is HttpProblem.TIMED_OUT:
                 return unknown(Reason.DEADLINE_PASSED)
             if outcome.problem is HttpProblem.EXPIRED:
-                return not_run(Reason.DEADLINE_PASSED)
+                return self._refusal_of_expired(context)
             if outcome.problem in (HttpProblem.LOST, HttpProblem.STALE):
                 self._parts.server_ends.record_lost(request)
             return self._handle_failure(context, outcome)
@@ -141,11 +151,18 @@
     def _may_repeat(self, context: CallContext) -> bool:
         """Return whether the server may get a call again; spend a retry for it."""
         parts = self._parts
-        now = parts.clock()
-        if now >= context.deadline or not parts.local.may_send(now):
+        if self.refusal_at_send(context, parts.clock()) is not None:
             return False
         return parts.repeats.spend(nested=context.depth > 0)
 
+    def _refusal_of_expired(self, context: CallContext) -> Refusal:
+        """Return why a call was not sent once there was a connection."""
+        refusal = self.refusal_at_send(context, self._parts.clock())
+        if refusal is not None:
+            return refusal
+        # The server has been started again in the meantime.
+        return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=NOT_READY_RETRY_S)
+
     async def _send_once(
         self, context: CallContext, request: Request, reuse_connection: bool
     ) -> Response | HttpFailure:
@@ -154,9 +171,16 @@
         if context.request_id is not None:
             id_headers = ((parts.dialect.request_id, context.request_id),)
 
-        def forward() -> Request:
-            """Return the request with the time that is left once it can be sent."""
-            left_ms = math.floor((context.deadline - parts.clock()) * 1000.0)
+        def forward() -> Request | None:
+            """
+            Return the request with the time that is left once it can be sent.
+
+            Connecting takes a while, after which it may be too late to send.
+            """
+            now = parts.clock()
+            if self.refusal_at_send(context, now) is not None:
+                return None
+            left_ms = math.floor((context.deadline - now) * 1000.0)
             headers: Headers = (
                 *request.headers,
                 *id_headers,
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -221,13 +221,8 @@
     def _refusal_at_send(
         self, context: CallContext, request: Request, now: float
     ) -> Refusal | None:
-        if now >= context.deadline:
-            return not_run(Reason.DEADLINE_PASSED)
-        if not self._parts.local.may_send(now):
-            return not_run(
-                Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S
-            )
-        return refusal_of_fatal_call(self._parts.fatal_calls, request, now)
+        refusal = self._parts.calls.refusal_at_send(context, now)
+        return refusal or refusal_of_fatal_call(self._parts.fatal_calls, request, now)
 
     def _interrupt(self, active: _ActiveCall) -> None:
         if active.task is not None and active in self._active_calls:
--- a/tests/mesh/test_repeats.py
+++ b/tests/mesh/test_repeats.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import time
 import unittest
 from collections.abc import AsyncIterator, Callable
 from typing import cast
 from unittest.mock import patch
 
-from damaskbay.core.call import CallContext, Request
+from damaskbay.core.call import CallContext, Request, Response
+from damaskbay.core.outcome import Reason, Refusal
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.mesh.const import RETRY_RATIO_SHARE, RETRY_SLACK_SHARE
 from damaskbay.mesh.local_server import LocalServer
@@ -76,6 +78,13 @@
         yield fleet, node, arrivals
 
 
+async def _send(node: Node, deadline: float) -> Response | Refusal:
+    """Send a call with the id "late", whose earlier checks have passed."""
+    context = CallContext("", "w", 1, deadline, "r", "one", True, request_id="late")
+    request = Request("GET", "a", "/safe/x")
+    return await node.daemon._target._parts.calls.send(context, request)
+
+
 # Guards against BUDGET: each request whose server crashed was sent to it twice.
 def test_repeats_after_a_closed_connection_need_the_retry_budget() -> None:
     """The server may have received the request before it closed."""
@@ -101,7 +110,10 @@
     async def run() -> None:
         async with _resetting_server() as (_, node, arrivals):
             assert (await node.request("/safe/x")).status == 200
-            with patch.object(LocalServer, "may_send", side_effect=[True, False]):
+            has_not_left = patch.object(
+                LocalServer, "may_send", side_effect=lambda _: len(arrivals) < 2
+            )
+            with has_not_left:
                 await node.request("/safe/x")
             assert len(arrivals) == 2, arrivals
 
@@ -131,16 +143,47 @@
     async def run() -> None:
         async with _resetting_server() as (_, node, arrivals):
             assert (await node.request("/safe/x")).status == 200
-            context = CallContext(
-                "", "w", 1, monotonic_s(), "r", "one", True, request_id="late"
-            )
-            request = Request("GET", "a", "/safe/x")
-            await node.daemon._target._parts.calls.send(context, request)
+            deadline = monotonic_s() + 1.0
+            sending = asyncio.create_task(_send(node, deadline))
+            while "late" not in arrivals:
+                await asyncio.sleep(0)
+            time.sleep(max(0.0, deadline - monotonic_s()))
+            await sending
             assert arrivals.count("late") == 1, arrivals
 
     asyncio.run(run())
 
 
+# Guards against a call that its server gets after its deadline, and with 1 ms left.
+def test_nothing_is_sent_if_the_deadline_passes_while_connecting() -> None:
+    """The call is reported as not run, and the server isn't taken for unreachable."""
+
+    async def run() -> None:
+        async with _resetting_server() as (_, node, arrivals):
+            result = await _send(node, monotonic_s())
+            assert isinstance(result, Refusal) and result.not_run, result
+            assert result.reason is Reason.DEADLINE_PASSED
+            assert "late" not in arrivals, arrivals
+            assert (await node.request("/safe/x")).status == 200
+
+    asyncio.run(run())
+
+
+# Guards against DRAIN: a call reached its server after the limit to send had passed.
+def test_nothing_is_sent_if_the_drain_limit_passes_while_connecting() -> None:
+    """The limit holds at the moment at which the request is written."""
+
+    async def run() -> None:
+        async with _resetting_server() as (_, node, arrivals):
+            node.daemon.local._send_until = monotonic_s()
+            result = await _send(node, monotonic_s() + 5.0)
+            assert isinstance(result, Refusal) and result.not_run, result
+            assert result.reason is Reason.BACKEND_SERVER_DRAINING
+            assert "late" not in arrivals, arrivals
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
