Serve callers that were beyond the limit once others have left

What callers saw: a connection that was accepted beyond the limit of connections gets 503 for its first request, however many others have left before it came.

Cause: whether to refuse was decided as the connection was made, and kept.

It is decided again as a request arrives: if the connections are within the limit by then, the request is served, and so are later ones.

Evidence: the new test fails without the change (503 with no other connection open) and passes with it.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -196,6 +196,8 @@
         if self._closing:
             holding.release()
             return
+        # Others may have left since the connection was accepted.
+        self._is_refused = self._is_refused and self._server.exceeds_connections
         if self._is_refused or self._server.ending:
             holding.release()
             why = _TOO_MANY_CONNECTIONS if self._is_refused else _ENDING
--- a/tests/adapters/http1/test_connection_limits.py
+++ b/tests/adapters/http1/test_connection_limits.py
@@ -74,6 +74,27 @@
     uvloop.run(run())
 
 
+# Guards against 503 for want of descriptors that others have given back by then.
+def test_a_caller_beyond_the_limit_is_served_once_others_have_left() -> None:
+    """What counts is how many connections there are as the request arrives."""
+
+    async def run() -> None:
+        async with _server(ConnectionLimits(served=2)) as server:
+            kept = [await _connect(server) for _ in range(2)]
+            for streams in kept:
+                assert b" 200 " in await _exchange(streams)
+            last = await _connect(server)
+            while len(server.connections) < 3:
+                await asyncio.sleep(0)
+            for _, writer in kept:
+                writer.close()
+            while server.exceeds_connections:
+                await asyncio.sleep(0)
+            assert b" 200 " in await _exchange(last)
+
+    uvloop.run(run())
+
+
 # Guards against a reset in place of 413: the rest of a rejected body was not read.
 def test_a_refused_caller_that_still_sends_gets_its_answer() -> None:
     """Only a request that has been read completely is answered by a close."""
