Read whether a server has ended before its probe times out

What callers saw: a request that ends its servers is sent to further ones, since the end of the first was overlooked.

Cause: a probe connects to the server after a connection is lost, and counts it as alive if 0.2 s pass. After a pass of the event loop that took longer, the timer runs before the loop reads that the connection was refused.

The probe now gives up only after the loop has read what had arrived by its time limit.

--- a/damaskbay/mesh/server_ends.py
+++ b/damaskbay/mesh/server_ends.py
@@ -9,6 +9,7 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.core.call import Request
 from damaskbay.core.fatal_calls import FatalCalls, digest_of_request
+from damaskbay.helpers.arrivals import timeout_after_reading
 from damaskbay.mesh.directory import Directory
 from damaskbay.mesh.messages import ServerEnd
 from damaskbay.ports.peer import PeerAddress
@@ -82,7 +83,7 @@
     async def _listens(self) -> bool:
         """Return whether the server may still be there."""
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
+            async with timeout_after_reading(PROBE_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(
                     self._parts.server.host, self._parts.server.port
                 )
--- a/tests/mesh/test_late_loop.py
+++ b/tests/mesh/test_late_loop.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import socket
+import time
 import unittest
 
 import uvloop
 
+from damaskbay.mesh.server_ends import PROBE_TIMEOUT_S
 from tests.common import block_loop, function_suite, reserve_address
 from tests.mesh.common import Backend, Fleet
 
@@ -46,6 +48,26 @@
     assert uvloop.run(run()) == 200
 
 
+# Guards against calls that go on to end servers: the end of this one was overlooked.
+def test_a_server_that_has_ended_is_noticed_by_a_late_loop() -> None:
+    """The loop is blocked until the time of the probe has passed."""
+
+    async def run() -> bool:
+        async with contextlib.AsyncExitStack() as stack:
+            fleet = Fleet(stack)
+            await fleet.start()
+            await fleet.publish()
+            backend = Backend("one", "i-a", reserve_address())
+            node = await fleet.add_daemon("a", backend)
+            server_ends = node.daemon._target._parts.calls._parts.server_ends
+            probing = asyncio.create_task(server_ends._listens())
+            await asyncio.sleep(0)
+            time.sleep(2 * PROBE_TIMEOUT_S)
+            return await probing
+
+    assert not uvloop.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
