Serve callers of a burst up to the limit of connections

What callers saw: if more callers connect at once than may be served, all of them get 503, also those for whom there is room.

Cause: connections of a burst are all accepted, and counted, before the first of them is connected, and whether to refuse was decided then.

It is decided as the connection is accepted now, when only earlier ones are counted.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -88,7 +88,7 @@
         self._transport: asyncio.Transport | None = None
         self._exchanges: deque[_Exchange] = deque()
         self._closing = False
-        self._is_refused = False
+        self._is_refused = server.connections_left < 1
         self._reopens = False
         self._ended_at: float | None = None
         self._linger_until = 0.0
@@ -145,7 +145,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         self._transport = cast("asyncio.Transport", transport)
-        self._is_refused = self._server.exceeds_connections
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in flight."""
@@ -460,7 +459,12 @@
     @property
     def exceeds_connections(self) -> bool:
         """Return whether more connections are open than may be served."""
-        return len(self.connections) > self.connection_limits.served
+        return self.connections_left < 0
+
+    @property
+    def connections_left(self) -> int:
+        """Return how many more connections may be served; negative beyond the limit."""
+        return self.connection_limits.served - len(self.connections)
 
     @property
     def in_flight(self) -> int:
--- a/tests/adapters/http1/test_connection_limits.py
+++ b/tests/adapters/http1/test_connection_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import resource
+import socket
 import subprocess
 import sys
 import unittest
@@ -74,6 +75,29 @@
     uvloop.run(run())
 
 
+# Guards against 503 for all callers of a burst that exceeds the limit.
+def test_callers_of_a_burst_are_served_up_to_the_limit() -> None:
+    """They are accepted in one pass of the loop, and then connected."""
+
+    async def run() -> None:
+        async with _server(ConnectionLimits(served=4)) as server:
+            address = (server.address.host, server.address.port)
+            with contextlib.ExitStack() as stack:
+                callers = [
+                    stack.enter_context(socket.create_connection(address, WAIT_S))
+                    for _ in range(12)
+                ]
+                for caller in callers:
+                    caller.sendall(REQUEST)
+                heads = [
+                    await asyncio.to_thread(caller.recv, 4096) for caller in callers
+                ]
+            assert all(heads), heads
+            assert sum(b" 200 " in head for head in heads) >= 4, heads
+
+    uvloop.run(run())
+
+
 # Guards against 503 for want of descriptors that others have given back by then.
 def test_a_caller_beyond_the_limit_is_served_once_others_have_left() -> None:
     """What counts is how many connections there are as the request arrives."""
