--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -92,7 +92,12 @@
     @property
     def exceeds_connections(self) -> bool:
         """Return whether more connections are open than may be served."""
-        return len(self.connections) > self.connection_limits.served
+        return self.connections_left < 0
+
+    @property
+    def connections_left(self) -> int:
+        """Return how many more connections may be served; negative beyond the limit."""
+        return self.connection_limits.served - len(self.connections)
 
     @property
     def in_flight(self) -> int:
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -83,6 +83,10 @@
     def exceeds_connections(self) -> bool:
         """Return whether more connections are open than may be served."""
 
+    @property
+    def connections_left(self) -> int:
+        """Return how many more connections may be served; negative beyond the limit."""
+
     def remove_connection(self, connection: "ServerConnection") -> None:
         """Remove a connection that has ended."""
 
@@ -98,7 +102,7 @@
         self._transport: asyncio.Transport | None = None
         self._exchanges: deque[_Exchange] = deque()
         self._closing = False
-        self._is_refused = False
+        self._is_refused = server.connections_left < 1
         self._reopens = False
         self._ended_at: float | None = None
         self._linger_until = 0.0
@@ -155,7 +159,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         self._transport = cast("asyncio.Transport", transport)
-        self._is_refused = self._server.exceeds_connections
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in flight."""
@@ -206,6 +209,8 @@
         if self._closing:
             holding.release()
             return
+        # Others may have left since the connection was accepted.
+        self._is_refused = self._is_refused and self._server.exceeds_connections
         if self._is_refused or self._server.ending:
             holding.release()
             why = _TOO_MANY_CONNECTIONS if self._is_refused else _ENDING
@@ -385,7 +390,7 @@
             headers = (("Retry-After", str(OVERLOADED_RETRY_S)),)
         response = encode_response(Response(int(status), headers), "GET")
         self._transport.write(response.to_bytes(keep_alive=False))
-        if self._is_refused and not self._is_ready(select.POLLIN):
+        if why == _TOO_MANY_CONNECTIONS and not self._is_ready(select.POLLIN):
             # All of the request has been read, and the descriptor is needed.
             self._transport.close()
             return
--- a/tests/adapters/http1/test_connection_limits.py
+++ b/tests/adapters/http1/test_connection_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import resource
+import socket
 import subprocess
 import sys
 import unittest
@@ -74,6 +75,70 @@
     uvloop.run(run())
 
 
+# Guards against 503 for all callers of a burst that exceeds the limit.
+def test_callers_of_a_burst_are_served_up_to_the_limit() -> None:
+    """They are accepted in one pass of the loop, and then connected."""
+
+    async def run() -> None:
+        async with _server(ConnectionLimits(served=4)) as server:
+            address = (server.address.host, server.address.port)
+            with contextlib.ExitStack() as stack:
+                callers = [
+                    stack.enter_context(socket.create_connection(address, WAIT_S))
+                    for _ in range(12)
+                ]
+                for caller in callers:
+                    caller.sendall(REQUEST)
+                heads = [
+                    await asyncio.to_thread(caller.recv, 4096) for caller in callers
+                ]
+            assert all(heads), heads
+            assert sum(b" 200 " in head for head in heads) >= 4, heads
+
+    uvloop.run(run())
+
+
+# Guards against 503 for want of descriptors that others have given back by then.
+def test_a_caller_beyond_the_limit_is_served_once_others_have_left() -> None:
+    """What counts is how many connections there are as the request arrives."""
+
+    async def run() -> None:
+        async with _server(ConnectionLimits(served=2)) as server:
+            kept = [await _connect(server) for _ in range(2)]
+            for streams in kept:
+                assert b" 200 " in await _exchange(streams)
+            last = await _connect(server)
+            while len(server.connections) < 3:
+                await asyncio.sleep(0)
+            for _, writer in kept:
+                writer.close()
+            while server.exceeds_connections:
+                await asyncio.sleep(0)
+            assert b" 200 " in await _exchange(last)
+
+    uvloop.run(run())
+
+
+# Guards against a reset in place of 413: the rest of a rejected body was not read.
+def test_a_refused_caller_that_still_sends_gets_its_answer() -> None:
+    """Only a request that has been read completely is answered by a close."""
+
+    async def run() -> None:
+        async with _server(ConnectionLimits(served=0)) as server:
+            reader, writer = await _connect(server)
+            length = server.limits.max_body_bytes + 1
+            writer.write(b"POST / HTTP/1.1\r\nHost: a\r\n")
+            writer.write(b"Content-Length: %d\r\n\r\n" % length)
+            while not any(connection.lingering for connection in server.connections):
+                await asyncio.sleep(0.01)
+                assert server.connections, "connection is closed"
+            writer.write(bytes(length))
+            assert b" 413 " in await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+
+    uvloop.run(run())
+
+
 def test_more_callers_than_descriptors_get_an_answer() -> None:
     """All connect and send at once while the server is busy with something else."""
     process = subprocess.Popen(
