Serve more callers of the descriptors that there are

Servers, peers and the store need about a fifth, so that 65 of 100 are for callers that are served; the queue of new connections shrinks to 10 of 100.

--- a/damaskbay/core/descriptors.py
+++ b/damaskbay/core/descriptors.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass
 from typing import Final
 
-SERVED_SHARE: Final = 0.5
+SERVED_SHARE: Final = 0.65
 """Part of the descriptors for callers that are served."""
 
-REFUSED_SHARE: Final = 0.1
+REFUSED_SHARE: Final = 0.05
 """Part of the descriptors for callers that are refused."""
 
-BACKLOG_SHARE: Final = 0.2
+BACKLOG_SHARE: Final = 0.1
 """
 Part of the descriptors for callers that wait to be accepted, who come all at once.
 
