--- a/tests/adapters/peer_stream/test_failures.py
+++ b/tests/adapters/peer_stream/test_failures.py
@@ -133,7 +133,7 @@
         ):
             request = Request(number, bytes(size))
             result = a.request(b.address, request, timeout_s=WAIT_S).result()
-            assert getattr(result, "problem", None) is problem
+            assert getattr(result, "problem", None) is problem, (number, size, result)
         assert b.stats().streams_accepted == 1
 
 
