--- a/damaskbay/core/descriptors.py
+++ b/damaskbay/core/descriptors.py
@@ -12,7 +12,7 @@
 
 BACKLOG_SHARE: Final = 0.1
 """
-Part of the descriptors for callers that wait to be accepted, who come all at once.
+Part of the descriptors for callers that wait, since all may be accepted at once.
 
 The rest is for servers, peers and the store.
 """
--- a/damaskbay/helpers/arrivals.py
+++ b/damaskbay/helpers/arrivals.py
@@ -18,9 +18,8 @@
 and the third one to get to the task that waits for it.
 """
 
-
 NEW_CONNECTION_PASSES: Final = 8
-"""Passes of the loop that also connect an accepted socket before."""
+"""Passes in which the loop connects an accepted socket, and then reads from it."""
 
 
 def call_after_reading(callback: Callable[..., object], *args: Any) -> None:
