Start the interpreter with signals blocked

Cause: SIGHUP ends a process by default, and between exec and the first line of the entry file the interpreter initialises itself, in which no Python code runs. SIGTERM and SIGINT there ended a start with the signal's status.

Fix: the build compiles `target/python3`, which blocks the three signals and only then loads the interpreter's library; the entry file unblocks SIGTERM and SIGINT once they are handled. Without a compiler or the library the build logs why and `target/python3` is a link to the interpreter, with the window of before.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "capacity",
     "documents",
     "blocks",
+    "starts",
 )
 EXIT_USAGE = 2
 
--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -1,13 +1,14 @@
 """
 Run the daemon on the external platform, as a file or as a module.
 
-`python3 -S damaskbay/platform/__main__.py` lets signals wait before the interpreter
-looks for packages, `python3 -m damaskbay.platform` only afterwards.
+As a file with -S it lets signals wait before the interpreter looks for packages, as a
+module only afterwards. The interpreter of `deploy/build.py` starts with them blocked.
 """
 
 # `signal` imports other modules first, and until here a signal ends the process.
 from _signal import (  # type: ignore[import-not-found]
     SIG_BLOCK,
+    SIG_UNBLOCK,
     SIGHUP,
     SIGINT,
     SIGTERM,
@@ -17,10 +18,11 @@
 from posix import _exit
 
 if __name__ == "__main__":
+    pthread_sigmask(SIG_BLOCK, (SIGHUP,))
     # Nothing is served yet, and on a busy machine the imports outlast a grace time.
     for stop_signal in (SIGINT, SIGTERM):
         signal(stop_signal, lambda *_: _exit(0))
-    pthread_sigmask(SIG_BLOCK, (SIGHUP,))
+    pthread_sigmask(SIG_UNBLOCK, (SIGINT, SIGTERM))
 
 import sys
 from pathlib import Path
--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,7 +1,7 @@
 """
-Install the packages of the deploy file under `target/`.
+Install the packages and build the interpreter that the deploy file runs.
 
-They are for the interpreter that runs this file.
+Both are placed under `target/`, and are made for the interpreter that runs this file.
 """
 
 import argparse
@@ -19,10 +19,19 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 REQUIREMENTS = ROOT / "requirements.txt"
+SOURCE = ROOT / "deploy/python3.c"
 
 LEFTOVER_PREFIX = "unfinished-"
 STAMP_NAME = "build-stamp.json"
 
+IDENTIFY = """
+import sys
+implementation = sys.implementation
+print(sys.hexversion, sys.abiflags, implementation.cache_tag, implementation._multiarch)
+print(sys.executable, sys.prefix, sys.exec_prefix, sys.base_prefix, sys.path)
+"""
+"""Python code whose output is the same if two programs are the same interpreter."""
+
 
 class BuildError(Exception):
     """A step of the build failed; the message says which one and why."""
@@ -94,15 +103,83 @@
         packages.rename(installed)
 
 
+def find_library() -> Path | None:
+    """Return the shared library of this interpreter, None if there is none."""
+    name = sysconfig.get_config_var("INSTSONAME") or ""
+    # An installation that was moved still has its first place in LIBDIR.
+    for folder in (Path(sys.base_prefix, "lib"), sysconfig.get_config_var("LIBDIR")):
+        if folder and ".so" in name and (path := Path(folder, name)).is_file():
+            return path
+    return None
+
+
+def identify(interpreter: Path | str) -> str:
+    """Return what IDENTIFY prints; raise BuildError if it can't be run."""
+    result = subprocess.run(
+        [interpreter, "-I", "-S", "-c", IDENTIFY],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    if result.returncode != 0:
+        lines = result.stderr.strip().splitlines() or ["no message"]
+        raise BuildError(f"{interpreter} failed: {lines[-1]}")
+    return result.stdout
+
+
+def compile_interpreter(program: Path) -> None:
+    """Compile SOURCE for this interpreter and try it; raise BuildError."""
+    compiler = shutil.which("cc") or shutil.which("gcc")
+    if compiler is None:
+        raise BuildError("there is no C compiler")
+    library = find_library()
+    if library is None:
+        raise BuildError("the interpreter's shared library is not installed")
+    definitions = {"PYTHON_LIBRARY": str(library), "PYTHON_EXECUTABLE": sys.executable}
+    command = [compiler, "-std=c11", "-O2", "-Wall", "-Wextra"]
+    command += [f"-D{k}={_c_string(v)}" for k, v in definitions.items()]
+    command += ["-o", str(program), str(SOURCE), "-ldl"]
+    status = subprocess.run(command, check=False).returncode
+    if status != 0:
+        raise BuildError(f"the compiler ended with status {status}")
+    if identify(program) != identify(sys.executable):
+        raise BuildError(f"{library} is not the library of {sys.executable}")
+
+
+def _c_string(text: str) -> str:
+    """Return a string literal of C."""
+    return json.dumps(text, ensure_ascii=False)
+
+
+def build_interpreter(target: Path) -> None:
+    """
+    Build `python3`, which starts with signals blocked.
+
+    Where that is impossible it is a link to the interpreter, as which it starts, too.
+    """
+    with unfinished_folder(target) as folder:
+        program = folder / "python3"
+        try:
+            compile_interpreter(program)
+        except BuildError as error:
+            log(f"{error}; a signal while the interpreter starts will end a start.")
+            program.unlink(missing_ok=True)
+            program.symlink_to(sys.executable)
+        program.replace(target / "python3")
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the build and return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--target", type=Path, default=ROOT / "target")
+    parser.add_argument("--interpreter-only", action="store_true")
     options = parser.parse_args(arguments)
     try:
         with lock_folder(options.target):
             remove_leftovers(options.target)
-            install_packages(options.target)
+            if not options.interpreter_only:
+                install_packages(options.target)
+            build_interpreter(options.target)
     except (BuildError, OSError) as error:
         log(f"failed: {error}")
         return 1
--- /dev/null
+++ b/deploy/python3.c
@@ -0,0 +1,43 @@
+/*
+ * The Python interpreter, started with SIGHUP, SIGINT and SIGTERM blocked.
+ *
+ * By default each of them ends the process, and it takes an interpreter milliseconds,
+ * on a busy machine a good part of a second, to reach the first line of a program.
+ * Its library is loaded once they are blocked; the dynamic linker would load it before.
+ */
+#define _POSIX_C_SOURCE 200809L
+
+#include <dlfcn.h>
+#include <signal.h>
+#include <stdio.h>
+
+typedef int (*main_function)(int, char **);
+
+int main(int argc, char **argv)
+{
+    sigset_t held;
+    void *library;
+    main_function run_interpreter = NULL;
+
+    sigemptyset(&held);
+    sigaddset(&held, SIGHUP);
+    sigaddset(&held, SIGINT);
+    sigaddset(&held, SIGTERM);
+    if (sigprocmask(SIG_BLOCK, &held, NULL) != 0) {
+        perror("python3: sigprocmask");
+        return 1;
+    }
+
+    /* Extension modules find the interpreter's functions in the global scope only. */
+    library = dlopen(PYTHON_LIBRARY, RTLD_NOW | RTLD_GLOBAL);
+    if (library != NULL)
+        run_interpreter = (main_function)dlsym(library, "Py_BytesMain");
+    if (run_interpreter == NULL) {
+        fprintf(stderr, "python3: %s\n", dlerror());
+        return 1;
+    }
+
+    /* Prefix, standard library and virtual environment are found by this name. */
+    argv[0] = PYTHON_EXECUTABLE;
+    return run_interpreter(argc, argv);
+}
--- a/tests/common.py
+++ b/tests/common.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import atexit
+import functools
 import socket
+import subprocess
 import sys
 import tomllib
 import unittest
@@ -37,10 +39,22 @@
     return PeerAddress("127.0.0.1", sock.getsockname()[1])
 
 
+@functools.cache
+def built_interpreter() -> Path:
+    """Build the interpreter of the deploy file for the one of the tests."""
+    target = ROOT / "target/tests"
+    command = [sys.executable, f"{ROOT}/deploy/build.py", "--interpreter-only"]
+    subprocess.run([*command, f"--target={target}"], check=True)
+    return target / "python3"
+
+
 def daemon_command() -> list[str]:
     """Return the command of the deploy file, run by the interpreter of the tests."""
     deploy_file = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-    return [sys.executable, *deploy_file["roles"]["sidecar"]["run"].split()[1:]]
+    interpreter = built_interpreter()
+    # A link doesn't find the packages of a virtual environment.
+    program = sys.executable if interpreter.is_symlink() else str(interpreter)
+    return [program, *deploy_file["roles"]["sidecar"]["run"].split()[1:]]
 
 
 class _FunctionTestCase(unittest.FunctionTestCase):
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -228,6 +228,7 @@
     module = ["-m", "damaskbay.platform"]
     file = [str(ROOT / part) if "/" in part else part for part in daemon_command()[1:]]
     for command, variables, folder in (
+        ([*daemon_command()[:1], *file], environment, "/"),
         ([sys.executable, *file], environment, "/"),
         ([base, *file], on_path, "/"),
         ([sys.executable, *file[-1:]], environment, "/"),
