--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -17,7 +17,7 @@
 )
 from damaskbay.adapters.http1.exceptions import BadAnswerError
 from damaskbay.adapters.http1.names import decode_header_name
-from damaskbay.adapters.http1.sockets import set_tcp_options
+from damaskbay.adapters.http1.sockets import ready_descriptors, set_tcp_options
 from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 from damaskbay.core.call import Request, Response
 from damaskbay.core.memory_account import (
@@ -260,6 +260,18 @@
             return False
         return transport.get_write_buffer_size() == 0
 
+    def has_unread(self) -> bool:
+        """
+        Return whether the server has sent anything, or its end, that is not read yet.
+
+        A request that is written then may get no response.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return True
+        descriptor = transport.get_extra_info("socket").fileno()
+        return bool(ready_descriptors((descriptor,)))
+
     def close(self) -> None:
         """Close once buffered data is written."""
         self.reusable = False
@@ -378,6 +390,9 @@
                 if timeout_s <= 0.0:
                     connection.close()
                     return HttpFailure(HttpProblem.EXPIRED, "connected too late")
+            if connection.has_unread():
+                connection.close()
+                return HttpFailure(HttpProblem.NOT_SENT, "closed before the request")
         try:
             sent = request() if callable(request) else request
             if sent is None:
@@ -413,7 +428,8 @@
         now = monotonic_s()
         while self._idle:
             connection = self._idle.pop()
-            if connection.idle() and now < connection.idle_until:
+            is_fresh = connection.idle() and now < connection.idle_until
+            if is_fresh and not connection.has_unread():
                 return connection
             connection.close()
         return None
--- a/tests/adapters/http1/test_client.py
+++ b/tests/adapters/http1/test_client.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 from dataclasses import replace
+from typing import Any
 
 import uvloop
 
@@ -272,6 +273,60 @@
     uvloop.run(run())
 
 
+# Guards against a spent repeat, or 502, for a call on a kept connection that the server
+# has closed: a busy loop writes the request before it reads the end.
+def test_a_kept_connection_whose_end_has_arrived_is_not_used_again() -> None:
+    """The next request gets its response on a new connection."""
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            listening.settimeout(WAIT_S)
+            client = HttpClient(PeerAddress(*listening.getsockname()), OPTIONS)
+
+            def answer() -> socket.socket:
+                server, _address = listening.accept()
+                server.recv(1024)
+                server.sendall(COMPLETE % b"r1")
+                return server
+
+            answering = loop.run_in_executor(None, answer)
+            await client.send(REQUEST, echo="r1")
+            server = await answering
+            answering = loop.run_in_executor(None, answer)
+            server.close()
+            # The loop doesn't turn between the close and the next request.
+            outcome = await client.send(REQUEST, echo="r1", timeout_s=TIMEOUT_S)
+            client.close()
+            assert isinstance(outcome, Response), outcome
+            (await answering).close()
+
+    uvloop.run(run())
+
+
+# Guards against 502 for an unsafe call whose connection the server has closed before it
+# was used: a server with too many connections resets further ones.
+def test_nothing_is_sent_on_a_new_connection_that_has_ended() -> None:
+    """It is reported as not sent, so that the caller may try again."""
+
+    async def run() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            client = HttpClient(PeerAddress(*listening.getsockname()), OPTIONS)
+            loop = asyncio.get_running_loop()
+            create_connection = loop.create_connection
+
+            async def connect_and_close(*args: Any, **options: Any) -> Any:
+                made = await create_connection(*args, **options)
+                listening.accept()[0].close()
+                return made
+
+            loop.create_connection = connect_and_close  # type: ignore[method-assign]
+            outcome = await client.send(REQUEST, echo="r1", fresh=True)
+            assert _problem(outcome) is HttpProblem.NOT_SENT, outcome
+
+    uvloop.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
