--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -19,11 +19,8 @@
     SUSPECT_AFTER_S,
 )
 from damaskbay.adapters.peer_link.frames import encode_note
-from damaskbay.adapters.peer_link.link import (
-    Link,
-    LinkHandlers,
-    RequestHandler,
-)
+from damaskbay.adapters.peer_link.handlers import LinkHandlers, RequestHandler
+from damaskbay.adapters.peer_link.link import Link
 from damaskbay.core.memory_account import MemoryAccount
 from damaskbay.helpers.arrivals import (
     read_arrived,
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any, cast
 
 from damaskbay.adapters.http1.sockets import set_tcp_options
@@ -23,7 +21,9 @@
     FrameReader,
     encode,
 )
-from damaskbay.adapters.peer_link.parts import PART_KINDS, PartialPayloads
+from damaskbay.adapters.peer_link.handlers import LinkHandlers
+from damaskbay.adapters.peer_link.parts import PartialPayloads
+from damaskbay.adapters.peer_link.sending import PartsSender
 from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
 from damaskbay.helpers.arrivals import call_after_reading, call_later_after_reading
 from damaskbay.helpers.clock import monotonic_s
@@ -32,27 +32,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-RequestHandler = Callable[[Any], Awaitable[Any]]
-"""Serves a message and returns the reply; cancelled when the sender cancels."""
-
-MessageHandler = Callable[[Any], None]
-
-
-@dataclass(frozen=True, slots=True)
-class LinkHandlers:
-    """
-    What a link calls.
-
-    `on_note` gets each note, again at each pulse that stands for it; `status` returns
-    the message that acknowledges them, or None. `on_status` gets that of the peer.
-    """
-
-    on_request: RequestHandler
-    on_note: MessageHandler
-    status: Callable[[], Any]
-    on_status: MessageHandler
-    on_end: Callable[["Link"], None]
-
 
 class Link(asyncio.Protocol):
     """
@@ -69,9 +48,7 @@
         self._received = Holding(memory)
         self._unsent = WriteBufferHolding(memory)
         self._parts = PartialPayloads(memory)
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._senders: set[asyncio.Task[None]] = set()
+        self._sender = PartsSender(self._write_frame)
         self._transport: asyncio.Transport | None = None
         self._reader = FrameReader()
         self._pending: dict[int, asyncio.Future[Any]] = {}
@@ -132,12 +109,12 @@
         self._received.release()
         self._unsent.release()
         self._parts.clear()
-        self._writable.set()
-        failure = PeerFailure(PeerProblem.LOST, str(exc or "closed"))
+        self._sender.resume()
+        why = str(exc or "closed")
         pending, self._pending = self._pending, {}
-        for future in pending.values():
+        for number, future in pending.items():
             if not future.done():
-                future.set_result(failure)
+                future.set_result(self._failure(number, PeerProblem.LOST, why))
         for task in self._running.values():
             task.cancel()
         self._running.clear()
@@ -157,11 +134,11 @@
 
     def pause_writing(self) -> None:
         """Hold back long payloads while the peer reads slowly."""
-        self._writable.clear()
+        self._sender.pause()
 
     def resume_writing(self) -> None:
         """Go on with long payloads after the write buffer has drained."""
-        self._writable.set()
+        self._sender.resume()
         self.count_unsent()
 
     def count_unsent(self) -> None:
@@ -188,12 +165,12 @@
         future: asyncio.Future[Any] = loop.create_future()
         self._pending[number] = future
         timer = call_later_after_reading(timeout_s, self._time_out, number)
-        if len(payload) <= PART_BYTES:
+        if len(payload) <= PART_BYTES or not self._peer_takes_parts:
             self._write(encode(FrameKind.REQUEST, number, payload))
         else:
-            sender = loop.create_task(self._send(FrameKind.REQUEST, number, payload))
-            self._senders.add(sender)
-            sender.add_done_callback(self._senders.discard)
+            self._sender.start_request(
+                number, payload, lambda: self.open and self._is_pending(number)
+            )
         try:
             return await future
         except asyncio.CancelledError:
@@ -202,6 +179,7 @@
         finally:
             timer.cancel()
             self._pending.pop(number, None)
+            self._sender.forget(number)
             self._parts.drop(FrameKind.REPLY, number)
             self._close_if_retired()
 
@@ -271,37 +249,32 @@
         future = self._pending.get(number)
         if future is not None and not future.done():
             self._write_frame(FrameKind.CANCEL, number)
-            future.set_result(PeerFailure(problem))
+            future.set_result(self._failure(number, problem))
+
+    def _failure(
+        self, number: int, problem: PeerProblem, detail: str = ""
+    ) -> PeerFailure:
+        """Return a failure; a request that was not sent to its end has not run."""
+        if self._sender.is_incomplete(number):
+            return PeerFailure(PeerProblem.NOT_SENT, f"cut while sent: {problem.value}")
+        return PeerFailure(problem, detail)
 
     def _takes(self, payload: bytes) -> bool:
         """Return whether the peer can take a payload, whole or in parts."""
         return self._peer_takes_parts or len(payload) <= MAX_PAYLOAD_BYTES
 
-    async def _send(self, kind: FrameKind, number: int, payload: bytes) -> None:
-        """
-        Send a payload, a long one in parts, each after the peer has read the last.
-
-        A request that has ended meanwhile is cancelled at the peer.
-        """
-        part_bytes = PART_BYTES if self._peer_takes_parts else len(payload)
-        sent = 0
-        while self.open and (kind is FrameKind.REPLY or self._is_pending(number)):
-            part = payload[sent : sent + part_bytes]
-            sent += part_bytes
-            if sent >= len(payload):
-                self._write_frame(kind, number, part)
-                return
-            self._write_frame(PART_KINDS[kind], number, part)
-            await asyncio.sleep(0)
-            await self._writable.wait()
-        if kind is FrameKind.REQUEST:
-            self._write_frame(FrameKind.CANCEL, number)
-
     async def _send_reply(self, number: int, payload: bytes) -> None:
         """Send a reply; the link doesn't close before."""
         self._replies_in_parts += 1
         try:
-            await self._send(FrameKind.REPLY, number, payload)
+            part_bytes = PART_BYTES if self._peer_takes_parts else len(payload)
+            await self._sender.send(
+                FrameKind.REPLY,
+                number,
+                payload,
+                lambda: self.open,
+                part_bytes=part_bytes,
+            )
         finally:
             self._replies_in_parts -= 1
             self._close_if_sent()
--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -158,7 +158,11 @@
             PeerProblem.REJECTED,
         )
         if not_sent:
-            refusal = not_run(Reason.PEER_UNREACHABLE, retry_after_s=NOT_READY_RETRY_S)
+            refusal = not_run(
+                Reason.PEER_UNREACHABLE,
+                retry_after_s=NOT_READY_RETRY_S,
+                detail=str(reply),
+            )
             return CallResult(refusal, attempts=0, served_by=server.instance)
         reason = Reason.PEER_LOST
         if isinstance(reply, PeerFailure):
--- a/damaskbay/ports/peer.py
+++ b/damaskbay/ports/peer.py
@@ -31,7 +31,7 @@
     """Reason why a request got no reply."""
 
     NOT_SENT = "not_sent"
-    """No byte of the message left this process."""
+    """The message was not sent, or not to its end; the peer has not handled it."""
 
     LOST = "lost"
     """The stream broke or became unresponsive after bytes had been sent."""
