--- a/damaskbay/mesh/server_calls.py
+++ b/damaskbay/mesh/server_calls.py
@@ -85,22 +85,25 @@
             )
         return None
 
-    async def send(self, context: CallContext, request: Request) -> Response | Refusal:
+    async def send(
+        self, context: CallContext, request: Request, on_send: Callable[[], None]
+    ) -> Response | Refusal:
         """
         Send once; repeat only if a reused connection turned out to be closed.
 
         The server may have received the request before it closed, so that the repeat
-        needs the retry budget and a server that still takes calls.
+        needs the retry budget and a server that still takes calls. `on_send` is called
+        before each write of the request.
         """
         start = self._parts.local.start
-        outcome = await self._send_once(context, request, context.idempotent)
+        outcome = await self._send_once(context, request, context.idempotent, on_send)
         if (
             isinstance(outcome, HttpFailure)
             and outcome.problem is HttpProblem.STALE
             and context.idempotent
             and self._may_repeat(context)
         ):
-            return await self._send_again(context, request, outcome, start)
+            return await self._send_again(context, request, outcome, start, on_send)
         return self._to_result(context, request, outcome, start)
 
     async def _send_again(
@@ -109,6 +112,7 @@
         request: Request,
         first: HttpFailure,
         start: ServerStart,
+        on_send: Callable[[], None],
     ) -> Response | Refusal:
         """
         Repeat a send on a new connection.
@@ -118,7 +122,7 @@
         parts = self._parts
         parts.server_ends.record_lost(request)
         parts.gate.record_extra_start(parts.clock())
-        outcome = await self._send_once(context, request, False)
+        outcome = await self._send_once(context, request, False, on_send)
         if isinstance(outcome, HttpFailure) and outcome.problem in _NOT_SENT_PROBLEMS:
             parts.repeats.give_back()
             return self._to_result(context, request, first, start)
@@ -164,7 +168,11 @@
         return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=NOT_READY_RETRY_S)
 
     async def _send_once(
-        self, context: CallContext, request: Request, reuse_connection: bool
+        self,
+        context: CallContext,
+        request: Request,
+        reuse_connection: bool,
+        on_send: Callable[[], None],
     ) -> Response | HttpFailure:
         parts = self._parts
         id_headers: Headers = ()
@@ -187,6 +195,7 @@
                 (parts.dialect.deadline_ms, str(max(1, left_ms))),
                 (parts.dialect.expected_server, parts.local.server),
             )
+            on_send()
             return Request(
                 request.method, request.host, request.target, headers, request.body
             )
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Any
 
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
@@ -52,9 +53,10 @@
 @dataclass(slots=True, eq=False)
 class _ActiveCall:
     """
-    A call and the task that runs it, in the queue or, once `sent`, at the server.
+    A call and the task that runs it.
 
-    `outlives` means that its sender waits for longer than this daemon can work.
+    It may run at the server once it is `sent`, when its request is written. `outlives`
+    means that its sender waits for longer than this daemon can work.
     """
 
     task: "asyncio.Task[Any] | None"
@@ -161,16 +163,15 @@
             refusal = self._refusal_at_send(context, request, now)
             if refusal is not None:
                 return self._refused_result(context, refusal, now)
-            self._count_attempt(context)
-            active.sent = True
-            outcome = await parts.calls.send(context, request)
+            outcome = await parts.calls.send(
+                context, request, partial(self._record_send, context, active)
+            )
             took_s = parts.clock() - now
             sample = CallSample(took_s, succeeded=is_success(outcome))
         finally:
             parts.running.remove(call)
             parts.gate.release(admitted, sample, parts.clock())
-        attempts = 0 if _never_sent(outcome) else 1
-        return self._result(outcome, attempts, took_s, call)
+        return self._result(outcome, int(active.sent), took_s, call)
 
     def _refusal_before_queue(
         self, context: CallContext, active: _ActiveCall, now: float
@@ -209,6 +210,12 @@
         expected_s = self._durations.expected_s(context.route, now) or 0.0
         return self._parts.lifetime.outlasts(expected_s, now)
 
+    def _record_send(self, context: CallContext, active: _ActiveCall) -> None:
+        """Record that a call may run from now on."""
+        if not active.sent:
+            active.sent = True
+            self._count_attempt(context)
+
     def _count_attempt(self, context: CallContext) -> None:
         """Record an attempt that isn't a retry itself in the retry budget."""
         if context.is_retry:
@@ -302,12 +309,3 @@
     if not isinstance(refusal, Refusal) or refusal.reason is not Reason.DEADLINE_PASSED:
         return result
     return replace(result, result=replace(refusal, reason=Reason.SHUTTING_DOWN))
-
-
-def _never_sent(outcome: Response | Refusal) -> bool:
-    """Return whether the call certainly did not reach the server."""
-    return (
-        isinstance(outcome, Refusal)
-        and outcome.reason is Reason.BACKEND_SERVER_FAILED
-        and outcome.not_run
-    )
--- a/tests/mesh/test_repeats.py
+++ b/tests/mesh/test_repeats.py
@@ -82,7 +82,7 @@
     """Send a call with the id "late", whose earlier checks have passed."""
     context = CallContext("", "w", 1, deadline, "r", "one", True, request_id="late")
     request = Request("GET", "a", "/safe/x")
-    return await node.daemon._target._parts.calls.send(context, request)
+    return await node.daemon._target._parts.calls.send(context, request, lambda: None)
 
 
 # Guards against BUDGET: each request whose server crashed was sent to it twice.
--- /dev/null
+++ b/tests/mesh/test_unsent_calls.py
@@ -0,0 +1,87 @@
+"""What becomes of calls that a daemon takes and then does not send to its server."""
+
+import asyncio
+import contextlib
+import socket
+import unittest
+from collections.abc import Iterator
+from unittest.mock import patch
+
+from damaskbay.core.call import Response
+from damaskbay.mesh.local_server import LocalServer
+from damaskbay.ports.peer import PeerAddress
+from tests.common import function_suite, reserve_address
+from tests.mesh.common import Backend, Fleet, run_fleet, wait_until
+
+
+@contextlib.contextmanager
+def _server_that_accepts_nothing(address: PeerAddress) -> Iterator[None]:
+    """Listen with a full queue, so that connections are neither made nor refused."""
+    with contextlib.ExitStack() as stack:
+        listening = stack.enter_context(socket.socket())
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((address.host, address.port))
+        listening.listen(0)
+        for _ in range(2):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex((address.host, address.port))
+        yield
+
+
+async def _with_one_attempt(fleet: Fleet) -> None:
+    """Publish routes whose calls may be sent to one server only."""
+    await fleet.publish(NumAttempts=1)
+    for node in fleet.nodes.values():
+        await wait_until(
+            lambda node=node: node.daemon.configuration.version == fleet.version  # type: ignore[misc]
+        )
+
+
+# Guards against 502 for an unsafe request that no server has seen: it is taken for sent
+# while its connection is still being made.
+def test_a_call_that_is_interrupted_while_connecting_has_not_run() -> None:
+    """The caller may try it again."""
+
+    async def run() -> Response:
+        async with contextlib.AsyncExitStack() as stack:
+            address = reserve_address()
+            stack.enter_context(_server_that_accepts_nothing(address))
+            fleet = Fleet(stack)
+            await fleet.start()
+            await fleet.publish()
+            node = await fleet.add_daemon("a", Backend("one", "i-a", address))
+            await node.send_heartbeat()
+            requesting = asyncio.create_task(node.request("/unsafe/x", method="POST"))
+            await wait_until(lambda: node.daemon._gate.running == 1)
+            node.daemon._target.interrupt()
+            return await requesting
+
+    response = asyncio.run(run())
+    assert response.status == 503, response
+
+
+# Guards against 503 for a request that another server takes: the first one might not be
+# sent calls any more once the connection was made, but the call counted as sent.
+def test_a_call_that_may_not_be_sent_any_more_goes_to_another_server() -> None:
+    """It has used none of its attempts."""
+
+    async def run() -> None:
+        async with run_fleet(a="one", b="two", c="one") as fleet:
+            await _with_one_attempt(fleet)
+            answers = iter([True, False])
+            may_send = patch.object(
+                LocalServer, "may_send", side_effect=lambda _now: next(answers, True)
+            )
+            with may_send:
+                response = await fleet.nodes["b"].request("/unsafe/x", method="POST")
+            assert response.status == 200, response
+            seen = [len(fleet.nodes[name].backend.seen) for name in ("a", "c")]
+            assert sorted(seen) == [0, 1], seen
+
+    asyncio.run(run())
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
