--- a/damaskbay/mesh/server_calls.py
+++ b/damaskbay/mesh/server_calls.py
@@ -165,7 +165,7 @@
         if refusal is not None:
             return refusal
         # The server has been started again in the meantime.
-        return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=NOT_READY_RETRY_S)
+        return not_run(Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S)
 
     async def _send_once(
         self,
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -180,15 +180,15 @@
         parts = self._parts
         if context.pool != parts.pool:
             return not_run(
-                Reason.NO_BACKEND_SERVER, detail="daemon serves another pool"
+                Reason.BACKEND_SERVER_DRAINING, detail="daemon serves another pool"
             )
         if self.draining or (active.outlives and self._outlasts_daemon(context, now)):
             return not_run(Reason.SHUTTING_DOWN, retry_after_s=NOT_READY_RETRY_S)
-        if parts.local.state is ServerState.STARTING:
-            return not_run(Reason.NO_BACKEND_SERVER, retry_after_s=NOT_READY_RETRY_S)
         if parts.local.state is not ServerState.READY:
             return not_run(
-                Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S
+                Reason.BACKEND_SERVER_DRAINING,
+                retry_after_s=NOT_READY_RETRY_S,
+                detail=f"server is {parts.local.state.value}",
             )
         expected_bytes = self._sizes.expected_bytes(context.route)
         if not parts.memory.admits(expected_bytes, nested=context.depth > 0):
--- a/tests/mesh/test_unsent_calls.py
+++ b/tests/mesh/test_unsent_calls.py
@@ -9,6 +9,7 @@
 
 from damaskbay.core.call import Response
 from damaskbay.mesh.local_server import LocalServer
+from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress
 from tests.common import function_suite, reserve_address
 from tests.mesh.common import Backend, Fleet, run_fleet, wait_until
@@ -82,6 +83,25 @@
     asyncio.run(run())
 
 
+# Guards against 503 for requests that other servers take: the daemon beside one of them
+# has just started and doesn't know its server yet.
+def test_a_call_to_a_starting_daemon_goes_to_another_server() -> None:
+    """Its peers learn of the start after they have sent calls to it."""
+
+    async def run() -> None:
+        async with run_fleet(a="one", b="two", c="one") as fleet:
+            await _with_one_attempt(fleet)
+            fleet.nodes["a"].daemon.local.state = ServerState.STARTING
+            sender = fleet.nodes["b"]
+            responses = [
+                await sender.request("/unsafe/x", method="POST") for _ in range(6)
+            ]
+            assert [response.status for response in responses] == [200] * 6, responses
+            assert len(fleet.nodes["c"].backend.seen) == 6
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
