Accept connections without uvloop's listener

Callers saw a daemon that was ready and took no connections, or had theirs closed before it was read.

Cause: uvloop closes a listening socket for good when accept fails or the protocol factory raises, silently for an OSError. libuv closes the callers for whom there is no descriptor. A pause copied the descriptor of the socket and went on accepting without one; a resume made another server, and nothing tried again if that failed. The class: a resource that is missing for a while ends a part of the process for good.

The listener now polls its socket and accepts by itself. After an error it tries again in 0.1 s, and the queue keeps the callers meanwhile. Pause and resume need no descriptor.

--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -33,10 +33,13 @@
 """Retry delay for callers that found no memory or descriptor, whole seconds."""
 
 BIND_RETRY_S: Final = 0.1
-"""Seconds between attempts to listen on an address that is in use."""
+"""Seconds between attempts to listen on an address."""
 
 BIND_LOG_INTERVAL_S: Final = 10.0
-"""Seconds between log lines about an address that is in use."""
+"""Seconds between log lines about an address that can't be used yet."""
+
+ACCEPT_RETRY_S: Final = 0.1
+"""Seconds without attempts to accept after one has failed."""
 
 MAX_RESPONSE_BODY_BYTES: Final = 16 * 1024 * 1024
 """Maximum size of one response body."""
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -5,11 +5,12 @@
 import logging
 import select
 import socket
-from collections.abc import Callable, Coroutine, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from typing import Any, Final
 
 from damaskbay.adapters.http1.const import (
+    ACCEPT_RETRY_S,
     BIND_LOG_INTERVAL_S,
     BIND_RETRY_S,
     KEEPALIVE_IDLE_S,
@@ -30,6 +31,9 @@
     """
     Listening socket; `protocol_factory` creates the protocol of a connection.
 
+    It accepts by itself, since uvloop closes a listening socket for good after an
+    error, and libuv closes the callers for whom there is no descriptor.
+
     Accepted connections inherit the keepalive of the listening socket, but no user
     timeout, which would end those of callers that read nothing for a while.
     """
@@ -43,9 +47,9 @@
         self._backlog = backlog
         self._port = 0
         self._sock: socket.socket | None = None
-        self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_paused = False
+        self._retry: asyncio.TimerHandle | None = None
 
     async def open(self, address: PeerAddress, *, wait_s: float = 0.0) -> PeerAddress:
         """
@@ -57,7 +61,7 @@
         began_at = log_at = monotonic_s()
         while True:
             try:
-                return await self._listen(address)
+                return self._listen(address)
             except OSError as error:
                 now = monotonic_s()
                 if error.errno != errno.EADDRINUSE or now - began_at >= wait_s:
@@ -70,25 +74,23 @@
 
     def pause(self) -> None:
         """
-        Accept no connections for a while, except those that wait in the queue.
+        Accept no connections for a while; those in the queue wait.
 
         It may be called while a connection is accepted.
         """
-        if self._sock is None or self._server is None or self._is_paused:
+        if self._sock is None or self._is_paused:
             return
         self._is_paused = True
-        # Without it, new connections join the queue as fast as others are accepted.
+        # Without it, callers beyond the pause fill the queue up to the whole backlog.
         self._sock.listen(0)
-        asyncio.get_running_loop().call_soon(self._stop_accepting)
+        self._stop_accepting()
 
     def resume(self) -> None:
         """Accept connections again."""
         if self._is_paused and self._sock is not None:
             self._is_paused = False
-            if self._server is None:
-                self._start(self._accept())
-            else:
-                self._sock.listen(self._backlog)
+            self._sock.listen(self._backlog)
+            self._start_accepting()
 
     def close(self) -> None:
         """
@@ -97,14 +99,18 @@
         Their protocols are created at once, and connected by the next passes of the
         event loop.
         """
-        sock, self._sock = self._sock, None
-        server, self._server = self._server, None
+        sock = self._sock
         if sock is None:
             return
+        self._stop_accepting()
+        self._sock = None
         # The kernel resets connections that join the queue after the last look at it.
-        accepted = list(_accept_waiting(sock, 2 * (self._backlog + 1)))
-        if server is not None:
-            server.close()
+        accepted: list[socket.socket] = []
+        try:
+            for connection in _accept_waiting(sock, 2 * (self._backlog + 1)):
+                accepted.append(connection)
+        except OSError as error:
+            _LOGGER.warning("edge: can't accept.", extra={"why": str(error)})
         sock.close()
         extra = {"port": self._port, "accepted": len(accepted)}
         _LOGGER.info("edge: listener is closed.", extra=extra)
@@ -115,69 +121,67 @@
         """Connect an accepted socket to a new protocol."""
         protocol = self._protocol_factory()
         loop = asyncio.get_running_loop()
-        task = self._start(loop.connect_accepted_socket(lambda: protocol, sock))
-        task.add_done_callback(partial(_report_failure, protocol))
-
-    def _stop_accepting(self) -> None:
-        if self._sock is None or self._server is None or not self._is_paused:
-            return
-        # The queue lives as long as one descriptor of the listening socket.
-        self._sock = self._sock.dup()
-        self._server.close()
-        self._server = None
+        task = loop.create_task(loop.connect_accepted_socket(lambda: protocol, sock))
+        self._tasks.add(task)
+        task.add_done_callback(partial(self._finish, protocol))
 
-    async def _listen(self, address: PeerAddress) -> PeerAddress:
-        self._sock = _bind(address)
+    def _listen(self, address: PeerAddress) -> PeerAddress:
+        sock = _bind(address)
         try:
-            await self._accept()
+            sock.listen(self._backlog)
+            self._port = sock.getsockname()[1]
+            self._sock = sock
+            self._start_accepting()
         except BaseException:
-            self._sock.close()
             self._sock = None
+            sock.close()
             raise
-        self._port = self._sock.getsockname()[1]
         return PeerAddress(address.host, self._port)
 
-    async def _accept(self) -> None:
-        if self._sock is None:
+    def _start_accepting(self) -> None:
+        self._retry = None
+        if self._sock is None or self._is_paused:
             return
-        server = await asyncio.get_running_loop().create_server(
-            self._accept_all, sock=self._sock, backlog=self._backlog
-        )
-        if self._sock is None:
-            server.close()
-        else:
-            self._server = server
-
-    def _accept_all(self) -> asyncio.BaseProtocol:
-        """
-        Return the protocol of a connection, and accept others that wait.
+        try:
+            asyncio.get_running_loop().add_reader(self._sock, self._accept_ready)
+        except Exception as error:
+            self._retry_later(error)
 
-        uvloop accepts one connection in a pass, so that many wait for as many passes.
-        """
-        protocol = self._protocol_factory()
-        if self._sock is not None:
+    def _stop_accepting(self) -> None:
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+        elif self._sock is not None:
+            asyncio.get_running_loop().remove_reader(self._sock)
+
+    def _accept_ready(self) -> None:
+        """Accept the connections that wait, so that other work gets its turn."""
+        if self._sock is None:
+            return
+        try:
             for accepted in _accept_waiting(self._sock, ACCEPTS_IN_A_ROW):
                 self.adopt(accepted)
                 if self._is_paused:
                     break
-        return protocol
-
-    def _start(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._finish)
-        return task
+        except Exception as error:
+            # The queue stays readable, so that an immediate retry would not end.
+            self._stop_accepting()
+            self._retry_later(error)
+
+    def _retry_later(self, error: Exception) -> None:
+        extra = {"why": repr(error), "port": self._port}
+        _LOGGER.warning("edge: can't accept for a while.", extra=extra)
+        loop = asyncio.get_running_loop()
+        self._retry = loop.call_later(ACCEPT_RETRY_S, self._start_accepting)
 
-    def _finish(self, task: asyncio.Task[Any]) -> None:
+    def _finish(self, protocol: asyncio.BaseProtocol, task: asyncio.Task[Any]) -> None:
+        """Tell a protocol if it has not been connected."""
         self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()) is not None:
-            _LOGGER.warning("edge: connection is lost.", extra={"why": str(error)})
-
-
-def _report_failure(protocol: asyncio.BaseProtocol, task: asyncio.Task[Any]) -> None:
-    """Tell a protocol that it has not been connected."""
-    if not task.cancelled() and isinstance(error := task.exception(), Exception):
-        protocol.connection_lost(error)
+        if task.cancelled() or (error := task.exception()) is None:
+            return
+        _LOGGER.warning("edge: connection is lost.", extra={"why": str(error)})
+        if isinstance(error, Exception):
+            protocol.connection_lost(error)
 
 
 def _bind(address: PeerAddress) -> socket.socket:
@@ -194,7 +198,7 @@
 
 
 def _accept_waiting(listening: socket.socket, most: int) -> Iterator[socket.socket]:
-    """Yield the connections that wait to be accepted, `most` at most."""
+    """Yield the connections that wait to be accepted, `most` at most; raise OSError."""
     for _ in range(most):
         try:
             sock, _address = listening.accept()
@@ -203,9 +207,6 @@
         except ConnectionError:
             # The caller has left the queue.
             continue
-        except OSError as error:
-            _LOGGER.warning("edge: can't accept.", extra={"why": str(error)})
-            return
         sock.setblocking(False)
         yield sock
 
