Let the soak of a site play more faults, and trace what is lost

A site now has callers that send requests in parts, pipeline, send 1 to 7 MB, and use connections again that were idle for most of the idle timeout of the set. Servers leave, or crash amid their responses and come back; daemons stand still for most of each tenth of a second, start while a port is taken, the settings file is being written or the store is away, get SIGTERM right after exec and SIGHUPs while they stop; links fail beside stops. A request that breaks an invariant is printed with the signals and starts of its machines around it and with their log lines.

Servers may run only what was sent, with its whole body.

A caller that gave up a connection reads no more from it: what arrived late was taken for the response to the next request.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -32,6 +32,8 @@
 SLOW_READ_RANGE_S = (0.3, 1.2)
 PIECE_BYTES = 64 * 1024
 HEAD_END = b"\r\n\r\n"
+MAX_WRITE_S = 30.0
+"""Seconds after which a caller gives up a request that it can't write."""
 
 
 class RequestSource:
@@ -75,6 +77,7 @@
         self._reader = reader
         self._writer = writer
         self._waiting: deque[SentRequest] = deque()
+        self.name = ":".join(map(str, writer.get_extra_info("sockname", ())))
         self.open = True
         self._gave_up = False
 
@@ -107,17 +110,30 @@
         """Write a request; with `split_s`, pause so many seconds before its end."""
         encoded = encode_request(request)
         middle = len(encoded) if split_s is None else len(encoded) * 2 // 3
+        pieces = [piece for piece in (encoded[:middle], encoded[middle:]) if piece]
+        sent.body_bytes = len(request.body)
+        await self.write_pieces(sent, pieces, split_s or 0.0)
+
+    async def write_pieces(
+        self, sent: SentRequest, pieces: Sequence[bytes], pause_s: float
+    ) -> None:
+        """Write an encoded request in pieces, with a pause between two of them."""
         sent.is_behind = bool(self._waiting)
+        sent.connection = self.name
         self._waiting.append(sent)
         sent.sent_at = time.monotonic()
         try:
-            self._writer.write(encoded[:middle])
-            await self._writer.drain()
-            if split_s is not None:
-                await asyncio.sleep(split_s)
-                self._writer.write(encoded[middle:])
-                await self._writer.drain()
+            async with asyncio.timeout(MAX_WRITE_S):
+                for number, piece in enumerate(pieces):
+                    if number:
+                        await asyncio.sleep(pause_s)
+                    self._writer.write(piece)
+                    await self._writer.drain()
             sent.last_byte_at = time.monotonic()
+        except TimeoutError:
+            sent.failure = CALLER_CLOSED
+            self._gave_up = True
+            self.close()
         except (OSError, RuntimeError) as error:
             # uvloop raises RuntimeError where the connection has just been closed.
             sent.failure = f"not sent: {error}"
@@ -126,7 +142,11 @@
         """Read the response to the oldest request, slowly over `read_s` seconds."""
         sent.read_s = read_s
         if self._gave_up:
+            # What still arrives may answer a request that was given up.
             sent.failure = sent.failure or CALLER_CLOSED
+            self._waiting.popleft()
+            sent.ended_at = time.monotonic()
+            return
         timeout_s = sent.limit_s + OVERDUE_S + 2.0 * read_s
         try:
             async with asyncio.timeout(timeout_s):
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -64,10 +64,12 @@
     Daemon process of a machine, its settings file and the reports of its server.
 
     Signals go only to the process that was started here, by its process id. `stops`
-    holds the stops of all its daemon processes, `own_ends` how processes ended that
-    were not asked to. As the platform does, it kills one that exceeds its memory.
-    The server is `server_id` at `server_address`, the store is at `store_address`.
-    Other daemons reach the daemon at `advertised`, None for its own address.
+    holds the stops of all its daemon processes, `starts` and `hang_ups` when they were
+    started and got SIGHUP, `standstills` when they had an allotment of the processor,
+    `own_ends` how processes ended that were not asked to. As the platform does, it
+    kills one that exceeds its memory. The server is `server_id` at `server_address`,
+    the store is at `store_address`. Other daemons reach the daemon at `advertised`,
+    None for its own address.
     """
 
     def __init__(self, options: MachineOptions, folder: Path) -> None:
@@ -80,6 +82,9 @@
         self.advertised: PeerAddress | None = None
         self.state = "ready"
         self.stops: list[Stop] = []
+        self.starts: list[float] = []
+        self.hang_ups: list[float] = []
+        self.standstills: list[Disturbance] = []
         self.own_ends: list[str] = []
         self.disturbances: list[Disturbance] = []
         self.peak_kib = 0
@@ -93,6 +98,7 @@
         self._readiness_address = self._new_address()
         self._first_port = reserve_address().port
         self._quota_slack = 20
+        self.log_path = folder / f"{options.name}.log"
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
         self._starting = asyncio.Lock()
@@ -117,7 +123,8 @@
                 await self._start_process()
 
     async def _start_process(self) -> None:
-        log = (self._folder / f"{self.name}.log").open("ab")
+        log = self.log_path.open("ab")
+        self.starts.append(time.monotonic())
         environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_path())}
         self._process = await asyncio.create_subprocess_exec(
             *daemon_command(),
@@ -175,6 +182,8 @@
                 self._asked_to_end.add(self._process.pid)
             if number is signal.SIGKILL:
                 self._killed.add(self._process.pid)
+            if number is signal.SIGHUP:
+                self.hang_ups.append(time.monotonic())
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
@@ -290,6 +299,14 @@
         )
         return response is not None and response.status == 200
 
+    async def _deregister(self) -> bool:
+        path = f"/Instances.Deregister/{self.server_id}"
+        body = json.dumps({"born": self._born_ms}).encode()
+        response = await _request(
+            self._control_address, Request("POST", "c", path, (), body)
+        )
+        return response is not None and response.status == 200
+
     def _new_address(self) -> PeerAddress:
         return PeerAddress(self._host, reserve_address().port)
 
--- a/tests/soak/manifest.py
+++ b/tests/soak/manifest.py
@@ -29,8 +29,13 @@
     workspaces: Sequence[str],
     extra_routes: int,
     pools_by_path: Mapping[str, str] = POOLS_BY_PATH,
+    idle_timeout_s: float | None = None,
 ) -> dict[str, Any]:
-    """Return a set with the active keys and so many routes that no caller uses."""
+    """
+    Return a set with the active keys and so many routes that no caller uses.
+
+    With `idle_timeout_s`, connections of callers may be idle for that long, seconds.
+    """
     spec = {
         "Host": "a.example",
         "Timeout": f"{timeout_s}s",
@@ -60,6 +65,8 @@
     entries += [
         ("Services", pool, service) for pool in sorted(set(pools_by_path.values()))
     ]
+    if idle_timeout_s is not None:
+        entries.append(("Limits", "limits", {"IdleTimeout": f"{idle_timeout_s}s"}))
     for workspace in workspaces:
         keys = [
             key
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,7 +1,7 @@
 """Invariants of the soak, checked on what callers and backend servers observed."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from damaskbay.core.call import Response
@@ -34,7 +34,8 @@
     """
     Checks the invariants and collects violations.
 
-    `withdrawn_at` holds the time of withdrawal by key. `planned` means that the soak
+    `withdrawn_at` holds the time of withdrawal by key. `describe` returns what is added
+    to a violation by a request. `planned` means that the soak
     has only graceful stops, configuration changes and drained servers.
     """
 
@@ -42,6 +43,7 @@
     workspaces_by_key: dict[str, str]
     planned: bool = False
     withdrawn_at: dict[str, float] = field(default_factory=dict)
+    describe: Callable[[SentRequest], str] = lambda _: ""
     violations: list[str] = field(default_factory=list)
     statuses: Counter[str] = field(default_factory=Counter)
 
@@ -61,6 +63,12 @@
                 self._record_violation(sent, f"answered {sent.status}, yet ran")
             for execution in executions:
                 self._check_server_headers(sent, execution.headers)
+                if execution.body_bytes != sent.body_bytes:
+                    self._record_violation(
+                        sent,
+                        f"ran with a body of {execution.body_bytes} bytes, not "
+                        f"{sent.body_bytes}",
+                    )
             self._check_withdrawn_key(sent, executions)
 
     def check_interruptions(
@@ -68,10 +76,23 @@
         requests: Sequence[SentRequest],
         stops_by_machine: Mapping[str, Sequence[Stop]],
         lag: LagRecorder,
+        disturbed_by_machine: Mapping[str, Sequence[Disturbance]] | None = None,
     ) -> None:
-        """Check that planned work interrupted no request."""
+        """
+        Check that planned work interrupted no request.
+
+        Requests are left out whose machines were disturbed, or just before.
+        """
+        disturbed_by_machine = disturbed_by_machine or {}
         for sent in requests:
             executions = self.execution_log.of_request(sent.request_id)
+            machines = {sent.machine, *(one.machine for one in executions)}
+            if any(
+                disturbance.touches(sent.sent_at - CONTACT_S, sent.ended_at)
+                for machine in machines
+                for disturbance in disturbed_by_machine.get(machine, ())
+            ):
+                continue
             lag_s = lag.total_s(sent.last_byte_at, sent.ended_at)
             found = find_interruption(sent, executions, stops_by_machine, lag_s)
             if found is not None:
@@ -166,4 +187,6 @@
             )
 
     def _record_violation(self, sent: SentRequest, violation: str) -> None:
-        self.violations.append(f"{sent.request_id} ({sent.kind}): {violation}")
+        self.violations.append(
+            f"{sent.request_id} ({sent.kind}): {violation}{self.describe(sent)}"
+        )
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -83,10 +83,12 @@
             self._writers.discard(writer)
             return
         self._writers.add(server_writer)
-        await asyncio.gather(
-            self._forward(reader, server_writer, from_server=False),
-            self._forward(server_reader, writer, from_server=True),
-        )
+        # Streams report a handler that is cancelled at the end of a run as failed.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                self._forward(reader, server_writer, from_server=False),
+                self._forward(server_reader, writer, from_server=True),
+            )
         self._writers -= {writer, server_writer}
         self._silent -= {writer, server_writer}
         writer.close()
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -41,6 +41,7 @@
     arrived_at: float
     headers: dict[str, str]
     method: str
+    body_bytes: int = 0
     status: int | None = None
     ended_at: float | None = None
 
@@ -63,7 +64,9 @@
 
     `last_byte_at` stays 0 if the request wasn't sent completely, `ended_at` if the
     caller was cancelled at the end of the soak. `is_behind` means that an earlier
-    request on the connection had no response yet. `read_s` is the time that the
+    request on the connection had no response yet. `connection` is its address at the
+    caller's end, `idle_s` how long it had been idle, `body_bytes` the size of the
+    request's body. `read_s` is the time that the
     caller takes to read the response; `response_began` that a part of it arrived.
     `response` is None if no complete one arrived; `failure` then gives the reason.
     """
@@ -77,6 +80,9 @@
     sent_at: float = field(default_factory=time.monotonic)
     last_byte_at: float = 0.0
     is_behind: bool = False
+    connection: str = ""
+    idle_s: float = 0.0
+    body_bytes: int = 0
     read_s: float = 0.0
     response_began: bool = False
     response: Response | None = None
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -45,7 +45,8 @@
     `long_share` is the part of requests, 0 to 1, that take a time of LONG_RANGE_S.
     Nested calls go over the daemon at `daemon`. With `service_range_s`, requests take
     a time of that range, small ones more often; with `body_range`, their responses have
-    so many bytes. The server listens on `port`, 0 for any.
+    so many bytes, the big ones as many as `big_range` says. The server listens on
+    `port`, 0 for any.
     """
 
     machine: str
@@ -55,6 +56,7 @@
     makes_nested_calls: bool
     service_range_s: tuple[float, float] | None = None
     body_range: tuple[int, int] | None = None
+    big_range: tuple[int, int] = (BIG_BODY_BYTES, BIG_BODY_BYTES)
     port: int = 0
 
 
@@ -121,7 +123,12 @@
             return Response(421, id_header)
         self.limits.arrivals.append(time.monotonic())
         execution = Execution(
-            server, self._options.machine, time.monotonic(), headers, request.method
+            server,
+            self._options.machine,
+            time.monotonic(),
+            headers,
+            request.method,
+            len(request.body),
         )
         self._executions.executions.setdefault(request_id, []).append(execution)
         try:
@@ -131,7 +138,7 @@
             execution.ended_at = time.monotonic()
         body = f"{request_id} {server} ".encode()
         if request.target.startswith(BIG_PREFIX) and status == 200:
-            body = body.ljust(BIG_BODY_BYTES, b".")
+            body = body.ljust(self._rng.randint(*self._options.big_range), b".")
         elif self._options.body_range is not None:
             body = body.ljust(self._rng.randint(*self._options.body_range), b".")
         stamp = f"{request_id}{SEPARATOR}{server}{SEPARATOR}{len(body)}"
@@ -206,13 +213,13 @@
             ("X-Request-Id", nested_id),
             ("X-Deadline-Ms", str(max(1, int(limit_s * 1000.0)))),
         )
+        self.nested.append(sent)
         response = await self._daemon.send(
             Request("GET", HOST_HEADER, NESTED_TARGET, headers),
             fresh=self._rng.random() < 0.5,
             timeout_s=limit_s + OVERDUE_S,
         )
         sent.ended_at = time.monotonic()
-        self.nested.append(sent)
         if isinstance(response, HttpFailure):
             sent.failure = f"{response.problem.value}: {response.detail}"
             if response.problem is not HttpProblem.NOT_SENT:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -8,13 +8,14 @@
 import re
 import time
 from collections import Counter
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
 
 from damaskbay.platform.const import CONFIG_KEY
 from tests.platform.kv_stand_in import KvStandIn
 from tests.soak.callers import RequestSource, send_once
-from tests.soak.daemons import MachineOptions
+from tests.soak.daemons import DRAIN_S, MachineOptions
 from tests.soak.manifest import (
     NESTED_POOL,
     SITE_POOLS,
@@ -22,12 +23,16 @@
     make_manifest,
 )
 from tests.soak.promises import InvariantChecker
-from tests.soak.records import Disturbance, ExecutionLog
+from tests.soak.records import Disturbance, ExecutionLog, SentRequest
 from tests.soak.servers import QUICK_TARGET
-from tests.soak.site_callers import CallerCounts
+from tests.soak.site_callers import IDLE_TIMEOUT_S, CallerCounts
 from tests.soak.site_faults import SiteFaults, SiteParts
+from tests.soak.site_links import LinkFaults
 from tests.soak.site_machines import SiteMachine
+from tests.soak.site_servers import ServerFaults
+from tests.soak.site_starts import StartFaults
 from tests.soak.soak import MIN_SERVED_SHARE, SETTLE_S
+from tests.soak.traces import Tracer
 from tests.soak.workers import Command, WorkerOptions, WorkerProcess, WorkerReport
 
 DOMAINS = ("a", "b", "c")
@@ -79,6 +84,7 @@
         self._started_at = 0.0
         self._machines: list[SiteMachine] = []
         self._late_stops: list[str] = []
+        self._idle_closes = 0
         self._stack = contextlib.AsyncExitStack()
         available = sorted(os.sched_getaffinity(0))
         # Runs that are started at the same time use different cores.
@@ -141,6 +147,9 @@
         return (
             f"requests {checker.statuses.total()}, statuses {dict(statuses)}\n"
             f"lost {len(lost)}, own ends {len(own_ends)} {own_ends}\n"
+            f"late stops {len(self._late_stops)}, "
+            f"starts {sum(len(machine.starts) for machine in machines)}, "
+            f"idle connections closed early {self._idle_closes}, "
             f"longest time to ready {ready:.1f} s, "
             f"peak memory {max(one.peak_kib for one in machines) // 1024} MiB"
         )
@@ -181,6 +190,7 @@
             sorted(set(WORKSPACES_BY_KEY.values())),
             count,
             SITE_POOLS_BY_PATH,
+            IDLE_TIMEOUT_S,
         )
         await self._kv.put(CONFIG_KEY, json.dumps(document).encode())
 
@@ -195,9 +205,13 @@
             self._late_stops,
         )
         site_faults = SiteFaults(parts)
-        faults = site_faults.planned()
+        servers = ServerFaults(parts, site_faults.stop)
+        starts = StartFaults(parts, site_faults.stop, site_faults.start)
+        links = LinkFaults(parts, site_faults.stop)
+        faults = [*site_faults.planned(), *servers.planned(), *starts.planned()]
         if not self._options.planned:
-            faults += [*site_faults.unplanned(), *site_faults.unplanned()]
+            for part in (site_faults, servers, starts, links):
+                faults += [*part.unplanned(), *part.unplanned()]
         end = time.monotonic() + self._options.fault_duration_s
         async with asyncio.TaskGroup() as group:
             while time.monotonic() < end:
@@ -221,6 +235,8 @@
         stops = {machine.name: machine.stops for machine in self._machines}
         for machine in self._machines:
             checker.check_own_ends(machine.name, machine.own_ends)
+            for server, acked_at in machine.left_servers:
+                checker.check_drained(server, acked_at, DRAIN_S)
         for name in self._late_stops:
             checker.record_late_stop(name)
         disturbed = {
@@ -234,12 +250,44 @@
             for machine in self._machines
         }
         unsound = {machine.name: machine.disturbances for machine in self._machines}
+        tracer = Tracer(self._machines, checker.execution_log.of_request)
+        checker.describe = tracer.describe
         checker.check_executions(self._source.requests)
         for report in reports:
             checker.check_executions(report.requests)
             checker.check_lost(report.requests, disturbed, unsound)
-            if checker.planned:
-                checker.check_interruptions(report.requests, stops, report.lag)
+            checker.check_interruptions(report.requests, stops, report.lag, unsound)
+            self._count_idle_closes(report.requests, disturbed)
+        self._check_known(reports)
+
+    def _count_idle_closes(
+        self,
+        requests: Sequence[SentRequest],
+        disturbed: Mapping[str, Sequence[Disturbance]],
+    ) -> None:
+        """Count idle connections that were closed with no stop or fault nearby."""
+        executions = self.checker.execution_log.executions
+        for sent in requests:
+            if not sent.idle_s or sent.response or not sent.ended_at:
+                continue
+            start = sent.sent_at - sent.idle_s
+            if sent.request_id not in executions and not any(
+                one.touches(start, sent.ended_at) for one in disturbed[sent.machine]
+            ):
+                self._idle_closes += 1
+
+    def _check_known(self, reports: list[WorkerReport]) -> None:
+        """Check that servers ran no request that nobody sent."""
+        known = {
+            sent.request_id
+            for requests in (
+                self._source.requests,
+                *(report.requests for report in reports),
+            )
+            for sent in requests
+        }
+        for request_id in self.checker.execution_log.executions.keys() - known:
+            self.checker.violations.append(f"{request_id}: ran, but nobody sent it")
 
     async def _check_recovery(self) -> None:
         """Check that each machine serves again after the time without faults."""
--- a/tests/soak/site_faults.py
+++ b/tests/soak/site_faults.py
@@ -1,24 +1,37 @@
-"""Faults of a site: planned work in series, and faults of processes and links."""
+"""Faults of a site: signals in series, and faults of processes and links."""
 
 import asyncio
 import signal
+import time
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import Any
 
 from tests.soak.harsh import BIG_CONFIG_ROUTES, SIGNALS_RANGE
-from tests.soak.proxy import LoopbackProxy
+from tests.soak.records import Disturbance
 from tests.soak.site_machines import SiteMachine
 
 SiteFault = Callable[[], Coroutine[Any, Any, None]]
+MachineFault = Callable[[SiteMachine], Coroutine[Any, Any, None]]
 
+ALLOTMENT_PERIOD_S = 0.1
+STILL_RANGE_S = (0.05, 0.085)
+"""Seconds of each period for which a daemon without an allotment stands still."""
+
+ALLOTMENT_RANGE_S = (2.0, 6.0)
 EARLY_SIGNAL_RANGE_S = (0.15, 0.6)
 """Seconds after the start of a process at which it may get SIGHUP."""
 
 EARLY_SIGNAL_SHARE = 0.5
 """Part of the starts, 0 to 1, that a SIGHUP meets."""
 
+EARLY_STOP_SHARE = 0.15
+"""Part of the starts, 0 to 1, that are followed by a stop at once or soon."""
+
+SIGNALS_IN_STOP_SHARE = 0.3
+"""Part of the stops, 0 to 1, that a series of SIGHUPs meets."""
+
 
 @dataclass(frozen=True)
 class SiteParts:
@@ -37,6 +50,16 @@
     record: Callable[[str, str], None]
     late_stops: list[str]
 
+    @property
+    def present(self) -> list[SiteMachine]:
+        """Return the machines that have not been removed."""
+        return [machine for machine in self.machines if machine.removed_at is None]
+
+    def some(self, most: int) -> list[SiteMachine]:
+        """Return up to `most` of the present machines, one at least."""
+        present = self.present
+        return self.rng.sample(present, self.rng.randint(1, min(most, len(present))))
+
 
 class SiteFaults:
     """Faults by method; each begins at once and ends by itself."""
@@ -54,33 +77,20 @@
             self._stop_series,
             self._stop_beside_set,
         ]
-        return [*often, *often, self._stop_all]
+        return [*often, *often, self._stop_all, self._use_up_allotment]
 
     def unplanned(self) -> list[SiteFault]:
         """Return the faults of processes, links, servers and machines."""
         return [
             self._kill_some,
             self._pause_some,
-            self._reset_links,
-            self._silence_links,
             self._replace_machine,
-            self._end_server_first,
         ]
 
-    @property
-    def _present(self) -> list[SiteMachine]:
-        return [
-            machine for machine in self._parts.machines if machine.removed_at is None
-        ]
-
-    def _some(self, most: int) -> list[SiteMachine]:
-        present = self._present
-        return self._rng.sample(present, self._rng.randint(1, min(most, len(present))))
-
     async def _hang_up_series(self) -> None:
         """Send series of SIGHUPs to some daemons, some with changed settings."""
         async with asyncio.TaskGroup() as group:
-            for machine in self._some(4):
+            for machine in self._parts.some(4):
                 group.create_task(self._hang_up(machine))
 
     async def _hang_up(self, machine: SiteMachine) -> None:
@@ -104,40 +114,44 @@
         self._is_set_large = False
 
     async def _stop_one(self) -> None:
-        await self._stop(self._rng.choice(self._present))
+        await self.stop(self._rng.choice(self._parts.present))
 
     async def _stop_series(self) -> None:
         """Stop some daemons one after the other; the stops overlap."""
         async with asyncio.TaskGroup() as group:
-            for machine in self._some(5):
-                group.create_task(self._stop(machine))
+            for machine in self._parts.some(5):
+                group.create_task(self.stop(machine))
                 await asyncio.sleep(self._rng.uniform(0.0, 1.5))
 
     async def _stop_beside_set(self) -> None:
         """Publish a set with many routes while some daemons stop."""
         async with asyncio.TaskGroup() as group:
-            for machine in self._some(4):
-                group.create_task(self._stop(machine))
+            for machine in self._parts.some(4):
+                group.create_task(self.stop(machine))
             await asyncio.sleep(self._rng.uniform(1.0, 2.8))
             await self._change_set()
 
     async def _stop_all(self) -> None:
         async with asyncio.TaskGroup() as group:
-            for machine in self._present:
-                group.create_task(self._stop(machine))
+            for machine in self._parts.present:
+                group.create_task(self.stop(machine))
 
-    async def _stop(self, machine: SiteMachine) -> None:
-        """Stop a daemon and start it again; a SIGHUP may meet the start."""
+    async def stop(self, machine: SiteMachine) -> None:
+        """Stop a daemon, sometimes beside SIGHUPs, and start it again."""
         self._parts.record("stop", machine.name)
-        in_time = await machine.stop_daemon()
+        async with asyncio.TaskGroup() as group:
+            if self._rng.random() < SIGNALS_IN_STOP_SHARE:
+                group.create_task(self._hang_up(machine))
+            in_time = await machine.stop_daemon()
         if in_time is None:
             return
         if not in_time:
             self._parts.late_stops.append(machine.name)
-        await self._start(machine)
-
-    async def _start(self, machine: SiteMachine) -> None:
         await asyncio.sleep(self._rng.uniform(0.05, 0.5))
+        await self.start(machine)
+
+    async def start(self, machine: SiteMachine) -> None:
+        """Start a daemon unless it runs; SIGHUPs or a stop may meet the start."""
         if machine.running or machine.removed_at is not None:
             return
         await machine.start_daemon()
@@ -145,10 +159,44 @@
             await asyncio.sleep(self._rng.uniform(*EARLY_SIGNAL_RANGE_S))
             self._parts.record("SIGHUP after a start", machine.name)
             machine.send_signal(signal.SIGHUP)
+        if self._rng.random() < EARLY_STOP_SHARE:
+            await asyncio.sleep(self._rng.choice([0.0, self._rng.uniform(0.0, 2.5)]))
+            self._parts.record("stop after a start", machine.name)
+            await self.stop(machine)
+
+    async def _use_up_allotment(self) -> None:
+        """Let daemons stand still for most of each period, as without allotment."""
+        machines = self._rng.choice(
+            [self._parts.some(1), self._parts.some(7), self._parts.present]
+        )
+        still_s = self._rng.uniform(*STILL_RANGE_S)
+        until = time.monotonic() + self._rng.uniform(*ALLOTMENT_RANGE_S)
+        async with asyncio.TaskGroup() as group:
+            for machine in machines:
+                group.create_task(self._stand_still(machine, still_s, until))
+
+    async def _stand_still(
+        self, machine: SiteMachine, still_s: float, until: float
+    ) -> None:
+        """Let a daemon stand still in each period; a longer time is a disturbance."""
+        if machine.has_allotment:
+            return
+        self._parts.record(f"stands still for {still_s:.3f} s", machine.name)
+        with machine.on_allotment():
+            await asyncio.sleep(self._rng.random() * ALLOTMENT_PERIOD_S)
+            while time.monotonic() < until:
+                stopped_at = time.monotonic()
+                machine.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(still_s)
+                machine.send_signal(signal.SIGCONT)
+                if time.monotonic() - stopped_at > ALLOTMENT_PERIOD_S:
+                    pause = Disturbance(stopped_at, time.monotonic())
+                    machine.disturbances.append(pause)
+                await asyncio.sleep(ALLOTMENT_PERIOD_S - still_s)
 
     async def _kill_some(self) -> None:
         async with asyncio.TaskGroup() as group:
-            for machine in self._some(7):
+            for machine in self._parts.some(7):
                 group.create_task(self._kill(machine))
 
     async def _kill(self, machine: SiteMachine) -> None:
@@ -156,11 +204,12 @@
         with machine.disturbed():
             machine.send_signal(signal.SIGKILL)
             await machine.wait()
-            await self._start(machine)
+            await asyncio.sleep(self._rng.uniform(0.05, 0.5))
+            await self.start(machine)
 
     async def _pause_some(self) -> None:
         async with asyncio.TaskGroup() as group:
-            for machine in self._some(4):
+            for machine in self._parts.some(4):
                 group.create_task(self._pause(machine))
 
     async def _pause(self, machine: SiteMachine) -> None:
@@ -170,38 +219,11 @@
             await asyncio.sleep(self._rng.uniform(0.1, 4.0))
             machine.send_signal(signal.SIGCONT)
 
-    async def _reset_links(self) -> None:
-        """Reset the links of some machines in series: to peers, store or server."""
-        for machine in self._some(4):
-            kind = self._rng.choice(["peers", "store", "server"])
-            self._parts.record(f"reset of links, {kind}", machine.name)
-            with machine.disturbed():
-                if kind == "server":
-                    machine.tell_worker("reset_links")
-                elif proxy := _proxy(machine, kind):
-                    proxy.reset_all()
-            await asyncio.sleep(self._rng.uniform(0.0, 0.5))
-
-    async def _silence_links(self) -> None:
-        """Let open connections go silent for good; new ones work."""
-        kinds = self._rng.choice(
-            [["peers"], ["store"], ["server"], ["peers", "store", "server"]]
-        )
-        machines = self._present if self._rng.random() < 0.3 else self._some(4)
-        for machine in machines:
-            self._parts.record(f"silent links, {' '.join(kinds)}", machine.name)
-            with machine.disturbed():
-                for kind in kinds:
-                    if kind == "server":
-                        machine.tell_worker("silence_links")
-                    elif proxy := _proxy(machine, kind):
-                        proxy.silence_open()
-
     async def _replace_machine(self) -> None:
         """Remove a machine for good, with or without SIGTERM; add one elsewhere."""
-        if len(self._present) < len(self._parts.machines) / 2:
+        if len(self._parts.present) < len(self._parts.machines) / 2:
             return
-        machine = self._rng.choice(self._present)
+        machine = self._rng.choice(self._parts.present)
         self._parts.record("removal", machine.name)
         with machine.disturbed():
             if self._rng.random() < 0.5:
@@ -209,20 +231,3 @@
             await machine.remove()
         await asyncio.sleep(self._rng.uniform(0.0, 2.0))
         await self._parts.add()
-
-    async def _end_server_first(self) -> None:
-        """End a server, then its daemon; start both again."""
-        machine = self._rng.choice(self._present)
-        if machine.stopping or not machine.server_runs:
-            return
-        self._parts.record("end of server", machine.name)
-        with machine.disturbed():
-            machine.end_server()
-            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
-            await self._stop(machine)
-            if machine.removed_at is None:
-                machine.start_server()
-
-
-def _proxy(machine: SiteMachine, kind: str) -> LoopbackProxy | None:
-    return machine.peer_proxy if kind == "peers" else machine.store_proxy
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -154,6 +154,10 @@
         """Stop the callers of a machine."""
         self._stop_callers(self._places[command.machine])
 
+    async def leave_server(self, command: Command) -> None:
+        """Let the responses of a server say that it leaves."""
+        self._places[command.machine].server.leaving = True
+
     async def end_server(self, command: Command) -> None:
         """End the server of a machine as if it was killed."""
         self._places[command.machine].server.reset_all()
