Tell a late response of a daemon from a late caller in the soak

Callers wait 2 s longer now, and the bound of 1 s holds for all responses, less the time by which the callers' own event loop was late. A trace names all log lines of its request.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,7 +12,7 @@
 from damaskbay.adapters.http1.client import encode_request
 from damaskbay.core.call import Headers, Request, Response
 from damaskbay.ports.peer import PeerAddress
-from tests.soak.planned import CALLER_CLOSED, OVERDUE, OVERDUE_S
+from tests.soak.planned import CALLER_CLOSED, MAX_LAG_S, OVERDUE, OVERDUE_S
 from tests.soak.records import CalledMachine, SentRequest
 from tests.soak.servers import HOST_HEADER
 
@@ -147,7 +147,7 @@
             self._waiting.popleft()
             sent.ended_at = time.monotonic()
             return
-        timeout_s = sent.limit_s + OVERDUE_S + 2.0 * read_s
+        timeout_s = sent.limit_s + OVERDUE_S + MAX_LAG_S + 2.0 * read_s
         try:
             async with asyncio.timeout(timeout_s):
                 sent.response = await self._read_response(sent, read_s)
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -18,8 +18,11 @@
 OVERDUE_S = 1.0
 """Seconds after its time limit at which a request must have been answered."""
 
+MAX_LAG_S = 2.0
+"""Further seconds that a caller waits, whose own event loop may run late."""
+
 OVERDUE = "no response after the time limit"
-"""Failure of a request that its caller gave up OVERDUE_S after the limit."""
+"""Failure of a request that its caller gave up."""
 
 CALLER_CLOSED = "closed by the caller"
 """Failure of a request behind one that its caller gave up."""
@@ -77,21 +80,21 @@
 
     `caller_lag_s` is how late the caller may have noticed the end of the request.
     """
-    if not sent.ended_at or sent.status not in INTERRUPTED_STATUSES:
+    if not sent.ended_at or sent.failure == CALLER_CLOSED:
         return None
-    if sent.response is not None and _has_stamp(sent):
+    waits_for_caller = sent.is_behind or sent.read_s
+    late_s = _waited_s(sent) - caller_lag_s - sent.limit_s
+    if late_s > OVERDUE_S and not waits_for_caller:
+        return f"{OVERDUE} of {sent.limit_s:.1f} s; {late_s:.3f} s late"
+    if sent.failure == OVERDUE or sent.status not in INTERRUPTED_STATUSES:
         return None
-    if sent.failure == CALLER_CLOSED:
+    if sent.response is not None and _has_stamp(sent):
         return None
-    if sent.failure == OVERDUE:
-        waits_for_caller = sent.is_behind or sent.read_s
-        return None if waits_for_caller else f"{OVERDUE} of {sent.limit_s:.1f} s"
     if not executions:
         return _find_unanswered(sent, stops_by_machine, caller_lag_s)
     if executions[-1].status not in (None, 200):
         return None
-    waited_s = sent.ended_at - (sent.last_byte_at or sent.sent_at)
-    if waited_s >= sent.limit_s - LIMIT_SLACK_S and not _is_cut(sent):
+    if _waited_s(sent) >= sent.limit_s - LIMIT_SLACK_S and not _is_cut(sent):
         return None
     machines = {sent.machine, *(execution.machine for execution in executions)}
     stops = [
@@ -105,6 +108,10 @@
     return f"ran, but {_describe_end(sent, executions, stops_by_machine)}"
 
 
+def _waited_s(sent: SentRequest) -> float:
+    return sent.ended_at - (sent.last_byte_at or sent.sent_at)
+
+
 def _has_stamp(sent: SentRequest) -> bool:
     assert sent.response is not None
     return any(name.lower() == STAMP_HEADER for name, _ in sent.response.headers)
--- a/tests/soak/traces.py
+++ b/tests/soak/traces.py
@@ -90,7 +90,12 @@
         events = ", ".join(f"{what} {_since(sent, at)}" for at, what in told)
         return [
             f"{machine.name}: {events or 'no event'}",
-            *_log_lines(machine.log_path, sent.sent_at - LOG_BEFORE_S, ended_at),
+            *_log_lines(
+                machine.log_path,
+                sent.request_id,
+                sent.sent_at - LOG_BEFORE_S,
+                ended_at + LOG_AFTER_S,
+            ),
         ]
 
 
@@ -99,16 +104,19 @@
     return f"{at - sent.sent_at:+.3f} s" if at else "never"
 
 
-def _log_lines(path: Path, start: float, end: float) -> list[str]:
-    """Return the log lines between two monotonic times."""
-    first, last = _log_time(start), _log_time(end + LOG_AFTER_S)
-    lines = []
+def _log_lines(path: Path, request_id: str, start: float, end: float) -> list[str]:
+    """Return the last log lines between two times, and all that name the request."""
+    first, last = _log_time(start), _log_time(end)
+    own: list[str] = []
+    others: list[str] = []
     with path.open(errors="replace") as log:
         for line in log:
             found = _TIME_PATTERN.search(line)
-            if found is not None and first <= found.group() <= last:
-                lines.append(f"  {line.strip()[:MAX_LINE_LENGTH]}")
-    return lines[-MAX_LOG_LINES:]
+            if found is None or not first <= found.group() <= last:
+                continue
+            lines = own if f'"{request_id}' in line else others
+            lines.append(f"  {line.strip()[:MAX_LINE_LENGTH]}")
+    return sorted([*own, *others[-MAX_LOG_LINES:]])
 
 
 def _log_time(at: float) -> str:
