--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -155,7 +155,7 @@
             self.peak_kib = max(self.peak_kib, used_kib)
             if used_kib > MEMORY_MB * 1024 and not exceeded:
                 exceeded = f"used {used_kib} KiB, "
-                _kill(process)
+                _signal(process, signal.SIGKILL)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(WATCH_INTERVAL_S):
                     await process.wait()
@@ -184,8 +184,7 @@
                 self._killed.add(self._process.pid)
             if number is signal.SIGHUP:
                 self.hang_ups.append(time.monotonic())
-            with contextlib.suppress(ProcessLookupError):
-                self._process.send_signal(number)
+            _signal(self._process, number)
 
     def handles_signals(self) -> bool:
         """Return whether the process handles SIGHUP by now, or lets it wait."""
@@ -220,7 +219,7 @@
                 await process.wait()
         except TimeoutError:
             in_time = False
-            _kill(process)
+            _signal(process, signal.SIGKILL)
             await process.wait()
         stop.exited_at = time.monotonic()
         was_killed = process.pid in self._killed
@@ -342,10 +341,11 @@
 """
 
 
-def _kill(process: asyncio.subprocess.Process) -> None:
-    """Kill a process, which may have ended before asyncio knows."""
+def _signal(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
+    """Send a signal to a process, which may have ended before asyncio knows."""
+    # Process.send_signal() may reap the process, and its exit status is lost then.
     with contextlib.suppress(ProcessLookupError):
-        process.kill()
+        os.kill(process.pid, number)
 
 
 @contextlib.contextmanager
