--- a/tests/helpers/test_worker.py
+++ b/tests/helpers/test_worker.py
@@ -10,6 +10,7 @@
 from tests.common import function_suite
 
 WAIT_S = 20.0
+ENDLESS_STACK_BYTES = 1 << 60
 
 
 def test_the_thread_leaves_signals_to_the_main_thread() -> None:
@@ -44,6 +45,23 @@
     asyncio.run(run())
 
 
+# A set stayed undecoded for good after one thread could not be started.
+def test_a_function_runs_though_no_thread_can_be_started() -> None:
+    """The next one has a thread again."""
+
+    async def run() -> tuple[int, int]:
+        with WorkerThread("test") as worker:
+            earlier = threading.stack_size(ENDLESS_STACK_BYTES)
+            try:
+                without = await worker.run(threading.get_ident)
+            finally:
+                threading.stack_size(earlier)
+            return without, await worker.run(threading.get_ident)
+
+    without, later = asyncio.run(run())
+    assert without == threading.get_ident() != later
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
