Decode a stored set again after an unexpected failure

A daemon stayed with the set before, or unready, until an operator published another set.

Cause: a set whose decoding failed for a reason that doesn't lie in the set, such as memory, was logged and then forgotten; the watch only waits for changes. The class: something that is missing for a moment ends a duty for good.

The watch now reads the store again after 1 s. An invalid set is not read again, since nothing would change.

--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from random import Random
 from typing import Any, Protocol
 
@@ -11,7 +11,7 @@
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.messages import ConfigReply, ConfigRequest
 from damaskbay.ports.peer import PeerAddress
-from damaskbay.ports.store import Store, StoreFailure, StoreProblem
+from damaskbay.ports.store import Store, StoreFailure, StoreItem, StoreProblem
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -24,6 +24,9 @@
 RETRY_DELAY_S = 0.3
 """Delay before a failed store request of a relay is repeated, seconds."""
 
+DECODE_RETRY_DELAY_S = 1.0
+"""Delay before a set whose decoding failed unexpectedly is read again, seconds."""
+
 MAX_RETRY_DELAY_S = 2.4
 """Longest delay before a daemon that is no relay repeats a failed request, seconds."""
 
@@ -82,7 +85,7 @@
         self._decode = decode
         self._configuration = configuration
         self._clock = clock
-        self._activations_by_document: dict[bytes, asyncio.Task[None]] = {}
+        self._activations_by_document: dict[bytes, asyncio.Task[bool]] = {}
         self.store_reached = True
 
     async def run(self) -> None:
@@ -98,10 +101,10 @@
                 await asyncio.sleep(self._retry_delay_s())
                 continue
             self._record_store_success()
-            for item in reading.items:
-                if item.key == self._key and item.value is not None:
-                    await self._apply_stored(item.value, started_at)
-            await self._watch_changes(reading.revision)
+            if await self._apply_items(reading.items, started_at):
+                await self._watch_changes(reading.revision)
+            else:
+                await asyncio.sleep(DECODE_RETRY_DELAY_S)
 
     async def _watch_changes(self, revision: int) -> None:
         while self._needed():
@@ -116,36 +119,36 @@
                 return
             self._record_store_success()
             revision = max(revision, reading.revision)
-            values = [item.value for item in reading.items if item.key == self._key]
-            for value in values:
-                if value is not None:
-                    await self._apply_stored(value, started_at)
-            if not values:
+            if not await self._apply_items(reading.items, started_at):
+                await asyncio.sleep(DECODE_RETRY_DELAY_S)
+                return
+            if not any(item.key == self._key for item in reading.items):
                 self._configuration.record_proof(
                     self._configuration.version, started_at
                 )
 
-    async def activate_document(self, document: bytes, source: str) -> None:
+    async def activate_document(self, document: bytes, source: str) -> bool:
         """
         Activate a stored value if it is a newer configuration set.
 
-        A value that arrives again while it is decoded is not decoded twice. It is
-        activated even if the caller is cancelled.
+        Return False if it is to be tried again, since it could not be decoded for a
+        reason that does not lie in the value. A value that arrives again while it is
+        decoded is not decoded twice. It is activated even if the caller is cancelled.
         """
         task = self._activations_by_document.get(document)
         if task is None:
             loop = asyncio.get_running_loop()
             task = loop.create_task(self._activate(document, source))
             self._activations_by_document[document] = task
-        await asyncio.shield(task)
+        return await asyncio.shield(task)
 
-    async def _activate(self, document: bytes, source: str) -> None:
+    async def _activate(self, document: bytes, source: str) -> bool:
         try:
             decoded = await self._decode(document)
         except Exception:
             # The next set must find a watch that still runs.
             _LOGGER.exception("config: stored set can't be decoded.")
-            return
+            return False
         finally:
             del self._activations_by_document[document]
         if isinstance(decoded, str):
@@ -153,14 +156,25 @@
                 "config: stored set is not taken.",
                 extra={"why": decoded, "version": self._configuration.version},
             )
-            return
+            return True
         self._configuration.activate(decoded, document, source)
-
-    async def _apply_stored(self, document: bytes, started_at: float) -> None:
+        return True
+
+    async def _apply_items(self, items: Iterable[StoreItem], started_at: float) -> bool:
+        """Activate the stored sets; return whether none is to be tried again."""
+        done = True
+        for item in items:
+            if item.key == self._key and item.value is not None:
+                done = await self._apply_stored(item.value, started_at)
+        return done
+
+    async def _apply_stored(self, document: bytes, started_at: float) -> bool:
+        done = True
         if document != self._configuration.document:
-            await self.activate_document(document, "store")
+            done = await self.activate_document(document, "store")
         if document == self._configuration.document:
             self._configuration.record_proof(self._configuration.version, started_at)
+        return done
 
     def _retry_delay_s(self) -> float:
         """Return the delay before the next request; it grows, except for a relay."""
--- a/tests/mesh/test_config_decoding.py
+++ b/tests/mesh/test_config_decoding.py
@@ -97,6 +97,27 @@
     asyncio.run(run())
 
 
+# A set that failed to decode once was in force nowhere until it was changed.
+def test_a_set_that_fails_to_decode_is_decoded_again() -> None:
+    """Memory or a thread was missing for a while."""
+
+    async def run() -> None:
+        async with run_fleet(a="one") as fleet:
+            configuration = fleet.nodes["a"].daemon.configuration
+            failed = threading.Event()
+
+            def fail(_document: bytes) -> ConfigSet:
+                failed.set()
+                raise MemoryError
+
+            with patch(DECODE, fail):
+                await fleet.publish()
+                await wait_until(failed.is_set)
+            await wait_until(lambda: configuration.version == fleet.version)
+
+    asyncio.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
