Wait for an address whatever is wrong with it

A start ended with status 3 if its address wasn't there yet, wasn't allowed or found no descriptor; only an address in use was waited for. Metrics whose address could not be used at the start were never served.

A start now tries again every 0.1 s after any OSError, logs the reason every 10 s and answers SIGTERM meanwhile. Metrics wait beside everything else.

Evidence: of tests.platform.test_waiting, the one on an address that the machine does not have fails on ("ended with status 3"), and that on metrics ("waited in vain" for 20 s). Both pass now.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -39,9 +39,9 @@
     While `draining` is set, each connection closes after the response to the last
     request that was read. `memory` counts what the connections hold of requests and
     responses. Requests on connections beyond `connection_limits` are refused. Entering
-    the context waits up to `bind_wait_s` seconds for an address that is in use. Leaving
-    it sets `ending`, which refuses the requests that are still read, and waits up to
-    `close_timeout_s` seconds until complete responses are sent.
+    the context waits up to `bind_wait_s` seconds for an address that can't be used.
+    Leaving it sets `ending`, which refuses the requests that are still read, and waits
+    up to `close_timeout_s` seconds until complete responses are sent.
     """
 
     def __init__(
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -1,7 +1,6 @@
 """Listening TCP sockets, and TCP options that detect an unresponsive peer."""
 
 import asyncio
-import errno
 import logging
 import select
 import socket
@@ -55,8 +54,8 @@
         """
         Listen on an address and return it with its port.
 
-        Raise OSError if it is still in use after `wait_s` seconds: an earlier process
-        may just be ending.
+        Raise OSError if that still fails after `wait_s` seconds: an earlier process may
+        just be ending, the address or a descriptor be missing for a while.
         """
         began_at = log_at = monotonic_s()
         while True:
@@ -64,12 +63,16 @@
                 return self._listen(address)
             except OSError as error:
                 now = monotonic_s()
-                if error.errno != errno.EADDRINUSE or now - began_at >= wait_s:
+                if now - began_at >= wait_s:
                     raise
                 if now >= log_at:
                     log_at = now + BIND_LOG_INTERVAL_S
-                    extra = {"address": str(address), "waited_s": now - began_at}
-                    _LOGGER.warning("edge: address is in use.", extra=extra)
+                    extra = {
+                        "address": str(address),
+                        "why": str(error),
+                        "waited_s": now - began_at,
+                    }
+                    _LOGGER.warning("edge: can't listen yet.", extra=extra)
             await asyncio.sleep(BIND_RETRY_S)
 
     def pause(self) -> None:
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -46,8 +46,8 @@
     `NOTE_INTERVAL_S`; `on_note` receives the notes of peers. Peers acknowledge with
     the message that their `status` returns, for `on_status`. What the links hold counts
     in `memory`. Entering the context waits up to `bind_wait_s` seconds for an address
-    that is in use. Use it as an async context manager; the exit aborts the links that
-    `close` has not closed.
+    that can't be used. Use it as an async context manager; the exit aborts the links
+    that `close` has not closed.
     """
 
     def __init__(
--- a/damaskbay/mesh/listeners.py
+++ b/damaskbay/mesh/listeners.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import logging
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -10,8 +9,6 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.mesh.const import BIND_WAIT_S
 
-_LOGGER = logging.getLogger(__name__)
-
 
 @dataclass(frozen=True, slots=True)
 class Listeners:
@@ -26,7 +23,8 @@
         """
         Open all; return whether that was done before a stop.
 
-        Raise OSError if a required address can't be used; one in use is waited for.
+        An address that can't be used yet is waited for, that of the metrics beside
+        everything else.
         """
         loop = asyncio.get_running_loop()
         opening = loop.create_task(self._open(stack))
@@ -47,10 +45,9 @@
         for listener in self.required:
             listener.bind_wait_s = BIND_WAIT_S
             await stack.enter_async_context(listener)
-        try:
-            await stack.enter_async_context(self.metrics)
-        except OSError as error:
-            _LOGGER.error(
-                "daemon: metrics are not served.",
-                extra={"address": str(self.metrics.address), "why": str(error)},
-            )
+        self.metrics.bind_wait_s = BIND_WAIT_S
+        entering = asyncio.get_running_loop().create_task(self.metrics.__aenter__())
+        stack.push_async_exit(self.metrics)
+        stack.callback(entering.cancel)
+        # An address that is free is open before the daemon serves.
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/platform/test_waiting.py
@@ -0,0 +1,50 @@
+"""
+Pattern: what a daemon process needs is missing as it starts, and comes later.
+
+The process waits, says so in its log, and ends by nothing but a signal.
+"""
+
+import socket
+import time
+import unittest
+
+from damaskbay.platform.settings import METRICS_PORT
+from tests.common import function_suite
+from tests.platform.processes import daemon_process
+
+OTHER_HOST = "192.0.2.1"
+"""An address for documentation, which no machine has."""
+
+MISSING_S = 3.0
+STORE_FAULT_S = 0.5
+FEW_DESCRIPTORS = (5, 19)
+ENDLESS_STACK_BYTES = 1 << 60
+
+
+# Any other error than an address in use ended a start.
+def test_a_start_waits_for_an_address_that_the_machine_does_not_have() -> None:
+    """It is stopped meanwhile."""
+    with daemon_process() as daemon:
+        daemon.callers_host = OTHER_HOST
+        daemon.start()
+        daemon.until(lambda: f"{OTHER_HOST}:{daemon.port}" in daemon.log())
+        time.sleep(MISSING_S)
+        daemon.stop()
+
+
+# Metrics whose address was in use at the start were never served.
+def test_metrics_are_served_once_their_address_is_free() -> None:
+    """The process before may just be ending."""
+    with daemon_process() as daemon, socket.socket() as earlier:
+        earlier.bind((daemon.host, METRICS_PORT))
+        earlier.listen()
+        daemon.start()
+        daemon.until(daemon.listens)
+        earlier.close()
+        daemon.until(lambda: daemon.get(METRICS_PORT, "/metrics")[0] == 200)
+        daemon.stop()
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
