Start without a thread for the log

A process ended with status 1 and a traceback if the log's thread could not be started, and logged no more once an exception had ended that thread.

Lines wait in the queue until a thread can be started, which each further line tries. A record that can't be written costs only itself. Warnings and exceptions that can't be raised can go to the log, which never blocks, in place of standard error, which may.

Evidence: test_a_start_needs_no_threads, where stacks have no room in the address space, fails on ("can't start new thread", status 1) and passes now.

--- a/damaskbay/helpers/logs.py
+++ b/damaskbay/helpers/logs.py
@@ -12,12 +12,18 @@
 
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.keys import redact
+from damaskbay.helpers.signals import hold_signals
+
+_LOGGER = logging.getLogger(__name__)
 
 TEXT_FORMAT: Final = "%(asctime)s %(levelname)s %(message)s"
 JSON_FORMAT: Final = "%(asctime)s %(levelname)s %(name)s %(message)s"
 MAX_TRACKED_MESSAGES: Final = 1000
 MAX_QUEUED_LINES: Final = 2000
 
+MAX_WHY: Final = 200
+"""Characters of a reason."""
+
 STOP_TIMEOUT_S: Final = 0.2
 """Limit of the wait for queued lines at an exit, which has a time limit, seconds."""
 
@@ -86,8 +92,17 @@
 
     dropped = 0
 
+    def __init__(
+        self,
+        records: queue.Queue[logging.LogRecord | None],
+        start_writer: Callable[[], None],
+    ) -> None:
+        super().__init__(records)
+        self._start_writer = start_writer
+
     def enqueue(self, record: logging.LogRecord) -> None:
         """Queue a record without blocking."""
+        self._start_writer()
         try:
             self.queue.put_nowait(record)
         except queue.Full:
@@ -99,7 +114,11 @@
 
 
 class LogWriter:
-    """Thread that writes queued records to a stream."""
+    """
+    Thread that writes queued records to a stream.
+
+    Without a thread, records wait until `start` finds one.
+    """
 
     def __init__(
         self, records: queue.Queue[logging.LogRecord | None], stream: TextIO
@@ -107,8 +126,21 @@
         self._records = records
         self._handler = logging.StreamHandler(stream)
         self._handler.setFormatter(JsonFormatter(JSON_FORMAT))
-        self._thread = threading.Thread(target=self._run, name="log", daemon=True)
-        self._thread.start()
+        self._thread: threading.Thread | None = None
+        self.failures = 0
+        self.start()
+
+    def start(self) -> None:
+        """Start the thread unless it runs; for a while there may be none."""
+        if self._thread is not None:
+            return
+        thread = threading.Thread(target=self._run, name="log", daemon=True)
+        try:
+            thread.start()
+        except (MemoryError, RuntimeError):
+            self.failures += 1
+        else:
+            self._thread = thread
 
     def stop(self, *, timeout_s: float = STOP_TIMEOUT_S) -> bool:
         """
@@ -121,12 +153,19 @@
             self._records.put(None, timeout=timeout_s)
         except queue.Full:
             return False
+        if self._thread is None:
+            return False
         self._thread.join(max(0.0, ends_at - monotonic_s()))
         return not self._thread.is_alive()
 
     def _run(self) -> None:
+        hold_signals()
         while (record := self._records.get()) is not None:
-            self._handler.handle(record)
+            try:
+                self._handler.handle(record)
+            except Exception:
+                # There is nowhere else to report it, and the next line may succeed.
+                self.failures += 1
 
 
 def set_up_queued_logging(
@@ -138,10 +177,10 @@
     The writer is to be stopped before the process exits.
     """
     records: queue.Queue[logging.LogRecord | None] = queue.Queue(MAX_QUEUED_LINES)
-    handler = BoundedQueueHandler(records)
+    writer = LogWriter(records, stream)
+    handler = BoundedQueueHandler(records, writer.start)
     handler.addFilter(RateLimitFilter(lines_per_s))
     handler.addFilter(RedactFilter())
-    writer = LogWriter(records, stream)
     # Each of these fields costs a lookup per record, one of them a system call, and
     # the format does not use them.
     logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
@@ -151,6 +190,20 @@
     return handler, writer
 
 
+def log_what_goes_to_standard_error() -> None:
+    """Log warnings, and exceptions that can't be raised: the stream may block."""
+    logging.captureWarnings(True)
+    sys.unraisablehook = _log_unraisable
+
+
+def _log_unraisable(unraisable: "sys.UnraisableHookArgs") -> None:
+    _LOGGER.error(
+        "daemon: exception is ignored.",
+        exc_info=unraisable.exc_value,
+        extra={"why": f"{unraisable.err_msg}: {unraisable.object!r}"[:MAX_WHY]},
+    )
+
+
 def set_up_logging(
     *, level: str, log_format: str, lines_per_s: float
 ) -> RateLimitFilter:
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -4,6 +4,7 @@
 The process waits, says so in its log, and ends by nothing but a signal.
 """
 
+import resource
 import socket
 import time
 import unittest
@@ -45,6 +46,15 @@
         daemon.stop()
 
 
+# A start that found no thread for its log ended.
+def test_a_start_needs_no_threads() -> None:
+    """The stacks of threads have no room in the address space."""
+    with daemon_process() as daemon:
+        daemon.start(limits={resource.RLIMIT_STACK: ENDLESS_STACK_BYTES})
+        daemon.until(daemon.listens)
+        daemon.stop()
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
