Wait for settings that are invalid or can't be read

A start ended with status 3 when a field stayed invalid for 2 s, and with status 1 when the file was nested too deeply. Changed settings that could not be read once, for example for want of a descriptor, were not applied until they changed again.

A start now waits for any file to be corrected: a platform starts the process again in any case, and a site counts each end. The log names the field at once and every 10 s. Settings that can't be read are tried again at the next check of the file.

Status 3 remains where no path of settings is given, which can't change while the process lives.

--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -27,7 +27,7 @@
     HEADER_NAMES,
     MEMBER_PREFIX,
 )
-from damaskbay.platform.exceptions import FieldError, IncompleteError
+from damaskbay.platform.exceptions import FieldError
 from damaskbay.platform.heartbeats import HeartbeatListener
 from damaskbay.platform.manifest import decode_manifest
 from damaskbay.platform.settings import load_settings, settings_path
@@ -50,12 +50,12 @@
 SETTINGS_POLL_S = 0.5
 """Seconds between checks of the file: a quarter of the time allowed to apply it."""
 
-SETTINGS_WAIT_S = 2.0
-"""Seconds for which a file with invalid settings must not change to end a start."""
-
 SETTINGS_RETRY_S = 0.05
 """Seconds between attempts to read the settings at a start."""
 
+SETTINGS_LOG_INTERVAL_S = 10.0
+"""Seconds between log lines about settings that stay invalid at a start."""
+
 FileStamp = tuple[int, int]
 """Modification time in nanoseconds and size of a file."""
 
@@ -80,8 +80,12 @@
     )
 
 
-def reload_settings(daemon: MeshDaemon, path: Path, cause: str) -> None:
-    """Apply changed settings; keep the active ones if the file is invalid."""
+def reload_settings(daemon: MeshDaemon, path: Path, cause: str) -> bool:
+    """
+    Apply changed settings; keep the active ones if the file is invalid.
+
+    Return whether the file could be read.
+    """
     try:
         settings = load_settings(path)
     except (FieldError, OSError) as error:
@@ -90,12 +94,13 @@
             extra={"why": str(error), "active_digest": daemon.settings.digest},
         )
         daemon.settings_history.refused += 1
-        return
+        return isinstance(error, FieldError)
     _LOGGER.info(
         "daemon: settings are read again.",
         extra={"why": cause, "digest": settings.digest},
     )
     daemon.reload(settings)
+    return True
 
 
 async def read_settings(
@@ -104,27 +109,19 @@
     """
     Return the settings of a start, and the stamp of their file; None if it is stopped.
 
-    A file that is missing, or is no TOML, is waited for: it may just be written. Raise
-    FieldError if a field is invalid and the file stays the same for SETTINGS_WAIT_S.
+    A file that is missing or invalid is waited for: it may just be written, and an
+    operator may correct it.
     """
-    last_stamp: FileStamp | None = None
-    last_why = ""
-    changed_at = monotonic_s()
+    last_why, log_at = "", monotonic_s()
     while not stopping.is_set():
         stamp = _file_stamp(path)
-        now = monotonic_s()
-        if stamp != last_stamp:
-            last_stamp, changed_at = stamp, now
         try:
             return load_settings(path), stamp
-        except (IncompleteError, OSError) as error:
-            why = str(error)
-        except FieldError as error:
-            if now - changed_at >= SETTINGS_WAIT_S:
-                raise
+        except (FieldError, OSError) as error:
             why = str(error)
-        if why != last_why:
-            last_why = why
+        now = monotonic_s()
+        if why != last_why or now >= log_at:
+            last_why, log_at = why, now + SETTINGS_LOG_INTERVAL_S
             _LOGGER.error("daemon: settings are invalid.", extra={"why": why})
         await _wait(stopping, SETTINGS_RETRY_S)
     return None
@@ -140,13 +137,12 @@
     while True:
         await _wait(hang_up, SETTINGS_POLL_S)
         stamp = _file_stamp(path)
-        if hang_up.is_set():
-            hang_up.clear()
-            last_stamp = stamp
-            reload_settings(daemon, path, "signal")
-        elif stamp not in (last_stamp, None):
+        cause = "signal" if hang_up.is_set() else "file"
+        hang_up.clear()
+        if cause == "file" and stamp in (last_stamp, None):
+            continue
+        if reload_settings(daemon, path, cause):
             last_stamp = stamp
-            reload_settings(daemon, path, "file")
 
 
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
--- a/damaskbay/platform/exceptions.py
+++ b/damaskbay/platform/exceptions.py
@@ -3,7 +3,3 @@
 
 class FieldError(Exception):
     """Missing or invalid field of a platform document; the message names the field."""
-
-
-class IncompleteError(FieldError):
-    """Document that is empty or cut off, as while it is written."""
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -12,7 +12,7 @@
     MeshSettings,
 )
 from damaskbay.platform.const import SETTINGS_VARIABLE
-from damaskbay.platform.exceptions import FieldError, IncompleteError
+from damaskbay.platform.exceptions import FieldError
 from damaskbay.platform.fields import (
     Table,
     read_integer,
@@ -45,15 +45,15 @@
     """
     Return the settings of a TOML file.
 
-    Raise IncompleteError if it is empty or no TOML, FieldError, OSError.
+    Raise FieldError if it is empty, no TOML or has an invalid field, OSError.
     """
     try:
         content = path.read_bytes()
         document = tomllib.loads(content.decode())
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise IncompleteError(f"{path}: {error}") from None
+    except (ValueError, RecursionError) as error:
+        raise FieldError(f"{path}: {error}") from None
     if not document:
-        raise IncompleteError(f"{path}: the file is empty")
+        raise FieldError(f"{path}: the file is empty")
     digest = hashlib.sha256(content).hexdigest()[:DIGEST_DIGITS]
     return replace(decode_settings(document), digest=digest)
 
--- a/tests/platform/test_settings_reload.py
+++ b/tests/platform/test_settings_reload.py
@@ -4,12 +4,15 @@
 From outside it shows which file each daemon uses, and why it refused another one.
 """
 
+import asyncio
+import errno
 import tempfile
 import unittest
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import cast
+from unittest.mock import patch
 
 from damaskbay.mesh.app import MeshDaemon
 from damaskbay.mesh.settings import (
@@ -17,10 +20,12 @@
     SettingsHistory,
     fields_that_need_a_restart,
 )
-from damaskbay.platform.daemon import reload_settings
+from damaskbay.platform.daemon import reload_settings, watch_settings
 from damaskbay.platform.settings import load_settings
 from tests.common import function_suite
 
+WAIT_S = 20.0
+
 FILE = """
 Node = "n1"
 Ip = "10.0.0.1"
@@ -96,6 +101,30 @@
         assert fields_that_need_a_restart(daemon.settings, changed) == ["server"]
 
 
+# Changed settings that could not be read once were not applied until they changed.
+def test_settings_that_could_not_be_read_are_read_again() -> None:
+    """There is no descriptor for a while; the file stays the same."""
+    failures = [OSError(errno.EMFILE, "Too many open files")]
+
+    def load(path: Path) -> MeshSettings:
+        if failures:
+            raise failures.pop()
+        return load_settings(path)
+
+    async def run(daemon: _Daemon, path: Path) -> None:
+        watch = watch_settings(cast("MeshDaemon", daemon), path, None, asyncio.Event())
+        task = asyncio.create_task(watch)
+        async with asyncio.timeout(WAIT_S):
+            while daemon.settings.drain_s != 1.5:
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    with _running() as (daemon, path):
+        path.write_text(FILE.replace("2000ms", "1500ms"))
+        with patch("damaskbay.platform.daemon.load_settings", load):
+            asyncio.run(run(daemon, path))
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -55,6 +55,24 @@
         daemon.stop()
 
 
+# Settings that stayed invalid for 2 s ended a start.
+def test_a_start_waits_for_settings_to_be_corrected() -> None:
+    """The log names the field; a folder in place of the file is waited for, too."""
+    with daemon_process() as daemon:
+        daemon.settings_path.mkdir()
+        daemon.start()
+        daemon.until(lambda: "Is a directory" in daemon.log())
+        daemon.settings_path.rmdir()
+        daemon.settings_path.write_text("Node = 1\n")
+        daemon.until(lambda: "Listen: expected a table" in daemon.log())
+        time.sleep(MISSING_S)
+        daemon.settings_path.write_text("a = " + "[" * 100_000)
+        time.sleep(0.5)
+        daemon.settings_path.write_text(daemon.settings())
+        daemon.until(daemon.listens)
+        daemon.stop()
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
