Start again in the same process after a failure

A process ended by itself, with status 1, after any exception that reached its main function: no descriptor for the event loop or its signals, an exception in a listener's start or in the daemon. With few descriptors libuv aborted it (SIGABRT), since it checks nothing as it makes its first loop. A stop that failed ended with status 1.

The main function logs the exception and runs the daemon again after 1 s, with the settings of that moment; a signal ends that wait at once. It makes an event loop only if there are descriptors for one. A stop that fails is logged and ends with status 0.

--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -14,9 +14,15 @@
 from damaskbay.adapters.http1.server import Handler
 from damaskbay.config.objects import ConfigSet
 from damaskbay.helpers.clock import monotonic_s
-from damaskbay.helpers.logs import set_up_queued_logging
+from damaskbay.helpers.descriptors import (
+    require_loop_descriptors,
+)
+from damaskbay.helpers.logs import (
+    log_what_goes_to_standard_error,
+    set_up_queued_logging,
+)
 from damaskbay.helpers.signals import deliver_signals, hold_signals
-from damaskbay.helpers.supervision import keep_running
+from damaskbay.helpers.supervision import RESTART_DELAY_S, keep_running
 from damaskbay.helpers.worker import WorkerThread
 from damaskbay.mesh.app import MeshDaemon
 from damaskbay.mesh.assembly import PlatformParts
@@ -38,7 +44,6 @@
 LOG_LINES_PER_S = 20.0
 """Log lines per second for each message and reason; further ones are only counted."""
 
-EXIT_FAILED = 1
 EXIT_INVALID = 3
 
 GC_THRESHOLD_ALLOCATIONS = 20_000
@@ -161,9 +166,12 @@
     return status.st_mtime_ns, status.st_size
 
 
-async def serve() -> None:
-    """Run the daemon until SIGTERM or SIGINT; raise FieldError, OSError."""
-    path = settings_path()
+async def serve(path: Path) -> None:
+    """
+    Run the daemon until SIGTERM or SIGINT.
+
+    Raise what it can't go on after, such as OSError, unless it is being stopped.
+    """
     stopping, hang_up = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -176,6 +184,10 @@
             _LOGGER.info("daemon: is stopped before it has settings.")
             return
         await _run(path, *found, stopping, hang_up)
+    except Exception:
+        if not stopping.is_set():
+            raise
+        _LOGGER.exception("daemon: the stop has failed.")
     finally:
         # The loop takes its handlers away when it closes.
         hold_signals()
@@ -222,26 +234,43 @@
 
 def main() -> int:
     """
-    Run the daemon; return its exit status, EXIT_INVALID for invalid settings.
+    Run the daemon; return its exit status, EXIT_INVALID without a settings path.
 
     The log is written as far as its stream takes it; the caller ends the process.
     """
     # Threads inherit that, and so leave signals to the main thread.
     hold_signals()
+    try:
+        path = settings_path()
+    except FieldError as error:
+        print(error, file=sys.stderr)
+        return EXIT_INVALID
     _, log_writer = set_up_queued_logging(
         level="INFO", lines_per_s=LOG_LINES_PER_S, stream=sys.stdout
     )
+    log_what_goes_to_standard_error()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
-    status = 0
-    try:
-        uvloop.run(serve())
-    except (FieldError, OSError) as error:
-        print(error, file=sys.stderr)
-        status = EXIT_INVALID
-    except Exception:
-        _LOGGER.exception("daemon: has failed.")
-        status = EXIT_FAILED
+    _run_until_stopped(path)
     log_writer.stop()
-    return status
+    return 0
+
+
+def _run_until_stopped(path: Path) -> None:
+    """Run the daemon until it is stopped, again after a failure."""
+    while True:
+        try:
+            require_loop_descriptors()
+            uvloop.run(serve(path))
+        except Exception:
+            _LOGGER.exception(
+                "daemon: has failed and starts again.",
+                extra={"delay_s": RESTART_DELAY_S},
+            )
+        else:
+            return
+        # Signals are held between two runs.
+        if signal.sigtimedwait((signal.SIGTERM, signal.SIGINT), RESTART_DELAY_S):
+            _LOGGER.info("daemon: is stopped before it starts again.")
+            return
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -4,14 +4,22 @@
 The process waits, says so in its log, and ends by nothing but a signal.
 """
 
+import asyncio
+import json
 import resource
 import socket
 import time
 import unittest
+from pathlib import Path
 
+from damaskbay.adapters.http1.server import HttpServer
+from damaskbay.config.objects import CallerLimits
+from damaskbay.platform.const import CONFIG_KEY
 from damaskbay.platform.settings import METRICS_PORT
-from tests.common import function_suite
-from tests.platform.processes import daemon_process
+from tests.common import function_suite, reserve_address
+from tests.mesh.common import manifest
+from tests.platform.kv_stand_in import KvStandIn
+from tests.platform.processes import DaemonProcess, daemon_process
 
 OTHER_HOST = "192.0.2.1"
 """An address for documentation, which no machine has."""
@@ -46,6 +54,34 @@
         daemon.stop()
 
 
+# A start without a descriptor ended, with a status that depended on the moment.
+def test_a_start_waits_for_descriptors() -> None:
+    """They are missing before the event loop is made, and after that."""
+    for count in FEW_DESCRIPTORS:
+        with daemon_process() as daemon:
+            daemon.max_descriptors = count
+            daemon.start(limits={resource.RLIMIT_NOFILE: count})
+            assert daemon.process is not None
+            daemon.until(lambda d=daemon: "daemon: " in d.log() or "edge: " in d.log())  # type: ignore[misc]
+            hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+            resource.prlimit(daemon.process.pid, resource.RLIMIT_NOFILE, (hard, hard))
+            daemon.until(daemon.listens)
+            daemon.stop()
+
+
+# An exception that nobody expected ended a process.
+def test_a_start_that_fails_unexpectedly_is_tried_again() -> None:
+    """A name of a host has no empty part; the settings are corrected later."""
+    with daemon_process() as daemon:
+        daemon.callers_host = "\u00e4..b"
+        daemon.start()
+        daemon.until(lambda: "has failed and starts again" in daemon.log())
+        daemon.callers_host = daemon.host
+        daemon.settings_path.write_text(daemon.settings())
+        daemon.until(daemon.listens)
+        daemon.stop()
+
+
 # A start that found no thread for its log ended.
 def test_a_start_needs_no_threads() -> None:
     """The stacks of threads have no room in the address space."""
@@ -55,6 +91,14 @@
         daemon.stop()
 
 
+def test_a_bare_environment_and_a_full_log_do_not_end_a_process() -> None:
+    """There is no PATH, HOME nor LANG, and each line of the log fails."""
+    with daemon_process() as daemon:
+        daemon.start(environment={}, stdout=Path("/dev/full"))
+        daemon.until(daemon.listens)
+        daemon.stop()
+
+
 # Settings that stayed invalid for 2 s ended a start.
 def test_a_start_waits_for_settings_to_be_corrected() -> None:
     """The log names the field; a folder in place of the file is waited for, too."""
@@ -73,6 +117,49 @@
         daemon.stop()
 
 
+def test_a_daemon_gets_ready_once_the_store_is_back() -> None:
+    """It refuses, answers garbage, is silent, has an error, and is empty before."""
+
+    async def answer_garbage(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n[[[[[[[")
+        writer.close()
+
+    async def be_silent(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+        await reader.read()
+
+    async def run(daemon: DaemonProcess) -> None:
+        address = reserve_address()
+        daemon.store = str(address)
+        daemon.start()
+
+        async def until_status(status: int) -> None:
+            port = daemon.readiness_port
+            await asyncio.to_thread(daemon.until, lambda: daemon.get(port)[0] == status)
+
+        await until_status(503)
+        for serve in (answer_garbage, be_silent):
+            server = await asyncio.start_server(serve, address.host, address.port)
+            await asyncio.sleep(STORE_FAULT_S)
+            server.close()
+            await until_status(503)
+        kv = KvStandIn()
+        async with HttpServer(address, kv.serve, CallerLimits()):
+            kv.faults.status = 500
+            await asyncio.sleep(STORE_FAULT_S)
+            kv.faults.status = None
+            await asyncio.sleep(STORE_FAULT_S)
+            await until_status(503)
+            await kv.put(CONFIG_KEY, json.dumps(manifest(1, ("k1",), 5, {})).encode())
+            await until_status(200)
+            await asyncio.to_thread(daemon.stop)
+
+    with daemon_process() as daemon:
+        asyncio.run(run(daemon))
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
