Keep sockets away from the numbers of standard streams

A process that was started with a closed standard stream ended by SIGABRT at its stop, status -6: its first sockets got the numbers 0 to 2, and libuv aborts when it closes one of these.

Closed ones are opened on the null device before there is an event loop.

Evidence: test_closed_standard_streams_do_not_end_a_process fails on (status -6) and passes now.

--- a/damaskbay/helpers/descriptors.py
+++ b/damaskbay/helpers/descriptors.py
@@ -1,4 +1,4 @@
-"""The limit of open descriptors of this process, and what needs some."""
+"""The descriptors of this process: their limit, and those of the standard streams."""
 
 import contextlib
 import logging
@@ -8,10 +8,32 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+STANDARD_DESCRIPTORS: Final = 3
+"""Descriptors of the standard streams: the lowest ones."""
+
 LOOP_DESCRIPTORS: Final = 16
 """More descriptors than an event loop opens before it runs."""
 
 
+def open_standard_descriptors() -> None:
+    """
+    Open the descriptors of standard streams that are closed, on the null device.
+
+    Otherwise a socket gets the number of one, and libuv aborts the process when it
+    closes it.
+    """
+    for descriptor in range(STANDARD_DESCRIPTORS):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            try:
+                # The system takes the lowest number that is free.
+                os.open(os.devnull, os.O_RDWR)
+            except OSError as error:
+                extra = {"why": str(error), "descriptor": descriptor}
+                _LOGGER.warning("daemon: standard stream is closed.", extra=extra)
+
+
 def require_loop_descriptors() -> None:
     """
     Raise OSError unless an event loop can be made.
--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -15,6 +15,7 @@
 from damaskbay.config.objects import ConfigSet
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import (
+    open_standard_descriptors,
     require_loop_descriptors,
 )
 from damaskbay.helpers.logs import (
@@ -249,6 +250,7 @@
         level="INFO", lines_per_s=LOG_LINES_PER_S, stream=sys.stdout
     )
     log_what_goes_to_standard_error()
+    open_standard_descriptors()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -91,6 +91,18 @@
         daemon.stop()
 
 
+# libuv aborted a process whose socket had the number of a standard stream.
+def test_closed_standard_streams_do_not_end_a_process() -> None:
+    """Connections are made and closed meanwhile."""
+    for closed in ((0,), (1,), (2,), (0, 1, 2)):
+        with daemon_process() as daemon:
+            daemon.start(closed=closed)
+            daemon.until(daemon.listens)
+            for _ in range(20):
+                daemon.get(daemon.readiness_port, "/ready")
+            daemon.stop()
+
+
 def test_a_bare_environment_and_a_full_log_do_not_end_a_process() -> None:
     """There is no PATH, HOME nor LANG, and each line of the log fails."""
     with daemon_process() as daemon:
