Notice a restart after the wall clock was set back

Callers at other machines got refusals for a service whose daemon had been restarted: its peers went on taking it for the one that had announced its stop, until the clock had caught up.

Cause: a daemon takes its incarnation from the wall clock, and peers ignore what has a lower one than they know.

A daemon that reads the record of an earlier start with a later incarnation takes the next one. It now restores that record's state of the server, too.

Evidence: test_a_restart_after_the_clock_was_set_back_is_noticed fails on (TimeoutError after 10 s) and passes now.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -305,8 +305,12 @@
 
     def _restore_server(self, record: MemberRecord) -> None:
         """Restore the server's state from the record of an earlier daemon start."""
-        if record.incarnation >= self._incarnation:
+        if record.incarnation == self._incarnation:
             return
+        if record.incarnation > self._incarnation:
+            # The wall clock has been set back since; peers ignore what seems older.
+            self._incarnation = record.incarnation + 1
+            self._server_changed()
         known = Heartbeat(record.server, record.state, record.slots, 0, record.born_ms)
         if known.state is ServerState.READY:
             restore = self._server_check.restore_ready(known)
--- a/tests/mesh/test_fleet.py
+++ b/tests/mesh/test_fleet.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import socket
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from functools import partial
+from unittest.mock import patch
 
 from damaskbay.config.objects import ConfigSet
 from damaskbay.core.call import Request, Response
@@ -321,6 +323,32 @@
     _run(check, a="one", b="two")
 
 
+# Peers ignored a daemon for good that started with an earlier time than before.
+def test_a_restart_after_the_clock_was_set_back_is_noticed() -> None:
+    """The daemon before has announced that it stops."""
+
+    async def check(fleet: Fleet) -> None:
+        node = fleet.nodes["b"]
+        settings = node.daemon.settings
+        node.daemon.stop()
+        await node.run_task
+        earlier_ns = time.time_ns() - 3_600_000_000_000
+        with patch("damaskbay.mesh.app.time.time_ns", lambda: earlier_ns):
+            restarted = await fleet.add_daemon(
+                "b",
+                node.backend,
+                callers=settings.callers,
+                control=settings.control,
+                peers=settings.peers,
+            )
+        assert await restarted.send_heartbeat() == 200
+        async with asyncio.timeout(WAIT_S):
+            while (await fleet.nodes["a"].request("/open/", key=None)).status != 200:
+                await asyncio.sleep(0.05)
+
+    _run(check, a="one", b="two")
+
+
 def test_a_small_rate_is_one_pool_for_all_daemons() -> None:
     """A small rate is pooled for the fleet, so each daemon can spend all its tokens."""
 
