--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -47,6 +47,7 @@
 from damaskbay.mesh.messages import Note, PeerStatus, ServerEnd
 from damaskbay.mesh.neighbours import wanted_neighbours
 from damaskbay.mesh.observing import StatusEndpoints, StatusParts
+from damaskbay.mesh.registry import DRAIN_WRITE_TIMEOUT_S
 from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.server_check import ServerCheck
 from damaskbay.mesh.settings import (
@@ -60,9 +61,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-DRAIN_WRITE_TIMEOUT_S = 0.5
-"""Timeout of the store write before a server's drain report is confirmed, seconds."""
-
 
 MakeControlHandler = Callable[["MeshDaemon"], Handler]
 """Returns the HTTP handler for reports of the local server."""
@@ -94,7 +92,7 @@
         memory = MemoryAccount(account_limit_bytes(settings.memory_bytes))
         self._links = PeerLinks(
             settings.peers,
-            on_links_change=self._links_changed,
+            on_links_change=lambda: self._directory.invalidate(),
             on_request=self._handle_request,
             on_note=self._handle_note,
             note=self._make_note,
@@ -397,9 +395,6 @@
             raise TypeError(f"no handler for message {type(message).__name__}")
         return reply
 
-    def _links_changed(self) -> None:
-        self._directory.invalidate()
-
     def _members_changed(self) -> None:
         """Remove expired daemons; update the wanted links and the first shares."""
         self._directory.remove_expired(monotonic_s())
--- a/damaskbay/mesh/registry.py
+++ b/damaskbay/mesh/registry.py
@@ -28,6 +28,9 @@
 A lost record must be back in the store within 2 s.
 """
 
+DRAIN_WRITE_TIMEOUT_S = 0.5
+"""Timeout of the store write before a server's drain report is confirmed, seconds."""
+
 
 class Registration:
     """
