--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -14,9 +14,16 @@
 from damaskbay.adapters.http1.server import Handler
 from damaskbay.config.objects import ConfigSet
 from damaskbay.helpers.clock import monotonic_s
-from damaskbay.helpers.logs import set_up_queued_logging
+from damaskbay.helpers.descriptors import (
+    open_standard_descriptors,
+    require_loop_descriptors,
+)
+from damaskbay.helpers.logs import (
+    log_what_goes_to_standard_error,
+    set_up_queued_logging,
+)
 from damaskbay.helpers.signals import deliver_signals, hold_signals
-from damaskbay.helpers.supervision import keep_running
+from damaskbay.helpers.supervision import RESTART_DELAY_S, keep_running
 from damaskbay.helpers.worker import WorkerThread
 from damaskbay.mesh.app import MeshDaemon
 from damaskbay.mesh.assembly import PlatformParts
@@ -27,7 +34,7 @@
     HEADER_NAMES,
     MEMBER_PREFIX,
 )
-from damaskbay.platform.exceptions import FieldError, IncompleteError
+from damaskbay.platform.exceptions import FieldError
 from damaskbay.platform.heartbeats import HeartbeatListener
 from damaskbay.platform.manifest import decode_manifest
 from damaskbay.platform.settings import load_settings, settings_path
@@ -38,7 +45,6 @@
 LOG_LINES_PER_S = 20.0
 """Log lines per second for each message and reason; further ones are only counted."""
 
-EXIT_FAILED = 1
 EXIT_INVALID = 3
 
 GC_THRESHOLD_ALLOCATIONS = 20_000
@@ -50,12 +56,12 @@
 SETTINGS_POLL_S = 0.5
 """Seconds between checks of the file: a quarter of the time allowed to apply it."""
 
-SETTINGS_WAIT_S = 2.0
-"""Seconds for which a file with invalid settings must not change to end a start."""
-
 SETTINGS_RETRY_S = 0.05
 """Seconds between attempts to read the settings at a start."""
 
+SETTINGS_LOG_INTERVAL_S = 10.0
+"""Seconds between log lines about settings that stay invalid at a start."""
+
 FileStamp = tuple[int, int]
 """Modification time in nanoseconds and size of a file."""
 
@@ -80,8 +86,12 @@
     )
 
 
-def reload_settings(daemon: MeshDaemon, path: Path, cause: str) -> None:
-    """Apply changed settings; keep the active ones if the file is invalid."""
+def reload_settings(daemon: MeshDaemon, path: Path, cause: str) -> bool:
+    """
+    Apply changed settings; keep the active ones if the file is invalid.
+
+    Return whether the file could be read.
+    """
     try:
         settings = load_settings(path)
     except (FieldError, OSError) as error:
@@ -90,12 +100,13 @@
             extra={"why": str(error), "active_digest": daemon.settings.digest},
         )
         daemon.settings_history.refused += 1
-        return
+        return isinstance(error, FieldError)
     _LOGGER.info(
         "daemon: settings are read again.",
         extra={"why": cause, "digest": settings.digest},
     )
     daemon.reload(settings)
+    return True
 
 
 async def read_settings(
@@ -104,27 +115,19 @@
     """
     Return the settings of a start, and the stamp of their file; None if it is stopped.
 
-    A file that is missing, or is no TOML, is waited for: it may just be written. Raise
-    FieldError if a field is invalid and the file stays the same for SETTINGS_WAIT_S.
+    A file that is missing or invalid is waited for: it may just be written, and an
+    operator may correct it.
     """
-    last_stamp: FileStamp | None = None
-    last_why = ""
-    changed_at = monotonic_s()
+    last_why, log_at = "", monotonic_s()
     while not stopping.is_set():
         stamp = _file_stamp(path)
-        now = monotonic_s()
-        if stamp != last_stamp:
-            last_stamp, changed_at = stamp, now
         try:
             return load_settings(path), stamp
-        except (IncompleteError, OSError) as error:
-            why = str(error)
-        except FieldError as error:
-            if now - changed_at >= SETTINGS_WAIT_S:
-                raise
+        except (FieldError, OSError) as error:
             why = str(error)
-        if why != last_why:
-            last_why = why
+        now = monotonic_s()
+        if why != last_why or now >= log_at:
+            last_why, log_at = why, now + SETTINGS_LOG_INTERVAL_S
             _LOGGER.error("daemon: settings are invalid.", extra={"why": why})
         await _wait(stopping, SETTINGS_RETRY_S)
     return None
@@ -140,13 +143,12 @@
     while True:
         await _wait(hang_up, SETTINGS_POLL_S)
         stamp = _file_stamp(path)
-        if hang_up.is_set():
-            hang_up.clear()
-            last_stamp = stamp
-            reload_settings(daemon, path, "signal")
-        elif stamp not in (last_stamp, None):
+        cause = "signal" if hang_up.is_set() else "file"
+        hang_up.clear()
+        if cause == "file" and stamp in (last_stamp, None):
+            continue
+        if reload_settings(daemon, path, cause):
             last_stamp = stamp
-            reload_settings(daemon, path, "file")
 
 
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
@@ -165,9 +167,12 @@
     return status.st_mtime_ns, status.st_size
 
 
-async def serve() -> None:
-    """Run the daemon until SIGTERM or SIGINT; raise FieldError, OSError."""
-    path = settings_path()
+async def serve(path: Path) -> None:
+    """
+    Run the daemon until SIGTERM or SIGINT.
+
+    Raise what it can't go on after, such as OSError, unless it is being stopped.
+    """
     stopping, hang_up = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -180,6 +185,10 @@
             _LOGGER.info("daemon: is stopped before it has settings.")
             return
         await _run(path, *found, stopping, hang_up)
+    except Exception:
+        if not stopping.is_set():
+            raise
+        _LOGGER.exception("daemon: the stop has failed.")
     finally:
         # The loop takes its handlers away when it closes.
         hold_signals()
@@ -226,26 +235,44 @@
 
 def main() -> int:
     """
-    Run the daemon; return its exit status, EXIT_INVALID for invalid settings.
+    Run the daemon; return its exit status, EXIT_INVALID without a settings path.
 
     The log is written as far as its stream takes it; the caller ends the process.
     """
     # Threads inherit that, and so leave signals to the main thread.
     hold_signals()
+    try:
+        path = settings_path()
+    except FieldError as error:
+        print(error, file=sys.stderr)
+        return EXIT_INVALID
     _, log_writer = set_up_queued_logging(
         level="INFO", lines_per_s=LOG_LINES_PER_S, stream=sys.stdout
     )
+    log_what_goes_to_standard_error()
+    open_standard_descriptors()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
-    status = 0
-    try:
-        uvloop.run(serve())
-    except (FieldError, OSError) as error:
-        print(error, file=sys.stderr)
-        status = EXIT_INVALID
-    except Exception:
-        _LOGGER.exception("daemon: has failed.")
-        status = EXIT_FAILED
+    _run_until_stopped(path)
     log_writer.stop()
-    return status
+    return 0
+
+
+def _run_until_stopped(path: Path) -> None:
+    """Run the daemon until it is stopped, again after a failure."""
+    while True:
+        try:
+            require_loop_descriptors()
+            uvloop.run(serve(path))
+        except Exception:
+            _LOGGER.exception(
+                "daemon: has failed and starts again.",
+                extra={"delay_s": RESTART_DELAY_S},
+            )
+        else:
+            return
+        # Signals are held between two runs.
+        if signal.sigtimedwait((signal.SIGTERM, signal.SIGINT), RESTART_DELAY_S):
+            _LOGGER.info("daemon: is stopped before it starts again.")
+            return
