--- a/tests/mesh/test_unsent_calls.py
+++ b/tests/mesh/test_unsent_calls.py
@@ -37,6 +37,7 @@
         await wait_until(
             lambda node=node: node.daemon.configuration.version == fleet.version  # type: ignore[misc]
         )
+    await fleet.wait_until_connected()
 
 
 # Guards against 502 for an unsafe request that no server has seen: it is taken for sent
@@ -96,7 +97,9 @@
             responses = [
                 await sender.request("/unsafe/x", method="POST") for _ in range(6)
             ]
-            assert [response.status for response in responses] == [200] * 6, responses
+            servers = sender.daemon._directory.servers("one")
+            statuses = [response.status for response in responses]
+            assert statuses == [200] * 6, (responses, servers)
             assert len(fleet.nodes["c"].backend.seen) == 6
 
     asyncio.run(run())
