Let callers wait in the queue while a server can't accept them

What callers saw: a reset or a close without an answer while a daemon had no descriptor left; no new connection at all after accept had failed for another reason, or after the listener could not be resumed.

Cause: uvloop accepts for us. libuv closes all that waits in the queue at EMFILE, and uvloop closes its listening handle at any other error. A pause needed a descriptor for its copy of the socket, a resume another server.

The listener now reads its own socket. An error of accept leaves the queue as it is and is tried again 0.1 s later; a pause and a resume need no descriptor.

--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -23,7 +23,10 @@
 _LOGGER = logging.getLogger(__name__)
 
 ACCEPTS_IN_A_ROW: Final = 64
-"""Connections that are accepted with one, before the event loop does other work."""
+"""Connections that are accepted before the event loop does other work."""
+
+ACCEPT_RETRY_S: Final = 0.1
+"""Seconds until the next attempt to accept after one that has failed."""
 
 
 class Listener:
@@ -31,7 +34,8 @@
     Listening socket; `protocol_factory` creates the protocol of a connection.
 
     Accepted connections inherit the keepalive of the listening socket, but no user
-    timeout, which would end those of callers that read nothing for a while.
+    timeout, which would end those of callers that read nothing for a while. Without
+    descriptors or memory to accept with, connections wait in the queue.
     """
 
     def __init__(
@@ -43,7 +47,6 @@
         self._backlog = backlog
         self._port = 0
         self._sock: socket.socket | None = None
-        self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_paused = False
 
@@ -57,7 +60,7 @@
         began_at = log_at = monotonic_s()
         while True:
             try:
-                return await self._listen(address)
+                return self._listen(address)
             except OSError as error:
                 now = monotonic_s()
                 if error.errno != errno.EADDRINUSE or now - began_at >= wait_s:
@@ -74,21 +77,19 @@
 
         It may be called while a connection is accepted.
         """
-        if self._sock is None or self._server is None or self._is_paused:
+        if self._sock is None or self._is_paused:
             return
         self._is_paused = True
         # Without it, new connections join the queue as fast as others are accepted.
         self._sock.listen(0)
-        asyncio.get_running_loop().call_soon(self._stop_accepting)
+        asyncio.get_running_loop().remove_reader(self._sock)
 
     def resume(self) -> None:
         """Accept connections again."""
         if self._is_paused and self._sock is not None:
             self._is_paused = False
-            if self._server is None:
-                self._start(self._accept())
-            else:
-                self._sock.listen(self._backlog)
+            self._sock.listen(self._backlog)
+            self._start_accepting()
 
     def close(self) -> None:
         """
@@ -98,13 +99,16 @@
         event loop.
         """
         sock, self._sock = self._sock, None
-        server, self._server = self._server, None
         if sock is None:
             return
-        # The kernel resets connections that join the queue after the last look at it.
-        accepted = list(_accept_waiting(sock, 2 * (self._backlog + 1)))
-        if server is not None:
-            server.close()
+        asyncio.get_running_loop().remove_reader(sock)
+        accepted = []
+        try:
+            # The kernel resets those that join the queue after the last look at it.
+            for connection in _accept_waiting(sock, 2 * (self._backlog + 1)):
+                accepted.append(connection)
+        except OSError as error:
+            _LOGGER.warning("edge: can't accept.", extra={"why": str(error)})
         sock.close()
         extra = {"port": self._port, "accepted": len(accepted)}
         _LOGGER.info("edge: listener is closed.", extra=extra)
@@ -118,49 +122,42 @@
         task = self._start(loop.connect_accepted_socket(lambda: protocol, sock))
         task.add_done_callback(partial(_report_failure, protocol))
 
-    def _stop_accepting(self) -> None:
-        if self._sock is None or self._server is None or not self._is_paused:
-            return
-        # The queue lives as long as one descriptor of the listening socket.
-        self._sock = self._sock.dup()
-        self._server.close()
-        self._server = None
-
-    async def _listen(self, address: PeerAddress) -> PeerAddress:
-        self._sock = _bind(address)
+    def _listen(self, address: PeerAddress) -> PeerAddress:
+        sock = _bind(address)
         try:
-            await self._accept()
+            sock.listen(self._backlog)
         except BaseException:
-            self._sock.close()
-            self._sock = None
+            sock.close()
             raise
-        self._port = self._sock.getsockname()[1]
+        self._sock = sock
+        self._port = sock.getsockname()[1]
+        self._start_accepting()
         return PeerAddress(address.host, self._port)
 
-    async def _accept(self) -> None:
-        if self._sock is None:
-            return
-        server = await asyncio.get_running_loop().create_server(
-            self._accept_all, sock=self._sock, backlog=self._backlog
-        )
-        if self._sock is None:
-            server.close()
-        else:
-            self._server = server
+    def _start_accepting(self) -> None:
+        if self._sock is not None and not self._is_paused:
+            loop = asyncio.get_running_loop()
+            loop.add_reader(self._sock, self._accept_waiting)
 
-    def _accept_all(self) -> asyncio.BaseProtocol:
+    def _accept_waiting(self) -> None:
         """
-        Return the protocol of a connection, and accept others that wait.
+        Accept connections that wait, up to ACCEPTS_IN_A_ROW.
 
-        uvloop accepts one connection in a pass, so that many wait for as many passes.
+        The servers of asyncio and uvloop close what they can't accept, or their
+        listening socket.
         """
-        protocol = self._protocol_factory()
-        if self._sock is not None:
+        if self._sock is None:
+            return
+        try:
             for accepted in _accept_waiting(self._sock, ACCEPTS_IN_A_ROW):
                 self.adopt(accepted)
                 if self._is_paused:
                     break
-        return protocol
+        except OSError as error:
+            _LOGGER.warning("edge: can't accept.", extra={"why": str(error)})
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(self._sock)
+            loop.call_later(ACCEPT_RETRY_S, self._start_accepting)
 
     def _start(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -194,7 +191,11 @@
 
 
 def _accept_waiting(listening: socket.socket, most: int) -> Iterator[socket.socket]:
-    """Yield the connections that wait to be accepted, `most` at most."""
+    """
+    Yield the connections that wait to be accepted, `most` at most.
+
+    Raise OSError if there is no descriptor or memory for one.
+    """
     for _ in range(most):
         try:
             sock, _address = listening.accept()
@@ -203,9 +204,6 @@
         except ConnectionError:
             # The caller has left the queue.
             continue
-        except OSError as error:
-            _LOGGER.warning("edge: can't accept.", extra={"why": str(error)})
-            return
         sock.setblocking(False)
         yield sock
 
--- /dev/null
+++ b/tests/adapters/http1/test_requests_in_hand.py
@@ -0,0 +1,166 @@
+"""
+Pattern: a connection pauses, closes or ends while a request on it has no answer yet.
+
+Requests in parts, callers that read slowly or close their side, and the limits of a
+server that change or are reached.
+"""
+
+import asyncio
+import contextlib
+import resource
+import socket
+import subprocess
+import sys
+import unittest
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
+
+import uvloop
+
+from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
+from damaskbay.config.objects import CallerLimits
+from damaskbay.core.call import Response
+from damaskbay.core.descriptors import ConnectionLimits
+from damaskbay.ports.peer import PeerAddress
+from tests.common import function_suite
+
+ADDRESS = PeerAddress("127.0.0.1", 0)
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+EXPECTING = (
+    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"
+)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+LARGE = bytes(8 * 1024 * 1024)
+CALLERS = 5
+WAIT_S = 20.0
+EXHAUSTED_S = 0.5
+
+
+class _Service:
+    """Responds with `body` once `released` is set."""
+
+    def __init__(self, body: bytes = b"") -> None:
+        self.body = body
+        self.released = asyncio.Event()
+        self.released.set()
+        self.started = 0
+
+    async def serve(self, _: ReceivedRequest) -> Response:
+        """Serve one request."""
+        self.started += 1
+        await self.released.wait()
+        return Response(200, (), self.body)
+
+    async def until_started(self, count: int) -> None:
+        """Wait until so many requests have started."""
+        while self.started < count:
+            await asyncio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def _server(
+    service: _Service, connection_limits: ConnectionLimits | None = None
+) -> AsyncIterator[HttpServer]:
+    server = HttpServer(
+        ADDRESS, service.serve, CallerLimits(), connection_limits=connection_limits
+    )
+    async with asyncio.timeout(WAIT_S), server:
+        yield server
+
+
+def _run(check: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    uvloop.run(check())
+    asyncio.run(check())
+
+
+async def _connect(server: HttpServer) -> socket.socket:
+    address = (server.address.host, server.address.port)
+    caller = await asyncio.to_thread(socket.create_connection, address, WAIT_S)
+    caller.settimeout(WAIT_S)
+    return caller
+
+
+async def _receive(caller: socket.socket, end: bytes | None = b"\r\n\r\n") -> bytes:
+    """Return what comes up to `end`, or up to the end of the connection if None."""
+
+    def receive() -> bytes:
+        received = bytearray()
+        try:
+            while end is None or not received.endswith(end):
+                data = caller.recv(1024 * 1024)
+                if not data:
+                    break
+                received += data
+        except OSError as error:
+            received += f"<{error}>".encode()
+        return bytes(received)
+
+    return await asyncio.to_thread(receive)
+
+
+async def _kept(server: HttpServer) -> socket.socket:
+    """Return a connection that has had a response."""
+    caller = await _connect(server)
+    caller.sendall(REQUEST)
+    received = await _receive(caller)
+    assert received.startswith(b"HTTP/1.1 200 "), received
+    return caller
+
+
+async def _until(holds: Callable[[], bool]) -> None:
+    while not holds():
+        await asyncio.sleep(0.005)
+
+
+# Guards against LOST: libuv closes what it can't accept for want of descriptors.
+def test_callers_wait_while_a_server_has_no_descriptors() -> None:
+    """They are served as soon as there are some."""
+    process = subprocess.Popen(
+        [sys.executable, "-c", _SERVER],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert process.stdin is not None and process.stdout is not None
+    try:
+        port = int(process.stdout.readline())
+        callers = []
+        for _ in range(CALLERS):
+            callers.append(socket.create_connection((ADDRESS.host, port), WAIT_S))
+            callers[-1].sendall(REQUEST)
+        heads = [caller.recv(4096) for caller in callers]
+    finally:
+        process.stdin.close()
+        process.wait(WAIT_S)
+        process.stdout.close()
+    assert all(b" 200 " in head for head in heads), heads
+    for caller in callers:
+        caller.close()
+
+
+_SERVER = """
+import uvloop
+from tests.adapters.http1.test_requests_in_hand import serve_without_descriptors
+uvloop.run(serve_without_descriptors())
+"""
+
+
+async def serve_without_descriptors() -> None:
+    """Serve until the standard input ends, for EXHAUSTED_S without descriptors."""
+    async with _server(_Service()) as server:
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(None, int)
+        with contextlib.ExitStack() as stack:
+            limit = 64
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+            with contextlib.suppress(OSError):
+                while True:
+                    stack.enter_context(socket.socket())
+            print(server.address.port, flush=True)
+            await asyncio.sleep(EXHAUSTED_S)
+        await loop.run_in_executor(None, sys.stdin.read)
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
