Answer requests that still run as their server ends

What callers saw: a connection that ends, or hangs, without an answer and without a line in the log.

Cause: leaving the server waited for complete responses only. Connections with a running request were skipped, and the end of the loop cancelled them. A handler that was cancelled from inside, or a response that can't be encoded, left its connection waiting for good.

Leaving the server now interrupts what still runs, and a cancellation that is not the caller's is answered with 502, which promises nothing.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -22,7 +22,7 @@
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.descriptors import ConnectionLimits
 from damaskbay.core.memory_account import MemoryAccount
-from damaskbay.helpers.arrivals import read_new_connections
+from damaskbay.helpers.arrivals import read_arrived, read_new_connections
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.supervision import keep_running
 from damaskbay.ports.peer import PeerAddress
@@ -40,8 +40,9 @@
     request that was read. `memory` counts what the connections hold of requests and
     responses. Requests on connections beyond `connection_limits` are refused. Entering
     the context waits up to `bind_wait_s` seconds for an address that is in use. Leaving
-    it sets `ending`, which refuses the requests that are still read, and waits up to
-    `close_timeout_s` seconds until complete responses are sent.
+    it sets `ending`, which refuses the requests that are still read, interrupts those
+    that still run, and waits up to `close_timeout_s` seconds until complete responses
+    are sent.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
             self.close_idle()
             self.reject_incomplete()
             await read_new_connections()
+            await self._interrupt()
             await self._flush()
         finally:
             self._close_connections()
@@ -166,6 +168,19 @@
             self._listener.pause()
         return connection
 
+    async def _interrupt(self) -> None:
+        """End the requests that still run: a response is better than a close."""
+        serving = [
+            connection for connection in self.connections if connection.is_serving
+        ]
+        if not serving:
+            return
+        extra = {"address": str(self.address), "connections": len(serving)}
+        _LOGGER.warning("edge: requests are cut off by the close.", extra=extra)
+        for connection in serving:
+            connection.interrupt()
+        await read_arrived()
+
     async def _flush(self) -> None:
         """Wait until all complete responses are sent; log what exceeds the timeout."""
         ends_at = monotonic_s() + self.close_timeout_s
@@ -203,7 +218,7 @@
                 extra={"address": str(self.address), "connections": len(unread)},
             )
         for connection in tuple(self.connections):
-            connection.close_unless_serving()
+            connection.close()
 
     async def _check_timeouts(self) -> None:
         while True:
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -135,6 +135,11 @@
         """Return whether the last response is written and the caller has to close."""
         return self._ended_at is not None
 
+    @property
+    def is_serving(self) -> bool:
+        """Return whether a request has no complete response yet."""
+        return any(exchange.response is None for exchange in self._exchanges)
+
     @property
     def descriptor(self) -> int | None:
         """Return the descriptor of the socket, None if nothing is read from it."""
@@ -258,19 +263,31 @@
         if self.is_incomplete:
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
 
-    def close_unless_serving(self) -> None:
-        """Close without waiting for the caller, unless a request is in flight."""
-        if self._transport is not None and not self._exchanges:
+    def interrupt(self) -> None:
+        """End the requests that have no response; their outcome is unknown."""
+        for exchange in self._exchanges:
+            if exchange.response is None and exchange.task is not None:
+                exchange.task.cancel()
+
+    def close(self) -> None:
+        """Close without waiting for the caller."""
+        if self._transport is not None:
             self._transport.close()
 
     async def _serve(self, exchange: _Exchange) -> None:
         arrival = exchange.arrival
         try:
             response = await self._server.handler(arrival)
+            encoded = encode_response(response, arrival.request.method)
+        except asyncio.CancelledError:
+            if self._transport is None:
+                raise
+            _LOGGER.warning("edge: request is interrupted.")
+            encoded = _error_response(http.HTTPStatus.BAD_GATEWAY)
         except Exception:
             _LOGGER.exception("edge: handler failed.")
-            response = Response(int(http.HTTPStatus.INTERNAL_SERVER_ERROR))
-        exchange.response = encode_response(response, arrival.request.method)
+            encoded = _error_response(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+        exchange.response = encoded
         if self._transport is not None:
             exchange.holding.set(exchange.response_bytes)
         self._flush()
@@ -411,3 +428,7 @@
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
+
+
+def _error_response(status: http.HTTPStatus) -> EncodedResponse:
+    return encode_response(Response(int(status)), "GET")
--- a/tests/adapters/http1/test_requests_in_hand.py
+++ b/tests/adapters/http1/test_requests_in_hand.py
@@ -112,6 +112,24 @@
         await asyncio.sleep(0.005)
 
 
+# Guards against LOST: requests that ran as a server ended were closed unanswered.
+def test_requests_that_run_as_the_server_ends_are_answered() -> None:
+    """Nothing is promised: they may have run."""
+
+    async def check() -> None:
+        service = _Service()
+        async with _server(service) as server:
+            service.released.clear()
+            caller = await _connect(server)
+            caller.sendall(REQUEST + REQUEST)
+            await service.until_started(2)
+        received = await _receive(caller, None)
+        assert received.count(b"HTTP/1.1 502 ") == 2, received
+        caller.close()
+
+    _run(check)
+
+
 # Guards against LOST: libuv closes what it can't accept for want of descriptors.
 def test_callers_wait_while_a_server_has_no_descriptors() -> None:
     """They are served as soon as there are some."""
