Send 100 Continue to a request behind another one

What callers saw: a request with Expect: 100-continue that was pipelined never got its interim response; its caller waited until IdleTimeout and got 408.

Cause: the interim response was sent as the head was read, or not at all if another response was due first. It now follows that response.

--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -107,6 +107,7 @@
         self._ended_at: float | None = None
         self._linger_until = 0.0
         self._reading_paused = False
+        self._owes_continue = False
         self._written = WriteBufferHolding(server.memory)
         self._write_paused_since: float | None = None
         self._unsent_at_check = 0
@@ -203,14 +204,15 @@
         self._flush()
 
     def handle_expect_continue(self) -> None:
-        """Send 100 Continue, unless responses to earlier requests come first."""
-        if not self._exchanges and self._transport is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        """Send 100 Continue after the responses to earlier requests."""
+        self._owes_continue = True
+        self._send_continue()
 
     def handle_request(
         self, request: Request, holding: Holding, *, keep_alive: bool
     ) -> None:
         """Start serving a complete request."""
+        self._owes_continue = False
         if self._closing:
             holding.release()
             return
@@ -310,8 +312,17 @@
                 return
         if not self._exchanges and self._error_status is not None:
             self._reject(self._error_status)
+        self._send_continue()
         self._apply_backpressure()
 
+    def _send_continue(self) -> None:
+        """Send 100 Continue if a caller waits for it and nothing comes before."""
+        if not self._owes_continue or self._exchanges or self._closing:
+            return
+        self._owes_continue = False
+        if self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _should_announce_close(self) -> bool:
         """
         Return whether the next response announces the close of the connection.
--- a/tests/adapters/http1/test_requests_in_hand.py
+++ b/tests/adapters/http1/test_requests_in_hand.py
@@ -112,6 +112,29 @@
         await asyncio.sleep(0.005)
 
 
+# Guards against a body that its caller never sends, as it waits for 100 Continue.
+def test_a_body_behind_another_request_is_asked_for() -> None:
+    """The interim response follows the response to the request before."""
+
+    async def check() -> None:
+        service = _Service()
+        async with _server(service) as server:
+            service.released.clear()
+            caller = await _connect(server)
+            caller.sendall(REQUEST + EXPECTING)
+            await service.until_started(1)
+            service.released.set()
+            received = await _receive(caller, CONTINUE)
+            assert received.startswith(b"HTTP/1.1 200 "), received
+            assert received.endswith(CONTINUE), received
+            caller.sendall(b"body")
+            received = await _receive(caller)
+            assert received.startswith(b"HTTP/1.1 200 "), received
+            caller.close()
+
+    _run(check)
+
+
 # Guards against LOST: requests that ran as a server ended were closed unanswered.
 def test_requests_that_run_as_the_server_ends_are_answered() -> None:
     """Nothing is promised: they may have run."""
