Let other connections in while a body of tiny chunks is read

Cause: libuv reads a connection many times in one pass of the loop, and each chunk costs a callback. After a read of many parts the connection is now read on in a later pass, after the others.

--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -5,6 +5,9 @@
 MAX_PIPELINED_REQUESTS: Final = 32
 """Requests in flight on one connection before reading pauses; bounds memory."""
 
+MAX_BODY_PARTS: Final = 1000
+"""Parts of a body in one read from which other connections come before the next."""
+
 MAX_UNREAD_BYTES: Final = 1024 * 1024
 """Response bytes that wait for one caller before its further requests wait, too."""
 
--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -54,8 +54,8 @@
     """
     Parses the requests of one connection and passes each complete one on.
 
-    `started_at` is the monotonic time at which the current request began. What is read
-    counts in `memory`.
+    `started_at` is the monotonic time at which the current request began, `body_parts`
+    the number of parts of bodies in the last bytes. What is read counts in `memory`.
     """
 
     def __init__(
@@ -71,6 +71,7 @@
         self._body_bytes_here = 0
         self._header_bytes = 0
         self.in_headers = False
+        self.body_parts = 0
 
     @property
     def in_request(self) -> bool:
@@ -81,7 +82,7 @@
         """Parse bytes of one or more requests; raise BadRequestError if invalid."""
         self._limits, self._now = limits, now
         self._began_here = False
-        self._body_bytes_here = 0
+        self._body_bytes_here = self.body_parts = 0
         try:
             self._feed(data)
         except httptools.HttpParserError as error:
@@ -168,6 +169,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body; raise BadRequestError above the size limits."""
+        self.body_parts += 1
         received = self._partial.body
         if len(received) + len(body) > self._limits.max_body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -12,6 +12,7 @@
 from damaskbay.adapters.http1.const import (
     FIRST_REQUEST_WAIT_S,
     LINGER_TIMEOUT_S,
+    MAX_BODY_PARTS,
     MAX_LINGER_S,
     MAX_PIPELINED_REQUESTS,
     MAX_UNREAD_BYTES,
@@ -107,6 +108,7 @@
         self._ended_at: float | None = None
         self._linger_until = 0.0
         self._reading_paused = False
+        self._yields = False
         self._owes_continue = False
         self._written = WriteBufferHolding(server.memory)
         self._write_paused_since: float | None = None
@@ -192,6 +194,8 @@
             self._parser.feed(data, self._server.limits, self._last_active_at)
         except BadRequestError as error:
             self._reject(error.status)
+        if self._parser.body_parts > MAX_BODY_PARTS:
+            self._yield_reading()
 
     def pause_writing(self) -> None:
         """Record that the write buffer is full: the caller reads too slowly."""
@@ -432,14 +436,27 @@
         )
         if self._transport is None or self.lingering:
             return
-        if too_many == self._reading_paused:
+        pauses = too_many or self._yields
+        if pauses == self._reading_paused:
             return
-        self._reading_paused = too_many
-        if too_many:
+        self._reading_paused = pauses
+        if pauses:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
 
+    def _yield_reading(self) -> None:
+        """Read on in a later pass of the event loop, after other connections."""
+        if self._yields:
+            return
+        self._yields = True
+        self._apply_backpressure()
+        asyncio.get_running_loop().call_soon(self._read_on)
+
+    def _read_on(self) -> None:
+        self._yields = False
+        self._apply_backpressure()
+
 
 def _error_response(status: http.HTTPStatus) -> EncodedResponse:
     return encode_response(Response(int(status)), "GET")
--- a/tests/adapters/http1/test_requests_in_hand.py
+++ b/tests/adapters/http1/test_requests_in_hand.py
@@ -14,10 +14,13 @@
 import unittest
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
+from unittest.mock import Mock
 
 import uvloop
 
+from damaskbay.adapters.http1.const import MAX_BODY_PARTS
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
+from damaskbay.adapters.http1.server_connection import ServerConnection
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
 from damaskbay.core.descriptors import ConnectionLimits
@@ -153,6 +156,30 @@
     _run(check)
 
 
+# Guards against a body of tiny chunks that keeps all other callers waiting.
+def test_a_body_of_many_parts_is_read_in_several_passes() -> None:
+    """Reading pauses until the event loop has served others."""
+
+    async def check() -> None:
+        transport = Mock(spec=asyncio.Transport)
+        transport.get_write_buffer_size.return_value = 0
+        server = HttpServer(ADDRESS, _Service().serve, CallerLimits())
+        connection = ServerConnection(server)
+        connection.connection_made(transport)
+        connection.data_received(
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        transport.pause_reading.assert_not_called()
+        connection.data_received((MAX_BODY_PARTS + 1) * b"1\r\na\r\n")
+        transport.pause_reading.assert_called_once_with()
+        transport.resume_reading.assert_not_called()
+        await asyncio.sleep(0.01)
+        transport.resume_reading.assert_called_once_with()
+        connection.connection_lost(None)
+
+    _run(check)
+
+
 # Guards against LOST: libuv closes what it can't accept for want of descriptors.
 def test_callers_wait_while_a_server_has_no_descriptors() -> None:
     """They are served as soon as there are some."""
