Close as many idle connections as there are beyond the limit

Cause: connections that were about to close still counted, so the limit seemed exceeded until the callers had closed their sides. They don't count any more, and the connections that were idle for longest are closed first.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -63,6 +63,7 @@
         self.close_timeout_s = CLOSE_TIMEOUT_S
         self.bind_wait_s = 0.0
         self.connections: set[ServerConnection] = set()
+        self._leaving: set[ServerConnection] = set()
         self._listener = Listener(self._make_connection, self.connection_limits.backlog)
         self._timeout_task: asyncio.Task[None] | None = None
 
@@ -98,8 +99,13 @@
 
     @property
     def connections_left(self) -> int:
-        """Return how many more connections may be served; negative beyond the limit."""
-        return self.connection_limits.served - len(self.connections)
+        """
+        Return how many more connections may be served; negative beyond the limit.
+
+        Those that are about to close don't count.
+        """
+        served = len(self.connections) - len(self._leaving)
+        return self.connection_limits.served - served
 
     @property
     def in_flight(self) -> int:
@@ -119,10 +125,16 @@
         """Stop accepting connections, except those that wait; open ones continue."""
         self._listener.close()
 
+    def connection_leaves(self, connection: ServerConnection) -> None:
+        """Count a connection that is about to close as no longer served."""
+        if connection in self.connections:
+            self._leaving.add(connection)
+
     def remove_connection(self, connection: ServerConnection) -> None:
         """Remove a connection that has ended, so that others can be accepted."""
         self.connections.discard(connection)
-        if not self.exceeds_connections:
+        self._leaving.discard(connection)
+        if len(self.connections) <= self.connection_limits.served:
             self._listener.resume()
 
     def reopen_if_unread(self, descriptor: int) -> None:
@@ -224,10 +236,15 @@
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
             now = monotonic_s()
-            for connection in tuple(self.connections):
+            # Beyond the limit, the connections that were idle for longest leave.
+            for connection in sorted(self.connections, key=_last_active_at):
                 connection.close_if_timed_out(now)
 
 
+def _last_active_at(connection: ServerConnection) -> float:
+    return connection.last_active_at
+
+
 def _with_unread_bytes(
     connections: Iterable[ServerConnection],
 ) -> set[ServerConnection]:
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -88,6 +88,9 @@
     def connections_left(self) -> int:
         """Return how many more connections may be served; negative beyond the limit."""
 
+    def connection_leaves(self, connection: "ServerConnection") -> None:
+        """Count a connection that is about to close as no longer served."""
+
     def remove_connection(self, connection: "ServerConnection") -> None:
         """Remove a connection that has ended."""
 
@@ -143,6 +146,11 @@
         """Return whether a request has no complete response yet."""
         return any(exchange.response is None for exchange in self._exchanges)
 
+    @property
+    def last_active_at(self) -> float:
+        """Return the monotonic time at which something was last read or sent."""
+        return self._last_active_at
+
     @property
     def descriptor(self) -> int | None:
         """Return the descriptor of the socket, None if nothing is read from it."""
@@ -262,6 +270,7 @@
         """
         if self._transport is not None:
             self._reopens = True
+            self._server.connection_leaves(self)
             self._transport.close()
 
     def reject_incomplete(self) -> None:
@@ -388,6 +397,7 @@
         what the caller has not received yet.
         """
         self._closing = True
+        self._server.connection_leaves(self)
         self._ended_at = monotonic_s()
         self._linger_until = self._ended_at + MAX_LINGER_S
         if self._transport is None:
@@ -424,6 +434,7 @@
         self._transport.write(response.to_bytes(keep_alive=False))
         if why == _TOO_MANY_CONNECTIONS and not self._is_ready(select.POLLIN):
             # All of the request has been read, and the descriptor is needed.
+            self._server.connection_leaves(self)
             self._transport.close()
             return
         self._end()
--- a/tests/adapters/http1/test_requests_in_hand.py
+++ b/tests/adapters/http1/test_requests_in_hand.py
@@ -156,6 +156,27 @@
     _run(check)
 
 
+# Guards against a caller beyond the limit for whom all others lose their connection.
+def test_one_connection_beyond_the_limit_closes_one_idle_connection() -> None:
+    """The one that was idle for longest; its place is given to the new caller."""
+
+    async def check() -> None:
+        limits = ConnectionLimits(served=CALLERS)
+        async with _server(_Service(), limits) as server:
+            kept = [await _kept(server) for _ in range(CALLERS)]
+            last = await _connect(server)
+            await _until(lambda: len(server.connections) > CALLERS)
+            while server.exceeds_connections:
+                await asyncio.sleep(0.01)
+            assert await _receive(kept[0]) == b""
+            for caller in (*kept[1:], last):
+                caller.sendall(REQUEST)
+                assert b" 200 " in await _receive(caller)
+                caller.close()
+
+    _run(check)
+
+
 # Guards against a body of tiny chunks that keeps all other callers waiting.
 def test_a_body_of_many_parts_is_read_in_several_passes() -> None:
     """Reading pauses until the event loop has served others."""
