Keep idle connections as long as their callers may expect

What callers saw: requests that crossed the close of a kept connection after a set had shortened IdleTimeout, or after a response that was read slowly.

Cause: the limit of the newest set was applied to connections whose callers knew only the one before, and idle time began as the response was written, not as its last byte was sent. The longer of both limits counts now.

The slow reader has no test of its own.

--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -113,6 +113,7 @@
         self._reading_paused = False
         self._yields = False
         self._owes_continue = False
+        self._idle_timeout_s = server.limits.idle_timeout_s
         self._written = WriteBufferHolding(server.memory)
         self._write_paused_since: float | None = None
         self._unsent_at_check = 0
@@ -315,6 +316,7 @@
             exchange = self._exchanges.popleft()
             exchange.holding.release()
             self._last_active_at = monotonic_s()
+            self._idle_timeout_s = self._server.limits.idle_timeout_s
             keep_alive = exchange.keep_alive and not self._should_announce_close()
             encoded = response.to_bytes(keep_alive=keep_alive)
             self._transport.write(encoded)
@@ -349,8 +351,12 @@
 
     def _count_written(self) -> None:
         """Count the written responses that the kernel has not taken yet."""
-        if self._transport is not None:
-            self._written.update(self._transport.get_write_buffer_size())
+        if self._transport is None:
+            return
+        unsent_bytes = self._transport.get_write_buffer_size()
+        self._written.update(unsent_bytes)
+        if unsent_bytes:
+            self._last_active_at = monotonic_s()
 
     def _is_write_stalled(self, now: float) -> bool:
         """Return whether the caller has read nothing for WRITE_STALL_TIMEOUT_S."""
@@ -363,10 +369,15 @@
         return now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
 
     def _is_idle_too_long(self, now: float) -> bool:
+        """
+        Return whether the caller no longer expects to be able to use the connection.
+
+        It may know only the limit that was in force as it had its last response.
+        """
         if not self.is_idle(now):
             return False
         idle_s = now - self._last_active_at
-        limit_s = self._server.limits.idle_timeout_s
+        limit_s = max(self._idle_timeout_s, self._server.limits.idle_timeout_s)
         return idle_s > limit_s or self._server.exceeds_connections
 
     def _is_ready(self, events: int) -> bool:
--- a/tests/adapters/http1/test_requests_in_hand.py
+++ b/tests/adapters/http1/test_requests_in_hand.py
@@ -24,6 +24,7 @@
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
 from damaskbay.core.descriptors import ConnectionLimits
+from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 from tests.common import function_suite
 
@@ -156,6 +157,25 @@
     _run(check)
 
 
+# Guards against a shorter idle timeout that callers can't know of yet.
+def test_a_kept_connection_outlives_a_shorter_idle_timeout() -> None:
+    """Callers go by the limit that was in force as they had their last response."""
+
+    async def check() -> None:
+        async with _server(_Service()) as server:
+            caller = await _kept(server)
+            later = monotonic_s() + server.limits.idle_timeout_s / 2.0
+            server.limits = CallerLimits(idle_timeout_s=0.1)
+            for connection in tuple(server.connections):
+                connection.close_if_timed_out(later)
+            await asyncio.sleep(0.05)
+            caller.sendall(REQUEST)
+            assert b" 200 " in await _receive(caller)
+            caller.close()
+
+    _run(check)
+
+
 # Guards against a caller beyond the limit for whom all others lose their connection.
 def test_one_connection_beyond_the_limit_closes_one_idle_connection() -> None:
     """The one that was idle for longest; its place is given to the new caller."""
