Log responses that are dropped as their connection ends

A response that its caller does not read, and those that wait behind it, ended without a line in the log. The test that goes with it guards what was suspected and not found: responses that are ready reach a caller that closes its side (it passes on, too).

--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -186,6 +186,11 @@
         self._server.remove_connection(self)
         self._written.release()
         self._parser.close()
+        if unsent_bytes := sum(exchange.response_bytes for exchange in self._exchanges):
+            _LOGGER.info(
+                "edge: caller has left before its response.",
+                extra={"unsent_bytes": unsent_bytes, "why": str(exc)},
+            )
         for exchange in self._exchanges:
             exchange.holding.release()
             if exchange.task is not None:
@@ -248,6 +253,8 @@
             return
         self._count_written()
         if self._is_write_stalled(now):
+            extra = {"unsent_bytes": self.unsent_bytes}
+            _LOGGER.warning("edge: caller reads nothing.", extra=extra)
             self._transport.abort()
         elif self._ended_at is not None:
             if self.unsent_bytes:
--- a/tests/adapters/http1/test_requests_in_hand.py
+++ b/tests/adapters/http1/test_requests_in_hand.py
@@ -14,10 +14,11 @@
 import unittest
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 import uvloop
 
+from damaskbay.adapters.http1 import server_connection
 from damaskbay.adapters.http1.const import MAX_BODY_PARTS
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.adapters.http1.server_connection import ServerConnection
@@ -157,6 +158,28 @@
     _run(check)
 
 
+# Guards against LOST: responses that are ready as a caller closes its side.
+def test_responses_that_are_ready_reach_a_caller_that_sends_no_more() -> None:
+    """The caller reads slowly, so that all but the first wait for it."""
+
+    async def check() -> None:
+        service = _Service(LARGE)
+        async with _server(service) as server:
+            caller = await _connect(server)
+            caller.sendall(2 * REQUEST)
+            await _until(lambda: server.unsent_bytes > len(LARGE))
+            caller.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(0.05)
+            received = await _receive(caller, None)
+            assert received.count(b"HTTP/1.1 200 ") == 2, len(received)
+            assert len(received) > 2 * len(LARGE), len(received)
+            caller.close()
+
+    # Reading goes on, so that the end of the caller's side is seen.
+    with patch.object(server_connection, "MAX_UNREAD_BYTES", 4 * len(LARGE)):
+        _run(check)
+
+
 # Guards against a shorter idle timeout that callers can't know of yet.
 def test_a_kept_connection_outlives_a_shorter_idle_timeout() -> None:
     """Callers go by the limit that was in force as they had their last response."""
