Stay until a caller whose upload was rejected has its answer

What callers saw: a caller still sending its body in a stop got 408 and then a reset, 0.1 s later, as the process had ended; its next write failed.

Cause: a connection whose last response is written counted as idle, also while the caller still sent what that response rejects. It now counts as in flight until its caller closes or sends nothing for two seconds; the end of the plan bounds the wait as before.

--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -113,6 +113,7 @@
         self._reading_paused = False
         self._yields = False
         self._owes_continue = False
+        self._discards_rest = False
         self._idle_timeout_s = server.limits.idle_timeout_s
         self._written = WriteBufferHolding(server.memory)
         self._write_paused_since: float | None = None
@@ -132,7 +133,7 @@
         if self._transport is None or self._exchanges or self.unsent_bytes:
             return False
         if self.lingering:
-            return True
+            return not self._discards_rest or now >= self._lingers_until
         if self._parser.in_request:
             return False
         return self._received_any or now - self._last_active_at >= FIRST_REQUEST_WAIT_S
@@ -259,7 +260,7 @@
         elif self._ended_at is not None:
             if self.unsent_bytes:
                 self._ended_at = now
-            elif now - self._ended_at > LINGER_TIMEOUT_S and (
+            elif now > self._lingers_until and (
                 now >= self._linger_until or not self._is_ready(select.POLLIN)
             ):
                 self._transport.close()
@@ -401,6 +402,11 @@
             return False
         return now - self._last_active_at > limits.idle_timeout_s
 
+    @property
+    def _lingers_until(self) -> float:
+        """Return when a connection closes whose caller sends nothing more."""
+        return (self._ended_at or 0.0) + LINGER_TIMEOUT_S
+
     def _extend_linger(self) -> None:
         """Keep a connection whose caller still sends a body that was rejected."""
         if self._ended_at is not None and self._last_active_at < self._linger_until:
@@ -434,6 +440,7 @@
         """Send an error response after the responses to earlier requests, and close."""
         self._closing = True
         self._error_status = status
+        self._discards_rest = self._discards_rest or self._parser.in_request
         self._parser.close()
         if self._exchanges or self._transport is None or self.lingering:
             return
