Don't read on a connection that the soak's caller gave up

The caller gave up the first of them at its time limit, closed, and read the late answer from its buffer as that of the next one.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -126,7 +126,11 @@
         """Read the response to the oldest request, slowly over `read_s` seconds."""
         sent.read_s = read_s
         if self._gave_up:
+            # What is left in the buffer may answer the request that was given up.
             sent.failure = sent.failure or CALLER_CLOSED
+            self._waiting.popleft()
+            sent.ended_at = time.monotonic()
+            return
         timeout_s = sent.limit_s + OVERDUE_S + 2.0 * read_s
         try:
             async with asyncio.timeout(timeout_s):
