Keep callers that wait to be accepted in a long queue

What callers saw: no answer for up to 20 s, or a reset, though connect() had succeeded and the whole request was sent, while a daemon accepted nothing.

Cause: the accept queue was a tenth of the descriptors, and one connection while the listener paused. The kernel drops the last packet of a handshake that finds the queue full: the caller counts as connected, and its request is not received until one of the kernel's retries, ever further apart, finds room. The short queue came from libuv, which accepted all of it at once.

The listener no longer accepts more than there is room for, so that the queue has 1,024 places, also in a pause. The tenth of the descriptors bounds what is accepted as the listener closes.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -64,7 +64,9 @@
         self.bind_wait_s = 0.0
         self.connections: set[ServerConnection] = set()
         self._leaving: set[ServerConnection] = set()
-        self._listener = Listener(self._make_connection, self.connection_limits.backlog)
+        self._listener = Listener(
+            self._make_connection, self.connection_limits.accepts_at_close
+        )
         self._timeout_task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -33,6 +33,8 @@
     """
     Listening socket; `protocol_factory` creates the protocol of a connection.
 
+    As it closes, `accepts_at_close` connections of its queue are accepted at most.
+
     Accepted connections inherit the keepalive of the listening socket, but no user
     timeout, which would end those of callers that read nothing for a while. Without
     descriptors or memory to accept with, connections wait in the queue.
@@ -41,10 +43,10 @@
     def __init__(
         self,
         protocol_factory: Callable[[], asyncio.BaseProtocol],
-        backlog: int = MAX_BACKLOG,
+        accepts_at_close: int = MAX_BACKLOG,
     ) -> None:
         self._protocol_factory = protocol_factory
-        self._backlog = backlog
+        self._accepts_at_close = accepts_at_close
         self._port = 0
         self._sock: socket.socket | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -73,22 +75,19 @@
 
     def pause(self) -> None:
         """
-        Accept no connections for a while, except those that wait in the queue.
+        Accept no connections for a while; they wait in the queue.
 
         It may be called while a connection is accepted.
         """
         if self._sock is None or self._is_paused:
             return
         self._is_paused = True
-        # Without it, new connections join the queue as fast as others are accepted.
-        self._sock.listen(0)
         asyncio.get_running_loop().remove_reader(self._sock)
 
     def resume(self) -> None:
         """Accept connections again."""
         if self._is_paused and self._sock is not None:
             self._is_paused = False
-            self._sock.listen(self._backlog)
             self._start_accepting()
 
     def close(self) -> None:
@@ -105,7 +104,7 @@
         accepted = []
         try:
             # The kernel resets those that join the queue after the last look at it.
-            for connection in _accept_waiting(sock, 2 * (self._backlog + 1)):
+            for connection in _accept_waiting(sock, self._accepts_at_close):
                 accepted.append(connection)
         except OSError as error:
             _LOGGER.warning("edge: can't accept.", extra={"why": str(error)})
@@ -125,7 +124,7 @@
     def _listen(self, address: PeerAddress) -> PeerAddress:
         sock = _bind(address)
         try:
-            sock.listen(self._backlog)
+            sock.listen(MAX_BACKLOG)
         except BaseException:
             sock.close()
             raise
--- a/damaskbay/core/descriptors.py
+++ b/damaskbay/core/descriptors.py
@@ -10,9 +10,9 @@
 REFUSED_SHARE: Final = 0.05
 """Part of the descriptors for callers that are refused."""
 
-BACKLOG_SHARE: Final = 0.1
+CLOSE_SHARE: Final = 0.1
 """
-Part of the descriptors for callers that wait, since all may be accepted at once.
+Part of the descriptors for callers that wait as the listener closes.
 
 The rest is for servers, peers and the store.
 """
@@ -21,7 +21,8 @@
 """
 Maximum number of connections that wait to be accepted.
 
-Further attempts to connect are dropped, which delays the caller by seconds.
+Further ones are dropped by the kernel, also where the caller counts as connected and
+has sent its request, which delays them by seconds.
 """
 
 
@@ -30,13 +31,14 @@
     """
     Numbers of connections of callers.
 
-    Requests on connections beyond `served` are refused. From `most` on no more are
-    accepted than the `backlog` that waits by then.
+    Requests on connections beyond `served` are refused. From `most` on none is accepted
+    until others have left. As the listener closes, it accepts `accepts_at_close` of
+    those that wait.
     """
 
     served: int = sys.maxsize
     most: int = sys.maxsize
-    backlog: int = MAX_BACKLOG
+    accepts_at_close: int = MAX_BACKLOG
 
 
 def divide_descriptors(count: int) -> ConnectionLimits:
@@ -45,5 +47,5 @@
     return ConnectionLimits(
         served,
         served + max(1, int(REFUSED_SHARE * count)),
-        min(MAX_BACKLOG, max(1, int(BACKLOG_SHARE * count))),
+        min(MAX_BACKLOG, max(1, int(CLOSE_SHARE * count))),
     )
--- a/tests/adapters/http1/test_connection_limits.py
+++ b/tests/adapters/http1/test_connection_limits.py
@@ -119,6 +119,34 @@
     uvloop.run(run())
 
 
+# Guards against requests that the kernel drops: the queue of a pause was too short.
+def test_callers_that_find_no_room_wait_in_the_queue() -> None:
+    """They connect at once, and get an answer when others have left."""
+
+    async def run() -> None:
+        async with _server(ConnectionLimits(served=2, most=3)) as server:
+            address = (server.address.host, server.address.port)
+            kept = [await _connect(server) for _ in range(3)]
+            while len(server.connections) < 3:
+                await asyncio.sleep(0.01)
+            with contextlib.ExitStack() as stack:
+                callers = [
+                    stack.enter_context(socket.create_connection(address, CONNECT_S))
+                    for _ in range(30)
+                ]
+                for caller in callers:
+                    caller.sendall(REQUEST)
+                    caller.settimeout(WAIT_S)
+                for _, writer in kept:
+                    writer.close()
+                heads = [
+                    await asyncio.to_thread(caller.recv, 4096) for caller in callers
+                ]
+            assert all(heads), heads
+
+    uvloop.run(run())
+
+
 # Guards against a reset in place of 413: the rest of a rejected body was not read.
 def test_a_refused_caller_that_still_sends_gets_its_answer() -> None:
     """Only a request that has been read completely is answered by a close."""
