--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -22,7 +22,7 @@
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.descriptors import ConnectionLimits
 from damaskbay.core.memory_account import MemoryAccount
-from damaskbay.helpers.arrivals import read_new_connections
+from damaskbay.helpers.arrivals import read_arrived, read_new_connections
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.supervision import keep_running
 from damaskbay.ports.peer import PeerAddress
@@ -40,8 +40,9 @@
     request that was read. `memory` counts what the connections hold of requests and
     responses. Requests on connections beyond `connection_limits` are refused. Entering
     the context waits up to `bind_wait_s` seconds for an address that can't be used.
-    Leaving it sets `ending`, which refuses the requests that are still read, and waits
-    up to `close_timeout_s` seconds until complete responses are sent.
+    Leaving it sets `ending`, which refuses the requests that are still read, interrupts
+    those that still run, and waits up to `close_timeout_s` seconds until complete
+    responses are sent.
     """
 
     def __init__(
@@ -62,7 +63,10 @@
         self.close_timeout_s = CLOSE_TIMEOUT_S
         self.bind_wait_s = 0.0
         self.connections: set[ServerConnection] = set()
-        self._listener = Listener(self._make_connection, self.connection_limits.backlog)
+        self._leaving: set[ServerConnection] = set()
+        self._listener = Listener(
+            self._make_connection, self.connection_limits.accepts_at_close
+        )
         self._timeout_task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
@@ -85,6 +89,7 @@
             self.close_idle()
             self.reject_incomplete()
             await read_new_connections()
+            await self._interrupt()
             await self._flush()
         finally:
             self._close_connections()
@@ -96,8 +101,13 @@
 
     @property
     def connections_left(self) -> int:
-        """Return how many more connections may be served; negative beyond the limit."""
-        return self.connection_limits.served - len(self.connections)
+        """
+        Return how many more connections may be served; negative beyond the limit.
+
+        Those that are about to close don't count.
+        """
+        served = len(self.connections) - len(self._leaving)
+        return self.connection_limits.served - served
 
     @property
     def in_flight(self) -> int:
@@ -117,10 +127,16 @@
         """Stop accepting connections, except those that wait; open ones continue."""
         self._listener.close()
 
+    def connection_leaves(self, connection: ServerConnection) -> None:
+        """Count a connection that is about to close as no longer served."""
+        if connection in self.connections:
+            self._leaving.add(connection)
+
     def remove_connection(self, connection: ServerConnection) -> None:
         """Remove a connection that has ended, so that others can be accepted."""
         self.connections.discard(connection)
-        if not self.exceeds_connections:
+        self._leaving.discard(connection)
+        if len(self.connections) <= self.connection_limits.served:
             self._listener.resume()
 
     def reopen_if_unread(self, descriptor: int) -> None:
@@ -166,6 +182,19 @@
             self._listener.pause()
         return connection
 
+    async def _interrupt(self) -> None:
+        """End the requests that still run: a response is better than a close."""
+        serving = [
+            connection for connection in self.connections if connection.is_serving
+        ]
+        if not serving:
+            return
+        extra = {"address": str(self.address), "connections": len(serving)}
+        _LOGGER.warning("edge: requests are cut off by the close.", extra=extra)
+        for connection in serving:
+            connection.interrupt()
+        await read_arrived()
+
     async def _flush(self) -> None:
         """Wait until all complete responses are sent; log what exceeds the timeout."""
         ends_at = monotonic_s() + self.close_timeout_s
@@ -203,16 +232,21 @@
                 extra={"address": str(self.address), "connections": len(unread)},
             )
         for connection in tuple(self.connections):
-            connection.close_unless_serving()
+            connection.close()
 
     async def _check_timeouts(self) -> None:
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
             now = monotonic_s()
-            for connection in tuple(self.connections):
+            # Beyond the limit, the connections that were idle for longest leave.
+            for connection in sorted(self.connections, key=_last_active_at):
                 connection.close_if_timed_out(now)
 
 
+def _last_active_at(connection: ServerConnection) -> float:
+    return connection.last_active_at
+
+
 def _with_unread_bytes(
     connections: Iterable[ServerConnection],
 ) -> set[ServerConnection]:
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -12,6 +12,7 @@
 from damaskbay.adapters.http1.const import (
     FIRST_REQUEST_WAIT_S,
     LINGER_TIMEOUT_S,
+    MAX_BODY_PARTS,
     MAX_LINGER_S,
     MAX_PIPELINED_REQUESTS,
     MAX_UNREAD_BYTES,
@@ -87,6 +88,9 @@
     def connections_left(self) -> int:
         """Return how many more connections may be served; negative beyond the limit."""
 
+    def connection_leaves(self, connection: "ServerConnection") -> None:
+        """Count a connection that is about to close as no longer served."""
+
     def remove_connection(self, connection: "ServerConnection") -> None:
         """Remove a connection that has ended."""
 
@@ -107,6 +111,10 @@
         self._ended_at: float | None = None
         self._linger_until = 0.0
         self._reading_paused = False
+        self._yields = False
+        self._owes_continue = False
+        self._discards_rest = False
+        self._idle_timeout_s = server.limits.idle_timeout_s
         self._written = WriteBufferHolding(server.memory)
         self._write_paused_since: float | None = None
         self._unsent_at_check = 0
@@ -125,7 +133,7 @@
         if self._transport is None or self._exchanges or self.unsent_bytes:
             return False
         if self.lingering:
-            return True
+            return not self._discards_rest or now >= self._lingers_until
         if self._parser.in_request:
             return False
         return self._received_any or now - self._last_active_at >= FIRST_REQUEST_WAIT_S
@@ -135,6 +143,16 @@
         """Return whether the last response is written and the caller has to close."""
         return self._ended_at is not None
 
+    @property
+    def is_serving(self) -> bool:
+        """Return whether a request has no complete response yet."""
+        return any(exchange.response is None for exchange in self._exchanges)
+
+    @property
+    def last_active_at(self) -> float:
+        """Return the monotonic time at which something was last read or sent."""
+        return self._last_active_at
+
     @property
     def descriptor(self) -> int | None:
         """Return the descriptor of the socket, None if nothing is read from it."""
@@ -169,6 +187,11 @@
         self._server.remove_connection(self)
         self._written.release()
         self._parser.close()
+        if unsent_bytes := sum(exchange.response_bytes for exchange in self._exchanges):
+            _LOGGER.info(
+                "edge: caller has left before its response.",
+                extra={"unsent_bytes": unsent_bytes, "why": str(exc)},
+            )
         for exchange in self._exchanges:
             exchange.holding.release()
             if exchange.task is not None:
@@ -186,6 +209,8 @@
             self._parser.feed(data, self._server.limits, self._last_active_at)
         except BadRequestError as error:
             self._reject(error.status)
+        if self._parser.body_parts > MAX_BODY_PARTS:
+            self._yield_reading()
 
     def pause_writing(self) -> None:
         """Record that the write buffer is full: the caller reads too slowly."""
@@ -198,14 +223,15 @@
         self._flush()
 
     def handle_expect_continue(self) -> None:
-        """Send 100 Continue, unless responses to earlier requests come first."""
-        if not self._exchanges and self._transport is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        """Send 100 Continue after the responses to earlier requests."""
+        self._owes_continue = True
+        self._send_continue()
 
     def handle_request(
         self, request: Request, holding: Holding, *, keep_alive: bool
     ) -> None:
         """Start serving a complete request."""
+        self._owes_continue = False
         if self._closing:
             holding.release()
             return
@@ -228,11 +254,13 @@
             return
         self._count_written()
         if self._is_write_stalled(now):
+            extra = {"unsent_bytes": self.unsent_bytes}
+            _LOGGER.warning("edge: caller reads nothing.", extra=extra)
             self._transport.abort()
         elif self._ended_at is not None:
             if self.unsent_bytes:
                 self._ended_at = now
-            elif now - self._ended_at > LINGER_TIMEOUT_S and (
+            elif now > self._lingers_until and (
                 now >= self._linger_until or not self._is_ready(select.POLLIN)
             ):
                 self._transport.close()
@@ -251,6 +279,7 @@
         """
         if self._transport is not None:
             self._reopens = True
+            self._server.connection_leaves(self)
             self._transport.close()
 
     def reject_incomplete(self) -> None:
@@ -258,19 +287,31 @@
         if self.is_incomplete:
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
 
-    def close_unless_serving(self) -> None:
-        """Close without waiting for the caller, unless a request is in flight."""
-        if self._transport is not None and not self._exchanges:
+    def interrupt(self) -> None:
+        """End the requests that have no response; their outcome is unknown."""
+        for exchange in self._exchanges:
+            if exchange.response is None and exchange.task is not None:
+                exchange.task.cancel()
+
+    def close(self) -> None:
+        """Close without waiting for the caller."""
+        if self._transport is not None:
             self._transport.close()
 
     async def _serve(self, exchange: _Exchange) -> None:
         arrival = exchange.arrival
         try:
             response = await self._server.handler(arrival)
+            encoded = encode_response(response, arrival.request.method)
+        except asyncio.CancelledError:
+            if self._transport is None:
+                raise
+            _LOGGER.warning("edge: request is interrupted.")
+            encoded = _error_response(http.HTTPStatus.BAD_GATEWAY)
         except Exception:
             _LOGGER.exception("edge: handler failed.")
-            response = Response(int(http.HTTPStatus.INTERNAL_SERVER_ERROR))
-        exchange.response = encode_response(response, arrival.request.method)
+            encoded = _error_response(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+        exchange.response = encoded
         if self._transport is not None:
             exchange.holding.set(exchange.response_bytes)
         self._flush()
@@ -283,6 +324,7 @@
             exchange = self._exchanges.popleft()
             exchange.holding.release()
             self._last_active_at = monotonic_s()
+            self._idle_timeout_s = self._server.limits.idle_timeout_s
             keep_alive = exchange.keep_alive and not self._should_announce_close()
             encoded = response.to_bytes(keep_alive=keep_alive)
             self._transport.write(encoded)
@@ -293,8 +335,17 @@
                 return
         if not self._exchanges and self._error_status is not None:
             self._reject(self._error_status)
+        self._send_continue()
         self._apply_backpressure()
 
+    def _send_continue(self) -> None:
+        """Send 100 Continue if a caller waits for it and nothing comes before."""
+        if not self._owes_continue or self._exchanges or self._closing:
+            return
+        self._owes_continue = False
+        if self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _should_announce_close(self) -> bool:
         """
         Return whether the next response announces the close of the connection.
@@ -308,8 +359,12 @@
 
     def _count_written(self) -> None:
         """Count the written responses that the kernel has not taken yet."""
-        if self._transport is not None:
-            self._written.update(self._transport.get_write_buffer_size())
+        if self._transport is None:
+            return
+        unsent_bytes = self._transport.get_write_buffer_size()
+        self._written.update(unsent_bytes)
+        if unsent_bytes:
+            self._last_active_at = monotonic_s()
 
     def _is_write_stalled(self, now: float) -> bool:
         """Return whether the caller has read nothing for WRITE_STALL_TIMEOUT_S."""
@@ -322,10 +377,15 @@
         return now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
 
     def _is_idle_too_long(self, now: float) -> bool:
+        """
+        Return whether the caller no longer expects to be able to use the connection.
+
+        It may know only the limit that was in force as it had its last response.
+        """
         if not self.is_idle(now):
             return False
         idle_s = now - self._last_active_at
-        limit_s = self._server.limits.idle_timeout_s
+        limit_s = max(self._idle_timeout_s, self._server.limits.idle_timeout_s)
         return idle_s > limit_s or self._server.exceeds_connections
 
     def _is_ready(self, events: int) -> bool:
@@ -342,6 +402,11 @@
             return False
         return now - self._last_active_at > limits.idle_timeout_s
 
+    @property
+    def _lingers_until(self) -> float:
+        """Return when a connection closes whose caller sends nothing more."""
+        return (self._ended_at or 0.0) + LINGER_TIMEOUT_S
+
     def _extend_linger(self) -> None:
         """Keep a connection whose caller still sends a body that was rejected."""
         if self._ended_at is not None and self._last_active_at < self._linger_until:
@@ -356,6 +421,7 @@
         what the caller has not received yet.
         """
         self._closing = True
+        self._server.connection_leaves(self)
         self._ended_at = monotonic_s()
         self._linger_until = self._ended_at + MAX_LINGER_S
         if self._transport is None:
@@ -374,6 +440,7 @@
         """Send an error response after the responses to earlier requests, and close."""
         self._closing = True
         self._error_status = status
+        self._discards_rest = self._discards_rest or self._parser.in_request
         self._parser.close()
         if self._exchanges or self._transport is None or self.lingering:
             return
@@ -392,6 +459,7 @@
         self._transport.write(response.to_bytes(keep_alive=False))
         if why == _TOO_MANY_CONNECTIONS and not self._is_ready(select.POLLIN):
             # All of the request has been read, and the descriptor is needed.
+            self._server.connection_leaves(self)
             self._transport.close()
             return
         self._end()
@@ -404,10 +472,27 @@
         )
         if self._transport is None or self.lingering:
             return
-        if too_many == self._reading_paused:
+        pauses = too_many or self._yields
+        if pauses == self._reading_paused:
             return
-        self._reading_paused = too_many
-        if too_many:
+        self._reading_paused = pauses
+        if pauses:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
+
+    def _yield_reading(self) -> None:
+        """Read on in a later pass of the event loop, after other connections."""
+        if self._yields:
+            return
+        self._yields = True
+        self._apply_backpressure()
+        asyncio.get_running_loop().call_soon(self._read_on)
+
+    def _read_on(self) -> None:
+        self._yields = False
+        self._apply_backpressure()
+
+
+def _error_response(status: http.HTTPStatus) -> EncodedResponse:
+    return encode_response(Response(int(status)), "GET")
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -31,7 +31,9 @@
     Listening socket; `protocol_factory` creates the protocol of a connection.
 
     It accepts by itself, since uvloop closes a listening socket for good after an
-    error, and libuv closes the callers for whom there is no descriptor.
+    error, and libuv closes the callers for whom there is no descriptor: without
+    descriptors or memory they wait in the queue. As it closes, `accepts_at_close`
+    connections of the queue are accepted at most.
 
     Accepted connections inherit the keepalive of the listening socket, but no user
     timeout, which would end those of callers that read nothing for a while.
@@ -40,10 +42,10 @@
     def __init__(
         self,
         protocol_factory: Callable[[], asyncio.BaseProtocol],
-        backlog: int = MAX_BACKLOG,
+        accepts_at_close: int = MAX_BACKLOG,
     ) -> None:
         self._protocol_factory = protocol_factory
-        self._backlog = backlog
+        self._accepts_at_close = accepts_at_close
         self._port = 0
         self._sock: socket.socket | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -84,15 +86,12 @@
         if self._sock is None or self._is_paused:
             return
         self._is_paused = True
-        # Without it, callers beyond the pause fill the queue up to the whole backlog.
-        self._sock.listen(0)
         self._stop_accepting()
 
     def resume(self) -> None:
         """Accept connections again."""
         if self._is_paused and self._sock is not None:
             self._is_paused = False
-            self._sock.listen(self._backlog)
             self._start_accepting()
 
     def close(self) -> None:
@@ -110,7 +109,7 @@
         # The kernel resets connections that join the queue after the last look at it.
         accepted: list[socket.socket] = []
         try:
-            for connection in _accept_waiting(sock, 2 * (self._backlog + 1)):
+            for connection in _accept_waiting(sock, self._accepts_at_close):
                 accepted.append(connection)
         except OSError as error:
             _LOGGER.warning("edge: can't accept.", extra={"why": str(error)})
@@ -131,7 +130,7 @@
     def _listen(self, address: PeerAddress) -> PeerAddress:
         sock = _bind(address)
         try:
-            sock.listen(self._backlog)
+            sock.listen(MAX_BACKLOG)
             self._port = sock.getsockname()[1]
             self._sock = sock
             self._start_accepting()
