Accept callers again after memory was missing

A daemon whose address space was full for some seconds was ready afterwards, but accepted no callers: they could not connect, until it was started again.

Cause: a MemoryError as a connection is accepted made uvloop close the listener for good. A connection whose task could not be made stayed in the count of connections.

The timer is set before anything else, a record that finds no memory on its way into the queue is dropped and counted, and a connection that isn't made is told so.

Evidence: test_a_daemon_serves_again_after_memory_was_missing limits the address space of a running process from outside for 3 s.

--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -124,7 +124,12 @@
         """Connect an accepted socket to a new protocol."""
         protocol = self._protocol_factory()
         loop = asyncio.get_running_loop()
-        task = loop.create_task(loop.connect_accepted_socket(lambda: protocol, sock))
+        try:
+            connecting = loop.connect_accepted_socket(lambda: protocol, sock)
+            task = loop.create_task(connecting)
+        except Exception as error:
+            protocol.connection_lost(error)
+            raise
         self._tasks.add(task)
         task.add_done_callback(partial(self._finish, protocol))
 
@@ -168,14 +173,16 @@
                     break
         except Exception as error:
             # The queue stays readable, so that an immediate retry would not end.
-            self._stop_accepting()
             self._retry_later(error)
 
     def _retry_later(self, error: Exception) -> None:
+        """Accept again after a while, at once if there is no memory for a timer."""
+        loop = asyncio.get_running_loop()
+        retry = loop.call_later(ACCEPT_RETRY_S, self._start_accepting)
+        self._stop_accepting()
+        self._retry = retry
         extra = {"why": repr(error), "port": self._port}
         _LOGGER.warning("edge: can't accept for a while.", extra=extra)
-        loop = asyncio.get_running_loop()
-        self._retry = loop.call_later(ACCEPT_RETRY_S, self._start_accepting)
 
     def _finish(self, protocol: asyncio.BaseProtocol, task: asyncio.Task[Any]) -> None:
         """Tell a protocol if it has not been connected."""
--- a/damaskbay/helpers/logs.py
+++ b/damaskbay/helpers/logs.py
@@ -108,6 +108,14 @@
         except queue.Full:
             self.dropped += 1
 
+    def handle(self, record: logging.LogRecord) -> bool:
+        """Queue a record; drop it if there is no memory for that."""
+        try:
+            return super().handle(record)
+        except MemoryError:
+            self.dropped += 1
+            return False
+
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
         """Return the record as it is; the writer thread formats it."""
         return record
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -91,6 +91,12 @@
         """Return what the process has written."""
         return self.log_path.read_text() if self.log_path.exists() else ""
 
+    def address_space(self) -> int:
+        """Return the bytes of the address space of the process."""
+        assert self.process is not None
+        statm = Path(f"/proc/{self.process.pid}/statm").read_text()
+        return int(statm.split()[0]) * resource.getpagesize()
+
     def listens(self) -> bool:
         """Return whether the process accepts callers."""
         with contextlib.suppress(OSError):
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import resource
 import socket
@@ -26,6 +27,9 @@
 
 MISSING_S = 3.0
 STORE_FAULT_S = 0.5
+LONG_REQUEST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 7000000\r\n\r\n" + bytes(
+    200_000
+)
 FEW_DESCRIPTORS = (5, 19)
 ENDLESS_STACK_BYTES = 1 << 60
 
@@ -91,6 +95,29 @@
         daemon.stop()
 
 
+# After MemoryErrors, a daemon that was ready accepted no more callers.
+def test_a_daemon_serves_again_after_memory_was_missing() -> None:
+    """Callers with long requests come meanwhile."""
+    with daemon_process() as daemon, contextlib.ExitStack() as callers:
+        daemon.start()
+        daemon.until(daemon.listens)
+        assert daemon.process is not None
+        pid = daemon.process.pid
+        limits = resource.prlimit(pid, resource.RLIMIT_AS)
+        resource.prlimit(pid, resource.RLIMIT_AS, (daemon.address_space(), limits[1]))
+        ends_at = time.monotonic() + MISSING_S
+        while time.monotonic() < ends_at:
+            with contextlib.suppress(OSError):
+                caller = callers.enter_context(
+                    socket.create_connection((daemon.host, daemon.port), timeout=0.5)
+                )
+                caller.sendall(LONG_REQUEST)
+        resource.prlimit(pid, resource.RLIMIT_AS, limits)
+        callers.close()
+        daemon.until(lambda: daemon.get(daemon.port)[0] == 503)
+        daemon.stop()
+
+
 # libuv aborted a process whose socket had the number of a standard stream.
 def test_closed_standard_streams_do_not_end_a_process() -> None:
     """Connections are made and closed meanwhile."""
