Start where the library of the build is missing

A start program whose interpreter was moved or replaced after the build ended with status 1, so that the system would never have started. It now runs the interpreter's program, with the signals still blocked, and else the one on the path; the build takes the message as a failure, and then leaves a link as before.

test_the_daemon_starts_where_the_library_of_the_build_is_missing: on the code before, both cases ended with status 1 by reading of the program; the test was not run there.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -114,14 +114,15 @@
 
 
 def identify(interpreter: Path | str) -> str:
-    """Return what IDENTIFY prints; raise BuildError if it can't be run."""
+    """Return what IDENTIFY prints; raise BuildError if it is not run or complains."""
     result = subprocess.run(
         [interpreter, "-I", "-S", "-c", IDENTIFY],
         capture_output=True,
         text=True,
         check=False,
     )
-    if result.returncode != 0:
+    # The program says so and goes on if it can't load its library.
+    if result.returncode != 0 or result.stderr:
         lines = result.stderr.strip().splitlines() or ["no message"]
         raise BuildError(f"{interpreter} failed: {lines[-1]}")
     return result.stdout
--- a/deploy/python3.c
+++ b/deploy/python3.c
@@ -10,6 +10,7 @@
 #include <dlfcn.h>
 #include <signal.h>
 #include <stdio.h>
+#include <unistd.h>
 
 typedef int (*main_function)(int, char **);
 
@@ -32,12 +33,16 @@
     library = dlopen(PYTHON_LIBRARY, RTLD_NOW | RTLD_GLOBAL);
     if (library != NULL)
         run_interpreter = (main_function)dlsym(library, "Py_BytesMain");
-    if (run_interpreter == NULL) {
-        fprintf(stderr, "python3: %s\n", dlerror());
-        return 1;
-    }
 
     /* Prefix, standard library and virtual environment are found by this name. */
     argv[0] = PYTHON_EXECUTABLE;
-    return run_interpreter(argc, argv);
+    if (run_interpreter != NULL)
+        return run_interpreter(argc, argv);
+
+    /* The machine has another interpreter than at the build: signals stay blocked. */
+    fprintf(stderr, "python3: %s\n", dlerror());
+    execv(PYTHON_EXECUTABLE, argv);
+    execvp("python3", argv);
+    perror("python3: " PYTHON_EXECUTABLE);
+    return 1;
 }
--- a/tests/deploy/test_interpreter.py
+++ b/tests/deploy/test_interpreter.py
@@ -101,13 +101,31 @@
             _assert_starts(target / "python3")
 
 
+# An interpreter that was moved or replaced after the build ended every start.
+def test_the_daemon_starts_where_the_library_of_the_build_is_missing() -> None:
+    """It runs the program of the interpreter, and else the one on the path."""
+    for executable in (sys.executable, "/missing/python3"):
+        with tempfile.TemporaryDirectory() as folder:
+            program = Path(folder, "python3")
+            _compile("-o", str(program), library="/missing", executable=executable)
+            assert _run(program, "-c", REPORT_SIGNALS).stdout == "[1, 2, 15]\n"
+            result = _run(program, ENTRY_FILE)
+            assert result.returncode == EXIT_INVALID, result
+
+
 def test_the_interpreter_compiles_without_warnings() -> None:
     """Any warning is an error here; the build only prints them."""
+    _compile("-fsyntax-only", library="x", executable="x")
+
+
+def _compile(*options: str, library: str, executable: str) -> None:
+    """Compile the interpreter for a library and a program."""
     compiler = shutil.which("cc")
     assert compiler is not None, "gcc and libc6-dev are in deploy/system.toml"
-    names = ("PYTHON_LIBRARY", "PYTHON_EXECUTABLE")
-    command = [compiler, "-std=c11", "-Wall", "-Wextra", "-Werror", "-fsyntax-only"]
-    command += [*(f'-D{name}="x"' for name in names), "deploy/python3.c"]
+    command = [compiler, "-std=c11", "-Wall", "-Wextra", "-Werror", *options]
+    definitions = {"PYTHON_LIBRARY": library, "PYTHON_EXECUTABLE": executable}
+    command += [f'-D{name}="{value}"' for name, value in definitions.items()]
+    command += ["deploy/python3.c", "-ldl"]
     subprocess.run(command, cwd=ROOT, check=True, timeout=BUILD_TIMEOUT_S)
 
 
