Let SIGHUPs meet starts right after exec in the soak

A start gets up to four SIGHUPs, half of the series right after exec, since the interpreter starts with signals blocked.

--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -58,6 +58,11 @@
             if lag_s > LAG_INTERVAL_S:
                 self._lags.append((ended_at, lag_s))
 
+    @property
+    def longest_s(self) -> float:
+        """Return the longest lag, seconds."""
+        return max((lag_s for _, lag_s in self._lags), default=0.0)
+
     def find_stalls(self, least_s: float) -> list[Disturbance]:
         """Return when the event loop stood still for `least_s` seconds or more."""
         return [
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -159,6 +159,7 @@
             f"late stops {len(late)} {late}, "
             f"starts {sum(len(machine.starts) for machine in machines)}, "
             f"idle connections closed early {dict(self._idle_closes)}, "
+            f"longest stall of the soak itself {self._lag.longest_s:.1f} s, "
             f"longest time to ready {ready:.1f} s, "
             f"peak memory {max(one.peak_kib for one in machines) // 1024} MiB"
         )
--- a/tests/soak/site_faults.py
+++ b/tests/soak/site_faults.py
@@ -20,8 +20,11 @@
 """Seconds of each period for which a daemon without an allotment stands still."""
 
 ALLOTMENT_RANGE_S = (2.0, 6.0)
-EARLY_SIGNAL_RANGE_S = (0.15, 0.6)
-"""Seconds after the start of a process at which it may get SIGHUP."""
+EARLY_SIGNAL_RANGE_S = (0.0, 0.6)
+"""Seconds after the exec of a process at which it may get SIGHUPs; half at once."""
+
+EARLY_SIGNALS_RANGE = (1, 4)
+"""Number of SIGHUPs in a series that meets a start."""
 
 EARLY_SIGNAL_SHARE = 0.5
 """Part of the starts, 0 to 1, that a SIGHUP meets."""
@@ -156,9 +159,12 @@
             return
         await machine.start_daemon()
         if self._rng.random() < EARLY_SIGNAL_SHARE:
-            await asyncio.sleep(self._rng.uniform(*EARLY_SIGNAL_RANGE_S))
-            self._parts.record("SIGHUP after a start", machine.name)
-            machine.send_signal(signal.SIGHUP)
+            pause_s = self._rng.uniform(*EARLY_SIGNAL_RANGE_S)
+            await asyncio.sleep(self._rng.choice([0.0, pause_s]))
+            self._parts.record("SIGHUPs after a start", machine.name)
+            for _ in range(self._rng.randint(*EARLY_SIGNALS_RANGE)):
+                machine.send_signal(signal.SIGHUP)
+                await asyncio.sleep(self._rng.expovariate(20.0))
         if self._rng.random() < EARLY_STOP_SHARE:
             await asyncio.sleep(self._rng.choice([0.0, self._rng.uniform(0.0, 2.5)]))
             self._parts.record("stop after a start", machine.name)
