--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -92,7 +92,7 @@
             f"s{options.seed}{options.name}", self._rng, options.timeout_s
         )
         self._places: dict[str, _Place] = {}
-        self._nested: list[SentRequest] = []
+        self._ended_servers: list[SoakServer] = []
         self._lag = LagRecorder()
 
     async def run(self) -> None:
@@ -108,7 +108,6 @@
         lag_task.cancel()
         for place in self._places.values():
             self._stop_callers(place)
-            self._nested += place.server.nested
         # Executions that a caller no longer waits for come to their end.
         await asyncio.sleep(1.0)
         self._connection.send(self._report())
@@ -121,8 +120,14 @@
                     for name in SERVER_HEADERS
                     if name in execution.headers
                 }
+        servers = [place.server for place in self._places.values()]
+        nested = [
+            sent
+            for server in (*self._ended_servers, *servers)
+            for sent in server.nested
+        ]
         return WorkerReport(
-            self._source.requests + self._nested,
+            self._source.requests + nested,
             self._executions.executions,
             self._lag,
             self._checker.violations,
@@ -165,7 +170,7 @@
     async def start_server(self, command: Command) -> None:
         """Start another server at the address of one that has ended."""
         place = self._places[command.machine]
-        self._nested += place.server.nested
+        self._ended_servers.append(place.server)
         await place.server.__aexit__(None, None, None)
         place.server = SoakServer(place.options, self._executions, self._rng)
         place.server.server = command.value
