--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -13,11 +13,8 @@
     FLUSH_POLL_S,
     TIMEOUT_CHECK_INTERVAL_S,
 )
-from damaskbay.adapters.http1.server_connection import (
-    Handler,
-    ReceivedRequest,
-    ServerConnection,
-)
+from damaskbay.adapters.http1.exchange import Handler, ReceivedRequest
+from damaskbay.adapters.http1.server_connection import ServerConnection
 from damaskbay.adapters.http1.sockets import Listener, ready_descriptors
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.descriptors import ConnectionLimits
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -5,8 +5,6 @@
 import logging
 import select
 from collections import deque
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Protocol, cast
 
 from damaskbay.adapters.http1.const import (
@@ -20,6 +18,7 @@
     WRITE_STALL_TIMEOUT_S,
 )
 from damaskbay.adapters.http1.exceptions import BadRequestError
+from damaskbay.adapters.http1.exchange import Exchange, Handler, ReceivedRequest
 from damaskbay.adapters.http1.request_parser import RequestParser
 from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
 from damaskbay.adapters.http1.sockets import ready_descriptors
@@ -31,14 +30,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class ReceivedRequest:
-    """A complete request and the monotonic time at which its last byte was read."""
-
-    request: Request
-    arrived_at: float
-
-
 _REJECTION_REASONS = {
     http.HTTPStatus.REQUEST_TIMEOUT: "incomplete",
     http.HTTPStatus.SERVICE_UNAVAILABLE: "no memory",
@@ -47,29 +38,6 @@
 _TOO_MANY_CONNECTIONS = "too many connections"
 _ENDING = "server ends"
 
-Handler = Callable[[ReceivedRequest], Awaitable[Response]]
-"""Serves one request; cancelled when the caller disconnects."""
-
-
-@dataclass(slots=True, eq=False)
-class _Exchange:
-    """
-    A request of a connection with its response, once available.
-
-    `holding` counts the request, then its response until that is written.
-    """
-
-    arrival: ReceivedRequest
-    holding: Holding
-    keep_alive: bool
-    task: "asyncio.Task[None] | None" = None
-    response: EncodedResponse | None = None
-
-    @property
-    def response_bytes(self) -> int:
-        """Return the size of the response, 0 before it is available."""
-        return self.response.size_bytes if self.response is not None else 0
-
 
 class ConnectionServer(Protocol):
     """What a connection needs of its server, see HttpServer."""
@@ -104,7 +72,7 @@
     def __init__(self, server: ConnectionServer) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._exchanges: deque[_Exchange] = deque()
+        self._exchanges: deque[Exchange] = deque()
         self._closing = False
         self._is_refused = server.connections_left < 1
         self._reopens = False
@@ -243,7 +211,7 @@
             self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE, why)
             return
         arrival = ReceivedRequest(request, self._last_active_at)
-        exchange = _Exchange(arrival, holding, keep_alive)
+        exchange = Exchange(arrival, holding, keep_alive)
         self._exchanges.append(exchange)
         exchange.task = asyncio.get_running_loop().create_task(self._serve(exchange))
         self._apply_backpressure()
@@ -298,7 +266,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    async def _serve(self, exchange: _Exchange) -> None:
+    async def _serve(self, exchange: Exchange) -> None:
         arrival = exchange.arrival
         try:
             response = await self._server.handler(arrival)
