--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -13,6 +13,7 @@
 
 from damaskbay.adapters.http1.server import Handler
 from damaskbay.config.objects import ConfigSet
+from damaskbay.helpers.arrivals import read_arrived
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import (
     open_standard_descriptors,
@@ -186,6 +187,9 @@
             return
         await _run(path, *found, stopping, hang_up)
     except Exception:
+        hold_signals()
+        # The loop handles the signals that came before in a later pass.
+        await read_arrived()
         if not stopping.is_set():
             raise
         _LOGGER.exception("daemon: the stop has failed.")
