--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -192,7 +192,8 @@
         await read_arrived()
         if not stopping.is_set():
             raise
-        _LOGGER.exception("daemon: the stop has failed.")
+        with contextlib.suppress(MemoryError):
+            _LOGGER.exception("daemon: the stop has failed.")
     finally:
         # The loop takes its handlers away when it closes.
         hold_signals()
@@ -270,10 +271,12 @@
             require_loop_descriptors()
             uvloop.run(serve(path))
         except Exception:
-            _LOGGER.exception(
-                "daemon: has failed and starts again.",
-                extra={"delay_s": RESTART_DELAY_S},
-            )
+            # The line of a run that found no memory may find none, either.
+            with contextlib.suppress(MemoryError):
+                _LOGGER.exception(
+                    "daemon: has failed and starts again.",
+                    extra={"delay_s": RESTART_DELAY_S},
+                )
         else:
             return
         # Signals are held between two runs.
--- a/tests/platform/test_failed_runs.py
+++ b/tests/platform/test_failed_runs.py
@@ -53,6 +53,27 @@
     print(runs)
 
 
+# A process ended if there was no memory for the line about its failed run.
+def test_a_daemon_starts_again_though_its_failure_could_not_be_logged() -> None:
+    """The next run is stopped."""
+    assert _runs("fail_without_memory") == 2
+
+
+def fail_without_memory() -> None:
+    """Fail in the first run, of which nothing can be logged, and print the runs."""
+    runs = 0
+
+    async def run(*_: object) -> None:
+        nonlocal runs
+        runs += 1
+        if runs == 1:
+            raise MemoryError
+
+    with patch.object(daemon._LOGGER, "exception", side_effect=MemoryError):
+        _run_daemon(run)
+    print(runs)
+
+
 def _run_daemon(run: object) -> None:
     async def read_settings(*_: object) -> tuple[None, None]:
         return None, None
