--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -146,11 +146,10 @@
         _LOGGER.info("edge: connection is reopened.")
         try:
             sock = socket.socket(fileno=os.dup(descriptor))
-        except OSError as error:
-            _LOGGER.warning("edge: connection is lost.", extra={"why": str(error)})
-            return
-        sock.setblocking(False)
-        self._listener.adopt(sock)
+            sock.setblocking(False)
+            self._listener.adopt(sock)
+        except (OSError, MemoryError) as error:
+            _LOGGER.warning("edge: connection is lost.", extra={"why": repr(error)})
 
     def close_idle(self) -> None:
         """Close the connections without a request or response in flight."""
--- a/tests/adapters/http1/test_requests_in_hand.py
+++ b/tests/adapters/http1/test_requests_in_hand.py
@@ -220,6 +220,28 @@
     _run(check)
 
 
+def _find_no_memory(_: socket.socket) -> None:
+    raise MemoryError
+
+
+# A connection that could not be reopened counted as open for ever.
+def test_a_connection_that_can_not_be_reopened_is_removed() -> None:
+    """There is no memory for its new transport."""
+
+    async def check() -> None:
+        async with _server(_Service()) as server:
+            caller = await _kept(server)
+            with patch.object(server._listener, "adopt", _find_no_memory):
+                server.close_idle()
+                caller.sendall(REQUEST)
+                await _until(lambda: not server.connections)
+            # A reset tells the caller that its request was not read.
+            assert b"HTTP" not in await _receive(caller)
+            caller.close()
+
+    _run(check)
+
+
 # Guards against a body of tiny chunks that keeps all other callers waiting.
 def test_a_body_of_many_parts_is_read_in_several_passes() -> None:
     """Reading pauses until the event loop has served others."""
