--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -64,6 +64,7 @@
         self.bind_wait_s = 0.0
         self.connections: set[ServerConnection] = set()
         self._leaving: set[ServerConnection] = set()
+        self._closing: set[ServerConnection] = set()
         self._listener = Listener(
             self._make_connection, self.connection_limits.accepts_at_close
         )
@@ -99,6 +100,18 @@
         """Return whether more connections are open than may be served."""
         return self.connections_left < 0
 
+    @property
+    def needs_room(self) -> bool:
+        """
+        Return whether idle connections have to make room for others.
+
+        Those that linger keep their descriptors, for want of which none is accepted.
+        """
+        if not self._listener.is_paused:
+            return self.exceeds_connections
+        held = len(self.connections) - len(self._closing)
+        return held > self.connection_limits.served
+
     @property
     def connections_left(self) -> int:
         """
@@ -127,15 +140,21 @@
         """Stop accepting connections, except those that wait; open ones continue."""
         self._listener.close()
 
-    def connection_leaves(self, connection: ServerConnection) -> None:
+    def connection_leaves(
+        self, connection: ServerConnection, *, lingers: bool = False
+    ) -> None:
         """Count a connection that is about to close as no longer served."""
-        if connection in self.connections:
-            self._leaving.add(connection)
+        if connection not in self.connections:
+            return
+        self._leaving.add(connection)
+        if not lingers:
+            self._closing.add(connection)
 
     def remove_connection(self, connection: ServerConnection) -> None:
         """Remove a connection that has ended, so that others can be accepted."""
         self.connections.discard(connection)
         self._leaving.discard(connection)
+        self._closing.discard(connection)
         if len(self.connections) <= self.connection_limits.served:
             self._listener.resume()
 
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -84,11 +84,17 @@
     def exceeds_connections(self) -> bool:
         """Return whether more connections are open than may be served."""
 
+    @property
+    def needs_room(self) -> bool:
+        """Return whether idle connections have to make room for others."""
+
     @property
     def connections_left(self) -> int:
         """Return how many more connections may be served; negative beyond the limit."""
 
-    def connection_leaves(self, connection: "ServerConnection") -> None:
+    def connection_leaves(
+        self, connection: "ServerConnection", *, lingers: bool = False
+    ) -> None:
         """Count a connection that is about to close as no longer served."""
 
     def remove_connection(self, connection: "ServerConnection") -> None:
@@ -386,7 +392,7 @@
             return False
         idle_s = now - self._last_active_at
         limit_s = max(self._idle_timeout_s, self._server.limits.idle_timeout_s)
-        return idle_s > limit_s or self._server.exceeds_connections
+        return idle_s > limit_s or self._server.needs_room
 
     def _is_ready(self, events: int) -> bool:
         """Return whether the event loop has yet to read, or write, what it can."""
@@ -421,7 +427,7 @@
         what the caller has not received yet.
         """
         self._closing = True
-        self._server.connection_leaves(self)
+        self._server.connection_leaves(self, lingers=True)
         self._ended_at = monotonic_s()
         self._linger_until = self._ended_at + MAX_LINGER_S
         if self._transport is None:
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -49,7 +49,7 @@
         self._port = 0
         self._sock: socket.socket | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._is_paused = False
+        self.is_paused = False
         self._retry: asyncio.TimerHandle | None = None
 
     async def open(self, address: PeerAddress, *, wait_s: float = 0.0) -> PeerAddress:
@@ -83,15 +83,15 @@
 
         It may be called while a connection is accepted.
         """
-        if self._sock is None or self._is_paused:
+        if self._sock is None or self.is_paused:
             return
-        self._is_paused = True
+        self.is_paused = True
         self._stop_accepting()
 
     def resume(self) -> None:
         """Accept connections again."""
-        if self._is_paused and self._sock is not None:
-            self._is_paused = False
+        if self.is_paused and self._sock is not None:
+            self.is_paused = False
             self._start_accepting()
 
     def close(self) -> None:
@@ -147,7 +147,7 @@
 
     def _start_accepting(self) -> None:
         self._retry = None
-        if self._sock is None or self._is_paused:
+        if self._sock is None or self.is_paused:
             return
         try:
             asyncio.get_running_loop().add_reader(self._sock, self._accept_ready)
@@ -168,7 +168,7 @@
         try:
             for accepted in _accept_waiting(self._sock, ACCEPTS_IN_A_ROW):
                 self.adopt(accepted)
-                if self._is_paused:
+                if self.is_paused:
                     break
         except Exception as error:
             # The queue stays readable, so that an immediate retry would not end.
--- a/tests/adapters/http1/test_connection_limits.py
+++ b/tests/adapters/http1/test_connection_limits.py
@@ -20,6 +20,7 @@
 
 ADDRESS = PeerAddress("127.0.0.1", 0)
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+TOO_LONG = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n"
 WAIT_S = 20.0
 DESCRIPTORS = 120
 CALLERS = 200
@@ -147,6 +148,34 @@
     uvloop.run(run())
 
 
+# No callers were accepted for as long as one that had its last response still sent.
+def test_idle_connections_make_room_where_others_linger() -> None:
+    """Those that linger hold descriptors, though they are not served any more."""
+
+    async def run() -> None:
+        limits = ConnectionLimits(served=2, most=3)
+        async with _server(limits) as server, asyncio.timeout(CONNECT_S):
+            lingering = await _connect(server)
+            lingering[1].write(TOO_LONG)
+            assert b" 413 " in await lingering[0].readuntil(b"\r\n\r\n")
+            sending = asyncio.create_task(_send_on(lingering[1]))
+            kept = [await _connect(server) for _ in range(2)]
+            for streams in kept:
+                assert b" 200 " in await _exchange(streams)
+            assert b" 200 " in await _exchange(await _connect(server))
+            assert not await kept[0][0].read()
+            assert b" 200 " in await _exchange(kept[1])
+            sending.cancel()
+
+    uvloop.run(run())
+
+
+async def _send_on(writer: asyncio.StreamWriter) -> None:
+    while True:
+        writer.write(b"a")
+        await asyncio.sleep(0.1)
+
+
 # Guards against a reset in place of 413: the rest of a rejected body was not read.
 def test_a_refused_caller_that_still_sends_gets_its_answer() -> None:
     """Only a request that has been read completely is answered by a close."""
