--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -255,6 +255,7 @@
     async def _check_timeouts(self) -> None:
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
+            self._listener.ensure_accepting()
             now = monotonic_s()
             # Beyond the limit, the connections that were idle for longest leave.
             for connection in sorted(self.connections, key=_last_active_at):
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -1,6 +1,7 @@
 """Listening TCP sockets, and TCP options that detect an unresponsive peer."""
 
 import asyncio
+import contextlib
 import logging
 import select
 import socket
@@ -50,6 +51,7 @@
         self._sock: socket.socket | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self.is_paused = False
+        self._is_accepting = False
         self._retry: asyncio.TimerHandle | None = None
 
     async def open(self, address: PeerAddress, *, wait_s: float = 0.0) -> PeerAddress:
@@ -92,6 +94,12 @@
         """Accept connections again."""
         if self.is_paused and self._sock is not None:
             self.is_paused = False
+            with contextlib.suppress(MemoryError):
+                self._start_accepting()
+
+    def ensure_accepting(self) -> None:
+        """Accept again if there was no memory to do so, nor for a timer."""
+        if not self._is_accepting and self._retry is None:
             self._start_accepting()
 
     def close(self) -> None:
@@ -153,6 +161,8 @@
             asyncio.get_running_loop().add_reader(self._sock, self._accept_ready)
         except Exception as error:
             self._retry_later(error)
+        else:
+            self._is_accepting = True
 
     def _stop_accepting(self) -> None:
         if self._retry is not None:
@@ -160,6 +170,7 @@
             self._retry = None
         elif self._sock is not None:
             asyncio.get_running_loop().remove_reader(self._sock)
+        self._is_accepting = False
 
     def _accept_ready(self) -> None:
         """Accept the connections that wait, so that other work gets its turn."""
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -274,6 +274,7 @@
         due_at = monotonic_s() + NOTE_INTERVAL_S
         for round_number in itertools.count():
             await asyncio.sleep(NOTE_INTERVAL_S)
+            self._listener.ensure_accepting()
             now = monotonic_s()
             late_s = now - due_at
             due_at = now + NOTE_INTERVAL_S
--- a/tests/adapters/http1/test_listener.py
+++ b/tests/adapters/http1/test_listener.py
@@ -12,10 +12,14 @@
 import unittest
 from collections.abc import AsyncIterator, Iterator
 from typing import cast
+from unittest.mock import Mock, patch
 
 import uvloop
 
+from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.adapters.http1.sockets import Listener
+from damaskbay.config.objects import CallerLimits
+from damaskbay.core.call import Response
 from damaskbay.ports.peer import PeerAddress
 from tests.common import function_suite
 
@@ -135,6 +139,31 @@
     uvloop.run(run())
 
 
+# A listener that found no memory for its next attempt made no further one.
+def test_a_server_accepts_again_though_there_was_no_memory_for_a_timer() -> None:
+    """It was to resume, and is not told to do so again."""
+
+    async def respond(_: ReceivedRequest) -> Response:
+        return Response(200)
+
+    async def run() -> None:
+        server = HttpServer(ADDRESS, respond, CallerLimits())
+        async with asyncio.timeout(WAIT_S), server:
+            server._listener.pause()
+            loop = Mock()
+            loop.add_reader.side_effect = loop.call_later.side_effect = MemoryError
+            with patch.object(asyncio, "get_running_loop", return_value=loop):
+                server._listener.resume()
+            reader, writer = await asyncio.open_connection(
+                server.address.host, server.address.port
+            )
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+
+    uvloop.run(run())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
