--- a/damaskbay/helpers/worker.py
+++ b/damaskbay/helpers/worker.py
@@ -49,8 +49,8 @@
                 raise
             extra = {"why": repr(error), "worker": self._name}
             _LOGGER.warning("daemon: thread can't be started.", extra=extra)
-            # The executor has kept the function, or can start no thread any more.
-            self._executor.shutdown(wait=False, cancel_futures=True)
+            # It can start no thread any more, or has one that does what is queued.
+            self._executor.shutdown(wait=False)
             self._executor = self._make_executor()
             return function(*arguments)
         return await asyncio.wrap_future(future)
--- a/tests/helpers/test_worker.py
+++ b/tests/helpers/test_worker.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 import unittest
+from unittest.mock import patch
 
 from damaskbay.helpers.signals import HANDLED_SIGNALS
 from damaskbay.helpers.worker import WorkerThread
@@ -62,6 +63,31 @@
     assert without == threading.get_ident() != later
 
 
+# A function that waited was cancelled, and with it the watch of the configuration.
+def test_functions_that_wait_outlast_one_that_could_not_be_queued() -> None:
+    """There is no memory to queue it while the thread is busy."""
+    started, released = threading.Event(), threading.Event()
+
+    def wait() -> bool:
+        started.set()
+        return released.wait(WAIT_S)
+
+    async def run() -> tuple[bool, int, int]:
+        with WorkerThread("test") as worker:
+            running = asyncio.create_task(worker.run(wait))
+            waiting = asyncio.create_task(worker.run(threading.get_ident))
+            while not started.is_set():
+                await asyncio.sleep(0)
+            with patch.object(worker._executor, "submit", side_effect=MemoryError):
+                here = await worker.run(threading.get_ident)
+            released.set()
+            return await running, await waiting, here
+
+    done, waited, here = asyncio.run(run())
+    assert done
+    assert waited != here == threading.get_ident()
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
