--- a/tests/helpers/test_supervision.py
+++ b/tests/helpers/test_supervision.py
@@ -34,6 +34,34 @@
     assert "ValueError: unexpected" in logs.output[0]
 
 
+# A task ended for good, without a log line, if what it waited for was cancelled.
+def test_a_task_that_was_not_cancelled_itself_runs_again() -> None:
+    """Its second run goes on until it is cancelled."""
+    runs = 0
+
+    async def run() -> None:
+        nonlocal runs
+        runs += 1
+        if runs == 1:
+            waited_for = asyncio.get_running_loop().create_future()
+            waited_for.cancel()
+            await waited_for
+        second_run.set()
+        await asyncio.Event().wait()
+
+    async def check() -> None:
+        task = asyncio.create_task(keep_running(run, restart_delay_s=0.0))
+        await asyncio.wait_for(second_run.wait(), WAIT_S)
+        task.cancel()
+        await asyncio.wait([task])
+        assert task.cancelled()
+
+    second_run = asyncio.Event()
+    with unittest.TestCase().assertLogs("damaskbay.helpers.supervision") as logs:
+        asyncio.run(check())
+    assert "CancelledError" in logs.output[0]
+
+
 # A task whose failure could not be logged ended for good.
 def test_a_task_runs_again_though_its_failure_is_not_logged() -> None:
     """There is no memory for the task, nor for the line."""
