--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -13,6 +13,7 @@
 
 from damaskbay.adapters.http1.server import Handler
 from damaskbay.config.objects import ConfigSet
+from damaskbay.helpers.arrivals import read_arrived
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import (
     open_standard_descriptors,
@@ -186,9 +187,13 @@
             return
         await _run(path, *found, stopping, hang_up)
     except Exception:
+        hold_signals()
+        # The loop handles the signals that came before in a later pass.
+        await read_arrived()
         if not stopping.is_set():
             raise
-        _LOGGER.exception("daemon: the stop has failed.")
+        with contextlib.suppress(MemoryError):
+            _LOGGER.exception("daemon: the stop has failed.")
     finally:
         # The loop takes its handlers away when it closes.
         hold_signals()
@@ -266,10 +271,12 @@
             require_loop_descriptors()
             uvloop.run(serve(path))
         except Exception:
-            _LOGGER.exception(
-                "daemon: has failed and starts again.",
-                extra={"delay_s": RESTART_DELAY_S},
-            )
+            # The line of a run that found no memory may find none, either.
+            with contextlib.suppress(MemoryError):
+                _LOGGER.exception(
+                    "daemon: has failed and starts again.",
+                    extra={"delay_s": RESTART_DELAY_S},
+                )
         else:
             return
         # Signals are held between two runs.
