--- /dev/null
+++ b/damaskbay/adapters/http1/connection_server.py
@@ -0,0 +1,37 @@
+"""What the connection of a caller needs of its server."""
+
+from typing import TYPE_CHECKING, Protocol
+
+from damaskbay.adapters.http1.exchange import Handler
+from damaskbay.config.objects import CallerLimits
+from damaskbay.core.memory_account import MemoryAccount
+
+if TYPE_CHECKING:
+    from damaskbay.adapters.http1.server_connection import ServerConnection
+
+
+class ConnectionServer(Protocol):
+    """What a connection needs of its server, see HttpServer."""
+
+    handler: Handler
+    limits: CallerLimits
+    memory: MemoryAccount
+    draining: bool
+    ending: bool
+
+    @property
+    def exceeds_connections(self) -> bool:
+        """Return whether more connections are open than may be served."""
+
+    @property
+    def connections_left(self) -> int:
+        """Return how many more connections may be served; negative beyond the limit."""
+
+    def connection_leaves(self, connection: "ServerConnection") -> None:
+        """Count a connection that is about to close as no longer served."""
+
+    def remove_connection(self, connection: "ServerConnection") -> None:
+        """Remove a connection that has ended."""
+
+    def reopen_if_unread(self, descriptor: int) -> None:
+        """Go on with a connection that is about to be closed over unread bytes."""
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -5,8 +5,9 @@
 import logging
 import select
 from collections import deque
-from typing import Protocol, cast
+from typing import cast
 
+from damaskbay.adapters.http1.connection_server import ConnectionServer
 from damaskbay.adapters.http1.const import (
     FIRST_REQUEST_WAIT_S,
     LINGER_TIMEOUT_S,
@@ -18,13 +19,12 @@
     WRITE_STALL_TIMEOUT_S,
 )
 from damaskbay.adapters.http1.exceptions import BadRequestError
-from damaskbay.adapters.http1.exchange import Exchange, Handler, ReceivedRequest
+from damaskbay.adapters.http1.exchange import Exchange, ReceivedRequest
 from damaskbay.adapters.http1.request_parser import RequestParser
 from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
 from damaskbay.adapters.http1.sockets import ready_descriptors
-from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Headers, Request, Response
-from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
+from damaskbay.core.memory_account import Holding, WriteBufferHolding
 from damaskbay.helpers.clock import monotonic_s
 
 _LOGGER = logging.getLogger(__name__)
@@ -39,33 +39,6 @@
 _ENDING = "server ends"
 
 
-class ConnectionServer(Protocol):
-    """What a connection needs of its server, see HttpServer."""
-
-    handler: Handler
-    limits: CallerLimits
-    memory: MemoryAccount
-    draining: bool
-    ending: bool
-
-    @property
-    def exceeds_connections(self) -> bool:
-        """Return whether more connections are open than may be served."""
-
-    @property
-    def connections_left(self) -> int:
-        """Return how many more connections may be served; negative beyond the limit."""
-
-    def connection_leaves(self, connection: "ServerConnection") -> None:
-        """Count a connection that is about to close as no longer served."""
-
-    def remove_connection(self, connection: "ServerConnection") -> None:
-        """Remove a connection that has ended."""
-
-    def reopen_if_unread(self, descriptor: int) -> None:
-        """Go on with a connection that is about to be closed over unread bytes."""
-
-
 class ServerConnection(asyncio.Protocol):
     """Connection of one caller."""
 
