Don't look for an interpreter on the path

Where the path's python3 was the start program itself, and its interpreter was missing, the program replaced itself by itself without an end, with SIGTERM blocked (found by the reviewer).

--- a/deploy/python3.c
+++ b/deploy/python3.c
@@ -42,7 +42,6 @@
     /* The machine has another interpreter than at the build: signals stay blocked. */
     fprintf(stderr, "python3: %s\n", dlerror());
     execv(PYTHON_EXECUTABLE, argv);
-    execvp("python3", argv);
     perror("python3: " PYTHON_EXECUTABLE);
     return 1;
 }
