--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -41,6 +41,9 @@
     NOT_SENT = "not_sent"
     """No connection could be established; nothing was sent."""
 
+    REJECTED = "rejected"
+    """The server closed a new connection at once; nothing was sent."""
+
     EXPIRED = "expired"
     """A connection was established too late; nothing was sent."""
 
@@ -57,6 +60,12 @@
     """The received bytes are not a valid response to this request."""
 
 
+NOT_SENT_PROBLEMS = frozenset(
+    {HttpProblem.NOT_SENT, HttpProblem.REJECTED, HttpProblem.EXPIRED}
+)
+"""Problems after which the request has certainly not run."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpFailure:
     """A request that got no complete response."""
@@ -392,7 +401,7 @@
                     return HttpFailure(HttpProblem.EXPIRED, "connected too late")
             if connection.has_unread():
                 connection.close()
-                return HttpFailure(HttpProblem.NOT_SENT, "closed before the request")
+                return HttpFailure(HttpProblem.REJECTED, "closed before the request")
         try:
             sent = request() if callable(request) else request
             if sent is None:
--- a/damaskbay/mesh/server_calls.py
+++ b/damaskbay/mesh/server_calls.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 from damaskbay.adapters.http1.client import (
+    NOT_SENT_PROBLEMS,
     HttpClient,
     HttpFailure,
     HttpProblem,
@@ -31,8 +32,6 @@
 
 FIRST_REDIRECT = 300
 
-_NOT_SENT_PROBLEMS = frozenset({HttpProblem.NOT_SENT, HttpProblem.EXPIRED})
-
 
 @dataclass(frozen=True, slots=True)
 class ServerCallsParts:
@@ -123,7 +122,7 @@
         parts.server_ends.record_lost(request)
         parts.gate.record_extra_start(parts.clock())
         outcome = await self._send_once(context, request, False, on_send)
-        if isinstance(outcome, HttpFailure) and outcome.problem in _NOT_SENT_PROBLEMS:
+        if isinstance(outcome, HttpFailure) and outcome.problem in NOT_SENT_PROBLEMS:
             parts.repeats.give_back()
             return self._to_result(context, request, first, start)
         result = self._to_result(context, request, outcome, start)
@@ -222,6 +221,7 @@
         )
         if failure.problem is HttpProblem.NOT_SENT:
             self.unreachable_until = self._parts.clock() + UNREACHABLE_BACKOFF_S
+        if failure.problem in NOT_SENT_PROBLEMS:
             return not_run(
                 Reason.BACKEND_SERVER_FAILED,
                 retry_after_s=NOT_READY_RETRY_S,
--- a/damaskbay/platform/store.py
+++ b/damaskbay/platform/store.py
@@ -9,10 +9,10 @@
 from urllib.parse import urlencode
 
 from damaskbay.adapters.http1.client import (
+    NOT_SENT_PROBLEMS,
     HttpClient,
     HttpClientOptions,
     HttpFailure,
-    HttpProblem,
 )
 from damaskbay.core.call import Request, Response
 from damaskbay.platform.const import STORE_TIMEOUT_S, WATCH_TIMEOUT_MARGIN_S
@@ -146,7 +146,7 @@
         request = Request(method, self._host, target, headers, data)
         reply = await self._client.send(request, timeout_s=timeout_s)
         if isinstance(reply, HttpFailure):
-            not_sent = reply.problem in (HttpProblem.NOT_SENT, HttpProblem.EXPIRED)
+            not_sent = reply.problem in NOT_SENT_PROBLEMS
             problem = StoreProblem.UNAVAILABLE if not_sent else StoreProblem.UNANSWERED
             return StoreFailure(problem, reply.problem.value)
         return reply
--- a/tests/mesh/test_unsent_calls.py
+++ b/tests/mesh/test_unsent_calls.py
@@ -5,8 +5,9 @@
 import socket
 import unittest
 from collections.abc import Iterator
-from unittest.mock import patch
+from unittest.mock import AsyncMock, patch
 
+from damaskbay.adapters.http1.client import HttpFailure, HttpProblem
 from damaskbay.core.call import Response
 from damaskbay.mesh.local_server import LocalServer
 from damaskbay.ports.fleet import ServerState
@@ -105,6 +106,24 @@
     asyncio.run(run())
 
 
+# Guards against refusals of all calls for a while since the server, which is reachable,
+# closed one new connection.
+def test_a_connection_that_the_server_closes_at_once_stops_no_other_call() -> None:
+    """The call on it has not run; the next one is served."""
+
+    async def run() -> list[int]:
+        async with run_fleet(a="one") as fleet:
+            node = fleet.nodes["a"]
+            rejected = AsyncMock(return_value=HttpFailure(HttpProblem.REJECTED))
+            client = node.daemon._target._parts.calls._parts.client
+            with patch.object(client, "send", rejected):
+                refused = await node.request("/unsafe/x", method="POST")
+            served = await node.request("/unsafe/x", method="POST")
+            return [refused.status, served.status]
+
+    assert asyncio.run(run()) == [503, 200]
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
