--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -60,6 +60,7 @@
         self.close_timeout_s = CLOSE_TIMEOUT_S
         self.bind_wait_s = 0.0
         self.connections: set[ServerConnection] = set()
+        # Connections that have had their last response; part of them close at once.
         self._leaving: set[ServerConnection] = set()
         self._closing: set[ServerConnection] = set()
         self._listener = Listener(
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -24,7 +24,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 ACCEPTS_IN_A_ROW: Final = 64
-"""Connections that are accepted with one, before the event loop does other work."""
+"""Connections that are accepted before the event loop does other work."""
 
 
 class Listener:
@@ -98,7 +98,7 @@
                 self._start_accepting()
 
     def ensure_accepting(self) -> None:
-        """Accept again if there was no memory to do so, nor for a timer."""
+        """Accept again if there was memory neither for that nor for a timer."""
         if not self._is_accepting and self._retry is None:
             self._start_accepting()
 
@@ -186,7 +186,7 @@
             self._retry_later(error)
 
     def _retry_later(self, error: Exception) -> None:
-        """Accept again after a while, at once if there is no memory for a timer."""
+        """Accept again after a while; raise MemoryError without one for a timer."""
         loop = asyncio.get_running_loop()
         retry = loop.call_later(ACCEPT_RETRY_S, self._start_accepting)
         self._stop_accepting()
