--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -17,6 +17,7 @@
 )
 from damaskbay.adapters.http1.exceptions import BadAnswerError
 from damaskbay.adapters.http1.names import decode_header_name
+from damaskbay.adapters.http1.partial_response import PartialResponse
 from damaskbay.adapters.http1.sockets import ready_descriptors, set_tcp_options
 from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 from damaskbay.core.call import Request, Response
@@ -97,20 +98,6 @@
     memory: MemoryAccount = field(default_factory=MemoryAccount)
 
 
-@dataclass(slots=True)
-class _PartialResponse:
-    """The response that is being parsed."""
-
-    status: int = 0
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    keep_alive: str | None = None
-    echo: str | None = None
-    has_length: bool = False
-    encoded: bool = False
-    body: bytearray = field(default_factory=bytearray)
-    ends_at_close: bool = False
-
-
 class ClientConnection(asyncio.Protocol):
     """Client connection that carries one request at a time."""
 
@@ -122,7 +109,7 @@
         self._pending: _PendingOutcome | None = None
         self._request: Request | None = None
         self._expected_echo: str | None = None
-        self._partial = _PartialResponse()
+        self._partial = PartialResponse()
         self._received_any = False
         self._received_bytes = 0
         self._late_responses = 0
@@ -173,7 +160,7 @@
     def on_message_begin(self) -> None:
         """Start parsing a response."""
         self._holding.release()
-        self._partial = _PartialResponse()
+        self._partial = PartialResponse()
         if self._pending is None:
             self.reusable = False
 
@@ -243,7 +230,7 @@
         self._received_bytes = self._late_responses = 0
         self._request = request
         self._expected_echo = echo
-        self._partial = _PartialResponse()
+        self._partial = PartialResponse()
         loop = asyncio.get_running_loop()
         pending: _PendingOutcome = loop.create_future()
         self._pending = pending
@@ -321,7 +308,7 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _update_idle_until(self, partial: _PartialResponse) -> None:
+    def _update_idle_until(self, partial: PartialResponse) -> None:
         idle_s = self._options.idle_s
         if partial.keep_alive is not None and "timeout=" in partial.keep_alive:
             server_s = partial.keep_alive.partition("timeout=")[2].partition(",")[0]
@@ -329,7 +316,7 @@
                 idle_s = int(server_s) - self._options.idle_margin_s
         self.idle_until = monotonic_s() + idle_s
 
-    def _to_outcome(self, partial: _PartialResponse) -> Response | HttpFailure | None:
+    def _to_outcome(self, partial: PartialResponse) -> Response | HttpFailure | None:
         """Return the response, or None if it belongs to an earlier request."""
         response = Response(partial.status, tuple(partial.headers), bytes(partial.body))
         if not self._echo_name or self._expected_echo is None:
@@ -358,7 +345,7 @@
         if self._late_responses > MAX_LATE_RESPONSES:
             raise BadAnswerError("too many responses to other requests")
         self._received_bytes = 0
-        self._partial = _PartialResponse()
+        self._partial = PartialResponse()
 
 
 class HttpClient:
