Mend what a last reading found

Two names of a connection differed by one letter: when its linger ends, and when it may be extended no further. The refusal of a call whose server was started again said 'draining' without its reason.

--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -6,7 +6,7 @@
 """Requests in flight on one connection before reading pauses; bounds memory."""
 
 MAX_BODY_PARTS: Final = 1000
-"""Parts of a body in one read from which other connections come before the next."""
+"""Parts of bodies in one read above which other connections are read first."""
 
 MAX_UNREAD_BYTES: Final = 1024 * 1024
 """Response bytes that wait for one caller before its further requests wait, too."""
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -50,7 +50,7 @@
         self._is_refused = server.connections_left < 1
         self._reopens = False
         self._ended_at: float | None = None
-        self._linger_until = 0.0
+        self._linger_limit_at = 0.0
         self._reading_paused = False
         self._yields = False
         self._owes_continue = False
@@ -74,7 +74,7 @@
         if self._transport is None or self._exchanges or self.unsent_bytes:
             return False
         if self.lingering:
-            return not self._discards_rest or now >= self._lingers_until
+            return not self._discards_rest or now >= self._linger_ends_at
         if self._parser.in_request:
             return False
         return self._received_any or now - self._last_active_at >= FIRST_REQUEST_WAIT_S
@@ -201,8 +201,8 @@
         elif self._ended_at is not None:
             if self.unsent_bytes:
                 self._ended_at = now
-            elif now > self._lingers_until and (
-                now >= self._linger_until or not self._is_ready(select.POLLIN)
+            elif now > self._linger_ends_at and (
+                now >= self._linger_limit_at or not self._is_ready(select.POLLIN)
             ):
                 self._transport.close()
         elif self._sends_too_slowly(now):
@@ -344,13 +344,13 @@
         return now - self._last_active_at > limits.idle_timeout_s
 
     @property
-    def _lingers_until(self) -> float:
+    def _linger_ends_at(self) -> float:
         """Return when a connection closes whose caller sends nothing more."""
         return (self._ended_at or 0.0) + LINGER_TIMEOUT_S
 
     def _extend_linger(self) -> None:
         """Keep a connection whose caller still sends a body that was rejected."""
-        if self._ended_at is not None and self._last_active_at < self._linger_until:
+        if self._ended_at is not None and self._last_active_at < self._linger_limit_at:
             self._ended_at = self._last_active_at
 
     def _end(self) -> None:
@@ -364,7 +364,7 @@
         self._closing = True
         self._server.connection_leaves(self, lingers=True)
         self._ended_at = monotonic_s()
-        self._linger_until = self._ended_at + MAX_LINGER_S
+        self._linger_limit_at = self._ended_at + MAX_LINGER_S
         if self._transport is None:
             return
         try:
--- a/damaskbay/mesh/server_calls.py
+++ b/damaskbay/mesh/server_calls.py
@@ -164,7 +164,11 @@
         if refusal is not None:
             return refusal
         # The server has been started again in the meantime.
-        return not_run(Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S)
+        return not_run(
+            Reason.BACKEND_SERVER_DRAINING,
+            retry_after_s=NOT_READY_RETRY_S,
+            detail="server has been started again",
+        )
 
     async def _send_once(
         self,
