--- a/damaskbay/mesh/observing.py
+++ b/damaskbay/mesh/observing.py
@@ -94,6 +94,7 @@
         gauge("settings_refused", "Invalid files", lambda: parts.settings.refused)
         gauge("loop_blocks", "Of the event loop", lambda: monitor.blocks)
         gauge("loop_busy_blocks", "By own work", lambda: monitor.busy_blocks)
+        gauge("loop_no_processor_blocks", "Ready", lambda: monitor.no_processor_blocks)
         gauge("loop_longest_block_seconds", "Lately", self._longest_block_s)
         gauge("settings_digest", "First 48 bits of SHA-256", self._settings_digest)
 
