Add a bench of daemons that are short of processor time

python -m bench saturation starts daemons on few cores, measures what they carry and then offers up to four times that, or many callers that never pause. It counts what the callers were told, what really ran, and where requests were whose callers gave up. What the soak knows of processes has moved to a module of its own, and its worker process takes the function that it runs. mypy, ruff and tests.test_pages pass.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     "documents",
     "blocks",
     "starts",
+    "saturation",
 )
 EXIT_USAGE = 2
 
--- a/bench/plot.py
+++ b/bench/plot.py
@@ -1,6 +1,7 @@
 """Plots of benchmark runs; requires the optional extra `plot`."""
 
 import importlib.util
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,22 @@
     figure.savefig(Path(path))
 
 
+def plot_saturation(steps: Sequence[Mapping[str, Any]], path: str) -> None:
+    """Draw offered, served and unanswered requests of each step into one PNG file."""
+    pyplot = _load_pyplot()
+    figure, axis = pyplot.subplots(figsize=(WIDTH_IN, 2 * ROW_HEIGHT_IN))
+    names = [step["name"] for step in steps]
+    for key in ("offered_per_s", "served_per_s"):
+        axis.plot(names, [step[key] for step in steps], "o-", label=key)
+    unanswered = [step["no_answer"] for step in steps]
+    axis.bar(names, unanswered, alpha=0.3, label="no answer, requests in all")
+    axis.set_yscale("symlog")
+    axis.tick_params(axis="x", labelrotation=45.0)
+    axis.legend(fontsize="x-small")
+    figure.tight_layout()
+    figure.savefig(Path(path))
+
+
 def _load_pyplot() -> Any:
     import matplotlib
 
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -17,6 +17,13 @@
 from damaskbay.platform.const import SETTINGS_VARIABLE
 from damaskbay.ports.peer import PeerAddress
 from tests.common import ROOT, daemon_command, reserve_address
+from tests.soak.processes import (
+    ENDED_STATES,
+    read_processor_s,
+    read_scheduling,
+    read_state,
+    read_status,
+)
 from tests.soak.records import Disturbance, Stop
 
 SLOTS = 8
@@ -27,9 +34,6 @@
 """Seconds after which a daemon that ended by itself is started again."""
 
 MEMORY_MB = 300
-ENDED_STATES = ("", "X", "Z")
-"""States of a process that has ended."""
-
 WATCH_INTERVAL_S = 0.05
 TORN_WRITE_RANGE_S = (0.01, 0.3)
 """Seconds for which a settings file that is being written is empty."""
@@ -156,7 +160,7 @@
         """Kill a daemon that exceeds its memory; record how it ended by itself."""
         exceeded = ""
         while process.returncode is None:
-            used_kib = _read_status(process.pid, "VmRSS", 10)
+            used_kib = read_status(process.pid, "VmRSS", 10)
             self.peak_kib = max(self.peak_kib, used_kib)
             if used_kib > MEMORY_MB * 1024 and not exceeded:
                 exceeded = f"used {used_kib} KiB, "
@@ -175,6 +179,11 @@
         """Return whether the daemon process is running."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def processor_s(self) -> float:
+        """Return the processor time of the daemon process, seconds; 0 if none runs."""
+        return read_processor_s(self._process.pid) if self._process else 0.0
+
     @property
     def stopping(self) -> bool:
         """Return whether the running daemon process was asked to stop."""
@@ -196,7 +205,7 @@
         if self._process is None or self._process.returncode is not None:
             return False
         pid, bit = self._process.pid, 1 << (signal.SIGHUP - 1)
-        handled = _read_status(pid, "SigBlk", 16) | _read_status(pid, "SigCgt", 16)
+        handled = read_status(pid, "SigBlk", 16) | read_status(pid, "SigCgt", 16)
         return bool(handled & bit)
 
     def disturbed(self) -> contextlib.AbstractContextManager[None]:
@@ -225,7 +234,7 @@
                 await process.wait()
         except TimeoutError:
             # The process may have ended, though asyncio doesn't know it yet.
-            state = _read_state(process.pid)
+            state = read_state(process.pid)
             in_time = state in ENDED_STATES
             if not in_time:
                 spent = read_scheduling(process.pid).since(before)
@@ -370,44 +379,6 @@
         disturbance.ended_at = time.monotonic()
 
 
-@dataclass(frozen=True)
-class Scheduling:
-    """Time for which a process ran, and for which it waited for a core; seconds."""
-
-    ran_s: float
-    waited_s: float
-
-    def since(self, before: "Scheduling") -> str:
-        """Return in words what came since an earlier moment."""
-        ran_s, waited_s = self.ran_s - before.ran_s, self.waited_s - before.waited_s
-        return f"ran for {ran_s:.2f} s and waited for a core for {waited_s:.2f} s"
-
-
-def read_scheduling(pid: int) -> Scheduling:
-    """Return how the main thread of a process was scheduled, zeros if it has ended."""
-    with contextlib.suppress(OSError):
-        ran_ns, waited_ns, *_ = Path(f"/proc/{pid}/schedstat").read_text().split()
-        return Scheduling(int(ran_ns) / 1e9, int(waited_ns) / 1e9)
-    return Scheduling(0.0, 0.0)
-
-
-def _read_state(pid: int) -> str:
-    """Return the state of a process as a letter, empty if it is gone."""
-    with contextlib.suppress(OSError):
-        stat = Path(f"/proc/{pid}/stat").read_text()
-        return stat.rpartition(")")[2].split()[0]
-    return ""
-
-
-def _read_status(pid: int, name: str, base: int) -> int:
-    """Return a value of the status of a process, 0 if it has ended."""
-    with contextlib.suppress(OSError):
-        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith(f"{name}:"):
-                return int(line.split()[1], base)
-    return 0
-
-
 async def _request(address: PeerAddress, request: Request) -> Response | None:
     client = HttpClient(address, HttpClientOptions(connect_timeout_s=0.5))
     outcome = await client.send(request, timeout_s=1.0)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -212,13 +212,15 @@
 
 
 class WorkerProcess:
-    """Process of a worker; an async context manager."""
+    """Process that runs `entry`, a worker's; an async context manager."""
 
-    def __init__(self, options: WorkerOptions) -> None:
+    def __init__(
+        self, options: Any, entry: Callable[[Any, Connection], None] = run_worker
+    ) -> None:
         self._connection, self._child_connection = multiprocessing.Pipe()
         context = multiprocessing.get_context("spawn")
         self._process = context.Process(
-            target=run_worker, args=(options, self._child_connection)
+            target=entry, args=(options, self._child_connection)
         )
         self._pool = ThreadPoolExecutor(1)
         self._replies = asyncio.Lock()
@@ -242,11 +244,11 @@
         self._connection.close()
         self._pool.shutdown(wait=False)
 
-    def tell(self, command: Command) -> None:
+    def tell(self, command: Any) -> None:
         """Send a command that has no reply."""
         self._connection.send(command)
 
-    async def ask(self, command: Command) -> Any:
+    async def ask(self, command: Any) -> Any:
         """Send a command and return its reply; raise EOFError if the worker ended."""
         async with self._replies:
             self._connection.send(command)
