--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
     "blocks",
     "starts",
     "saturation",
+    "processor_model",
 )
 EXIT_USAGE = 2
 
--- a/damaskbay/adapters/http1/connection_server.py
+++ b/damaskbay/adapters/http1/connection_server.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from damaskbay.adapters.http1.exchange import Handler
+from damaskbay.adapters.http1.exchange import Handler, RefuseEarly
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.memory_account import MemoryAccount
 
@@ -14,6 +14,7 @@
     """What a connection needs of its server, see HttpServer."""
 
     handler: Handler
+    refuse_early: RefuseEarly | None
     limits: CallerLimits
     memory: MemoryAccount
     draining: bool
--- a/damaskbay/adapters/http1/exchange.py
+++ b/damaskbay/adapters/http1/exchange.py
@@ -21,6 +21,23 @@
 """Serves one request; cancelled when the caller disconnects."""
 
 
+@dataclass(frozen=True, slots=True)
+class EarlyRefusal:
+    """
+    Response to a request that is refused as soon as it was read.
+
+    The caller is to come back after `retry_after_s`; its time limit was `timeout_s`.
+    """
+
+    response: Response
+    retry_after_s: float
+    timeout_s: float
+
+
+RefuseEarly = Callable[[ReceivedRequest], EarlyRefusal | None]
+"""Refuses a request, or returns None to let the handler serve it."""
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """
--- /dev/null
+++ b/damaskbay/adapters/http1/reading.py
@@ -0,0 +1,85 @@
+"""Whether a connection is read from, and the reasons to pause that for a while."""
+
+import asyncio
+
+from damaskbay.adapters.http1.const import MAX_PAUSE_S, PAUSE_SHARE
+from damaskbay.adapters.http1.exchange import EarlyRefusal
+
+
+class ReadingControl:
+    """
+    Pauses and resumes the reading of one connection.
+
+    It is paused while its caller is `congested`, has too much in flight, until other
+    connections had their turn, or until a caller that comes back too early may.
+    """
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._congested = False
+        self._yields = False
+        self._waits = False
+        self._reads_to_the_end = False
+        self._may_return_at = 0.0
+        self.is_paused = False
+
+    def start(self, transport: asyncio.Transport) -> None:
+        """Control the transport of a connection that was made."""
+        self._transport = transport
+
+    def set_congested(self, congested: bool) -> None:
+        """Record whether the caller has too many requests or unread bytes."""
+        self._congested = congested
+        self._apply()
+
+    def let_others_read(self) -> None:
+        """Read on in a later pass of the event loop, after other connections."""
+        if not self._yields:
+            self._yields = True
+            self._apply()
+            asyncio.get_running_loop().call_soon(self._end_yield)
+
+    def record_refusal(self, refusal: EarlyRefusal, now: float) -> None:
+        """
+        Read on later if a caller that was refused before has come back too early.
+
+        Otherwise callers that send again at once would take the processor from the
+        calls that were begun.
+        """
+        is_early = now < self._may_return_at
+        self._may_return_at = now + refusal.retry_after_s
+        if not is_early or self._waits:
+            return
+        longest_s = min(MAX_PAUSE_S, PAUSE_SHARE * refusal.timeout_s)
+        self._waits = True
+        asyncio.get_running_loop().call_later(
+            min(longest_s, refusal.retry_after_s), self._end_wait
+        )
+        self._apply()
+
+    def read_to_the_end(self) -> None:
+        """Pause no more: what the caller still sends is discarded."""
+        self._reads_to_the_end = True
+        self._apply()
+
+    def _end_yield(self) -> None:
+        self._yields = False
+        self._apply()
+
+    def _end_wait(self) -> None:
+        self._waits = False
+        self._apply()
+
+    def _apply(self) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        pauses = self._congested or self._yields or self._waits
+        pauses = pauses and not self._reads_to_the_end
+        if pauses == self.is_paused:
+            return
+        self.is_paused = pauses
+        if pauses:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -13,7 +13,11 @@
     FLUSH_POLL_S,
     TIMEOUT_CHECK_INTERVAL_S,
 )
-from damaskbay.adapters.http1.exchange import Handler, ReceivedRequest
+from damaskbay.adapters.http1.exchange import (
+    Handler,
+    ReceivedRequest,
+    RefuseEarly,
+)
 from damaskbay.adapters.http1.server_connection import ServerConnection
 from damaskbay.adapters.http1.sockets import Listener, ready_descriptors
 from damaskbay.config.objects import CallerLimits
@@ -33,7 +37,8 @@
     """
     HTTP server on one address; an async context manager.
 
-    While `draining` is set, each connection closes after the response to the last
+    `refuse_early` may refuse requests without the cost of the handler. While `draining`
+    is set, it is not asked, and each connection closes after the response to the last
     request that was read. `memory` counts what the connections hold of requests and
     responses. Requests on connections beyond `connection_limits` are refused. Entering
     the context waits up to `bind_wait_s` seconds for an address that can't be used.
@@ -52,6 +57,7 @@
     ) -> None:
         self.address = address
         self.handler = handler
+        self.refuse_early: RefuseEarly | None = None
         self.limits = limits
         self.memory = memory or MemoryAccount()
         self.connection_limits = connection_limits or ConnectionLimits()
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -20,6 +20,7 @@
 )
 from damaskbay.adapters.http1.exceptions import BadRequestError
 from damaskbay.adapters.http1.exchange import Exchange, ReceivedRequest
+from damaskbay.adapters.http1.reading import ReadingControl
 from damaskbay.adapters.http1.request_parser import RequestParser
 from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
 from damaskbay.adapters.http1.sockets import ready_descriptors
@@ -51,8 +52,7 @@
         self._reopens = False
         self._ended_at: float | None = None
         self._linger_limit_at = 0.0
-        self._reading_paused = False
-        self._yields = False
+        self._reading = ReadingControl()
         self._owes_continue = False
         self._discards_rest = False
         self._idle_timeout_s = server.limits.idle_timeout_s
@@ -118,6 +118,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         self._transport = cast("asyncio.Transport", transport)
+        self._reading.start(self._transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in flight."""
@@ -151,7 +152,7 @@
         except BadRequestError as error:
             self._reject(error.status)
         if self._parser.body_parts > MAX_BODY_PARTS:
-            self._yield_reading()
+            self._reading.let_others_read()
 
     def pause_writing(self) -> None:
         """Record that the write buffer is full: the caller reads too slowly."""
@@ -186,7 +187,9 @@
         arrival = ReceivedRequest(request, self._last_active_at)
         exchange = Exchange(arrival, holding, keep_alive)
         self._exchanges.append(exchange)
-        exchange.task = asyncio.get_running_loop().create_task(self._serve(exchange))
+        if not self._refuse_early(exchange):
+            loop = asyncio.get_running_loop()
+            exchange.task = loop.create_task(self._serve(exchange))
         self._apply_backpressure()
 
     def close_if_timed_out(self, now: float) -> None:
@@ -239,6 +242,21 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _refuse_early(self, exchange: Exchange) -> bool:
+        """Respond to a request that the server refuses at once; return if it does."""
+        if self._server.refuse_early is None or self._server.draining:
+            return False
+        refusal = self._server.refuse_early(exchange.arrival)
+        if refusal is None:
+            return False
+        method = exchange.arrival.request.method
+        exchange.response = encode_response(refusal.response, method)
+        exchange.holding.set(exchange.response_bytes)
+        self._reading.record_refusal(refusal, self._last_active_at)
+        # Requests behind it may still be parsed, and come before a close.
+        asyncio.get_running_loop().call_soon(self._flush)
+        return True
+
     async def _serve(self, exchange: Exchange) -> None:
         arrival = exchange.arrival
         try:
@@ -339,7 +357,7 @@
         limits = self._server.limits
         if self._parser.in_headers:
             return now - self._parser.started_at > limits.header_timeout_s
-        if not self._parser.in_request or self._reading_paused or self._closing:
+        if not self._parser.in_request or self._reading.is_paused or self._closing:
             return False
         return now - self._last_active_at > limits.idle_timeout_s
 
@@ -373,9 +391,7 @@
             _LOGGER.info("edge: caller has disconnected.", extra={"why": str(error)})
             self._transport.close()
             return
-        if self._reading_paused:
-            self._reading_paused = False
-            self._transport.resume_reading()
+        self._reading.read_to_the_end()
 
     def _reject(self, status: http.HTTPStatus, why: str | None = None) -> None:
         """Send an error response after the responses to earlier requests, and close."""
@@ -411,28 +427,7 @@
             len(self._exchanges) >= MAX_PIPELINED_REQUESTS
             or self.unsent_bytes > MAX_UNREAD_BYTES
         )
-        if self._transport is None or self.lingering:
-            return
-        pauses = too_many or self._yields
-        if pauses == self._reading_paused:
-            return
-        self._reading_paused = pauses
-        if pauses:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
-
-    def _yield_reading(self) -> None:
-        """Read on in a later pass of the event loop, after other connections."""
-        if self._yields:
-            return
-        self._yields = True
-        self._apply_backpressure()
-        asyncio.get_running_loop().call_soon(self._read_on)
-
-    def _read_on(self) -> None:
-        self._yields = False
-        self._apply_backpressure()
+        self._reading.set_congested(too_many)
 
 
 def _error_response(status: http.HTTPStatus) -> EncodedResponse:
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -13,7 +13,6 @@
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits, ConfigSet
-from damaskbay.core.descriptors import divide_descriptors
 from damaskbay.core.fatal_calls import FatalCalls
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import MemoryAccount, account_limit_bytes
@@ -28,11 +27,11 @@
 )
 from damaskbay.helpers.arrivals import read_new_connections
 from damaskbay.helpers.clock import monotonic_s
-from damaskbay.helpers.descriptors import raise_descriptor_limit
 from damaskbay.helpers.supervision import keep_running
 from damaskbay.mesh.assembly import (
     PlatformParts,
     SharedParts,
+    make_caller_server,
     make_ingress,
     make_retry_budget,
     make_target,
@@ -47,6 +46,7 @@
 from damaskbay.mesh.messages import Note, PeerStatus, ServerEnd
 from damaskbay.mesh.neighbours import wanted_neighbours
 from damaskbay.mesh.observing import StatusEndpoints, StatusParts
+from damaskbay.mesh.processor_gate import ProcessorGate
 from damaskbay.mesh.registry import DRAIN_WRITE_TIMEOUT_S
 from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.server_check import ServerCheck
@@ -89,6 +89,7 @@
         self.local = LocalServer(settings.drain_s, self._server_changed)
         self._known_start = self.local.start
         self._gate = Gate(1, self._rng, now)
+        self._processor = ProcessorGate(self._rng, monotonic_s)
         memory = MemoryAccount(account_limit_bytes(settings.memory_bytes))
         self._links = PeerLinks(
             settings.peers,
@@ -129,6 +130,7 @@
             self.configuration,
             self.local,
             self._gate,
+            self._processor,
             self._links,
             self._directory,
             self._shares,
@@ -154,6 +156,7 @@
             StatusParts(
                 self.configuration,
                 self._gate,
+                self._processor.guard,
                 self._directory,
                 self._links,
                 self._repeats,
@@ -171,14 +174,10 @@
         self._readiness = HttpServer(
             settings.readiness, self._status.readiness, CallerLimits()
         )
-        self._callers = HttpServer(
-            settings.callers,
-            self._ingress.serve,
-            CallerLimits(),
-            memory,
-            divide_descriptors(raise_descriptor_limit(settings.max_descriptors)),
-        )
+        callers = make_caller_server(settings, dialect, shared_parts, self._ingress)
+        self._callers = callers
         self._status.observe_callers(self._callers)
+        self._status.loop_monitor.subscribe(self._processor.record_lateness)
         self._metrics = HttpServer(
             settings.metrics, self._status.metrics, CallerLimits()
         )
@@ -351,8 +350,9 @@
 
     def _make_status(self) -> PeerStatus:
         now, members = monotonic_s(), self._control_plane.members
+        load = self._gate.load() + self._processor.guard.excess_load
         return PeerStatus(
-            load_permille=round(1000.0 * self._mean_load.add(self._gate.load(), now)),
+            load_permille=round(1000.0 * self._mean_load.add(load, now)),
             cold_ms=round(1000.0 * max(0.0, self.local.slow_until - now)),
             members_revision=members.revision,
             members_age_ms=round(1000.0 * members.age_s(now)),
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -5,8 +5,11 @@
 from random import Random
 
 from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
+from damaskbay.adapters.http1.server import HttpServer
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
+from damaskbay.config.objects import CallerLimits
+from damaskbay.core.descriptors import divide_descriptors
 from damaskbay.core.fatal_calls import FatalCalls
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import MemoryAccount
@@ -15,15 +18,18 @@
 from damaskbay.core.retry.repeats import ServerRetryBudget, ServerRetryOptions
 from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.helpers.clock import monotonic_s
+from damaskbay.helpers.descriptors import raise_descriptor_limit
 from damaskbay.mesh.config_watch import DecodeConfig
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import RETRY_RATIO_SHARE, RETRY_SLACK_SHARE
 from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.directory import Directory
 from damaskbay.mesh.dispatch import Dispatcher, DispatchParts
+from damaskbay.mesh.early_refusal import EarlyRefusals, EarlyRefusalsParts
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
 from damaskbay.mesh.local_server import LocalServer
+from damaskbay.mesh.processor_gate import ProcessorGate
 from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.server_calls import ServerCalls, ServerCallsParts
 from damaskbay.mesh.server_ends import ServerEnds, ServerEndsParts
@@ -57,6 +63,7 @@
     configuration: Configuration
     local: LocalServer
     gate: Gate
+    processor: ProcessorGate
     links: PeerLinks
     directory: Directory
     shares: DemandShares
@@ -116,6 +123,7 @@
             repeats=shared_parts.repeats,
             memory=shared_parts.memory,
             fatal_calls=shared_parts.fatal_calls,
+            processor=shared_parts.processor.guard,
             weight_of=weight_of,
             lifetime=shared_parts.lifetime,
             clock=monotonic_s,
@@ -151,6 +159,7 @@
             shares=shared_parts.shares,
             tokens=shared_parts.tokens,
             pressure=EdgeLoadShedder(shared_parts.rng),
+            processor=shared_parts.processor,
             running=shared_parts.running,
             telemetry=shared_parts.telemetry,
             memory=shared_parts.memory,
@@ -162,6 +171,36 @@
     )
 
 
+def make_caller_server(
+    settings: MeshSettings,
+    dialect: HeaderNames,
+    shared_parts: SharedParts,
+    ingress: Ingress,
+) -> HttpServer:
+    """Return the server that callers, and the local backend server, send to."""
+    server = HttpServer(
+        settings.callers,
+        ingress.serve,
+        CallerLimits(),
+        shared_parts.memory,
+        divide_descriptors(raise_descriptor_limit(settings.max_descriptors)),
+    )
+    early_refusals = EarlyRefusals(
+        EarlyRefusalsParts(
+            guard=shared_parts.processor.guard,
+            configuration=shared_parts.configuration,
+            identification=ingress.identification,
+            running=shared_parts.running,
+            refusals=ingress.refusals,
+            lifetime=shared_parts.lifetime,
+            dialect=dialect,
+            clock=monotonic_s,
+        )
+    )
+    server.refuse_early = early_refusals.refuse
+    return server
+
+
 def make_retry_budget(settings: MeshSettings) -> ServerRetryBudget:
     """Return the retry budget of one server, a part of its pool's budget."""
     return ServerRetryBudget(
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -3,15 +3,15 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from random import Random
 
 from damaskbay.adapters.http1.server import ReceivedRequest
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
-from damaskbay.config.objects import Access, ConfigSet, Route, WeightedRoute, Workspace
+from damaskbay.config.objects import ConfigSet, Route, WeightedRoute, Workspace
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.durations import DurationEstimates
-from damaskbay.core.http_status import FIRST_SERVER_ERROR, is_success, status_of
+from damaskbay.core.http_status import FIRST_SERVER_ERROR, is_success
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import Holding, MemoryAccount
 from damaskbay.core.outcome import Reason, Refusal, not_run
@@ -20,15 +20,13 @@
 from damaskbay.core.quota.token_pool import is_pooled
 from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.helpers.http_headers import HeaderFilter
-from damaskbay.helpers.keys import digest_of
 from damaskbay.mesh.configuration import Configuration
-from damaskbay.mesh.const import (
-    NOT_READY_RETRY_S,
-    REVOKE_MARGIN_S,
-    UNPROVEN_RETRY_S,
-)
+from damaskbay.mesh.const import NOT_READY_RETRY_S
 from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.dispatch import Dispatcher
+from damaskbay.mesh.identification import Identification
+from damaskbay.mesh.processor_gate import ProcessorGate
+from damaskbay.mesh.refusals import RefusalResponses
 from damaskbay.mesh.running import RunningCall, RunningCalls
 from damaskbay.mesh.tokens import PooledTokens
 from damaskbay.mesh.weights import WeightedChoice
@@ -38,16 +36,13 @@
 RESPONSES_PER_LOG_LINE = 50
 """One in this many successful responses is logged; every failed one is."""
 
-SERVICE_UNAVAILABLE = 503
-
 
 @dataclass(frozen=True, slots=True)
 class IngressOptions:
     """
     Options of Ingress; times in seconds.
 
-    A request with an API key is served only if the configuration was proven to be
-    the newest within `proof_valid_s`. `caller_name` is the name of the calling
+    `proof_valid_s` is that of Identification. `caller_name` is the name of the calling
     service that is sent to backend servers.
     """
 
@@ -64,6 +59,7 @@
     shares: DemandShares
     tokens: PooledTokens
     pressure: EdgeLoadShedder
+    processor: ProcessorGate
     running: RunningCalls
     telemetry: BoundTelemetry
     memory: MemoryAccount
@@ -73,6 +69,30 @@
     clock: Callable[[], float]
 
 
+@dataclass(frozen=True, slots=True)
+class _Incoming:
+    """
+    A request with what is known of it.
+
+    `headers` are those to forward, `caller` is the running call that made it, None if
+    it isn't nested.
+    """
+
+    arrival: ReceivedRequest
+    request_id: str | None
+    headers: Headers
+    config: ConfigSet
+    route: Route
+    workspace: Workspace | None
+    caller: RunningCall | None
+    timeout_s: float
+
+    @property
+    def workspace_name(self) -> str:
+        """Return the name of the workspace, empty on an open route."""
+        return self.workspace.name if self.workspace is not None else ""
+
+
 class Ingress:
     """Serves the requests of local callers and of the local backend server."""
 
@@ -82,6 +102,10 @@
         self._weights = WeightedChoice(parts.rng)
         self._response_count = 0
         dialect = parts.dialect
+        self.identification = Identification(parts.configuration, options.proof_valid_s)
+        self.refusals = RefusalResponses(
+            parts.configuration, parts.telemetry, dialect, parts.clock
+        )
         self._request_id = dialect.request_id.lower()
         self._key = dialect.key.lower()
         self._deadline_ms = dialect.deadline_ms.lower()
@@ -97,7 +121,7 @@
 
     def set_proof_valid(self, valid_s: float) -> None:
         """Change the maximum age of the configuration proof, in seconds."""
-        self._options = replace(self._options, proof_valid_s=valid_s)
+        self.identification.proof_valid_s = valid_s
 
     async def serve(self, arrival: ReceivedRequest) -> Response:
         """Serve one request and return its response."""
@@ -114,50 +138,73 @@
             self._late_in_flight -= late
 
     async def _serve(self, arrival: ReceivedRequest) -> Response:
-        parts = self._parts
+        parts, refuse = self._parts, self.refusals.before_dispatch
         request = arrival.request
-        forwarded_headers, values = self._sieve.split(request.headers)
+        headers, values = self._sieve.split(request.headers)
         request_id = values.get(self._request_id)
         config, routes = parts.configuration.config, parts.configuration.routes
         if config is None or routes is None:
             refusal = not_run(Reason.NO_CONFIGURATION, retry_after_s=NOT_READY_RETRY_S)
-            return self._refuse(refusal, request_id, None, "")
+            return refuse(refusal, request_id, None, "")
         route = routes.match(request.host, request.target)
         if route is None:
-            return self._refuse(not_run(Reason.NO_ROUTE), request_id, None, "")
-        workspace = self._workspace(config, route, values.get(self._key))
+            return refuse(not_run(Reason.NO_ROUTE), request_id, None, "")
+        key = values.get(self._key)
+        workspace = self.identification.workspace(config, route, key, parts.clock())
         if isinstance(workspace, Refusal):
-            return self._refuse(workspace, request_id, route, "")
+            return refuse(workspace, request_id, route, "")
         caller = None if workspace else parts.running.caller_of(request_id)
-        timeout_s = _timeout_s(route, values.get(self._deadline_ms))
+        timeout_s = timeout_of(route, values.get(self._deadline_ms))
+        incoming = _Incoming(
+            arrival, request_id, headers, config, route, workspace, caller, timeout_s
+        )
         busy = self._refusal_while_stopping(route, timeout_s, caller)
         busy = busy or self._refusal_without_memory(route, caller)
+        if busy is None and caller is None:
+            busy = await self._wait_for_processor(incoming)
         if busy is not None:
-            name = workspace.name if workspace is not None else ""
-            return self._refuse(busy, request_id, route, name)
+            return refuse(busy, request_id, route, incoming.workspace_name)
+        try:
+            return await self._serve_begun(incoming)
+        finally:
+            if caller is None:
+                parts.processor.leave()
+
+    async def _wait_for_processor(self, incoming: _Incoming) -> Refusal | None:
+        """Wait until a root call may begin; return a refusal if it may not."""
+        processor, workspace = self._parts.processor, incoming.workspace
+        if processor.guard.start_at_once(self._parts.clock()):
+            return None
+        weight = workspace.weight if workspace is not None else 1.0
+        return await processor.wait(self._context(incoming, pool=""), weight)
+
+    async def _serve_begun(self, incoming: _Incoming) -> Response:
+        """Serve a call that may use the processor."""
+        parts, refuse = self._parts, self.refusals.before_dispatch
+        arrival, workspace = incoming.arrival, incoming.workspace
+        route, request_id = incoming.route, incoming.request_id
         if workspace is not None:
             over_limit = await self._spend_token(workspace, arrival.arrived_at)
             if over_limit is not None:
-                return self._refuse(over_limit, request_id, route, workspace.name)
-        deadline = parts.lifetime.limit(arrival.arrived_at + timeout_s)
-        context = self._context(config, route, workspace, deadline, request_id, caller)
+                return refuse(over_limit, request_id, route, workspace.name)
+        context = self._context(incoming, self._weights.next_pool(route))
         early = self._early_refusal(context, workspace)
         if early is not None:
-            return self._refuse(early, request_id, route, context.workspace)
-        forwarded = self._forwarded_request(request, forwarded_headers, workspace)
+            return refuse(early, request_id, route, context.workspace)
+        forwarded = self._forwarded_request(incoming)
         with Holding(parts.memory) as holding:
             holding.set(self._sizes.expected_bytes(route.name))
             result = await self._dispatch(context, route, forwarded, arrival.arrived_at)
         self._record_result(context, result, parts.clock() - arrival.arrived_at)
-        if caller is not None:
-            parts.running.record_nested_end(caller, result, parts.clock())
+        if incoming.caller is not None:
+            parts.running.record_nested_end(incoming.caller, result, parts.clock())
         else:
             parts.pressure.record_level(
                 route.name, result.admission_level, parts.clock()
             )
         outcome = result.result
         if isinstance(outcome, Refusal):
-            return self._refusal_response(outcome, request_id, route)
+            return self.refusals.response(outcome, request_id, route)
         self._sizes.record(route.name, len(outcome.body))
         headers = outcome.headers
         if request_id is not None:
@@ -224,27 +271,6 @@
             },
         )
 
-    def _workspace(
-        self, config: ConfigSet, route: Route, secret: str | None
-    ) -> Workspace | Refusal | None:
-        """Return the workspace of the API key, a refusal, or None on an open route."""
-        if route.access is Access.OPEN:
-            return None
-        if secret is None:
-            return not_run(Reason.KEY_MISSING)
-        age_s = self._parts.configuration.proof_age_s(self._parts.clock())
-        if age_s is None or age_s > self._options.proof_valid_s - REVOKE_MARGIN_S:
-            detail = f"version {config.version}, proof age {age_s}"
-            return not_run(
-                Reason.CONFIGURATION_UNPROVEN,
-                retry_after_s=UNPROVEN_RETRY_S,
-                detail=detail,
-            )
-        key = config.keys_by_digest.get(digest_of(secret))
-        if key is None:
-            return not_run(Reason.KEY_UNKNOWN)
-        return config.workspaces_by_name[key.workspace]
-
     def _refusal_while_stopping(
         self, route: Route, timeout_s: float, caller: RunningCall | None
     ) -> Refusal | None:
@@ -300,28 +326,11 @@
             return await self._parts.tokens.spend(workspace)
         return self._parts.shares.spend(workspace, now)
 
-    def _refuse(
-        self,
-        refusal: Refusal,
-        request_id: str | None,
-        route: Route | None,
-        workspace: str,
-    ) -> Response:
-        """Record a request that is refused before dispatch, and return its response."""
-        self._parts.telemetry.record_refusal(workspace, refusal)
-        return self._refusal_response(refusal, request_id, route)
-
-    def _context(
-        self,
-        config: ConfigSet,
-        route: Route,
-        workspace: Workspace | None,
-        deadline: float,
-        request_id: str | None,
-        caller: RunningCall | None,
-    ) -> CallContext:
+    def _context(self, incoming: _Incoming, pool: str) -> CallContext:
+        workspace, caller = incoming.workspace, incoming.caller
+        route, config = incoming.route, incoming.config
         rank = self._parts.configuration.ranks.rank(route, workspace)
-        workspace_name, depth = (workspace.name if workspace is not None else ""), 0
+        workspace_name, depth = incoming.workspace_name, 0
         is_nested_in_retry = False
         if caller is not None:
             rank = caller.context.priority_rank
@@ -332,17 +341,18 @@
             )
         elif workspace is None:
             depth = 1
+        deadline = incoming.arrival.arrived_at + incoming.timeout_s
         return CallContext(
             call_id="",
             workspace=workspace_name,
             priority_rank=rank,
-            deadline=deadline,
+            deadline=self._parts.lifetime.limit(deadline),
             route=route.name,
-            pool=self._weights.next_pool(route),
+            pool=pool,
             idempotent=route.idempotent,
             depth=depth,
             is_nested_in_retry=is_nested_in_retry,
-            request_id=request_id,
+            request_id=incoming.request_id,
             config_version=config.version,
             objective_s=route.objective_s if isinstance(route, WeightedRoute) else None,
         )
@@ -361,55 +371,22 @@
             self._parts.clock(),
         )
 
-    def _forwarded_request(
-        self, request: Request, headers: Headers, workspace: Workspace | None
-    ) -> Request:
+    def _forwarded_request(self, incoming: _Incoming) -> Request:
         """Return the request for backend servers, without the API key."""
-        dialect = self._parts.dialect
+        dialect, request = self._parts.dialect, incoming.arrival.request
         added: Headers = ((dialect.caller, self._options.caller_name),)
-        if workspace is not None:
-            added = (*added, (dialect.workspace, workspace.name))
+        if incoming.workspace is not None:
+            added = (*added, (dialect.workspace, incoming.workspace.name))
         return Request(
             request.method,
             request.host,
             request.target,
-            (*headers, *added),
+            (*incoming.headers, *added),
             request.body,
         )
 
-    def _refusal_response(
-        self, refusal: Refusal, request_id: str | None, route: Route | None
-    ) -> Response:
-        status = status_of(refusal)
-        if refusal.not_run and status >= FIRST_SERVER_ERROR:
-            status = SERVICE_UNAVAILABLE
-        elif not refusal.not_run and status == SERVICE_UNAVAILABLE:
-            status = 502
-        _LOGGER.info(
-            "ingress: request refused.",
-            extra={
-                "request_id": request_id,
-                "route": route.name if route is not None else None,
-                "version": self._parts.configuration.version,
-                "proof_age_s": self._parts.configuration.proof_age_s(
-                    self._parts.clock()
-                ),
-                "outcome": refusal.outcome.value,
-                "why": refusal.reason.value,
-                "detail": refusal.detail,
-                "status": status,
-            },
-        )
-        headers: Headers = ()
-        if refusal.retry_after_s is not None and refusal.not_run:
-            value = f"{max(0.001, refusal.retry_after_s):.3f}"
-            headers = ((self._parts.dialect.retry_after, value),)
-        if request_id is not None:
-            headers = (*headers, (self._parts.dialect.request_id, request_id))
-        return Response(status, headers, b"")
-
 
-def _timeout_s(route: Route, requested_ms: str | None) -> float:
+def timeout_of(route: Route, requested_ms: str | None) -> float:
     """Return the lower of the route's and the caller's timeout, in seconds."""
     if requested_ms is None or not requested_ms.isdigit():
         return route.deadline_s
--- a/damaskbay/mesh/observing.py
+++ b/damaskbay/mesh/observing.py
@@ -10,6 +10,7 @@
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.call import Response
 from damaskbay.core.memory_account import MemoryAccount
+from damaskbay.core.processor_guard import ProcessorGuard
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.helpers.loop_monitor import LoopMonitor, take_sample
 from damaskbay.mesh.configuration import Configuration
@@ -19,7 +20,7 @@
 from damaskbay.mesh.settings import SettingsHistory
 
 NO_LIMIT = -1.0
-"""Value of the limit metric while the server names none."""
+"""Value of a limit metric while there is none."""
 
 NO_PROOF = -1.0
 """Value of the proof age metric while there is no proof."""
@@ -31,6 +32,7 @@
 
     configuration: Configuration
     gate: Gate
+    processor: ProcessorGuard
     directory: Directory
     links: PeerLinks
     repeats: ServerRetryBudget
@@ -96,12 +98,20 @@
         gauge("loop_busy_blocks", "By own work", lambda: monitor.busy_blocks)
         gauge("loop_no_processor_blocks", "Ready", lambda: monitor.no_processor_blocks)
         gauge("loop_longest_block_seconds", "Lately", self._longest_block_s)
+        gauge("loop_lateness_seconds", "Mean now", lambda: parts.processor.late_s)
+        gauge("root_calls", "In progress", lambda: parts.processor.in_progress)
+        gauge("root_calls_waiting", "To begin", lambda: parts.processor.waiting)
+        gauge("root_calls_limit", "-1: none", self._root_calls_limit)
         gauge("settings_digest", "First 48 bits of SHA-256", self._settings_digest)
 
     def _named_limit_per_s(self) -> float:
         limit_per_s = self._parts.gate.named_limit_per_s
         return NO_LIMIT if limit_per_s is None else limit_per_s
 
+    def _root_calls_limit(self) -> float:
+        guard = self._parts.processor
+        return guard.limit if guard.is_limiting else NO_LIMIT
+
     def _starts_per_s(self) -> float:
         return self._parts.gate.starts_per_s(self._parts.clock())
 
--- /dev/null
+++ b/damaskbay/mesh/refusals.py
@@ -0,0 +1,75 @@
+"""Responses to refused requests, with their metrics and log lines."""
+
+import logging
+from collections.abc import Callable
+
+from damaskbay.adapters.telemetry.bound import BoundTelemetry
+from damaskbay.config.objects import Route
+from damaskbay.core.call import Headers, Response
+from damaskbay.core.http_status import FIRST_SERVER_ERROR, status_of
+from damaskbay.core.outcome import Refusal
+from damaskbay.mesh.configuration import Configuration
+from damaskbay.mesh.dialect import HeaderNames
+
+_LOGGER = logging.getLogger(__name__)
+
+BAD_GATEWAY = 502
+SERVICE_UNAVAILABLE = 503
+
+
+class RefusalResponses:
+    """Turns refusals into responses."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        telemetry: BoundTelemetry,
+        dialect: HeaderNames,
+        clock: Callable[[], float],
+    ) -> None:
+        self._configuration = configuration
+        self._telemetry = telemetry
+        self._dialect = dialect
+        self._clock = clock
+
+    def before_dispatch(
+        self,
+        refusal: Refusal,
+        request_id: str | None,
+        route: Route | None,
+        workspace: str,
+    ) -> Response:
+        """Record a request that is refused before dispatch; return its response."""
+        self._telemetry.record_refusal(workspace, refusal)
+        return self.response(refusal, request_id, route)
+
+    def response(
+        self, refusal: Refusal, request_id: str | None, route: Route | None
+    ) -> Response:
+        """Return the response to a refused request."""
+        status = status_of(refusal)
+        if refusal.not_run and status >= FIRST_SERVER_ERROR:
+            status = SERVICE_UNAVAILABLE
+        elif not refusal.not_run and status == SERVICE_UNAVAILABLE:
+            status = BAD_GATEWAY
+        proof_age_s = self._configuration.proof_age_s(self._clock())
+        _LOGGER.info(
+            "ingress: request refused.",
+            extra={
+                "request_id": request_id,
+                "route": route.name if route is not None else None,
+                "version": self._configuration.version,
+                "proof_age_s": proof_age_s,
+                "outcome": refusal.outcome.value,
+                "why": refusal.reason.value,
+                "detail": refusal.detail,
+                "status": status,
+            },
+        )
+        headers: Headers = ()
+        if refusal.retry_after_s is not None and refusal.not_run:
+            value = f"{max(0.001, refusal.retry_after_s):.3f}"
+            headers = ((self._dialect.retry_after, value),)
+        if request_id is not None:
+            headers = (*headers, (self._dialect.request_id, request_id))
+        return Response(status, headers, b"")
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -16,6 +16,7 @@
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import Holding, MemoryAccount
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
+from damaskbay.core.processor_guard import ProcessorGuard
 from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.helpers.arrivals import call_after_reading
@@ -45,6 +46,7 @@
     repeats: ServerRetryBudget
     memory: MemoryAccount
     fatal_calls: FatalCalls
+    processor: ProcessorGuard
     weight_of: Callable[[str], float]
     lifetime: Lifetime
     clock: Callable[[], float]
@@ -298,7 +300,7 @@
             admission_level=level,
             served_by=parts.instance,
             backend_s=took_s,
-            load=round(parts.gate.load(), 3),
+            load=round(parts.gate.load() + parts.processor.excess_load, 3),
             nested_failed=call is not None and call.nested_failed,
         )
 
--- a/tests/adapters/http1/test_requests_in_hand.py
+++ b/tests/adapters/http1/test_requests_in_hand.py
@@ -249,6 +249,7 @@
     async def check() -> None:
         transport = Mock(spec=asyncio.Transport)
         transport.get_write_buffer_size.return_value = 0
+        transport.is_closing.return_value = False
         server = HttpServer(ADDRESS, _Service().serve, CallerLimits())
         connection = ServerConnection(server)
         connection.connection_made(transport)
