Keep links whose peer only wants a processor

What callers saw: 502 for requests that ran, or were about to, as a link was given up after 1.5 s in which the process at its other end had no processor. Unsafe ones can't be sent again.

Cause: PeerLinks took silence for loss. It aborted each link that had received nothing for LINK_TIMEOUT_S, which failed its requests and cancelled the handlers at the other end.

Now TCP_INFO of a silent link tells whether the peer's kernel acknowledges what is written each round. If nothing does, or it can't be told, the link is given up as before. Otherwise repeatable requests fail at the old time, those that may not be repeated wait for their reply, handlers of received requests run on, and a new link takes requests once the peer has answered on it. Links that wait are bounded by peer, idle accepted ones in time. A call is repeatable while its route has retries left; the last attempt waits.

PendingRequests and RunningRequests are taken out of link.py, which was too long already; their logic is otherwise unchanged.

--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -11,13 +11,16 @@
 from damaskbay.adapters.http1.sockets import Listener
 from damaskbay.adapters.peer_link.const import (
     CONNECT_TIMEOUT_S,
+    IDLE_TIMEOUT_S,
     LINK_TIMEOUT_S,
     MAX_NOTE_ROUNDS,
+    MAX_RETIRED_LINKS,
     NOTE_INTERVAL_S,
     QUIET_AFTER_S,
     RECONNECT_DELAY_S,
     SUSPECT_AFTER_S,
 )
+from damaskbay.adapters.peer_link.evidence import EvidenceReader, read_tcp_info
 from damaskbay.adapters.peer_link.frames import encode_note
 from damaskbay.adapters.peer_link.handlers import LinkHandlers, RequestHandler
 from damaskbay.adapters.peer_link.link import Link
@@ -45,6 +48,10 @@
     in `memory`. Entering the context waits up to `bind_wait_s` seconds for an address
     that can't be used. Use it as an async context manager; the exit aborts the links
     that `close` has not closed.
+
+    A link that receives nothing is given up if nothing acknowledges what is written to
+    it, as `read_evidence` tells. Otherwise the peer's process wants a processor: the
+    link goes on for the requests that may not be repeated, beside a new one.
     """
 
     def __init__(
@@ -58,6 +65,7 @@
         status: Callable[[], Any] = lambda: None,
         on_status: Callable[[PeerAddress, Any], None] = lambda _peer, _status: None,
         memory: MemoryAccount | None = None,
+        read_evidence: EvidenceReader = read_tcp_info,
     ) -> None:
         self._address = address
         self._on_links_change = on_links_change
@@ -68,9 +76,10 @@
         self._on_status = on_status
         self.bind_wait_s = 0.0
         self._memory = memory or MemoryAccount()
+        self._read_evidence = read_evidence
         self._tasks_by_peer: dict[PeerAddress, asyncio.Task[None]] = {}
         self._links_by_peer: dict[PeerAddress, Link] = {}
-        self._retired: set[Link] = set()
+        self._retired: dict[Link, PeerAddress] = {}
         self._accepted: set[Link] = set()
         self._listener = Listener(self._accept)
         self._monitor_task: asyncio.Task[None] | None = None
@@ -144,7 +153,7 @@
             self._tasks_by_peer.pop(unwanted).cancel()
             link = self._links_by_peer.pop(unwanted, None)
             if link is not None and not link.ended.is_set():
-                self._retired.add(link)
+                self._retired[link] = unwanted
                 link.retire()
         loop = asyncio.get_running_loop()
         for peer in peers - self._tasks_by_peer.keys():
@@ -167,15 +176,27 @@
         return link is not None and link.takes_requests and not link.suspect
 
     async def request(
-        self, peer: PeerAddress, message: Any, *, timeout_s: float
+        self,
+        peer: PeerAddress,
+        message: Any,
+        *,
+        timeout_s: float,
+        repeatable: bool = True,
     ) -> Any:
-        """Send a request to a peer and return its reply or a PeerFailure."""
+        """
+        Send a request to a peer and return its reply or a PeerFailure.
+
+        While the peer's process is silent and its kernel is not, a `repeatable` request
+        fails after LINK_TIMEOUT_S, another one waits for up to `timeout_s`.
+        """
         if self._interrupted:
             return PeerFailure(PeerProblem.NOT_SENT, "daemon is shutting down")
         link = self._links_by_peer.get(peer)
         if link is None:
             return PeerFailure(PeerProblem.NOT_SENT, "no link")
-        return await link.request(message, timeout_s=timeout_s)
+        if link.suspect and not repeatable:
+            return PeerFailure(PeerProblem.NOT_SENT, "peer is silent")
+        return await link.request(message, timeout_s=timeout_s, repeatable=repeatable)
 
     def interrupt_requests(self) -> None:
         """
@@ -207,11 +228,55 @@
     def _opened_links(self) -> tuple[Link, ...]:
         return (*self._links_by_peer.values(), *self._retired)
 
-    def _abort_silent(self, link: Link, now: float, late_s: float) -> None:
+    def _check_silent(self, link: Link, now: float, late_s: float) -> None:
+        """Give up a silent link, or the part of its work that needn't wait."""
+        evidence = link.read_evidence(self._read_evidence)
+        if evidence is None or not evidence.acknowledges:
+            self._abort_silent(link, now, late_s, acknowledged=False)
+            return
+        link.fail_repeatable()
+        if link.has_work:
+            self._retire_stalled(link)
+            return
+        is_kept = link in self._accepted and link.open
+        if not is_kept or now - link.last_received_at > IDLE_TIMEOUT_S:
+            self._abort_silent(link, now, late_s, acknowledged=True)
+
+    def _retire_stalled(self, link: Link) -> None:
+        """Let a new link take the place of one whose requests go on waiting."""
+        peer = self._peer_of(link)
+        if peer is None:
+            return
+        retired = [other for other, at in self._retired.items() if at == peer]
+        if len(retired) >= MAX_RETIRED_LINKS:
+            idle = [other for other in retired if not other.has_work]
+            if not idle:
+                return
+            idle[0].abort()
+        _LOGGER.warning(
+            "peer: link waits for a silent process.",
+            extra={"peer": str(peer), "requests": link.requests_in_flight},
+        )
+        del self._links_by_peer[peer]
+        self._retired[link] = peer
+        link.retire()
+        self._on_links_change()
+
+    def _peer_of(self, link: Link) -> PeerAddress | None:
+        """Return the peer to which a link takes new requests, if it is such a one."""
+        for peer, current in self._links_by_peer.items():
+            if current is link:
+                return peer
+        return None
+
+    def _abort_silent(
+        self, link: Link, now: float, late_s: float, *, acknowledged: bool
+    ) -> None:
         _LOGGER.warning(
             "peer: link has timed out.",
             extra={
                 "accepted": link in self._accepted,
+                "acknowledged": acknowledged,
                 "silent_s": round(now - link.last_received_at, 3),
                 "late_s": round(late_s, 3),
                 "requests": link.requests_in_flight,
@@ -221,7 +286,7 @@
         )
         link.abort()
 
-    def _set_suspect(self, link: Link, suspect: bool) -> None:
+    def _set_suspect(self, link: Link, *, suspect: bool) -> None:
         if suspect is not link.suspect:
             link.suspect = suspect
             self._on_links_change()
@@ -232,21 +297,31 @@
         return link
 
     def _make_link(
-        self, on_status: Callable[[Any], None], on_end: Callable[[Link], None]
+        self, on_status: Callable[[Any], None], on_end: Callable[[Link], object]
     ) -> Link:
         handlers = LinkHandlers(
-            self._on_request, self._on_note, self._status, on_status, on_end
+            self._on_request,
+            self._on_note,
+            self._status,
+            on_status,
+            on_end,
+            on_answer=lambda link: self._set_suspect(link, suspect=False),
         )
         return Link(handlers, self._memory)
 
     async def _maintain_link(self, peer: PeerAddress) -> None:
         """Connect to the peer, and reconnect after a failure, until cancelled."""
         loop = asyncio.get_running_loop()
+        was_silent = False
 
         def make_link() -> Link:
-            return self._make_link(
-                partial(self._on_status, peer), self._retired.discard
+            link = self._make_link(
+                partial(self._on_status, peer),
+                lambda link: self._retired.pop(link, None),
             )
+            # The kernel accepts connections for a process that is silent.
+            link.suspect = link.unproven = was_silent
+            return link
 
         while True:
             try:
@@ -262,11 +337,13 @@
             note = self._note()
             link.send_note(note, encode_note(note))
             _LOGGER.info("peer: link is up.", extra={"peer": str(peer)})
-            await link.ended.wait()
+            await link.released.wait()
+            was_silent = link.suspect
             if self._links_by_peer.get(peer) is link:
                 del self._links_by_peer[peer]
-            self._on_links_change()
-            _LOGGER.warning("peer: link is lost.", extra={"peer": str(peer)})
+            if link.ended.is_set():
+                self._on_links_change()
+                _LOGGER.warning("peer: link is lost.", extra={"peer": str(peer)})
             await asyncio.sleep(RECONNECT_DELAY_S)
 
     async def _monitor_links(self) -> None:
@@ -287,11 +364,15 @@
                     # This process was suspended; the peer may still be alive.
                     link.last_received_at = max(link.last_received_at, now)
                 link.count_unsent()
-                if now - link.last_received_at > LINK_TIMEOUT_S:
-                    self._abort_silent(link, now, late_s)
+                silent_s = now - link.last_received_at
+                if silent_s > LINK_TIMEOUT_S:
+                    self._check_silent(link, now, late_s)
+                if silent_s > SUSPECT_AFTER_S and link in self._accepted:
+                    link.probe()
             all_links = round_number % MAX_NOTE_ROUNDS == 0
             for link in self._opened_links():
-                self._set_suspect(link, now - link.last_received_at > SUSPECT_AFTER_S)
+                is_silent = now - link.last_received_at > SUSPECT_AFTER_S
+                self._set_suspect(link, suspect=is_silent or link.unproven)
                 # Either end closes the link if it receives nothing.
                 last_at = min(link.last_received_at, link.last_sent_at)
                 if all_links or now - last_at > QUIET_AFTER_S:
--- a/damaskbay/adapters/peer_link/const.py
+++ b/damaskbay/adapters/peer_link/const.py
@@ -24,7 +24,28 @@
 """
 
 LINK_TIMEOUT_S: Final = 1.5
-"""Seconds without a received byte before a link is closed; three note intervals."""
+"""
+Seconds without a received byte before a link is closed; three note intervals.
+
+While the peer's kernel acknowledges, requests that may not be repeated go on waiting.
+"""
+
+ACK_TIMEOUT_S: Final = 1.0
+"""
+Seconds without an acknowledgement of written bytes before the peer counts as gone.
+
+Exceeds NOTE_INTERVAL_S, so that what was written in the last round is overdue by then.
+"""
+
+IDLE_TIMEOUT_S: Final = 10.0
+"""
+Seconds without a received byte before an accepted link without work is closed.
+
+It bounds the links of a peer that is silent for good though something acknowledges.
+"""
+
+MAX_RETIRED_LINKS: Final = 4
+"""Links to a peer that wait for replies beside the one that takes new requests."""
 
 CONNECT_TIMEOUT_S: Final = 1.0
 """Seconds to connect; the longest round trip is tens of milliseconds."""
--- a/damaskbay/adapters/peer_link/handlers.py
+++ b/damaskbay/adapters/peer_link/handlers.py
@@ -20,10 +20,12 @@
 
     `on_note` gets each note, again at each pulse that stands for it; `status` returns
     the message that acknowledges them, or None. `on_status` gets that of the peer.
+    `on_answer` is called when the peer first answers on an unproven link.
     """
 
     on_request: RequestHandler
     on_note: MessageHandler
     status: Callable[[], Any]
     on_status: MessageHandler
-    on_end: Callable[["Link"], None]
+    on_end: Callable[["Link"], object]
+    on_answer: Callable[["Link"], None]
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -13,6 +13,7 @@
     PART_BYTES,
     PARTS_VERSION,
 )
+from damaskbay.adapters.peer_link.evidence import EvidenceReader, KernelEvidence
 from damaskbay.adapters.peer_link.exceptions import BadFrameError
 from damaskbay.adapters.peer_link.frames import (
     PULSE,
@@ -23,9 +24,11 @@
 )
 from damaskbay.adapters.peer_link.handlers import LinkHandlers
 from damaskbay.adapters.peer_link.parts import PartialPayloads
+from damaskbay.adapters.peer_link.pending import PendingRequests
+from damaskbay.adapters.peer_link.running import RunningRequests
 from damaskbay.adapters.peer_link.sending import PartsSender
 from damaskbay.core.memory_account import Holding, MemoryAccount, WriteBufferHolding
-from damaskbay.helpers.arrivals import call_after_reading, call_later_after_reading
+from damaskbay.helpers.arrivals import call_later_after_reading
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.messages import InvalidMessage, pack, unpack
 from damaskbay.ports.peer import PeerFailure, PeerProblem
@@ -39,8 +42,9 @@
 
     `last_received_at` and `last_sent_at` are the monotonic times of the last received
     and the last written bytes. PeerLinks sets `suspect` after SUSPECT_AFTER_S without
-    received bytes; new requests avoid a suspect link. `ended` is set when the
-    connection is lost. What the link holds counts in `memory`.
+    received bytes; new requests avoid a suspect link. An `unproven` link has not heard
+    from a peer that was silent before. `ended` is set when the connection is lost,
+    `released` already when the link is retired. What it holds counts in `memory`.
     """
 
     def __init__(self, handlers: LinkHandlers, memory: MemoryAccount) -> None:
@@ -51,8 +55,10 @@
         self._sender = PartsSender(self._write_frame)
         self._transport: asyncio.Transport | None = None
         self._reader = FrameReader()
-        self._pending: dict[int, asyncio.Future[Any]] = {}
-        self._running: dict[int, asyncio.Task[None]] = {}
+        self._pending = PendingRequests(self._write_frame, self._sender)
+        self._running = RunningRequests(
+            handlers.on_request, self._write_frame, self._send_reply
+        )
         self._last_number = 0
         self._last_received_number = 0
         self._replies_in_parts = 0
@@ -64,9 +70,9 @@
         self._closing = False
         self._peer_closing = False
         self._retired = False
-        self.ended = asyncio.Event()
+        self.ended, self.released = asyncio.Event(), asyncio.Event()
         self.last_received_at = self.last_sent_at = monotonic_s()
-        self.suspect = False
+        self.suspect = self.unproven = False
 
     @property
     def open(self) -> bool:
@@ -97,6 +103,17 @@
         """Return the number of requests of the peer that run here."""
         return len(self._running)
 
+    @property
+    def has_work(self) -> bool:
+        """Return whether requests, handlers or unsent frames need the connection."""
+        return bool(self._pending.waiting or self._running or self.unsent_bytes)
+
+    def read_evidence(self, read: EvidenceReader) -> KernelEvidence | None:
+        """Return what the kernel knows of the peer, None if it can't tell."""
+        if self._transport is None:
+            return None
+        return read(self._transport.get_extra_info("socket"))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its TCP options."""
         self._transport = cast("asyncio.Transport", transport)
@@ -110,20 +127,18 @@
         self._unsent.release()
         self._parts.clear()
         self._sender.resume()
-        why = str(exc or "closed")
-        pending, self._pending = self._pending, {}
-        for number, future in pending.items():
-            if not future.done():
-                future.set_result(self._failure(number, PeerProblem.LOST, why))
-        for task in self._running.values():
-            task.cancel()
-        self._running.clear()
+        self._pending.lose_all(str(exc or "closed"))
+        self._running.cancel_all()
+        self.released.set()
         self.ended.set()
         self._handlers.on_end(self)
 
     def data_received(self, data: bytes) -> None:
         """Handle the complete frames; close the link on an invalid one."""
         self.last_received_at = monotonic_s()
+        if self.unproven:
+            self.unproven = False
+            self._handlers.on_answer(self)
         try:
             for frame in self._reader.feed(data):
                 self._handle_frame(frame)
@@ -145,12 +160,15 @@
         """Count the frames that the kernel has not taken yet."""
         self._unsent.update(self.unsent_bytes)
 
-    async def request(self, message: Any, *, timeout_s: float) -> Any:
+    async def request(
+        self, message: Any, *, timeout_s: float, repeatable: bool = True
+    ) -> Any:
         """
         Send a request; return its reply, or a PeerFailure after `timeout_s`.
 
         On timeout or cancellation the peer gets a CANCEL frame. A reply that has
-        arrived by the timeout is returned, also if the loop reads it later.
+        arrived by the timeout is returned, also if the loop reads it later. One that is
+        not `repeatable` waits while the peer's process is silent and its kernel is not.
         """
         if not self.takes_requests:
             return PeerFailure(PeerProblem.NOT_SENT, "link is down or closing")
@@ -161,15 +179,13 @@
             return PeerFailure(PeerProblem.NOT_SENT, "message is too long for the peer")
         self._last_number += 1
         number = self._last_number
-        loop = asyncio.get_running_loop()
-        future: asyncio.Future[Any] = loop.create_future()
-        self._pending[number] = future
+        future = self._pending.add(number, repeatable=repeatable)
         timer = call_later_after_reading(timeout_s, self._time_out, number)
         if len(payload) <= PART_BYTES or not self._peer_takes_parts:
             self._write(encode(FrameKind.REQUEST, number, payload))
         else:
             self._sender.start_request(
-                number, payload, lambda: self.open and self._is_pending(number)
+                number, payload, lambda: self.open and self._pending.is_waiting(number)
             )
         try:
             return await future
@@ -178,15 +194,21 @@
             raise
         finally:
             timer.cancel()
-            self._pending.pop(number, None)
-            self._sender.forget(number)
+            self._pending.remove(number)
             self._parts.drop(FrameKind.REPLY, number)
             self._close_if_retired()
 
     def interrupt_requests(self) -> None:
         """End the requests that have no reply by now as INTERRUPTED; cancel them."""
-        for number in tuple(self._pending):
-            call_after_reading(self._fail_and_cancel, number, PeerProblem.INTERRUPTED)
+        self._pending.interrupt()
+
+    def fail_repeatable(self) -> None:
+        """Give up the requests that may be sent elsewhere; the others go on waiting."""
+        self._pending.fail_repeatable()
+
+    def probe(self) -> None:
+        """Write a frame without a meaning, for the peer's kernel to acknowledge."""
+        self._write_frame(FrameKind.NOTE_ACK, 0)
 
     def send_note(self, note: Any, encoded: bytes) -> None:
         """Send a note and its form by `encode_note`, or a pulse if it is unchanged."""
@@ -222,6 +244,7 @@
     def retire(self) -> None:
         """Close when the requests in flight have ended; the caller sends no more."""
         self._retired = True
+        self.released.set()
         self._close_if_retired()
 
     def abort(self) -> None:
@@ -238,33 +261,27 @@
 
     def _time_out(self, number: int, late_s: float) -> None:
         """Fail a request whose timer fired `late_s` late, unless it has ended."""
-        if not self._is_pending(number):
+        if not self._pending.is_waiting(number):
             return
         silent_s = monotonic_s() - self.last_received_at
         extra = {"late_s": round(late_s, 3), "silent_s": round(silent_s, 3)}
         _LOGGER.info("peer: request has timed out.", extra=extra)
-        self._fail_and_cancel(number, PeerProblem.TIMEOUT)
-
-    def _fail_and_cancel(self, number: int, problem: PeerProblem) -> None:
-        future = self._pending.get(number)
-        if future is not None and not future.done():
-            self._write_frame(FrameKind.CANCEL, number)
-            future.set_result(self._failure(number, problem))
-
-    def _failure(
-        self, number: int, problem: PeerProblem, detail: str = ""
-    ) -> PeerFailure:
-        """Return a failure; a request that was not sent to its end has not run."""
-        if self._sender.is_incomplete(number):
-            return PeerFailure(PeerProblem.NOT_SENT, f"cut while sent: {problem.value}")
-        return PeerFailure(problem, detail)
+        self._pending.fail(number, PeerProblem.TIMEOUT)
 
     def _takes(self, payload: bytes) -> bool:
         """Return whether the peer can take a payload, whole or in parts."""
         return self._peer_takes_parts or len(payload) <= MAX_PAYLOAD_BYTES
 
-    async def _send_reply(self, number: int, payload: bytes) -> None:
+    async def _send_reply(self, number: int, payload: bytes, holding: Holding) -> None:
         """Send a reply; the link doesn't close before."""
+        if len(payload) <= PART_BYTES:
+            self._write_frame(FrameKind.REPLY, number, payload)
+            return
+        if not self._takes(payload):
+            _LOGGER.error("peer: reply is too long for the peer.")
+            self._write_frame(FrameKind.FAILED, number)
+            return
+        holding.set(holding.held_bytes + len(payload))
         self._replies_in_parts += 1
         try:
             part_bytes = PART_BYTES if self._peer_takes_parts else len(payload)
@@ -279,10 +296,6 @@
             self._replies_in_parts -= 1
             self._close_if_sent()
 
-    def _is_pending(self, number: int) -> bool:
-        future = self._pending.get(number)
-        return future is not None and not future.done()
-
     def _write_frame(self, kind: FrameKind, number: int, payload: bytes = b"") -> None:
         if self.open:
             self._write(encode(kind, number, payload))
@@ -306,9 +319,11 @@
             if frame.number:
                 self._reject_from(frame.number)
         elif frame.kind is FrameKind.REJECTED:
-            self._resolve(frame, PeerFailure(PeerProblem.REJECTED))
+            self._pending.resolve(frame.number, PeerFailure(PeerProblem.REJECTED))
         elif frame.kind is FrameKind.FAILED:
-            self._resolve(frame, PeerFailure(PeerProblem.LOST, "handler failed"))
+            self._pending.resolve(
+                frame.number, PeerFailure(PeerProblem.LOST, "handler failed")
+            )
         else:
             self._handle_notice(frame)
 
@@ -353,13 +368,13 @@
         elif is_request:
             self._start_handler(frame.number, message, payload.holding)
         else:
-            self._resolve(frame, message)
+            self._pending.resolve(frame.number, message)
             payload.holding.release()
 
     def _is_wanted(self, frame: Frame) -> bool:
         """Return whether a request is still handled, or a reply waited for."""
         if frame.kind in (FrameKind.REPLY, FrameKind.REPLY_PART):
-            return self._is_pending(frame.number)
+            return self._pending.is_waiting(frame.number)
         return self.open and not self._ending
 
     def _refuse(self, frame: Frame) -> None:
@@ -372,13 +387,11 @@
             return
         self._write_frame(FrameKind.CANCEL, frame.number)
         failure = PeerFailure(PeerProblem.LOST, "no memory is left for the reply")
-        self._resolve(frame, failure)
+        self._pending.resolve(frame.number, failure)
 
     def _cancel_handler(self, number: int) -> None:
         self._parts.drop(FrameKind.REQUEST, number)
-        task = self._running.pop(number, None)
-        if task is not None:
-            task.cancel()
+        self._running.cancel(number)
 
     def _handle_note(self, note: Any) -> None:
         status = self._handlers.status()
@@ -389,41 +402,14 @@
         if note is not None:
             self._handlers.on_note(note)
 
-    def _resolve(self, frame: Frame, outcome: Any) -> None:
-        future = self._pending.get(frame.number)
-        if future is not None and not future.done():
-            future.set_result(outcome)
-
     def _reject_from(self, first_number: int) -> None:
         self._peer_closing = True
         failure = PeerFailure(PeerProblem.REJECTED, "peer is closing the link")
-        for number, future in self._pending.items():
-            if number >= first_number and not future.done():
-                future.set_result(failure)
+        self._pending.reject_from(first_number, failure)
 
     def _start_handler(self, number: int, message: Any, holding: Holding) -> None:
         if len(self._running) >= MAX_RUNNING_REQUESTS or self._congested():
             holding.release()
             self._write_frame(FrameKind.REJECTED, number)
             return
-        serve = self._serve(number, message, holding)
-        task = asyncio.get_running_loop().create_task(serve)
-        task.add_done_callback(lambda _: holding.release())
-        self._running[number] = task
-
-    async def _serve(self, number: int, message: Any, holding: Holding) -> None:
-        try:
-            payload = pack(await self._handlers.on_request(message))
-            if len(payload) <= PART_BYTES:
-                self._write_frame(FrameKind.REPLY, number, payload)
-            elif self._takes(payload):
-                holding.set(holding.held_bytes + len(payload))
-                await self._send_reply(number, payload)
-            else:
-                _LOGGER.error("peer: reply is too long for the peer.")
-                self._write_frame(FrameKind.FAILED, number)
-        except Exception:
-            _LOGGER.exception("peer: request failed.")
-            self._write_frame(FrameKind.FAILED, number)
-        finally:
-            self._running.pop(number, None)
+        self._running.start(number, message, holding)
--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -99,13 +99,17 @@
         while True:
             if progress.attempts_made and not context.is_retry:
                 context = replace(context, is_retry=True)
-            result = await self._attempt(context, request, progress)
+            result = await self._attempt(context, route, request, progress)
             _record_full_server(progress, result)
             if not self._should_retry(context, route, progress, result):
                 return self._final_result(progress, result)
 
     async def _attempt(
-        self, context: CallContext, request: Request, progress: _Progress
+        self,
+        context: CallContext,
+        route: Route,
+        request: Request,
+        progress: _Progress,
     ) -> CallResult:
         parts = self._parts
         now = parts.clock()
@@ -123,7 +127,8 @@
         load: float | None = None
         may_have_run_before, progress.may_have_run = progress.may_have_run, True
         try:
-            result = await self._send(choice, context, request)
+            repeatable = context.idempotent and progress.attempts_made < route.retries
+            result = await self._send(choice, context, request, repeatable=repeatable)
             failure, load = _failure_kind(result), result.load
         except asyncio.CancelledError:
             _LOGGER.info(
@@ -142,7 +147,12 @@
         return result
 
     async def _send(
-        self, server: ServerView, context: CallContext, request: Request
+        self,
+        server: ServerView,
+        context: CallContext,
+        request: Request,
+        *,
+        repeatable: bool,
     ) -> CallResult:
         parts = self._parts
         if server.local:
@@ -150,7 +160,9 @@
         now = parts.clock()
         message = to_call_message(context, request, now=now)
         timeout_s = max(0.0, context.deadline + REPLY_GRACE_S - now)
-        reply = await parts.links.request(server.address, message, timeout_s=timeout_s)
+        reply = await parts.links.request(
+            server.address, message, timeout_s=timeout_s, repeatable=repeatable
+        )
         if isinstance(reply, (AnswerMessage, RefusalMessage)):
             return result_of(reply)
         not_sent = isinstance(reply, PeerFailure) and reply.problem in (
