--- a/tests/adapters/peer_link/test_stalled.py
+++ b/tests/adapters/peer_link/test_stalled.py
@@ -7,11 +7,13 @@
 
 import asyncio
 import contextlib
+import ctypes
 import socket
+import struct
 import threading
 import time
 import unittest
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 from unittest import mock
 
@@ -44,6 +46,12 @@
 STANDSTILL_S = 2.5
 
 ANSWER = encode(FrameKind.NOTE_ACK)
+SO_ATTACH_FILTER = 26
+"""Option of linux/socket.h; packets that the filter rejects are not acknowledged."""
+
+REJECT_ALL = struct.pack("=HBBI", 0x06, 0, 0, 0)
+"""Filter program "return 0" (BPF_RET | BPF_K), see linux/filter.h."""
+
 CUT_OFF = KernelEvidence(unacked=1, probes=0, last_ack_age_s=2 * ACK_TIMEOUT_S)
 
 
@@ -211,6 +219,33 @@
     uvloop.run(run())
 
 
+async def _check_given_up(
+    peer: _Peer, prepare: Callable[[socket.socket], None]
+) -> None:
+    """Lose requests on an opened link and handlers of an accepted one."""
+    address = peer.daemon.address
+    with (
+        await peer.accept() as accepted,
+        socket.create_connection((address.host, address.port)) as sender,
+    ):
+        sender.sendall(encode(FrameKind.REQUEST, 1, pack(ConfigRequest(NEVER))))
+        while not peer.daemon.received:
+            await asyncio.sleep(0.01)
+        for sock in (accepted, sender):
+            prepare(sock)
+        requests = [
+            peer.request(1, repeatable=False),
+            peer.request(2, repeatable=True),
+        ]
+        await asyncio.wait(requests, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.sleep(0)
+        for request in requests:
+            assert request.done()
+            _check_lost(await request)
+        while not peer.daemon.cancelled:
+            await asyncio.sleep(0.01)
+
+
 # Guards against calls that wait for a peer that is cut off or has lost its power.
 def test_a_link_that_nothing_acknowledges_is_given_up() -> None:
     """As it is where the system doesn't tell what the peer's kernel does."""
@@ -218,30 +253,30 @@
     async def run(evidence: KernelEvidence | None) -> None:
         async with _linked_peer() as peer:
             peer.daemon.links._read_evidence = lambda sock: evidence
-            with await peer.accept():
-                handled = encode(FrameKind.REQUEST, 1, pack(ConfigRequest(NEVER)))
-                with socket.create_connection(
-                    (peer.daemon.address.host, peer.daemon.address.port)
-                ) as sender:
-                    sender.sendall(handled)
-                    requests = [
-                        peer.request(1, repeatable=False),
-                        peer.request(2, repeatable=True),
-                    ]
-                    done, _ = await asyncio.wait(
-                        requests, return_when=asyncio.FIRST_COMPLETED
-                    )
-                    await asyncio.sleep(0)
-                    assert all(request.done() for request in requests), done
-                    for request in requests:
-                        _check_lost(await request)
-                    while not peer.daemon.cancelled:
-                        await asyncio.sleep(0.01)
+            await _check_given_up(peer, lambda sock: None)
 
     for evidence in (CUT_OFF, None):
         uvloop.run(run(evidence))
 
 
+# Guards as above, with the kernel's own evidence of a connection that is silent.
+def test_a_link_is_given_up_once_its_packets_are_dropped() -> None:
+    """The peer's sockets drop what arrives, so that nothing is acknowledged."""
+
+    def drop_arriving(sock: socket.socket) -> None:
+        program = ctypes.create_string_buffer(REJECT_ALL)
+        address = ctypes.addressof(program)
+        sock.setsockopt(
+            socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("@HP", 1, address)
+        )
+
+    async def run() -> None:
+        async with _linked_peer() as peer:
+            await _check_given_up(peer, drop_arriving)
+
+    uvloop.run(run())
+
+
 # Guards against links that add up beside a peer that stands still again and again.
 def test_the_links_that_wait_for_a_peer_are_bounded() -> None:
     """A link beyond the bound goes on waiting in its place."""
