--- a/damaskbay/adapters/peer_link/evidence.py
+++ b/damaskbay/adapters/peer_link/evidence.py
@@ -18,6 +18,7 @@
 _TCP_INFO = struct.Struct("=5B3x13I")
 """Start of `struct tcp_info` in linux/tcp.h, up to tcpi_last_ack_recv."""
 
+_STATE = 0
 _PROBES = 3
 _UNACKED = 9
 _LAST_ACK_RECV_MS = 17
@@ -69,10 +70,13 @@
 
 
 def parse_tcp_info(data: bytes) -> KernelEvidence | None:
-    """Return the evidence in a `tcp_info` structure, None if it is too short."""
+    """Return the evidence in a `tcp_info` structure, None if it is short or empty."""
     if len(data) < _TCP_INFO.size:
         return None
     values = _TCP_INFO.unpack_from(data)
+    if not values[_STATE]:
+        # Each connection has a state: this system doesn't fill the structure in.
+        return None
     return KernelEvidence(
         values[_UNACKED], values[_PROBES], values[_LAST_ACK_RECV_MS] / 1000
     )
--- a/tests/adapters/peer_link/test_stalled.py
+++ b/tests/adapters/peer_link/test_stalled.py
@@ -323,7 +323,7 @@
 
 
 def test_the_kernel_tells_if_it_is_acknowledged() -> None:
-    """A short structure is no evidence; a late acknowledgement is one of a loss."""
+    """A short or an empty structure is no evidence; a late acknowledgement is one of a loss."""
     with socket.create_server(("127.0.0.1", 0)) as listening:
         with socket.create_connection(listening.getsockname()) as sock:
             sock.sendall(b"unread")
@@ -332,6 +332,7 @@
             assert evidence.acknowledges, evidence
             data = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 256)
     assert parse_tcp_info(data[:59]) is None
+    assert parse_tcp_info(bytes(len(data))) is None
     assert not CUT_OFF.acknowledges
     assert KernelEvidence(1, 0, ACK_TIMEOUT_S / 2).acknowledges
     assert KernelEvidence(0, 1, 2 * ACK_TIMEOUT_S).acknowledges
