--- a/tests/adapters/peer_link/test_stalled.py
+++ b/tests/adapters/peer_link/test_stalled.py
@@ -323,7 +323,7 @@
 
 
 def test_the_kernel_tells_if_it_is_acknowledged() -> None:
-    """A short or an empty structure is no evidence; a late acknowledgement is one of a loss."""
+    """Neither a short structure nor an empty one is evidence; a late answer is."""
     with socket.create_server(("127.0.0.1", 0)) as listening:
         with socket.create_connection(listening.getsockname()) as sock:
             sock.sendall(b"unread")
