--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -8,7 +8,7 @@
 import resource
 import signal
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -132,7 +132,7 @@
         self.starts.append(time.monotonic())
         environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_path())}
         self._process = await asyncio.create_subprocess_exec(
-            *daemon_command(),
+            *self._command(),
             cwd=ROOT,
             stdout=log,
             stderr=log,
@@ -144,6 +144,9 @@
         self._watch_tasks.add(watching)
         watching.add_done_callback(self._watch_tasks.discard)
 
+    def _command(self) -> Sequence[str]:
+        return daemon_command()
+
     def _prepare_process(self) -> None:
         """Limit the descriptors and cores of the process that is being started."""
         max_fds, cores = self._options.max_fds, self._options.cores
