--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
     "blocks",
     "starts",
     "call_cost",
+    "call_cost_refusal",
 )
 EXIT_USAGE = 2
 
