--- a/damaskbay/helpers/logs.py
+++ b/damaskbay/helpers/logs.py
@@ -192,6 +192,8 @@
     # Each of these fields costs a lookup per record, one of them a system call, and
     # the format does not use them.
     logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
+    # The documented way to leave out where a call to the log comes from.
+    logging._srcfile = None
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
