--- a/damaskbay/helpers/logs.py
+++ b/damaskbay/helpers/logs.py
@@ -45,6 +45,17 @@
         self._windows: dict[tuple[str, str], tuple[float, int]] = {}
         self.dropped = 0
 
+    def suppresses(self, name: str, message: str, why: str) -> bool:
+        """Return whether a line of a logger would be suppressed now; count it then."""
+        key = (name, f"{message} {why}")
+        with self._lock:
+            window_start, count = self._windows.get(key, (0.0, 0))
+            if count < self._lines_per_s or self._clock() - window_start >= 1.0:
+                return False
+            self._windows[key] = (window_start, count + 1)
+            self.dropped += 1
+        return True
+
     def filter(self, record: logging.LogRecord) -> bool:
         """Return whether the record is within the rate limit."""
         why = getattr(record, "why", "")
@@ -69,6 +80,19 @@
             record.msg = f"{record.msg} ({suppressed} more like this suppressed.)"
 
 
+_rate_limits: list[RateLimitFilter] = []
+"""The limit of the queued log, if it is set up."""
+
+
+def is_suppressed(logger: logging.Logger, message: str, why: str) -> bool:
+    """
+    Return whether the queued log would suppress a line now; count it in this case.
+
+    Asked before a frequent line is put together, as most of them are suppressed.
+    """
+    return any(limit.suppresses(logger.name, message, why) for limit in _rate_limits)
+
+
 class RedactFilter(logging.Filter):
     """Filter that redacts callers' keys in messages, arguments and tracebacks."""
 
@@ -187,7 +211,8 @@
     records: queue.Queue[logging.LogRecord | None] = queue.Queue(MAX_QUEUED_LINES)
     writer = LogWriter(records, stream)
     handler = BoundedQueueHandler(records, writer.start)
-    handler.addFilter(RateLimitFilter(lines_per_s))
+    _rate_limits[:] = [RateLimitFilter(lines_per_s)]
+    handler.addFilter(_rate_limits[0])
     handler.addFilter(RedactFilter())
     # Each of these fields costs a lookup per record, one of them a system call, and
     # the format does not use them.
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -21,6 +21,7 @@
 from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.helpers.http_headers import HeaderFilter
 from damaskbay.helpers.keys import digest_of
+from damaskbay.helpers.logs import is_suppressed
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import (
     NOT_READY_RETRY_S,
@@ -35,6 +36,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_REFUSED = "ingress: request refused."
+
 RESPONSES_PER_LOG_LINE = 50
 """One in this many successful responses is logged; every failed one is."""
 
@@ -385,28 +388,33 @@
             status = SERVICE_UNAVAILABLE
         elif not refusal.not_run and status == SERVICE_UNAVAILABLE:
             status = 502
+        if not is_suppressed(_LOGGER, _REFUSED, refusal.reason.value):
+            self._log_refusal(refusal, request_id, route, status)
+        headers: Headers = ()
+        if refusal.retry_after_s is not None and refusal.not_run:
+            value = f"{max(0.001, refusal.retry_after_s):.3f}"
+            headers = ((self._parts.dialect.retry_after, value),)
+        if request_id is not None:
+            headers = (*headers, (self._parts.dialect.request_id, request_id))
+        return Response(status, headers, b"")
+
+    def _log_refusal(
+        self, refusal: Refusal, request_id: str | None, route: Route | None, status: int
+    ) -> None:
+        configuration = self._parts.configuration
         _LOGGER.info(
-            "ingress: request refused.",
+            _REFUSED,
             extra={
                 "request_id": request_id,
                 "route": route.name if route is not None else None,
-                "version": self._parts.configuration.version,
-                "proof_age_s": self._parts.configuration.proof_age_s(
-                    self._parts.clock()
-                ),
+                "version": configuration.version,
+                "proof_age_s": configuration.proof_age_s(self._parts.clock()),
                 "outcome": refusal.outcome.value,
                 "why": refusal.reason.value,
                 "detail": refusal.detail,
                 "status": status,
             },
         )
-        headers: Headers = ()
-        if refusal.retry_after_s is not None and refusal.not_run:
-            value = f"{max(0.001, refusal.retry_after_s):.3f}"
-            headers = ((self._parts.dialect.retry_after, value),)
-        if request_id is not None:
-            headers = (*headers, (self._parts.dialect.request_id, request_id))
-        return Response(status, headers, b"")
 
 
 def _timeout_s(route: Route, requested_ms: str | None) -> float:
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -19,6 +19,7 @@
 from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.core.retry.repeats import ServerRetryBudget
 from damaskbay.helpers.arrivals import call_after_reading
+from damaskbay.helpers.logs import is_suppressed
 from damaskbay.mesh.const import (
     NOT_READY_RETRY_S,
 )
@@ -30,6 +31,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_REFUSED = "target: call refused."
+
 
 @dataclass(frozen=True, slots=True)
 class TargetParts:
@@ -267,17 +270,19 @@
     def _refused_result(
         self, context: CallContext, refusal: Refusal, now: float
     ) -> CallResult:
-        _LOGGER.info(
-            "target: call refused.",
-            extra={
-                "request_id": context.request_id,
-                "route": context.route,
-                "why": refusal.reason.value,
-                "running": self._parts.gate.running,
-                "waiting": self._parts.gate.waiting,
-                "left_s": round(context.deadline - now, 3),
-            },
-        )
+        why = refusal.reason.value
+        if not is_suppressed(_LOGGER, _REFUSED, why):
+            _LOGGER.info(
+                _REFUSED,
+                extra={
+                    "request_id": context.request_id,
+                    "route": context.route,
+                    "why": why,
+                    "running": self._parts.gate.running,
+                    "waiting": self._parts.gate.waiting,
+                    "left_s": round(context.deadline - now, 3),
+                },
+            )
         return self._result(refusal, 0, None)
 
     def _result(
--- a/tests/helpers/test_logs.py
+++ b/tests/helpers/test_logs.py
@@ -95,6 +95,29 @@
     assert "2 more like this suppressed" in later.msg
 
 
+def test_lines_that_are_suppressed_before_they_are_made_are_counted() -> None:
+    """Asking first suppresses as many lines, and the later line has their count."""
+    now = [100.0]
+    limiter = RateLimitFilter(3.0, lambda: now[0])
+
+    def is_logged() -> bool:
+        if limiter.suppresses("x", "edge.", "a"):
+            return False
+        record = _record("edge.")
+        record.why = "a"
+        return limiter.filter(record)
+
+    assert [is_logged() for _ in range(5)] == [True] * 3 + [False] * 2
+    assert limiter.dropped == 2
+    assert not limiter.suppresses("x", "edge.", "b")
+    now[0] += 1.5
+    assert not limiter.suppresses("x", "edge.", "a")
+    later = _record("edge.")
+    later.why = "a"
+    assert limiter.filter(later)
+    assert "2 more like this suppressed" in later.msg
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
