--- a/damaskbay/adapters/telemetry/bound.py
+++ b/damaskbay/adapters/telemetry/bound.py
@@ -20,7 +20,7 @@
 )
 from damaskbay.adapters.telemetry.histogram import PlainHistogram
 from damaskbay.core.call import CallContext, CallResult, Response
-from damaskbay.core.outcome import Refusal
+from damaskbay.core.outcome import Outcome, Reason, Refusal
 
 OUTCOME_ANSWER = "answer"
 
@@ -61,12 +61,19 @@
             "retries", "Sends after the first", label_names, registry=self._registry
         )
         self._series: dict[tuple[str, int], _Series] = {}
+        self._refusal_counters: dict[tuple[str, Outcome, Reason], Counter] = {}
         self._workspaces: set[str] = set()
 
     def record_refusal(self, workspace: str, refusal: Refusal) -> None:
         """Count a call that was refused before it was sent to any backend server."""
-        outcome, reason = refusal.outcome.value, refusal.reason.value
-        self._calls.labels(self._workspace_label(workspace), "", outcome, reason).inc()
+        label = self._workspace_label(workspace)
+        key = (label, refusal.outcome, refusal.reason)
+        counter = self._refusal_counters.get(key)
+        if counter is None:
+            outcome, reason = refusal.outcome.value, refusal.reason.value
+            counter = self._calls.labels(label, "", outcome, reason)
+            self._refusal_counters[key] = counter
+        counter.inc()
 
     def call_ended(
         self, context: CallContext, result: CallResult, *, took_s: float
