--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -124,7 +124,8 @@
 
     def on_message_begin(self) -> None:
         """Start parsing a request."""
-        self.close()
+        if self._partial.holding.held_bytes:
+            self.close()
         self._began_here = True
         self._header_bytes = 0
         self.in_headers = True
--- a/damaskbay/core/memory_account.py
+++ b/damaskbay/core/memory_account.py
@@ -77,9 +77,11 @@
 
     def grow(self, count: int) -> bool:
         """Hold more bytes; return False, holding no more, if they do not fit."""
-        if not self._account.fits(count):
+        account = self._account
+        if account.held_bytes + count > account.limit_bytes:
             return False
-        self.set(self.held_bytes + count)
+        account.held_bytes += count
+        self.held_bytes += count
         return True
 
     def set(self, count: int) -> None:
