--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -142,11 +142,11 @@
             over_limit = await self._spend_token(workspace, arrival.arrived_at)
             if over_limit is not None:
                 return self._refuse(over_limit, request_id, route, workspace.name)
+            early = self._early_refusal(route, workspace)
+            if early is not None:
+                return self._refuse(early, request_id, route, workspace.name)
         deadline = parts.lifetime.limit(arrival.arrived_at + timeout_s)
         context = self._context(config, route, workspace, deadline, request_id, caller)
-        early = self._early_refusal(context, workspace)
-        if early is not None:
-            return self._refuse(early, request_id, route, context.workspace)
         forwarded = self._forwarded_request(request, forwarded_headers, workspace)
         with Holding(parts.memory) as holding:
             holding.set(self._sizes.expected_bytes(route.name))
@@ -350,18 +350,12 @@
             objective_s=route.objective_s if isinstance(route, WeightedRoute) else None,
         )
 
-    def _early_refusal(
-        self, context: CallContext, workspace: Workspace | None
-    ) -> Refusal | None:
+    def _early_refusal(self, route: Route, workspace: Workspace) -> Refusal | None:
         """Return a refusal if servers behind the route shed calls of this priority."""
-        if workspace is None:
-            return None
-        return self._parts.pressure.refusal(
-            context.route,
-            context.priority_rank,
-            workspace.name,
-            workspace.weight,
-            self._parts.clock(),
+        parts = self._parts
+        rank = parts.configuration.ranks.rank(route, workspace)
+        return parts.pressure.refusal(
+            route.name, rank, workspace.name, workspace.weight, parts.clock()
         )
 
     def _forwarded_request(
