--- a/damaskbay/daemon/messages.py
+++ b/damaskbay/daemon/messages.py
@@ -1,6 +1,6 @@
 """Messages that carry calls and their results between daemons."""
 
-from dataclasses import dataclass
+import msgspec
 
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
 from damaskbay.core.outcome import Outcome, Reason, Refusal
@@ -8,8 +8,7 @@
 
 
 @message("call")
-@dataclass(frozen=True, slots=True)
-class CallMessage:
+class CallMessage(msgspec.Struct, frozen=True):
     """
     A call that one daemon sends to another.
 
@@ -43,8 +42,7 @@
 
 
 @message("call.answer")
-@dataclass(frozen=True, slots=True)
-class AnswerMessage:
+class AnswerMessage(msgspec.Struct, frozen=True):
     """The complete response to a forwarded call."""
 
     status: int
@@ -60,8 +58,7 @@
 
 
 @message("call.refusal")
-@dataclass(frozen=True, slots=True)
-class RefusalMessage:
+class RefusalMessage(msgspec.Struct, frozen=True):
     """The refusal of a forwarded call."""
 
     reason: Reason
--- a/damaskbay/helpers/messages.py
+++ b/damaskbay/helpers/messages.py
@@ -17,7 +17,7 @@
     def __init__(self, kind: str, cls: type[Any]) -> None:
         self.kind = kind
         self.cls = cls
-        names = [item.name for item in fields(cls)]
+        names = _field_names(cls)
         self._get_values = attrgetter(*names)
         self._field_names = names
 
@@ -34,6 +34,12 @@
         return values if len(self._field_names) > 1 else (values,)
 
 
+def _field_names(cls: type[Any]) -> list[str]:
+    if issubclass(cls, msgspec.Struct):
+        return list(cls.__struct_fields__)
+    return [item.name for item in fields(cls)]
+
+
 @dataclass(frozen=True, slots=True)
 class InvalidMessage:
     """Result for bytes that are not a valid message of a known kind."""
@@ -49,7 +55,9 @@
 
 def message(kind: str) -> Callable[[type[T]], type[T]]:
     """
-    Return a decorator that registers a frozen data class under a message kind.
+    Return a decorator that registers a frozen class under a message kind.
+
+    A data class, or a msgspec.Struct, which is made in a fraction of the time.
 
     Raises ValueError if the kind is already registered.
     """
