--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -285,6 +285,9 @@
 
     def _process_queue(self, now: float) -> tuple[Decision, ...]:
         """Start queued calls in free slots; refuse those beyond the maximum length."""
+        if not self._queue:
+            self._level.update(now)
+            return ()
         decisions: list[Decision] = []
         while self._queue and self._has_free_slot(now):
             decisions.append(self._decide_next_queued(now))
