--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,8 @@
     "starts",
     "saturation",
     "processor_model",
+    "call_cost",
+    "call_cost_refusal",
 )
 EXIT_USAGE = 2
 
--- a/damaskbay/mesh/refusals.py
+++ b/damaskbay/mesh/refusals.py
@@ -8,11 +8,14 @@
 from damaskbay.core.call import Headers, Response
 from damaskbay.core.http_status import FIRST_SERVER_ERROR, status_of
 from damaskbay.core.outcome import Refusal
+from damaskbay.helpers.logs import is_suppressed
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.dialect import HeaderNames
 
 _LOGGER = logging.getLogger(__name__)
 
+_REFUSED = "ingress: request refused."
+
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
 
@@ -52,24 +55,30 @@
             status = SERVICE_UNAVAILABLE
         elif not refusal.not_run and status == SERVICE_UNAVAILABLE:
             status = BAD_GATEWAY
-        proof_age_s = self._configuration.proof_age_s(self._clock())
+        if not is_suppressed(_LOGGER, _REFUSED, refusal.reason.value):
+            self._log(refusal, request_id, route, status)
+        headers: Headers = ()
+        if refusal.retry_after_s is not None and refusal.not_run:
+            value = f"{max(0.001, refusal.retry_after_s):.3f}"
+            headers = ((self._dialect.retry_after, value),)
+        if request_id is not None:
+            headers = (*headers, (self._dialect.request_id, request_id))
+        return Response(status, headers, b"")
+
+    def _log(
+        self, refusal: Refusal, request_id: str | None, route: Route | None, status: int
+    ) -> None:
+        configuration = self._configuration
         _LOGGER.info(
-            "ingress: request refused.",
+            _REFUSED,
             extra={
                 "request_id": request_id,
                 "route": route.name if route is not None else None,
-                "version": self._configuration.version,
-                "proof_age_s": proof_age_s,
+                "version": configuration.version,
+                "proof_age_s": configuration.proof_age_s(self._clock()),
                 "outcome": refusal.outcome.value,
                 "why": refusal.reason.value,
                 "detail": refusal.detail,
                 "status": status,
             },
         )
-        headers: Headers = ()
-        if refusal.retry_after_s is not None and refusal.not_run:
-            value = f"{max(0.001, refusal.retry_after_s):.3f}"
-            headers = ((self._dialect.retry_after, value),)
-        if request_id is not None:
-            headers = (*headers, (self._dialect.request_id, request_id))
-        return Response(status, headers, b"")
