Plan a stop from the arrival of its signal

Callers saw requests cut by the kill at the end of the grace time, where fourteen daemons shared one core. The plan of the stop began when the event loop handled SIGTERM, passes after it had arrived; a loop that is late by a part of a second in each pass believed in an end that was that much too late.

A Python signal handler runs as soon as the process does, also within a long pass, and notes the time; the loop still gets the signal as before.

That this was the cause of the cut requests is suspected, not shown.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -260,9 +260,10 @@
         )
         self.settings_history.record_applied(settings.digest)
 
-    def stop(self) -> None:
-        """Start the graceful shutdown."""
-        self._lifetime.begin_stop(self.settings.grace_s, monotonic_s())
+    def stop(self, asked_at: float | None = None) -> None:
+        """Start the graceful shutdown, whose grace time began at `asked_at`."""
+        began_at = asked_at if asked_at is not None else monotonic_s()
+        self._lifetime.begin_stop(self.settings.grace_s, began_at)
         self._stopping.set()
 
     async def record_heartbeat(self, heartbeat: Heartbeat) -> bool:
--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -23,7 +23,7 @@
     log_what_goes_to_standard_error,
     set_up_queued_logging,
 )
-from damaskbay.helpers.signals import deliver_signals, hold_signals
+from damaskbay.helpers.signals import StopRequest, deliver_signals, hold_signals
 from damaskbay.helpers.supervision import RESTART_DELAY_S, keep_running
 from damaskbay.helpers.worker import WorkerThread
 from damaskbay.mesh.app import MeshDaemon
@@ -174,10 +174,10 @@
 
     Raise what it can't go on after, such as OSError, unless it is being stopped.
     """
-    stopping, hang_up = asyncio.Event(), asyncio.Event()
+    stopping, hang_up = StopRequest(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stopping.set)
+        stopping.handle(signal_number)
     loop.add_signal_handler(signal.SIGHUP, hang_up.set)
     deliver_signals()
     try:
@@ -203,7 +203,7 @@
     path: Path,
     settings: MeshSettings,
     stamp: FileStamp | None,
-    stopping: asyncio.Event,
+    stopping: StopRequest,
     hang_up: asyncio.Event,
 ) -> None:
     store = KvStore(settings.store)
@@ -233,9 +233,9 @@
             task.cancel()
 
 
-async def _stop_after(stopping: asyncio.Event, daemon: MeshDaemon) -> None:
+async def _stop_after(stopping: StopRequest, daemon: MeshDaemon) -> None:
     await stopping.wait()
-    daemon.stop()
+    daemon.stop(stopping.arrived_at)
 
 
 def main() -> int:
