Stop within the grace time though each pass of the loop is slow

Callers saw requests cut by the kill: two daemons on a busy core were still there 6 s after SIGTERM. From the interruption of calls to the end a stop took some ninety passes of the event loop: fixed numbers of passes to read what had arrived, also without any connection, and listeners that closed one after the other. Where each pass waits for the processor, they don't fit into 0.8 s.

A close now takes passes only while something waits to be read, connected or closed; a request that was read in the last pass still gets its response. The callers' and the readiness listener close beside the links.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -67,6 +67,7 @@
             self._make_connection, self.connection_limits.accepts_at_close
         )
         self._timeout_task: asyncio.Task[None] | None = None
+        self._closed = False
 
     async def __aenter__(self) -> Self:
         self.address = await self._listener.open(self.address, wait_s=self.bind_wait_s)
@@ -79,19 +80,30 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close as on leaving the context, which then has nothing left to do."""
+        if self._closed:
+            return
         if self._timeout_task is not None:
             self._timeout_task.cancel()
         self.ending = True
         self.stop_listening()
         try:
-            await read_new_connections()
+            await self.read_new_connections()
             self.close_idle()
             self.reject_incomplete()
-            await read_new_connections()
+            await self.read_new_connections()
             await self._interrupt()
             await self._flush()
         finally:
             self._close_connections()
+        self._closed = True
+
+    async def read_new_connections(self) -> None:
+        """Return once the loop has read what came on connections accepted by now."""
+        await read_new_connections(self._has_unread)
 
     @property
     def exceeds_connections(self) -> bool:
@@ -200,9 +212,11 @@
 
     async def _interrupt(self) -> None:
         """End the requests that still run: a response is better than a close."""
-        serving = [
-            connection for connection in self.connections if connection.is_serving
-        ]
+        if not self._serving():
+            return
+        # A request that was read in this pass would end without a response.
+        await read_arrived()
+        serving = self._serving()
         if not serving:
             return
         extra = {"address": str(self.address), "connections": len(serving)}
@@ -232,6 +246,18 @@
                 },
             )
 
+    def _serving(self) -> list[ServerConnection]:
+        """Return the connections with a request that has no response yet."""
+        return [connection for connection in self.connections if connection.is_serving]
+
+    def _has_unread(self) -> bool:
+        """Return whether the loop has yet to connect, read or close a connection."""
+        return bool(
+            self._listener.is_connecting
+            or self._closing
+            or _with_unread_bytes(self.connections)
+        )
+
     def _is_pending(self) -> bool:
         """Return whether something is to be sent, or read and refused."""
         return bool(
--- a/damaskbay/adapters/http1/sockets.py
+++ b/damaskbay/adapters/http1/sockets.py
@@ -54,6 +54,11 @@
         self._is_accepting = False
         self._retry: asyncio.TimerHandle | None = None
 
+    @property
+    def is_connecting(self) -> bool:
+        """Return whether accepted connections are not connected yet."""
+        return bool(self._tasks)
+
     async def open(self, address: PeerAddress, *, wait_s: float = 0.0) -> PeerAddress:
         """
         Listen on an address and return it with its port.
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -8,7 +8,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from damaskbay.adapters.http1.sockets import Listener
+from damaskbay.adapters.http1.sockets import Listener, ready_descriptors
 from damaskbay.adapters.peer_link.const import (
     CONNECT_TIMEOUT_S,
     LINK_TIMEOUT_S,
@@ -105,7 +105,7 @@
         for link in connected:
             link.close()
         # Links that were accepted just now are connected before they are closed.
-        await read_new_connections()
+        await read_new_connections(self._has_unread)
         links = self._all_links()
         extra = {"links": len(links), "unsent_bytes": self.unsent_bytes}
         _LOGGER.info("peer: links are closing.", extra=extra)
@@ -201,6 +201,14 @@
             task.cancel()
         self._tasks_by_peer.clear()
 
+    def _has_unread(self) -> bool:
+        """Return whether a link is yet to be connected, read, or answered here."""
+        links = self._all_links()
+        if self._listener.is_connecting or any(link.handlers_running for link in links):
+            return True
+        descriptors = [link.descriptor for link in links if link.descriptor is not None]
+        return bool(ready_descriptors(descriptors))
+
     def _all_links(self) -> tuple[Link, ...]:
         return (*self._opened_links(), *self._accepted)
 
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -87,6 +87,14 @@
         transport = self._transport
         return transport.get_write_buffer_size() if transport is not None else 0
 
+    @property
+    def descriptor(self) -> int | None:
+        """Return the descriptor of the socket, None if nothing is read from it."""
+        if self._transport is None or self._transport.is_closing():
+            return None
+        descriptor: int = self._transport.get_extra_info("socket").fileno()
+        return descriptor if descriptor >= 0 else None
+
     @property
     def requests_in_flight(self) -> int:
         """Return the number of requests that wait for a reply of the peer."""
--- a/damaskbay/core/lifetime.py
+++ b/damaskbay/core/lifetime.py
@@ -33,6 +33,9 @@
 MIN_LINKS_CLOSE_S = 0.1
 """Time to close links after a stop that used all of its time, seconds."""
 
+PASSES_FROM_INTERRUPT = 12
+"""Passes of the event loop from the interruption of calls to the daemon's end."""
+
 
 @dataclass(frozen=True, slots=True)
 class StopPlan:
@@ -41,7 +44,7 @@
 
     Callers have learned of the stop by `announced_at`. Servers may work until
     `work_until`, what is left is interrupted at `interrupts_at`, and responses are
-    sent until `exits_at`.
+    sent until `exits_at`. The platform kills the process at `killed_at`.
     """
 
     began_at: float
@@ -49,6 +52,17 @@
     work_until: float
     interrupts_at: float
     exits_at: float
+    killed_at: float
+
+    def interrupts_from(self, late_s: float) -> float:
+        """
+        Return when calls are interrupted if the event loop is late.
+
+        Each pass of the loop is expected to take `late_s` seconds.
+        """
+        grace_s = self.killed_at - self.began_at
+        margin_s = min(PASSES_FROM_INTERRUPT * late_s, MAX_MARGIN_SHARE * grace_s)
+        return min(self.interrupts_at, self.killed_at - margin_s)
 
 
 def plan_stop(grace_s: float, now: float) -> StopPlan:
@@ -62,6 +76,7 @@
         kill_at - margin_scale * WORK_MARGIN_S,
         kill_at - margin_scale * INTERRUPT_MARGIN_S,
         kill_at - margin_scale * EXIT_MARGIN_S,
+        kill_at,
     )
 
 
--- a/damaskbay/helpers/arrivals.py
+++ b/damaskbay/helpers/arrivals.py
@@ -47,9 +47,15 @@
         await asyncio.sleep(0)
 
 
-async def read_new_connections() -> None:
-    """Return once the loop has read what came on sockets that were accepted by now."""
+async def read_new_connections(is_unread: Callable[[], bool] = lambda: True) -> None:
+    """
+    Return once the loop has read what came on sockets that were accepted by now.
+
+    It takes no pass of the loop while `is_unread` says that nothing waits.
+    """
     for _ in range(NEW_CONNECTION_PASSES):
+        if not is_unread():
+            return
         await asyncio.sleep(0)
 
 
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -207,7 +207,10 @@
                     await self._finish_calls()
                 self._target.draining = True
             await finish_messages(
-                self._links, self._control, self._lifetime.require_plan()
+                self._links,
+                self._control,
+                (self._callers, self._readiness),
+                self._lifetime.require_plan(),
             )
             self._lifetime.ended = True
         for task in self._tasks:
--- a/tests/core/test_lifetime.py
+++ b/tests/core/test_lifetime.py
@@ -35,6 +35,17 @@
         assert plan.interrupts_at >= last_sixth_at, grace_s
 
 
+def test_a_late_loop_interrupts_calls_earlier_but_in_the_last_sixth() -> None:
+    """Its passes take longer, and the end of the grace time stays where it is."""
+    for grace_s in (1.0, 3.0, GRACE_S, 30.0):
+        plan = plan_stop(grace_s, BEGAN_AT)
+        assert plan.interrupts_from(0.0) == plan.interrupts_at, grace_s
+        last_sixth_at = BEGAN_AT + grace_s * 5.0 / 6.0 - ROUNDING_S
+        late_at = plan.interrupts_from(grace_s / 60.0)
+        assert last_sixth_at <= late_at < plan.interrupts_at, grace_s
+        assert last_sixth_at <= plan.interrupts_from(grace_s) <= late_at, grace_s
+
+
 def test_deadlines_are_limited_by_the_end_of_the_daemon() -> None:
     """Before a stop they are not; a second SIGTERM doesn't extend the first."""
     lifetime = Lifetime()
