Start with less processor time

Starts of fourteen daemons on one core took seconds: a start imported HTTP servers and clients, TLS and e-mail for the sake of prometheus_client, pickle for a log handler, fractions and decimals for one median, and collected garbage among modules that stay.

The event-driven daemon writes counters and gauges itself, as it did with histograms; the text no longer has the creation times that the library adds. The log handler and the median need no library, and nothing is collected until the modules are loaded.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     "documents",
     "blocks",
     "starts",
+    "start_cost",
 )
 EXIT_USAGE = 2
 
--- a/damaskbay/adapters/telemetry/bound.py
+++ b/damaskbay/adapters/telemetry/bound.py
@@ -2,13 +2,6 @@
 
 from collections.abc import Callable, Iterator
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    generate_latest,
-)
-
 from damaskbay.adapters.telemetry.const import (
     ATTR_OUTCOME,
     ATTR_PRIORITY,
@@ -19,6 +12,11 @@
     MAX_WORKSPACE_LABELS,
 )
 from damaskbay.adapters.telemetry.histogram import PlainHistogram
+from damaskbay.adapters.telemetry.plain import (
+    CounterSeries,
+    PlainCounter,
+    PlainGauge,
+)
 from damaskbay.core.call import CallContext, CallResult, Response
 from damaskbay.core.outcome import Refusal
 
@@ -32,12 +30,12 @@
         self.latency = telemetry.latency.series(*labels)
         self.queue_wait = telemetry.queue_wait.series(*labels)
         self.added = telemetry.added.series(*labels)
-        self.counters_by_outcome: dict[str, Counter] = {}
+        self.counters_by_outcome: dict[str, CounterSeries] = {}
 
 
 class BoundTelemetry:
     """
-    Metrics of one daemon, recorded directly with the Prometheus client library.
+    Metrics of one daemon in the Prometheus text format, recorded without a library.
 
     OpenTelemetry resolves the labels on each record, which took a seventh of the
     processor time of a call; here they are resolved once. Label values are limited in
@@ -45,28 +43,25 @@
     """
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
+        self._gauges: list[PlainGauge] = []
         self._histograms: list[PlainHistogram] = []
         label_names = (ATTR_WORKSPACE, ATTR_PRIORITY)
         self.latency = self._histogram("call_duration_seconds", label_names)
         self.queue_wait = self._histogram("queue_wait_seconds", label_names)
         self.added = self._histogram("added_time_seconds", label_names)
-        self._calls = Counter(
+        self._calls = PlainCounter(
             "calls",
             "Calls that ended here",
             (*label_names, ATTR_OUTCOME, ATTR_REASON),
-            registry=self._registry,
-        )
-        self._retries = Counter(
-            "retries", "Sends after the first", label_names, registry=self._registry
         )
+        self._retries = PlainCounter("retries", "Sends after the first", label_names)
         self._series: dict[tuple[str, int], _Series] = {}
         self._workspaces: set[str] = set()
 
     def record_refusal(self, workspace: str, refusal: Refusal) -> None:
         """Count a call that was refused before it was sent to any backend server."""
         outcome, reason = refusal.outcome.value, refusal.reason.value
-        self._calls.labels(self._workspace_label(workspace), "", outcome, reason).inc()
+        self._calls.series(self._workspace_label(workspace), "", outcome, reason).inc()
 
     def call_ended(
         self, context: CallContext, result: CallResult, *, took_s: float
@@ -78,7 +73,7 @@
         if result.backend_s is not None:
             series.added.observe(max(0.0, took_s - result.backend_s))
         if result.attempts > 1:
-            self._retries.labels(*self._labels(context)).inc(result.attempts - 1)
+            self._retries.series(*self._labels(context)).inc(result.attempts - 1)
 
     def record_queue_wait(self, context: CallContext, waited_s: float) -> None:
         """Record the time that a call waited for admission, in seconds."""
@@ -86,7 +81,7 @@
 
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Register a gauge that is read when metrics are scraped."""
-        Gauge(name, text, registry=self._registry).set_function(read)
+        self._gauges.append(PlainGauge(name, text, read))
 
     def scrape(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -96,11 +91,13 @@
         """Yield the text of all metrics in parts that each take a short time."""
         for histogram in self._histograms:
             yield from histogram.text_parts()
-        yield generate_latest(self._registry)
+        metrics: list[PlainCounter | PlainGauge] = [self._calls, self._retries]
+        for metric in (*metrics, *self._gauges):
+            yield "".join(metric.lines()).encode()
 
     def _call_counter(
         self, context: CallContext, series: _Series, outcome: Response | Refusal
-    ) -> Counter:
+    ) -> CounterSeries:
         """Return the cached counter of an outcome and its reason."""
         outcome_label, key = OUTCOME_ANSWER, ""
         if isinstance(outcome, Refusal):
@@ -109,7 +106,7 @@
         counter = series.counters_by_outcome.get(key)
         if counter is None:
             reason = outcome.reason.value if isinstance(outcome, Refusal) else ""
-            counter = self._calls.labels(*self._labels(context), outcome_label, reason)
+            counter = self._calls.series(*self._labels(context), outcome_label, reason)
             series.counters_by_outcome[key] = counter
         return counter
 
--- a/damaskbay/adapters/telemetry/histogram.py
+++ b/damaskbay/adapters/telemetry/histogram.py
@@ -68,8 +68,7 @@
     def _append_lines(
         self, labels: tuple[str, ...], series: Series, lines: list[str]
     ) -> None:
-        pairs = zip(self._labels, labels, strict=True)
-        tail = ",".join(f'{name}="{_escape(value)}"' for name, value in sorted(pairs))
+        tail = label_text(self._labels, labels)
         count = 0
         for head, in_bucket in zip(self._heads, series.counts, strict=True):
             count += in_bucket
@@ -78,6 +77,12 @@
         lines.append(f"{self._name}_sum{{{tail}}} {series.total}\n")
 
 
+def label_text(names: Sequence[str], values: Sequence[str]) -> str:
+    """Return labels as they appear between the braces of the text format."""
+    pairs = sorted(zip(names, values, strict=True))
+    return ",".join(f'{name}="{_escape(value)}"' for name, value in pairs)
+
+
 def _escape(value: str) -> str:
     """Return a label value as it appears between the quotes of the text format."""
     return value.replace("\\", r"\\").replace("\n", r"\n").replace('"', r"\"")
--- a/damaskbay/core/admission/limit.py
+++ b/damaskbay/core/admission/limit.py
@@ -1,7 +1,6 @@
 """Concurrency limits of a backend server, adapted to its latency."""
 
 from dataclasses import dataclass, field
-from statistics import median_low
 from typing import Protocol
 
 from damaskbay.core.admission.const import (
@@ -111,7 +110,7 @@
     @property
     def median_s(self) -> float:
         """Return the median latency, robust to a few late calls of a slow period."""
-        return median_low(self.latencies_s)
+        return sorted(self.latencies_s)[(len(self.latencies_s) - 1) // 2]
 
     @property
     def mean_running(self) -> float:
--- a/damaskbay/helpers/logs.py
+++ b/damaskbay/helpers/logs.py
@@ -1,7 +1,6 @@
 """Set up logging: text or JSON lines, redacted keys, rate-limited messages."""
 
 import logging
-import logging.handlers
 import queue
 import sys
 import threading
@@ -83,7 +82,7 @@
         return True
 
 
-class BoundedQueueHandler(logging.handlers.QueueHandler):
+class BoundedQueueHandler(logging.Handler):
     """
     Handler that queues records for a writer thread.
 
@@ -97,11 +96,12 @@
         records: queue.Queue[logging.LogRecord | None],
         start_writer: Callable[[], None],
     ) -> None:
-        super().__init__(records)
+        super().__init__()
+        self.queue = records
         self._start_writer = start_writer
 
-    def enqueue(self, record: logging.LogRecord) -> None:
-        """Queue a record without blocking."""
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a record without blocking; the writer thread formats it."""
         self._start_writer()
         try:
             self.queue.put_nowait(record)
@@ -116,10 +116,6 @@
             self.dropped += 1
             return False
 
-    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
-        """Return the record as it is; the writer thread formats it."""
-        return record
-
 
 class LogWriter:
     """
--- a/damaskbay/platform/__main__.py
+++ b/damaskbay/platform/__main__.py
@@ -24,6 +24,7 @@
         signal(stop_signal, lambda *_: _exit(0))
     pthread_sigmask(SIG_UNBLOCK, (SIGINT, SIGTERM))
 
+import gc
 import sys
 from pathlib import Path
 
@@ -42,6 +43,8 @@
 
 if __name__ == "__main__":
     _complete_path()
+    # The modules stay, and collections meanwhile take a good part of their import.
+    gc.disable()
     from damaskbay.platform.daemon import main
 
     # The interpreter's clean-up takes processor time that the end of a grace time may
--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -258,6 +258,7 @@
     open_standard_descriptors()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
+    gc.enable()
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     _run_until_stopped(path)
     log_writer.stop()
