--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "processor_model",
     "call_cost",
     "call_cost_refusal",
+    "start_cost",
 )
 EXIT_USAGE = 2
 
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -206,7 +206,10 @@
                     await self._finish_calls()
                 self._target.draining = True
             await finish_messages(
-                self._links, self._control, self._lifetime.require_plan()
+                self._links,
+                self._control,
+                (self._callers, self._readiness),
+                self._lifetime.require_plan(),
             )
             self._lifetime.ended = True
         for task in self._tasks:
@@ -259,9 +262,10 @@
         )
         self.settings_history.record_applied(settings.digest)
 
-    def stop(self) -> None:
-        """Start the graceful shutdown."""
-        self._lifetime.begin_stop(self.settings.grace_s, monotonic_s())
+    def stop(self, asked_at: float | None = None) -> None:
+        """Start the graceful shutdown, whose grace time began at `asked_at`."""
+        began_at = asked_at if asked_at is not None else monotonic_s()
+        self._lifetime.begin_stop(self.settings.grace_s, began_at)
         self._stopping.set()
 
     async def record_heartbeat(self, heartbeat: Heartbeat) -> bool:
