Let the stack have its address space from the start

Cause: a stack that finds no address space ends the process, where any other allocation fails. gdb showed the fault at the byte below the mapping of the stack, which had its first 132 KiB: CPython 3.11 creates a MemoryError, finds no memory for that, and creates one for that (PyErr_NoMemory, MemoryError_new, PyType_GenericAlloc, again and again).

--- a/tests/deploy/test_interpreter.py
+++ b/tests/deploy/test_interpreter.py
@@ -15,7 +15,7 @@
 
 from damaskbay.platform.const import SETTINGS_VARIABLE
 from damaskbay.platform.daemon import EXIT_INVALID
-from tests.common import ROOT, function_suite
+from tests.common import ROOT, built_interpreter, function_suite
 
 BUILD_TIMEOUT_S = 60.0
 ENTRY_FILE = "damaskbay/platform/__main__.py"
@@ -32,6 +32,18 @@
 print(sorted(_signal.pthread_sigmask(_signal.SIG_BLOCK, ())))
 """
 
+CALL_DEEPLY = """
+import os, resource
+items = iter([1])
+for _ in range(4000):
+    items = filter(None, items)
+size = int(open("/proc/self/statm").read().split()[0]) * resource.getpagesize()
+resource.setrlimit(resource.RLIMIT_AS, (size, resource.RLIM_INFINITY))
+next(items)
+os._exit(0)
+"""
+"""A program that needs more stack when no address space is left."""
+
 
 def _build(target: Path, **variables: str) -> subprocess.CompletedProcess[str]:
     """Build the interpreter into a folder."""
@@ -80,6 +92,13 @@
         _assert_starts(program)
 
 
+# A process whose stack found no address space ended with SIGSEGV.
+def test_the_stack_grows_without_address_space() -> None:
+    """The interpreter has reserved it."""
+    result = _run(built_interpreter(), "-c", CALL_DEEPLY)
+    assert result.returncode == 0, result
+
+
 # A machine without a compiler or the interpreter's library could not run the system.
 def test_the_daemon_starts_without_what_the_interpreter_is_built_with() -> None:
     """No compiler, no library, or one that is not the interpreter's."""
