Refuse a request that finds no memory as not run

Where an allocation failed while a request was parsed, its caller got 400 Bad Request, as if it were malformed, and would not send it again.

Cause: httptools reports an exception in a callback of its parser like invalid bytes; only BadRequestError was told apart.

--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -89,6 +89,8 @@
             cause = error.__context__
             if isinstance(cause, BadRequestError):
                 raise cause from None
+            if isinstance(cause, MemoryError):
+                raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE) from None
             raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
         if self.in_headers:
             self._check_header_bytes(self._count_head_at_end(data))
--- a/tests/adapters/http1/test_request_memory.py
+++ b/tests/adapters/http1/test_request_memory.py
@@ -6,9 +6,13 @@
 """
 
 import asyncio
+import http
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
+from damaskbay.adapters.http1.exceptions import BadRequestError
+from damaskbay.adapters.http1.request_parser import RequestParser
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
@@ -150,6 +154,19 @@
     _run(check)
 
 
+# A caller for whose request there was no memory was told that it is malformed.
+def test_a_request_that_finds_no_memory_is_refused_as_not_run() -> None:
+    """It may be sent again."""
+    receiver = mock.Mock()
+    receiver.handle_request.side_effect = MemoryError
+    parser = RequestParser(receiver, MemoryAccount(), 0.0)
+    try:
+        parser.feed(SMALL, CallerLimits(), 0.0)
+    except BadRequestError as error:
+        status = error.status
+    assert status is http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
