Keep no bodies in connections to the server after their requests

Cause: a ClientConnection went on to refer to its last request and to the body of the last response. It is in a cycle with its parser, so that it is freed only by the garbage collector, which runs after 20,000 allocations and does not count bytes; an unsafe request takes a fresh connection, which left a request and a response each. A connection that idles kept both, too.

They are forgotten as the request ends, together with the release of the account; of the request only whether it is a HEAD is kept. The new test fails before and passes.

--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -107,7 +107,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._pending: _PendingOutcome | None = None
-        self._request: Request | None = None
+        self._is_head = False
         self._expected_echo: str | None = None
         self._partial = PartialResponse()
         self._received_any = False
@@ -191,7 +191,7 @@
         partial.ends_at_close = not partial.has_length
         if partial.encoded:
             raise BadAnswerError("response has a Content-Encoding")
-        if self._request is not None and self._request.method == "HEAD":
+        if self._is_head:
             self.reusable = False
             self._finish(self._to_outcome(partial))
 
@@ -228,7 +228,7 @@
         self._uses += 1
         self._received_any = False
         self._received_bytes = self._late_responses = 0
-        self._request = request
+        self._is_head = request.method == "HEAD"
         self._expected_echo = echo
         self._partial = PartialResponse()
         loop = asyncio.get_running_loop()
@@ -242,7 +242,7 @@
             return await pending
         except asyncio.CancelledError:
             self._pending = None
-            self._holding.release()
+            self._forget_response()
             self._abort()
             raise
         finally:
@@ -327,8 +327,18 @@
             return HttpFailure(HttpProblem.GARBLED, "response has no request id header")
         return None
 
-    def _finish(self, outcome: Response | HttpFailure | None) -> None:
+    def _forget_response(self) -> None:
+        """
+        Free what was received.
+
+        The connection may idle for long, and after its end its cycle with the parser
+        is freed only by the garbage collector, which doesn't count bytes.
+        """
         self._holding.release()
+        self._partial = PartialResponse()
+
+    def _finish(self, outcome: Response | HttpFailure | None) -> None:
+        self._forget_response()
         if outcome is None:
             self._discard_late_response()
             return
@@ -345,7 +355,6 @@
         if self._late_responses > MAX_LATE_RESPONSES:
             raise BadAnswerError("too many responses to other requests")
         self._received_bytes = 0
-        self._partial = PartialResponse()
 
 
 class HttpClient:
--- /dev/null
+++ b/tests/adapters/http1/test_memory_left.py
@@ -0,0 +1,78 @@
+"""
+Pattern: what a request occupied is kept after its end, where nothing counts it.
+
+The garbage collector runs after a number of allocations, however large they are.
+"""
+
+import asyncio
+import contextlib
+import gc
+import tracemalloc
+import unittest
+from collections.abc import Awaitable, Callable, Iterator
+
+from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
+from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
+from damaskbay.config.objects import CallerLimits
+from damaskbay.core.call import Request, Response
+from damaskbay.ports.peer import PeerAddress
+from tests.common import function_suite
+
+BODY_BYTES = 1024 * 1024
+REQUESTS = 8
+WAIT_S = 20.0
+Send = Callable[[HttpClient, Request], Awaitable[object]]
+
+
+@contextlib.contextmanager
+def _without_collection() -> Iterator[None]:
+    """Trace memory, and free no cycles."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        yield
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
+async def _serve(_: ReceivedRequest) -> Response:
+    return Response(200, (), bytes(BODY_BYTES))
+
+
+def _kept_bytes(send: Send, limits: CallerLimits) -> int:
+    """Return the bytes that are kept after some requests with large bodies."""
+
+    async def run() -> int:
+        async with (
+            HttpServer(PeerAddress("127.0.0.1", 0), _serve, limits) as server,
+            asyncio.timeout(WAIT_S),
+        ):
+            client = HttpClient(server.address, HttpClientOptions())
+            before = tracemalloc.get_traced_memory()[0]
+            for _ in range(REQUESTS):
+                await send(client, Request("POST", "a", "/", (), bytes(BODY_BYTES)))
+            client.close()
+            while server.connections:
+                await asyncio.sleep(0.01)
+            return tracemalloc.get_traced_memory()[0] - before
+
+    with _without_collection():
+        return asyncio.run(run())
+
+
+# A daemon went on to hold the bodies of requests that had ended, uncounted.
+def test_connections_of_a_client_keep_no_bodies() -> None:
+    """Neither those that idle nor those that are closed."""
+
+    async def send(client: HttpClient, request: Request) -> None:
+        response = await client.send(request, fresh=True)
+        assert isinstance(response, Response)
+
+    assert _kept_bytes(send, CallerLimits()) < BODY_BYTES
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
