Refuse requests before no memory is left, with a reserve for what runs

Cause: nothing acted on want of memory before an allocation failed, and CPython 3.11 doesn't survive that for long: it recurses in PyErr_NoMemory until the stack finds no space, or aborts with "Cannot recover from MemoryErrors while normalizing exceptions" (gdb and the processes' own output; the abort of libuv that was suspected was not seen, and its table of descriptors could be enlarged without memory in a trial).

The daemon keeps 4 MiB of address space, which occupy no memory, and looks every 50 ms whether as much is left beside them. If not, or as soon as a callback of the loop or the parser fails with MemoryError, they are given to what runs, no connection is accepted, and root calls and bodies over 64 KiB are refused with 503 and Retry-After until there is as much again. Nested calls go on.

--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -153,7 +153,13 @@
         self.connections.discard(connection)
         self._leaving.discard(connection)
         self._closing.discard(connection)
-        if len(self.connections) <= self.connection_limits.served:
+        self.update_accepting()
+
+    def update_accepting(self) -> None:
+        """Accept connections if there are few enough, and memory for more."""
+        if self.memory.is_short:
+            self._listener.pause()
+        elif len(self.connections) <= self.connection_limits.served:
             self._listener.resume()
 
     def reopen_if_unread(self, descriptor: int) -> None:
--- a/damaskbay/core/memory_account.py
+++ b/damaskbay/core/memory_account.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections import deque
+from collections.abc import Callable
 from types import TracebackType
 from typing import Final, Self
 
@@ -17,6 +18,9 @@
 BASE_MEMORY_BYTES: Final = 64 * 1024 * 1024
 """Memory of the process without requests and responses, bytes."""
 
+SMALL_BYTES: Final = 64 * 1024
+"""Body that is received also while the process is short of memory: of nested calls."""
+
 ACCOUNT_SHARE: Final = 0.75
 """Part of the remaining memory for requests and responses; allocators need the rest."""
 
@@ -29,12 +33,20 @@
     Bytes that all requests and responses in the daemon occupy together.
 
     It counts what is held for callers, backend servers and peers: requests and
-    responses that are being received, run, or wait to be read. Not thread-safe.
+    responses that are being received, run, or wait to be read. While the process
+    `is_short` of memory, large bodies and root calls are refused whatever is counted.
+    Who catches a MemoryError calls `on_missing`. Not thread-safe.
     """
 
     def __init__(self, limit_bytes: int = sys.maxsize) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
+        self.is_short = False
+        self.on_missing: Callable[[], None] = _do_nothing
+
+    def takes(self, count: int) -> bool:
+        """Return whether a request whose body occupies so many bytes is received."""
+        return self.fits(count) and (not self.is_short or count <= SMALL_BYTES)
 
     def fits(self, count: int) -> bool:
         """Return whether there is room for so many bytes."""
@@ -48,6 +60,8 @@
         """
         if nested:
             return self.fits(count)
+        if self.is_short:
+            return False
         return self.held_bytes + count <= ADMISSION_SHARE * self.limit_bytes
 
 
@@ -125,6 +139,10 @@
         self._holding.release()
 
 
+def _do_nothing() -> None:
+    """Stand for a callback."""
+
+
 def header_bytes(name: bytes, value: bytes) -> int:
     """Return what a header occupies, in bytes."""
     return HEADER_BYTES + len(name) + len(value)
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -29,6 +29,7 @@
 from damaskbay.helpers.arrivals import read_new_connections
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import raise_descriptor_limit
+from damaskbay.helpers.memory_reserve import MemoryReserve
 from damaskbay.helpers.supervision import keep_running
 from damaskbay.mesh.assembly import (
     PlatformParts,
@@ -178,6 +179,7 @@
             memory,
             divide_descriptors(raise_descriptor_limit(settings.max_descriptors)),
         )
+        self._reserve = MemoryReserve(memory, self._callers.update_accepting)
         self._status.observe_callers(self._callers)
         self._metrics = HttpServer(
             settings.metrics, self._status.metrics, CallerLimits()
@@ -221,6 +223,7 @@
             self._remove_expired_members,
             self._expire_waiting_calls,
             self._status.loop_monitor.run,
+            self._reserve.run,
         ):
             self._tasks.append(loop.create_task(keep_running(run)))
         _LOGGER.info(
--- a/tests/adapters/http1/test_request_memory.py
+++ b/tests/adapters/http1/test_request_memory.py
@@ -27,11 +27,16 @@
 WAIT_S = 20.0
 
 
+def _not_started() -> None:
+    raise AssertionError("the server is not started")
+
+
 class _Served:
     """Serves requests and records what they hold while they run."""
 
     def __init__(self) -> None:
         self.memory = MemoryAccount(LIMIT_BYTES)
+        self.update_accepting: Callable[[], None] = _not_started
         self.targets: list[str] = []
         self.held_bytes = 0
 
@@ -64,6 +69,7 @@
         limits = CallerLimits(idle_timeout_s=IDLE_TIMEOUT_S)
         address = PeerAddress("127.0.0.1", 0)
         server = HttpServer(address, served.serve, limits, served.memory)
+        served.update_accepting = server.update_accepting
         callers: list[_Caller] = []
 
         async def connect() -> _Caller:
@@ -154,6 +160,29 @@
     _run(check)
 
 
+# A daemon that was short of memory went on to accept callers until it had none.
+def test_callers_wait_to_be_accepted_while_memory_is_missing() -> None:
+    """Those that are connected are served, and the others later."""
+
+    async def check(served: _Served, connect: Connect) -> None:
+        earlier = await connect()
+        earlier.writer.write(SMALL)
+        await earlier.read_head()
+        served.memory.is_short = True
+        served.update_accepting()
+        later = await connect()
+        later.writer.write(SMALL)
+        earlier.writer.write(SMALL)
+        await earlier.read_head()
+        await asyncio.sleep(0.1)
+        assert len(served.targets) == 2
+        served.memory.is_short = False
+        served.update_accepting()
+        assert (await later.read_head()).startswith(b"HTTP/1.1 200 ")
+
+    _run(check)
+
+
 # A caller for whose request there was no memory was told that it is malformed.
 def test_a_request_that_finds_no_memory_is_refused_as_not_run() -> None:
     """It may be sent again."""
