Leave memory for running requests as large bodies are received

Requests that had run got 502, since their responses found no memory: callers' bodies had taken all of the account.

Cause: calls are admitted up to nine tenths of the account, and the rest is for what runs, but bodies were received up to the last byte. Bodies over 64 KiB now get nine tenths, too, and 503 beyond; smaller ones, as of nested calls, get all that is left. The new test fails before.

--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -165,7 +165,7 @@
         length = self._partial.length or 0
         if length > self._limits.max_body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if not self._memory.takes(BODY_COPIES * length):
+        if not self._memory.takes(BODY_COPIES * length, length):
             raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
         if self._partial.expects_continue:
             self._receiver.handle_expect_continue()
@@ -176,8 +176,8 @@
         received = self._partial.body
         if len(received) + len(body) > self._limits.max_body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        size_bytes = BODY_COPIES * (len(received) + len(body))
-        if self._memory.is_short and not self._memory.takes(size_bytes):
+        size_bytes = self._partial.length or len(received) + len(body)
+        if not self._memory.takes(BODY_COPIES * len(body), size_bytes):
             raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
         self._hold(BODY_COPIES * len(body))
         received += body
--- a/damaskbay/core/memory_account.py
+++ b/damaskbay/core/memory_account.py
@@ -13,13 +13,13 @@
 """What a header occupies beside its text, in bytes: a tuple and two strings."""
 
 ADMISSION_SHARE: Final = 0.9
-"""Part of the limit up to which calls are admitted; the rest is for running ones."""
+"""Part of the limit for requests that begin; the rest is for running ones."""
 
 BASE_MEMORY_BYTES: Final = 64 * 1024 * 1024
 """Memory of the process without requests and responses, bytes."""
 
 SMALL_BYTES: Final = 64 * 1024
-"""Body that is received also while the process is short of memory: of nested calls."""
+"""Largest body that is received while little memory is left: of nested calls."""
 
 ACCOUNT_SHARE: Final = 0.75
 """Part of the remaining memory for requests and responses; allocators need the rest."""
@@ -44,9 +44,16 @@
         self.is_short = False
         self.on_missing: Callable[[], None] = _do_nothing
 
-    def takes(self, count: int) -> bool:
-        """Return whether a request whose body occupies so many bytes is received."""
-        return self.fits(count) and (not self.is_short or count <= SMALL_BYTES)
+    def takes(self, count: int, body_bytes: int) -> bool:
+        """
+        Return whether so many bytes of a body may be received.
+
+        `body_bytes` is its size as far as it is known. Small bodies, as of nested
+        calls, get all that is left; others leave room for what runs.
+        """
+        if body_bytes <= SMALL_BYTES:
+            return self.fits(count)
+        return not self.is_short and self._has_room(count)
 
     def fits(self, count: int) -> bool:
         """Return whether there is room for so many bytes."""
@@ -60,8 +67,9 @@
         """
         if nested:
             return self.fits(count)
-        if self.is_short:
-            return False
+        return not self.is_short and self._has_room(count)
+
+    def _has_room(self, count: int) -> bool:
         return self.held_bytes + count <= ADMISSION_SHARE * self.limit_bytes
 
 
--- a/tests/adapters/http1/test_request_memory.py
+++ b/tests/adapters/http1/test_request_memory.py
@@ -16,7 +16,13 @@
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
-from damaskbay.core.memory_account import BODY_COPIES, MemoryAccount
+from damaskbay.core.memory_account import (
+    ADMISSION_SHARE,
+    BODY_COPIES,
+    SMALL_BYTES,
+    Holding,
+    MemoryAccount,
+)
 from damaskbay.ports.peer import PeerAddress
 from tests.common import function_suite
 
@@ -160,6 +166,23 @@
     _run(check)
 
 
+# Bodies took all of the memory, so that responses to running requests found none.
+def test_large_bodies_leave_memory_for_what_runs() -> None:
+    """Small ones, as of nested calls, do not have to."""
+
+    async def check(served: _Served, connect: Connect) -> None:
+        served.memory.limit_bytes = 4 * LIMIT_BYTES
+        with Holding(served.memory) as other:
+            other.set(int(ADMISSION_SHARE * served.memory.limit_bytes))
+            caller = await connect()
+            caller.writer.write(_head("Content-Length: 9") + b"some text")
+            assert (await caller.read_head()).startswith(b"HTTP/1.1 200 ")
+            caller.writer.write(_head(f"Content-Length: {SMALL_BYTES + 1}"))
+            assert (await caller.read_head()).startswith(b"HTTP/1.1 503 ")
+
+    _run(check)
+
+
 # A daemon that was short of memory went on to accept callers until it had none.
 def test_callers_wait_to_be_accepted_while_memory_is_missing() -> None:
     """Those that are connected are served, and the others later."""
--- a/tests/helpers/test_memory_reserve.py
+++ b/tests/helpers/test_memory_reserve.py
@@ -12,7 +12,7 @@
 from damaskbay.helpers.memory_reserve import MemoryReserve
 from tests.common import function_suite
 
-LARGE = f"POST / HTTP/1.1\r\nContent-Length: {SMALL_BYTES}\r\n\r\n".encode()
+LARGE = f"POST / HTTP/1.1\r\nContent-Length: {SMALL_BYTES + 1}\r\n\r\n".encode()
 SMALL = b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nsome text"
 
 
