Keep no body that was refused in the traceback of its refusal

A daemon that refused bodies midway, since they were too large or found no memory, went on to hold what it had received, uncounted, until the garbage collector ran, which doesn't count bytes. It does so most while memory is short.

Cause: the function that raised BadRequestError had a local variable that referred to it: exception, traceback and frame were a cycle, and the traceback has the frames of the parser's callbacks with the body. The exception is made by a function that is no part of the traceback. The new test fails before and passes.

--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -86,16 +86,25 @@
         try:
             self._feed(data)
         except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, BadRequestError):
-                raise cause from None
-            if isinstance(cause, MemoryError):
-                self._memory.on_missing()
-                raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE) from None
-            raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
+            raise self._explain(error) from None
         if self.in_headers:
             self._check_header_bytes(self._count_head_at_end(data))
 
+    def _explain(self, error: httptools.HttpParserError) -> BadRequestError:
+        """
+        Return what a parser's error stands for.
+
+        A frame of its traceback that referred to it would keep it, and with it the
+        body that was received, until the next run of the garbage collector.
+        """
+        cause = error.__context__
+        if isinstance(cause, BadRequestError):
+            return cause
+        if isinstance(cause, MemoryError):
+            self._memory.on_missing()
+            return BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        return BadRequestError(http.HTTPStatus.BAD_REQUEST)
+
     def _feed(self, data: bytes) -> None:
         """Parse bytes; a request that offers an upgrade is parsed without the offer."""
         try:
--- a/tests/adapters/http1/test_memory_left.py
+++ b/tests/adapters/http1/test_memory_left.py
@@ -73,6 +73,22 @@
     assert _kept_bytes(send, CallerLimits()) < BODY_BYTES
 
 
+# A body that was refused midway stayed in the traceback of the refusal, in a cycle.
+def test_a_body_that_is_refused_is_not_kept() -> None:
+    """It is sent in chunks, so that its head doesn't tell its size."""
+    chunk = f"{BODY_BYTES:x}\r\n".encode() + bytes(BODY_BYTES) + b"\r\n"
+
+    async def send(client: HttpClient, _: Request) -> None:
+        address = client.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk)
+        assert (await reader.readline()).startswith(b"HTTP/1.1 413 ")
+        writer.close()
+
+    limits = CallerLimits(max_body_bytes=BODY_BYTES - 1)
+    assert _kept_bytes(send, limits) < BODY_BYTES
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
