Keep no body of a request that was cancelled

Cause: a cancelled task keeps the exception that ended it, whose traceback has the frames of the coroutine, and a variable in these referred to the task: the exchange of a connection and the active call of a target. Both forget their task as it ends.

--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -252,6 +252,9 @@
         except Exception:
             _LOGGER.exception("edge: handler failed.")
             encoded = _error_response(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+        finally:
+            # A cancelled task refers to its frames, and so to the body.
+            exchange.task = None
         exchange.response = encoded
         if self._transport is not None:
             exchange.holding.set(exchange.response_bytes)
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -107,6 +107,8 @@
             return self._interrupted_result(context, active)
         finally:
             self._active_calls.discard(active)
+            # A cancelled task refers to its frames, and so to the body.
+            active.task = None
 
     async def _run(
         self, context: CallContext, request: Request, active: _ActiveCall
--- a/tests/adapters/http1/test_memory_left.py
+++ b/tests/adapters/http1/test_memory_left.py
@@ -5,39 +5,28 @@
 """
 
 import asyncio
-import contextlib
-import gc
 import tracemalloc
 import unittest
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
-from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
+from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions, HttpFailure
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Request, Response
 from damaskbay.ports.peer import PeerAddress
-from tests.common import function_suite
+from tests.common import function_suite, without_collection
 
 BODY_BYTES = 1024 * 1024
 REQUESTS = 8
 WAIT_S = 20.0
+WAIT_PATH = "/wait"
 Send = Callable[[HttpClient, Request], Awaitable[object]]
 
 
-@contextlib.contextmanager
-def _without_collection() -> Iterator[None]:
-    """Trace memory, and free no cycles."""
-    gc.collect()
-    gc.disable()
-    tracemalloc.start()
-    try:
-        yield
-    finally:
-        tracemalloc.stop()
-        gc.enable()
-
-
-async def _serve(_: ReceivedRequest) -> Response:
+async def _serve(arrival: ReceivedRequest) -> Response:
+    if arrival.request.target == WAIT_PATH:
+        await asyncio.sleep(WAIT_S)
     return Response(200, (), bytes(BODY_BYTES))
 
 
@@ -58,7 +47,7 @@
                 await asyncio.sleep(0.01)
             return tracemalloc.get_traced_memory()[0] - before
 
-    with _without_collection():
+    with without_collection():
         return asyncio.run(run())
 
 
@@ -89,6 +78,18 @@
     assert _kept_bytes(send, limits) < BODY_BYTES
 
 
+# The task of a request that was cancelled referred to its frames, in a cycle.
+def test_a_request_whose_caller_leaves_is_not_kept() -> None:
+    """It still runs then."""
+
+    async def send(client: HttpClient, request: Request) -> None:
+        waiting = replace(request, target=WAIT_PATH)
+        failure = await client.send(waiting, fresh=True, timeout_s=0.1)
+        assert isinstance(failure, HttpFailure)
+
+    assert _kept_bytes(send, CallerLimits()) < BODY_BYTES
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
--- a/tests/common.py
+++ b/tests/common.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import atexit
+import contextlib
 import functools
+import gc
 import socket
 import subprocess
 import sys
 import tomllib
+import tracemalloc
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -84,6 +87,19 @@
     return unittest.TestSuite(_FunctionTestCase(item) for item in functions)
 
 
+@contextlib.contextmanager
+def without_collection() -> Iterator[None]:
+    """Trace memory, and free no cycles."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        yield
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
 async def block_loop(work: Callable[[], None]) -> None:
     """
     Run blocking work in a callback of the loop's poll for sockets.
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -120,6 +120,7 @@
         headers: Headers = (),
         request_id: str | None = None,
         deadline_ms: int = 3000,
+        body: bytes = b"",
     ) -> Response:
         """Send a request as a local caller."""
         own: Headers = (
@@ -128,7 +129,7 @@
         )
         if key is not None:
             own = (*own, ("Api-Key", key))
-        request = Request(method, "a.example", path, (*own, *headers), b"")
+        request = Request(method, "a.example", path, (*own, *headers), body)
         return await _send(self.daemon.settings.callers, request)
 
 
--- a/tests/mesh/test_memory.py
+++ b/tests/mesh/test_memory.py
@@ -1,6 +1,7 @@
 """Which calls a daemon takes while little of its memory is left."""
 
 import asyncio
+import tracemalloc
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -11,8 +12,8 @@
     MemoryAccount,
     account_limit_bytes,
 )
-from tests.common import function_suite
-from tests.mesh.common import Fleet, Node, run_fleet
+from tests.common import function_suite, without_collection
+from tests.mesh.common import WAIT_S, Fleet, Node, run_fleet
 
 LARGE_BODY = bytes(4 * 1024 * 1024)
 
@@ -75,6 +76,32 @@
     _run(check)
 
 
+# The calls of callers who had left were kept by the server's daemon, uncounted.
+def test_calls_that_are_cancelled_are_not_kept() -> None:
+    """Neither by their caller's daemon nor by the server's."""
+
+    async def answer_late(_: Request) -> Response:
+        await asyncio.sleep(WAIT_S)
+        return Response(200)
+
+    async def check(fleet: Fleet) -> None:
+        caller, server = fleet.nodes["a"], fleet.nodes["b"]
+        server.backend.override_response = answer_late
+        with without_collection():
+            before = tracemalloc.get_traced_memory()[0]
+            for number in range(4):
+                response = await caller.request(
+                    "/open/x", body=LARGE_BODY, deadline_ms=100 + number
+                )
+                assert response.status == 504
+            server.backend.seen.clear()
+            await asyncio.sleep(0.2)
+            kept_bytes = tracemalloc.get_traced_memory()[0] - before
+        assert kept_bytes < len(LARGE_BODY), kept_bytes
+
+    _run(check)
+
+
 def test_every_process_has_memory_for_calls() -> None:
     """The part for calls grows with the process, and is never nothing."""
     limits = [account_limit_bytes(size * 1024 * 1024) for size in (32, 64, 128, 300)]
