--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -86,13 +86,25 @@
         try:
             self._feed(data)
         except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, BadRequestError):
-                raise cause from None
-            raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
+            raise self._explain(error) from None
         if self.in_headers:
             self._check_header_bytes(self._count_head_at_end(data))
 
+    def _explain(self, error: httptools.HttpParserError) -> BadRequestError:
+        """
+        Return what a parser's error stands for.
+
+        A frame of its traceback that referred to it would keep it, and with it the
+        body that was received, until the next run of the garbage collector.
+        """
+        cause = error.__context__
+        if isinstance(cause, BadRequestError):
+            return cause
+        if isinstance(cause, MemoryError):
+            self._memory.on_missing()
+            return BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        return BadRequestError(http.HTTPStatus.BAD_REQUEST)
+
     def _feed(self, data: bytes) -> None:
         """Parse bytes; a request that offers an upgrade is parsed without the offer."""
         try:
@@ -163,7 +175,7 @@
         length = self._partial.length or 0
         if length > self._limits.max_body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if not self._memory.fits(BODY_COPIES * length):
+        if not self._memory.takes(BODY_COPIES * length, length):
             raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
         if self._partial.expects_continue:
             self._receiver.handle_expect_continue()
@@ -174,6 +186,9 @@
         received = self._partial.body
         if len(received) + len(body) > self._limits.max_body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        size_bytes = self._partial.length or len(received) + len(body)
+        if not self._memory.takes(BODY_COPIES * len(body), size_bytes):
+            raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
         self._hold(BODY_COPIES * len(body))
         received += body
         if self._partial.length is not None:
--- a/damaskbay/core/memory_account.py
+++ b/damaskbay/core/memory_account.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections import deque
+from collections.abc import Callable
 from types import TracebackType
 from typing import Final, Self
 
@@ -12,11 +13,14 @@
 """What a header occupies beside its text, in bytes: a tuple and two strings."""
 
 ADMISSION_SHARE: Final = 0.9
-"""Part of the limit up to which calls are admitted; the rest is for running ones."""
+"""Part of the limit for requests that begin; the rest is for running ones."""
 
 BASE_MEMORY_BYTES: Final = 64 * 1024 * 1024
 """Memory of the process without requests and responses, bytes."""
 
+SMALL_BYTES: Final = 64 * 1024
+"""Largest body that is received while little memory is left: of nested calls."""
+
 ACCOUNT_SHARE: Final = 0.75
 """Part of the remaining memory for requests and responses; allocators need the rest."""
 
@@ -29,12 +33,27 @@
     Bytes that all requests and responses in the daemon occupy together.
 
     It counts what is held for callers, backend servers and peers: requests and
-    responses that are being received, run, or wait to be read. Not thread-safe.
+    responses that are being received, run, or wait to be read. While the process
+    `is_short` of memory, large bodies and root calls are refused whatever is counted.
+    Who catches a MemoryError calls `on_missing`. Not thread-safe.
     """
 
     def __init__(self, limit_bytes: int = sys.maxsize) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
+        self.is_short = False
+        self.on_missing: Callable[[], None] = _do_nothing
+
+    def takes(self, count: int, body_bytes: int) -> bool:
+        """
+        Return whether so many bytes of a body may be received.
+
+        `body_bytes` is its size as far as it is known. Small bodies, as of nested
+        calls, get all that is left; others leave room for what runs.
+        """
+        if body_bytes <= SMALL_BYTES:
+            return self.fits(count)
+        return not self.is_short and self._has_room(count)
 
     def fits(self, count: int) -> bool:
         """Return whether there is room for so many bytes."""
@@ -48,6 +67,9 @@
         """
         if nested:
             return self.fits(count)
+        return not self.is_short and self._has_room(count)
+
+    def _has_room(self, count: int) -> bool:
         return self.held_bytes + count <= ADMISSION_SHARE * self.limit_bytes
 
 
@@ -127,6 +149,10 @@
         self._holding.release()
 
 
+def _do_nothing() -> None:
+    """Stand for a callback."""
+
+
 def header_bytes(name: bytes, value: bytes) -> int:
     """Return what a header occupies, in bytes."""
     return HEADER_BYTES + len(name) + len(value)
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -27,6 +27,7 @@
 )
 from damaskbay.helpers.arrivals import read_new_connections
 from damaskbay.helpers.clock import monotonic_s
+from damaskbay.helpers.memory_reserve import MemoryReserve
 from damaskbay.helpers.supervision import keep_running
 from damaskbay.mesh.assembly import (
     PlatformParts,
@@ -176,6 +177,7 @@
         )
         callers = make_caller_server(settings, dialect, shared_parts, self._ingress)
         self._callers = callers
+        self._reserve = MemoryReserve(memory, callers.update_accepting)
         self._status.observe_callers(self._callers)
         self._status.loop_monitor.subscribe(self._processor.record_lateness)
         self._metrics = HttpServer(
@@ -223,6 +225,7 @@
             self._remove_expired_members,
             self._expire_waiting_calls,
             self._status.loop_monitor.run,
+            self._reserve.run,
         ):
             self._tasks.append(loop.create_task(keep_running(run)))
         _LOGGER.info(
--- a/tests/adapters/http1/test_request_memory.py
+++ b/tests/adapters/http1/test_request_memory.py
@@ -6,13 +6,23 @@
 """
 
 import asyncio
+import http
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
+from damaskbay.adapters.http1.exceptions import BadRequestError
+from damaskbay.adapters.http1.request_parser import RequestParser
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
-from damaskbay.core.memory_account import BODY_COPIES, MemoryAccount
+from damaskbay.core.memory_account import (
+    ADMISSION_SHARE,
+    BODY_COPIES,
+    SMALL_BYTES,
+    Holding,
+    MemoryAccount,
+)
 from damaskbay.ports.peer import PeerAddress
 from tests.common import function_suite
 
@@ -23,11 +33,16 @@
 WAIT_S = 20.0
 
 
+def _not_started() -> None:
+    raise AssertionError("the server is not started")
+
+
 class _Served:
     """Serves requests and records what they hold while they run."""
 
     def __init__(self) -> None:
         self.memory = MemoryAccount(LIMIT_BYTES)
+        self.update_accepting: Callable[[], None] = _not_started
         self.targets: list[str] = []
         self.held_bytes = 0
 
@@ -60,6 +75,7 @@
         limits = CallerLimits(idle_timeout_s=IDLE_TIMEOUT_S)
         address = PeerAddress("127.0.0.1", 0)
         server = HttpServer(address, served.serve, limits, served.memory)
+        served.update_accepting = server.update_accepting
         callers: list[_Caller] = []
 
         async def connect() -> _Caller:
@@ -150,6 +166,59 @@
     _run(check)
 
 
+# Bodies took all of the memory, so that responses to running requests found none.
+def test_large_bodies_leave_memory_for_what_runs() -> None:
+    """Small ones, as of nested calls, do not have to."""
+
+    async def check(served: _Served, connect: Connect) -> None:
+        served.memory.limit_bytes = 4 * LIMIT_BYTES
+        with Holding(served.memory) as other:
+            other.set(int(ADMISSION_SHARE * served.memory.limit_bytes))
+            caller = await connect()
+            caller.writer.write(_head("Content-Length: 9") + b"some text")
+            assert (await caller.read_head()).startswith(b"HTTP/1.1 200 ")
+            caller.writer.write(_head(f"Content-Length: {SMALL_BYTES + 1}"))
+            assert (await caller.read_head()).startswith(b"HTTP/1.1 503 ")
+
+    _run(check)
+
+
+# A daemon that was short of memory went on to accept callers until it had none.
+def test_callers_wait_to_be_accepted_while_memory_is_missing() -> None:
+    """Those that are connected are served, and the others later."""
+
+    async def check(served: _Served, connect: Connect) -> None:
+        earlier = await connect()
+        earlier.writer.write(SMALL)
+        await earlier.read_head()
+        served.memory.is_short = True
+        served.update_accepting()
+        later = await connect()
+        later.writer.write(SMALL)
+        earlier.writer.write(SMALL)
+        await earlier.read_head()
+        await asyncio.sleep(0.1)
+        assert len(served.targets) == 2
+        served.memory.is_short = False
+        served.update_accepting()
+        assert (await later.read_head()).startswith(b"HTTP/1.1 200 ")
+
+    _run(check)
+
+
+# A caller for whose request there was no memory was told that it is malformed.
+def test_a_request_that_finds_no_memory_is_refused_as_not_run() -> None:
+    """It may be sent again."""
+    receiver = mock.Mock()
+    receiver.handle_request.side_effect = MemoryError
+    parser = RequestParser(receiver, MemoryAccount(), 0.0)
+    try:
+        parser.feed(SMALL, CallerLimits(), 0.0)
+    except BadRequestError as error:
+        status = error.status
+    assert status is http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
