--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -5,7 +5,6 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import cast
 
 import httptools
@@ -18,6 +17,11 @@
 from damaskbay.adapters.http1.exceptions import BadAnswerError
 from damaskbay.adapters.http1.names import decode_header_name
 from damaskbay.adapters.http1.partial_response import PartialResponse
+from damaskbay.adapters.http1.problems import (
+    NOT_SENT_PROBLEMS,
+    HttpFailure,
+    HttpProblem,
+)
 from damaskbay.adapters.http1.sockets import ready_descriptors, set_tcp_options
 from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 from damaskbay.core.call import Request, Response
@@ -31,50 +35,19 @@
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 
+__all__ = [
+    "NOT_SENT_PROBLEMS",
+    "HttpClient",
+    "HttpClientOptions",
+    "HttpFailure",
+    "HttpProblem",
+]
+
 _LOGGER = logging.getLogger(__name__)
 
 LAST_INFORMATIONAL_STATUS = 199
 
 
-class HttpProblem(Enum):
-    """Reason why a request got no complete response."""
-
-    NOT_SENT = "not_sent"
-    """No connection could be established; nothing was sent."""
-
-    REJECTED = "rejected"
-    """The server closed a new connection at once; nothing was sent."""
-
-    EXPIRED = "expired"
-    """A connection was established too late; nothing was sent."""
-
-    LOST = "lost"
-    """The connection closed before a complete response; the request may have run."""
-
-    STALE = "stale"
-    """A reused connection closed before any byte of the response."""
-
-    TIMED_OUT = "timed_out"
-    """No complete response within the timeout; the request may have run."""
-
-    GARBLED = "garbled"
-    """The received bytes are not a valid response to this request."""
-
-
-NOT_SENT_PROBLEMS = frozenset(
-    {HttpProblem.NOT_SENT, HttpProblem.REJECTED, HttpProblem.EXPIRED}
-)
-"""Problems after which the request has certainly not run."""
-
-
-@dataclass(frozen=True, slots=True)
-class HttpFailure:
-    """A request that got no complete response."""
-
-    problem: HttpProblem
-    detail: str = ""
-
-
 _PendingOutcome = asyncio.Future[Response | HttpFailure]
 
 
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -35,6 +35,7 @@
     make_caller_server,
     make_ingress,
     make_retry_budget,
+    make_status_servers,
     make_target,
 )
 from damaskbay.mesh.configuration import Configuration
@@ -149,7 +150,7 @@
             settings,
             dialect,
             shared_parts,
-            self._weight_of,
+            self.configuration.weight_of,
             on_capacity_change=self._links.broadcast_note,
         )
         self._ingress = make_ingress(settings, dialect, shared_parts, self._target)
@@ -172,17 +173,12 @@
         self._control = HttpServer(
             settings.control, make_control_handler(self), CallerLimits()
         )
-        self._readiness = HttpServer(
-            settings.readiness, self._status.readiness, CallerLimits()
-        )
-        callers = make_caller_server(settings, dialect, shared_parts, self._ingress)
-        self._callers = callers
-        self._reserve = MemoryReserve(memory, callers.update_accepting)
+        self._readiness, self._metrics = make_status_servers(settings, self._status)
+        parts = settings, dialect, shared_parts
+        self._callers = make_caller_server(*parts, self._ingress)
+        self._reserve = MemoryReserve(memory, self._callers.update_accepting)
         self._status.observe_callers(self._callers)
         self._status.loop_monitor.subscribe(self._processor.record_lateness)
-        self._metrics = HttpServer(
-            settings.metrics, self._status.metrics, CallerLimits()
-        )
         self._listeners = Listeners(
             (self._links, self._control, self._readiness, self._callers), self._metrics
         )
@@ -358,8 +354,9 @@
     def _make_status(self) -> PeerStatus:
         now, members = monotonic_s(), self._control_plane.members
         load = self._gate.load() + self._processor.guard.excess_load
+        mean_load = self._mean_load.add(load, now)
         return PeerStatus(
-            load_permille=round(1000.0 * self._mean_load.add(load, now)),
+            load_permille=round(1000.0 * mean_load),
             cold_ms=round(1000.0 * max(0.0, self.local.slow_until - now)),
             members_revision=members.revision,
             members_age_ms=round(1000.0 * members.age_s(now)),
@@ -425,11 +422,6 @@
         if self._control_plane.exchange.is_relay:
             self._links.broadcast_note()
 
-    def _weight_of(self, workspace: str) -> float:
-        config = self.configuration.config
-        found = config.workspaces_by_name.get(workspace) if config else None
-        return found.weight if found is not None else 1.0
-
     async def _expire_waiting_calls(self) -> None:
         await self._gate.run_expiry(monotonic_s)
 
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -29,6 +29,7 @@
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
 from damaskbay.mesh.local_server import LocalServer
+from damaskbay.mesh.observing import StatusEndpoints
 from damaskbay.mesh.processor_gate import ProcessorGate
 from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.server_calls import ServerCalls, ServerCallsParts
@@ -201,6 +202,17 @@
     return server
 
 
+def make_status_servers(
+    settings: MeshSettings, status: StatusEndpoints
+) -> tuple[HttpServer, HttpServer]:
+    """Return the servers of readiness and of metrics."""
+    limits = CallerLimits()
+    return (
+        HttpServer(settings.readiness, status.readiness, limits),
+        HttpServer(settings.metrics, status.metrics, limits),
+    )
+
+
 def make_retry_budget(settings: MeshSettings) -> ServerRetryBudget:
     """Return the retry budget of one server, a part of its pool's budget."""
     return ServerRetryBudget(
--- a/damaskbay/mesh/configuration.py
+++ b/damaskbay/mesh/configuration.py
@@ -31,6 +31,11 @@
         """Return the active version, 0 if there is none."""
         return self.config.version if self.config is not None else 0
 
+    def weight_of(self, workspace: str) -> float:
+        """Return the weight of a workspace, 1 for an unknown one."""
+        found = self.config.workspaces_by_name.get(workspace) if self.config else None
+        return found.weight if found is not None else 1.0
+
     def subscribe(self, callback: Callable[[ConfigSet], None]) -> None:
         """Call `callback` whenever a newer set is activated."""
         self._callbacks.append(callback)
