Tell in the saturation bench what others took of the daemons' cores

Stops come each 1.5 s now; one after the other, eight seconds had room for a single one. Servers have more slots, which hid the daemons' own limit, and more callers measure the capacity: with four of each daemon the step of twice the capacity was still served. The first 3 s of a step don't count as served.

--- a/bench/saturation.py
+++ b/bench/saturation.py
@@ -30,7 +30,7 @@
 OBEY_SHARES = (0.0, 1.0)
 STEP_S, QUICK_STEP_S = 8.0, 5.0
 WARM_UP = Load(3.0, callers=1, obey_share=1.0)
-CAPACITY_CALLERS = 4
+CAPACITY_CALLERS = 12
 """Callers of each daemon that find out the capacity: they keep all cores busy."""
 
 HIGHEST = "open 4x"
@@ -41,8 +41,9 @@
     options_parser = parser(__doc__ or "")
     options_parser.add_argument("--machines", type=int, default=14)
     options_parser.add_argument("--cores", type=int, default=1, help="of the daemons")
+    options_parser.add_argument("--first-core", type=int, help="of the daemons")
     options_parser.add_argument("--workers", type=int, default=2)
-    options_parser.add_argument("--slots", type=int, default=100, help="of a server")
+    options_parser.add_argument("--slots", type=int, default=400, help="of a server")
     options_parser.add_argument("--seconds", type=float, help="of a step of load")
     options_parser.add_argument("--multiples", type=float, nargs="*")
     options_parser.add_argument("--callers", type=int, nargs="*", help="of a daemon")
@@ -53,9 +54,13 @@
 
 
 def _fleet_options(options: argparse.Namespace) -> FleetOptions:
-    """Return the fleet; daemons get the last of the available cores."""
+    """Return the fleet; daemons get the last of the available cores by default."""
     available = sorted(os.sched_getaffinity(0))
-    cores, others = available[-options.cores :], available[: -options.cores]
+    first = -options.cores
+    if options.first_core is not None:
+        first = available.index(options.first_core)
+    cores = (available * 2)[first:][: options.cores]
+    others = set(available).difference(cores)
     return FleetOptions(
         options.seed,
         options.machines,
--- a/bench/saturation_figures.py
+++ b/bench/saturation_figures.py
@@ -15,7 +15,7 @@
     Sent,
 )
 from bench.saturation_fleet import StepObservation
-from tests.soak.planned import UNREAD_WAIT_S
+from tests.soak.planned import LIMIT_SLACK_S, UNREAD_WAIT_S
 from tests.soak.records import Stop
 
 OK = 200
@@ -23,6 +23,8 @@
 OWN_FAILURES = (502, 504)
 MS_PER_S = 1000.0
 AFTER_STOP_S = 1.0
+LEFT_OUT_S = 3.0
+"""First seconds of a step, in which the first requests are still under way."""
 
 Runs = Mapping[str, Sequence[Run]]
 
@@ -75,6 +77,7 @@
     waited_s = sent.ended_at - sent.sent_at
     ran = sent.request_id in runs
     own_failure = not sent.stamped and sent.status in OWN_FAILURES and ran
+    own_failure = own_failure and waited_s < TIME_LIMIT_S - LIMIT_SLACK_S
     closed = sent.failure == CLOSED and (ran or waited_s > UNREAD_WAIT_S)
     if not (closed or own_failure):
         return False
@@ -90,12 +93,14 @@
     found = runs.get(sent.request_id)
     if not found:
         return sent.place if sent.place != "read" else "read, not run"
-    is_done = 0.0 < found[-1].ended_at <= sent.ended_at
-    return "after its server" if is_done else "at its server"
+    last = found[-1]
+    if not 0.0 < last.ended_at <= sent.ended_at:
+        return "at its server"
+    return "given up at its server" if last.status is None else "after its server"
 
 
 def figures_of(seen: StepObservation) -> dict[str, Any]:
-    """Return the figures of a step; rates are per second of the step."""
+    """Return the figures of a step; rates are per second of the step, unless said."""
     runs, requests = merge_runs(seen), all_sent(seen)
     seconds, ends_at = seen.load.seconds, seen.started_at + seen.load.seconds
     served = [sent for sent in requests if is_served(sent)]
@@ -111,9 +116,7 @@
         nested.update(report.nested)
     return {
         "offered_per_s": round(len(requests) / seconds, 1),
-        "served_per_s": round(
-            sum(sent.ended_at <= ends_at for sent in served) / seconds, 1
-        ),
+        "served_per_s": _served_per_s(seen, served),
         "server_calls_per_s": round(server_calls / seconds, 1),
         "refused_per_s": {
             status: round(count / seconds, 1)
@@ -141,7 +144,9 @@
         "served_ms": _times_ms(served),
         "refused_ms": _times_ms(refused),
         "nested": dict(sorted(nested.items())),
-        "daemon_cores": round(seen.processor_share, 2),
+        "daemon_cores": round(seen.daemon_cores, 2),
+        "other_cores": round(seen.other_cores, 2),
+        "stolen_cores": round(seen.stolen_cores, 2),
         "worker_cores": [
             round(report.processor_s / seconds, 2) for report in seen.reports
         ],
@@ -160,6 +165,15 @@
     }
 
 
+def _served_per_s(seen: StepObservation, served: Sequence[Sent]) -> float:
+    """Return the successes a second until the load ends, without its first seconds."""
+    start, end = seen.started_at, seen.started_at + seen.load.seconds
+    # In a short step nothing is left out.
+    start = start if seen.load.seconds <= LEFT_OUT_S else start + LEFT_OUT_S
+    count = sum(start <= sent.ended_at <= end for sent in served)
+    return round(count / (end - start), 1)
+
+
 def _times_ms(requests: Sequence[Sent]) -> dict[str, float]:
     """Return the median and the 99th percentile of the times of requests, ms."""
     times_ms = [(sent.ended_at - sent.sent_at) * MS_PER_S for sent in requests]
--- a/bench/saturation_fleet.py
+++ b/bench/saturation_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import resource
 import time
@@ -25,6 +26,7 @@
 from tests.mesh.common import HOST
 from tests.platform.kv_stand_in import KvStandIn
 from tests.soak.daemons import MachineDaemon, MachineOptions
+from tests.soak.processes import read_cores_s
 from tests.soak.records import Stop
 from tests.soak.workers import WorkerProcess
 
@@ -35,10 +37,10 @@
 MAX_READY_S = 20.0
 """Longest time, seconds, for which a start is waited for."""
 
-GROUP = 4
-"""Daemons that are stopped at once, after as many stops one after the other."""
+STOP_INTERVAL_S = 1.5
+GROUP, GROUP_INTERVAL = 4, 3
+"""Daemons that are stopped at once in each third place of a series of stops."""
 
-FIRST_STOP_S, PAUSE_S = 1.0, 0.3
 BLOCKED, LINK_LOST = "event loop was blocked", "link is lost"
 
 
@@ -56,7 +58,12 @@
 
 @dataclass
 class StepObservation:
-    """What was seen of the daemons in a step of load, and the reports of workers."""
+    """
+    What was seen of the daemons in a step of load, and the reports of workers.
+
+    `daemon_cores` is what the daemons had of their cores, `other_cores` what other
+    processes had, and `stolen_cores` what the host of the machine took.
+    """
 
     started_at: float
     load: Load
@@ -66,7 +73,9 @@
     own_ends: list[str] = field(default_factory=list)
     ready_times: list[float] = field(default_factory=list)
     never_ready: list[str] = field(default_factory=list)
-    processor_share: float = 0.0
+    daemon_cores: float = 0.0
+    other_cores: float = 0.0
+    stolen_cores: float = 0.0
     peak_mib: int = 0
     blocked: int = 0
     links_lost: int = 0
@@ -175,10 +184,18 @@
 
     async def _measure_processor(self, seen: StepObservation) -> None:
         """Measure how much of a core the daemons use while the load lasts."""
-        before_s = self._processor_s()
+        cores = self._options.cores
+        before_s, (busy_before_s, stolen_before_s) = (
+            self._processor_s(),
+            read_cores_s(cores),
+        )
         await asyncio.sleep(seen.load.seconds)
         elapsed_s = time.monotonic() - seen.started_at
-        seen.processor_share = (self._processor_s() - before_s) / elapsed_s
+        used_s = self._processor_s() - before_s
+        busy_s, stolen_s = read_cores_s(cores)
+        seen.daemon_cores = used_s / elapsed_s
+        seen.other_cores = max(0.0, busy_s - busy_before_s - used_s) / elapsed_s
+        seen.stolen_cores = (stolen_s - stolen_before_s) / elapsed_s
 
     def _processor_s(self) -> float:
         """Return the processor time of all daemons, also of those that have ended."""
@@ -187,23 +204,23 @@
         return ended.ru_utime + ended.ru_stime + running
 
     async def _stop_in_turn(self, seen: StepObservation) -> None:
-        """Stop daemons one after the other, then some at once, until the step ends."""
+        """Stop one daemon after the other, and sometimes a group, until the end."""
         ends_at = seen.started_at + seen.load.seconds
-        await asyncio.sleep(FIRST_STOP_S)
-        next_machine, count = 0, 0
-        while time.monotonic() < ends_at:
-            size = GROUP if count % (GROUP + 1) == 1 else 1
-            group = [
-                self._machines[(next_machine + number) % len(self._machines)]
-                for number in range(min(size, len(self._machines)))
-            ]
-            next_machine, count = next_machine + size, count + 1
-            await asyncio.gather(*(self._restart(one, seen) for one in group))
-            await asyncio.sleep(PAUSE_S)
+        machines = itertools.cycle(self._machines)
+        await asyncio.sleep(STOP_INTERVAL_S)
+        async with asyncio.TaskGroup() as group:
+            for number in itertools.count(1):
+                if time.monotonic() >= ends_at:
+                    break
+                size = GROUP if number % GROUP_INTERVAL == 0 else 1
+                for machine in itertools.islice(machines, size):
+                    group.create_task(self._restart(machine, seen))
+                await asyncio.sleep(STOP_INTERVAL_S)
 
     async def _restart(self, machine: MachineDaemon, seen: StepObservation) -> None:
         """Stop a daemon, start it again and wait until it is ready."""
-        await machine.stop_daemon()
+        if await machine.stop_daemon() is None:
+            return
         await machine.start_daemon()
         started_at = time.monotonic()
         while time.monotonic() < started_at + MAX_READY_S:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+from collections.abc import Collection
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -49,6 +50,19 @@
     return 0
 
 
+def read_cores_s(cores: Collection[int]) -> tuple[float, float]:
+    """Return for how long cores ran anything, and were taken by the host, seconds."""
+    busy, stolen = 0, 0
+    for line in Path("/proc/stat").read_text().splitlines():
+        name, *counts = line.split()
+        number = name.removeprefix("cpu")
+        if number.isdigit() and int(number) in cores and name != number:
+            user, nice, system, _, _, interrupts, soft, steal = map(int, counts[:8])
+            busy += user + nice + system + interrupts + soft
+            stolen += steal
+    return busy / _TICKS_PER_S, stolen / _TICKS_PER_S
+
+
 def read_processor_s(pid: int) -> float:
     """Return the processor time of a process, seconds; 0 if it is gone."""
     with contextlib.suppress(OSError):
