--- a/bench/call_cost.py
+++ b/bench/call_cost.py
@@ -68,6 +68,7 @@
     count = QUICK_REQUESTS if options.quick else REQUESTS
     costs: dict[str, dict[str, list[float]]] = {case.name: {} for case in cases}
     statuses: dict[str, Counter[int]] = {case.name: Counter() for case in cases}
+    usual = {case.name: case.status for case in cases}
     with tempfile.TemporaryDirectory() as folder:
         async with running_daemons(Path(folder), core) as machines:
             await asyncio.sleep(SETTLE_S)
@@ -100,6 +101,14 @@
             )
             for case in cases
         },
+        "other_statuses": {
+            name: {
+                str(status): count
+                for status, count in sorted(found.items())
+                if status != usual[name]
+            }
+            for name, found in statuses.items()
+        },
         "idle_core_pct": {
             name: round(100.0 * share, 2) for name, share in idle_share.items()
         },
