End a stopped daemon without closing its event loop

The close of the loop cancels what is left and shuts down generators and executors: a dozen passes after the last response of a stop, as many as all steps from the interruption on. The process ends at once in any case.

--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -63,6 +63,9 @@
 SETTINGS_LOG_INTERVAL_S = 10.0
 """Seconds between log lines about settings that stay invalid at a start."""
 
+_open_runners: list[asyncio.Runner] = []
+"""Keeps the loop of a stopped daemon from being freed, which would close it."""
+
 FileStamp = tuple[int, int]
 """Modification time in nanoseconds and size of a file."""
 
@@ -265,12 +268,28 @@
     return 0
 
 
+def _run_loop(path: Path) -> None:
+    """
+    Run the daemon in an event loop, which is closed after a failure.
+
+    After a stop it stays open: its close takes as many passes as the rest of a stop,
+    and the process ends anyway.
+    """
+    runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+    try:
+        runner.run(serve(path))
+    except BaseException:
+        runner.close()
+        raise
+    _open_runners.append(runner)
+
+
 def _run_until_stopped(path: Path) -> None:
     """Run the daemon until it is stopped, again after a failure."""
     while True:
         try:
             require_loop_descriptors()
-            uvloop.run(serve(path))
+            _run_loop(path)
         except Exception:
             # The line of a run that found no memory may find none, either.
             with contextlib.suppress(MemoryError):
