--- a/bench/saturation_fleet.py
+++ b/bench/saturation_fleet.py
@@ -135,7 +135,7 @@
             POOLS[number % len(POOLS)],
             GRACE_S,
             long_share=0.0,
-            makes_nested_calls=True,
+            nested=None,
             cores=self._options.cores,
             slots=self._options.slots,
         )
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -12,6 +12,7 @@
     OVERDUE,
     LagRecorder,
     find_interruption,
+    has_stamp,
 )
 from tests.soak.records import (
     Disturbance,
@@ -197,3 +198,23 @@
         self.violations.append(
             f"{sent.request_id} ({sent.kind}): {violation}{self.describe(sent)}"
         )
+
+
+def count_ends(requests: Sequence[SentRequest]) -> Counter[str]:
+    """Return how requests ended: by status and who set it, or without a response."""
+    ends: Counter[str] = Counter()
+    for sent in requests:
+        if sent.response is None:
+            ends[_describe_missing(sent)] += 1
+        elif has_stamp(sent):
+            ends[f"server {sent.status}"] += 1
+        else:
+            kind = "refused" if sent.status in NOT_RUN_STATUSES else "own"
+            ends[f"{kind} {sent.status}"] += 1
+    return ends
+
+
+def _describe_missing(sent: SentRequest) -> str:
+    if not sent.ended_at or sent.failure == CALLER_CLOSED:
+        return "left by the caller"
+    return "unanswered" if sent.failure == OVERDUE else "closed"
