--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -187,9 +187,15 @@
         arrival = ReceivedRequest(request, self._last_active_at)
         exchange = Exchange(arrival, holding, keep_alive)
         self._exchanges.append(exchange)
-        if not self._refuse_early(exchange):
-            loop = asyncio.get_running_loop()
-            exchange.task = loop.create_task(self._serve(exchange))
+        try:
+            if not self._refuse_early(exchange):
+                loop = asyncio.get_running_loop()
+                exchange.task = loop.create_task(self._serve(exchange))
+        except BaseException:
+            # It has not begun; the parser's error becomes its response.
+            self._exchanges.remove(exchange)
+            holding.release()
+            raise
         self._apply_backpressure()
 
     def close_if_timed_out(self, now: float) -> None:
--- a/tests/adapters/http1/test_early_refusals.py
+++ b/tests/adapters/http1/test_early_refusals.py
@@ -11,6 +11,7 @@
 from tests.common import function_suite
 
 WAIT_S = 20.0
+NO_RESPONSE_S = 3.0
 RETRY_AFTER_S = 0.4
 
 
@@ -101,6 +102,26 @@
     asyncio.run(run())
 
 
+# A request had no response if memory was missing as its early refusal was made.
+def test_a_request_whose_early_refusal_finds_no_memory_has_a_response() -> None:
+    """It has not run, and nothing of it is kept."""
+
+    def refuse(_arrival: ReceivedRequest) -> EarlyRefusal | None:
+        raise MemoryError
+
+    async def run() -> None:
+        service = _Service()
+        service.release.set()
+        async with _server(service) as server, asyncio.timeout(NO_RESPONSE_S):
+            caller = await _connect(service, server)
+            server.refuse_early = refuse
+            caller.send("/no")
+            assert await caller.status() == 503
+            assert server.memory.held_bytes == 0
+
+    asyncio.run(run())
+
+
 def test_a_caller_that_waits_is_read_at_once() -> None:
     """It came back when it was told."""
 
