--- a/damaskbay/adapters/http1/reading.py
+++ b/damaskbay/adapters/http1/reading.py
@@ -35,9 +35,9 @@
     def let_others_read(self) -> None:
         """Read on in a later pass of the event loop, after other connections."""
         if not self._yields:
+            asyncio.get_running_loop().call_soon(self._end_yield)
             self._yields = True
             self._apply()
-            asyncio.get_running_loop().call_soon(self._end_yield)
 
     def record_refusal(self, refusal: EarlyRefusal, now: float) -> None:
         """
@@ -51,10 +51,10 @@
         if not is_early or self._waits:
             return
         longest_s = min(MAX_PAUSE_S, PAUSE_SHARE * refusal.timeout_s)
-        self._waits = True
         asyncio.get_running_loop().call_later(
             min(longest_s, refusal.retry_after_s), self._end_wait
         )
+        self._waits = True
         self._apply()
 
     def read_to_the_end(self) -> None:
--- a/tests/adapters/http1/test_early_refusals.py
+++ b/tests/adapters/http1/test_early_refusals.py
@@ -1,9 +1,12 @@
 """Requests that the server refuses as soon as it has read them."""
 
 import asyncio
+import contextlib
 import unittest
+from unittest.mock import Mock, patch
 
 from damaskbay.adapters.http1.exchange import EarlyRefusal
+from damaskbay.adapters.http1.reading import ReadingControl
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
@@ -122,6 +125,32 @@
     asyncio.run(run())
 
 
+# A caller was read no more if the timer of its pause found no memory.
+def test_reading_is_not_paused_without_a_timer_to_resume_it() -> None:
+    """The pause fails as a whole."""
+
+    async def run() -> None:
+        reading = ReadingControl()
+        transport = Mock(is_closing=lambda: False)
+        reading.start(transport)
+        refusal = EarlyRefusal(Response(503), RETRY_AFTER_S, timeout_s=60.0)
+        reading.record_refusal(refusal, 0.0)
+        loop = asyncio.get_running_loop()
+        for pause, timer in (
+            (reading.let_others_read, "call_soon"),
+            (lambda: reading.record_refusal(refusal, 0.0), "call_later"),
+        ):
+            with (
+                patch.object(loop, timer, side_effect=MemoryError),
+                contextlib.suppress(MemoryError),
+            ):
+                pause()
+            reading.set_congested(False)
+            assert not reading.is_paused, timer
+
+    asyncio.run(run())
+
+
 def test_a_caller_that_waits_is_read_at_once() -> None:
     """It came back when it was told."""
 
