--- a/damaskbay/core/processor_guard.py
+++ b/damaskbay/core/processor_guard.py
@@ -203,16 +203,15 @@
         return bool(self._queue) or self.in_progress >= USED_SHARE * self._limit
 
     def _decide(self, now: float) -> Sequence[Decision]:
-        """Start what may start; refuse what has waited long or finds no place."""
+        """Start what may start; end long waits; refuse what finds no place."""
         decisions: list[Decision] = []
         while self._queue and self.in_progress < self.limit:
-            entry = self._queue.next_to_start(now)
-            self._queue.remove_started(entry, now)
-            self._start(now)
-            decisions.append(StartDecision(entry.item.ticket))
+            decisions.append(self._start_waiting(self._queue.next_to_start(now), now))
+        # A loop that is on time gives no reason to refuse what has waited.
+        end_wait = self._refuse if self.is_limiting else self._start_waiting
         for entry in self._queue.least_important_first():
             if now >= entry.wait_until:
-                decisions.append(self._refuse(entry, now))
+                decisions.append(end_wait(entry, now))
         while len(self._queue) > self._max_queue_length(now):
             decisions.append(self._refuse(self._queue.next_to_refuse(now), now))
         return decisions
@@ -221,6 +220,11 @@
         self.in_progress += 1
         self._starts.add(1.0, now)
 
+    def _start_waiting(self, entry: QueueEntry, now: float) -> StartDecision:
+        self._queue.remove_started(entry, now)
+        self._start(now)
+        return StartDecision(entry.item.ticket)
+
     def _refuse(self, entry: QueueEntry, now: float) -> RefuseDecision:
         self._queue.remove(entry.item.ticket)
         return RefuseDecision(entry.item.ticket, self._refusal(entry.rank, now))
--- a/tests/core/test_processor_guard.py
+++ b/tests/core/test_processor_guard.py
@@ -21,8 +21,10 @@
 TIME_LIMIT_S = 6.0
 
 
-def _item(ticket: int, rank: int = 0, workspace: str = "w") -> PendingCall:
-    context = CallContext("", workspace, rank, TIME_LIMIT_S, "r", "p", True)
+def _item(
+    ticket: int, rank: int = 0, workspace: str = "w", deadline: float = TIME_LIMIT_S
+) -> PendingCall:
+    context = CallContext("", workspace, rank, deadline, "r", "p", True)
     return PendingCall(ticket, context)
 
 
@@ -85,6 +87,19 @@
     assert all(isinstance(decision, StartDecision) for decision in decisions)
 
 
+# Bursts of calls with short time limits were refused by daemons that had nothing to do.
+def test_a_burst_with_a_short_time_limit_is_not_refused_on_time() -> None:
+    """Its calls begin once they have waited for their part of the limit."""
+    guard = ProcessorGuard(Random(1), 0.0)
+    tickets = [ticket for ticket in range(60) if not guard.start_at_once(0.0)]
+    for ticket in tickets:
+        assert not guard.offer(_item(ticket, deadline=0.3), 0.0)
+    decisions = guard.record_lateness(0.001, CHECK_INTERVAL_S)
+    assert all(isinstance(decision, StartDecision) for decision in decisions)
+    assert sorted(decision.ticket for decision in decisions) == tickets
+    assert guard.in_progress == 60 and not guard.waiting
+
+
 def test_important_calls_begin_first_and_return_first() -> None:
     """Where calls wait, those of a lower rank make room."""
     guard, now = _limited()
