--- a/damaskbay/core/processor_guard.py
+++ b/damaskbay/core/processor_guard.py
@@ -40,7 +40,7 @@
 MIN_LIMIT: Final = 4.0
 
 CALM_AFTER_S: Final = 2.0
-"""Seconds on time, with the limit hardly used, after which it is lifted."""
+"""Seconds with the limit hardly used, and the loop not late, until it is lifted."""
 
 USED_SHARE: Final = 0.7
 """Part of the limit from which it counts as used."""
@@ -100,7 +100,7 @@
         self._late_s = 0.0
         self._sampled_at = now
         self._decrease_not_before = now
-        self._used_at = now
+        self._used_at = self._late_at = now
         self._starts = _DecayingRate(updated_at=now)
         self._refusals_by_rank: dict[int, _DecayingRate] = {}
         self.in_progress = 0
@@ -175,11 +175,12 @@
             self._decrease(now)
         elif not self.is_limiting:
             self._limit = HEADROOM + (1.0 + HEADROOM_SHARE) * self.in_progress
-        elif self._late_s < ON_TIME_SHARE * LATE_S:
-            self._increase(now)
+        else:
+            self._relax(now)
         return self._decide(now)
 
     def _decrease(self, now: float) -> None:
+        self._late_at = now
         if self._is_used():
             self._used_at = now
         if not self.is_limiting:
@@ -192,11 +193,16 @@
         used = min(self._limit, float(self.in_progress))
         self._limit = max(MIN_LIMIT, DECREASE_FACTOR * used)
 
-    def _increase(self, now: float) -> None:
+    def _relax(self, now: float) -> None:
+        is_on_time = self._late_s < ON_TIME_SHARE * LATE_S
         if self._is_used():
             self._used_at = now
-            self._limit += max(MIN_INCREASE, INCREASE_SHARE * self._limit)
-        elif now - self._used_at > CALM_AFTER_S:
+            if is_on_time:
+                self._limit += max(MIN_INCREASE, INCREASE_SHARE * self._limit)
+            return
+        # A limit that nothing uses doesn't mend the lateness that is left.
+        calm_since = self._used_at if is_on_time else max(self._used_at, self._late_at)
+        if now - calm_since > CALM_AFTER_S:
             self.is_limiting = False
 
     def _is_used(self) -> bool:
--- a/tests/core/test_processor_guard.py
+++ b/tests/core/test_processor_guard.py
@@ -100,6 +100,17 @@
     assert guard.in_progress == 60 and not guard.waiting
 
 
+# A daemon beside busy processes limited its calls long after it had been short itself.
+def test_a_limit_that_nothing_uses_ends_though_others_use_the_processor() -> None:
+    """It has no effect on how late the loop is, and refuses the next burst."""
+    guard, now = _limited()
+    while guard.in_progress:
+        guard.finish(now)
+    late_s = 0.8 * LATE_S
+    _sample(guard, late_s, 60, now)
+    assert guard.late_s < LATE_S and not guard.is_limiting
+
+
 def test_important_calls_begin_first_and_return_first() -> None:
     """Where calls wait, those of a lower rank make room."""
     guard, now = _limited()
