--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -382,6 +382,6 @@
 
 def timeout_of(route: Route, requested_ms: str | None) -> float:
     """Return the lower of the route's and the caller's timeout, in seconds."""
-    if requested_ms is None or not requested_ms.isdigit():
+    if requested_ms is None or not (requested_ms.isascii() and requested_ms.isdigit()):
         return route.deadline_s
-    return min(route.deadline_s, int(requested_ms) / 1000.0)
+    return min(route.deadline_s, float(requested_ms) / 1000.0)
--- a/tests/mesh/test_processor_gate.py
+++ b/tests/mesh/test_processor_gate.py
@@ -4,11 +4,13 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from random import Random
+from unittest.mock import Mock
 
 from damaskbay.core.call import CallContext, Request, Response
 from damaskbay.core.processor_guard import HEADROOM, LATE_S
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.loop_monitor import CHECK_INTERVAL_S
+from damaskbay.mesh.ingress import timeout_of
 from damaskbay.mesh.processor_gate import ProcessorGate
 from tests.common import function_suite
 from tests.mesh.common import Fleet, Node, run_fleet, wait_until
@@ -59,6 +61,15 @@
     return requests
 
 
+# Digits of other scripts and long numbers ended requests with 500, or as malformed.
+def test_a_time_limit_that_cannot_be_read_is_that_of_the_route() -> None:
+    """A longer one is, too."""
+    route = Mock(deadline_s=2.0)
+    for requested_ms in ("\xb2", "", "-1", "9" * 400, "9" * 5000):
+        assert timeout_of(route, requested_ms) == 2.0
+    assert timeout_of(route, "500") == 0.5
+
+
 def test_a_caller_that_leaves_gives_up_its_place() -> None:
     """It may leave while it waits, and in the moment in which it may begin."""
 
