--- a/damaskbay/mesh/processor_gate.py
+++ b/damaskbay/mesh/processor_gate.py
@@ -49,10 +49,10 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = future
         item = PendingCall(ticket, context, weight, context.depth)
-        self._apply(self.guard.offer(item, self._clock()))
         try:
+            self._apply(self.guard.offer(item, self._clock()))
             return await future
-        except asyncio.CancelledError:
+        except BaseException:
             if self._waiting.pop(ticket, None) is not None:
                 self.guard.withdraw(ticket)
             elif future.done() and not future.cancelled() and future.result() is None:
--- a/tests/mesh/test_processor_gate.py
+++ b/tests/mesh/test_processor_gate.py
@@ -4,10 +4,10 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from random import Random
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from damaskbay.core.call import CallContext, Request, Response
-from damaskbay.core.processor_guard import HEADROOM, LATE_S
+from damaskbay.core.processor_guard import HEADROOM, LATE_S, ProcessorGuard
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.loop_monitor import CHECK_INTERVAL_S
 from damaskbay.mesh.ingress import timeout_of
@@ -61,6 +61,28 @@
     return requests
 
 
+# Each call that found no memory as it began to wait took a place from later ones.
+def test_a_call_that_finds_no_memory_to_wait_gives_up_its_place() -> None:
+    """Its error is passed on, and the calls behind it may begin."""
+
+    async def run() -> None:
+        gate = ProcessorGate(Random(1), monotonic_s)
+        while gate.guard.start_at_once(monotonic_s()):
+            pass
+        with patch.object(ProcessorGuard, "_decide", side_effect=MemoryError):
+            try:
+                await gate.wait(_context(), 1.0)
+            except MemoryError:
+                pass
+            else:
+                raise AssertionError("the call waits")
+        for _ in range(gate.guard.in_progress):
+            gate.leave()
+        assert gate.guard.in_progress == 0
+
+    asyncio.run(run())
+
+
 # Digits of other scripts and long numbers ended requests with 500, or as malformed.
 def test_a_time_limit_that_cannot_be_read_is_that_of_the_route() -> None:
     """A longer one is, too."""
