--- a/damaskbay/mesh/running.py
+++ b/damaskbay/mesh/running.py
@@ -20,28 +20,33 @@
 
 class RunningCalls:
     """
-    The running calls by request id.
+    The running calls by request id, of which a caller's repeats have the same.
 
     A nested call belongs to the running call whose id is a prefix of its id. Callers
     choose ids, so a nested call inherits its caller's priority but no access rights.
     """
 
     def __init__(self) -> None:
-        self._by_request_id: dict[str, RunningCall] = {}
+        self._by_request_id: dict[str, list[RunningCall]] = {}
         self._levels = RouteLevels()
 
     def add(self, context: CallContext) -> RunningCall:
         """Add a call that is sent to the server."""
         call = RunningCall(context)
         if context.request_id is not None:
-            self._by_request_id[context.request_id] = call
+            self._by_request_id.setdefault(context.request_id, []).append(call)
         return call
 
     def remove(self, call: RunningCall) -> None:
         """Remove a call that has ended."""
         request_id = call.context.request_id
-        if request_id is not None and self._by_request_id.get(request_id) is call:
-            del self._by_request_id[request_id]
+        if request_id is None:
+            return
+        same_id = self._by_request_id.get(request_id, [])
+        if call in same_id:
+            same_id.remove(call)
+        if not same_id:
+            self._by_request_id.pop(request_id, None)
 
     def record_nested_end(
         self, call: RunningCall, result: CallResult, now: float
@@ -64,6 +69,6 @@
         while end > 0:
             found = self._by_request_id.get(request_id[:end])
             if found is not None:
-                return found
+                return found[-1]
             end = request_id.rfind(SEPARATOR, 0, end)
         return None
--- a/tests/mesh/test_processor_gate.py
+++ b/tests/mesh/test_processor_gate.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from random import Random
 from unittest.mock import Mock, patch
 
@@ -12,6 +13,7 @@
 from damaskbay.helpers.loop_monitor import CHECK_INTERVAL_S
 from damaskbay.mesh.ingress import timeout_of
 from damaskbay.mesh.processor_gate import ProcessorGate
+from damaskbay.mesh.running import RunningCalls
 from tests.common import function_suite
 from tests.mesh.common import Fleet, Node, run_fleet, wait_until
 
@@ -155,6 +157,20 @@
     _run(check)
 
 
+# Nested calls counted as root calls, and were refused, after a repeat had ended.
+def test_a_repeat_that_ends_leaves_the_nested_calls_of_the_first() -> None:
+    """A caller that repeats a request sends the same id while the first still runs."""
+    running = RunningCalls()
+    context = replace(_context(), request_id="root")
+    first, repeat = running.add(context), running.add(context)
+    assert running.caller_of("root.1") is repeat
+    running.remove(repeat)
+    assert running.caller_of("root.1") is first
+    running.remove(first)
+    running.remove(first)
+    assert running.caller_of("root.1") is None
+
+
 def test_late_loops_are_told_to_peers() -> None:
     """Peers then prefer a daemon that has processor to spare."""
 
