--- a/tests/adapters/http1/test_early_refusals.py
+++ b/tests/adapters/http1/test_early_refusals.py
@@ -1,9 +1,12 @@
 """Requests that the server refuses as soon as it has read them."""
 
 import asyncio
+import contextlib
 import unittest
+from unittest.mock import Mock, patch
 
 from damaskbay.adapters.http1.exchange import EarlyRefusal
+from damaskbay.adapters.http1.reading import ReadingControl
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
@@ -11,6 +14,7 @@
 from tests.common import function_suite
 
 WAIT_S = 20.0
+NO_RESPONSE_S = 3.0
 RETRY_AFTER_S = 0.4
 
 
@@ -101,6 +105,52 @@
     asyncio.run(run())
 
 
+# A request had no response if memory was missing as its early refusal was made.
+def test_a_request_whose_early_refusal_finds_no_memory_has_a_response() -> None:
+    """It has not run, and nothing of it is kept."""
+
+    def refuse(_arrival: ReceivedRequest) -> EarlyRefusal | None:
+        raise MemoryError
+
+    async def run() -> None:
+        service = _Service()
+        service.release.set()
+        async with _server(service) as server, asyncio.timeout(NO_RESPONSE_S):
+            caller = await _connect(service, server)
+            server.refuse_early = refuse
+            caller.send("/no")
+            assert await caller.status() == 503
+            assert server.memory.held_bytes == 0
+
+    asyncio.run(run())
+
+
+# A caller was read no more if the timer of its pause found no memory.
+def test_reading_is_not_paused_without_a_timer_to_resume_it() -> None:
+    """The pause fails as a whole."""
+
+    async def run() -> None:
+        reading = ReadingControl()
+        transport = Mock(is_closing=lambda: False)
+        reading.start(transport)
+        refusal = EarlyRefusal(Response(503), RETRY_AFTER_S, timeout_s=60.0)
+        reading.record_refusal(refusal, 0.0)
+        loop = asyncio.get_running_loop()
+        for pause, timer in (
+            (reading.let_others_read, "call_soon"),
+            (lambda: reading.record_refusal(refusal, 0.0), "call_later"),
+        ):
+            with (
+                patch.object(loop, timer, side_effect=MemoryError),
+                contextlib.suppress(MemoryError),
+            ):
+                pause()
+            reading.set_congested(False)
+            assert not reading.is_paused, timer
+
+    asyncio.run(run())
+
+
 def test_a_caller_that_waits_is_read_at_once() -> None:
     """It came back when it was told."""
 
--- a/tests/mesh/test_processor_gate.py
+++ b/tests/mesh/test_processor_gate.py
@@ -3,13 +3,17 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from random import Random
+from unittest.mock import Mock, patch
 
 from damaskbay.core.call import CallContext, Request, Response
-from damaskbay.core.processor_guard import HEADROOM, LATE_S
+from damaskbay.core.processor_guard import HEADROOM, LATE_S, ProcessorGuard
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.loop_monitor import CHECK_INTERVAL_S
+from damaskbay.mesh.ingress import timeout_of
 from damaskbay.mesh.processor_gate import ProcessorGate
+from damaskbay.mesh.running import RunningCalls
 from tests.common import function_suite
 from tests.mesh.common import Fleet, Node, run_fleet, wait_until
 
@@ -59,6 +63,37 @@
     return requests
 
 
+# Each call that found no memory as it began to wait took a place from later ones.
+def test_a_call_that_finds_no_memory_to_wait_gives_up_its_place() -> None:
+    """Its error is passed on, and the calls behind it may begin."""
+
+    async def run() -> None:
+        gate = ProcessorGate(Random(1), monotonic_s)
+        while gate.guard.start_at_once(monotonic_s()):
+            pass
+        with patch.object(ProcessorGuard, "_decide", side_effect=MemoryError):
+            try:
+                await gate.wait(_context(), 1.0)
+            except MemoryError:
+                pass
+            else:
+                raise AssertionError("the call waits")
+        for _ in range(gate.guard.in_progress):
+            gate.leave()
+        assert gate.guard.in_progress == 0
+
+    asyncio.run(run())
+
+
+# Digits of other scripts and long numbers ended requests with 500, or as malformed.
+def test_a_time_limit_that_cannot_be_read_is_that_of_the_route() -> None:
+    """A longer one is, too."""
+    route = Mock(deadline_s=2.0)
+    for requested_ms in ("\xb2", "", "-1", "9" * 400, "9" * 5000):
+        assert timeout_of(route, requested_ms) == 2.0
+    assert timeout_of(route, "500") == 0.5
+
+
 def test_a_caller_that_leaves_gives_up_its_place() -> None:
     """It may leave while it waits, and in the moment in which it may begin."""
 
@@ -122,6 +157,20 @@
     _run(check)
 
 
+# Nested calls counted as root calls, and were refused, after a repeat had ended.
+def test_a_repeat_that_ends_leaves_the_nested_calls_of_the_first() -> None:
+    """A caller that repeats a request sends the same id while the first still runs."""
+    running = RunningCalls()
+    context = replace(_context(), request_id="root")
+    first, repeat = running.add(context), running.add(context)
+    assert running.caller_of("root.1") is repeat
+    running.remove(repeat)
+    assert running.caller_of("root.1") is first
+    running.remove(first)
+    running.remove(first)
+    assert running.caller_of("root.1") is None
+
+
 def test_late_loops_are_told_to_peers() -> None:
     """Peers then prefer a daemon that has processor to spare."""
 
