--- a/bench/call_cost_fleet.py
+++ b/bench/call_cost_fleet.py
@@ -141,7 +141,7 @@
                 pool,
                 GRACE_S,
                 0.0,
-                makes_nested_calls=False,
+                nested=None,
                 cores=frozenset({core}),
                 slots=1 if name == "busy" else SLOTS,
             )
--- a/bench/processor_model.py
+++ b/bench/processor_model.py
@@ -139,11 +139,11 @@
     def _next_call(self, request: _Request) -> None:
         if request.expired(self._events.now):
             self._result.unanswered += 1
-            self._leave()
+            self._leave(request)
         elif request.calls_left == 0:
             self._result.served += 1
             self._result.latencies_s.append(self._events.now - request.arrived_at)
-            self._leave()
+            self._leave(request)
         else:
             request.calls_left -= 1
             self._core.run(
@@ -159,9 +159,11 @@
 
         self._core.run(REFUSAL_COST_S, end)
 
-    def _leave(self) -> None:
+    def _leave(self, request: _Request) -> None:
         if self._guard is not None:
-            self._apply(self._guard.finish(self._events.now))
+            now = self._events.now
+            self._guard.record_duration(now - request.arrived_at, TIME_LIMIT_S)
+            self._apply(self._guard.finish(now))
 
 
 def measure(
--- a/damaskbay/adapters/http1/connection_server.py
+++ b/damaskbay/adapters/http1/connection_server.py
@@ -1,5 +1,6 @@
 """What the connection of a caller needs of its server."""
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
 from damaskbay.adapters.http1.exchange import Handler, RefuseEarly
@@ -15,6 +16,7 @@
 
     handler: Handler
     refuse_early: RefuseEarly | None
+    accept_pause_s: Callable[[], float]
     limits: CallerLimits
     memory: MemoryAccount
     draining: bool
--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -11,10 +11,10 @@
 MAX_UNREAD_BYTES: Final = 1024 * 1024
 """Response bytes that wait for one caller before its further requests wait, too."""
 
-PAUSE_SHARE: Final = 0.25
+PAUSE_SHARE: Final = 0.35
 """Part of its time limit for which the next request of a refused caller may wait."""
 
-MAX_PAUSE_S: Final = 1.0
+MAX_PAUSE_S: Final = 2.0
 """Limit of that wait, seconds; a stop informs its callers for longer."""
 
 TIMEOUT_CHECK_INTERVAL_S: Final = 0.5
--- a/damaskbay/adapters/http1/exchange.py
+++ b/damaskbay/adapters/http1/exchange.py
@@ -27,11 +27,13 @@
     Response to a request that is refused as soon as it was read.
 
     The caller is to come back after `retry_after_s`; its time limit was `timeout_s`.
+    With `pauses`, its next request is read later in any case.
     """
 
     response: Response
     retry_after_s: float
     timeout_s: float
+    pauses: bool = False
 
 
 RefuseEarly = Callable[[ReceivedRequest], EarlyRefusal | None]
--- a/damaskbay/adapters/http1/reading.py
+++ b/damaskbay/adapters/http1/reading.py
@@ -46,14 +46,17 @@
         Otherwise callers that send again at once would take the processor from the
         calls that were begun.
         """
-        is_early = now < self._may_return_at
+        is_early = refusal.pauses or now < self._may_return_at
         self._may_return_at = now + refusal.retry_after_s
-        if not is_early or self._waits:
+        if is_early:
+            longest_s = min(MAX_PAUSE_S, PAUSE_SHARE * refusal.timeout_s)
+            self.wait(min(longest_s, refusal.retry_after_s))
+
+    def wait(self, pause_s: float) -> None:
+        """Read nothing for so many seconds, unless a pause has begun."""
+        if self._waits:
             return
-        longest_s = min(MAX_PAUSE_S, PAUSE_SHARE * refusal.timeout_s)
-        asyncio.get_running_loop().call_later(
-            min(longest_s, refusal.retry_after_s), self._end_wait
-        )
+        asyncio.get_running_loop().call_later(pause_s, self._end_wait)
         self._waits = True
         self._apply()
 
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -4,7 +4,7 @@
 import logging
 import os
 import socket
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from types import TracebackType
 from typing import Self
 
@@ -37,8 +37,9 @@
     """
     HTTP server on one address; an async context manager.
 
-    `refuse_early` may refuse requests without the cost of the handler. While `draining`
-    is set, it is not asked, and each connection closes after the response to the last
+    New connections are not read for `accept_pause_s` seconds. `refuse_early` may refuse
+    requests without the cost of the handler. While `draining` is set, it is not asked,
+    and each connection closes after the response to the last
     request that was read. `memory` counts what the connections hold of requests and
     responses. Requests on connections beyond `connection_limits` are refused. Entering
     the context waits up to `bind_wait_s` seconds for an address that can't be used.
@@ -58,6 +59,7 @@
         self.address = address
         self.handler = handler
         self.refuse_early: RefuseEarly | None = None
+        self.accept_pause_s: Callable[[], float] = float
         self.limits = limits
         self.memory = memory or MemoryAccount()
         self.connection_limits = connection_limits or ConnectionLimits()
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -119,6 +119,8 @@
         """Store the transport and register the connection."""
         self._transport = cast("asyncio.Transport", transport)
         self._reading.start(self._transport)
+        if pause_s := self._server.accept_pause_s():
+            self._reading.wait(pause_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in flight."""
--- a/damaskbay/core/processor_guard.py
+++ b/damaskbay/core/processor_guard.py
@@ -17,8 +17,18 @@
 LATE_S: Final = 0.012
 """Mean lateness of the event loop, seconds, from which calls are limited."""
 
-ON_TIME_SHARE: Final = 0.6
-"""Part of LATE_S below which more calls may be in progress."""
+DECREASE_LATE_S: Final = 0.02
+"""Mean lateness, seconds, from which the limit of a limited daemon decreases."""
+
+SLOW_LATE_S: Final = 0.01
+"""The same where calls take more than SLOW_SHARE of their time limit."""
+
+SLOW_SHARE: Final = 0.25
+ON_TIME_SHARE: Final = 0.8
+"""Part of these values below which more calls may be in progress."""
+
+DURATION_GAIN: Final = 0.1
+"""Weight of the newest call in the moving average of the durations."""
 
 LATENESS_TIME_CONSTANT_S: Final = 0.2
 """Time constant of the moving average of the lateness, seconds."""
@@ -27,12 +37,15 @@
 MAX_SAMPLE_S: Final = 4.0 * LATE_S
 """Limit of a sample, seconds: one long pause says little about the next moment."""
 
-HEADROOM: Final = 8.0
+HEADROOM: Final = 4.0
 """Calls that may start between two samples while the loop is on time."""
 
 HEADROOM_SHARE: Final = 0.25
 """The same, as a part of the calls in progress."""
 
+FIRST_FACTOR: Final = 0.7
+"""Factor of the limit as the loop becomes late: more was begun than has shown yet."""
+
 DECREASE_FACTOR: Final = 0.85
 DECREASE_INTERVAL_S: Final = 0.2
 INCREASE_SHARE: Final = 0.03
@@ -55,6 +68,9 @@
 MAX_QUEUE: Final = 256
 """Calls that wait for the next sample while the loop is on time."""
 
+MAX_REFUSALS_PER_START: Final = 8.0
+"""Refusals for each start from which callers are read later, as they cost too much."""
+
 RATE_TIME_CONSTANT_S: Final = 1.0
 MIN_STARTS_PER_S: Final = 0.5
 MIN_RETRY_AFTER_S: Final = 0.4
@@ -84,7 +100,9 @@
     While the loop is on time, nothing is refused. If it is late, the processor is
     short: every call in progress takes longer, and without a limit most would end
     after their time limit, though the work for them was done. The limit of the calls
-    in progress then decreases until the loop is on time again. Calls beyond it wait
+    in progress then decreases until the loop is on time again. A loop that serves many
+    calls is late for a moment without harm, so it may be later as long as calls take a
+    small part of their time limit. Calls beyond it wait
     for a small part of their time limit, by priority and fairly among workspaces.
     Nested calls belong to calls that were begun, and are not limited.
 
@@ -98,6 +116,7 @@
         self._queue = WaitingQueue()
         self._limit = HEADROOM
         self._late_s = 0.0
+        self._duration_share = 0.0
         self._sampled_at = now
         self._decrease_not_before = now
         self._used_at = self._late_at = now
@@ -129,7 +148,7 @@
         It exceeds 0 if the loop is late although calls are limited, as other processes
         or the calls of peers take the processor.
         """
-        return min(1.0, max(0.0, self._late_s / LATE_S - 1.0))
+        return min(1.0, max(0.0, self._late_s / DECREASE_LATE_S - 1.0))
 
     def is_full(self, now: float) -> bool:
         """Return whether one more call would have this or another one refused."""
@@ -143,6 +162,14 @@
             return None
         return self._refusal(rank, now)
 
+    def refuses_too_many(self, now: float) -> bool:
+        """Return whether refusals take the processor from the calls that are begun."""
+        if not self.is_limiting:
+            return False
+        starts_per_s = max(MIN_LIMIT, self._starts.at(now))
+        refused_per_s = sum(rate.at(now) for rate in self._refusals_by_rank.values())
+        return refused_per_s > MAX_REFUSALS_PER_START * starts_per_s
+
     def start_at_once(self, now: float) -> bool:
         """Start a call if it doesn't have to wait; return whether it started."""
         if self._queue or self.in_progress >= self.limit:
@@ -171,7 +198,7 @@
         self._sampled_at = now
         sample_s = min(MAX_SAMPLE_S, max(0.0, late_s))
         self._late_s += gain * (sample_s - self._late_s)
-        if self._late_s > LATE_S:
+        if self._is_late(1.0):
             self._decrease(now)
         elif not self.is_limiting:
             self._limit = HEADROOM + (1.0 + HEADROOM_SHARE) * self.in_progress
@@ -179,13 +206,26 @@
             self._relax(now)
         return self._decide(now)
 
+    def record_duration(self, took_s: float, timeout_s: float) -> None:
+        """Record how long a call took, and its time limit, in seconds."""
+        share = took_s / timeout_s if took_s < timeout_s else 1.0
+        self._duration_share += DURATION_GAIN * (share - self._duration_share)
+
+    def _is_late(self, part: float) -> bool:
+        """Return whether the loop is later than a part of what is allowed."""
+        if not self.is_limiting:
+            return self._late_s > part * LATE_S
+        is_slow = self._duration_share > part * SLOW_SHARE
+        return self._late_s > part * (SLOW_LATE_S if is_slow else DECREASE_LATE_S)
+
     def _decrease(self, now: float) -> None:
         self._late_at = now
         if self._is_used():
             self._used_at = now
         if not self.is_limiting:
             self.is_limiting = True
-            self._limit = min(self._limit, float(self.in_progress))
+            used = min(self._limit, float(self.in_progress))
+            self._limit = max(MIN_LIMIT, FIRST_FACTOR * used)
         # Calls beyond the limit are still ending; it has had no effect yet.
         if now < self._decrease_not_before or self.in_progress > self.limit:
             return
@@ -194,7 +234,7 @@
         self._limit = max(MIN_LIMIT, DECREASE_FACTOR * used)
 
     def _relax(self, now: float) -> None:
-        is_on_time = self._late_s < ON_TIME_SHARE * LATE_S
+        is_on_time = not self._is_late(ON_TIME_SHARE)
         if self._is_used():
             self._used_at = now
             if is_on_time:
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -199,6 +199,7 @@
         )
     )
     server.refuse_early = early_refusals.refuse
+    server.accept_pause_s = early_refusals.accept_pause_s
     return server
 
 
--- a/damaskbay/mesh/early_refusal.py
+++ b/damaskbay/mesh/early_refusal.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from damaskbay.adapters.http1.exchange import EarlyRefusal, ReceivedRequest
 from damaskbay.core.lifetime import Lifetime
@@ -15,6 +16,12 @@
 from damaskbay.mesh.refusals import RefusalResponses
 from damaskbay.mesh.running import RunningCalls
 
+ACCEPT_PAUSE_S: Final = 0.2
+"""Seconds for which new connections wait while refusals take too much processor."""
+
+STOP_MARGIN_S: Final = 1.0
+"""Seconds before a stop interrupts calls in which new connections are read at once."""
+
 
 @dataclass(frozen=True, slots=True)
 class EarlyRefusalsParts:
@@ -47,6 +54,22 @@
         names = frozenset({self._request_id, self._key, self._deadline_ms})
         self._filter = HeaderFilter(dropped=names, read=names)
 
+    def accept_pause_s(self) -> float:
+        """
+        Return for how many seconds a new connection is not read.
+
+        Callers of a stopping daemon come back at once on new connections. What they
+        send is read well before its end.
+        """
+        parts, now = self._parts, self._parts.clock()
+        plan = parts.lifetime.plan
+        if plan is None:
+            pauses = parts.guard.refuses_too_many(now)
+        else:
+            ends_at = plan.interrupts_at - STOP_MARGIN_S
+            pauses = parts.guard.is_limiting and plan.announced_at <= now < ends_at
+        return ACCEPT_PAUSE_S if pauses else 0.0
+
     def refuse(self, arrival: ReceivedRequest) -> EarlyRefusal | None:
         """Return the refusal of a request, or None to let the ingress decide."""
         parts, now = self._parts, self._parts.clock()
@@ -74,4 +97,5 @@
             parts.refusals.before_dispatch(refusal, request_id, route, name),
             refusal.retry_after_s or 0.0,
             timeout_of(route, values.get(self._deadline_ms)),
+            pauses=parts.guard.refuses_too_many(now),
         )
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -192,9 +192,16 @@
                 return refuse(early, request_id, route, workspace.name)
         context = self._context(incoming, self._weights.next_pool(route))
         forwarded = self._forwarded_request(incoming)
-        with Holding(parts.memory) as holding:
-            holding.set(self._sizes.expected_bytes(route.name))
-            result = await self._dispatch(context, route, forwarded, arrival.arrived_at)
+        try:
+            with Holding(parts.memory) as holding:
+                holding.set(self._sizes.expected_bytes(route.name))
+                result = await self._dispatch(
+                    context, route, forwarded, arrival.arrived_at
+                )
+        finally:
+            if incoming.caller is None:
+                took_s = parts.clock() - arrival.arrived_at
+                parts.processor.guard.record_duration(took_s, incoming.timeout_s)
         self._record_result(context, result, parts.clock() - arrival.arrived_at)
         if incoming.caller is not None:
             parts.running.record_nested_end(incoming.caller, result, parts.clock())
