--- a/damaskbay/adapters/http1/exchange.py
+++ b/damaskbay/adapters/http1/exchange.py
@@ -11,7 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
-    """A complete request and the monotonic time at which its last byte was read."""
+    """
+    A complete request and the monotonic time at which its last byte was read.
+
+    What arrived while reading was paused counts from the beginning of the pause.
+    """
 
     request: Request
     arrived_at: float
--- a/damaskbay/adapters/http1/reading.py
+++ b/damaskbay/adapters/http1/reading.py
@@ -4,6 +4,8 @@
 
 from damaskbay.adapters.http1.const import MAX_PAUSE_S, PAUSE_SHARE
 from damaskbay.adapters.http1.exchange import EarlyRefusal
+from damaskbay.adapters.http1.sockets import ready_descriptors
+from damaskbay.helpers.clock import monotonic_s
 
 
 class ReadingControl:
@@ -21,6 +23,8 @@
         self._waits = False
         self._reads_to_the_end = False
         self._may_return_at = 0.0
+        self._waits_since = 0.0
+        self._unread_since: float | None = None
         self.is_paused = False
 
     def start(self, transport: asyncio.Transport) -> None:
@@ -58,6 +62,7 @@
             return
         asyncio.get_running_loop().call_later(pause_s, self._end_wait)
         self._waits = True
+        self._waits_since = monotonic_s()
         self._apply()
 
     def read_to_the_end(self) -> None:
@@ -69,8 +74,17 @@
         self._yields = False
         self._apply()
 
+    def arrival_of_read(self, now: float) -> float:
+        """Return when bytes that were read now may have arrived at the earliest."""
+        unread_since, self._unread_since = self._unread_since, None
+        return now if unread_since is None else unread_since
+
     def _end_wait(self) -> None:
         self._waits = False
+        if self._transport is not None and not self._transport.is_closing():
+            descriptor = self._transport.get_extra_info("socket").fileno()
+            if descriptor >= 0 and ready_descriptors([descriptor]):
+                self._unread_since = self._waits_since
         self._apply()
 
     def _apply(self) -> None:
--- a/damaskbay/adapters/http1/response_encoding.py
+++ b/damaskbay/adapters/http1/response_encoding.py
@@ -37,3 +37,8 @@
         lines.append(f"Content-Length: {len(response.body)}")
     head = "\r\n".join(lines).encode("latin-1") + b"\r\n"
     return EncodedResponse(head, b"" if no_body else response.body)
+
+
+def error_response(status: http.HTTPStatus) -> EncodedResponse:
+    """Return the encoded response of a server that has nothing else to say."""
+    return encode_response(Response(int(status)), "GET")
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -22,7 +22,7 @@
 from damaskbay.adapters.http1.exchange import Exchange, ReceivedRequest
 from damaskbay.adapters.http1.reading import ReadingControl
 from damaskbay.adapters.http1.request_parser import RequestParser
-from damaskbay.adapters.http1.response_encoding import EncodedResponse, encode_response
+from damaskbay.adapters.http1.response_encoding import encode_response, error_response
 from damaskbay.adapters.http1.sockets import ready_descriptors
 from damaskbay.core.call import Headers, Request, Response
 from damaskbay.core.memory_account import Holding, WriteBufferHolding
@@ -61,7 +61,7 @@
         self._unsent_at_check = 0
         self._error_status: http.HTTPStatus | None = None
         self._received_any = False
-        self._last_active_at = monotonic_s()
+        self._last_active_at = self._arrived_at = monotonic_s()
         self._parser = RequestParser(self, server.memory, self._last_active_at)
 
     def is_idle(self, now: float) -> bool:
@@ -146,6 +146,7 @@
         """Parse received bytes, which may hold several requests."""
         self._received_any = True
         self._last_active_at = monotonic_s()
+        self._arrived_at = self._reading.arrival_of_read(self._last_active_at)
         if self._closing:
             self._extend_linger()
             return
@@ -186,7 +187,7 @@
             why = _TOO_MANY_CONNECTIONS if self._is_refused else _ENDING
             self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE, why)
             return
-        arrival = ReceivedRequest(request, self._last_active_at)
+        arrival = ReceivedRequest(request, self._arrived_at)
         exchange = Exchange(arrival, holding, keep_alive)
         self._exchanges.append(exchange)
         try:
@@ -254,7 +255,13 @@
         """Respond to a request that the server refuses at once; return if it does."""
         if self._server.refuse_early is None or self._server.draining:
             return False
-        refusal = self._server.refuse_early(exchange.arrival)
+        try:
+            refusal = self._server.refuse_early(exchange.arrival)
+        except MemoryError:
+            raise
+        except Exception:
+            _LOGGER.exception("edge: early refusal failed.")
+            return False
         if refusal is None:
             return False
         method = exchange.arrival.request.method
@@ -274,10 +281,10 @@
             if self._transport is None:
                 raise
             _LOGGER.warning("edge: request is interrupted.")
-            encoded = _error_response(http.HTTPStatus.BAD_GATEWAY)
+            encoded = error_response(http.HTTPStatus.BAD_GATEWAY)
         except Exception:
             _LOGGER.exception("edge: handler failed.")
-            encoded = _error_response(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+            encoded = error_response(http.HTTPStatus.INTERNAL_SERVER_ERROR)
         finally:
             # A cancelled task refers to its frames, and so to the body.
             exchange.task = None
@@ -439,7 +446,3 @@
             or self.unsent_bytes > MAX_UNREAD_BYTES
         )
         self._reading.set_congested(too_many)
-
-
-def _error_response(status: http.HTTPStatus) -> EncodedResponse:
-    return encode_response(Response(int(status)), "GET")
--- a/tests/adapters/http1/test_early_refusals.py
+++ b/tests/adapters/http1/test_early_refusals.py
@@ -10,6 +10,7 @@
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Response
+from damaskbay.helpers.clock import monotonic_s
 from damaskbay.ports.peer import PeerAddress
 from tests.common import function_suite
 
@@ -23,6 +24,7 @@
 
     def __init__(self) -> None:
         self.read: list[str] = []
+        self.arrived_at: list[float] = []
         self.release = asyncio.Event()
 
     def refuse(self, arrival: ReceivedRequest) -> EarlyRefusal | None:
@@ -32,6 +34,7 @@
         return EarlyRefusal(Response(503), RETRY_AFTER_S, timeout_s=60.0)
 
     async def serve(self, arrival: ReceivedRequest) -> Response:
+        self.arrived_at.append(arrival.arrived_at)
         await self.release.wait()
         return Response(200, (), arrival.request.target.encode())
 
@@ -86,7 +89,7 @@
 
 # Callers that sent again at once took the processor from the requests that were begun.
 def test_a_caller_that_returns_too_early_is_read_later() -> None:
-    """Its request waits, but is read before the time that it was told."""
+    """Its request waits, which counts for its time limit, but not to the time told."""
 
     async def run() -> None:
         service = _Service()
@@ -98,9 +101,11 @@
             caller.send("/no/2")
             assert await caller.status() == 503
             caller.send("/yes")
+            sent_at = monotonic_s()
             await asyncio.sleep(RETRY_AFTER_S / 4)
             assert service.read == ["/no/1", "/no/2"]
             assert await caller.status() == 200
+            assert service.arrived_at[0] <= sent_at
 
     asyncio.run(run())
 
