--- a/damaskbay/core/processor_guard.py
+++ b/damaskbay/core/processor_guard.py
@@ -24,6 +24,8 @@
 """The same where calls take more than SLOW_SHARE of their time limit."""
 
 SLOW_SHARE: Final = 0.25
+"""Mean part of its time limit that a call takes, from which calls count as slow."""
+
 ON_TIME_SHARE: Final = 0.8
 """Part of these values below which more calls may be in progress."""
 
@@ -100,11 +102,11 @@
     While the loop is on time, nothing is refused. If it is late, the processor is
     short: every call in progress takes longer, and without a limit most would end
     after their time limit, though the work for them was done. The limit of the calls
-    in progress then decreases until the loop is on time again. A loop that serves many
-    calls is late for a moment without harm, so it may be later as long as calls take a
-    small part of their time limit. Calls beyond it wait
-    for a small part of their time limit, by priority and fairly among workspaces.
-    Nested calls belong to calls that were begun, and are not limited.
+    in progress then decreases until the loop is on time again. Serving many calls makes
+    it late without harm, so it may be later as long as calls take a small part of their
+    time limit. Calls beyond the limit wait for a small part of theirs, by priority and
+    fairly among workspaces. Nested calls belong to calls that were begun, and are not
+    limited.
 
     Each offered ticket gets one StartDecision or RefuseDecision unless it is
     withdrawn; each started one needs a `finish`. Times are in seconds of one monotonic
