--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -15,7 +15,7 @@
 """Part of its time limit for which the next request of a refused caller may wait."""
 
 MAX_PAUSE_S: Final = 2.0
-"""Limit of that wait, seconds; a stop informs its callers for longer."""
+"""Limit of that wait, seconds; a stop ends it."""
 
 TIMEOUT_CHECK_INTERVAL_S: Final = 0.5
 """Seconds between timeout checks; the longest delay until a timeout is detected."""
--- a/damaskbay/adapters/http1/reading.py
+++ b/damaskbay/adapters/http1/reading.py
@@ -60,7 +60,7 @@
         """Read nothing for so many seconds, unless a pause has begun."""
         if self._waits:
             return
-        asyncio.get_running_loop().call_later(pause_s, self._end_wait)
+        asyncio.get_running_loop().call_later(pause_s, self.end_wait)
         self._waits = True
         self._waits_since = monotonic_s()
         self._apply()
@@ -79,7 +79,10 @@
         unread_since, self._unread_since = self._unread_since, None
         return now if unread_since is None else unread_since
 
-    def _end_wait(self) -> None:
+    def end_wait(self) -> None:
+        """Read on after a pause, now if it has not ended by itself."""
+        if not self._waits:
+            return
         self._waits = False
         if self._transport is not None and not self._transport.is_closing():
             descriptor = self._transport.get_extra_info("socket").fileno()
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -98,6 +98,7 @@
             self._timeout_task.cancel()
         self.ending = True
         self.stop_listening()
+        self.end_pauses()
         try:
             await self.read_new_connections()
             self.close_idle()
@@ -154,6 +155,11 @@
         """Return the bytes of complete responses that the kernel has not taken yet."""
         return sum(connection.unsent_bytes for connection in self.connections)
 
+    def end_pauses(self) -> None:
+        """Read on from the callers that had come back too early."""
+        for connection in self.connections:
+            connection.reading.end_wait()
+
     def stop_listening(self) -> None:
         """Stop accepting connections, except those that wait; open ones continue."""
         self._listener.close()
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -41,7 +41,7 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """Connection of one caller."""
+    """Connection of one caller; `reading` pauses and resumes what is read of it."""
 
     def __init__(self, server: ConnectionServer) -> None:
         self._server = server
@@ -52,7 +52,7 @@
         self._reopens = False
         self._ended_at: float | None = None
         self._linger_limit_at = 0.0
-        self._reading = ReadingControl()
+        self.reading = ReadingControl()
         self._owes_continue = False
         self._discards_rest = False
         self._idle_timeout_s = server.limits.idle_timeout_s
@@ -118,9 +118,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         self._transport = cast("asyncio.Transport", transport)
-        self._reading.start(self._transport)
+        self.reading.start(self._transport)
         if pause_s := self._server.accept_pause_s():
-            self._reading.wait(pause_s)
+            self.reading.wait(pause_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in flight."""
@@ -146,7 +146,7 @@
         """Parse received bytes, which may hold several requests."""
         self._received_any = True
         self._last_active_at = monotonic_s()
-        self._arrived_at = self._reading.arrival_of_read(self._last_active_at)
+        self._arrived_at = self.reading.arrival_of_read(self._last_active_at)
         if self._closing:
             self._extend_linger()
             return
@@ -155,7 +155,7 @@
         except BadRequestError as error:
             self._reject(error.status)
         if self._parser.body_parts > MAX_BODY_PARTS:
-            self._reading.let_others_read()
+            self.reading.let_others_read()
 
     def pause_writing(self) -> None:
         """Record that the write buffer is full: the caller reads too slowly."""
@@ -267,7 +267,7 @@
         method = exchange.arrival.request.method
         exchange.response = encode_response(refusal.response, method)
         exchange.holding.set(exchange.response_bytes)
-        self._reading.record_refusal(refusal, self._last_active_at)
+        self.reading.record_refusal(refusal, self._last_active_at)
         # Requests behind it may still be parsed, and come before a close.
         asyncio.get_running_loop().call_soon(self._flush)
         return True
@@ -375,7 +375,7 @@
         limits = self._server.limits
         if self._parser.in_headers:
             return now - self._parser.started_at > limits.header_timeout_s
-        if not self._parser.in_request or self._reading.is_paused or self._closing:
+        if not self._parser.in_request or self.reading.is_paused or self._closing:
             return False
         return now - self._last_active_at > limits.idle_timeout_s
 
@@ -409,7 +409,7 @@
             _LOGGER.info("edge: caller has disconnected.", extra={"why": str(error)})
             self._transport.close()
             return
-        self._reading.read_to_the_end()
+        self.reading.read_to_the_end()
 
     def _reject(self, status: http.HTTPStatus, why: str | None = None) -> None:
         """Send an error response after the responses to earlier requests, and close."""
@@ -445,4 +445,4 @@
             len(self._exchanges) >= MAX_PIPELINED_REQUESTS
             or self.unsent_bytes > MAX_UNREAD_BYTES
         )
-        self._reading.set_congested(too_many)
+        self.reading.set_congested(too_many)
--- a/damaskbay/mesh/early_refusal.py
+++ b/damaskbay/mesh/early_refusal.py
@@ -19,9 +19,6 @@
 ACCEPT_PAUSE_S: Final = 0.2
 """Seconds for which new connections wait while refusals take too much processor."""
 
-STOP_MARGIN_S: Final = 1.0
-"""Seconds before a stop interrupts calls in which new connections are read at once."""
-
 
 @dataclass(frozen=True, slots=True)
 class EarlyRefusalsParts:
@@ -55,20 +52,11 @@
         self._filter = HeaderFilter(dropped=names, read=names)
 
     def accept_pause_s(self) -> float:
-        """
-        Return for how many seconds a new connection is not read.
-
-        Callers of a stopping daemon come back at once on new connections. What they
-        send is read well before its end.
-        """
-        parts, now = self._parts, self._parts.clock()
-        plan = parts.lifetime.plan
-        if plan is None:
-            pauses = parts.guard.refuses_too_many(now)
-        else:
-            ends_at = plan.interrupts_at - STOP_MARGIN_S
-            pauses = parts.guard.is_limiting and plan.announced_at <= now < ends_at
-        return ACCEPT_PAUSE_S if pauses else 0.0
+        """Return for how many seconds a new connection is not read."""
+        parts = self._parts
+        if parts.lifetime.plan is not None:
+            return 0.0
+        return ACCEPT_PAUSE_S if parts.guard.refuses_too_many(parts.clock()) else 0.0
 
     def refuse(self, arrival: ReceivedRequest) -> EarlyRefusal | None:
         """Return the refusal of a request, or None to let the ingress decide."""
--- a/damaskbay/mesh/stopping.py
+++ b/damaskbay/mesh/stopping.py
@@ -43,6 +43,7 @@
         """Return when all calls have their responses, or at the end of the plan."""
         _LOGGER.info("daemon: graceful stop begins.")
         self.callers.draining = True
+        self.callers.end_pauses()
         await asyncio.sleep(plan.announced_at - monotonic_s())
         self.target.draining = True
         self.links.broadcast_note()
--- a/tests/adapters/http1/test_early_refusals.py
+++ b/tests/adapters/http1/test_early_refusals.py
@@ -156,6 +156,26 @@
     asyncio.run(run())
 
 
+# A stop closed connections over requests that it had not read yet.
+def test_a_caller_that_is_read_later_has_its_response_before_the_close() -> None:
+    """The close of the server ends the pause."""
+
+    async def run() -> None:
+        service = _Service()
+        async with _server(service) as server, asyncio.timeout(WAIT_S):
+            caller = await _connect(service, server)
+            for path in ("/no/1", "/no/2"):
+                caller.send(path)
+                assert await caller.status() == 503
+            caller.send("/yes")
+            await asyncio.sleep(RETRY_AFTER_S / 8)
+            assert service.read == ["/no/1", "/no/2"]
+            await server.close()
+            assert await caller.status() == 503
+
+    asyncio.run(run())
+
+
 def test_a_caller_that_waits_is_read_at_once() -> None:
     """It came back when it was told."""
 
@@ -167,7 +187,7 @@
             for path in ("/no/1", "/no/2", "/yes"):
                 caller.send(path)
                 await caller.status()
-                reading = next(iter(server.connections))._reading
+                reading = next(iter(server.connections)).reading
                 assert not reading.is_paused
                 await asyncio.sleep(1.5 * RETRY_AFTER_S)
 
