--- a/damaskbay/adapters/http1/reading.py
+++ b/damaskbay/adapters/http1/reading.py
@@ -70,10 +70,6 @@
         self._reads_to_the_end = True
         self._apply()
 
-    def _end_yield(self) -> None:
-        self._yields = False
-        self._apply()
-
     def arrival_of_read(self, now: float) -> float:
         """Return when bytes that were read now may have arrived at the earliest."""
         unread_since, self._unread_since = self._unread_since, None
@@ -90,6 +86,10 @@
                 self._unread_since = self._waits_since
         self._apply()
 
+    def _end_yield(self) -> None:
+        self._yields = False
+        self._apply()
+
     def _apply(self) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -39,10 +39,10 @@
 
     New connections are not read for `accept_pause_s` seconds. `refuse_early` may refuse
     requests without the cost of the handler. While `draining` is set, it is not asked,
-    and each connection closes after the response to the last
-    request that was read. `memory` counts what the connections hold of requests and
-    responses. Requests on connections beyond `connection_limits` are refused. Entering
-    the context waits up to `bind_wait_s` seconds for an address that can't be used.
+    and each connection closes after the response to the last request that was read.
+    `memory` counts what the connections hold of requests and responses. Requests on
+    connections beyond `connection_limits` are refused. Entering the context waits up to
+    `bind_wait_s` seconds for an address that can't be used.
     Leaving it sets `ending`, which refuses the requests that are still read, interrupts
     those that still run, and waits up to `close_timeout_s` seconds until complete
     responses are sent.
