Limit the requests to a cold server in the admission controller

Cause: a cold server got a request for each free slot at once. Change: core/admission/cold_limit.py paces starts by the warm-up rate and counts all requests written in the last second against the bound. It is off without a warm-up rate, which no configuration sets yet. Measured: 40 calls a second for 3 s to a cold server of 2.7 a second: 120 requests and 40 in a second without the limit, 7 and 3 with it (tests.core.admission. test_cold_limit, 10 passed; test_named_limit 10 and test_controller 13 passed).

--- a/damaskbay/core/admission/const.py
+++ b/damaskbay/core/admission/const.py
@@ -61,3 +61,35 @@
 LIMIT_RETURN_MAX_STEP_S = 0.5
 LIMIT_RETURN_S = 2.0
 """Time of responses without a limit after which starts are no longer limited."""
+
+COLD_WINDOW_S = 1.0
+COLD_WINDOW_MARGIN_S = 0.2
+"""Time added to the window, since requests reach the server unevenly late."""
+
+COLD_BURST_S = 0.25
+"""Starts that may follow each other at once, in seconds of the warm-up rate."""
+
+COLD_UNKNOWN_PER_S = 1.0
+"""Rate while no configuration is known that says whether there is a warm-up rate."""
+
+COLD_UNKNOWN_COUNT = 8
+"""Requests in a window while no configuration is known; below usual bounds."""
+
+COLD_MAX_COUNT = 100_000
+"""Upper end of a bound on the requests in a window; limits the memory it takes."""
+
+COLD_RETURN_S = 1.0
+COLD_RETURN_DOUBLING_S = 0.125
+"""Time in which the rate doubles after a cold phase; unlimited after COLD_RETURN_S."""
+
+COLD_LATENCY_S = 0.2
+"""Latency of calls to a cold server of which none has ended yet."""
+
+COLD_ROOT_WAIT_S = 0.1
+"""Longest expected wait of a root call for a cold server; it moves on otherwise."""
+
+COLD_NESTED_WAIT_SHARE = 0.5
+"""Part of its time left that a nested call may wait for a cold server."""
+
+COLD_MAX_WAIT_S = 15.0
+"""Longest wait that callers are told; a bound below one request takes none at all."""
--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from damaskbay.core.admission.cold_limit import NO_COLD_LIMIT, ColdLimit, ColdOptions
 from damaskbay.core.admission.const import (
     LATENCY_QUANTILE,
     LEVEL_HEADROOM,
@@ -44,7 +45,7 @@
     normal length is reached.
 
     `unheard_calls` is the number of calls that may run until the server's first
-    response, None for any number.
+    response, None for any number. `cold` is what a cold server takes.
     """
 
     slots: int
@@ -54,6 +55,7 @@
     level_headroom: float = LEVEL_HEADROOM
     limit: LimitFactory = GradientLimit
     unheard_calls: int | None = None
+    cold: ColdOptions = NO_COLD_LIMIT
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +103,7 @@
         self._last_probe_at = now - PROBE_INTERVAL_S
         self._mean_latency_s = 0.0
         self._named_limit = NamedLimit(options.unheard_calls, now)
+        self.cold_limit = ColdLimit(options.cold, now)
         self._of_server_start: set[int] = set()
         self._refusals_by_rank: dict[int, float] = {}
         self._last_refusal_at = now
@@ -146,11 +149,20 @@
         Senders would avoid a server with a low limit for good if they were not asked
         to find out from time to time whether it still holds.
         """
-        return self._slots if self._named_limit.is_stale(now) else self.capacity
+        slots = self._slots if self._named_limit.is_stale(now) else self.capacity
+        return self.cold_limit.capacity(slots, self._mean_latency_s, now)
 
-    def load(self) -> float:
-        """Return the running and waiting calls as a share of the capacity."""
-        return (self.running + self.waiting) / max(1, self.capacity)
+    def load(self, now: float) -> float:
+        """
+        Return the running and waiting calls as a share of the capacity.
+
+        A cold server is as loaded as if the start that it lacks were a call, so that
+        it attracts none before it takes one.
+        """
+        cold = self.cold_limit
+        calls = self.running + self.waiting + cold.missing_tokens(now)
+        capacity = cold.capacity(self.capacity, self._mean_latency_s, now)
+        return calls / max(1, capacity)
 
     def starts_per_s(self, now: float) -> float:
         """Return the recent starts per second."""
@@ -232,13 +244,16 @@
             return 0.0
         ahead = 1 + self._queue.count_up_to(rank)
         slot_wait_s = ahead * self._mean_latency_s / max(1, self.limit)
-        return max(slot_wait_s, self._named_limit.wait_s(ahead, now))
+        return max(
+            slot_wait_s,
+            self._named_limit.wait_s(ahead, now),
+            self.cold_limit.wait_s(ahead, now),
+        )
 
     def refuse_long_wait(self, context: CallContext, now: float) -> Refusal:
         """Return the refusal of a call that was not offered as it would wait long."""
         rank = context.priority_rank
-        wait_s = self.expected_wait_s(rank, now)
-        retry_after_s = wait_s
+        wait_s = retry_after_s = self.expected_wait_s(rank, now)
         if self._named_limit.rate_per_s is not None:
             self._level.record_arrival(rank)
             self._level.record_refusal()
@@ -257,6 +272,7 @@
     def record_extra_start(self, now: float) -> None:
         """Count a started call that is sent to the server once more."""
         self._named_limit.record_start(now)
+        self.cold_limit.record_start(now)
 
     def server_restarted(self, now: float) -> None:
         """
@@ -269,8 +285,8 @@
         self._named_limit.reset(now)
 
     def next_start_s(self, now: float) -> float:
-        """Return the seconds until the named limit allows the next start."""
-        return self._named_limit.wait_s(1, now)
+        """Return the seconds until the server's limits allow the next start."""
+        return max(self._named_limit.wait_s(1, now), self.cold_limit.wait_s(1, now))
 
     def level(self, now: float) -> int:
         """Return the current admission level, which each response carries."""
@@ -309,6 +325,7 @@
             self.active < self.limit
             and self.running < self._slots
             and self._named_limit.allows_start(len(self._of_server_start), now)
+            and self.cold_limit.allows_start(now)
         )
 
     def _decide_next_queued(self, now: float) -> Decision:
@@ -329,6 +346,7 @@
         self._running[item.ticket] = item.context
         self._of_server_start.add(item.ticket)
         self._named_limit.record_start(now)
+        self.cold_limit.record_start(now)
         self._level.record_start()
         return StartDecision(item.ticket)
 
@@ -338,8 +356,17 @@
         return None
 
     def _overloaded_refusal(self, entry: QueueEntry, now: float) -> Refusal | None:
-        """Return a refusal after a long wait unless a less important call is queued."""
-        if now < entry.wait_until or entry.rank < self._queue.least_important_rank():
+        """
+        Return a refusal after a long wait unless a less important call is queued.
+
+        For a cold server no call waits long, as senders can try another one.
+        """
+        context = entry.item.context
+        if not self.cold_limit.waits_too_long(
+            context, now - entry.arrived_at, now
+        ) and (
+            now < entry.wait_until or entry.rank < self._queue.least_important_rank()
+        ):
             return None
         return self._capacity_refusal(Reason.OVERLOADED, entry.rank)
 
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -13,9 +13,11 @@
     PendingCall,
     RefuseDecision,
 )
+from damaskbay.core.admission.cold_limit import ColdLimit
 from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Refusal
 from damaskbay.helpers.arrivals import read_arrived
+from damaskbay.helpers.clock import monotonic_s
 
 NESTED_QUEUE_PER_SLOT = 10.0
 """Nested calls that may wait per slot: a fraction of a second of work."""
@@ -64,13 +66,18 @@
         """Return the starts per second that the server takes, None if unlimited."""
         return self._controller.named_limit_per_s
 
+    @property
+    def cold_limit(self) -> ColdLimit:
+        """Return the limit while the server is cold; `apply_cold` follows a change."""
+        return self._controller.cold_limit
+
     def announced_slots(self, now: float) -> int:
-        """Return the slots to announce to senders, fewer under a named limit."""
+        """Return the slots to announce to senders, fewer under a limit."""
         return self._controller.announced_slots(now)
 
     def load(self) -> float:
         """Return the running and waiting calls as a share of the capacity."""
-        return self._controller.load()
+        return self._controller.load(monotonic_s())
 
     def starts_per_s(self, now: float) -> float:
         """Return the recent starts per second."""
@@ -84,10 +91,8 @@
         self, context: CallContext, weight: float, now: float
     ) -> int | Refusal:
         """Wait for a slot; return its ticket, or a refusal."""
-        if context.depth == 0 and context.objective_s is not None:
-            wait_s = self._controller.expected_wait_s(context.priority_rank, now)
-            if wait_s > MAX_WAIT_SHARE * context.objective_s:
-                return self._controller.refuse_long_wait(context, now)
+        if self._waits_too_long(context, now):
+            return self._controller.refuse_long_wait(context, now)
         self._last_ticket += 1
         ticket = self._last_ticket
         item = PendingCall(ticket, context, weight, context.depth)
@@ -112,6 +117,25 @@
             raise
         return ticket if refusal is None else refusal
 
+    def _waits_too_long(self, context: CallContext, now: float) -> bool:
+        """Return whether a call is refused at once, as it would wait for long."""
+        limited = self.cold_limit.rate_per_s(now) is not None
+        is_root = context.depth == 0
+        if not limited and not (is_root and context.objective_s is not None):
+            return False
+        wait_s = self._controller.expected_wait_s(context.priority_rank, now)
+        if is_root and limited and wait_s > 0.0 and self.waiting:
+            # Calls that wait for a cold server are mostly nested ones, and go first.
+            return True
+        if self.cold_limit.waits_too_long(context, wait_s, now):
+            return True
+        objective_s = context.objective_s if is_root else None
+        return objective_s is not None and wait_s > MAX_WAIT_SHARE * objective_s
+
+    def apply_cold(self, now: float) -> None:
+        """Start the calls that may start since the cold limit has changed."""
+        self._apply_decisions(self._controller.expire(now))
+
     def release(self, ticket: int, sample: CallSample, now: float) -> None:
         """Release the slot of a ticket."""
         self._apply_decisions(self._controller.finish(ticket, sample, now))
