Limit requests to the local server while it is cold

Cause: the daemon knew from heartbeats that a server is cold, but only lowered its weight, so that the server got a request for each free slot. Change: the warm-up rate comes from the service's entry, the bound from the settings. mesh/cold_server.py follows reports, the health check and failed requests, and starts and ends the limit. The daemon writes no request, repeat or health check above the bound. Slots that peers see shrink and return in steps; root calls that would wait are refused, so that senders try other servers. A daemon that starts, or whose server refuses connections or loses several at once, assumes a cold server until it hears otherwise. Numbers in the settings may no longer be NaN.

--- a/damaskbay/config/objects.py
+++ b/damaskbay/config/objects.py
@@ -94,9 +94,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthCheckedPool(Pool):
-    """A pool whose servers have a health check at `health_path`, empty for none."""
+    """
+    A pool whose servers have a health check at `health_path`, empty for none.
+
+    A cold server of it takes `warmup_per_s` requests per second, 0 for no limit.
+    """
 
     health_path: str = ""
+    warmup_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -260,6 +260,7 @@
             self._count_refusal(rank, now)
             retry_after_s = max(wait_s, self._retry_after_s(rank))
         detail = f"expected wait {wait_s:.3f} s"
+        detail += ", server is cold" if self.cold_limit.is_cold(now) else ""
         return not_run(Reason.QUEUE_FULL, retry_after_s=retry_after_s, detail=detail)
 
     def record_response(
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -38,6 +38,7 @@
     make_status_servers,
     make_target,
 )
+from damaskbay.mesh.cold_server import ColdServer
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import EXPIRY_INTERVAL_S, LOAD_AVERAGE_S
 from damaskbay.mesh.control_plane import NOT_HANDLED, ControlPlane, ControlPlaneParts
@@ -49,6 +50,7 @@
 from damaskbay.mesh.neighbours import wanted_neighbours
 from damaskbay.mesh.observing import StatusEndpoints, StatusParts
 from damaskbay.mesh.processor_gate import ProcessorGate
+from damaskbay.mesh.records import note_of
 from damaskbay.mesh.registry import DRAIN_WRITE_TIMEOUT_S
 from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.server_check import ServerCheck
@@ -56,6 +58,7 @@
     MeshSettings,
     SettingsHistory,
     fields_that_need_a_restart,
+    with_applied_fields,
 )
 from damaskbay.mesh.stopping import GracefulStop, finish_messages
 from damaskbay.ports.fleet import ServerState
@@ -125,13 +128,18 @@
         self._server_check = ServerCheck(
             settings, platform_parts.dialect, self.configuration, self.local, self._gate
         )
+        self._cold_server = ColdServer(
+            settings, self._server_check, self._links.broadcast_note, monotonic_s
+        )
         self._repeats = make_retry_budget(settings)
         self._telemetry = BoundTelemetry()
+        self._cold_server.register_gauges(self._telemetry)
         self._fatal_calls = FatalCalls()
         shared_parts = SharedParts(
             self.configuration,
             self.local,
             self._gate,
+            self._cold_server,
             self._processor,
             self._links,
             self._directory,
@@ -183,6 +191,7 @@
             (self._links, self._control, self._readiness, self._callers), self._metrics
         )
         self.configuration.subscribe(self._config_changed)
+        self.configuration.subscribe(self._cold_server.config_changed)
 
     @property
     def ready(self) -> bool:
@@ -221,6 +230,7 @@
             self._remove_expired_members,
             self._expire_waiting_calls,
             self._status.loop_monitor.run,
+            self._cold_server.run,
             self._reserve.run,
         ):
             self._tasks.append(loop.create_task(keep_running(run)))
@@ -250,15 +260,8 @@
         self._shares.options = options
         self._token_pool.options = options
         self._ingress.set_proof_valid(settings.revoke_s)
-        self.settings = replace(
-            self.settings,
-            drain_s=settings.drain_s,
-            grace_s=settings.grace_s,
-            revoke_s=settings.revoke_s,
-            quota_overage=settings.quota_overage,
-            quota_slack=settings.quota_slack,
-            digest=settings.digest,
-        )
+        self._cold_server.set_bounds(settings.cold_overage, settings.cold_slack)
+        self.settings = with_applied_fields(self.settings, settings)
         self.settings_history.record_applied(settings.digest)
 
     def stop(self, asked_at: float | None = None) -> None:
@@ -338,18 +341,7 @@
         record = self._make_record()
         slots = min(record.slots, self._gate.announced_slots(monotonic_s()))
         self._directory.set_local_slots(slots)
-        return Note(
-            record.instance,
-            record.incarnation,
-            record.failure_domain,
-            record.address.host,
-            record.address.port,
-            record.pool,
-            record.state,
-            slots,
-            0.0,
-            self.configuration.version,
-        )
+        return note_of(record, slots, self.configuration.version)
 
     def _make_status(self) -> PeerStatus:
         now, members = monotonic_s(), self._control_plane.members
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -19,6 +19,7 @@
 from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import raise_descriptor_limit
+from damaskbay.mesh.cold_server import ColdServer
 from damaskbay.mesh.config_watch import DecodeConfig
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import RETRY_RATIO_SHARE, RETRY_SLACK_SHARE
@@ -64,6 +65,7 @@
     configuration: Configuration
     local: LocalServer
     gate: Gate
+    cold_server: ColdServer
     processor: ProcessorGate
     links: PeerLinks
     directory: Directory
@@ -109,6 +111,7 @@
             fatal_calls=shared_parts.fatal_calls,
             server_ends=server_ends,
             on_capacity_change=on_capacity_change,
+            on_failure=shared_parts.cold_server.record_failure,
             clock=monotonic_s,
         )
     )
--- a/damaskbay/mesh/dialect.py
+++ b/damaskbay/mesh/dialect.py
@@ -11,6 +11,7 @@
     A server sets `not_run` on the response to a call that it did not run; the
     statuses in `not_run_statuses` mean the same without this header. It names in
     `limit` the requests per second that it takes, and sets `leaving` while it drains.
+    `cold_ms` in a response of its health check says how long it stays cold.
     """
 
     request_id: str
@@ -25,6 +26,7 @@
     retry_after: str
     limit: str
     leaving: str
+    cold_ms: str
     not_run_statuses: frozenset[int]
 
     @property
--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -31,7 +31,12 @@
 
 
 class LocalServer:
-    """Tracks the state of the local backend server from its start to its drain."""
+    """
+    Tracks the state of the local backend server from its start to its drain.
+
+    `on_report` is called with each report that is newer than the last one, whether it
+    is the first of a start of the server, and the time.
+    """
 
     def __init__(self, drain_s: float, on_change: Callable[[], None]) -> None:
         self.server = ""
@@ -45,6 +50,7 @@
         self._restored_draining: tuple[str, int] | None = None
         self._left_unknown = ""
         self._on_change = on_change
+        self.on_report: Callable[[Heartbeat, bool, float], None] | None = None
 
     @property
     def born_ms(self) -> int:
@@ -68,6 +74,8 @@
             return False
         restarted = heartbeat.started_ms != self._born_ms
         self._born_ms, self._sequence = order
+        if self.on_report is not None:
+            self.on_report(heartbeat, restarted, now)
         if not restarted and self.state in (ServerState.DRAINING, ServerState.GONE):
             return True
         changed = restarted or (heartbeat.server, heartbeat.slots, heartbeat.state) != (
--- a/damaskbay/mesh/records.py
+++ b/damaskbay/mesh/records.py
@@ -5,6 +5,7 @@
 import msgpack
 
 from damaskbay.mesh.directory import MemberRecord
+from damaskbay.mesh.messages import Note
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress
 
@@ -63,3 +64,19 @@
         )
     except (ValueError, TypeError, msgpack.exceptions.UnpackException):
         return None
+
+
+def note_of(record: MemberRecord, slots: int, config_version: int) -> Note:
+    """Return the note with a daemon's record, the slots that it announces."""
+    return Note(
+        record.instance,
+        record.incarnation,
+        record.failure_domain,
+        record.address.host,
+        record.address.port,
+        record.pool,
+        record.state,
+        slots,
+        0.0,
+        config_version,
+    )
--- a/damaskbay/mesh/server_calls.py
+++ b/damaskbay/mesh/server_calls.py
@@ -38,7 +38,8 @@
     """
     Dependencies of ServerCalls.
 
-    `on_capacity_change` is called when the server names another limit.
+    `on_capacity_change` is called when the server names another limit, `on_failure`
+    when a request gets no response.
     """
 
     local: LocalServer
@@ -49,6 +50,7 @@
     fatal_calls: FatalCalls
     server_ends: ServerEnds
     on_capacity_change: Callable[[], None]
+    on_failure: Callable[[HttpProblem], None]
     clock: Callable[[], float]
 
 
@@ -82,6 +84,12 @@
             return not_run(
                 Reason.BACKEND_SERVER_DRAINING, retry_after_s=NOT_READY_RETRY_S
             )
+        if not self._parts.gate.cold_limit.allows_write(now):
+            return not_run(
+                Reason.OVERLOADED,
+                retry_after_s=NOT_READY_RETRY_S,
+                detail="server is cold",
+            )
         return None
 
     async def send(
@@ -199,17 +207,21 @@
                 (parts.dialect.expected_server, parts.local.server),
             )
             on_send()
+            parts.gate.cold_limit.record_write(now)
             return Request(
                 request.method, request.host, request.target, headers, request.body
             )
 
         left_s = context.deadline - parts.clock()
-        return await parts.client.send(
+        outcome = await parts.client.send(
             forward,
             echo=context.request_id,
             fresh=not reuse_connection,
             timeout_s=max(0.0, left_s) + SERVER_REPLY_GRACE_S,
         )
+        if isinstance(outcome, HttpFailure):
+            parts.on_failure(outcome.problem)
+        return outcome
 
     def _handle_failure(self, context: CallContext, failure: HttpFailure) -> Refusal:
         detail = f"{failure.problem.value}: {failure.detail}"
--- a/damaskbay/mesh/server_check.py
+++ b/damaskbay/mesh/server_check.py
@@ -1,7 +1,9 @@
-"""Check of the local backend server before a stored state of it is trusted."""
+"""Check of the local backend server, when a stored state or its start is in doubt."""
 
 import asyncio
 import logging
+import math
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 
@@ -18,7 +20,7 @@
 from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
-from damaskbay.mesh.server_notices import LEAVING
+from damaskbay.mesh.server_notices import LEAVING, MAX_LOGGED_VALUE
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.ports.fleet import ServerState
 
@@ -39,15 +41,23 @@
     What a server says of itself.
 
     `state` is STARTING if only a report of the server can tell. `limit_per_s` is the
-    limit that it names, in requests per second, None if it names none.
+    limit that it names, in requests per second, None if it names none. `cold_s` is how
+    long it stays cold, None if it doesn't say; it may be `another` than the known one.
     """
 
     state: ServerState
     limit_per_s: float | None = None
+    cold_s: float | None = None
+    another: bool = False
 
 
 class ServerCheck:
-    """Asks the local server by its health check who it is and whether it leaves."""
+    """
+    Asks the local server by its health check who it is and whether it leaves.
+
+    `on_cold` is called with the seconds for which the server stays cold and the time
+    of the request. A check counts as a request to a cold server.
+    """
 
     def __init__(
         self,
@@ -62,9 +72,11 @@
         self._server_header = dialect.server.lower()
         self._leaving_header = dialect.leaving.lower()
         self._limit_header = dialect.limit.lower()
+        self._cold_header = dialect.cold_ms.lower()
         self._configuration = configuration
-        self._local = local
-        self._gate = gate
+        self.local = local
+        self.gate = gate
+        self.on_cold: Callable[[float, float], None] = lambda cold_s, as_of: None
 
     async def restore_ready(self, known: Heartbeat) -> None:
         """
@@ -75,10 +87,10 @@
         checked = await self.check(known.server)
         now = monotonic_s()
         if checked.state is not ServerState.STARTING:
-            self._local.restore(replace(known, state=checked.state), now)
-        same_start = self._local.start == (known.server, known.started_ms)
+            self.local.restore(replace(known, state=checked.state), now)
+        same_start = self.local.start == (known.server, known.started_ms)
         if checked.limit_per_s is not None and same_start:
-            self._gate.record_response(checked.limit_per_s, now)
+            self.gate.record_response(checked.limit_per_s, now)
 
     async def check(self, server: str) -> CheckedServer:
         """
@@ -89,14 +101,7 @@
         path = await self._health_path()
         if not path:
             return CheckedServer(ServerState.READY)
-        client = HttpClient(self._address, HttpClientOptions())
-        try:
-            outcome = await client.send(
-                Request("GET", str(self._address), path), timeout_s=CHECK_TIMEOUT_S
-            )
-        finally:
-            client.close()
-        checked, why = self._read(outcome, server)
+        checked, why = await self._ask(path, server)
         if checked.state is not ServerState.READY:
             _LOGGER.info(
                 "backend: stored state is not confirmed.",
@@ -104,6 +109,43 @@
             )
         return checked
 
+    async def ask_cold(self) -> bool:
+        """Ask whether the server is cold; return False if it is to be asked again."""
+        path = await self._health_path()
+        if not path:
+            return True
+        checked, why = await self._ask(path, self.local.server)
+        if checked.cold_s is None:
+            _LOGGER.info(
+                "backend: health check doesn't tell whether the server is cold.",
+                extra={"server": self.local.server, "why": why},
+            )
+        return checked.state is not ServerState.STARTING or checked.cold_s is not None
+
+    async def _ask(self, path: str, server: str) -> tuple[CheckedServer, str]:
+        """Ask once; return what the server says, and the reason if not READY."""
+        asked_at = monotonic_s()
+
+        def request() -> Request | None:
+            nonlocal asked_at
+            asked_at = monotonic_s()
+            if not self.gate.cold_limit.allows_write(asked_at):
+                return None
+            self.gate.cold_limit.record_write(asked_at)
+            return Request("GET", str(self._address), path)
+
+        client = HttpClient(self._address, HttpClientOptions())
+        try:
+            outcome = await client.send(request, timeout_s=CHECK_TIMEOUT_S)
+        finally:
+            client.close()
+        checked, why = self._read(outcome, server)
+        # Another server at the address may be cold; that it isn't says nothing of the
+        # known one.
+        if checked.cold_s is not None and (checked.cold_s or not checked.another):
+            self.on_cold(checked.cold_s, asked_at)
+        return checked, why
+
     async def _health_path(self) -> str:
         wait_until = monotonic_s() + CONFIG_WAIT_S
         while self._configuration.config is None and monotonic_s() < wait_until:
@@ -119,13 +161,30 @@
         if isinstance(outcome, HttpFailure):
             return CheckedServer(ServerState.STARTING), outcome.problem.value
         headers = {name.lower(): value for name, value in outcome.headers}
+        cold_s = self._read_cold_s(headers.get(self._cold_header))
         if headers.get(self._server_header) != server:
             why = "another server or none named"
-            return CheckedServer(ServerState.STARTING), why
-        limit_per_s = parse_limit(headers.get(self._limit_header, ""))
+            return CheckedServer(ServerState.STARTING, None, cold_s, True), why
+        state, why = ServerState.READY, ""
         if headers.get(self._leaving_header) == LEAVING:
-            return CheckedServer(ServerState.DRAINING, limit_per_s), "server leaves"
-        if outcome.status != HTTPStatus.OK:
-            why = f"status {outcome.status}"
-            return CheckedServer(ServerState.STARTING, limit_per_s), why
-        return CheckedServer(ServerState.READY, limit_per_s), ""
+            state, why = ServerState.DRAINING, "server leaves"
+        elif outcome.status != HTTPStatus.OK:
+            state, why = ServerState.STARTING, f"status {outcome.status}"
+        limit_per_s = parse_limit(headers.get(self._limit_header, ""))
+        return CheckedServer(state, limit_per_s, cold_s), why
+
+    def _read_cold_s(self, text: str | None) -> float | None:
+        """Return the seconds in a header, None without a valid one."""
+        if text is None:
+            return None
+        try:
+            cold_s = float(text) / 1000.0
+        except ValueError:
+            cold_s = math.nan
+        if 0.0 <= cold_s < math.inf:
+            return cold_s
+        _LOGGER.warning(
+            "backend: header of the health check is not a time in milliseconds.",
+            extra={"header": self._cold_header, "value": text[:MAX_LOGGED_VALUE]},
+        )
+        return None
--- a/damaskbay/mesh/settings.py
+++ b/damaskbay/mesh/settings.py
@@ -1,6 +1,6 @@
 """Settings of the event-driven daemon, as given by its platform."""
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 
 from damaskbay.ports.peer import PeerAddress
 
@@ -10,8 +10,21 @@
 DEFAULT_MAX_DESCRIPTORS = 4096
 """Descriptors of the process if the platform does not limit them."""
 
+DEFAULT_COLD_OVERAGE = 1.0
+DEFAULT_COLD_SLACK = 1.0
+"""Without a bound of the platform, one request above the warm-up rate in a second."""
+
 APPLIED_WHILE_RUNNING = frozenset(
-    {"drain_s", "grace_s", "revoke_s", "quota_overage", "quota_slack", "digest"}
+    {
+        "drain_s",
+        "grace_s",
+        "revoke_s",
+        "quota_overage",
+        "quota_slack",
+        "cold_overage",
+        "cold_slack",
+        "digest",
+    }
 )
 
 
@@ -25,8 +38,9 @@
     The local server at `server` belongs to `pool`. The fleet may send a pool at
     most `retry_ratio` times its calls, plus `retry_slack`, as retries. A workspace
     may exceed its rate and burst by the part `quota_overage` and `quota_slack`
-    requests. The process may use `memory_bytes` and open `max_descriptors`. `digest`
-    identifies the settings file.
+    requests. A cold server may get its warm-up rate times `cold_overage`, plus
+    `cold_slack`, requests in a second. The process may use `memory_bytes` and open
+    `max_descriptors`. `digest` identifies the settings file.
     """
 
     instance: str
@@ -50,6 +64,8 @@
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
     advertised: PeerAddress | None = None
     digest: str = ""
+    cold_overage: float = DEFAULT_COLD_OVERAGE
+    cold_slack: float = DEFAULT_COLD_SLACK
 
 
 def fields_that_need_a_restart(active: MeshSettings, new: MeshSettings) -> list[str]:
@@ -62,6 +78,13 @@
     ]
 
 
+def with_applied_fields(active: MeshSettings, new: MeshSettings) -> MeshSettings:
+    """Return the active settings with the fields that a running daemon applies."""
+    return replace(
+        active, **{name: getattr(new, name) for name in APPLIED_WHILE_RUNNING}
+    )
+
+
 @dataclass(slots=True)
 class SettingsHistory:
     """The digest of the settings file in use, and how many files were read."""
--- a/damaskbay/platform/const.py
+++ b/damaskbay/platform/const.py
@@ -22,6 +22,7 @@
     retry_after="Retry-After",
     limit="Server-Limit",
     leaving="Server-Leaving",
+    cold_ms="X-Cold-Ms",
     not_run_statuses=frozenset({421}),
 )
 
--- a/damaskbay/platform/fields.py
+++ b/damaskbay/platform/fields.py
@@ -33,7 +33,9 @@
 def read_number(table: Table, name: str, default: float | None = None) -> float:
     """Return a number of at least 0."""
     value = table.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    # A NaN compares as false to everything.
+    if not (is_number and value >= 0):
         raise FieldError(f"{name}: expected a number of at least 0")
     return float(value)
 
--- a/damaskbay/platform/manifest.py
+++ b/damaskbay/platform/manifest.py
@@ -116,6 +116,7 @@
         slots_per_server=1,
         connections_per_server=read_integer(spec, "MaxConnections", 0),
         health_path=read_string(spec, "HealthCheckPath", ""),
+        warmup_per_s=read_number(spec, "WarmupPerS", UNLIMITED),
     )
 
 
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 
 from damaskbay.mesh.settings import (
+    DEFAULT_COLD_OVERAGE,
+    DEFAULT_COLD_SLACK,
     DEFAULT_MAX_DESCRIPTORS,
     DEFAULT_MEMORY_BYTES,
     MeshSettings,
@@ -80,6 +82,8 @@
         retry_slack=read_number(bounds, "RetryBudgetSlack", 0.0),
         quota_overage=read_number(bounds, "QuotaOverage", 0.0),
         quota_slack=read_number(bounds, "QuotaSlack", 0.0),
+        cold_overage=read_number(bounds, "ColdOverage", DEFAULT_COLD_OVERAGE),
+        cold_slack=read_number(bounds, "ColdSlack", DEFAULT_COLD_SLACK),
         memory_bytes=MEGABYTE * _read_limit(document, "MemoryMb", DEFAULT_MEMORY_MB),
         max_descriptors=_read_limit(document, "MaxFds", DEFAULT_MAX_DESCRIPTORS),
         advertised=(
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -12,6 +12,7 @@
 from damaskbay.adapters.http1.server import Handler, HttpServer, ReceivedRequest
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.call import Headers, Request, Response
+from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.worker import WorkerThread
 from damaskbay.mesh.app import MeshDaemon
 from damaskbay.mesh.settings import MeshSettings
@@ -34,7 +35,8 @@
     """
     A backend server; `override_response` may override its responses.
 
-    Its health check says whether it is `leaving`, and names its `limit`.
+    Its health check says whether it is `leaving` and how long it stays cold, `cold_ms`,
+    and names its `limit`. `arrivals` are the times of all requests, in seconds.
     """
 
     pool: str
@@ -42,12 +44,15 @@
     address: PeerAddress
     leaving: bool = False
     limit: str | None = None
+    cold_ms: str | None = None
+    arrivals: list[float] = field(default_factory=list)
     seen: list[Request] = field(default_factory=list)
     override_response: Callable[[Request], Awaitable[Response | None]] | None = None
 
     async def serve(self, arrival: ReceivedRequest) -> Response:
         """Return the usual response, or the one that `override_response` returns."""
         request = arrival.request
+        self.arrivals.append(monotonic_s())
         if request.target == HEALTH_PATH:
             return self._health()
         self.seen.append(request)
@@ -66,6 +71,8 @@
         headers: Headers = (("X-Instance-Id", self.server),)
         if self.limit is not None:
             headers = (*headers, ("Server-Limit", self.limit))
+        if self.cold_ms is not None:
+            headers = (*headers, ("X-Cold-Ms", self.cold_ms))
         if self.leaving:
             return Response(503, (*headers, ("Server-Leaving", "1")))
         return Response(200, headers)
@@ -84,7 +91,9 @@
     run_task: "asyncio.Task[None]"
     sequence: int = 0
 
-    async def send_heartbeat(self, state: str = "ready", slots: int = 8) -> int:
+    async def send_heartbeat(
+        self, state: str = "ready", slots: int = 8, *, cold_ms: int = 0
+    ) -> int:
         """Send a heartbeat as the server does; return the response status."""
         self.sequence += 1
         report = {
@@ -93,7 +102,7 @@
             "State": state,
             "Slots": slots,
             "Seq": self.sequence,
-            "ColdRemaining": "0ms",
+            "ColdRemaining": f"{cold_ms}ms",
             "born": 1_000,
         }
         path = f"/Instances.Heartbeat/{self.backend.server}"
@@ -148,6 +157,7 @@
         self.kv = KvStandIn()
         self.nodes: dict[str, Node] = {}
         self.version = 0
+        self.service: dict[str, Any] = {}
         self._stack = stack
         self._worker = stack.enter_context(WorkerThread("config"))
         self._store_address = PeerAddress(HOST, 0)
@@ -163,7 +173,8 @@
     ) -> None:
         """Store the next version of the manifest."""
         self.version += 1
-        document = json.dumps(manifest(self.version, keys, rate, route)).encode()
+        contents = manifest(self.version, keys, rate, route, self.service)
+        document = json.dumps(contents).encode()
         await self.kv.put(CONFIG_KEY, document)
 
     async def add(self, name: str, pool: str, **changes: Any) -> Node:
@@ -238,12 +249,16 @@
 
 
 def manifest(
-    version: int, keys: tuple[str, ...], rate: int, changes: dict[str, Any]
+    version: int,
+    keys: tuple[str, ...],
+    rate: int,
+    changes: dict[str, Any],
+    service_changes: dict[str, Any] | None = None,
 ) -> dict[str, Any]:
     """
     Return a manifest; /safe/ and /unsafe/ go to pool one, /open/ to pool two.
 
-    `changes` are fields of the routes to pool one.
+    `changes` are fields of the routes to pool one, `service_changes` of both pools.
     """
     spec: dict[str, Any] = {
         "Host": "a.example",
@@ -266,6 +281,7 @@
     tenant = {"ApiKeys": list(keys), "Priority": 1, "RatePerS": rate, "Burst": rate}
     entries = [("Routes", f"r{number}", route) for number, route in enumerate(routes)]
     service = {"MaxConnections": 50, "HealthCheckPath": HEALTH_PATH}
+    service |= service_changes or {}
     entries += [("Services", name, service) for name in ("one", "two")]
     entries += [("Tenants", "t", tenant)]
     resources = [
--- /dev/null
+++ b/tests/mesh/test_cold_server.py
@@ -0,0 +1,163 @@
+"""Requests to a server that is cold, over all daemons."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from damaskbay.adapters.http1.server import HttpServer
+from damaskbay.config.objects import CallerLimits
+from damaskbay.core.call import Response
+from damaskbay.helpers.clock import monotonic_s
+from damaskbay.ports.fleet import ServerState
+from tests.common import function_suite, reserve_address
+from tests.mesh.common import Backend, Fleet, Node, run_fleet, wait_until
+
+WARMUP_PER_S = 2.7
+OVERAGE = 1.5
+SLACK = 8.0
+BOUND = 12
+"""Requests that a cold server may get in a second: WARMUP_PER_S * OVERAGE + SLACK."""
+
+COLD_MS = 2000
+
+
+def _run(check: Callable[[Fleet], Awaitable[None]], **nodes: str) -> None:
+    """Check a fleet whose pools have a warm-up rate."""
+
+    async def run() -> None:
+        async with run_fleet() as fleet:
+            fleet.service = {"ColdStart": "2s", "WarmupPerS": WARMUP_PER_S}
+            await fleet.publish()
+            for name, pool in nodes.items():
+                await fleet.add(name, pool, cold_overage=OVERAGE, cold_slack=SLACK)
+            await fleet.wait_until_connected()
+            await check(fleet)
+
+    asyncio.run(run())
+
+
+async def _press(nodes: list[Node], *, per_s: float, for_s: float) -> list[Response]:
+    """Send requests at a steady rate from all nodes in turn; return the responses."""
+    tasks = []
+    began = monotonic_s()
+    for number in range(int(per_s * for_s)):
+        await asyncio.sleep(max(0.0, began + number / per_s - monotonic_s()))
+        node = nodes[number % len(nodes)]
+        tasks.append(asyncio.create_task(node.request("/safe/")))
+    return list(await asyncio.gather(*tasks))
+
+
+def _most_in_a_second(times: list[float]) -> int:
+    return max(
+        (sum(1 for at in times if first <= at < first + 1.0) for first in times),
+        default=0,
+    )
+
+
+# A cold server got as many requests as it has slots for, and crashed.
+def test_a_server_that_reports_a_cold_phase_gets_its_warm_up_rate() -> None:
+    """Other servers take the rest, and the slots return after the phase."""
+
+    async def check(fleet: Fleet) -> None:
+        cold, nodes = fleet.nodes["a"], list(fleet.nodes.values())
+        await cold.send_heartbeat(cold_ms=COLD_MS)
+        began = monotonic_s()
+        answers = await _press(nodes, per_s=40.0, for_s=COLD_MS / 1000.0)
+        assert [item.status for item in answers] == [200] * len(answers)
+        times = [at - began for at in cold.backend.arrivals]
+        assert _most_in_a_second(times) <= BOUND
+        assert sum(1 for at in times if 0.0 <= at < 2.0) <= 2 * WARMUP_PER_S + 1
+        await wait_until(lambda: cold.daemon._gate.announced_slots(monotonic_s()) == 8)
+        answers = await _press([cold], per_s=40.0, for_s=0.5)
+        assert [item.status for item in answers] == [200] * len(answers)
+
+    _run(check, a="one", b="one", c="two")
+
+
+# Callers of a pool of cold servers waited in its queues until their deadlines.
+def test_callers_of_cold_servers_are_told_when_to_retry() -> None:
+    """They get 503 soon, and the server its warm-up rate."""
+
+    async def check(fleet: Fleet) -> None:
+        cold = fleet.nodes["a"]
+        await cold.send_heartbeat(cold_ms=COLD_MS)
+        began = monotonic_s()
+        answers = await _press([cold], per_s=40.0, for_s=1.0)
+        assert monotonic_s() - began < 1.5
+        assert {item.status for item in answers} == {200, 503}
+        refused = [dict(item.headers) for item in answers if item.status == 503]
+        assert all(float(headers["Retry-After"]) > 0.0 for headers in refused)
+        assert _most_in_a_second(cold.backend.arrivals) <= BOUND
+
+    _run(check, a="one")
+
+
+def test_a_daemon_that_starts_beside_a_cold_server_keeps_to_the_limit() -> None:
+    """The health check tells it, and counts as a request itself."""
+
+    async def check(fleet: Fleet) -> None:
+        old = fleet.nodes["a"]
+        await old.send_heartbeat(cold_ms=COLD_MS)
+        old.run_task.cancel()
+        await asyncio.wait([old.run_task])
+        old.backend.cold_ms = str(COLD_MS)
+        listeners = ("callers", "control", "readiness", "peers", "metrics")
+        addresses = {name: getattr(old.daemon.settings, name) for name in listeners}
+        new = await fleet.add_daemon(
+            "a", old.backend, **addresses, cold_overage=OVERAGE, cold_slack=SLACK
+        )
+        await wait_until(lambda: new.daemon.local.state is ServerState.READY)
+        assert not new.daemon._gate.cold_limit.is_assumed
+        await _press([new], per_s=60.0, for_s=1.0)
+        assert 1 < _most_in_a_second(old.backend.arrivals) <= BOUND
+
+    _run(check, a="one")
+
+
+# After a crash the server was sent a request for each slot until its first report.
+def test_a_server_that_refused_connections_is_taken_for_cold() -> None:
+    """Until it says otherwise in its health check, which is asked then."""
+
+    async def check(fleet: Fleet) -> None:
+        backend = Backend("one", "i-a", reserve_address())
+        limits = CallerLimits()
+        async with HttpServer(backend.address, backend.serve, limits):
+            node = await fleet.add_daemon(
+                "a", backend, cold_overage=OVERAGE, cold_slack=SLACK
+            )
+            assert await node.send_heartbeat() == 200
+            assert (await node.request("/safe/")).status == 200
+        limit = node.daemon._gate.cold_limit
+        assert (await node.request("/safe/")).status in (502, 503)
+        assert limit.is_assumed
+        backend.cold_ms = "1500"
+        backend.arrivals.clear()
+        async with HttpServer(backend.address, backend.serve, limits):
+            await wait_until(lambda: not limit.is_assumed)
+            assert limit.is_cold(monotonic_s())
+            await _press([node], per_s=60.0, for_s=1.0)
+            assert 1 < _most_in_a_second(backend.arrivals) <= BOUND
+            assert await node.send_heartbeat() == 200
+            assert not limit.is_cold(monotonic_s())
+
+    _run(check)
+
+
+def test_an_unreadable_time_in_the_health_check_changes_nothing() -> None:
+    """The assumption holds until the next report."""
+
+    async def check(fleet: Fleet) -> None:
+        node = fleet.nodes["a"]
+        node.backend.cold_ms = "soon"
+        node.daemon._gate.cold_limit.assume(monotonic_s())
+        with unittest.TestCase().assertLogs("damaskbay.mesh.server_check") as logs:
+            await node.daemon._server_check.ask_cold()
+        assert any("milliseconds" in line for line in logs.output)
+        assert node.daemon._gate.cold_limit.is_assumed
+
+    _run(check, a="one")
+
+
+def load_tests(*_: object) -> unittest.TestSuite:
+    """Load the functions of this module."""
+    return function_suite(globals())
