Leave out the servers of failure domains that the operator evacuates

Cause: the operator's key for this had no effect. Change: the reading of the operator's prefix also yields the evacuated domains. Senders leave the servers out and add links to others; the daemon beside such a server refuses calls, also queued ones, as not run. Its notes say that the server drains, so that senders of an earlier version leave it out, too.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -123,6 +123,7 @@
                 stored_record=self._stored_record,
                 on_local_record=self._restore_server,
                 on_members_change=self._members_changed,
+                on_evacuation_change=self._evacuation_changed,
             )
         )
         self._server_check = ServerCheck(
@@ -134,6 +135,7 @@
         self._repeats = make_retry_budget(settings)
         self._telemetry = BoundTelemetry()
         self._cold_server.register_gauges(self._telemetry)
+        self._control_plane.evacuation.register_gauges(self._telemetry)
         self._fatal_calls = FatalCalls()
         shared_parts = SharedParts(
             self.configuration,
@@ -224,7 +226,6 @@
         _LOGGER.info("daemon: has stopped.")
 
     def _start_tasks(self) -> None:
-        loop = asyncio.get_running_loop()
         for run in (
             *self._control_plane.tasks(),
             self._remove_expired_members,
@@ -233,7 +234,7 @@
             self._cold_server.run,
             self._reserve.run,
         ):
-            self._tasks.append(loop.create_task(keep_running(run)))
+            self._tasks.append(asyncio.create_task(keep_running(run)))
         _LOGGER.info(
             "daemon: has started.",
             extra={
@@ -260,6 +261,7 @@
         self._shares.options = options
         self._token_pool.options = options
         self._ingress.set_proof_valid(settings.revoke_s)
+        self._control_plane.failure_domains = settings.failure_domains
         self._cold_server.set_bounds(settings.cold_overage, settings.cold_slack)
         self.settings = with_applied_fields(self.settings, settings)
         self.settings_history.record_applied(settings.digest)
@@ -341,7 +343,8 @@
         record = self._make_record()
         slots = min(record.slots, self._gate.announced_slots(monotonic_s()))
         self._directory.set_local_slots(slots)
-        return note_of(record, slots, self.configuration.version)
+        version = self.configuration.version
+        return note_of(record, slots, version, self.local.evacuated)
 
     def _make_status(self) -> PeerStatus:
         now, members = monotonic_s(), self._control_plane.members
@@ -394,10 +397,16 @@
     def _members_changed(self) -> None:
         """Remove expired daemons; update the wanted links and the first shares."""
         self._directory.remove_expired(monotonic_s())
-        wanted = wanted_neighbours(self._directory.records(), self._make_record())
+        record, evacuated = self._make_record(), self._control_plane.evacuation.domains
+        wanted = wanted_neighbours(self._directory.records(), record, evacuated)
         self._links.set_wanted_links(self._directory.addresses(wanted))
         self._control_plane.exchange.members_changed()
 
+    def _evacuation_changed(self) -> None:
+        self._control_plane.evacuation.apply(self.local, self._gate)
+        self._members_changed()
+        self._links.broadcast_note()
+
     def _server_changed(self) -> None:
         now = monotonic_s()
         if self.local.start != self._known_start:
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -27,6 +27,7 @@
 from damaskbay.mesh.directory import Directory
 from damaskbay.mesh.dispatch import Dispatcher, DispatchParts
 from damaskbay.mesh.early_refusal import EarlyRefusals, EarlyRefusalsParts
+from damaskbay.mesh.evacuation import CheckValue
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
 from damaskbay.mesh.local_server import LocalServer
@@ -47,7 +48,9 @@
     Platform-specific dependencies of the daemon.
 
     `config_prefix` and `config_key` locate the operator's configuration set in
-    the store, `member_prefix` the records of the daemons.
+    the store, `member_prefix` the records of the daemons. A key below
+    `evacuation_prefix` evacuates the failure domain that it names, if its value passes
+    `check_evacuation`, which returns why it does not.
     """
 
     store: Store
@@ -56,6 +59,8 @@
     config_prefix: str
     config_key: str
     member_prefix: str
+    evacuation_prefix: str
+    check_evacuation: CheckValue
 
 
 @dataclass(frozen=True, slots=True)
--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -11,7 +11,13 @@
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.messages import ConfigReply, ConfigRequest
 from damaskbay.ports.peer import PeerAddress
-from damaskbay.ports.store import Store, StoreFailure, StoreItem, StoreProblem
+from damaskbay.ports.store import (
+    Store,
+    StoreFailure,
+    StoreItem,
+    StoreProblem,
+    StoreSnapshot,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -52,6 +58,9 @@
 PEER_TIMEOUT_S = 1.0
 """Timeout of a request to a peer, seconds; an unresponsive link is suspect by then."""
 
+OnReading = Callable[[StoreSnapshot, bool], None]
+"""Takes a complete reading of the prefix, or the changes that a watch has returned."""
+
 DecodeConfig = Callable[[bytes], Awaitable[ConfigSet | str]]
 """
 Returns the configuration set in a stored value, or why the value is invalid.
@@ -75,8 +84,10 @@
         watches_store: Callable[[], bool],
         backoff: Backoff,
         clock: Callable[[], float],
+        on_reading: OnReading | None = None,
     ) -> None:
         self._store = store
+        self._on_reading = on_reading
         self._watches_store = watches_store
         self._backoff = backoff
         self._needed = needed
@@ -101,6 +112,8 @@
                 await asyncio.sleep(self._retry_delay_s())
                 continue
             self._record_store_success()
+            if self._on_reading is not None:
+                self._on_reading(reading, True)
             if await self._apply_items(reading.items, started_at):
                 await self._watch_changes(reading.revision)
             else:
@@ -119,6 +132,8 @@
                 return
             self._record_store_success()
             revision = max(revision, reading.revision)
+            if self._on_reading is not None:
+                self._on_reading(reading, False)
             if not await self._apply_items(reading.items, started_at):
                 await asyncio.sleep(DECODE_RETRY_DELAY_S)
                 return
--- a/damaskbay/mesh/control_plane.py
+++ b/damaskbay/mesh/control_plane.py
@@ -17,12 +17,14 @@
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import DIRECT_WATCH_PROOF_AGE_S
 from damaskbay.mesh.directory import Directory, MemberRecord
+from damaskbay.mesh.evacuation import Evacuation, EvacuationParts
 from damaskbay.mesh.exchange import Exchange, ExchangeParts
 from damaskbay.mesh.members import Members, MembersParts
 from damaskbay.mesh.messages import (
     ConfigRequest,
     DemandReport,
     DomainDemandRequest,
+    EvacuationNews,
     MembersRequest,
     PooledTokenRequest,
 )
@@ -42,7 +44,8 @@
     Dependencies of ControlPlane.
 
     `stored_record` returns the record to keep in the store, `on_local_record` takes
-    the one of an earlier start; `on_members_change` is called after each change.
+    the one of an earlier start; `on_members_change` is called after each change, and
+    `on_evacuation_change` after each of the evacuated failure domains.
     """
 
     settings: MeshSettings
@@ -56,6 +59,7 @@
     stored_record: Callable[[], MemberRecord]
     on_local_record: Callable[[MemberRecord], None]
     on_members_change: Callable[[], None]
+    on_evacuation_change: Callable[[], None]
 
 
 class ControlPlane:
@@ -71,6 +75,20 @@
             self._may_replace,
         )
         self.members = Members(self._members_parts())
+        self.failure_domains = parts.settings.failure_domains
+        self.evacuation = Evacuation(
+            EvacuationParts(
+                failure_domain=parts.settings.failure_domain,
+                prefix=platform.evacuation_prefix,
+                check_value=platform.check_evacuation,
+                domains=lambda: self.failure_domains,
+                directory=parts.directory,
+                links=parts.links,
+                on_change=parts.on_evacuation_change,
+                rng=parts.rng,
+                clock=monotonic_s,
+            )
+        )
         self.config_watch = self._make_config_watch()
         self.peer_config = PeerConfig(
             self.config_watch,
@@ -101,6 +119,7 @@
             self.config_watch.run,
             self.peer_config.run,
             self.exchange.run,
+            self.evacuation.run,
         )
 
     async def handle_request(self, message: Any) -> Any:
@@ -115,6 +134,8 @@
             return self.members.handle_request(message)
         if isinstance(message, PooledTokenRequest):
             return await self.tokens.handle_token_request(message)
+        if isinstance(message, EvacuationNews):
+            return self.evacuation.handle_news(message)
         return NOT_HANDLED
 
     def _members_parts(self) -> MembersParts:
@@ -149,6 +170,7 @@
                 config_watch.RETRY_DELAY_S, config_watch.MAX_RETRY_DELAY_S, parts.rng
             ),
             clock=monotonic_s,
+            on_reading=self.evacuation.handle_reading,
         )
 
     def _exchange_parts(self) -> ExchangeParts:
--- a/damaskbay/mesh/directory.py
+++ b/damaskbay/mesh/directory.py
@@ -58,6 +58,7 @@
         self._by_instance: dict[str, _Member] = {}
         self._instance_by_address: dict[PeerAddress, str] = {}
         self._views_by_pool: dict[str, list[ServerView]] = {}
+        self._evacuated: frozenset[str] = frozenset()
 
     def replace_listing(self, records: Iterable[MemberRecord], now: float) -> None:
         """Replace the listing of the store; daemons missing there become unlisted."""
@@ -177,8 +178,13 @@
         """Discard the cached servers after links have changed."""
         self._views_by_pool.clear()
 
+    def set_evacuated(self, failure_domains: frozenset[str]) -> None:
+        """Leave out the servers of these failure domains from now on."""
+        self._evacuated = failure_domains
+        self._views_by_pool.clear()
+
     def servers(self, pool: str) -> list[ServerView]:
-        """Return the ready servers of a pool that are reachable."""
+        """Return the ready servers of a pool that are reachable, none evacuated."""
         views = self._views_by_pool.get(pool)
         if views is None:
             views = self._views_by_pool[pool] = self._servers(pool)
@@ -190,6 +196,7 @@
             for instance, member in self._by_instance.items()
             if member.record.pool == pool
             and member.record.state is ServerState.READY
+            and member.record.failure_domain not in self._evacuated
             and (instance == self._instance or self._is_up(member.record.address))
         ]
 
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -136,6 +136,17 @@
         """Start the calls that may start since the cold limit has changed."""
         self._apply_decisions(self._controller.expire(now))
 
+    def refuse_waiting(self, refusal: Refusal, now: float) -> None:
+        """Refuse all waiting calls."""
+        for ticket in tuple(self._waiting):
+            # The end of a wait may start another call.
+            future = self._waiting.pop(ticket, None)
+            if future is None:
+                continue
+            self._apply_decisions(self._controller.withdraw(ticket, now))
+            if not future.done():
+                future.set_result(refusal)
+
     def release(self, ticket: int, sample: CallSample, now: float) -> None:
         """Release the slot of a ticket."""
         self._apply_decisions(self._controller.finish(ticket, sample, now))
--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -35,7 +35,8 @@
     Tracks the state of the local backend server from its start to its drain.
 
     `on_report` is called with each report that is newer than the last one, whether it
-    is the first of a start of the server, and the time.
+    is the first of a start of the server, and the time. An `evacuated` server gets no
+    calls, whatever its state.
     """
 
     def __init__(self, drain_s: float, on_change: Callable[[], None]) -> None:
@@ -50,6 +51,7 @@
         self._restored_draining: tuple[str, int] | None = None
         self._left_unknown = ""
         self._on_change = on_change
+        self.evacuated = False
         self.on_report: Callable[[Heartbeat, bool, float], None] | None = None
 
     @property
@@ -157,7 +159,8 @@
 
     def may_send(self, now: float) -> bool:
         """Return whether an admitted call may still be sent to the server."""
-        return self._send_until is None or now < self._send_until
+        in_time = self._send_until is None or now < self._send_until
+        return in_time and not self.evacuated
 
     def _begin_start(self, server: str, started_ms: int) -> None:
         self.server = server
--- a/damaskbay/mesh/messages.py
+++ b/damaskbay/mesh/messages.py
@@ -96,6 +96,19 @@
     proof_age_s: float | None
 
 
+@message("mesh.evacuation")
+@dataclass(frozen=True, slots=True)
+class EvacuationNews:
+    """
+    The evacuated failure domains at a revision of the store; answered by the same.
+
+    Daemons that don't know this message reject it.
+    """
+
+    revision: int
+    domains: tuple[str, ...]
+
+
 @message("mesh.demand_report")
 @dataclass(frozen=True, slots=True)
 class DemandReport:
--- a/damaskbay/mesh/neighbours.py
+++ b/damaskbay/mesh/neighbours.py
@@ -24,7 +24,9 @@
 
 
 def wanted_neighbours(
-    records: Iterable[MemberRecord], local: MemberRecord
+    records: Iterable[MemberRecord],
+    local: MemberRecord,
+    evacuated: frozenset[str] = frozenset(),
 ) -> frozenset[str]:
     """
     Return the instances of the daemons to keep links to.
@@ -32,15 +34,13 @@
     These are a limited number of servers per pool, local and remote, ranked by this
     daemon's name so that servers get about equally many callers; all daemons of the
     local domain if this one is among its relays; and the relays of each domain.
+    While domains are `evacuated`, links to as many servers of the others are added.
     """
     peers = [record for record in records if record.instance != local.instance]
-    wanted: set[str] = set()
-    for (_, is_local), servers in _by_pool(peers, local.failure_domain).items():
-        limit = LOCAL_LINKS_PER_POOL if is_local else REMOTE_LINKS_PER_POOL
-        wanted.update(
-            item.instance
-            for item in rank_by_rendezvous_hash(servers, local.instance)[:limit]
-        )
+    wanted = _wanted_servers(peers, local)
+    if evacuated:
+        usable = [item for item in peers if item.failure_domain not in evacuated]
+        wanted |= _wanted_servers(usable, local)
     members = [*peers, local]
     for domain in {record.failure_domain for record in members}:
         order = [record.instance for record in relay_order(members, domain)]
@@ -50,6 +50,18 @@
     return frozenset(wanted - {local.instance})
 
 
+def _wanted_servers(peers: list[MemberRecord], local: MemberRecord) -> set[str]:
+    """Return the instances of some servers of each pool, local and remote."""
+    wanted: set[str] = set()
+    for (_, is_local), servers in _by_pool(peers, local.failure_domain).items():
+        limit = LOCAL_LINKS_PER_POOL if is_local else REMOTE_LINKS_PER_POOL
+        wanted.update(
+            item.instance
+            for item in rank_by_rendezvous_hash(servers, local.instance)[:limit]
+        )
+    return wanted
+
+
 def _by_pool(
     records: Iterable[MemberRecord], failure_domain: str
 ) -> dict[tuple[str, bool], list[MemberRecord]]:
--- a/damaskbay/mesh/records.py
+++ b/damaskbay/mesh/records.py
@@ -66,8 +66,16 @@
         return None
 
 
-def note_of(record: MemberRecord, slots: int, config_version: int) -> Note:
-    """Return the note with a daemon's record, the slots that it announces."""
+def note_of(
+    record: MemberRecord, slots: int, config_version: int, evacuated: bool
+) -> Note:
+    """
+    Return the note with a daemon's record and the slots that it announces.
+
+    An evacuated server is announced as draining, so that senders leave it out before
+    they hear of the evacuation, or if they don't know of evacuations at all.
+    """
+    is_left_out = evacuated and record.state is ServerState.READY
     return Note(
         record.instance,
         record.incarnation,
@@ -75,7 +83,7 @@
         record.address.host,
         record.address.port,
         record.pool,
-        record.state,
+        ServerState.DRAINING if is_left_out else record.state,
         slots,
         0.0,
         config_version,
--- a/damaskbay/mesh/server_check.py
+++ b/damaskbay/mesh/server_check.py
@@ -56,7 +56,8 @@
     Asks the local server by its health check who it is and whether it leaves.
 
     `on_cold` is called with the seconds for which the server stays cold and the time
-    of the request. A check counts as a request to a cold server.
+    of the request. A check counts as a request to a cold server, and isn't sent to an
+    evacuated one.
     """
 
     def __init__(
@@ -129,9 +130,10 @@
         def request() -> Request | None:
             nonlocal asked_at
             asked_at = monotonic_s()
-            if not self.gate.cold_limit.allows_write(asked_at):
+            cold_limit = self.gate.cold_limit
+            if self.local.evacuated or not cold_limit.allows_write(asked_at):
                 return None
-            self.gate.cold_limit.record_write(asked_at)
+            cold_limit.record_write(asked_at)
             return Request("GET", str(self._address), path)
 
         client = HttpClient(self._address, HttpClientOptions())
--- a/damaskbay/mesh/settings.py
+++ b/damaskbay/mesh/settings.py
@@ -23,6 +23,7 @@
         "quota_slack",
         "cold_overage",
         "cold_slack",
+        "failure_domains",
         "digest",
     }
 )
@@ -40,7 +41,8 @@
     may exceed its rate and burst by the part `quota_overage` and `quota_slack`
     requests. A cold server may get its warm-up rate times `cold_overage`, plus
     `cold_slack`, requests in a second. The process may use `memory_bytes` and open
-    `max_descriptors`. `digest` identifies the settings file.
+    `max_descriptors`. `digest` identifies the settings file. `failure_domains` are the
+    names of all domains, empty if the platform doesn't give them.
     """
 
     instance: str
@@ -66,6 +68,7 @@
     digest: str = ""
     cold_overage: float = DEFAULT_COLD_OVERAGE
     cold_slack: float = DEFAULT_COLD_SLACK
+    failure_domains: frozenset[str] = frozenset()
 
 
 def fields_that_need_a_restart(active: MeshSettings, new: MeshSettings) -> list[str]:
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -197,6 +197,12 @@
                 retry_after_s=NOT_READY_RETRY_S,
                 detail=f"server is {parts.local.state.value}",
             )
+        if parts.local.evacuated:
+            return not_run(
+                Reason.BACKEND_SERVER_DRAINING,
+                retry_after_s=NOT_READY_RETRY_S,
+                detail="failure domain is evacuated",
+            )
         expected_bytes = self._sizes.expected_bytes(context.route)
         if not parts.memory.admits(expected_bytes, nested=context.depth > 0):
             return not_run(
--- a/damaskbay/platform/const.py
+++ b/damaskbay/platform/const.py
@@ -7,6 +7,7 @@
 SETTINGS_VARIABLE: Final = "DAMASKBAY_BOOT"
 CONFIG_PREFIX: Final = "op/"
 CONFIG_KEY: Final = "op/config"
+EVACUATION_PREFIX: Final = "op/evacuate/"
 MEMBER_PREFIX: Final = "damaskbay/members/"
 
 HEADER_NAMES: Final = HeaderNames(
--- a/damaskbay/platform/daemon.py
+++ b/damaskbay/platform/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import gc
+import json
 import logging
 import signal
 import sys
@@ -32,6 +33,7 @@
 from damaskbay.platform.const import (
     CONFIG_KEY,
     CONFIG_PREFIX,
+    EVACUATION_PREFIX,
     HEADER_NAMES,
     MEMBER_PREFIX,
 )
@@ -78,6 +80,15 @@
         return str(error)
 
 
+def check_evacuation(value: bytes) -> str | None:
+    """Return why the value of an evacuation's key can't be read, None if it can."""
+    try:
+        document = json.loads(value)
+    except (ValueError, RecursionError) as error:
+        return str(error)
+    return None if isinstance(document, dict) else "expected an object"
+
+
 def make_parts(store: KvStore, worker: WorkerThread) -> PlatformParts:
     """Return the platform-specific parts of a daemon; the worker decodes its sets."""
     return PlatformParts(
@@ -87,6 +98,8 @@
         CONFIG_PREFIX,
         CONFIG_KEY,
         MEMBER_PREFIX,
+        EVACUATION_PREFIX,
+        check_evacuation,
     )
 
 
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -67,6 +67,7 @@
     return MeshSettings(
         instance=read_string(document, "Node"),
         failure_domain=read_string(document, "Zone"),
+        failure_domains=_read_failure_domains(document),
         pool=read_string(document, "Service"),
         callers=_read_address(listen, "Outbound"),
         control=_read_address(listen, "Control"),
@@ -100,6 +101,11 @@
     return PeerAddress(host, int(port))
 
 
+def _read_failure_domains(document: Table) -> frozenset[str]:
+    """Return the names of all failure domains, none if the file has no such table."""
+    return frozenset(read_table(document, "Zones") if "Zones" in document else ())
+
+
 def _read_limit(document: Table, name: str, default: int) -> int:
     """Return a limit of the process; 0 and none stand for the default."""
     if "Limits" not in document:
--- a/tests/mesh/test_control_plane.py
+++ b/tests/mesh/test_control_plane.py
@@ -94,7 +94,9 @@
         self.directory.put_local(record, network.now)
         self._network = network
         names = SimpleNamespace(
-            instance=record.instance, failure_domain=record.failure_domain
+            instance=record.instance,
+            failure_domain=record.failure_domain,
+            failure_domains=frozenset(),
         )
         platform = SimpleNamespace(
             store=None,
@@ -102,6 +104,8 @@
             config_prefix="config/",
             config_key="config/set",
             decode_config=None,
+            evacuation_prefix="config/evacuate/",
+            check_evacuation=None,
         )
         with patch("damaskbay.mesh.control_plane.monotonic_s", network.clock):
             self.control_plane = ControlPlane(
@@ -117,6 +121,7 @@
                     stored_record=lambda: record,
                     on_local_record=lambda _record: None,
                     on_members_change=self._members_changed,
+                    on_evacuation_change=lambda: None,
                 )
             )
         network.by_address[record.address] = self
--- a/tests/mesh/test_neighbours.py
+++ b/tests/mesh/test_neighbours.py
@@ -71,6 +71,25 @@
         assert len(order) == 10
 
 
+# All links to remote servers of a pool could lead to the domain that was evacuated.
+def test_each_pool_is_reached_while_domains_are_evacuated() -> None:
+    """Links to evacuated servers stay, for their return and for news of it."""
+    records = _fleet(300)
+    evacuated = frozenset(DOMAINS[:2])
+    by_instance = {record.instance: record for record in records}
+    for own in records[:40]:
+        wanted = wanted_neighbours(records, own, evacuated)
+        assert wanted >= wanted_neighbours(records, own)
+        peers = [by_instance[name] for name in wanted]
+        for pool in POOLS:
+            usable = [
+                peer
+                for peer in peers
+                if peer.pool == pool and peer.failure_domain not in evacuated
+            ]
+            assert len(usable) >= REMOTE_LINKS_PER_POOL
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -113,6 +113,12 @@
     assert settings.memory_bytes == 300 * 1024 * 1024
     assert settings.max_descriptors == 4100
     assert settings.advertised is None
+    assert settings.failure_domains == frozenset()
+    cold = {**SETTINGS["Bounds"], "ColdOverage": 1.5, "ColdSlack": 8}
+    zones = {"a": {"Daemons": 2}, "b": {}}
+    settings = decode_settings({**SETTINGS, "Bounds": cold, "Zones": zones})
+    assert (settings.cold_overage, settings.cold_slack) == (1.5, 8.0)
+    assert settings.failure_domains == {"a", "b"}
     listen = {**SETTINGS["Listen"], "Advertised": "10.0.0.9:7100"}
     settings = decode_settings({**SETTINGS, "Listen": listen})
     assert settings.advertised == PeerAddress("10.0.0.9", 7100)
@@ -128,6 +134,9 @@
         ("Bounds", {"Drain": 2000}),
         ("Listen", None),
         ("Limits", {"MemoryMb": "300"}),
+        ("Bounds", {"ColdOverage": float("nan")}),
+        ("Bounds", {"ColdSlack": "8"}),
+        ("Zones", ["a"]),
     ):
         try:
             decode_settings({**SETTINGS, name: value})
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -170,6 +170,24 @@
         assert pool.health_path == ""
 
 
+def test_a_warm_up_rate_is_decoded() -> None:
+    """None stands for no limit; an invalid one is named, and the set is refused."""
+    changed = manifest()
+    spec = changed["Resources"][2]["Spec"]
+    for value, expected in ((2.7, 2.7), (0, 0.0)):
+        spec["WarmupPerS"] = value
+        pool = decode_manifest(_encode(changed)).pools_by_name["one"]
+        assert isinstance(pool, HealthCheckedPool)
+        assert pool.warmup_per_s == expected
+    spec["WarmupPerS"] = "2.7"
+    try:
+        decode_manifest(_encode(changed))
+    except FieldError as error:
+        assert "Services.one.WarmupPerS" in str(error)
+    else:
+        raise AssertionError
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Return a suite of the test functions in this module."""
     return function_suite(globals())
