--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -38,6 +38,7 @@
     make_status_servers,
     make_target,
 )
+from damaskbay.mesh.cold_server import ColdServer
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import EXPIRY_INTERVAL_S, LOAD_AVERAGE_S
 from damaskbay.mesh.control_plane import NOT_HANDLED, ControlPlane, ControlPlaneParts
@@ -49,6 +50,7 @@
 from damaskbay.mesh.neighbours import wanted_neighbours
 from damaskbay.mesh.observing import StatusEndpoints, StatusParts
 from damaskbay.mesh.processor_gate import ProcessorGate
+from damaskbay.mesh.records import note_of
 from damaskbay.mesh.registry import DRAIN_WRITE_TIMEOUT_S
 from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.server_check import ServerCheck
@@ -56,6 +58,7 @@
     MeshSettings,
     SettingsHistory,
     fields_that_need_a_restart,
+    with_applied_fields,
 )
 from damaskbay.mesh.stopping import GracefulStop, finish_messages
 from damaskbay.ports.fleet import ServerState
@@ -120,18 +123,25 @@
                 stored_record=self._stored_record,
                 on_local_record=self._restore_server,
                 on_members_change=self._members_changed,
+                on_evacuation_change=self._evacuation_changed,
             )
         )
         self._server_check = ServerCheck(
             settings, platform_parts.dialect, self.configuration, self.local, self._gate
         )
+        self._cold_server = ColdServer(
+            settings, self._server_check, self._links.broadcast_note, monotonic_s
+        )
         self._repeats = make_retry_budget(settings)
         self._telemetry = BoundTelemetry()
+        self._cold_server.register_gauges(self._telemetry)
+        self._control_plane.evacuation.register_gauges(self._telemetry)
         self._fatal_calls = FatalCalls()
         shared_parts = SharedParts(
             self.configuration,
             self.local,
             self._gate,
+            self._cold_server,
             self._processor,
             self._links,
             self._directory,
@@ -183,6 +193,7 @@
             (self._links, self._control, self._readiness, self._callers), self._metrics
         )
         self.configuration.subscribe(self._config_changed)
+        self.configuration.subscribe(self._cold_server.config_changed)
 
     @property
     def ready(self) -> bool:
@@ -215,15 +226,15 @@
         _LOGGER.info("daemon: has stopped.")
 
     def _start_tasks(self) -> None:
-        loop = asyncio.get_running_loop()
         for run in (
             *self._control_plane.tasks(),
             self._remove_expired_members,
             self._expire_waiting_calls,
             self._status.loop_monitor.run,
+            self._cold_server.run,
             self._reserve.run,
         ):
-            self._tasks.append(loop.create_task(keep_running(run)))
+            self._tasks.append(asyncio.create_task(keep_running(run)))
         _LOGGER.info(
             "daemon: has started.",
             extra={
@@ -250,15 +261,9 @@
         self._shares.options = options
         self._token_pool.options = options
         self._ingress.set_proof_valid(settings.revoke_s)
-        self.settings = replace(
-            self.settings,
-            drain_s=settings.drain_s,
-            grace_s=settings.grace_s,
-            revoke_s=settings.revoke_s,
-            quota_overage=settings.quota_overage,
-            quota_slack=settings.quota_slack,
-            digest=settings.digest,
-        )
+        self._control_plane.failure_domains = settings.failure_domains
+        self._cold_server.set_bounds(settings.cold_overage, settings.cold_slack)
+        self.settings = with_applied_fields(self.settings, settings)
         self.settings_history.record_applied(settings.digest)
 
     def stop(self, asked_at: float | None = None) -> None:
@@ -338,18 +343,8 @@
         record = self._make_record()
         slots = min(record.slots, self._gate.announced_slots(monotonic_s()))
         self._directory.set_local_slots(slots)
-        return Note(
-            record.instance,
-            record.incarnation,
-            record.failure_domain,
-            record.address.host,
-            record.address.port,
-            record.pool,
-            record.state,
-            slots,
-            0.0,
-            self.configuration.version,
-        )
+        version = self.configuration.version
+        return note_of(record, slots, version, self.local.evacuated)
 
     def _make_status(self) -> PeerStatus:
         now, members = monotonic_s(), self._control_plane.members
@@ -402,10 +397,16 @@
     def _members_changed(self) -> None:
         """Remove expired daemons; update the wanted links and the first shares."""
         self._directory.remove_expired(monotonic_s())
-        wanted = wanted_neighbours(self._directory.records(), self._make_record())
+        record, evacuated = self._make_record(), self._control_plane.evacuation.domains
+        wanted = wanted_neighbours(self._directory.records(), record, evacuated)
         self._links.set_wanted_links(self._directory.addresses(wanted))
         self._control_plane.exchange.members_changed()
 
+    def _evacuation_changed(self) -> None:
+        self._control_plane.evacuation.apply(self.local, self._gate)
+        self._members_changed()
+        self._links.broadcast_note()
+
     def _server_changed(self) -> None:
         now = monotonic_s()
         if self.local.start != self._known_start:
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -19,6 +19,7 @@
 from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import raise_descriptor_limit
+from damaskbay.mesh.cold_server import ColdServer
 from damaskbay.mesh.config_watch import DecodeConfig
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import RETRY_RATIO_SHARE, RETRY_SLACK_SHARE
@@ -26,6 +27,7 @@
 from damaskbay.mesh.directory import Directory
 from damaskbay.mesh.dispatch import Dispatcher, DispatchParts
 from damaskbay.mesh.early_refusal import EarlyRefusals, EarlyRefusalsParts
+from damaskbay.mesh.evacuation import CheckValue
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.ingress import Ingress, IngressOptions, IngressParts
 from damaskbay.mesh.local_server import LocalServer
@@ -46,7 +48,9 @@
     Platform-specific dependencies of the daemon.
 
     `config_prefix` and `config_key` locate the operator's configuration set in
-    the store, `member_prefix` the records of the daemons.
+    the store, `member_prefix` the records of the daemons. A key below
+    `evacuation_prefix` evacuates the failure domain that it names, if its value passes
+    `check_evacuation`, which returns why it does not.
     """
 
     store: Store
@@ -55,6 +59,8 @@
     config_prefix: str
     config_key: str
     member_prefix: str
+    evacuation_prefix: str
+    check_evacuation: CheckValue
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +70,7 @@
     configuration: Configuration
     local: LocalServer
     gate: Gate
+    cold_server: ColdServer
     processor: ProcessorGate
     links: PeerLinks
     directory: Directory
@@ -109,6 +116,7 @@
             fatal_calls=shared_parts.fatal_calls,
             server_ends=server_ends,
             on_capacity_change=on_capacity_change,
+            on_failure=shared_parts.cold_server.record_failure,
             clock=monotonic_s,
         )
     )
--- a/damaskbay/mesh/records.py
+++ b/damaskbay/mesh/records.py
@@ -5,6 +5,7 @@
 import msgpack
 
 from damaskbay.mesh.directory import MemberRecord
+from damaskbay.mesh.messages import Note
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress
 
@@ -63,3 +64,27 @@
         )
     except (ValueError, TypeError, msgpack.exceptions.UnpackException):
         return None
+
+
+def note_of(
+    record: MemberRecord, slots: int, config_version: int, evacuated: bool
+) -> Note:
+    """
+    Return the note with a daemon's record and the slots that it announces.
+
+    An evacuated server is announced as draining, so that senders leave it out before
+    they hear of the evacuation, or if they don't know of evacuations at all.
+    """
+    is_left_out = evacuated and record.state is ServerState.READY
+    return Note(
+        record.instance,
+        record.incarnation,
+        record.failure_domain,
+        record.address.host,
+        record.address.port,
+        record.pool,
+        ServerState.DRAINING if is_left_out else record.state,
+        slots,
+        0.0,
+        config_version,
+    )
--- a/damaskbay/platform/const.py
+++ b/damaskbay/platform/const.py
@@ -7,6 +7,7 @@
 SETTINGS_VARIABLE: Final = "DAMASKBAY_BOOT"
 CONFIG_PREFIX: Final = "op/"
 CONFIG_KEY: Final = "op/config"
+EVACUATION_PREFIX: Final = "op/evacuate/"
 MEMBER_PREFIX: Final = "damaskbay/members/"
 
 HEADER_NAMES: Final = HeaderNames(
@@ -22,6 +23,7 @@
     retry_after="Retry-After",
     limit="Server-Limit",
     leaving="Server-Leaving",
+    cold_ms="X-Cold-Ms",
     not_run_statuses=frozenset({421}),
 )
 
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 
 from damaskbay.mesh.settings import (
+    DEFAULT_COLD_OVERAGE,
+    DEFAULT_COLD_SLACK,
     DEFAULT_MAX_DESCRIPTORS,
     DEFAULT_MEMORY_BYTES,
     MeshSettings,
@@ -65,6 +67,7 @@
     return MeshSettings(
         instance=read_string(document, "Node"),
         failure_domain=read_string(document, "Zone"),
+        failure_domains=_read_failure_domains(document),
         pool=read_string(document, "Service"),
         callers=_read_address(listen, "Outbound"),
         control=_read_address(listen, "Control"),
@@ -80,6 +83,8 @@
         retry_slack=read_number(bounds, "RetryBudgetSlack", 0.0),
         quota_overage=read_number(bounds, "QuotaOverage", 0.0),
         quota_slack=read_number(bounds, "QuotaSlack", 0.0),
+        cold_overage=read_number(bounds, "ColdOverage", DEFAULT_COLD_OVERAGE),
+        cold_slack=read_number(bounds, "ColdSlack", DEFAULT_COLD_SLACK),
         memory_bytes=MEGABYTE * _read_limit(document, "MemoryMb", DEFAULT_MEMORY_MB),
         max_descriptors=_read_limit(document, "MaxFds", DEFAULT_MAX_DESCRIPTORS),
         advertised=(
@@ -96,6 +101,11 @@
     return PeerAddress(host, int(port))
 
 
+def _read_failure_domains(document: Table) -> frozenset[str]:
+    """Return the names of all failure domains, none if the file has no such table."""
+    return frozenset(read_table(document, "Zones") if "Zones" in document else ())
+
+
 def _read_limit(document: Table, name: str, default: int) -> int:
     """Return a limit of the process; 0 and none stand for the default."""
     if "Limits" not in document:
