--- a/tests/platform/kv_stand_in.py
+++ b/tests/platform/kv_stand_in.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import base64
+import copy
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -32,10 +33,15 @@
 
 @dataclass
 class KvStandIn:
-    """Items, leases and history of changes; `serve` is a handler of the HTTP server."""
+    """
+    Items, leases and history of changes; `serve` is a handler of the HTTP server.
+
+    `era` is the value of the header Store-Era, None for a store without the header.
+    """
 
     faults: KvFaults = field(default_factory=KvFaults)
     revision: int = 1
+    era: int | None = None
     requests: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -43,7 +49,9 @@
         self.history: list[dict[str, Any]] = []
         self.compacted_revision = 0
         self.leases: set[int] = set()
+        self.last_lease = 6
         self.changed = asyncio.Condition()
+        self._snapshot = self._state()
 
     async def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write an item without a precondition, as an operator; return the revision."""
@@ -65,8 +73,42 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def snapshot(self) -> None:
+        """Keep the current state for `restore`; without a call it is the first one."""
+        self._snapshot = self._state()
+
+    async def restore(self) -> None:
+        """
+        Return to the snapshot and begin the next era.
+
+        Leases and writes since the snapshot are lost, and their numbers are issued
+        again. Watches that wait go on in the new era, or end with status 410.
+        """
+        async with self.changed:
+            vars(self).update(copy.deepcopy(self._snapshot))
+            self.era = (self.era or 0) + 1
+            self.changed.notify_all()
+
+    def _state(self) -> dict[str, Any]:
+        state = {
+            "items": self.items,
+            "history": self.history,
+            "revision": self.revision,
+            "compacted_revision": self.compacted_revision,
+            "leases": self.leases,
+            "last_lease": self.last_lease,
+        }
+        return copy.deepcopy(state)
+
     async def serve(self, arrival: ReceivedRequest) -> Response:
         """Serve one request of the store's protocol."""
+        response = await self._serve(arrival)
+        if self.era is None:
+            return response
+        era = ("Store-Era", str(self.era))
+        return replace(response, headers=(*response.headers, era))
+
+    async def _serve(self, arrival: ReceivedRequest) -> Response:
         request = arrival.request
         path, _, query = request.target.partition("?")
         self.requests.append(f"{request.method} {path}")
@@ -89,10 +131,9 @@
         if endpoint == "POST /kv-txn":
             return await self._transact(body)
         if endpoint == "POST /kv-lease":
-            self.leases.add(len(self.leases) + 7)
-            return _json_response(
-                200, {"Lease": len(self.leases) + 6, "Ttl": body["Ttl"]}
-            )
+            self.last_lease += 1
+            self.leases.add(self.last_lease)
+            return _json_response(200, {"Lease": self.last_lease, "Ttl": body["Ttl"]})
         if endpoint.startswith("POST /kv-keep/"):
             is_known = int(endpoint.rpartition("/")[2]) in self.leases
             return _json_response(200 if is_known else 404, {"Ttl": "1s"})
@@ -113,8 +154,9 @@
 
     async def _watch(self, arguments: dict[str, str]) -> Response:
         prefix, after = arguments["Prefix"], int(arguments["after"])
-        if after < self.compacted_revision:
-            return _json_response(410, {})
+
+        def is_gone() -> bool:
+            return not self.compacted_revision <= after <= self.revision
 
         def events() -> list[dict[str, Any]]:
             if self.faults.drop_watch_events:
@@ -128,9 +170,11 @@
         async with self.changed:
             try:
                 async with asyncio.timeout(int(arguments["WaitMs"]) / 1000):
-                    await self.changed.wait_for(lambda: bool(events()))
+                    await self.changed.wait_for(lambda: is_gone() or bool(events()))
             except TimeoutError:
                 pass
+            if is_gone():
+                return _json_response(410, {})
             return _json_response(
                 200, {"events": events(), "StoreRevision": self.revision}
             )
