Join the store's numbers with its era, so that revisions never go back

A client that compares or sends them without the era misses changes, overwrites what it never saw and renews the leases of others. Change: platform/era.py tracks the header of the responses; the client joins each revision and lease with it. A call with a number of an earlier era fails as a lost history, a conflict or a lost lease, checked before the request and after the reply. Replies that come late from before a restore are not taken, a reading that spans one starts again, and watches end as soon as a reply begins an era. A value that can't be used is logged once. The test of that names the package instead of one module as the source of the log line.

--- a/damaskbay/platform/const.py
+++ b/damaskbay/platform/const.py
@@ -25,6 +25,12 @@
     not_run_statuses=frozenset({421}),
 )
 
+ERA_HEADER: Final = "Store-Era"
+"""Header of the store's responses: rises when the store is restored."""
+
+MAX_ERA: Final = 2**23 - 1
+"""Highest era whose revisions fit into the 64-bit integers of messages to peers."""
+
 STORE_TIMEOUT_S: Final = 2.0
 """Timeout of a store request, seconds; sixty times the usual 4 ms is 0.24 s."""
 
--- a/damaskbay/platform/store.py
+++ b/damaskbay/platform/store.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's metadata store."""
 
+import asyncio
 import base64
 import binascii
 import json
@@ -16,6 +17,7 @@
 )
 from damaskbay.core.call import Request, Response
 from damaskbay.platform.const import STORE_TIMEOUT_S, WATCH_TIMEOUT_MARGIN_S
+from damaskbay.platform.era import Era
 from damaskbay.platform.exceptions import FieldError
 from damaskbay.platform.fields import Table, read_integer, read_string
 from damaskbay.ports.peer import PeerAddress
@@ -35,12 +37,30 @@
 }
 
 
+_NO_LEASE = StoreFailure(StoreProblem.NO_LEASE, "the store was restored")
+_NO_HISTORY = StoreFailure(StoreProblem.COMPACTED, "the store was restored")
+_LATE = StoreFailure(StoreProblem.UNANSWERED, "reply from before a restore")
+
+
 class KvStore:
-    """Implements `ports.store.Store`; closes a connection whose request timed out."""
+    """
+    Implements `ports.store.Store`; closes a connection whose request timed out.
+
+    The era that the store names is the epoch. A call with a number of an earlier one
+    fails, also if the store has issued the number again, so each call checks its
+    numbers before the request and after the reply, which may begin an era.
+    """
 
     def __init__(self, address: PeerAddress) -> None:
         self._host = str(address)
         self._client = HttpClient(address, HttpClientOptions())
+        self._era = Era(self._end_watches)
+        self._watch_timeouts: set[asyncio.Timeout] = set()
+
+    @property
+    def epoch(self) -> int:
+        """Return the current epoch as far as it is known, at first 0."""
+        return self._era.current
 
     async def read(self, prefix: str) -> StoreSnapshot | StoreFailure:
         """
@@ -50,17 +70,20 @@
         a watch from there also shows what changed on it meanwhile.
         """
         items: list[StoreItem] = []
-        after, first_revision = "", None
+        after, first_revision, epoch = "", None, self.epoch
         while True:
             query = {"Prefix": prefix} | ({"after": after} if after else {})
             page = await self._request("GET", f"/kv-range?{urlencode(query)}")
             if isinstance(page, StoreFailure):
                 return page
+            if epoch != self.epoch and after:
+                # The earlier pages were read before the store was restored.
+                items, after, first_revision, epoch = [], "", None, self.epoch
+                continue
+            epoch = self.epoch
             try:
-                page_items = [
-                    _decode_item(item) for item in _read_objects(page, "items")
-                ]
-                revision = read_integer(page, "StoreRevision")
+                page_items = self._decode_items(page, "items")
+                revision = self._read_revision(page)
             except FieldError as error:
                 return StoreFailure(StoreProblem.UNANSWERED, str(error))
             first_revision = revision if first_revision is None else first_revision
@@ -72,19 +95,37 @@
     async def watch(
         self, prefix: str, *, after: int, wait_s: float
     ) -> StoreSnapshot | StoreFailure:
-        """Return changes after a revision; no items if none came within `wait_s`."""
-        wait_ms = int(wait_s * 1000)
-        query = urlencode({"Prefix": prefix, "after": after, "WaitMs": wait_ms})
-        reply = await self._request(
-            "GET", f"/kv-watch?{query}", timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S
+        """
+        Return changes after a revision; no items if none came within `wait_s`.
+
+        A watch ends as soon as a reply to another request begins an era.
+        """
+        number = self._era.revision_number(after)
+        if number is None:
+            return _NO_HISTORY
+        query = urlencode(
+            {"Prefix": prefix, "after": number, "WaitMs": int(wait_s * 1000)}
         )
+        try:
+            async with asyncio.timeout(None) as timeout:
+                self._watch_timeouts.add(timeout)
+                try:
+                    reply = await self._request(
+                        "GET",
+                        f"/kv-watch?{query}",
+                        timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
+                    )
+                finally:
+                    self._watch_timeouts.discard(timeout)
+        except TimeoutError:
+            return _NO_HISTORY
+        if self._era.revision_number(after) is None:
+            return _NO_HISTORY
         if isinstance(reply, StoreFailure):
             return reply
         try:
-            events = tuple(
-                _decode_item(event) for event in _read_objects(reply, "events")
-            )
-            return StoreSnapshot(events, read_integer(reply, "StoreRevision"))
+            events = self._decode_items(reply, "events")
+            return StoreSnapshot(tuple(events), self._read_revision(reply))
         except FieldError as error:
             return StoreFailure(StoreProblem.UNANSWERED, str(error))
 
@@ -92,37 +133,112 @@
         self, key: str, value: bytes, *, expected: int, lease: int
     ) -> int | StoreConflict | StoreFailure:
         """Write if the key's revision is the expected one; return the new revision."""
-        encoded = base64.b64encode(value).decode("ascii")
-        item = {"Key": key, "Value": encoded, "Lease": lease}
-        return await self._transact(key, expected, {"Writes": [item], "Deletes": []})
+        failure = await self._find_lost(key, expected, lease)
+        if failure is not None:
+            return failure
+        item = {
+            "Key": key,
+            "Value": base64.b64encode(value).decode("ascii"),
+            "Lease": self._era.lease_number(lease),
+        }
+        body = {
+            "Precondition": [
+                {"Key": key, "Revision": self._era.revision_number(expected)}
+            ],
+            "Writes": [item],
+            "Deletes": [],
+        }
+        reply = await self._send("POST", "/kv-txn", body, STORE_TIMEOUT_S)
+        # The request may have run with numbers that were issued again.
+        failure = await self._find_lost(key, expected, lease)
+        if failure is not None:
+            return failure
+        return self._decode_write(reply, key)
 
     async def create_lease(self, ttl_s: float) -> int | StoreFailure:
         """Create a lease; return its id."""
         body = {"Ttl": f"{int(ttl_s * 1000)}ms"}
-        return _integer_or_failure(
-            await self._request("POST", "/kv-lease", body), "Lease"
-        )
+        reply = await self._request("POST", "/kv-lease", body)
+        if isinstance(reply, StoreFailure):
+            return reply
+        try:
+            return self._era.lease(read_integer(reply, "Lease"))
+        except FieldError as error:
+            return StoreFailure(StoreProblem.UNANSWERED, str(error))
 
     async def renew_lease(self, lease: int) -> StoreFailure | None:
         """Renew a lease; return None, or why it failed."""
-        reply = await self._request("POST", f"/kv-keep/{lease}")
+        number = self._era.lease_number(lease)
+        if number is None:
+            return _NO_LEASE
+        reply = await self._request("POST", f"/kv-keep/{number}")
+        if self._era.lease_number(lease) is None:
+            return _NO_LEASE
         return reply if isinstance(reply, StoreFailure) else None
 
     def close(self) -> None:
         """Close the idle connections."""
         self._client.close()
 
-    async def _transact(
-        self, key: str, expected: int, operations: dict[str, Any]
+    async def _find_lost(
+        self, key: str, expected: int, lease: int
+    ) -> StoreConflict | StoreFailure | None:
+        """Return why a write with numbers of an earlier era fails, None otherwise."""
+        if self._era.revision_number(expected) is None:
+            reading = await self.read(key)
+            if isinstance(reading, StoreFailure):
+                return reading
+            found = (item.revision for item in reading.items if item.key == key)
+            return StoreConflict(next(found, 0))
+        return _NO_LEASE if self._era.lease_number(lease) is None else None
+
+    def _decode_write(
+        self, reply: Response | StoreFailure, key: str
     ) -> int | StoreConflict | StoreFailure:
-        body = {"Precondition": [{"Key": key, "Revision": expected}], **operations}
-        reply = await self._send("POST", "/kv-txn", body, STORE_TIMEOUT_S)
-        if (
-            isinstance(reply, Response)
-            and reply.status == HTTPStatus.PRECONDITION_FAILED
-        ):
-            return _decode_conflict(_decode_body(reply), key)
-        return _integer_or_failure(_decode_reply(reply), "Revision")
+        """Return the new revision, or the current one if another was expected."""
+        if isinstance(reply, StoreFailure):
+            return reply
+        is_conflict = reply.status == HTTPStatus.PRECONDITION_FAILED
+        table = _decode_body(reply) if is_conflict else _decode_reply(reply)
+        if isinstance(table, StoreFailure):
+            return table
+        try:
+            if is_conflict:
+                return StoreConflict(self._era.revision(_read_conflict(table, key)))
+            return self._era.revision(read_integer(table, "Revision"))
+        except FieldError as error:
+            return StoreFailure(StoreProblem.UNANSWERED, str(error))
+
+    def _decode_items(self, reply: Table, name: str) -> list[StoreItem]:
+        """Return the items in a field of a reply; raise FieldError."""
+        return [self._decode_item(item) for item in _read_objects(reply, name)]
+
+    def _decode_item(self, item: Table) -> StoreItem:
+        """Return an item or an event of the store; a removed one has no value."""
+        key = read_string(item, "Key")
+        revision = self._era.revision(read_integer(item, "Revision"))
+        if item.get("Removed"):
+            return StoreItem(key, None, revision)
+        encoded = item.get("Value", "")
+        try:
+            value = base64.b64decode(encoded, validate=True)
+        except (binascii.Error, TypeError, ValueError):
+            raise FieldError(f"Value of {key}: not valid base64") from None
+        return StoreItem(key, value, revision)
+
+    def _read_revision(self, reply: Table) -> int:
+        return self._era.revision(read_integer(reply, "StoreRevision"))
+
+    def _end_watches(self) -> None:
+        """
+        End the watches, and close the idle connections.
+
+        These may be connections to a process that the restored store has replaced.
+        """
+        now = asyncio.get_running_loop().time()
+        while self._watch_timeouts:
+            self._watch_timeouts.pop().reschedule(now)
+        self._client.close()
 
     async def _request(
         self,
@@ -144,11 +260,15 @@
         data = b"" if body is None else json.dumps(body).encode()
         headers = (("Content-Type", "application/json"),) if data else ()
         request = Request(method, self._host, target, headers, data)
+        era_when_sent = self._era.current
         reply = await self._client.send(request, timeout_s=timeout_s)
         if isinstance(reply, HttpFailure):
             not_sent = reply.problem in NOT_SENT_PROBLEMS
             problem = StoreProblem.UNAVAILABLE if not_sent else StoreProblem.UNANSWERED
             return StoreFailure(problem, reply.problem.value)
+        if not self._era.record(reply, era_when_sent):
+            self._client.close()
+            return _LATE
         return reply
 
 
@@ -177,26 +297,12 @@
     return value
 
 
-def _integer_or_failure(reply: Table | StoreFailure, name: str) -> int | StoreFailure:
-    """Return an integer field of a reply; pass a failure through."""
-    if isinstance(reply, StoreFailure):
-        return reply
-    try:
-        return read_integer(reply, name)
-    except FieldError as error:
-        return StoreFailure(StoreProblem.UNANSWERED, str(error))
-
-
-def _decode_conflict(
-    reply: Table | StoreFailure, key: str
-) -> StoreConflict | StoreFailure:
+def _read_conflict(reply: Table, key: str) -> int:
     """Return the current revision of the key, 0 if the reply doesn't contain it."""
-    if isinstance(reply, StoreFailure):
-        return reply
     for item in reply.get("items") or ():
         if isinstance(item, dict) and item.get("Key") == key:
-            return StoreConflict(int(item.get("Revision") or 0))
-    return StoreConflict(0)
+            return read_integer(item, "Revision", 0)
+    return 0
 
 
 def _read_objects(reply: Table, name: str) -> list[Table]:
@@ -205,16 +311,3 @@
     if not isinstance(value, list) or not all(isinstance(i, dict) for i in value):
         raise FieldError(f"{name}: expected a list of objects")
     return value
-
-
-def _decode_item(item: Table) -> StoreItem:
-    """Return an item or an event of the store; a removed one has no value."""
-    key, revision = read_string(item, "Key"), read_integer(item, "Revision")
-    if item.get("Removed"):
-        return StoreItem(key, None, revision)
-    encoded = item.get("Value", "")
-    try:
-        value = base64.b64decode(encoded, validate=True)
-    except (binascii.Error, TypeError, ValueError):
-        raise FieldError(f"Value of {key}: not valid base64") from None
-    return StoreItem(key, value, revision)
--- a/damaskbay/ports/store.py
+++ b/damaskbay/ports/store.py
@@ -4,6 +4,14 @@
 from enum import Enum
 from typing import Protocol
 
+EPOCH_BITS = 40
+"""Bits of a revision below its epoch; a store never issues that many in one epoch."""
+
+
+def epoch_of(revision: int) -> int:
+    """Return the epoch of a revision: it rises when the store loses revisions."""
+    return revision >> EPOCH_BITS
+
 
 class StoreProblem(Enum):
     """Reason why a store request has no usable reply."""
@@ -18,10 +26,14 @@
     """The store refused the request because of overload; it had no effect."""
 
     COMPACTED = "compacted"
-    """The requested history has been removed; read the current items again."""
+    """
+    The requested history has been removed; read the current items again.
+
+    The same if the requested revision is of an earlier epoch.
+    """
 
     NO_LEASE = "no_lease"
-    """The lease has ended."""
+    """The lease has ended, or is of an earlier epoch."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +69,18 @@
 
 
 class Store(Protocol):
-    """Store with linearizable reads, watches, conditional writes and leases."""
+    """
+    Store with linearizable reads, watches, conditional writes and leases.
+
+    It may be restored from a snapshot, which begins a new epoch: later writes and all
+    leases are lost. Revisions still never go back, and leases of an earlier epoch are
+    never mistaken for those of the current one.
+    """
+
+    @property
+    def epoch(self) -> int:
+        """Return the current epoch as far as it is known, at first 0."""
+        ...
 
     async def read(self, prefix: str) -> StoreSnapshot | StoreFailure:
         """Return all items whose key starts with the prefix."""
--- a/tests/mesh/test_registry.py
+++ b/tests/mesh/test_registry.py
@@ -47,6 +47,7 @@
     lose_reply: bool = False
     writes: int = 0
     answered: asyncio.Future[None] | None = None
+    epoch: int = 0
 
     def _failure(self) -> StoreFailure | None:
         return None if self.problem is None else StoreFailure(self.problem)
--- a/tests/mesh/test_restored_store.py
+++ b/tests/mesh/test_restored_store.py
@@ -88,7 +88,7 @@
 # Guards against a withdrawn key that works again, and against refusals for want of a
 # proof while the store holds an older set than the active one.
 def test_a_withdrawn_key_stays_withdrawn_beside_an_older_set() -> None:
-    """The set is lost, too; a daemon that starts then takes the newer from its peers."""
+    """A daemon that starts after the loss takes the newer set from its peers."""
 
     async def check(fleet: Fleet) -> None:
         await fleet.publish(keys=("k1", "k2"))
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -245,7 +245,7 @@
         known = await _read(store)
         for invalid in ("x", "-1", "", "2", "9" * 30):
             era = invalid
-            with unittest.TestCase().assertLogs("damaskbay.platform.store") as logs:
+            with unittest.TestCase().assertLogs("damaskbay.platform") as logs:
                 for _ in range(3):
                     assert await _read(store) == known
             assert [vars(line).get("field") for line in logs.records] == ["Store-Era"]
