Write lost records again and read all records after a restore of the store

Cause: after a restore, records and leases are gone while their numbers are issued again. Daemons noticed at their next renewal at the earliest, or not at all where the lease of another daemon had their number, and all at once. Change: the listing of the members tells a daemon that its own record is missing or of an earlier epoch; it then renews its lease, which the store refuses, after a random part of a window of 1/150 s for each known daemon. The watch of the records ends with the epoch, and all records are read again; peers get them complete. Members that a restored store lacks are kept while they write theirs. A stored set that is not newer proves the active one by the read itself, and is decoded only once.

--- a/damaskbay/mesh/config_watch.py
+++ b/damaskbay/mesh/config_watch.py
@@ -86,6 +86,7 @@
         self._configuration = configuration
         self._clock = clock
         self._activations_by_document: dict[bytes, asyncio.Task[bool]] = {}
+        self._older_document: bytes | None = None
         self.store_reached = True
 
     async def run(self) -> None:
@@ -157,7 +158,8 @@
                 extra={"why": decoded, "version": self._configuration.version},
             )
             return True
-        self._configuration.activate(decoded, document, source)
+        if not self._configuration.activate(decoded, document, source):
+            self._older_document = document
         return True
 
     async def _apply_items(self, items: Iterable[StoreItem], started_at: float) -> bool:
@@ -169,10 +171,15 @@
         return done
 
     async def _apply_stored(self, document: bytes, started_at: float) -> bool:
+        """
+        Activate a stored set if it is newer; a set that is not proves the active one.
+
+        A store that was restored may hold an older set, but then nothing newer.
+        """
         done = True
-        if document != self._configuration.document:
+        if document not in (self._configuration.document, self._older_document):
             done = await self.activate_document(document, "store")
-        if document == self._configuration.document:
+        if document in (self._configuration.document, self._older_document):
             self._configuration.record_proof(self._configuration.version, started_at)
         return done
 
--- a/damaskbay/mesh/control_plane.py
+++ b/damaskbay/mesh/control_plane.py
@@ -69,6 +69,8 @@
             platform.member_prefix + parts.settings.instance,
             parts.stored_record,
             self._may_replace,
+            fleet_size=lambda: len(parts.directory.instances()),
+            rng=parts.rng,
         )
         self.members = Members(self._members_parts())
         self.config_watch = self._make_config_watch()
@@ -132,6 +134,7 @@
             watches_store=self._watches_store,
             on_change=parts.on_members_change,
             on_local_record=parts.on_local_record,
+            on_listing=self.registration.record_listing,
             clock=monotonic_s,
         )
 
--- a/damaskbay/mesh/directory.py
+++ b/damaskbay/mesh/directory.py
@@ -58,6 +58,11 @@
         self._by_instance: dict[str, _Member] = {}
         self._instance_by_address: dict[PeerAddress, str] = {}
         self._views_by_pool: dict[str, list[ServerView]] = {}
+        self._keep_until = NEVER
+
+    def keep_unlisted(self, until: float) -> None:
+        """Remove nobody until then, since the listing lacks daemons that live."""
+        self._keep_until = max(self._keep_until, until)
 
     def replace_listing(self, records: Iterable[MemberRecord], now: float) -> None:
         """Replace the listing of the store; daemons missing there become unlisted."""
@@ -136,6 +141,8 @@
 
     def remove_expired(self, now: float) -> None:
         """Remove daemons that are unlisted and have sent no note lately."""
+        if now < self._keep_until:
+            return
         for instance, member in tuple(self._by_instance.items()):
             if (
                 instance != self._instance
--- a/damaskbay/mesh/member_log.py
+++ b/damaskbay/mesh/member_log.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from damaskbay.mesh.messages import MembersReply
+from damaskbay.ports.store import epoch_of
 
 MAX_REMOVED = 1024
 """Removed members that are remembered; a peer that is further behind gets all."""
@@ -24,6 +25,9 @@
     The revisions are the store's, so that a daemon can continue with the changes from
     any other one. Daemons that know the same changes have the same `revision`, also if
     one of them read the records and the other one watched them.
+
+    A new epoch begins with all records: what a peer knows of an earlier one may be
+    lost without a removal that could be sent to it.
     """
 
     def __init__(self) -> None:
@@ -32,12 +36,21 @@
         self._complete_after = 0
         self.revision = 0
 
+    def __contains__(self, instance: str) -> bool:
+        """Return whether there is a record of an instance."""
+        return instance in self._entries_by_instance
+
+    def begins_epoch(self, revision: int) -> bool:
+        """Return whether a revision is of a later epoch than the known records."""
+        return bool(self.revision) and epoch_of(revision) > epoch_of(self.revision)
+
     def replace(
         self, records_by_instance: Mapping[str, StoredRecord], revision: int
     ) -> bool:
         """Replace all records by those at a revision; return False if it is older."""
         if revision < self.revision:
             return False
+        begins_epoch = self.begins_epoch(revision)
         if not self.revision:
             self._complete_after = revision
         for instance in self._entries_by_instance.keys() - records_by_instance.keys():
@@ -46,6 +59,11 @@
             self._entries_by_instance[instance] = record
             self._removed_at.pop(instance, None)
             self.revision = max(self.revision, record.revision)
+        if begins_epoch:
+            # An empty listing has no revision of its own.
+            if epoch_of(self.revision) < epoch_of(revision):
+                self.revision = revision
+            self._complete_after = self.revision
         return True
 
     def record_change(self, instance: str, value: bytes | None, revision: int) -> bool:
--- a/damaskbay/mesh/members.py
+++ b/damaskbay/mesh/members.py
@@ -11,6 +11,7 @@
 from damaskbay.mesh.member_log import MemberLog, StoredRecord
 from damaskbay.mesh.messages import MembersReply, MembersRequest, PeerStatus
 from damaskbay.mesh.records import decode_record
+from damaskbay.mesh.registry import rewrite_window_s
 from damaskbay.ports.peer import PeerAddress
 from damaskbay.ports.store import (
     Store,
@@ -18,6 +19,7 @@
     StoreItem,
     StoreProblem,
     StoreSnapshot,
+    epoch_of,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -49,6 +51,9 @@
 REQUEST_TIMEOUT_S = 1.0
 """Timeout of a request to a peer, seconds."""
 
+RESTORED_KEEP_S = 7.0
+"""Time in which daemons hear of a restored store and retry their writes, seconds."""
+
 
 @dataclass(frozen=True, slots=True)
 class MembersParts:
@@ -56,7 +61,9 @@
     Dependencies of Members.
 
     `watches_store` is whether this daemon watches the store for its domain. The record
-    that an earlier start of this daemon has left goes to `on_local_record`.
+    that an earlier start of this daemon has left goes to `on_local_record`. After each
+    change, `on_listing` gets whether there is a record of this daemon, and the revision
+    up to which that is known.
     """
 
     instance: str
@@ -69,6 +76,7 @@
     watches_store: Callable[[], bool]
     on_change: Callable[[], None]
     on_local_record: Callable[[MemberRecord], None]
+    on_listing: Callable[[bool, int], None]
     clock: Callable[[], float]
 
 
@@ -78,7 +86,8 @@
 
     Each daemon reads the records once. Then the relays watch the store; the status of
     a daemon tells the revision that it knows and how long ago it was proven the last,
-    and a daemon with an older one requests the changes.
+    and a daemon with an older one requests the changes. The records of a new epoch are
+    read again; daemons that lack there are kept while they write theirs.
     """
 
     def __init__(self, parts: MembersParts) -> None:
@@ -166,7 +175,7 @@
         self._log.revision = max(self._log.revision, reply.revision)
         if self._proven_at is not None:
             self._proven_at = max(self._proven_at, proven_at)
-        self._parts.on_change()
+        self._report_change()
 
     def _watch_needed(self) -> bool:
         parts = self._parts
@@ -198,13 +207,15 @@
                     self._apply_item(item)
                 self._proven_at = started_at
                 if outcome.items:
-                    parts.on_change()
+                    self._report_change()
                     await asyncio.sleep(CHANGE_BATCH_DELAY_S)
                 continue
             _LOGGER.info(
                 "members: watch has ended.",
                 extra={"why": outcome.problem.value, "detail": outcome.detail},
             )
+            if parts.store.epoch > epoch_of(revision):
+                return
             await asyncio.sleep(self._retry_delay_s())
             if outcome.problem is StoreProblem.COMPACTED:
                 return
@@ -222,16 +233,32 @@
             self._parts.on_local_record(local_record)
         self._replace(records, reading.revision)
         self._proven_at = started_at
-        self._parts.on_change()
+        self._report_change()
+
+    def _report_change(self) -> None:
+        parts = self._parts
+        parts.on_change()
+        parts.on_listing(parts.instance in self._log, self._log.revision)
 
     def _replace(
         self, records_by_instance: dict[str, StoredRecord], revision: int
     ) -> None:
+        directory, now = self._parts.directory, self._parts.clock()
+        if self._log.begins_epoch(revision):
+            window_s = rewrite_window_s(len(directory.instances()))
+            directory.keep_unlisted(now + window_s + RESTORED_KEEP_S)
+            _LOGGER.warning(
+                "members: records are those of a restored store.",
+                extra={
+                    "epoch": epoch_of(revision),
+                    "records": len(records_by_instance),
+                },
+            )
         if not self._log.replace(records_by_instance, revision):
             return
         found = [decode_record(item.value) for item in records_by_instance.values()]
         records = [record for record in found if record is not None]
-        self._parts.directory.replace_listing(records, self._parts.clock())
+        directory.replace_listing(records, now)
 
     def _apply_item(self, item: StoreItem) -> None:
         instance = item.key.removeprefix(self._parts.prefix)
--- a/damaskbay/mesh/registry.py
+++ b/damaskbay/mesh/registry.py
@@ -1,8 +1,10 @@
 """Keeps the daemon's record in the store."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
+from random import Random
 
 from damaskbay.helpers.arrivals import timeout_after_reading
 from damaskbay.mesh.directory import MemberRecord
@@ -12,6 +14,7 @@
     StoreConflict,
     StoreFailure,
     StoreProblem,
+    epoch_of,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -31,12 +34,29 @@
 DRAIN_WRITE_TIMEOUT_S = 0.5
 """Timeout of the store write before a server's drain report is confirmed, seconds."""
 
+REWRITES_PER_S = 150.0
+"""
+Records a second that all daemons together write after the store was restored.
+
+Each takes two writes, for the lease and the record. That is three quarters of the 400
+writes a second that the smallest store takes, and 300 daemons are done in 2 s.
+"""
+
+
+def rewrite_window_s(daemons: int) -> float:
+    """Return over how long daemons spread the writes of their records, in seconds."""
+    return daemons / REWRITES_PER_S
+
 
 class Registration:
     """
     Writes the daemon's record under a lease whenever it has changed.
 
     `may_replace` returns whether a record may replace that of an earlier daemon start.
+
+    When a new epoch of the store begins, lease and record are lost. All daemons notice
+    that at about the same time, so that each waits for a random part of a window that
+    grows with `fleet_size` before it writes.
     """
 
     def __init__(
@@ -45,11 +65,19 @@
         key: str,
         record: Callable[[], MemberRecord],
         may_replace: Callable[[MemberRecord], bool] = lambda _record: True,
+        *,
+        fleet_size: Callable[[], int] = lambda: 1,
+        rng: Random | None = None,
     ) -> None:
         self._store = store
         self._key = key
         self._record = record
         self._may_replace = may_replace
+        self._fleet_size = fleet_size
+        self._rng = rng or Random()
+        self._epoch = 0
+        self._epoch_heard = 0
+        self._must_wait = False
         self._lease = 0
         self._revision = 0
         self._written: MemberRecord | None = None
@@ -60,6 +88,20 @@
         """Wake `run` to write a changed record."""
         self._changed.set()
 
+    def record_listing(self, is_listed: bool, revision: int) -> None:
+        """
+        Write again what the records of all daemons lack, as known up to a revision.
+
+        Whether the lease of an earlier epoch is lost is left to the store.
+        """
+        epoch = epoch_of(revision)
+        if epoch > self._epoch:
+            self._hear_of_epoch(epoch)
+        elif not is_listed and self._written is not None and revision > self._revision:
+            _LOGGER.warning("registry: record is missing.", extra={"epoch": epoch})
+            self._written = None
+            self.schedule_write()
+
     async def write_now(self, timeout_s: float) -> bool:
         """Write a changed record at once; return whether the store has it."""
         try:
@@ -81,8 +123,11 @@
 
     async def _renew(self) -> bool:
         self._changed.clear()
-        if self._lease:
-            failure = await self._store.renew_lease(self._lease)
+        if self._must_wait:
+            await self._wait_in_window()
+        lease = self._lease
+        if lease:
+            failure = await self._store.renew_lease(lease)
             if failure is not None:
                 _LOGGER.warning(
                     "registry: lease is not renewed.",
@@ -90,15 +135,50 @@
                 )
                 if failure.problem is not StoreProblem.NO_LEASE:
                     return False
-                self._lease, self._written = 0, None
+                if lease == self._lease:
+                    self._lease, self._written = 0, None
+                self._hear_of_epoch(self._store.epoch)
+                if self._must_wait:
+                    await self._wait_in_window()
         return await self._write()
 
+    def _hear_of_epoch(self, epoch: int) -> None:
+        """Let `run` write the record again, once for each epoch after a write."""
+        if epoch <= self._epoch_heard:
+            return
+        self._epoch_heard = epoch
+        if self._revision:
+            self._must_wait = True
+            self.schedule_write()
+
+    async def _wait_in_window(self) -> None:
+        """Wait for a random part of the window; a further change ends the wait."""
+        self._must_wait = False
+        self._changed.clear()
+        delay_s = self._rng.uniform(0.0, rewrite_window_s(self._fleet_size()))
+        _LOGGER.info(
+            "registry: record of an earlier epoch is written again.",
+            extra={"epoch": self._epoch_heard, "delay_s": round(delay_s, 3)},
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay_s):
+                await self._changed.wait()
+
+    def _forget_lost(self) -> None:
+        """Forget a lease and a record of an earlier epoch."""
+        if self._epoch < self._store.epoch:
+            self._epoch = self._store.epoch
+            self._epoch_heard = max(self._epoch_heard, self._epoch)
+            self._lease, self._written = 0, None
+
     async def _write(self) -> bool:
         async with self._lock:
+            self._forget_lost()
             if not self._lease:
                 granted = await self._store.create_lease(LEASE_S)
                 if isinstance(granted, StoreFailure):
                     return False
+                self._forget_lost()
                 self._lease, self._written = granted, None
             record = self._record()
             if record == self._written:
--- a/damaskbay/platform/store.py
+++ b/damaskbay/platform/store.py
@@ -5,6 +5,7 @@
 import binascii
 import json
 from collections.abc import Mapping
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import urlencode
@@ -151,6 +152,8 @@
         reply = await self._send("POST", "/kv-txn", body, STORE_TIMEOUT_S)
         # The request may have run with numbers that were issued again.
         failure = await self._find_lost(key, expected, lease)
+        if isinstance(failure, StoreFailure) and failure != _NO_LEASE:
+            return replace(failure, problem=StoreProblem.UNANSWERED)
         if failure is not None:
             return failure
         return self._decode_write(reply, key)
--- a/tests/mesh/test_config_fetch.py
+++ b/tests/mesh/test_config_fetch.py
@@ -16,6 +16,7 @@
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.messages import ConfigReply, ConfigRequest
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
+from damaskbay.ports.store import StoreItem
 from tests.common import function_suite
 from tests.mesh.test_members import SETTLED_S, _Store, _StoreOfDaemon
 
@@ -171,6 +172,23 @@
     _run(check)
 
 
+# Guards against refusals for want of a proof beside a store that was restored.
+def test_a_stored_set_that_is_older_proves_the_active_one() -> None:
+    """The older set is decoded once; an invalid one proves nothing."""
+
+    async def check(daemon: _Daemon) -> None:
+        await daemon.watch.activate_document(b"9", "store")
+        for at in (1.0, 2.0):
+            await daemon.watch._apply_items([StoreItem("op/config", b"8", 5)], at)
+            assert daemon.configuration.proven_at == at
+        assert daemon.decoded == 2
+        assert daemon.configuration.document == b"9"
+        await daemon.watch._apply_items([StoreItem("op/config", b"x", 6)], 3.0)
+        assert daemon.configuration.proven_at == 2.0
+
+    _run(check)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
--- a/tests/mesh/test_members.py
+++ b/tests/mesh/test_members.py
@@ -16,12 +16,19 @@
 from damaskbay.helpers.backoff import Backoff
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.member_log import MAX_REMOVED, MemberLog, StoredRecord
-from damaskbay.mesh.members import MAX_AGE_S, RETRY_DELAY_S, Members, MembersParts
+from damaskbay.mesh.members import (
+    MAX_AGE_S,
+    RESTORED_KEEP_S,
+    RETRY_DELAY_S,
+    Members,
+    MembersParts,
+)
 from damaskbay.mesh.messages import MembersRequest, PeerStatus
 from damaskbay.mesh.records import encode_record
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
 from damaskbay.ports.store import (
+    EPOCH_BITS,
     Store,
     StoreFailure,
     StoreItem,
@@ -72,6 +79,8 @@
 
 
 class _StoreOfDaemon:
+    epoch = 0
+
     def __init__(self, store: _Store, instance: str) -> None:
         self._store = store
         self._instance = instance
@@ -128,6 +137,7 @@
             watches_store=lambda: record.instance in self.relays,
             on_change=lambda: None,
             on_local_record=lambda _record: None,
+            on_listing=lambda _is_listed, _revision: None,
             clock=lambda: self.now,
         )
         self.directories.append(directory)
@@ -326,6 +336,53 @@
     assert not log.changes_after(2).complete
 
 
+# Guards against a member that stays known for good: nobody can send its removal.
+def test_a_new_epoch_is_told_with_all_records() -> None:
+    """A peer knows a record of the earlier epoch that this daemon has never seen."""
+    log, peer = MemberLog(), MemberLog()
+    log.replace({"a": StoredRecord(b"1", 8)}, 8)
+    peer.replace({"a": StoredRecord(b"1", 8), "unseen": StoredRecord(b"1", 9)}, 9)
+    start = 1 << EPOCH_BITS
+    log.replace({"a": StoredRecord(b"1", start + 3)}, start + 7)
+    reply = log.changes_after(peer.revision)
+    assert reply.complete
+    assert reply.revision == start + 3
+    assert log.record_change("b", b"1", start + 8)
+    assert not log.changes_after(start + 3).complete
+
+
+# Guards against peers that never hear of the loss, as no record has a revision.
+def test_a_new_epoch_without_records_is_a_change() -> None:
+    """All records are lost, also those that were removed before."""
+    log = MemberLog()
+    log.replace({}, 4)
+    log.record_change("a", b"1", 8)
+    start = 1 << EPOCH_BITS
+    assert log.replace({}, start + 2)
+    assert log.revision == start + 2
+    reply = log.changes_after(8)
+    assert (reply.complete, reply.records_by_instance) == (True, {})
+
+
+# Guards against rates that are exceeded: few daemons share what belongs to many.
+def test_members_that_a_restored_store_lacks_are_kept_for_a_while() -> None:
+    """Daemons without a link to this one are known by their records alone."""
+
+    async def check(fleet: _Fleet) -> None:
+        everyone = {record.instance for record in fleet.records}
+        members = fleet.members_by_address[fleet.records[1].address]
+        directory = fleet.directories[1]
+        members._replace({}, 1 << EPOCH_BITS)
+        fleet.now += RESTORED_KEEP_S - 0.1
+        directory.remove_expired(fleet.now)
+        assert directory.instances() == everyone
+        fleet.now += 1.0
+        directory.remove_expired(fleet.now)
+        assert directory.instances() == {"d1"}
+
+    _run(4, check)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
--- a/tests/mesh/test_registry.py
+++ b/tests/mesh/test_registry.py
@@ -5,7 +5,8 @@
 import time
 import unittest
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
+from random import Random
 
 import uvloop
 
@@ -15,11 +16,13 @@
 from damaskbay.ports.fleet import ServerState
 from damaskbay.ports.peer import PeerAddress
 from damaskbay.ports.store import (
+    EPOCH_BITS,
     StoreConflict,
     StoreFailure,
     StoreItem,
     StoreProblem,
     StoreSnapshot,
+    epoch_of,
 )
 from tests.common import block_loop, function_suite
 
@@ -28,6 +31,10 @@
     "d1", 5, "zone", PeerAddress("10.0.0.1", 7000), "p", ServerState.READY, 4, "i", 9
 )
 WRITE_TIMEOUT_S = 1.0
+FLEET = 300
+STORE_WRITES_PER_S = 400
+"""Writes a second that the smallest store takes."""
+
 RETURN_S = 2.0
 """Required time, seconds: records return this soon after the store."""
 
@@ -221,6 +228,91 @@
     uvloop.run(run())
 
 
+# Guards against a record that is missing until the next renewal, up to 2.5 s.
+def test_a_record_that_the_listing_lacks_is_written_again() -> None:
+    """An older listing, or one that has the record, changes nothing."""
+
+    async def check(
+        store: _Store, _daemon: _Daemon, registration: Registration
+    ) -> None:
+        writes = store.writes
+        registration.record_listing(False, store.revision - 1)
+        registration.record_listing(True, store.revision + 1)
+        await asyncio.sleep(0.1)
+        assert store.writes == writes
+        store.expire_lease()
+        registration.record_listing(False, store.revision)
+        async with asyncio.timeout(RETRY_DELAY_S):
+            await _until(lambda: store.record() == RECORD)
+
+    _run(check)
+
+
+@dataclass
+class _RestoredStore(_Store):
+    """A store for one daemon that is restored; `written_at` is shared by all."""
+
+    written_at: list[float] = field(default_factory=list)
+
+    def restore(self) -> None:
+        """Lose record and lease, and issue their numbers again."""
+        self.epoch += 1
+        self.item = None
+        self.lease = self.revision = self.epoch << EPOCH_BITS
+
+    async def create_lease(self, ttl_s: float) -> int | StoreFailure:
+        self.written_at.append(time.monotonic())
+        return await super().create_lease(ttl_s)
+
+    async def write(
+        self, key: str, value: bytes, *, expected: int, lease: int
+    ) -> int | StoreConflict | StoreFailure:
+        if expected and epoch_of(expected) != self.epoch:
+            return StoreConflict(self.item.revision if self.item else 0)
+        self.written_at.append(time.monotonic())
+        return await super().write(key, value, expected=expected, lease=lease)
+
+
+# Guards against a store that refuses the writes of a whole fleet at once, and against
+# records that are back too late.
+def test_records_of_a_restored_store_are_written_over_time() -> None:
+    """300 daemons hear at once that the store was restored."""
+
+    async def run() -> None:
+        written_at: list[float] = []
+        stores = [_RestoredStore(written_at=written_at) for _ in range(FLEET)]
+        registrations = [
+            Registration(
+                store, KEY, lambda: RECORD, fleet_size=lambda: FLEET, rng=Random(number)
+            )
+            for number, store in enumerate(stores)
+        ]
+        tasks = [asyncio.create_task(each.run()) for each in registrations]
+        await _until(lambda: all(store.item for store in stores))
+        written_at.clear()
+        restored_at = time.monotonic()
+        for store, registration in zip(stores, registrations, strict=True):
+            store.restore()
+            registration.record_listing(False, store.revision + 1)
+            # Each further change in the listing must not end the wait.
+            registration.record_listing(False, store.revision + 2)
+        async with asyncio.timeout(10.0):
+            await _until(lambda: all(store.item for store in stores))
+        took_s = time.monotonic() - restored_at
+        for task in tasks:
+            task.cancel()
+        assert len(written_at) == 2 * FLEET
+        busiest = max(_count_from(written_at, at) for at in written_at)
+        assert busiest < STORE_WRITES_PER_S
+        assert took_s < RETURN_S + 0.5
+
+    asyncio.run(run())
+
+
+def _count_from(times: list[float], start: float) -> int:
+    return sum(start <= at < start + 1.0 for at in times)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
