--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,6 @@
 from dataclasses import replace
 from pathlib import Path
 
-from damaskbay.platform.const import CONFIG_KEY
 from tests.platform.kv_stand_in import KvStandIn
 from tests.soak.callers import MachineCallers, RequestSource, send_once
 from tests.soak.daemons import DRAIN_S, MachineOptions
@@ -20,6 +19,7 @@
 from tests.soak.planned import LagRecorder
 from tests.soak.promises import InvariantChecker
 from tests.soak.records import Disturbance, ExecutionLog
+from tests.soak.restores import Operator, StoreRestores
 from tests.soak.servers import QUICK_TARGET, NestedCalls
 
 DOMAINS = ("a", "b")
@@ -54,6 +54,7 @@
         self._caller_rng = random.Random(options.seed)
         self._limit_rng = random.Random(options.seed)
         self._kv = KvStandIn()
+        self._operator = Operator(self._kv)
         execution_log = ExecutionLog()
         self._workspaces_by_key = {"k1": "t1", "k2": "t2", "k3": "t2"}
         self._active_keys = dict(self._workspaces_by_key)
@@ -79,6 +80,14 @@
             for number in range(options.machine_count)
         ]
 
+        self._restores: StoreRestores | None = None
+        if options.restores:
+            self._restores = StoreRestores(
+                self._kv,
+                self._operator,
+                random.Random(options.seed),
+                lambda name: self._record_event(name, self._machines[0]),
+            )
         self._harsh = HarshFaults(
             HarshParts(
                 self._machines,
@@ -124,6 +133,9 @@
                 group.create_task(self._inject_faults())
                 if self._options.limits:
                     group.create_task(self._inject_limits())
+                if self._restores is not None:
+                    end = time.monotonic() + self._options.fault_duration_s
+                    group.create_task(self._restores.run(end))
             await asyncio.sleep(SETTLE_S)
             caller_task.cancel()
             await self._check_recovery()
@@ -174,7 +186,7 @@
                 )
                 group.create_task(callers.run(pipelines=pipelines))
 
-    async def _publish(self) -> None:
+    async def _publish(self, *, withdraws: bool = False) -> None:
         """Publish a manifest of the next version with the active keys."""
         self._version += self._rng.randint(1, 3)
         document = make_manifest(
@@ -184,7 +196,7 @@
             sorted(set(self._workspaces_by_key.values())),
             self._extra_routes,
         )
-        await self._kv.put(CONFIG_KEY, json.dumps(document).encode())
+        await self._operator.publish(json.dumps(document).encode(), withdraws=withdraws)
 
     async def _publish_routes(self, count: int) -> None:
         """Publish a set with so many routes more, which no caller uses."""
@@ -374,7 +386,7 @@
         """Publish a manifest without key k3, only once; the other keys stay."""
         if self._active_keys.pop("k3", None) is None:
             return
-        await self._publish()
+        await self._publish(withdraws=True)
         self.checker.withdrawn_at["k3"] = time.monotonic()
 
     async def _drain(self, machine: Machine) -> None:
@@ -390,7 +402,13 @@
         machine.replace_server()
 
     async def _check_recovery(self) -> None:
-        """Check that each machine serves again after the time without faults."""
+        """Check that each machine is listed and serves after the calm."""
+        if self._restores is not None:
+            names = [machine.name for machine in self._machines]
+            self.checker.violations.extend(
+                f"{name}: its record is missing in the store"
+                for name in self._restores.find_missing(names)
+            )
         for machine in self._machines:
             served = 0
             for _ in range(20):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -96,6 +96,15 @@
     assert not violations, violations
 
 
+# Records stayed away and changes were missed after a restore of the store.
+def test_a_store_that_is_restored_breaks_no_promise() -> None:
+    """Restores from snapshots that are seconds old, beside the other faults."""
+    violations = _run_soak(
+        SoakOptions(seed=1, machine_count=4, fault_duration_s=12.0, restores=True)
+    )
+    assert not violations, violations
+
+
 # A SIGHUP during a start ended the process; short chunks made it exceed its memory.
 def test_signals_and_full_memory_end_no_daemon() -> None:
     """Series of SIGHUPs, torn settings, large sets, uploads and endless bodies."""
