--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -132,7 +132,7 @@
         self._cold_server = ColdServer(
             settings, self._server_check, self._links.broadcast_note, monotonic_s
         )
-        self._repeats = make_retry_budget(settings)
+        self._repeats = make_retry_budget(settings, self._directory)
         self._telemetry = BoundTelemetry()
         self._cold_server.register_gauges(self._telemetry)
         self._control_plane.evacuation.register_gauges(self._telemetry)
