Let the pressure of a pool reach the edge of its call trees

A server without overload counted as level 16,000 in the average over servers, so that one idle server hid the overload of another, and calls that were refused in the middle of a tree reported the level of that daemon alone. The edge went on starting trees that could not complete.

Levels are capped at one step above the least important rank in use. Each result of a call, also of a refused one, carries the lower of the local level and of its route's nested calls. A nested call that finds no capacity counts like a level that admits none of its rank.

--- a/damaskbay/core/pressure.py
+++ b/damaskbay/core/pressure.py
@@ -4,7 +4,8 @@
 from random import Random
 
 from damaskbay.core.admission.const import LEVEL_STEPS_PER_RANK
-from damaskbay.core.admission.level import pass_share
+from damaskbay.core.admission.level import OPEN_LEVEL, pass_share
+from damaskbay.core.call import CallResult, Response
 from damaskbay.core.outcome import Reason, Refusal, not_run
 from damaskbay.core.routing.const import (
     LEVEL_EXPIRY_S,
@@ -19,12 +20,50 @@
 MAX_RETRY_AFTER_S = 2.0
 """Upper limit of the mean retry delay, in seconds; callers hardly wait longer."""
 
-HIGHEST_LEVEL = 16 * LEVEL_STEPS_PER_RANK
-"""Level of a route without overload; it is finite so that levels can be averaged."""
+HIGHEST_RANK = 15
+"""Least important rank that levels tell apart; less important ones are treated so."""
 
 LEVEL_GAIN = 0.3
 """Weight of the newest level in the moving average over servers."""
 
+OPEN_MARGIN = 0.01 * LEVEL_STEPS_PER_RANK
+"""Distance from the highest level at which nothing is refused: 1 % of a rank."""
+
+RANK_MEMORY_S = 5.0
+"""Least time for which a rank counts as in use after its last call, in seconds."""
+
+CAPACITY_REASONS = frozenset(
+    {Reason.QUEUE_FULL, Reason.OVERLOADED, Reason.RETRY_BUDGET_SPENT}
+)
+"""Reasons for which a call finds no server with capacity, whatever its time limit."""
+
+
+def lacks_capacity(outcome: Response | Refusal) -> bool:
+    """Return whether a call was refused since no server had capacity for it."""
+    return isinstance(outcome, Refusal) and outcome.reason in CAPACITY_REASONS
+
+
+class RanksInUse:
+    """The least important rank of recent calls; times in seconds."""
+
+    def __init__(self) -> None:
+        self._current = 0
+        self._previous = 0
+        self._since = float("-inf")
+
+    def record(self, rank: int, now: float) -> None:
+        """Record a call of this rank."""
+        if now - self._since >= RANK_MEMORY_S:
+            self._previous, self._current = self._current, 0
+            self._since = now
+        self._current = max(self._current, min(rank, HIGHEST_RANK))
+
+    @property
+    def highest_level(self) -> float:
+        """Return the lowest level at which calls of all ranks in use pass."""
+        highest_rank = max(self._current, self._previous)
+        return (highest_rank + 1.0) * LEVEL_STEPS_PER_RANK
+
 
 @dataclass(slots=True)
 class _Level:
@@ -36,34 +75,69 @@
     """
     Recent admission level of each route, over all servers that its calls reach.
 
-    Levels of several servers are averaged, since a call may go to any of them. An
-    old level rises linearly to `HIGHEST_LEVEL`, where nothing is refused. Times are
-    in seconds of one monotonic clock.
+    Levels of several servers are averaged, since a call may go to any of them. A server
+    without overload counts as one step above the least important rank in use: with a
+    higher value, an idle server would hide the overload of another one. A call that
+    finds no capacity counts like a level that admits none of its rank. An old level
+    rises linearly until nothing is refused. Times are in seconds of one monotonic
+    clock. Made for tens of thousands of results per second.
     """
 
     def __init__(self) -> None:
         self._levels: dict[str, _Level] = {}
-
-    def record_level(self, route: str, level: int | None, now: float) -> None:
-        """Record the admission level that a response on a route reported."""
-        if level is None:
+        self._ranks = RanksInUse()
+
+    def record_rank(self, rank: int, now: float) -> None:
+        """Record that calls of a rank are in use."""
+        self._ranks.record(rank, now)
+
+    def record_result(
+        self, route: str, rank: int, result: CallResult, now: float
+    ) -> None:
+        """Record the result of a call of a route and rank."""
+        self._ranks.record(rank, now)
+        refused_rank = rank if lacks_capacity(result.result) else None
+        self.record_level(route, result.admission_level, now, refused_rank)
+
+    def record_level(
+        self, route: str, level: int | None, now: float, refused_rank: int | None = None
+    ) -> None:
+        """
+        Record the admission level that a response on a route reported.
+
+        `refused_rank` is the rank of the call if it found no capacity.
+        """
+        if level is None and refused_rank is None:
             return
-        value = float(min(level, HIGHEST_LEVEL))
+        if level is not None and level < OPEN_LEVEL:
+            # A server reports no level above the ranks of its own calls.
+            self._ranks.record((level - 1) // LEVEL_STEPS_PER_RANK, now)
+        open_level = self._ranks.highest_level
+        newest = open_level if level is None else min(float(level), open_level)
         known = self._levels.get(route)
+        before = newest
         if known is not None and now - known.updated_at < LEVEL_EXPIRY_S:
-            value = known.value + LEVEL_GAIN * (value - known.value)
+            before = min(known.value, open_level)
+        if refused_rank is not None:
+            newest = min(newest, float(refused_rank * LEVEL_STEPS_PER_RANK))
+        value = before + LEVEL_GAIN * (newest - before)
+        if value > open_level - OPEN_MARGIN:
+            value = OPEN_LEVEL
         self._levels[route] = _Level(value, now)
 
     def level(self, route: str, now: float) -> int:
         """Return the current level of a route."""
         known = self._levels.get(route)
-        if known is None or now - known.updated_at >= LEVEL_EXPIRY_S:
-            return HIGHEST_LEVEL
+        if known is None or known.value >= OPEN_LEVEL:
+            return OPEN_LEVEL
         age_s = now - known.updated_at
+        if age_s >= LEVEL_EXPIRY_S:
+            return OPEN_LEVEL
         if age_s <= LEVEL_FULL_WEIGHT_S:
             return int(known.value)
         decay = (age_s - LEVEL_FULL_WEIGHT_S) / (LEVEL_EXPIRY_S - LEVEL_FULL_WEIGHT_S)
-        return int(known.value + (HIGHEST_LEVEL - known.value) * decay)
+        highest = max(self._ranks.highest_level, known.value)
+        return int(known.value + (highest - known.value) * decay)
 
 
 class EdgeLoadShedder:
@@ -84,10 +158,17 @@
         """Record the admission level that a response on a route reported."""
         self._levels.record_level(route, level, now)
 
+    def record_result(
+        self, route: str, rank: int, result: CallResult, now: float
+    ) -> None:
+        """Record the result of a root call."""
+        self._levels.record_result(route, rank, result, now)
+
     def refusal(
         self, route: str, rank: int, workspace: str, weight: float, now: float
     ) -> Refusal | None:
         """Return a refusal, or None if the request is admitted."""
+        self._levels.record_rank(rank, now)
         share = self._share_of_rank(route, rank, now)
         admitted_share = self._demand.record_call(
             route, rank, workspace, weight=weight, share=share, now=now
@@ -102,5 +183,4 @@
 
     def _share_of_rank(self, route: str, rank: int, now: float) -> float:
         level = self._levels.level(route, now)
-        capped_rank = min(rank, HIGHEST_LEVEL // LEVEL_STEPS_PER_RANK - 1)
-        return max(MIN_PASS_SHARE, pass_share(level, capped_rank))
+        return max(MIN_PASS_SHARE, pass_share(level, min(rank, HIGHEST_RANK)))
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -206,8 +206,8 @@
         if incoming.caller is not None:
             parts.running.record_nested_end(incoming.caller, result, parts.clock())
         else:
-            parts.pressure.record_level(
-                route.name, result.admission_level, parts.clock()
+            parts.pressure.record_result(
+                route.name, context.priority_rank, result, parts.clock()
             )
         outcome = result.result
         if isinstance(outcome, Refusal):
--- a/damaskbay/mesh/running.py
+++ b/damaskbay/mesh/running.py
@@ -55,7 +55,8 @@
         outcome = result.result
         if not isinstance(outcome, Response) or outcome.status >= FIRST_SERVER_ERROR:
             call.nested_failed = True
-        self._levels.record_level(call.context.route, result.admission_level, now)
+        context = call.context
+        self._levels.record_result(context.route, context.priority_rank, result, now)
 
     def level(self, route: str, local_level: int, now: float) -> int:
         """Return the lower of `local_level` and that of the route's nested calls."""
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -178,7 +178,7 @@
         finally:
             parts.running.remove(call)
             parts.gate.release(admitted, sample, parts.clock())
-        return self._result(outcome, int(active.sent), took_s, call)
+        return self._result(context, outcome, int(active.sent), took_s, call)
 
     def _refusal_before_queue(
         self, context: CallContext, active: _ActiveCall, now: float
@@ -252,7 +252,8 @@
             return self._refused_result(context, not_run(Reason.SHUTTING_DOWN), now)
         self._log_cancelled(context, active)
         detail = "daemon stopped while the server ran the call"
-        return self._result(unknown(Reason.SHUTTING_DOWN, detail=detail), 1, None)
+        outcome = unknown(Reason.SHUTTING_DOWN, detail=detail)
+        return self._result(context, outcome, 1, None)
 
     def _log_cancelled(self, context: CallContext, active: _ActiveCall) -> None:
         """Log a call that its sender cancelled or that the daemon's end cuts."""
@@ -287,10 +288,11 @@
                     "left_s": round(context.deadline - now, 3),
                 },
             )
-        return self._result(refusal, 0, None)
+        return self._result(context, refusal, 0, None)
 
     def _result(
         self,
+        context: CallContext,
         outcome: Response | Refusal,
         attempts: int,
         took_s: float | None,
@@ -298,9 +300,7 @@
     ) -> CallResult:
         parts = self._parts
         now = parts.clock()
-        level = parts.gate.level(now)
-        if call is not None:
-            level = parts.running.level(call.context.route, level, now)
+        level = parts.running.level(context.route, parts.gate.level(now), now)
         return CallResult(
             outcome,
             attempts=attempts,
--- a/tests/mesh/test_parts.py
+++ b/tests/mesh/test_parts.py
@@ -13,8 +13,9 @@
     WeightedRoute,
 )
 from damaskbay.config.ranks import Ranks
+from damaskbay.core.admission.level import OPEN_LEVEL
 from damaskbay.core.call import CallContext, CallResult, Response
-from damaskbay.core.pressure import HIGHEST_LEVEL, EdgeLoadShedder
+from damaskbay.core.pressure import EdgeLoadShedder
 from damaskbay.core.retry.repeats import ServerRetryBudget, ServerRetryOptions
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.directory import NOTE_TIMEOUT_S, Directory, MemberRecord
@@ -279,7 +280,7 @@
     assert 60 <= admitted(1, 0.4) <= 140
     assert admitted(2, 0.4) <= 20
     assert pressure.refusal("r", 2, "w", 1.0, 5.0) is None
-    pressure.record_level("q", HIGHEST_LEVEL, 0.0)
+    pressure.record_level("q", OPEN_LEVEL, 0.0)
     assert pressure.refusal("q", 99, "w", 1.0, 0.0) is None
 
 
