Shed nothing at the edge while one server of several is full

The level of overloaded results and their share of all results are now averaged apart, the share by time. Below a third nothing is refused.

--- a/damaskbay/core/pressure.py
+++ b/damaskbay/core/pressure.py
@@ -1,6 +1,7 @@
 """Refusal of new requests at the edge while a server on their path is overloaded."""
 
 from dataclasses import dataclass
+from math import exp
 from random import Random
 
 from damaskbay.core.admission.const import LEVEL_STEPS_PER_RANK
@@ -24,10 +25,17 @@
 """Least important rank that levels tell apart; less important ones are treated so."""
 
 LEVEL_GAIN = 0.3
-"""Weight of the newest level in the moving average over servers."""
+"""Largest weight of the newest result in the averages over servers."""
 
-OPEN_MARGIN = 0.01 * LEVEL_STEPS_PER_RANK
-"""Distance from the highest level at which nothing is refused: 1 % of a rank."""
+MIN_LEVEL_GAIN = 0.02
+"""Least weight of a result, for many that arrive at once."""
+
+MIN_OVERLOADED_SHARE = 1.0 / 3.0
+"""
+Share of results with news of overload from which the edge sheds.
+
+Below it, one server of several is full: what it refuses is sent to another one.
+"""
 
 RANK_MEMORY_S = 5.0
 """Least time for which a rank counts as in use after its last call, in seconds."""
@@ -67,7 +75,10 @@
 
 @dataclass(slots=True)
 class _Level:
+    """Mean level of the results with news of overload, and their share of all."""
+
     value: float
+    overloaded: float
     updated_at: float
 
 
@@ -77,7 +88,8 @@
 
     Levels of several servers are averaged, since a call may go to any of them. A server
     without overload counts as one step above the least important rank in use: with a
-    higher value, an idle server would hide the overload of another one. A call that
+    higher value, an idle server would hide the overload of another one. While only few
+    of the results bring news of overload, nothing is refused. A call that
     finds no capacity counts like a level that admits none of its rank. An old level
     rises linearly until nothing is refused. Times are in seconds of one monotonic
     clock. Made for tens of thousands of results per second.
@@ -114,30 +126,36 @@
             self._ranks.record((level - 1) // LEVEL_STEPS_PER_RANK, now)
         open_level = self._ranks.highest_level
         newest = open_level if level is None else min(float(level), open_level)
-        known = self._levels.get(route)
-        before = newest
-        if known is not None and now - known.updated_at < LEVEL_EXPIRY_S:
-            before = min(known.value, open_level)
         if refused_rank is not None:
             newest = min(newest, float(refused_rank * LEVEL_STEPS_PER_RANK))
-        value = before + LEVEL_GAIN * (newest - before)
-        if value > open_level - OPEN_MARGIN:
-            value = OPEN_LEVEL
-        self._levels[route] = _Level(value, now)
+        is_low = newest < open_level
+        known = self._levels.get(route)
+        if known is None or now - known.updated_at >= LEVEL_EXPIRY_S:
+            # A refused call alone is less certain than a level.
+            first_share = LEVEL_GAIN if level is None or level >= open_level else 1.0
+            self._levels[route] = _Level(newest, first_share if is_low else 0.0, now)
+            return
+        elapsed_s = now - known.updated_at
+        gain = max(MIN_LEVEL_GAIN, 1.0 - exp(-elapsed_s / LEVEL_EXPIRY_S))
+        known.overloaded += min(LEVEL_GAIN, gain) * (is_low - known.overloaded)
+        if is_low:
+            known.value += LEVEL_GAIN * (newest - known.value)
+        known.updated_at = now
 
     def level(self, route: str, now: float) -> int:
         """Return the current level of a route."""
         known = self._levels.get(route)
-        if known is None or known.value >= OPEN_LEVEL:
+        if known is None or known.overloaded < MIN_OVERLOADED_SHARE:
             return OPEN_LEVEL
         age_s = now - known.updated_at
         if age_s >= LEVEL_EXPIRY_S:
             return OPEN_LEVEL
-        if age_s <= LEVEL_FULL_WEIGHT_S:
-            return int(known.value)
-        decay = (age_s - LEVEL_FULL_WEIGHT_S) / (LEVEL_EXPIRY_S - LEVEL_FULL_WEIGHT_S)
-        highest = max(self._ranks.highest_level, known.value)
-        return int(known.value + (highest - known.value) * decay)
+        missing = max(0.0, self._ranks.highest_level - known.value) * known.overloaded
+        if age_s > LEVEL_FULL_WEIGHT_S:
+            missing *= (LEVEL_EXPIRY_S - age_s) / (LEVEL_EXPIRY_S - LEVEL_FULL_WEIGHT_S)
+        if missing < 1.0:
+            return OPEN_LEVEL
+        return int(self._ranks.highest_level - missing)
 
 
 class EdgeLoadShedder:
