Admit root calls by the work of their whole trees

Shedding by a level per route refused each call of a tree apart, knew of a pool only through results of the same route, and treated a root call with eight calls there like one with one.

Results now tell what a call and those below it needed at each pool, the level there and the share of sends that its servers accept. Work is kept by route, room by pool. A root call begins only where every pool of its tree has room for its rank; among routes of a rank room is divided by work. A tree that would hardly complete is not begun. A refusal names the pool, what the tree needs there and when room is expected. EdgeLoadShedder is replaced.

The new fields travel in new kinds of messages, which a daemon sends only to peers that announce link version 2, and gets only in reply to such a call.

--- a/bench/call_cost_refusal.py
+++ b/bench/call_cost_refusal.py
@@ -89,15 +89,15 @@
         await fleet.start()
         await fleet.publish(rate=RATE_PER_S)
         daemon = (await fleet.add("n1", "one")).daemon
-        pressure = daemon._ingress._parts.pressure
-        pressure._rng = _NeverPasses(seed)
+        parts = daemon._ingress._parts
+        parts.admission._rng = _NeverPasses(seed)
         transport = _Transport()
         connection = ServerConnection(daemon._callers)
         connection._transport = cast("asyncio.Transport", transport)
         taken_us = []
         for number in range(blocks):
             for route in _routes(daemon):
-                pressure.record_level(route, 0, monotonic_s())
+                parts.trees.levels.record_level(route, 0, monotonic_s())
             taken_us.append(await _run_block(connection, transport, number))
         connection._transport = None
         return taken_us
--- a/bench/call_cost_stages.py
+++ b/bench/call_cost_stages.py
@@ -24,6 +24,7 @@
     ("helpers/messages", "link"),
     ("mesh/ingress", "ingress"),
     ("core/pressure", "ingress"),
+    ("core/trees", "ingress"),
     ("core/routing/demand", "ingress"),
     ("core/quota/", "ingress"),
     ("config/matching", "ingress"),
--- a/damaskbay/adapters/peer_link/client.py
+++ b/damaskbay/adapters/peer_link/client.py
@@ -175,6 +175,11 @@
         link = self._links_by_peer.get(peer)
         return link is not None and link.takes_requests and not link.suspect
 
+    def peer_version(self, peer: PeerAddress) -> int:
+        """Return the version that a peer announced, 0 if it is unknown."""
+        link = self._links_by_peer.get(peer)
+        return 0 if link is None else link.peer_version
+
     async def request(
         self,
         peer: PeerAddress,
--- a/damaskbay/adapters/peer_link/const.py
+++ b/damaskbay/adapters/peer_link/const.py
@@ -65,6 +65,12 @@
 PARTS_VERSION: Final = 1
 """Number in notes and their acknowledgements of daemons that take parts."""
 
+TREES_VERSION: Final = 2
+"""Number of daemons that read news of pools; it includes PARTS_VERSION."""
+
+LINK_VERSION: Final = TREES_VERSION
+"""Number in the notes and acknowledgements of this daemon."""
+
 KEPT_BUFFER_BYTES: Final = 256 * 1024
 """Receive buffer that a link keeps between frames; a larger one is freed."""
 
--- a/damaskbay/adapters/peer_link/frames.py
+++ b/damaskbay/adapters/peer_link/frames.py
@@ -9,8 +9,8 @@
 from damaskbay.adapters.peer_link.const import (
     FRAME_VALUES,
     KEPT_BUFFER_BYTES,
+    LINK_VERSION,
     MAX_FRAME_BYTES,
-    PARTS_VERSION,
 )
 from damaskbay.adapters.peer_link.exceptions import BadFrameError
 from damaskbay.helpers.messages import pack
@@ -78,7 +78,7 @@
 
 def encode_note(message: Any) -> bytes:
     """Encode a note once, to send it on several links."""
-    return encode(FrameKind.NOTE, PARTS_VERSION, pack(message))
+    return encode(FrameKind.NOTE, LINK_VERSION, pack(message))
 
 
 class FrameReader:
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -6,6 +6,7 @@
 
 from damaskbay.adapters.http1.sockets import set_tcp_options
 from damaskbay.adapters.peer_link.const import (
+    LINK_VERSION,
     MAX_FRAME_BYTES,
     MAX_PAYLOAD_BYTES,
     MAX_RUNNING_REQUESTS,
@@ -44,7 +45,8 @@
     and the last written bytes. PeerLinks sets `suspect` after SUSPECT_AFTER_S without
     received bytes; new requests avoid a suspect link. An `unproven` link has not heard
     from a peer that was silent before. `ended` is set when the connection is lost,
-    `released` already when the link is retired. What it holds counts in `memory`.
+    `released` already when the link is retired. `peer_version` is the number that the
+    peer announced, 0 until then. What it holds counts in `memory`.
     """
 
     def __init__(self, handlers: LinkHandlers, memory: MemoryAccount) -> None:
@@ -65,7 +67,7 @@
         self._received_note: Any = None
         self._sent_note: Any = None
         self._peer_sends_status = False
-        self._peer_takes_parts = False
+        self.peer_version = 0
         self._ending = False
         self._closing = False
         self._peer_closing = False
@@ -276,6 +278,10 @@
         _LOGGER.info("peer: request has timed out.", extra=extra)
         self._pending.fail(number, PeerProblem.TIMEOUT)
 
+    @property
+    def _peer_takes_parts(self) -> bool:
+        return self.peer_version >= PARTS_VERSION
+
     def _takes(self, payload: bytes) -> bool:
         """Return whether the peer can take a payload, whole or in parts."""
         return self._peer_takes_parts or len(payload) <= MAX_PAYLOAD_BYTES
@@ -341,7 +347,7 @@
         if isinstance(message, InvalidMessage):
             _LOGGER.warning("peer: bad message.", extra={"why": message.detail})
             return
-        self._peer_takes_parts = frame.number >= PARTS_VERSION
+        self.peer_version = frame.number
         if frame.kind is FrameKind.NOTE:
             self._received_note = message
             self._handle_note(message)
@@ -406,7 +412,7 @@
         if status is None:
             self._write_frame(FrameKind.NOTE_ACK, 0)
         else:
-            self._write_frame(FrameKind.NOTE_ACK, PARTS_VERSION, pack(status))
+            self._write_frame(FrameKind.NOTE_ACK, LINK_VERSION, pack(status))
         if note is not None:
             self._handlers.on_note(note)
 
--- a/damaskbay/adapters/telemetry/bound.py
+++ b/damaskbay/adapters/telemetry/bound.py
@@ -4,11 +4,13 @@
 
 from damaskbay.adapters.telemetry.const import (
     ATTR_OUTCOME,
+    ATTR_POOL,
     ATTR_PRIORITY,
     ATTR_REASON,
     ATTR_WORKSPACE,
     LABEL_OTHER,
     LATENCY_BUCKETS_S,
+    MAX_POOL_LABELS,
     MAX_WORKSPACE_LABELS,
 )
 from damaskbay.adapters.telemetry.histogram import PlainHistogram
@@ -55,9 +57,15 @@
             (*label_names, ATTR_OUTCOME, ATTR_REASON),
         )
         self._retries = PlainCounter("retries", "Sends after the first", label_names)
+        self._tree_refusals = PlainCounter(
+            "tree_refusals",
+            "Root calls refused by a pool of their tree",
+            (ATTR_POOL,),
+        )
         self._series: dict[tuple[str, int], _Series] = {}
         self._refusal_counters: dict[tuple[str, Outcome, Reason], CounterSeries] = {}
         self._workspaces: set[str] = set()
+        self._pools: set[str] = set()
 
     def record_refusal(self, workspace: str, refusal: Refusal) -> None:
         """Count a call that was refused before it was sent to any backend server."""
@@ -70,6 +78,14 @@
             self._refusal_counters[key] = counter
         counter.inc()
 
+    def record_tree_refusal(self, pool: str) -> None:
+        """Count a root call that was not begun, by the pool that has no room for it."""
+        if pool not in self._pools:
+            if len(self._pools) >= MAX_POOL_LABELS:
+                pool = LABEL_OTHER
+            self._pools.add(pool)
+        self._tree_refusals.series(pool).inc()
+
     def call_ended(
         self, context: CallContext, result: CallResult, *, took_s: float
     ) -> None:
@@ -98,8 +114,9 @@
         """Yield the text of all metrics in parts that each take a short time."""
         for histogram in self._histograms:
             yield from histogram.text_parts()
-        metrics: list[PlainCounter | PlainGauge] = [self._calls, self._retries]
-        for metric in (*metrics, *self._gauges):
+        counters = (self._calls, self._retries, self._tree_refusals)
+        metrics: tuple[PlainCounter | PlainGauge, ...] = (*counters, *self._gauges)
+        for metric in metrics:
             yield "".join(metric.lines()).encode()
 
     def _call_counter(
--- a/damaskbay/core/call.py
+++ b/damaskbay/core/call.py
@@ -1,6 +1,7 @@
 """Data classes of a call: request, response, result and call tree context."""
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from damaskbay.core.outcome import Refusal
 
@@ -63,6 +64,22 @@
     is_nested_in_retry: bool = False
 
 
+class PoolNews(NamedTuple):
+    """
+    What a call and the calls below it needed at a pool, and the room there.
+
+    `slot_s` are the seconds for which the `calls` held a slot. `level` is the admission
+    level of the pool's servers, `accepted` the share of sends that they accept; None if
+    nothing recent is known.
+    """
+
+    pool: str
+    calls: float = 0.0
+    slot_s: float = 0.0
+    level: int | None = None
+    accepted: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CallResult:
     """
@@ -73,6 +90,7 @@
     counts the sends in the whole subtree; `retry_tokens_left` are returned to the
     parent. `load` is the number of running and waiting calls at the target per
     slot. `nested_failed` means that the server failed after a nested call failed.
+    `pools` are news of the pools that the call needs, None from an earlier version.
     """
 
     result: Response | Refusal
@@ -83,3 +101,4 @@
     backend_s: float | None = None
     load: float | None = None
     nested_failed: bool = False
+    pools: tuple[PoolNews, ...] | None = None
--- a/damaskbay/core/pressure.py
+++ b/damaskbay/core/pressure.py
@@ -1,25 +1,13 @@
-"""Refusal of new requests at the edge while a server on their path is overloaded."""
+"""Admission levels of pools and routes, averaged over servers."""
 
 from dataclasses import dataclass
 from math import exp
-from random import Random
 
 from damaskbay.core.admission.const import LEVEL_STEPS_PER_RANK
-from damaskbay.core.admission.level import OPEN_LEVEL, pass_share
+from damaskbay.core.admission.level import OPEN_LEVEL
 from damaskbay.core.call import CallResult, Response
-from damaskbay.core.outcome import Reason, Refusal, not_run
-from damaskbay.core.routing.const import (
-    LEVEL_EXPIRY_S,
-    LEVEL_FULL_WEIGHT_S,
-    MIN_PASS_SHARE,
-)
-from damaskbay.core.routing.demand import DemandMeter, random_retry_delay_s
-
-RETRY_AFTER_S = 0.4
-"""Mean retry delay while nearly all requests pass, in seconds."""
-
-MAX_RETRY_AFTER_S = 2.0
-"""Upper limit of the mean retry delay, in seconds; callers hardly wait longer."""
+from damaskbay.core.outcome import Reason, Refusal
+from damaskbay.core.routing.const import LEVEL_EXPIRY_S, LEVEL_FULL_WEIGHT_S
 
 HIGHEST_RANK = 15
 """Least important rank that levels tell apart; less important ones are treated so."""
@@ -37,6 +25,12 @@
 Below it, one server of several is full: what it refuses is sent to another one.
 """
 
+FORGOTTEN_SHARE = 0.01
+"""Share of results with news of overload that counts as none."""
+
+MAX_NAMES = 1000
+"""Pools or routes with a level; beyond, all are learned again."""
+
 RANK_MEMORY_S = 5.0
 """Least time for which a rank counts as in use after its last call, in seconds."""
 
@@ -82,9 +76,9 @@
     updated_at: float
 
 
-class RouteLevels:
+class AverageLevels:
     """
-    Recent admission level of each route, over all servers that its calls reach.
+    Recent admission level of each pool or route, over all servers behind it.
 
     Levels of several servers are averaged, since a call may go to any of them. A server
     without overload counts as one step above the least important rank in use: with a
@@ -112,10 +106,10 @@
         self.record_level(route, result.admission_level, now, refused_rank)
 
     def record_level(
-        self, route: str, level: int | None, now: float, refused_rank: int | None = None
+        self, name: str, level: int | None, now: float, refused_rank: int | None = None
     ) -> None:
         """
-        Record the admission level that a response on a route reported.
+        Record the admission level of a pool or route that a response reported.
 
         `refused_rank` is the rank of the call if it found no capacity.
         """
@@ -129,22 +123,34 @@
         if refused_rank is not None:
             newest = min(newest, float(refused_rank * LEVEL_STEPS_PER_RANK))
         is_low = newest < open_level
-        known = self._levels.get(route)
+        known = self._levels.get(name)
         if known is None or now - known.updated_at >= LEVEL_EXPIRY_S:
+            if len(self._levels) >= MAX_NAMES:
+                self._levels.clear()
             # A refused call alone is less certain than a level.
             first_share = LEVEL_GAIN if level is None or level >= open_level else 1.0
-            self._levels[route] = _Level(newest, first_share if is_low else 0.0, now)
+            self._levels[name] = _Level(newest, first_share if is_low else 0.0, now)
+            return
+        if not is_low and not known.overloaded:
+            known.updated_at = now
             return
         elapsed_s = now - known.updated_at
         gain = max(MIN_LEVEL_GAIN, 1.0 - exp(-elapsed_s / LEVEL_EXPIRY_S))
         known.overloaded += min(LEVEL_GAIN, gain) * (is_low - known.overloaded)
         if is_low:
             known.value += LEVEL_GAIN * (newest - known.value)
+        elif known.overloaded < FORGOTTEN_SHARE:
+            known.overloaded = 0.0
         known.updated_at = now
 
-    def level(self, route: str, now: float) -> int:
-        """Return the current level of a route."""
-        known = self._levels.get(route)
+    def is_known(self, name: str, now: float) -> bool:
+        """Return whether a level was recorded recently."""
+        known = self._levels.get(name)
+        return known is not None and now - known.updated_at < LEVEL_EXPIRY_S
+
+    def level(self, name: str, now: float) -> int:
+        """Return the current level of a pool or route."""
+        known = self._levels.get(name)
         if known is None or known.overloaded < MIN_OVERLOADED_SHARE:
             return OPEN_LEVEL
         age_s = now - known.updated_at
@@ -156,49 +162,3 @@
         if missing < 1.0:
             return OPEN_LEVEL
         return int(self._ranks.highest_level - missing)
-
-
-class EdgeLoadShedder:
-    """
-    Load shedding of root requests by the admission level of their route.
-
-    Each response reports the lowest level of all servers that the request's calls
-    reached. Within a priority rank, the admitted requests are shared fairly between
-    workspaces. Not thread-safe; times are in seconds of one monotonic clock.
-    """
-
-    def __init__(self, rng: Random) -> None:
-        self._rng = rng
-        self._levels = RouteLevels()
-        self._demand = DemandMeter()
-
-    def record_level(self, route: str, level: int | None, now: float) -> None:
-        """Record the admission level that a response on a route reported."""
-        self._levels.record_level(route, level, now)
-
-    def record_result(
-        self, route: str, rank: int, result: CallResult, now: float
-    ) -> None:
-        """Record the result of a root call."""
-        self._levels.record_result(route, rank, result, now)
-
-    def refusal(
-        self, route: str, rank: int, workspace: str, weight: float, now: float
-    ) -> Refusal | None:
-        """Return a refusal, or None if the request is admitted."""
-        self._levels.record_rank(rank, now)
-        share = self._share_of_rank(route, rank, now)
-        admitted_share = self._demand.record_call(
-            route, rank, workspace, weight=weight, share=share, now=now
-        )
-        if admitted_share >= 1.0 or self._rng.random() < admitted_share:
-            return None
-        wait_s = random_retry_delay_s(
-            admitted_share, RETRY_AFTER_S, MAX_RETRY_AFTER_S, self._rng
-        )
-        detail = f"{share:.2f} of rank {rank} may pass"
-        return not_run(Reason.OVERLOADED, retry_after_s=wait_s, detail=detail)
-
-    def _share_of_rank(self, route: str, rank: int, now: float) -> float:
-        level = self._levels.level(route, now)
-        return max(MIN_PASS_SHARE, pass_share(level, min(rank, HIGHEST_RANK)))
--- a/damaskbay/daemon/messages.py
+++ b/damaskbay/daemon/messages.py
@@ -2,8 +2,16 @@
 
 import msgspec
 
-from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
+from damaskbay.core.call import (
+    CallContext,
+    CallResult,
+    Headers,
+    PoolNews,
+    Request,
+    Response,
+)
 from damaskbay.core.outcome import Outcome, Reason, Refusal
+from damaskbay.core.trees.const import MAX_POOLS
 from damaskbay.helpers.messages import message
 
 
@@ -41,6 +49,15 @@
     is_nested_in_retry: bool = False
 
 
+@message("call.tree")
+class TreeCallMessage(CallMessage, frozen=True):
+    """
+    A call from a daemon that reads the news of pools in its result.
+
+    It is sent only to peers that announce TREES_VERSION or higher.
+    """
+
+
 @message("call.answer")
 class AnswerMessage(msgspec.Struct, frozen=True):
     """The complete response to a forwarded call."""
@@ -72,11 +89,30 @@
     load: float | None = None
 
 
+@message("call.tree_answer")
+class TreeAnswerMessage(AnswerMessage, frozen=True):
+    """The response to a TreeCallMessage, with news of the pools that it needs."""
+
+    pools: tuple[PoolNews, ...] = ()
+
+
+@message("call.tree_refusal")
+class TreeRefusalMessage(RefusalMessage, frozen=True):
+    """The refusal of a TreeCallMessage, with news of the pools that it needs."""
+
+    pools: tuple[PoolNews, ...] = ()
+
+
 def to_call_message(
-    context: CallContext, request: Request, *, now: float, owned: bool = False
+    context: CallContext,
+    request: Request,
+    *,
+    now: float,
+    owned: bool = False,
+    kind: type[CallMessage] = CallMessage,
 ) -> CallMessage:
     """Return the message of a call; the deadline is converted to remaining time."""
-    return CallMessage(
+    return kind(
         call_id=context.call_id,
         workspace=context.workspace,
         priority_rank=context.priority_rank,
@@ -127,11 +163,15 @@
     return Request(call.method, call.host, call.target, call.headers, call.body)
 
 
-def to_result_message(result: CallResult) -> AnswerMessage | RefusalMessage:
-    """Return the reply message of a call result."""
+def to_result_message(
+    result: CallResult, call: CallMessage | None = None
+) -> AnswerMessage | RefusalMessage:
+    """Return the reply message of a call result, of a kind that the caller knows."""
     outcome = result.result
+    pools = result.pools or ()
+    with_pools = isinstance(call, TreeCallMessage)
     if isinstance(outcome, Response):
-        return AnswerMessage(
+        answer = (
             outcome.status,
             outcome.headers,
             outcome.body,
@@ -143,7 +183,10 @@
             result.load,
             result.nested_failed,
         )
-    return RefusalMessage(
+        if with_pools:
+            return TreeAnswerMessage(*answer, pools)
+        return AnswerMessage(*answer)
+    refusal = (
         outcome.reason,
         outcome.outcome,
         outcome.retry_after_s,
@@ -154,6 +197,9 @@
         result.served_by,
         result.load,
     )
+    if with_pools:
+        return TreeRefusalMessage(*refusal, pools)
+    return RefusalMessage(*refusal)
 
 
 def result_of(reply: AnswerMessage | RefusalMessage) -> CallResult:
@@ -161,6 +207,9 @@
     outcome: Response | Refusal
     backend_s: float | None = None
     nested_failed = False
+    pools: tuple[PoolNews, ...] | None = None
+    if isinstance(reply, (TreeAnswerMessage, TreeRefusalMessage)):
+        pools = reply.pools[:MAX_POOLS]
     if isinstance(reply, AnswerMessage):
         outcome = Response(reply.status, reply.headers, reply.body)
         backend_s = reply.backend_s
@@ -178,4 +227,5 @@
         backend_s,
         reply.load,
         nested_failed,
+        pools,
     )
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -390,7 +390,7 @@
                 result = await self._target.run(context, request_of(message))
             finally:
                 self._lifetime.peer_calls -= 1
-            return to_result_message(result)
+            return to_result_message(result, message)
         if isinstance(message, ServerEnd):
             self._fatal_calls.record_end(message.digests, monotonic_s())
             return self._make_status()
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -1,7 +1,7 @@
 """Creates the components of the event-driven daemon that process calls."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
@@ -13,10 +13,11 @@
 from damaskbay.core.fatal_calls import FatalCalls
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import MemoryAccount
-from damaskbay.core.pressure import EdgeLoadShedder
 from damaskbay.core.quota.shares import DemandShares
 from damaskbay.core.retry.repeats import ServerRetryBudget, ServerRetryOptions
 from damaskbay.core.routing import Router, RouterOptions
+from damaskbay.core.trees.admission import TreeAdmission
+from damaskbay.core.trees.news import TreeNews
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import raise_descriptor_limit
 from damaskbay.mesh.config_watch import DecodeConfig
@@ -76,6 +77,7 @@
     fatal_calls: FatalCalls
     lifetime: Lifetime
     rng: Random
+    trees: TreeNews = field(default_factory=TreeNews)
 
 
 def make_target(
@@ -124,6 +126,7 @@
             repeats=shared_parts.repeats,
             memory=shared_parts.memory,
             fatal_calls=shared_parts.fatal_calls,
+            trees=shared_parts.trees,
             processor=shared_parts.processor.guard,
             weight_of=weight_of,
             lifetime=shared_parts.lifetime,
@@ -159,7 +162,12 @@
             dispatcher=dispatcher,
             shares=shared_parts.shares,
             tokens=shared_parts.tokens,
-            pressure=EdgeLoadShedder(shared_parts.rng),
+            trees=shared_parts.trees,
+            admission=TreeAdmission(
+                shared_parts.trees,
+                shared_parts.rng,
+                shared_parts.configuration.attempts_at,
+            ),
             processor=shared_parts.processor,
             running=shared_parts.running,
             telemetry=shared_parts.telemetry,
--- a/damaskbay/mesh/configuration.py
+++ b/damaskbay/mesh/configuration.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from damaskbay.config.matching import PrefixTable
-from damaskbay.config.objects import ConfigSet
+from damaskbay.config.objects import ConfigSet, WeightedRoute
 from damaskbay.config.ranks import Ranks
 
 _LOGGER = logging.getLogger(__name__)
@@ -22,6 +22,7 @@
         self.config: ConfigSet | None = None
         self.routes: PrefixTable | None = None
         self.ranks = Ranks(ConfigSet(0, ""))
+        self._attempts_by_pool: dict[str, int] = {}
         self.document = b""
         self.proven_at: float | None = None
         self._callbacks: list[Callable[[ConfigSet], None]] = []
@@ -36,6 +37,10 @@
         found = self.config.workspaces_by_name.get(workspace) if self.config else None
         return found.weight if found is not None else 1.0
 
+    def attempts_at(self, pool: str) -> int:
+        """Return the most servers of a pool that one call may be sent to."""
+        return self._attempts_by_pool.get(pool, 1)
+
     def subscribe(self, callback: Callable[[ConfigSet], None]) -> None:
         """Call `callback` whenever a newer set is activated."""
         self._callbacks.append(callback)
@@ -47,6 +52,7 @@
         self.config = config
         self.routes = PrefixTable(config)
         self.ranks = Ranks(config)
+        self._attempts_by_pool = _most_attempts(config)
         self.document = document
         _LOGGER.info(
             "config: version is in force.",
@@ -66,3 +72,15 @@
     def proof_age_s(self, now: float) -> float | None:
         """Return the age of the proof in seconds, None if there is none."""
         return None if self.proven_at is None else max(0.0, now - self.proven_at)
+
+
+def _most_attempts(config: ConfigSet) -> dict[str, int]:
+    """Return the most attempts of a call by pool, over the routes to it."""
+    most: dict[str, int] = {}
+    for route in config.routes_by_name.values():
+        pools = {route.pool}
+        if isinstance(route, WeightedRoute):
+            pools |= {item.pool for item in route.weighted_pools}
+        for pool in pools:
+            most[pool] = max(most.get(pool, 1), 1 + route.retries)
+    return most
--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 from damaskbay.adapters.peer_link.client import PeerLinks
+from damaskbay.adapters.peer_link.const import TREES_VERSION
 from damaskbay.config.objects import Route
 from damaskbay.core.call import CallContext, CallResult, Request, Response
 from damaskbay.core.http_status import FIRST_SERVER_ERROR
@@ -15,7 +16,9 @@
 from damaskbay.core.routing import FAILURES_BY_REASON, FailureKind, RouteOutcome, Router
 from damaskbay.daemon.messages import (
     AnswerMessage,
+    CallMessage,
     RefusalMessage,
+    TreeCallMessage,
     result_of,
     to_call_message,
 )
@@ -158,7 +161,10 @@
         if server.local:
             return await parts.target.run(context, request)
         now = parts.clock()
-        message = to_call_message(context, request, now=now)
+        kind = CallMessage
+        if parts.links.peer_version(server.address) >= TREES_VERSION:
+            kind = TreeCallMessage
+        message = to_call_message(context, request, now=now, kind=kind)
         timeout_s = max(0.0, context.deadline + REPLY_GRACE_S - now)
         reply = await parts.links.request(
             server.address, message, timeout_s=timeout_s, repeatable=repeatable
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -15,10 +15,11 @@
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import Holding, MemoryAccount
 from damaskbay.core.outcome import Reason, Refusal, not_run
-from damaskbay.core.pressure import EdgeLoadShedder
 from damaskbay.core.quota.shares import DemandShares
 from damaskbay.core.quota.token_pool import is_pooled
 from damaskbay.core.response_sizes import ResponseSizes
+from damaskbay.core.trees.admission import TreeAdmission
+from damaskbay.core.trees.news import TreeNews
 from damaskbay.helpers.http_headers import HeaderFilter
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import NOT_READY_RETRY_S
@@ -58,7 +59,8 @@
     dispatcher: Dispatcher
     shares: DemandShares
     tokens: PooledTokens
-    pressure: EdgeLoadShedder
+    trees: TreeNews
+    admission: TreeAdmission
     processor: ProcessorGate
     running: RunningCalls
     telemetry: BoundTelemetry
@@ -203,12 +205,9 @@
                 took_s = parts.clock() - arrival.arrived_at
                 parts.processor.guard.record_duration(took_s, incoming.timeout_s)
         self._record_result(context, result, parts.clock() - arrival.arrived_at)
+        parts.trees.record_result(context, result, parts.clock())
         if incoming.caller is not None:
             parts.running.record_nested_end(incoming.caller, result, parts.clock())
-        else:
-            parts.pressure.record_result(
-                route.name, context.priority_rank, result, parts.clock()
-            )
         outcome = result.result
         if isinstance(outcome, Refusal):
             return self.refusals.response(outcome, request_id, route)
@@ -365,12 +364,16 @@
         )
 
     def _early_refusal(self, route: Route, workspace: Workspace) -> Refusal | None:
-        """Return a refusal if servers behind the route shed calls of this priority."""
+        """Return a refusal if a pool of the call's tree has no room for it."""
         parts = self._parts
         rank = parts.configuration.ranks.rank(route, workspace)
-        return parts.pressure.refusal(
+        found = parts.admission.refusal(
             route.name, rank, workspace.name, workspace.weight, parts.clock()
         )
+        if found is None:
+            return None
+        parts.telemetry.record_tree_refusal(found.pool)
+        return found.refusal
 
     def _forwarded_request(self, incoming: _Incoming) -> Request:
         """Return the request for backend servers, without the API key."""
--- a/damaskbay/mesh/running.py
+++ b/damaskbay/mesh/running.py
@@ -1,10 +1,12 @@
 """Running calls of the local server, found by the ids of their nested calls."""
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
-from damaskbay.core.call import CallContext, CallResult, Response
+from damaskbay.core.call import CallContext, CallResult, PoolNews, Response
 from damaskbay.core.http_status import FIRST_SERVER_ERROR
-from damaskbay.core.pressure import RouteLevels
+from damaskbay.core.pressure import AverageLevels
+from damaskbay.core.trees.const import MAX_POOLS
 
 SEPARATOR = "."
 """Separates the request id of a call from the suffix of its nested calls."""
@@ -12,10 +14,25 @@
 
 @dataclass(slots=True, eq=False)
 class RunningCall:
-    """A running call; `nested_failed` is set once a nested call of it has failed."""
+    """
+    A running call; `nested_failed` is set once a nested call of it has failed.
+
+    `needed` are the calls and slot seconds of its nested calls by pool.
+    """
 
     context: CallContext
     nested_failed: bool = False
+    needed: dict[str, PoolNews] = field(default_factory=dict)
+
+    def add_needed(self, pools: Iterable[PoolNews]) -> None:
+        """Add what a nested call needed."""
+        for item in pools:
+            known = self.needed.get(item.pool)
+            if known is not None:
+                calls, slot_s = known.calls + item.calls, known.slot_s + item.slot_s
+                self.needed[item.pool] = known._replace(calls=calls, slot_s=slot_s)
+            elif len(self.needed) < MAX_POOLS:
+                self.needed[item.pool] = item
 
 
 class RunningCalls:
@@ -28,7 +45,7 @@
 
     def __init__(self) -> None:
         self._by_request_id: dict[str, list[RunningCall]] = {}
-        self._levels = RouteLevels()
+        self._levels = AverageLevels()
 
     def add(self, context: CallContext) -> RunningCall:
         """Add a call that is sent to the server."""
@@ -55,6 +72,8 @@
         outcome = result.result
         if not isinstance(outcome, Response) or outcome.status >= FIRST_SERVER_ERROR:
             call.nested_failed = True
+        if result.pools is not None:
+            call.add_needed(result.pools)
         context = call.context
         self._levels.record_result(context.route, context.priority_rank, result, now)
 
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -9,7 +9,7 @@
 
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.admission import CallSample
-from damaskbay.core.call import CallContext, CallResult, Request, Response
+from damaskbay.core.call import CallContext, CallResult, PoolNews, Request, Response
 from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.fatal_calls import FatalCalls, refusal_of_fatal_call
 from damaskbay.core.http_status import is_success
@@ -19,6 +19,8 @@
 from damaskbay.core.processor_guard import ProcessorGuard
 from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.core.retry.repeats import ServerRetryBudget
+from damaskbay.core.trees.news import TreeNews
+from damaskbay.core.trees.room import AcceptedShare
 from damaskbay.helpers.arrivals import call_after_reading
 from damaskbay.helpers.logs import is_suppressed
 from damaskbay.mesh.const import (
@@ -49,6 +51,7 @@
     repeats: ServerRetryBudget
     memory: MemoryAccount
     fatal_calls: FatalCalls
+    trees: TreeNews
     processor: ProcessorGuard
     weight_of: Callable[[str], float]
     lifetime: Lifetime
@@ -78,6 +81,7 @@
         self._active_calls: set[_ActiveCall] = set()
         self._durations = DurationEstimates()
         self._sizes = ResponseSizes()
+        self._accepted = AcceptedShare()
         self.draining = False
 
     @property
@@ -174,6 +178,8 @@
                 context, request, partial(self._record_send, context, active)
             )
             took_s = parts.clock() - now
+            if active.sent:
+                self._accepted.record(parts.clock(), accepted=not _is_rejected(outcome))
             sample = CallSample(took_s, succeeded=is_success(outcome))
         finally:
             parts.running.remove(call)
@@ -300,7 +306,17 @@
     ) -> CallResult:
         parts = self._parts
         now = parts.clock()
-        level = parts.running.level(context.route, parts.gate.level(now), now)
+        own_level = parts.gate.level(now)
+        level = parts.running.level(context.route, own_level, now)
+        own = PoolNews(
+            parts.pool,
+            float(attempts),
+            took_s or 0.0,
+            own_level,
+            self._accepted.value(now),
+        )
+        nested = call.needed.values() if call is not None else ()
+        pools = parts.trees.pools_of(context.route, own, nested, now)
         return CallResult(
             outcome,
             attempts=attempts,
@@ -309,9 +325,19 @@
             backend_s=took_s,
             load=round(parts.gate.load() + parts.processor.excess_load, 3),
             nested_failed=call is not None and call.nested_failed,
+            pools=pools,
         )
 
 
+def _is_rejected(outcome: Response | Refusal) -> bool:
+    """Return whether the server rejected a request without running it."""
+    return (
+        isinstance(outcome, Refusal)
+        and outcome.not_run
+        and outcome.reason is Reason.OVERLOADED
+    )
+
+
 def _explain_shutdown(result: CallResult) -> CallResult:
     """Give the daemon's end as the reason if a deadline that it limited has passed."""
     refusal = result.result
--- a/tests/core/test_pressure.py
+++ b/tests/core/test_pressure.py
@@ -7,7 +7,7 @@
 from damaskbay.core.admission.level import OPEN_LEVEL, pass_share
 from damaskbay.core.call import CallResult, Response
 from damaskbay.core.outcome import Reason, not_run
-from damaskbay.core.pressure import EdgeLoadShedder, RouteLevels
+from damaskbay.core.pressure import AverageLevels
 from tests.common import function_suite
 
 RANKS = (3, 4, 5)
@@ -29,7 +29,7 @@
 
 def _share(levels: list[int]) -> tuple[float, float]:
     """Return the mean pass share of all ranks by the earlier average and by this."""
-    route = RouteLevels()
+    route = AverageLevels()
     for rank in RANKS:
         route.record_rank(rank, 0.0)
     shares, earlier = [], []
@@ -56,7 +56,7 @@
 
 def test_the_more_important_rank_keeps_its_calls() -> None:
     """An average of levels stays a level: it refuses the least important rank."""
-    levels = RouteLevels()
+    levels = AverageLevels()
     for rank in RANKS:
         levels.record_rank(rank, 0.0)
     for count in range(300):
@@ -69,7 +69,7 @@
 # A pool with one server under a low limit of its own was shed at the edge.
 def test_one_full_server_of_many_refuses_nothing() -> None:
     """What it refuses is sent to the other servers, which have room."""
-    levels = RouteLevels()
+    levels = AverageLevels()
     levels.record_level("r", OPEN_LEVEL, 0.0)
     for count in range(1, 400):
         now = 0.077 * count
@@ -81,7 +81,7 @@
     """A pool that refuses calls while its level is open still sheds at the edge."""
     refused = CallResult(not_run(Reason.QUEUE_FULL), admission_level=OPEN_LEVEL)
     served = CallResult(Response(200), admission_level=OPEN_LEVEL)
-    levels, now = RouteLevels(), 0.0
+    levels, now = AverageLevels(), 0.0
     for count in range(200):
         now = 0.01 * count
         levels.record_result("r", 5, refused if count % 2 else served, now)
@@ -95,7 +95,7 @@
 
 def test_one_refused_call_does_not_close_a_route() -> None:
     """A single refusal without other news refuses less than half of its rank."""
-    levels = RouteLevels()
+    levels = AverageLevels()
     levels.record_result("r", 5, CallResult(not_run(Reason.OVERLOADED)), 0.0)
     assert pass_share(levels.level("r", 0.0), 5) > 0.5
     late = CallResult(not_run(Reason.DEADLINE_TOO_SHORT))
@@ -105,10 +105,11 @@
 
 def test_a_rank_that_appears_later_is_not_refused_by_an_open_level() -> None:
     """An open level is no number that a less important rank lies above."""
-    shedder = EdgeLoadShedder(random.Random(1))
-    for count in range(20):
-        shedder.record_result("r", 0, CallResult(Response(200), 1, 0, OPEN_LEVEL), 0.0)
-        assert shedder.refusal("r", count, "w", 1.0, 0.0) is None
+    levels = AverageLevels()
+    for rank in range(16):
+        levels.record_result("r", 0, CallResult(Response(200), 1, 0, OPEN_LEVEL), 0.0)
+        levels.record_rank(rank, 0.0)
+        assert pass_share(levels.level("r", 0.0), rank) == 1.0
 
 
 def load_tests(*_: object) -> unittest.TestSuite:
--- /dev/null
+++ b/tests/core/trees/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the admission of whole call trees."""
--- a/tests/mesh/test_dispatch.py
+++ b/tests/mesh/test_dispatch.py
@@ -38,7 +38,7 @@
             record_start=lambda *_: None,
             record_end=lambda *_: None,
         ),
-        links=SimpleNamespace(request=request),
+        links=SimpleNamespace(request=request, peer_version=lambda _peer: 0),
         lifetime=SimpleNamespace(
             limit=lambda deadline: deadline, outlasts=lambda *_: False
         ),
--- a/tests/mesh/test_parts.py
+++ b/tests/mesh/test_parts.py
@@ -15,8 +15,9 @@
 from damaskbay.config.ranks import Ranks
 from damaskbay.core.admission.level import OPEN_LEVEL
 from damaskbay.core.call import CallContext, CallResult, Response
-from damaskbay.core.pressure import EdgeLoadShedder
 from damaskbay.core.retry.repeats import ServerRetryBudget, ServerRetryOptions
+from damaskbay.core.trees.admission import TreeAdmission
+from damaskbay.core.trees.news import TreeNews
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.directory import NOTE_TIMEOUT_S, Directory, MemberRecord
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
@@ -253,11 +254,12 @@
     """Earlier retries would be refused again and delay admitted calls."""
 
     def longest(level: int) -> float:
-        pressure = EdgeLoadShedder(random.Random(1))
+        news = TreeNews()
+        admission = TreeAdmission(news, random.Random(1))
         for step in range(40):
-            pressure.record_level("r", level, step * 0.01)
-        refused = [pressure.refusal("r", 1, "w", 1.0, 0.4) for _ in range(200)]
-        waits = [item.retry_after_s for item in refused if item is not None]
+            news.levels.record_level("r", level, step * 0.01)
+        refused = [admission.refusal("r", 1, "w", 1.0, 0.4) for _ in range(200)]
+        waits = [item.refusal.retry_after_s for item in refused if item is not None]
         return max(wait for wait in waits if wait is not None)
 
     assert longest(1800) < longest(1500) < longest(1200)
@@ -265,23 +267,24 @@
 
 def test_the_edge_refuses_the_least_important_first() -> None:
     """A level of 1,500 admits all of rank 0 and half of rank 1, until it expires."""
-    pressure = EdgeLoadShedder(random.Random(1))
-    assert pressure.refusal("r", 2, "w", 1.0, 0.0) is None
+    news = TreeNews()
+    admission = TreeAdmission(news, random.Random(1))
+    assert admission.refusal("r", 2, "w", 1.0, 0.0) is None
 
     def admitted(rank: int, now: float) -> int:
-        pressure.record_level("r", 1500, now)
+        news.levels.record_level("r", 1500, now)
         return sum(
-            pressure.refusal("r", rank, "w", 1.0, now) is None for _ in range(200)
+            admission.refusal("r", rank, "w", 1.0, now) is None for _ in range(200)
         )
 
     for step in range(40):
-        pressure.record_level("r", 1500, step * 0.01)
+        news.levels.record_level("r", 1500, step * 0.01)
     assert admitted(0, 0.4) == 200
     assert 60 <= admitted(1, 0.4) <= 140
     assert admitted(2, 0.4) <= 20
-    assert pressure.refusal("r", 2, "w", 1.0, 5.0) is None
-    pressure.record_level("q", OPEN_LEVEL, 0.0)
-    assert pressure.refusal("q", 99, "w", 1.0, 0.0) is None
+    assert admission.refusal("r", 2, "w", 1.0, 5.0) is None
+    news.levels.record_level("q", OPEN_LEVEL, 0.0)
+    assert admission.refusal("q", 99, "w", 1.0, 0.0) is None
 
 
 def load_tests(*_: object) -> unittest.TestSuite:
