--- a/damaskbay/mesh/members.py
+++ b/damaskbay/mesh/members.py
@@ -63,7 +63,7 @@
     `watches_store` is whether this daemon watches the store for its domain. The record
     that an earlier start of this daemon has left goes to `on_local_record`. After each
     change, `on_listing` gets whether there is a record of this daemon, and the revision
-    up to which that is known.
+    up to which that is known; also as soon as a peer knows of a later epoch.
     """
 
     instance: str
@@ -139,6 +139,9 @@
         """Take the proof in a peer's status, or request the changes that it knows."""
         now = self._parts.clock()
         proven_at = now - status.members_age_ms / 1000.0
+        if epoch_of(status.members_revision) > self.epoch:
+            # The records may come later, as they are only requested from some peers.
+            self._parts.on_listing(True, status.members_revision)
         if status.members_revision == self._log.revision:
             if self._proven_at is not None:
                 self._proven_at = max(self._proven_at, proven_at)
--- a/tests/mesh/test_members.py
+++ b/tests/mesh/test_members.py
@@ -120,6 +120,7 @@
         self.members_by_address: dict[PeerAddress, Members] = {}
         self.directories: list[Directory] = []
         self.requests = 0
+        self.heard: list[int] = []
         for record in self.records:
             self._add(record)
 
@@ -137,7 +138,7 @@
             watches_store=lambda: record.instance in self.relays,
             on_change=lambda: None,
             on_local_record=lambda _record: None,
-            on_listing=lambda _is_listed, _revision: None,
+            on_listing=lambda _is_listed, revision: self.heard.append(revision),
             clock=lambda: self.now,
         )
         self.directories.append(directory)
@@ -384,6 +385,21 @@
     assert not log.changes_after(7).records_by_instance
 
 
+# Guards against a wait for the relay, whose link may have no notes for 2 s.
+def test_a_later_epoch_is_heard_of_from_any_peer() -> None:
+    """The peer is in another domain, and no records are requested from it."""
+
+    async def check(fleet: _Fleet) -> None:
+        members = fleet.members_by_address[fleet.records[1].address]
+        fleet.heard.clear()
+        status = PeerStatus(0, 0, 1 << EPOCH_BITS, 0)
+        members.handle_status(PeerAddress("10.0.0.9", 1), status)
+        assert fleet.heard == [1 << EPOCH_BITS]
+        assert not fleet.requests
+
+    _run(2, check)
+
+
 # Guards against rates that are exceeded: few daemons share what belongs to many.
 def test_members_that_a_restored_store_lacks_are_kept_for_a_while() -> None:
     """Daemons without a link to this one are known by their records alone."""
--- a/tests/mesh/test_restored_store.py
+++ b/tests/mesh/test_restored_store.py
@@ -39,14 +39,17 @@
 # Guards against daemons that are unknown until they renew their lease, or for good, as
 # the lease of another daemon has their number.
 def test_lost_records_are_written_again_in_time() -> None:
-    """All daemons lose lease and record; the numbers are issued again."""
+    """All daemons lose lease and record; the store may be unavailable before."""
 
     async def check(fleet: Fleet) -> None:
         await wait_until(lambda: _listed(fleet) == {"a", "b", "c"})
         # Some renewals happen just before the restore: the next ones come too late.
         await asyncio.sleep(2.0)
-        for _ in range(3):
+        for outage_s in (0.0, 0.0, 1.0):
+            fleet.kv.faults.status = 503 if outage_s else None
+            await asyncio.sleep(outage_s)
             await fleet.kv.restore()
+            fleet.kv.faults.status = None
             restored_at = time.monotonic()
             await wait_until(lambda: _listed(fleet) == {"a", "b", "c"})
             assert time.monotonic() - restored_at < RETURN_S
