End the spread retries of a rewrite with any stored record

Cause: a hint of a later epoch that the store does not confirm left the longer retry delay of a large fleet in force until the next write. Change: a pass that finds lease and record stored ends it.

--- a/damaskbay/mesh/registry.py
+++ b/damaskbay/mesh/registry.py
@@ -115,8 +115,11 @@
     async def run(self) -> None:
         """Renew the lease and write the record until cancelled."""
         while True:
-            is_stored = await self._renew()
-            pause_s = RENEW_INTERVAL_S if is_stored else self._retry_delay_s()
+            if await self._renew():
+                self._is_rewriting = self._must_wait
+                pause_s = RENEW_INTERVAL_S
+            else:
+                pause_s = self._retry_delay_s()
             try:
                 async with asyncio.timeout(pause_s):
                     await self._changed.wait()
@@ -204,7 +207,6 @@
             )
             if isinstance(outcome, int):
                 self._revision, self._written = outcome, record
-                self._is_rewriting = False
                 return True
             if isinstance(outcome, StoreConflict):
                 if not self._may_replace(record):
