Bound how many peers a daemon tells of an evacuation

Cause: a daemon with several hundred links sent all of them a message in one pass of the loop, also if it had heard of the change from one of them. Change: what comes from the store is told to all linked peers, 32 every 5 ms; what comes from a peer to 16 random ones.

--- a/damaskbay/mesh/evacuation.py
+++ b/damaskbay/mesh/evacuation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import Any, Final
@@ -27,6 +27,13 @@
 REQUEST_TIMEOUT_S: Final = 1.0
 """Timeout of a message to a peer, seconds."""
 
+FORWARD_PEERS: Final = 16
+"""Peers that are told of a change that a peer has told; the relays tell all others."""
+
+BATCH: Final = 32
+BATCH_PAUSE_S: Final = 0.005
+"""Pause after each BATCH of peers: a relay has hundreds, and calls go on meanwhile."""
+
 SEND_ATTEMPTS: Final = 2
 """Attempts to tell a peer of a change; later it hears of it from the exchanges."""
 
@@ -58,9 +65,10 @@
     """
     Keeps the state of the evacuations, and passes it on.
 
-    A daemon that learns other domains tells each of its linked peers once. During an
-    evacuation, and a while after, it also exchanges the state with a random peer each
-    second, so that either of the two catches up. Nothing is sent without evacuations.
+    A daemon that learns other domains from the store tells each of its linked peers
+    once; one that learns them from a peer tells some. During an evacuation, and a while
+    after, it also exchanges the state with a random peer each second, so that either of
+    the two catches up. Nothing is sent without evacuations.
     """
 
     def __init__(self, parts: EvacuationParts) -> None:
@@ -189,10 +197,21 @@
             )
         self._parts.directory.set_evacuated(self.domains)
         self._parts.on_change()
-        for peer in self._parts.links.up_peers():
-            task = asyncio.get_running_loop().create_task(self._tell(peer))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        peers: Sequence[PeerAddress] = self._parts.links.up_peers()
+        if source == "peer":
+            peers = self._parts.rng.sample(peers, min(FORWARD_PEERS, len(peers)))
+        self._start(self._tell_all(peers))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tell_all(self, peers: Sequence[PeerAddress]) -> None:
+        for number, peer in enumerate(peers, start=1):
+            self._start(self._tell(peer))
+            if number % BATCH == 0:
+                await asyncio.sleep(BATCH_PAUSE_S)
 
     async def _tell(self, peer: PeerAddress) -> None:
         for _ in range(SEND_ATTEMPTS):
