Lower the level while nested calls wait, before the queue is long

The level fell only once a queue was full, so that each of eight calls of a tree waited in it. It then rose in doubling steps, faster than refusals at the edge follow, and filled the queue again.

The level now decreases once the median nested call waits for a quarter of its usual time, holds while many wait, and rises in small steps while the server starts nearly as much as when it was full. The daemons of a pool weigh rejected sends over 0.4 s instead of 1 s: with 1 s the edge took 4 s to refuse trees that had no chance.

bench/trees.py models it: six servers of 11 slots, 40 edges, trees of eight, four and one calls.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
     "call_cost",
     "call_cost_refusal",
     "start_cost",
+    "trees",
 )
 EXIT_USAGE = 2
 
--- a/damaskbay/core/admission/const.py
+++ b/damaskbay/core/admission/const.py
@@ -7,6 +7,9 @@
 LEVEL_DECREASE_INTERVAL_S = 0.2
 LEVEL_HEADROOM = 1.5
 LEVEL_FIRST_INCREASE = 100
+LEVEL_DRAIN_SHARE = 0.9
+"""Part of the starts that the level admits while calls wait for long."""
+
 LEVEL_MIN = 20
 
 LIMIT_MIN_WINDOW_S = 0.1
--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -41,7 +41,8 @@
     the time between its arrival and its deadline. With `nested_queue_per_slot`,
     nested calls may wait in a longer queue, because refusing one wastes the work
     already done for its root call. The admission level still decreases once the
-    normal length is reached.
+    normal length is reached, and with `nested_wait_share` once the median wait of
+    nested calls is more than this part of their usual time.
 
     `unheard_calls` is the number of calls that may run until the server's first
     response, None for any number.
@@ -52,6 +53,7 @@
     wait_share: float = QUEUE_WAIT_SHARE
     nested_queue_per_slot: float | None = None
     level_headroom: float = LEVEL_HEADROOM
+    nested_wait_share: float | None = None
     limit: LimitFactory = GradientLimit
     unheard_calls: int | None = None
 
@@ -95,7 +97,9 @@
         self._slots = options.slots
         self._queue = WaitingQueue()
         self._latency_by_route_and_rank: dict[tuple[str, int], LatencyEstimate] = {}
-        self._level = LevelController(now, options.level_headroom)
+        self._level = LevelController(
+            now, options.level_headroom, options.nested_wait_share
+        )
         self._running: dict[int, CallContext] = {}
         self._waiting_for_nested: set[int] = set()
         self._last_probe_at = now - PROBE_INTERVAL_S
@@ -165,6 +169,7 @@
             if isinstance(decision, StartDecision):
                 rank, workspace = context.priority_rank, context.workspace
                 self._queue.charge_unqueued(rank, workspace, item.weight)
+                self._record_wait(context, 0.0, now)
             self._level.update(now)
             return (decision,)
         remaining_s = context.deadline - now
@@ -315,6 +320,7 @@
         entry = self._queue.next_to_start(now)
         decision = self._start_or_refuse(entry.item, now)
         if isinstance(decision, StartDecision):
+            self._record_wait(entry.item.context, now - entry.arrived_at, now)
             self._queue.remove_started(entry, now)
         else:
             self._queue.remove(entry.item.ticket)
@@ -332,6 +338,13 @@
         self._level.record_start()
         return StartDecision(item.ticket)
 
+    def _record_wait(self, context: CallContext, waited_s: float, now: float) -> None:
+        """Record the wait of a nested call; that of a root call costs only itself."""
+        if context.depth:
+            estimate = self._latency_estimate(context)
+            usual_s = estimate.current_s(now) if waited_s else 0.0
+            self._level.record_wait(waited_s, usual_s)
+
     def _expired_refusal(self, item: PendingCall, now: float) -> Refusal | None:
         if now >= item.context.deadline:
             return not_run(Reason.DEADLINE_PASSED)
--- a/damaskbay/core/pressure.py
+++ b/damaskbay/core/pressure.py
@@ -15,8 +15,8 @@
 LEVEL_GAIN = 0.3
 """Largest weight of the newest result in the averages over servers."""
 
-MIN_LEVEL_GAIN = 0.02
-"""Least weight of a result, for many that arrive at once."""
+MIN_LEVEL_GAIN = 0.1
+"""Least weight of a result: an average over some ten, of as many servers."""
 
 MIN_OVERLOADED_SHARE = 1.0 / 3.0
 """
--- a/damaskbay/core/trees/const.py
+++ b/damaskbay/core/trees/const.py
@@ -17,20 +17,27 @@
 MIN_CALLS: Final = 0.05
 """Mean calls below which a pool no longer counts as part of a tree."""
 
-ACCEPTED_TIME_CONSTANT_S: Final = 1.0
-"""Time constant of the share of sends that a server accepts, in seconds."""
+ACCEPTED_TIME_CONSTANT_S: Final = 0.4
+"""
+Time constant of the share of sends that a server accepts, in seconds.
+
+Nine tenths of its weight are of the last second, and some 80 sends at 200 per second.
+"""
 
-ACCEPTED_PRIOR: Final = 4.0
-"""Sends that count as accepted at first, so that one rejection is no share of all."""
+ACCEPTED_MIN_SENDS: Final = 5.0
+"""Least count of sends for a share, so that a first rejection is not taken for all."""
 
-ACCEPTED_GAIN: Final = 0.2
-"""Weight of the newest report in the accepted share over the servers of a pool."""
+ACCEPTED_GAIN: Final = 0.5
+"""Largest weight of the newest report in the accepted share of a pool.
+
+An edge gets a few reports per second, most of them averages of a daemon below it.
+"""
 
 ACCEPTED_AVERAGE_S: Final = 0.3
 """Time constant of that share while reports arrive faster, in seconds."""
 
-MIN_ACCEPTED_GAIN: Final = 0.02
-"""Least weight of a report, for many that arrive at once."""
+MIN_ACCEPTED_GAIN: Final = 0.1
+"""Least weight of a report: an average over some ten, of as many servers."""
 
 ACCEPTED_MARGIN: Final = 0.005
 """Distance from 1 at which all sends count as accepted."""
--- a/damaskbay/core/trees/room.py
+++ b/damaskbay/core/trees/room.py
@@ -11,7 +11,7 @@
     ACCEPTED_AVERAGE_S,
     ACCEPTED_GAIN,
     ACCEPTED_MARGIN,
-    ACCEPTED_PRIOR,
+    ACCEPTED_MIN_SENDS,
     ACCEPTED_TIME_CONSTANT_S,
     MAX_ROUTES,
     MIN_ACCEPTED_GAIN,
@@ -42,7 +42,7 @@
         if not self._rejected:
             return 1.0
         self._decay(now)
-        return 1.0 - self._rejected / (self._sends + ACCEPTED_PRIOR)
+        return 1.0 - self._rejected / max(self._sends, ACCEPTED_MIN_SENDS)
 
     def _decay(self, now: float) -> None:
         elapsed_s = max(0.0, now - self._updated_at)
--- a/damaskbay/core/trees/work.py
+++ b/damaskbay/core/trees/work.py
@@ -69,8 +69,10 @@
                     share = 1.0 if first or not work.completed else WORK_GAIN
                     by_pool[pool] = PoolWork(share * item.calls, share * item.slot_s)
             elif completed or item.calls > known.calls:
-                known.calls += WORK_GAIN * (item.calls - known.calls)
-                known.slot_s += WORK_GAIN * (item.slot_s - known.slot_s)
+                # Until a call completes, the longest one says most.
+                gain = WORK_GAIN if work.completed else 1.0
+                known.calls += gain * (item.calls - known.calls)
+                known.slot_s += gain * (item.slot_s - known.slot_s)
         if completed and len(by_pool) > len(measured):
             self._record_missing(by_pool, measured)
 
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -20,6 +20,14 @@
 NESTED_QUEUE_PER_SLOT = 10.0
 """Nested calls that may wait per slot: a fraction of a second of work."""
 
+NESTED_WAIT_SHARE = 0.25
+"""
+Wait of nested calls, as a part of their usual time, from which the level decreases.
+
+Deadlines leave a tree about as long as it takes without waits, which all calls of its
+path share with other delays.
+"""
+
 EXPIRE_INTERVAL_S = 0.04
 """Seconds between checks for queued calls that have waited too long."""
 
@@ -32,18 +40,23 @@
 """Calls that run at once until the server's first response, which may name a limit."""
 
 
+def admission_options(slots: int) -> AdmissionOptions:
+    """Return the options of admission to a server with this number of slots."""
+    return AdmissionOptions(
+        slots,
+        nested_queue_per_slot=NESTED_QUEUE_PER_SLOT,
+        level_headroom=1.0,
+        nested_wait_share=NESTED_WAIT_SHARE,
+        limit=lambda count, _now: FixedLimit(count),
+        unheard_calls=UNHEARD_CALLS,
+    )
+
+
 class Gate:
     """Turns decisions of the admission controller into futures of one event loop."""
 
     def __init__(self, slots: int, rng: Random, now: float) -> None:
-        options = AdmissionOptions(
-            slots,
-            nested_queue_per_slot=NESTED_QUEUE_PER_SLOT,
-            level_headroom=1.0,
-            limit=lambda count, _now: FixedLimit(count),
-            unheard_calls=UNHEARD_CALLS,
-        )
-        self._controller = AdmissionController(options, rng, now)
+        self._controller = AdmissionController(admission_options(slots), rng, now)
         self._waiting: dict[int, asyncio.Future[Refusal | None]] = {}
         self._last_ticket = 0
         self._queued = asyncio.Event()
