Use only as many slots as a server can without slowing down

Some servers take 30 % longer for all calls when more than 95 % of their slots are used, so that 12 slots do less than 11. The gate used all of them.

The gate's limit now compares the work that a full server does with all and with 95 % of its slots, counted by the usual time of each route; calls with nested calls don't count. A trial needs a full server and lasts until the ratio is clear, at most 2 s or six calls. Changes need a second trial unless they are very clear. The metrics slots and slots_useful show the result.

--- a/damaskbay/core/admission/__init__.py
+++ b/damaskbay/core/admission/__init__.py
@@ -16,6 +16,7 @@
     GradientLimit,
 )
 from damaskbay.core.admission.queue import PendingCall
+from damaskbay.core.admission.useful_limit import UsefulLimit
 
 __all__ = [
     "OPEN_LEVEL",
@@ -30,5 +31,6 @@
     "PendingCall",
     "RefuseDecision",
     "StartDecision",
+    "UsefulLimit",
     "pass_share",
 ]
--- a/damaskbay/core/admission/limit.py
+++ b/damaskbay/core/admission/limit.py
@@ -29,14 +29,17 @@
     """
     Result of one admitted call at the backend server, times in seconds.
 
-    `nested_s` is the part of the latency spent waiting for nested calls. A
-    cancelled call gives no information about the server.
+    `nested_s` is the part of the latency spent waiting for nested calls, 0 where it is
+    not known; `has_nested` means that there were some. A cancelled call gives no
+    information about the server.
     """
 
     latency_s: float
     succeeded: bool = True
     cancelled: bool = False
     nested_s: float = 0.0
+    route: str = ""
+    has_nested: bool = False
 
     @property
     def own_s(self) -> float:
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -9,9 +9,9 @@
     AdmissionOptions,
     CallSample,
     Decision,
-    FixedLimit,
     PendingCall,
     RefuseDecision,
+    UsefulLimit,
 )
 from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Refusal
@@ -36,11 +36,12 @@
     """Turns decisions of the admission controller into futures of one event loop."""
 
     def __init__(self, slots: int, rng: Random, now: float) -> None:
+        self._useful = UsefulLimit(slots, now)
         options = AdmissionOptions(
             slots,
             nested_queue_per_slot=NESTED_QUEUE_PER_SLOT,
             level_headroom=1.0,
-            limit=lambda count, _now: FixedLimit(count),
+            limit=lambda _slots, _now: self._useful,
             unheard_calls=UNHEARD_CALLS,
         )
         self._controller = AdmissionController(options, rng, now)
@@ -59,6 +60,11 @@
         """Return the number of calls that wait for a slot."""
         return self._controller.waiting
 
+    @property
+    def useful_slots(self) -> int:
+        """Return how many of the slots are used now."""
+        return self._useful.value()
+
     @property
     def named_limit_per_s(self) -> float | None:
         """Return the starts per second that the server takes, None if unlimited."""
@@ -130,7 +136,8 @@
         self._controller.record_extra_start(now)
 
     def server_restarted(self, now: float) -> None:
-        """Forget what the responses of an earlier start of the server named."""
+        """Forget what was learned of an earlier start of the server."""
+        self._useful.forget(now)
         self._controller.server_restarted(now)
 
     async def run_expiry(self, clock: Callable[[], float]) -> None:
--- a/damaskbay/mesh/observing.py
+++ b/damaskbay/mesh/observing.py
@@ -81,6 +81,8 @@
         parts, gauge = self._parts, self._telemetry.gauge
         monitor = self.loop_monitor
         gauge("calls_running", "Calls at the server", lambda: parts.gate.running)
+        gauge("slots", "Of the server", lambda: parts.gate.slots)
+        gauge("slots_useful", "Used at most now", lambda: parts.gate.useful_slots)
         gauge("calls_waiting", "Calls that wait", lambda: parts.gate.waiting)
         gauge("server_limit_per_second", "-1: none named", self._named_limit_per_s)
         gauge("server_starts_per_second", "Sent lately", self._starts_per_s)
--- a/damaskbay/mesh/running.py
+++ b/damaskbay/mesh/running.py
@@ -12,10 +12,16 @@
 
 @dataclass(slots=True, eq=False)
 class RunningCall:
-    """A running call; `nested_failed` is set once a nested call of it has failed."""
+    """
+    A running call.
+
+    `has_nested` is set once a nested call of it has ended, `nested_failed` once one
+    has failed.
+    """
 
     context: CallContext
     nested_failed: bool = False
+    has_nested: bool = False
 
 
 class RunningCalls:
@@ -52,6 +58,7 @@
         self, call: RunningCall, result: CallResult, now: float
     ) -> None:
         """Record the result of a nested call of a running call."""
+        call.has_nested = True
         outcome = result.result
         if not isinstance(outcome, Response) or outcome.status >= FIRST_SERVER_ERROR:
             call.nested_failed = True
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -174,7 +174,12 @@
                 context, request, partial(self._record_send, context, active)
             )
             took_s = parts.clock() - now
-            sample = CallSample(took_s, succeeded=is_success(outcome))
+            sample = CallSample(
+                took_s,
+                succeeded=is_success(outcome),
+                route=context.route,
+                has_nested=call.has_nested,
+            )
         finally:
             parts.running.remove(call)
             parts.gate.release(admitted, sample, parts.clock())
