--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -9,11 +9,12 @@
     AdmissionOptions,
     CallSample,
     Decision,
-    FixedLimit,
     PendingCall,
     RefuseDecision,
+    UsefulLimit,
 )
 from damaskbay.core.admission.cold_limit import ColdLimit
+from damaskbay.core.admission.controller import LimitFactory
 from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Refusal
 from damaskbay.helpers.arrivals import read_arrived
@@ -42,14 +43,16 @@
 """Calls that run at once until the server's first response, which may name a limit."""
 
 
-def admission_options(slots: int) -> AdmissionOptions:
+def admission_options(
+    slots: int, limit: LimitFactory = UsefulLimit
+) -> AdmissionOptions:
     """Return the options of admission to a server with this number of slots."""
     return AdmissionOptions(
         slots,
         nested_queue_per_slot=NESTED_QUEUE_PER_SLOT,
         level_headroom=1.0,
         nested_wait_share=NESTED_WAIT_SHARE,
-        limit=lambda count, _now: FixedLimit(count),
+        limit=limit,
         unheard_calls=UNHEARD_CALLS,
     )
 
@@ -58,7 +61,9 @@
     """Turns decisions of the admission controller into futures of one event loop."""
 
     def __init__(self, slots: int, rng: Random, now: float) -> None:
-        self._controller = AdmissionController(admission_options(slots), rng, now)
+        self._useful = UsefulLimit(slots, now)
+        options = admission_options(slots, lambda _slots, _now: self._useful)
+        self._controller = AdmissionController(options, rng, now)
         self._waiting: dict[int, asyncio.Future[Refusal | None]] = {}
         self._last_ticket = 0
         self._queued = asyncio.Event()
@@ -74,6 +79,11 @@
         """Return the number of calls that wait for a slot."""
         return self._controller.waiting
 
+    @property
+    def useful_slots(self) -> int:
+        """Return how many of the slots are used now."""
+        return self._useful.value()
+
     @property
     def named_limit_per_s(self) -> float | None:
         """Return the starts per second that the server takes, None if unlimited."""
@@ -178,7 +188,8 @@
         self._controller.record_extra_start(now)
 
     def server_restarted(self, now: float) -> None:
-        """Forget what the responses of an earlier start of the server named."""
+        """Forget what was learned of an earlier start of the server."""
+        self._useful.forget(now)
         self._controller.server_restarted(now)
 
     async def run_expiry(self, clock: Callable[[], float]) -> None:
--- a/damaskbay/mesh/running.py
+++ b/damaskbay/mesh/running.py
@@ -15,13 +15,15 @@
 @dataclass(slots=True, eq=False)
 class RunningCall:
     """
-    A running call; `nested_failed` is set once a nested call of it has failed.
+    A running call.
 
-    `needed` are the calls and slot seconds of its nested calls by pool.
+    `has_nested` is set once a nested call of it has ended, `nested_failed` once one
+    has failed. `needed` are the calls and slot seconds of its nested calls by pool.
     """
 
     context: CallContext
     nested_failed: bool = False
+    has_nested: bool = False
     needed: dict[str, PoolNews] = field(default_factory=dict)
 
     def add_needed(self, pools: Iterable[PoolNews]) -> None:
@@ -69,6 +71,7 @@
         self, call: RunningCall, result: CallResult, now: float
     ) -> None:
         """Record the result of a nested call of a running call."""
+        call.has_nested = True
         outcome = result.result
         if not isinstance(outcome, Response) or outcome.status >= FIRST_SERVER_ERROR:
             call.nested_failed = True
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -180,7 +180,12 @@
             took_s = parts.clock() - now
             if active.sent:
                 self._accepted.record(parts.clock(), accepted=not _is_rejected(outcome))
-            sample = CallSample(took_s, succeeded=is_success(outcome))
+            sample = CallSample(
+                took_s,
+                succeeded=is_success(outcome),
+                route=context.route,
+                has_nested=call.has_nested,
+            )
         finally:
             parts.running.remove(call)
             parts.gate.release(admitted, sample, parts.clock())
