--- a/bench/trees.py
+++ b/bench/trees.py
@@ -276,7 +276,7 @@
     def _send(self, root: _Root) -> None:
         free = [item for item in self.servers if item.number not in root.tries]
         choices = self._rng.sample(free, min(2, len(free)))
-        server = min(choices, key=lambda item: item.controller.load())
+        server = min(choices, key=lambda item: item.controller.load(self.events.now))
         root.tries |= {server.number}
         server.offer(root)
 
