Limit a starting daemon's server only where the settings name a bound

Cause: a daemon without a configuration assumed a cold server, also in deployments whose platform names no bound for cold servers, where a call from a peer was then refused until the configuration was read. A registration that the store refused was repeated every 0.4 s, which is priced. Change: the assumption needs a bound in the settings. The delay between attempts of the registration grows to 1.5 s, so that a lost record is still back within 2 s.

--- a/damaskbay/mesh/cold_server.py
+++ b/damaskbay/mesh/cold_server.py
@@ -65,7 +65,8 @@
         self._ask_at = 0.0
         self._slots = 0
         self._logged_cold = False
-        self._set_rate(None)
+        # Without a bound of the platform, only the configuration can name a limit.
+        self._set_rate(None if settings.limits_cold_servers else 0.0)
         # An earlier daemon may have known that the server is cold.
         self._limit.assume(clock())
         self._changed.set()
--- a/damaskbay/mesh/registry.py
+++ b/damaskbay/mesh/registry.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from damaskbay.helpers.arrivals import timeout_after_reading
+from damaskbay.helpers.backoff import Backoff
 from damaskbay.mesh.directory import MemberRecord
 from damaskbay.mesh.records import encode_record
 from damaskbay.ports.store import (
@@ -26,9 +27,13 @@
 """Seconds between lease renewals; three fit into the lease."""
 
 RETRY_DELAY_S = 0.4
-"""Delay before a store request is retried, seconds.
+"""First delay before a store request is retried, seconds."""
 
-A lost record must be back in the store within 2 s.
+MAX_RETRY_DELAY_S = 1.5
+"""Longest mean delay before a store request is retried, seconds.
+
+A lost record must be back in the store within 2 s. Each refused request is priced, and
+a store that refuses some daemons for a while got two to three from each per second.
 """
 
 DRAIN_WRITE_TIMEOUT_S = 0.5
@@ -75,6 +80,7 @@
         self._may_replace = may_replace
         self._fleet_size = fleet_size
         self._rng = rng or Random()
+        self._backoff = Backoff(RETRY_DELAY_S, MAX_RETRY_DELAY_S, self._rng)
         self._epoch = 0
         self._epoch_heard = 0
         self._must_wait = False
@@ -117,6 +123,7 @@
         while True:
             if await self._renew():
                 self._is_rewriting = self._must_wait
+                self._backoff.reset()
                 pause_s = RENEW_INTERVAL_S
             else:
                 pause_s = self._retry_delay_s()
@@ -128,9 +135,10 @@
 
     def _retry_delay_s(self) -> float:
         """Return the delay before a retry, which keeps rewrites spread over time."""
+        delay_s = self._backoff.next_delay_s()
         if not self._is_rewriting:
-            return RETRY_DELAY_S
-        return max(RETRY_DELAY_S, rewrite_window_s(self._fleet_size()))
+            return delay_s
+        return max(delay_s, rewrite_window_s(self._fleet_size()))
 
     async def _renew(self) -> bool:
         self._changed.clear()
--- a/damaskbay/mesh/settings.py
+++ b/damaskbay/mesh/settings.py
@@ -40,7 +40,8 @@
     most `retry_ratio` times its calls, plus `retry_slack`, as retries. A workspace
     may exceed its rate and burst by the part `quota_overage` and `quota_slack`
     requests. A cold server may get its warm-up rate times `cold_overage`, plus
-    `cold_slack`, requests in a second. The process may use `memory_bytes` and open
+    `cold_slack`, requests in a second; `limits_cold_servers` is whether the platform
+    names such a bound. The process may use `memory_bytes` and open
     `max_descriptors`. `digest` identifies the settings file. `failure_domains` are the
     names of all domains, empty if the platform doesn't give them.
     """
@@ -68,6 +69,7 @@
     digest: str = ""
     cold_overage: float = DEFAULT_COLD_OVERAGE
     cold_slack: float = DEFAULT_COLD_SLACK
+    limits_cold_servers: bool = False
     failure_domains: frozenset[str] = frozenset()
 
 
--- a/damaskbay/platform/settings.py
+++ b/damaskbay/platform/settings.py
@@ -85,6 +85,7 @@
         quota_slack=read_number(bounds, "QuotaSlack", 0.0),
         cold_overage=read_number(bounds, "ColdOverage", DEFAULT_COLD_OVERAGE),
         cold_slack=read_number(bounds, "ColdSlack", DEFAULT_COLD_SLACK),
+        limits_cold_servers="ColdOverage" in bounds or "ColdSlack" in bounds,
         memory_bytes=MEGABYTE * _read_limit(document, "MemoryMb", DEFAULT_MEMORY_MB),
         max_descriptors=_read_limit(document, "MaxFds", DEFAULT_MAX_DESCRIPTORS),
         advertised=(
--- a/tests/mesh/test_cold_server.py
+++ b/tests/mesh/test_cold_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from damaskbay.adapters.http1.server import HttpServer
 from damaskbay.config.objects import CallerLimits
@@ -18,6 +19,12 @@
 BOUND = 12
 """Requests that a cold server may get in a second: WARMUP_PER_S * OVERAGE + SLACK."""
 
+BOUNDS: dict[str, Any] = {
+    "limits_cold_servers": True,
+    "cold_overage": OVERAGE,
+    "cold_slack": SLACK,
+}
+
 COLD_MS = 2000
 
 
@@ -29,7 +36,7 @@
             fleet.service = {"ColdStart": "2s", "WarmupPerS": WARMUP_PER_S}
             await fleet.publish()
             for name, pool in nodes.items():
-                await fleet.add(name, pool, cold_overage=OVERAGE, cold_slack=SLACK)
+                await fleet.add(name, pool, **BOUNDS)
             await fleet.wait_until_connected()
             await check(fleet)
 
@@ -103,9 +110,7 @@
         old.backend.cold_ms = str(COLD_MS)
         listeners = ("callers", "control", "readiness", "peers", "metrics")
         addresses = {name: getattr(old.daemon.settings, name) for name in listeners}
-        new = await fleet.add_daemon(
-            "a", old.backend, **addresses, cold_overage=OVERAGE, cold_slack=SLACK
-        )
+        new = await fleet.add_daemon("a", old.backend, **addresses, **BOUNDS)
         await wait_until(lambda: new.daemon.local.state is ServerState.READY)
         assert not new.daemon._gate.cold_limit.is_assumed
         await _press([new], per_s=60.0, for_s=1.0)
@@ -114,6 +119,26 @@
     _run(check, a="one")
 
 
+# A starting daemon limited its server where no deployment names a bound.
+def test_a_starting_daemon_limits_only_where_the_settings_name_a_bound() -> None:
+    """Without a configuration it can't know whether the pool has a warm-up rate."""
+
+    async def run() -> None:
+        async with run_fleet() as fleet:
+            fleet.kv.faults.status = 503
+            for name, settings in (("a", BOUNDS), ("b", {})):
+                backend = Backend("one", f"i-{name}", reserve_address())
+                await fleet.add_daemon(name, backend, **settings)
+            limits = [
+                node.daemon._gate.cold_limit.rate_per_s(monotonic_s())
+                for node in fleet.nodes.values()
+            ]
+            assert limits[0] is not None
+            assert limits[1] is None
+
+    asyncio.run(run())
+
+
 # After a crash the server was sent a request for each slot until its first report.
 def test_a_server_that_refused_connections_is_taken_for_cold() -> None:
     """Until it says otherwise in its health check, which is asked then."""
@@ -122,9 +147,7 @@
         backend = Backend("one", "i-a", reserve_address())
         limits = CallerLimits()
         async with HttpServer(backend.address, backend.serve, limits):
-            node = await fleet.add_daemon(
-                "a", backend, cold_overage=OVERAGE, cold_slack=SLACK
-            )
+            node = await fleet.add_daemon("a", backend, **BOUNDS)
             assert await node.send_heartbeat() == 200
             assert (await node.request("/safe/")).status == 200
         limit = node.daemon._gate.cold_limit
