Let servers of the soak be cold, and evacuate a failure domain in each seed

Cause: the soak covered neither. Change: tests/soak/phases.py starts both with a random generator of its own, so that the other faults of a seed stay the same, and checks both bounds.

--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -17,6 +17,7 @@
 from damaskbay.platform.const import SETTINGS_VARIABLE
 from damaskbay.ports.peer import PeerAddress
 from tests.common import ROOT, daemon_command, reserve_address
+from tests.soak.limits import COLD_OVERAGE, COLD_SLACK
 from tests.soak.processes import (
     ENDED_STATES,
     read_processor_s,
@@ -305,6 +306,7 @@
 
     async def _send_heartbeat(self) -> bool:
         self._sequence += 1
+        cold_ms = self.cold_ms()
         report = {
             "Service": self.pool,
             "Address": str(self.server_address),
@@ -312,7 +314,7 @@
             "State": self.state,
             "Slots": self._options.slots,
             "Seq": self._sequence,
-            "ColdRemaining": "0ms",
+            "ColdRemaining": f"{cold_ms}ms",
             "born": self._born_ms,
         }
         path = f"/Instances.Heartbeat/{self.server_id}"
@@ -320,7 +322,17 @@
         response = await _request(
             self._control_address, Request("POST", "c", path, (), body)
         )
-        return response is not None and response.status == 200
+        confirmed = response is not None and response.status == 200
+        if confirmed:
+            self.report_confirmed(cold_ms)
+        return confirmed
+
+    def cold_ms(self) -> int:
+        """Return how long the server stays cold, in milliseconds."""
+        return 0
+
+    def report_confirmed(self, cold_ms: int) -> None:
+        """Take notice of a report that the daemon has confirmed."""
 
     async def _deregister(self) -> bool:
         path = f"/Instances.Deregister/{self.server_id}"
@@ -360,6 +372,8 @@
 RetryBudgetSlack = 50
 QuotaOverage = 0.1
 QuotaSlack = {self._quota_slack}
+ColdOverage = {COLD_OVERAGE}
+ColdSlack = {COLD_SLACK}
 [Platform]
 Address = "{self.store_address}"
 """
--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -1,5 +1,6 @@
 """Limits that the servers of the soak name, and the check that they hold."""
 
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -15,6 +16,50 @@
 """Time after which a lower limit binds, seconds."""
 
 
+WARMUP_PER_S = 2.0
+COLD_OVERAGE = 1.5
+COLD_SLACK = 4.0
+COLD_CONTACT_S = 1.0
+"""Time after a confirmed report of a cold phase from which its bound is checked."""
+
+
+@dataclass
+class ColdRecord:
+    """
+    When a server is cold, when its daemon confirmed a report of it, and its arrivals.
+
+    Only one phase is counted at a time: a further one extends it.
+    """
+
+    arrivals: list[float] = field(default_factory=list)
+    until: float = 0.0
+    spans: list[tuple[float, float]] = field(default_factory=list)
+
+    def begin(self, cold_s: float) -> None:
+        """Let the server be cold for a while from now on."""
+        self.until = time.monotonic() + cold_s
+
+    def left_ms(self) -> int:
+        """Return how long the server stays cold, in milliseconds."""
+        return max(0, int(1000.0 * (self.until - time.monotonic())))
+
+    def record_told(self, reported_ms: int) -> None:
+        """Record that the daemon has confirmed a report."""
+        if reported_ms:
+            self.spans.append((time.monotonic() + COLD_CONTACT_S, self.until))
+
+    def find_excess(self) -> Iterator[str]:
+        """Yield a description of each span with a second of too many arrivals."""
+        allowed = WARMUP_PER_S * COLD_OVERAGE + COLD_SLACK
+        for start, end in self.spans:
+            within = [at for at in self.arrivals if start <= at < end]
+            for first in within:
+                count = sum(1 for at in within if first <= at < first + 1.0)
+                if count > allowed:
+                    yield f"{count} in a second, {allowed:.1f} allowed"
+                    break
+
+
 @dataclass
 class _Span:
     """Time in which a server names limits; `steps` are when it named which."""
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -56,6 +56,7 @@
         self.faulty_store = FaultyStore(store)
         self.drain_acked_at: float | None = None
         self.server_disturbances: list[Disturbance] = []
+        self.store_disturbances: list[Disturbance] = []
         self._store_server = HttpServer(
             PeerAddress(HOST, 0),
             self.faulty_store.serve,
@@ -71,6 +72,14 @@
         self.backend = SoakServer(server_options, execution_log, rng)
         self.proxy: LoopbackProxy
 
+    def cold_ms(self) -> int:
+        """Return how long the server stays cold, in milliseconds."""
+        return self.backend.cold.left_ms()
+
+    def report_confirmed(self, cold_ms: int) -> None:
+        """Record that the daemon knows of a cold phase."""
+        self.backend.cold.record_told(cold_ms)
+
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Start store, backend server and proxy, then the daemon and heartbeats."""
         await stack.enter_async_context(self._store_server)
--- a/tests/soak/manifest.py
+++ b/tests/soak/manifest.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from tests.mesh.common import HEALTH_PATH
+from tests.soak.limits import WARMUP_PER_S
 
 POOLS = ("one", "two")
 NESTED_POOL = "two"
@@ -64,6 +65,7 @@
         for path, pool in pools_by_path.items()
     ]
     service = {"MaxConnections": 90, "HealthCheckPath": HEALTH_PATH}
+    service |= {"ColdStart": "3s", "WarmupPerS": WARMUP_PER_S}
     entries += [
         ("Routes", f"extra-{number}", {**spec, **_EXTRA, "Prefix": f"/x{number}/"})
         for number in range(extra_routes)
--- a/tests/soak/options.py
+++ b/tests/soak/options.py
@@ -17,7 +17,8 @@
     `planned` means that the only faults are stops, set changes, changed settings, and
     slow and draining servers. `long_share` is the part of requests, 0 to 1, that take
     long at their server. `pipelines` adds callers that pipeline requests, `limits`
-    servers that name limits, change and drop them, `harsh` the faults that bring
+    servers that name limits, change and drop them, `phases` cold servers and evacuated
+    failure domains, `harsh` the faults that bring
     memory, descriptors and signals to their limits.
     """
 
@@ -30,6 +31,7 @@
     pipelines: bool = True
     limits: bool = False
     harsh: bool = False
+    phases: bool = False
 
 
 def options_of(
@@ -46,4 +48,5 @@
         grace_s,
         limits=True,
         harsh=True,
+        phases=True,
     )
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -19,7 +19,7 @@
 from damaskbay.mesh.running import SEPARATOR
 from damaskbay.ports.peer import PeerAddress
 from tests.mesh.common import HEALTH_PATH, HOST
-from tests.soak.limits import LimitRecord
+from tests.soak.limits import ColdRecord, LimitRecord
 from tests.soak.planned import OVERDUE_S
 from tests.soak.records import Execution, ExecutionLog, SentRequest
 
@@ -72,8 +72,9 @@
     Backend server of one machine; an async context manager.
 
     `server` is its id, `slow_until` the end of a phase in which every request takes
-    long. `limits` holds the limits that it names. While `leaving`, its responses say
-    so. `nested` holds the calls that it made over its own daemon.
+    long. `limits` holds the limits that it names, `cold` its cold phases. While
+    `leaving`, its responses say so. `nested` holds the calls that it made over its
+    own daemon.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self.server = f"i-{options.machine}-1"
         self.slow_until = 0.0
         self.limits = LimitRecord()
+        self.cold = ColdRecord()
         self.leaving = False
         self.nested: list[SentRequest] = []
         self._options = options
@@ -121,14 +123,18 @@
         """Serve a call; the body names the request and the server."""
         request = arrival.request
         if request.target == HEALTH_PATH:
+            self.cold.arrivals.append(time.monotonic())
             status = 503 if self.leaving else 200
-            return Response(status, (("X-Instance-Id", self.server), *self._notices()))
+            cold = ("X-Cold-Ms", str(self.cold.left_ms()))
+            own = (("X-Instance-Id", self.server), cold, *self._notices())
+            return Response(status, own)
         headers = {name.lower(): value for name, value in request.headers}
         request_id, server = headers["x-request-id"], self.server
         id_header: Headers = (("X-Request-Id", request_id),)
         if headers.get("x-expect-instance") != server:
             return Response(421, id_header)
         self.limits.arrivals.append(time.monotonic())
+        self.cold.arrivals.append(time.monotonic())
         execution = Execution(
             server,
             self._options.machine,
@@ -149,7 +155,7 @@
         elif self._options.body_range is not None:
             body = body.ljust(self._rng.randint(*self._options.body_range), b".")
         stamp = f"{request_id}{SEPARATOR}{server}{SEPARATOR}{len(body)}"
-        own: Headers = (*id_header, ("X-Server-Stamp", stamp), *self._notices())
+        own = (*id_header, ("X-Server-Stamp", stamp), *self._notices())
         return Response(status, own, body)
 
     def _notices(self) -> Headers:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,11 +12,12 @@
 from damaskbay.platform.const import CONFIG_KEY
 from tests.platform.kv_stand_in import KvStandIn
 from tests.soak.callers import MachineCallers, RequestSource, send_once
-from tests.soak.daemons import DRAIN_S, MachineOptions
+from tests.soak.daemons import DRAIN_S, MachineOptions, record_disturbance
 from tests.soak.harsh import Fault, HarshFaults, HarshParts
 from tests.soak.machines import Machine
 from tests.soak.manifest import NESTED_POOL, POOLS, make_manifest
 from tests.soak.options import SoakOptions
+from tests.soak.phases import Phases
 from tests.soak.planned import LagRecorder
 from tests.soak.promises import InvariantChecker
 from tests.soak.records import Disturbance, ExecutionLog
@@ -79,6 +80,12 @@
             for number in range(options.machine_count)
         ]
 
+        self._phases = Phases(
+            self._kv,
+            self._machines,
+            random.Random(options.seed + 1),
+            self._record_event,
+        )
         self._harsh = HarshFaults(
             HarshParts(
                 self._machines,
@@ -124,6 +131,8 @@
                 group.create_task(self._inject_faults())
                 if self._options.limits:
                     group.create_task(self._inject_limits())
+                if self._options.phases:
+                    group.create_task(self._phases.run(self._options.fault_duration_s))
             await asyncio.sleep(SETTLE_S)
             caller_task.cancel()
             await self._check_recovery()
@@ -136,6 +145,8 @@
                 self.checker.check_limits(machine.name, machine.backend.limits)
                 self.checker.check_own_ends(machine.name, machine.own_ends)
             self._check_lost()
+            found = self._phases.violations(self.checker.execution_log)
+            self.checker.violations.extend(found)
             if self.checker.planned:
                 stops = {machine.name: machine.stops for machine in self._machines}
                 self.checker.check_interruptions(requests, stops, lag)
@@ -341,11 +352,15 @@
         if fault == "compact":
             self._kv.compact()
             return
-        for store in stores:
-            store.fault = fault
-        await asyncio.sleep(self._rng.uniform(0.5, 6.0))
-        for store in stores:
-            store.fault = None
+        hit = [one for one in self._machines if one.faulty_store in stores]
+        with contextlib.ExitStack() as stack:
+            for one in hit:
+                stack.enter_context(record_disturbance(one.store_disturbances))
+            for store in stores:
+                store.fault = fault
+            await asyncio.sleep(self._rng.uniform(0.5, 6.0))
+            for store in stores:
+                store.fault = None
 
     async def _server(self, machine: Machine) -> None:
         """Inject a network fault between the daemon and its backend server."""
