--- a/tests/soak/options.py
+++ b/tests/soak/options.py
@@ -17,9 +17,9 @@
     `planned` means that the only faults are stops, set changes, changed settings, and
     slow and draining servers. `long_share` is the part of requests, 0 to 1, that take
     long at their server. `pipelines` adds callers that pipeline requests, `limits`
-    servers that name limits, change and drop them, `harsh` the faults that bring
-    memory, descriptors and signals to their limits, `restores` those of the store from
-    a snapshot.
+    servers that name limits, change and drop them, `phases` cold servers and evacuated
+    failure domains, `harsh` the faults that bring memory, descriptors and signals to
+    their limits, `restores` those of the store from a snapshot.
     """
 
     seed: int
@@ -32,6 +32,7 @@
     limits: bool = False
     harsh: bool = False
     restores: bool = False
+    phases: bool = False
 
 
 def options_of(
@@ -49,4 +50,5 @@
         limits=True,
         harsh=True,
         restores=not planned,
+        phases=True,
     )
