--- /dev/null
+++ b/tests/misbehaving/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons as processes, and callers that misbehave."""
