Parse pipelined requests only as far as they are served

Cause: one read holds up to 256 KB, thousands of short requests. All of them were parsed and got a task each before reading paused, and none of that was counted. A read of requests that offer an upgrade was parsed by recursion with a copy of the rest for each request.

Change: a read is taken in pieces that complete one request at most. From MAX_PIPELINED_REQUESTS in flight on (two while memory is scarce), the rest waits, counted in the memory account and with reading paused; it goes on as responses leave. While memory is scarce, more than 4 KB behind the requests in flight are refused with 503. Such a rest counts as unread at a stop. The limits are those of a server, PipelineLimits.

test_requests_in_hand sets the limit at its server instead of patching the constant; the value is the same.

--- a/damaskbay/adapters/http1/connection_server.py
+++ b/damaskbay/adapters/http1/connection_server.py
@@ -1,8 +1,10 @@
 """What the connection of a caller needs of its server."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from damaskbay.adapters.http1.const import MAX_PIPELINED_REQUESTS, MAX_UNREAD_BYTES
 from damaskbay.adapters.http1.exchange import Handler, RefuseEarly
 from damaskbay.config.objects import CallerLimits
 from damaskbay.core.memory_account import MemoryAccount
@@ -11,6 +13,14 @@
     from damaskbay.adapters.http1.server_connection import ServerConnection
 
 
+@dataclass(frozen=True, slots=True)
+class PipelineLimits:
+    """Requests in flight, and response bytes unread, before a connection pauses."""
+
+    requests: int = MAX_PIPELINED_REQUESTS
+    unread_bytes: int = MAX_UNREAD_BYTES
+
+
 class ConnectionServer(Protocol):
     """What a connection needs of its server, see HttpServer."""
 
@@ -18,6 +28,7 @@
     refuse_early: RefuseEarly | None
     accept_pause_s: Callable[[], float]
     limits: CallerLimits
+    pipeline: PipelineLimits
     memory: MemoryAccount
     draining: bool
     ending: bool
--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -5,6 +5,12 @@
 MAX_PIPELINED_REQUESTS: Final = 32
 """Requests in flight on one connection before reading pauses; bounds memory."""
 
+PARSES_IN_A_ROW: Final = 64
+"""Pieces of one read, each with a request at most, before others are read."""
+
+SCARCE_UNPARSED_BYTES: Final = 4096
+"""Bytes behind the requests in flight that may wait while memory is scarce."""
+
 MAX_BODY_PARTS: Final = 1000
 """Parts of bodies in one read above which other connections are read first."""
 
--- a/damaskbay/adapters/http1/reading.py
+++ b/damaskbay/adapters/http1/reading.py
@@ -1,6 +1,7 @@
 """Whether a connection is read from, and the reasons to pause that for a while."""
 
 import asyncio
+from collections.abc import Callable
 
 from damaskbay.adapters.http1.const import MAX_PAUSE_S, PAUSE_SHARE
 from damaskbay.adapters.http1.exchange import EarlyRefusal
@@ -13,10 +14,14 @@
     Pauses and resumes the reading of one connection.
 
     It is paused while its caller is `congested`, has too much in flight, until other
-    connections had their turn, or until a caller that comes back too early may.
+    connections had their turn, or until a caller that comes back too early may. So is
+    the parsing of what was read, of which some may be `unparsed`; `parse` goes on with
+    it in a later pass of the event loop.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, parse: Callable[[], None] = lambda: None) -> None:
+        self._parse = parse
+        self._has_unparsed = False
         self._transport: asyncio.Transport | None = None
         self._congested = False
         self._yields = False
@@ -31,10 +36,33 @@
         """Control the transport of a connection that was made."""
         self._transport = transport
 
+    @property
+    def holds_back(self) -> bool:
+        """Return whether no request is parsed now."""
+        return self._congested or self._waits or self._yields
+
+    @property
+    def is_congested(self) -> bool:
+        """Return whether the caller has too many requests or unread bytes."""
+        return self._congested
+
     def set_congested(self, congested: bool) -> None:
         """Record whether the caller has too many requests or unread bytes."""
         self._congested = congested
-        self._apply()
+        if self._has_unparsed and not congested:
+            self.let_others_read()
+        else:
+            self._apply()
+
+    def set_unparsed(self, has_unparsed: bool) -> None:
+        """Record whether bytes that were read wait to be parsed."""
+        if not has_unparsed and not self._has_unparsed:
+            return
+        self._has_unparsed = has_unparsed
+        if has_unparsed and not self.holds_back:
+            self.let_others_read()
+        else:
+            self._apply()
 
     def let_others_read(self) -> None:
         """Read on in a later pass of the event loop, after other connections."""
@@ -84,17 +112,22 @@
             descriptor = self._transport.get_extra_info("socket").fileno()
             if descriptor >= 0 and ready_descriptors([descriptor]):
                 self._unread_since = self._waits_since
-        self._apply()
+        if self._has_unparsed:
+            self.let_others_read()
+        else:
+            self._apply()
 
     def _end_yield(self) -> None:
         self._yields = False
+        if self._has_unparsed and not self.holds_back:
+            self._parse()
         self._apply()
 
     def _apply(self) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        pauses = self._congested or self._yields or self._waits
+        pauses = self.holds_back or self._has_unparsed
         pauses = pauses and not self._reads_to_the_end
         if pauses == self.is_paused:
             return
--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -78,6 +78,14 @@
         """Return whether a request has begun and is incomplete."""
         return self.in_headers or bool(self._partial.target)
 
+    @property
+    def body_bytes_left(self) -> int:
+        """Return how much of a body is to come, 0 where that is unknown."""
+        length = self._partial.length
+        if length is None or self.in_headers:
+            return 0
+        return length - len(self._partial.body)
+
     def feed(self, data: bytes, limits: CallerLimits, now: float) -> None:
         """Parse bytes of one or more requests; raise BadRequestError if invalid."""
         self._limits, self._now = limits, now
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -8,6 +8,7 @@
 from types import TracebackType
 from typing import Self
 
+from damaskbay.adapters.http1.connection_server import PipelineLimits
 from damaskbay.adapters.http1.const import (
     CLOSE_TIMEOUT_S,
     FLUSH_POLL_S,
@@ -61,6 +62,7 @@
         self.refuse_early: RefuseEarly | None = None
         self.accept_pause_s: Callable[[], float] = float
         self.limits = limits
+        self.pipeline = PipelineLimits()
         self.memory = memory or MemoryAccount()
         self.connection_limits = connection_limits or ConnectionLimits()
         self.draining = False
@@ -275,6 +277,7 @@
         return bool(
             self._listener.is_connecting
             or self._closing
+            or any(connection.has_unparsed for connection in self.connections)
             or _with_unread_bytes(self.connections)
         )
 
@@ -282,7 +285,10 @@
         """Return whether something is to be sent, or read and refused."""
         return bool(
             self.unsent_bytes
-            or any(connection.lingering for connection in self.connections)
+            or any(
+                connection.lingering or connection.has_unparsed
+                for connection in self.connections
+            )
             or _with_unread_bytes(self.connections)
         )
 
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -3,7 +3,6 @@
 import asyncio
 import http
 import logging
-import select
 from collections import deque
 from typing import cast
 
@@ -11,21 +10,17 @@
 from damaskbay.adapters.http1.const import (
     FIRST_REQUEST_WAIT_S,
     LINGER_TIMEOUT_S,
-    MAX_BODY_PARTS,
     MAX_LINGER_S,
-    MAX_PIPELINED_REQUESTS,
-    MAX_UNREAD_BYTES,
     OVERLOADED_RETRY_S,
     WRITE_STALL_TIMEOUT_S,
 )
-from damaskbay.adapters.http1.exceptions import BadRequestError
 from damaskbay.adapters.http1.exchange import Exchange, ReceivedRequest
-from damaskbay.adapters.http1.reading import ReadingControl
-from damaskbay.adapters.http1.request_parser import RequestParser
+from damaskbay.adapters.http1.intake import Intake
 from damaskbay.adapters.http1.response_encoding import encode_response, error_response
 from damaskbay.adapters.http1.sockets import ready_descriptors
+from damaskbay.adapters.http1.writing import WritingControl
 from damaskbay.core.call import Headers, Request, Response
-from damaskbay.core.memory_account import Holding, WriteBufferHolding
+from damaskbay.core.memory_account import Holding
 from damaskbay.helpers.clock import monotonic_s
 
 _LOGGER = logging.getLogger(__name__)
@@ -52,17 +47,15 @@
         self._reopens = False
         self._ended_at: float | None = None
         self._linger_limit_at = 0.0
-        self.reading = ReadingControl()
         self._owes_continue = False
         self._discards_rest = False
         self._idle_timeout_s = server.limits.idle_timeout_s
-        self._written = WriteBufferHolding(server.memory)
-        self._write_paused_since: float | None = None
-        self._unsent_at_check = 0
+        self._writing = WritingControl(server.memory)
         self._error_status: http.HTTPStatus | None = None
         self._received_any = False
-        self._last_active_at = self._arrived_at = monotonic_s()
-        self._parser = RequestParser(self, server.memory, self._last_active_at)
+        self._last_active_at = now = monotonic_s()
+        self._intake = Intake(self, server, self._reject, now)
+        self._parser, self.reading = self._intake.parser, self._intake.reading
 
     def is_idle(self, now: float) -> bool:
         """
@@ -73,6 +66,8 @@
         """
         if self._transport is None or self._exchanges or self.unsent_bytes:
             return False
+        if self._intake.has_unparsed:
+            return False
         if self.lingering:
             return not self._discards_rest or now >= self._linger_ends_at
         if self._parser.in_request:
@@ -89,6 +84,11 @@
         """Return whether a request has no complete response yet."""
         return any(exchange.response is None for exchange in self._exchanges)
 
+    @property
+    def has_unparsed(self) -> bool:
+        """Return whether bytes that were read wait to be parsed."""
+        return self._intake.has_unparsed
+
     @property
     def last_active_at(self) -> float:
         """Return the monotonic time at which something was last read or sent."""
@@ -105,7 +105,9 @@
     @property
     def is_incomplete(self) -> bool:
         """Return whether a request is being read and nothing else is in flight."""
-        return self._parser.in_request and not self._exchanges and not self._closing
+        if self._exchanges or self._intake.has_unparsed or self._closing:
+            return False
+        return self._parser.in_request
 
     @property
     def unsent_bytes(self) -> int:
@@ -113,12 +115,13 @@
         if self._transport is None:
             return 0
         waiting = sum(exchange.response_bytes for exchange in self._exchanges)
-        return self._transport.get_write_buffer_size() + waiting
+        return self._writing.unsent_bytes + waiting
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         self._transport = cast("asyncio.Transport", transport)
         self.reading.start(self._transport)
+        self._writing.start(self._transport)
         if pause_s := self._server.accept_pause_s():
             self.reading.wait(pause_s)
 
@@ -129,8 +132,8 @@
             self._server.reopen_if_unread(sock.fileno())
         self._transport = None
         self._server.remove_connection(self)
-        self._written.release()
-        self._parser.close()
+        self._writing.close()
+        self._intake.close()
         if unsent_bytes := sum(exchange.response_bytes for exchange in self._exchanges):
             _LOGGER.info(
                 "edge: caller has left before its response.",
@@ -143,28 +146,22 @@
         self._exchanges.clear()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes, which may hold several requests."""
+        """Parse received bytes, which may hold several requests, as far as possible."""
         self._received_any = True
         self._last_active_at = monotonic_s()
-        self._arrived_at = self.reading.arrival_of_read(self._last_active_at)
         if self._closing:
             self._extend_linger()
             return
-        try:
-            self._parser.feed(data, self._server.limits, self._last_active_at)
-        except BadRequestError as error:
-            self._reject(error.status)
-        if self._parser.body_parts > MAX_BODY_PARTS:
-            self.reading.let_others_read()
+        self._intake.receive(data, self._last_active_at)
 
     def pause_writing(self) -> None:
         """Record that the write buffer is full: the caller reads too slowly."""
-        self._write_paused_since = monotonic_s()
+        self._writing.pause(monotonic_s())
 
     def resume_writing(self) -> None:
         """Resume writing responses after the write buffer has drained."""
-        self._write_paused_since = None
-        self._count_written()
+        self._last_active_at = monotonic_s()
+        self._writing.resume()
         self._flush()
 
     def handle_expect_continue(self) -> None:
@@ -187,7 +184,7 @@
             why = _TOO_MANY_CONNECTIONS if self._is_refused else _ENDING
             self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE, why)
             return
-        arrival = ReceivedRequest(request, self._arrived_at)
+        arrival = ReceivedRequest(request, self._intake.arrived_at)
         exchange = Exchange(arrival, holding, keep_alive)
         self._exchanges.append(exchange)
         try:
@@ -205,8 +202,9 @@
         """Close the connection if one of its timeouts has expired."""
         if self._transport is None:
             return
-        self._count_written()
-        if self._is_write_stalled(now):
+        if self._writing.count():
+            self._last_active_at = now
+        if self._writing.is_stalled(now, WRITE_STALL_TIMEOUT_S):
             extra = {"unsent_bytes": self.unsent_bytes}
             _LOGGER.warning("edge: caller reads nothing.", extra=extra)
             self._transport.abort()
@@ -214,13 +212,13 @@
             if self.unsent_bytes:
                 self._ended_at = now
             elif now > self._linger_ends_at and (
-                now >= self._linger_limit_at or not self._is_ready(select.POLLIN)
+                now >= self._linger_limit_at or not self._has_unread()
             ):
                 self._transport.close()
         elif self._sends_too_slowly(now):
-            if not self._is_ready(select.POLLIN):
+            if not self._has_unread():
                 self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
-        elif self._is_idle_too_long(now) and not self._is_ready(select.POLLIN):
+        elif self._is_idle_too_long(now) and not self._has_unread():
             self.close_idle()
 
     def close_idle(self) -> None:
@@ -296,17 +294,14 @@
     def _flush(self) -> None:
         """Write the responses that are next in order."""
         while self._exchanges and (response := self._exchanges[0].response) is not None:
-            if self._transport is None or self._write_paused_since is not None:
+            if self._transport is None or self._writing.is_paused:
                 return
             exchange = self._exchanges.popleft()
             exchange.holding.release()
             self._last_active_at = monotonic_s()
             self._idle_timeout_s = self._server.limits.idle_timeout_s
             keep_alive = exchange.keep_alive and not self._should_announce_close()
-            encoded = response.to_bytes(keep_alive=keep_alive)
-            self._transport.write(encoded)
-            buffered_bytes = self._transport.get_write_buffer_size()
-            self._written.written(len(encoded), buffered_bytes)
+            self._writing.write(response.to_bytes(keep_alive=keep_alive))
             if not keep_alive:
                 self._end()
                 return
@@ -332,26 +327,7 @@
         """
         answered = not self._exchanges and self._error_status is None
         closes = self._server.draining or self._server.exceeds_connections
-        return closes and answered
-
-    def _count_written(self) -> None:
-        """Count the written responses that the kernel has not taken yet."""
-        if self._transport is None:
-            return
-        unsent_bytes = self._transport.get_write_buffer_size()
-        self._written.update(unsent_bytes)
-        if unsent_bytes:
-            self._last_active_at = monotonic_s()
-
-    def _is_write_stalled(self, now: float) -> bool:
-        """Return whether the caller has read nothing for WRITE_STALL_TIMEOUT_S."""
-        if self._transport is None or self._write_paused_since is None:
-            return False
-        unsent_bytes = self._transport.get_write_buffer_size()
-        if unsent_bytes < self._unsent_at_check or self._is_ready(select.POLLOUT):
-            self._write_paused_since = now
-        self._unsent_at_check = unsent_bytes
-        return now - self._write_paused_since > WRITE_STALL_TIMEOUT_S
+        return closes and answered and not self._intake.has_unparsed
 
     def _is_idle_too_long(self, now: float) -> bool:
         """
@@ -365,10 +341,10 @@
         limit_s = max(self._idle_timeout_s, self._server.limits.idle_timeout_s)
         return idle_s > limit_s or self._server.needs_room
 
-    def _is_ready(self, events: int) -> bool:
-        """Return whether the event loop has yet to read, or write, what it can."""
+    def _has_unread(self) -> bool:
+        """Return whether the event loop has yet to read something."""
         descriptor = self.descriptor
-        return descriptor is not None and bool(ready_descriptors([descriptor], events))
+        return descriptor is not None and bool(ready_descriptors([descriptor]))
 
     def _sends_too_slowly(self, now: float) -> bool:
         """Return whether a head takes too long, or a body has stopped arriving."""
@@ -398,6 +374,7 @@
         what the caller has not received yet.
         """
         self._closing = True
+        self._intake.close()
         self._server.connection_leaves(self, lingers=True)
         self._ended_at = monotonic_s()
         self._linger_limit_at = self._ended_at + MAX_LINGER_S
@@ -416,7 +393,7 @@
         self._closing = True
         self._error_status = status
         self._discards_rest = self._discards_rest or self._parser.in_request
-        self._parser.close()
+        self._intake.close()
         if self._exchanges or self._transport is None or self.lingering:
             return
         _LOGGER.info(
@@ -432,7 +409,7 @@
             headers = (("Retry-After", str(OVERLOADED_RETRY_S)),)
         response = encode_response(Response(int(status), headers), "GET")
         self._transport.write(response.to_bytes(keep_alive=False))
-        if why == _TOO_MANY_CONNECTIONS and not self._is_ready(select.POLLIN):
+        if why == _TOO_MANY_CONNECTIONS and not self._has_unread():
             # All of the request has been read, and the descriptor is needed.
             self._server.connection_leaves(self)
             self._transport.close()
@@ -440,9 +417,15 @@
         self._end()
 
     def _apply_backpressure(self) -> None:
-        """Pause reading while the caller has too many requests or unread bytes."""
-        too_many = (
-            len(self._exchanges) >= MAX_PIPELINED_REQUESTS
-            or self.unsent_bytes > MAX_UNREAD_BYTES
+        """
+        Pause reading while the caller has too many requests or unread bytes.
+
+        Those are fewer while memory is scarce. One request never pauses it, since the
+        end of a connection is noticed by reading alone.
+        """
+        in_flight, pipeline = len(self._exchanges), self._server.pipeline
+        self.reading.set_congested(
+            in_flight >= pipeline.requests
+            or self.unsent_bytes > pipeline.unread_bytes
+            or (in_flight > 1 and self._server.memory.is_scarce)
         )
-        self.reading.set_congested(too_many)
--- /dev/null
+++ b/damaskbay/adapters/http1/unparsed.py
@@ -0,0 +1,60 @@
+"""Received bytes of a connection that wait to be parsed."""
+
+from typing import Final
+
+from damaskbay.core.memory_account import Holding, MemoryAccount
+
+_HEAD_END: Final = b"\r\n\r\n"
+"""End of a head, and of a body in chunks."""
+
+
+class UnparsedBytes:
+    """
+    Received bytes, taken in pieces that complete one request at most.
+
+    What is left counts in `memory` from `count` on.
+    """
+
+    __slots__ = ("_data", "_holding", "_start")
+
+    def __init__(self, memory: MemoryAccount) -> None:
+        self._holding = Holding(memory)
+        self._data = b""
+        self._start = 0
+
+    def __len__(self) -> int:
+        return len(self._data) - self._start
+
+    def add(self, data: bytes) -> None:
+        """Add bytes that were read."""
+        self._data = self._data[self._start :] + data if self._data else data
+        self._start = 0
+
+    def take(self, body_bytes: int) -> bytes:
+        """
+        Return the next piece, which is empty at the end.
+
+        `body_bytes` is how much of a body is to come, 0 in a head and where that is
+        unknown. In chunks a piece may end earlier than needed.
+        """
+        data, start = self._data, self._start
+        if body_bytes:
+            end = start + body_bytes
+        else:
+            found = data.find(_HEAD_END, start)
+            end = found + len(_HEAD_END) if found >= 0 else len(data)
+        if end < len(data):
+            self._start = end
+            return data[start:end]
+        self.clear()
+        return data[start:] if start else data
+
+    def count(self) -> None:
+        """Count what is left; all of it is kept until its last piece is taken."""
+        self._holding.set(len(self._data))
+
+    def clear(self) -> None:
+        """Forget what is left."""
+        self._data, self._start = b"", 0
+        if self._holding.held_bytes:
+            self._holding.release()
--- a/damaskbay/core/memory_account.py
+++ b/damaskbay/core/memory_account.py
@@ -15,6 +15,14 @@
 ADMISSION_SHARE: Final = 0.9
 """Part of the limit for requests that begin; the rest is for running ones."""
 
+SCARCE_SHARE: Final = 0.5
+"""
+Part of the limit from which memory is scarce.
+
+Callers that pipeline requests, or neither send nor read on, then have to make room, so
+that ordinary calls, which are admitted up to ADMISSION_SHARE, still find some.
+"""
+
 BASE_MEMORY_BYTES: Final = 64 * 1024 * 1024
 """Memory of the process without requests and responses, bytes."""
 
@@ -44,6 +52,11 @@
         self.is_short = False
         self.on_missing: Callable[[], None] = _do_nothing
 
+    @property
+    def is_scarce(self) -> bool:
+        """Return whether callers that occupy memory for long have to make room."""
+        return self.is_short or self.held_bytes > SCARCE_SHARE * self.limit_bytes
+
     def takes(self, count: int, body_bytes: int) -> bool:
         """
         Return whether so many bytes of a body may be received.
--- a/tests/adapters/http1/test_requests_in_hand.py
+++ b/tests/adapters/http1/test_requests_in_hand.py
@@ -18,7 +18,7 @@
 
 import uvloop
 
-from damaskbay.adapters.http1 import server_connection
+from damaskbay.adapters.http1.connection_server import PipelineLimits
 from damaskbay.adapters.http1.const import MAX_BODY_PARTS
 from damaskbay.adapters.http1.server import HttpServer, ReceivedRequest
 from damaskbay.adapters.http1.server_connection import ServerConnection
@@ -165,6 +165,8 @@
     async def check() -> None:
         service = _Service(LARGE)
         async with _server(service) as server:
+            # Reading goes on, so that the end of the caller's side is seen.
+            server.pipeline = PipelineLimits(unread_bytes=4 * len(LARGE))
             caller = await _connect(server)
             caller.sendall(2 * REQUEST)
             await _until(lambda: server.unsent_bytes > len(LARGE))
@@ -175,9 +177,7 @@
             assert len(received) > 2 * len(LARGE), len(received)
             caller.close()
 
-    # Reading goes on, so that the end of the caller's side is seen.
-    with patch.object(server_connection, "MAX_UNREAD_BYTES", 4 * len(LARGE)):
-        _run(check)
+    _run(check)
 
 
 # Guards against a shorter idle timeout that callers can't know of yet.
