--- a/damaskbay/adapters/http1/intake.py
+++ b/damaskbay/adapters/http1/intake.py
@@ -12,7 +12,7 @@
 from damaskbay.adapters.http1.exceptions import BadRequestError
 from damaskbay.adapters.http1.reading import ReadingControl
 from damaskbay.adapters.http1.request_parser import RequestParser, RequestReceiver
-from damaskbay.adapters.http1.unparsed import UnparsedBytes
+from damaskbay.adapters.http1.unparsed import UnparsedBytes, end_of_piece
 from damaskbay.helpers.clock import monotonic_s
 
 
@@ -48,6 +48,12 @@
     def receive(self, data: bytes, now: float) -> None:
         """Parse bytes that were read now, as far as possible."""
         self.arrived_at = self.reading.arrival_of_read(now)
+        # Reading is paused while anything waits.
+        if not self.reading.is_paused:
+            end = end_of_piece(data, 0, self.parser.body_bytes_left)
+            if end == len(data):
+                self._feed(data, now)
+                return
         self._unparsed.add(data)
         self._parse(now)
 
@@ -59,19 +65,13 @@
         self.reading.set_unparsed(False)
 
     def _parse(self, now: float) -> None:
-        unparsed, parser, reading = self._unparsed, self.parser, self.reading
+        unparsed, reading = self._unparsed, self.reading
         for _ in range(PARSES_IN_A_ROW):
             if not unparsed or reading.holds_back:
                 break
-            data = unparsed.take(parser.body_bytes_left)
-            try:
-                parser.feed(data, self._server.limits, now)
-            except BadRequestError as error:
-                self._on_bad_request(error.status)
+            self._feed(unparsed.take(self.parser.body_bytes_left), now)
             if self._closed:
                 return
-            if parser.body_parts > MAX_BODY_PARTS:
-                reading.let_others_read()
         if unparsed:
             unparsed.count()
             is_scarce = reading.is_congested and self._server.memory.is_scarce
@@ -79,3 +79,11 @@
                 self._on_bad_request(http.HTTPStatus.SERVICE_UNAVAILABLE)
                 return
         reading.set_unparsed(bool(unparsed))
+
+    def _feed(self, data: bytes, now: float) -> None:
+        try:
+            self.parser.feed(data, self._server.limits, now)
+        except BadRequestError as error:
+            self._on_bad_request(error.status)
+        if self.parser.body_parts > MAX_BODY_PARTS:
+            self.reading.let_others_read()
--- a/damaskbay/adapters/http1/reading.py
+++ b/damaskbay/adapters/http1/reading.py
@@ -48,6 +48,8 @@
 
     def set_congested(self, congested: bool) -> None:
         """Record whether the caller has too many requests or unread bytes."""
+        if congested is self._congested:
+            return
         self._congested = congested
         if self._has_unparsed and not congested:
             self.let_others_read()
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -115,7 +115,7 @@
         if self._transport is None:
             return 0
         waiting = sum(exchange.response_bytes for exchange in self._exchanges)
-        return self._writing.unsent_bytes + waiting
+        return self._transport.get_write_buffer_size() + waiting
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
--- a/damaskbay/adapters/http1/unparsed.py
+++ b/damaskbay/adapters/http1/unparsed.py
@@ -8,9 +8,25 @@
 """End of a head, and of a body in chunks."""
 
 
+def end_of_piece(data: bytes, start: int, body_bytes: int) -> int:
+    """
+    Return the end of the bytes from `start` on that complete few requests.
+
+    These are at most the one that has begun before and the first one that follows.
+    `body_bytes` is how much of a body is to come, 0 in a head and where that is
+    unknown. In chunks a piece may end earlier than needed.
+    """
+    if body_bytes:
+        return min(start + body_bytes, len(data))
+    end = data.find(_HEAD_END, start) + len(_HEAD_END)
+    if end < len(_HEAD_END) or data.find(_HEAD_END, end) < 0:
+        return len(data)
+    return end
+
+
 class UnparsedBytes:
     """
-    Received bytes, taken in pieces that complete one request at most.
+    Received bytes, taken in pieces, see end_of_piece.
 
     What is left counts in `memory` from `count` on.
     """
@@ -31,18 +47,9 @@
         self._start = 0
 
     def take(self, body_bytes: int) -> bytes:
-        """
-        Return the next piece, which is empty at the end.
-
-        `body_bytes` is how much of a body is to come, 0 in a head and where that is
-        unknown. In chunks a piece may end earlier than needed.
-        """
+        """Return the next piece, which is empty at the end."""
         data, start = self._data, self._start
-        if body_bytes:
-            end = start + body_bytes
-        else:
-            found = data.find(_HEAD_END, start)
-            end = found + len(_HEAD_END) if found >= 0 else len(data)
+        end = end_of_piece(data, start, body_bytes)
         if end < len(data):
             self._start = end
             return data[start:end]
--- a/damaskbay/adapters/http1/writing.py
+++ b/damaskbay/adapters/http1/writing.py
@@ -8,23 +8,23 @@
 
 
 class WritingControl:
-    """Writes to one connection; what the kernel has not taken counts in `memory`."""
+    """
+    Writes to one connection; what the kernel has not taken counts in `memory`.
+
+    It `is_paused` while the caller reads too slowly for more to be written.
+    """
 
     def __init__(self, memory: MemoryAccount) -> None:
         self._transport: asyncio.Transport | None = None
         self._written = WriteBufferHolding(memory)
-        self._paused_since: float | None = None
+        self._paused_since = 0.0
+        self.is_paused = False
         self._unsent_at_check = 0
 
     def start(self, transport: asyncio.Transport) -> None:
         """Control the transport of a connection that was made."""
         self._transport = transport
 
-    @property
-    def is_paused(self) -> bool:
-        """Return whether the caller reads too slowly for more to be written."""
-        return self._paused_since is not None
-
     @property
     def unsent_bytes(self) -> int:
         """Return the bytes that the kernel has not taken yet."""
@@ -34,18 +34,20 @@
 
     def pause(self, now: float) -> None:
         """Record that the write buffer is full."""
+        self.is_paused = True
         self._paused_since = now
 
     def resume(self) -> None:
         """Record that the write buffer has drained."""
-        self._paused_since = None
+        self.is_paused = False
         self.count()
 
     def write(self, data: bytes) -> None:
         """Write to the connection and count what it buffers."""
-        if self._transport is not None:
-            self._transport.write(data)
-            self._written.written(len(data), self.unsent_bytes)
+        transport = self._transport
+        if transport is not None:
+            transport.write(data)
+            self._written.written(len(data), transport.get_write_buffer_size())
 
     def count(self) -> int:
         """Count, and return, the written bytes that the kernel has not taken yet."""
@@ -55,7 +57,7 @@
 
     def is_stalled(self, now: float, limit_s: float) -> bool:
         """Return whether the caller has read nothing for so long."""
-        if self._transport is None or self._paused_since is None:
+        if self._transport is None or not self.is_paused:
             return False
         unsent_bytes = self.unsent_bytes
         if unsent_bytes < self._unsent_at_check or self._is_writable():
