Limit the status servers, and callers that stop half-way

Cause: the servers of control, readiness and metrics had neither a memory account nor a limit on connections. Requests in flight counted only by their text, and stayed in memory while their response waited for others. Requests of very many fields that came over a link counted a fourteenth of what they occupy. Large bodies and heads that never end could hold so much of the account that no call began until their timeout, and less than a write buffer that nobody read kept its connection without end.

Change: the status servers share a small account, serve 2.5 % of the descriptors each (64 at most), bodies of 256 KB and one request after the other on a connection. Each request counts 4 KB more; requests are dropped as their response is there. Links count headers. Large bodies and heads get 70 % of the account unless they are alone. While memory or connections are scarce, requests that make no progress for 2 s, or trickle, end with 408, unread responses are cut after 2 s, and rejected callers linger 2 s.

--- a/damaskbay/adapters/http1/connection_server.py
+++ b/damaskbay/adapters/http1/connection_server.py
@@ -41,6 +41,10 @@
     def needs_room(self) -> bool:
         """Return whether idle connections have to make room for others."""
 
+    @property
+    def is_scarce(self) -> bool:
+        """Return whether callers that make no progress have to make room for others."""
+
     @property
     def connections_left(self) -> int:
         """Return how many more connections may be served; negative beyond the limit."""
--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -29,6 +29,17 @@
 WRITE_STALL_TIMEOUT_S: Final = 15.0
 """Seconds without write progress before a connection is aborted, to free its buffer."""
 
+SCARCE_TIMEOUT_S: Final = 2.0
+"""
+Seconds for a head, or without progress, while memory or connections are scarce.
+
+A request that takes longer to arrive is refused as not run, so that a caller which
+stops half-way doesn't keep out others.
+"""
+
+SCARCE_BYTES_PER_S: Final = 64 * 1024
+"""Least rate of a body from then on, which callers in a data center exceed by far."""
+
 CLOSE_TIMEOUT_S: Final = 0.1
 """Seconds that the close of a server waits until complete responses are sent."""
 
--- a/damaskbay/adapters/http1/exchange.py
+++ b/damaskbay/adapters/http1/exchange.py
@@ -49,10 +49,10 @@
     """
     A request of a connection with its response, once available.
 
-    `holding` counts the request, then its response until that is written.
+    `holding` counts the request, then its response until that is written. The request
+    itself is not kept: its response may wait for those before.
     """
 
-    arrival: ReceivedRequest
     holding: Holding
     keep_alive: bool
     task: "asyncio.Task[None] | None" = None
--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -12,6 +12,8 @@
 from damaskbay.core.call import Request
 from damaskbay.core.memory_account import (
     BODY_COPIES,
+    REQUEST_BYTES,
+    SMALL_BYTES,
     Holding,
     MemoryAccount,
     header_bytes,
@@ -78,6 +80,11 @@
         """Return whether a request has begun and is incomplete."""
         return self.in_headers or bool(self._partial.target)
 
+    @property
+    def body_bytes(self) -> int:
+        """Return how much of a body was received."""
+        return len(self._partial.body)
+
     @property
     def body_bytes_left(self) -> int:
         """Return how much of a body is to come, 0 where that is unknown."""
@@ -153,7 +160,8 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        self._hold(len(url))
+        begins = not self._partial.target
+        self._hold(len(url) + REQUEST_BYTES if begins else len(url))
         self._partial.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -183,7 +191,8 @@
         length = self._partial.length or 0
         if length > self._limits.max_body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if not self._memory.takes(BODY_COPIES * length, length):
+        own_bytes = self._partial.holding.held_bytes
+        if not self._memory.takes(BODY_COPIES * length, length, own_bytes):
             raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
         if self._partial.expects_continue:
             self._receiver.handle_expect_continue()
@@ -195,7 +204,8 @@
         if len(received) + len(body) > self._limits.max_body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         size_bytes = self._partial.length or len(received) + len(body)
-        if not self._memory.takes(BODY_COPIES * len(body), size_bytes):
+        own_bytes = self._partial.holding.held_bytes
+        if not self._memory.takes(BODY_COPIES * len(body), size_bytes, own_bytes):
             raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
         self._hold(BODY_COPIES * len(body))
         received += body
@@ -220,7 +230,13 @@
 
     def _hold(self, count: int) -> None:
         """Count bytes that are kept; raise BadRequestError if they do not fit."""
-        if not self._partial.holding.grow(count):
+        holding = self._partial.holding
+        own_bytes = holding.held_bytes
+        if own_bytes > SMALL_BYTES and self.in_headers:
+            takes = self._memory.takes(count, own_bytes, own_bytes)
+        else:
+            takes = True
+        if not takes or not holding.grow(count):
             raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _count_head_at_end(self, data: bytes) -> int:
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -133,6 +133,11 @@
         held = len(self.connections) - len(self._closing)
         return held > self.connection_limits.served
 
+    @property
+    def is_scarce(self) -> bool:
+        """Return whether callers that make no progress have to make room for others."""
+        return self.memory.is_scarce or self.needs_room
+
     @property
     def connections_left(self) -> int:
         """
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 import logging
+import math
 from collections import deque
 from typing import cast
 
@@ -12,6 +13,8 @@
     LINGER_TIMEOUT_S,
     MAX_LINGER_S,
     OVERLOADED_RETRY_S,
+    SCARCE_BYTES_PER_S,
+    SCARCE_TIMEOUT_S,
     WRITE_STALL_TIMEOUT_S,
 )
 from damaskbay.adapters.http1.exchange import Exchange, ReceivedRequest
@@ -156,7 +159,7 @@
 
     def pause_writing(self) -> None:
         """Record that the write buffer is full: the caller reads too slowly."""
-        self._writing.pause(monotonic_s())
+        self._writing.pause()
 
     def resume_writing(self) -> None:
         """Resume writing responses after the write buffer has drained."""
@@ -185,12 +188,12 @@
             self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE, why)
             return
         arrival = ReceivedRequest(request, self._intake.arrived_at)
-        exchange = Exchange(arrival, holding, keep_alive)
+        exchange = Exchange(holding, keep_alive)
         self._exchanges.append(exchange)
         try:
-            if not self._refuse_early(exchange):
+            if not self._refuse_early(exchange, arrival):
                 loop = asyncio.get_running_loop()
-                exchange.task = loop.create_task(self._serve(exchange))
+                exchange.task = loop.create_task(self._serve(exchange, arrival))
         except BaseException:
             # It has not begun; the parser's error becomes its response.
             self._exchanges.remove(exchange)
@@ -204,7 +207,9 @@
             return
         if self._writing.count():
             self._last_active_at = now
-        if self._writing.is_stalled(now, WRITE_STALL_TIMEOUT_S):
+        is_scarce = self._server.is_scarce
+        stall_s = SCARCE_TIMEOUT_S if is_scarce else WRITE_STALL_TIMEOUT_S
+        if self._writing.is_stalled(now, stall_s):
             extra = {"unsent_bytes": self.unsent_bytes}
             _LOGGER.warning("edge: caller reads nothing.", extra=extra)
             self._transport.abort()
@@ -212,10 +217,10 @@
             if self.unsent_bytes:
                 self._ended_at = now
             elif now > self._linger_ends_at and (
-                now >= self._linger_limit_at or not self._has_unread()
+                is_scarce or now >= self._linger_limit_at or not self._has_unread()
             ):
                 self._transport.close()
-        elif self._sends_too_slowly(now):
+        elif self._sends_too_slowly(now, is_scarce):
             if not self._has_unread():
                 self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
         elif self._is_idle_too_long(now) and not self._has_unread():
@@ -249,12 +254,12 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _refuse_early(self, exchange: Exchange) -> bool:
+    def _refuse_early(self, exchange: Exchange, arrival: ReceivedRequest) -> bool:
         """Respond to a request that the server refuses at once; return if it does."""
         if self._server.refuse_early is None or self._server.draining:
             return False
         try:
-            refusal = self._server.refuse_early(exchange.arrival)
+            refusal = self._server.refuse_early(arrival)
         except MemoryError:
             raise
         except Exception:
@@ -262,7 +267,7 @@
             return False
         if refusal is None:
             return False
-        method = exchange.arrival.request.method
+        method = arrival.request.method
         exchange.response = encode_response(refusal.response, method)
         exchange.holding.set(exchange.response_bytes)
         self.reading.record_refusal(refusal, self._last_active_at)
@@ -270,8 +275,7 @@
         asyncio.get_running_loop().call_soon(self._flush)
         return True
 
-    async def _serve(self, exchange: Exchange) -> None:
-        arrival = exchange.arrival
+    async def _serve(self, exchange: Exchange, arrival: ReceivedRequest) -> None:
         try:
             response = await self._server.handler(arrival)
             encoded = encode_response(response, arrival.request.method)
@@ -346,14 +350,18 @@
         descriptor = self.descriptor
         return descriptor is not None and bool(ready_descriptors([descriptor]))
 
-    def _sends_too_slowly(self, now: float) -> bool:
+    def _sends_too_slowly(self, now: float, is_scarce: bool) -> bool:
         """Return whether a head takes too long, or a body has stopped arriving."""
-        limits = self._server.limits
-        if self._parser.in_headers:
-            return now - self._parser.started_at > limits.header_timeout_s
-        if not self._parser.in_request or self.reading.is_paused or self._closing:
+        limits, parser = self._server.limits, self._parser
+        longest_s = SCARCE_TIMEOUT_S if is_scarce else math.inf
+        if parser.in_headers:
+            return now - parser.started_at > min(longest_s, limits.header_timeout_s)
+        if not parser.in_request or self.reading.is_paused or self._closing:
             return False
-        return now - self._last_active_at > limits.idle_timeout_s
+        if now - self._last_active_at > min(longest_s, limits.idle_timeout_s):
+            return True
+        expected_s = longest_s + parser.body_bytes / SCARCE_BYTES_PER_S
+        return now - parser.started_at > expected_s
 
     @property
     def _linger_ends_at(self) -> float:
@@ -362,7 +370,9 @@
 
     def _extend_linger(self) -> None:
         """Keep a connection whose caller still sends a body that was rejected."""
-        if self._ended_at is not None and self._last_active_at < self._linger_limit_at:
+        if self._server.is_scarce or self._ended_at is None:
+            return
+        if self._last_active_at < self._linger_limit_at:
             self._ended_at = self._last_active_at
 
     def _end(self) -> None:
--- a/damaskbay/adapters/http1/writing.py
+++ b/damaskbay/adapters/http1/writing.py
@@ -5,6 +5,7 @@
 
 from damaskbay.adapters.http1.sockets import ready_descriptors
 from damaskbay.core.memory_account import MemoryAccount, WriteBufferHolding
+from damaskbay.helpers.clock import monotonic_s
 
 
 class WritingControl:
@@ -17,13 +18,14 @@
     def __init__(self, memory: MemoryAccount) -> None:
         self._transport: asyncio.Transport | None = None
         self._written = WriteBufferHolding(memory)
-        self._paused_since = 0.0
+        self._written_bytes = self._taken_at_check = 0
+        self._stalled_since = 0.0
         self.is_paused = False
-        self._unsent_at_check = 0
 
     def start(self, transport: asyncio.Transport) -> None:
         """Control the transport of a connection that was made."""
         self._transport = transport
+        self._stalled_since = monotonic_s()
 
     @property
     def unsent_bytes(self) -> int:
@@ -32,10 +34,9 @@
             return 0
         return self._transport.get_write_buffer_size()
 
-    def pause(self, now: float) -> None:
+    def pause(self) -> None:
         """Record that the write buffer is full."""
         self.is_paused = True
-        self._paused_since = now
 
     def resume(self) -> None:
         """Record that the write buffer has drained."""
@@ -47,6 +48,7 @@
         transport = self._transport
         if transport is not None:
             transport.write(data)
+            self._written_bytes += len(data)
             self._written.written(len(data), transport.get_write_buffer_size())
 
     def count(self) -> int:
@@ -56,14 +58,18 @@
         return unsent_bytes
 
     def is_stalled(self, now: float, limit_s: float) -> bool:
-        """Return whether the caller has read nothing for so long."""
-        if self._transport is None or not self.is_paused:
-            return False
+        """
+        Return whether the caller has read nothing for so long.
+
+        Responses may wait that are too short to fill the write buffer.
+        """
         unsent_bytes = self.unsent_bytes
-        if unsent_bytes < self._unsent_at_check or self._is_writable():
-            self._paused_since = now
-        self._unsent_at_check = unsent_bytes
-        return now - self._paused_since > limit_s
+        taken_bytes = self._written_bytes - unsent_bytes
+        progresses = taken_bytes > self._taken_at_check or self._is_writable()
+        if progresses or not unsent_bytes:
+            self._stalled_since = now
+        self._taken_at_check = taken_bytes
+        return now - self._stalled_since > limit_s
 
     def close(self) -> None:
         """Count nothing any more."""
--- a/damaskbay/adapters/peer_link/link.py
+++ b/damaskbay/adapters/peer_link/link.py
@@ -373,6 +373,8 @@
             payload.holding.release()
             if is_request:
                 self._write_frame(FrameKind.REJECTED, frame.number)
+        elif is_request and not payload.hold_headers(message):
+            self._refuse(frame)
         elif is_request:
             self._start_handler(frame.number, message, payload.holding)
         else:
--- a/damaskbay/adapters/peer_link/parts.py
+++ b/damaskbay/adapters/peer_link/parts.py
@@ -1,10 +1,17 @@
 """Long payloads of requests and replies, which arrive in parts."""
 
 from dataclasses import dataclass
+from typing import Any
 
 from damaskbay.adapters.peer_link.const import ALWAYS_ACCEPTED_BYTES
 from damaskbay.adapters.peer_link.frames import Frame, FrameKind
-from damaskbay.core.memory_account import BODY_COPIES, Holding, MemoryAccount
+from damaskbay.core.memory_account import (
+    BODY_COPIES,
+    HEADER_BYTES,
+    REQUEST_BYTES,
+    Holding,
+    MemoryAccount,
+)
 
 _KINDS_BY_PART = {
     FrameKind.REQUEST_PART: FrameKind.REQUEST,
@@ -43,6 +50,19 @@
             self.data = bytearray(self.data)
         self.data += part
 
+    def hold_headers(self, message: Any) -> bool:
+        """
+        Count what the request in a message occupies beside its text.
+
+        Return False if there is no memory for very many headers.
+        """
+        count = REQUEST_BYTES + HEADER_BYTES * len(getattr(message, "headers", ()))
+        if count <= ALWAYS_ACCEPTED_BYTES:
+            self.holding.set(self.holding.held_bytes + count)
+        elif not self.holding.grow(count):
+            self.refuse()
+        return not self.refused
+
     def refuse(self) -> None:
         """Forget what was received."""
         self.refused = True
--- a/damaskbay/core/descriptors.py
+++ b/damaskbay/core/descriptors.py
@@ -10,6 +10,12 @@
 REFUSED_SHARE: Final = 0.05
 """Part of the descriptors for callers that are refused."""
 
+STATUS_SHARE: Final = 0.025
+"""Part of the descriptors for callers of each status server that are served."""
+
+MAX_STATUS_CONNECTIONS: Final = 64
+"""Limit of their number."""
+
 CLOSE_SHARE: Final = 0.1
 """
 Part of the descriptors for callers that wait as the listener closes.
@@ -41,6 +47,13 @@
     accepts_at_close: int = MAX_BACKLOG
 
 
+def status_connections(count: int) -> ConnectionLimits:
+    """Return the limits of each status server of a daemon with so many descriptors."""
+    served = max(2, min(MAX_STATUS_CONNECTIONS, int(STATUS_SHARE * count)))
+    refused = max(1, served // 4)
+    return ConnectionLimits(served, served + refused, refused)
+
+
 def divide_descriptors(count: int) -> ConnectionLimits:
     """Return the limits of a daemon that may open `count` descriptors."""
     served = max(1, int(SERVED_SHARE * count))
--- a/damaskbay/core/memory_account.py
+++ b/damaskbay/core/memory_account.py
@@ -12,6 +12,9 @@
 HEADER_BYTES: Final = 200
 """What a header occupies beside its text, in bytes: a tuple and two strings."""
 
+REQUEST_BYTES: Final = 4096
+"""What a request occupies beside its text while it is served: a task, and frames."""
+
 ADMISSION_SHARE: Final = 0.9
 """Part of the limit for requests that begin; the rest is for running ones."""
 
@@ -23,6 +26,20 @@
 that ordinary calls, which are admitted up to ADMISSION_SHARE, still find some.
 """
 
+LARGE_BODIES_SHARE: Final = 0.7
+"""
+Part of the limit for large bodies and heads that are received.
+
+It is below ADMISSION_SHARE, as otherwise those that never end keep all others out.
+"""
+
+ALONE_SHARE: Final = 0.15
+"""
+Part of the limit below which others don't keep a large body from ADMISSION_SHARE.
+
+A process of 300 MB takes a body of 64 MB then.
+"""
+
 BASE_MEMORY_BYTES: Final = 64 * 1024 * 1024
 """Memory of the process without requests and responses, bytes."""
 
@@ -32,6 +49,12 @@
 ACCOUNT_SHARE: Final = 0.75
 """Part of the remaining memory for requests and responses; allocators need the rest."""
 
+STATUS_SHARE: Final = 0.1
+"""Memory for requests at the status servers, as a part of that for calls."""
+
+MAX_STATUS_BYTES: Final = 8 * 1024 * 1024
+"""Limit of that memory, bytes."""
+
 MIN_ACCOUNT_SHARE: Final = 0.125
 """Part of a small process's memory for requests and responses."""
 
@@ -57,16 +80,21 @@
         """Return whether callers that occupy memory for long have to make room."""
         return self.is_short or self.held_bytes > SCARCE_SHARE * self.limit_bytes
 
-    def takes(self, count: int, body_bytes: int) -> bool:
+    def takes(self, count: int, body_bytes: int, own_bytes: int = 0) -> bool:
         """
-        Return whether so many bytes of a body may be received.
+        Return whether so many bytes of a body, or a head, may be received.
 
-        `body_bytes` is its size as far as it is known. Small bodies, as of nested
-        calls, get all that is left; others leave room for what runs.
+        `body_bytes` is its size as far as it is known, `own_bytes` what its request
+        holds already. Small ones, as of nested calls, get all that is left; others
+        leave room for what runs, and for calls that begin.
         """
         if body_bytes <= SMALL_BYTES:
             return self.fits(count)
-        return not self.is_short and self._has_room(count)
+        if self.is_short:
+            return False
+        if self.held_bytes - own_bytes <= ALONE_SHARE * self.limit_bytes:
+            return self._has_room(count)
+        return self.held_bytes + count <= LARGE_BODIES_SHARE * self.limit_bytes
 
     def fits(self, count: int) -> bool:
         """Return whether there is room for so many bytes."""
@@ -171,6 +199,11 @@
     return HEADER_BYTES + len(name) + len(value)
 
 
+def status_limit_bytes(limit_bytes: int) -> int:
+    """Return the memory for requests at the status servers, beside `limit_bytes`."""
+    return min(MAX_STATUS_BYTES, int(STATUS_SHARE * limit_bytes))
+
+
 def account_limit_bytes(memory_bytes: int) -> int:
     """Return the memory for requests and responses in a process of `memory_bytes`."""
     free_bytes = memory_bytes - BASE_MEMORY_BYTES
--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -9,10 +9,10 @@
 from random import Random
 from typing import Any
 
-from damaskbay.adapters.http1.server import Handler, HttpServer
+from damaskbay.adapters.http1.server import Handler
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
-from damaskbay.config.objects import CallerLimits, ConfigSet
+from damaskbay.config.objects import ConfigSet
 from damaskbay.core.fatal_calls import FatalCalls
 from damaskbay.core.lifetime import Lifetime
 from damaskbay.core.memory_account import MemoryAccount, account_limit_bytes
@@ -170,10 +170,9 @@
             self._telemetry,
             lambda: self.ready,
         )
-        self._control = HttpServer(
-            settings.control, make_control_handler(self), CallerLimits()
+        self._control, self._readiness, self._metrics = make_status_servers(
+            settings, self._status, make_control_handler(self), memory
         )
-        self._readiness, self._metrics = make_status_servers(settings, self._status)
         parts = settings, dialect, shared_parts
         self._callers = make_caller_server(*parts, self._ingress)
         self._reserve = MemoryReserve(memory, self._callers.update_accepting)
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -3,16 +3,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Final
 
 from damaskbay.adapters.http1.client import HttpClient, HttpClientOptions
-from damaskbay.adapters.http1.server import HttpServer
+from damaskbay.adapters.http1.connection_server import PipelineLimits
+from damaskbay.adapters.http1.server import Handler, HttpServer
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import CallerLimits
-from damaskbay.core.descriptors import divide_descriptors
+from damaskbay.core.descriptors import divide_descriptors, status_connections
 from damaskbay.core.fatal_calls import FatalCalls
 from damaskbay.core.lifetime import Lifetime
-from damaskbay.core.memory_account import MemoryAccount
+from damaskbay.core.memory_account import MemoryAccount, status_limit_bytes
 from damaskbay.core.pressure import EdgeLoadShedder
 from damaskbay.core.quota.shares import DemandShares
 from damaskbay.core.retry.repeats import ServerRetryBudget, ServerRetryOptions
@@ -37,8 +39,15 @@
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.mesh.target import Target, TargetParts
 from damaskbay.mesh.tokens import PooledTokens
+from damaskbay.ports.peer import PeerAddress
 from damaskbay.ports.store import Store
 
+MAX_STATUS_BODY_BYTES: Final = 256 * 1024
+"""Largest body at a status server; heartbeats have less than a kilobyte."""
+
+STATUS_PIPELINE: Final = PipelineLimits(requests=1, unread_bytes=64 * 1024)
+"""Metrics are large, so that a status server gives one response after the other."""
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformParts:
@@ -204,13 +213,31 @@
 
 
 def make_status_servers(
-    settings: MeshSettings, status: StatusEndpoints
-) -> tuple[HttpServer, HttpServer]:
-    """Return the servers of readiness and of metrics."""
-    limits = CallerLimits()
+    settings: MeshSettings,
+    status: StatusEndpoints,
+    control: Handler,
+    memory: MemoryAccount,
+) -> tuple[HttpServer, HttpServer, HttpServer]:
+    """
+    Return the servers of control, of readiness and of metrics.
+
+    They share an account beside that of calls, `memory`, so that neither kind of
+    traffic keeps out the other.
+    """
+    account = MemoryAccount(status_limit_bytes(memory.limit_bytes))
+    account.on_missing = lambda: memory.on_missing()
+    connections = status_connections(raise_descriptor_limit(settings.max_descriptors))
+
+    def serve(address: PeerAddress, handler: Handler) -> HttpServer:
+        limits = CallerLimits(max_body_bytes=MAX_STATUS_BODY_BYTES)
+        server = HttpServer(address, handler, limits, account, connections)
+        server.pipeline = STATUS_PIPELINE
+        return server
+
     return (
-        HttpServer(settings.readiness, status.readiness, limits),
-        HttpServer(settings.metrics, status.metrics, limits),
+        serve(settings.control, control),
+        serve(settings.readiness, status.readiness),
+        serve(settings.metrics, status.metrics),
     )
 
 
