Take only final statuses of the protocol as responses

Cause: the client of the server passed on 001, 099, 600 and 999, skipped a 000 like an interim response, and took an interim response for the answer to a HEAD request and in front of the end of a connection. http.client takes any number from 100 to 999 and "+200", and skips no interim status but 100. A peer's result could carry any number.

Change: final statuses are 200 to 599, interim ones 100 to 199 without 101. All else is malformed: 502, nothing guaranteed, a retry only where the request may be repeated. This holds for the event-driven client, for http.client (client library and backend_http), and for results of peers. A daemon sends 502 instead of a status that is not final.

--- a/damaskbay/adapters/http1/client.py
+++ b/damaskbay/adapters/http1/client.py
@@ -25,6 +25,7 @@
 from damaskbay.adapters.http1.sockets import ready_descriptors, set_tcp_options
 from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
 from damaskbay.core.call import Request, Response
+from damaskbay.core.http_status import is_final_status, is_interim_status
 from damaskbay.core.memory_account import (
     BODY_COPIES,
     Holding,
@@ -45,8 +46,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-LAST_INFORMATIONAL_STATUS = 199
-
 
 _PendingOutcome = asyncio.Future[Response | HttpFailure]
 
@@ -102,7 +101,7 @@
         self.reusable = False
         partial = self._partial
         outcome: Response | HttpFailure | None = None
-        if exc is None and partial.ends_at_close and partial.status:
+        if exc is None and partial.ends_at_close and is_final_status(partial.status):
             outcome = self._to_outcome(partial)
         if outcome is not None:
             self._finish(outcome)
@@ -158,9 +157,17 @@
             partial.encoded = True
 
     def on_headers_complete(self) -> None:
-        """Check the headers; a response to a HEAD request ends with them."""
+        """
+        Check status and headers; a response to a HEAD request ends with them.
+
+        Raise BadAnswerError if it is neither a final nor an interim response.
+        """
         partial = self._partial
         partial.status = self._parser.get_status_code()
+        if is_interim_status(partial.status):
+            return
+        if not is_final_status(partial.status):
+            raise BadAnswerError(f"status {partial.status:03} is not a final one")
         partial.ends_at_close = not partial.has_length
         if partial.encoded:
             raise BadAnswerError("response has a Content-Encoding")
@@ -179,7 +186,7 @@
     def on_message_complete(self) -> None:
         """Finish the request if the complete response belongs to it."""
         partial = self._partial
-        if partial.status <= LAST_INFORMATIONAL_STATUS:
+        if is_interim_status(partial.status):
             return
         if not self._parser.should_keep_alive():
             self.reusable = False
--- a/damaskbay/adapters/http1/response_encoding.py
+++ b/damaskbay/adapters/http1/response_encoding.py
@@ -1,9 +1,13 @@
 """Encoding of HTTP/1.1 responses."""
 
 import http
+import logging
 from dataclasses import dataclass
 
 from damaskbay.core.call import Response
+from damaskbay.core.http_status import is_final_status
+
+_LOGGER = logging.getLogger(__name__)
 
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _PHRASES = {int(status): status.phrase for status in http.HTTPStatus}
@@ -28,7 +32,14 @@
 
 
 def encode_response(response: Response, method: str) -> EncodedResponse:
-    """Encode a response, adding Content-Length; its headers must lack it."""
+    """
+    Encode a response, adding Content-Length; its headers must lack it.
+
+    Callers would take a status that is not final for an interim or an invalid one.
+    """
+    if not is_final_status(response.status):
+        _LOGGER.error("edge: invalid status.", extra={"status": response.status})
+        return error_response(http.HTTPStatus.BAD_GATEWAY)
     no_body = method == "HEAD" or response.status in _STATUSES_WITHOUT_BODY
     phrase = _PHRASES.get(response.status, "Unknown")
     lines = [f"HTTP/1.1 {response.status} {phrase}"]
--- a/damaskbay/core/http_status.py
+++ b/damaskbay/core/http_status.py
@@ -10,6 +10,10 @@
 FIRST_SERVER_ERROR: Final = 500
 """Lowest status code that reports a failure of the server."""
 
+FIRST_FINAL_STATUS: Final = 200
+LAST_FINAL_STATUS: Final = 599
+SWITCHING_PROTOCOLS: Final = int(HTTPStatus.SWITCHING_PROTOCOLS)
+
 _STATUS_BY_REASON: Final[Mapping[Reason, HTTPStatus]] = {
     Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
     Reason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -44,6 +48,16 @@
 }
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status may end an exchange; others are no response at all."""
+    return FIRST_FINAL_STATUS <= status <= LAST_FINAL_STATUS
+
+
+def is_interim_status(status: int) -> bool:
+    """Return whether another response follows; nobody asks for a switch (101)."""
+    return 100 <= status < FIRST_FINAL_STATUS and status != SWITCHING_PROTOCOLS
+
+
 def is_success(outcome: Response | Refusal) -> bool:
     """Return whether a server has served the call."""
     return isinstance(outcome, Response) and outcome.status < FIRST_SERVER_ERROR
--- a/damaskbay/daemon/messages.py
+++ b/damaskbay/daemon/messages.py
@@ -3,7 +3,8 @@
 import msgspec
 
 from damaskbay.core.call import CallContext, CallResult, Headers, Request, Response
-from damaskbay.core.outcome import Outcome, Reason, Refusal
+from damaskbay.core.http_status import is_final_status
+from damaskbay.core.outcome import Outcome, Reason, Refusal, unknown
 from damaskbay.helpers.messages import message
 
 
@@ -161,7 +162,9 @@
     outcome: Response | Refusal
     backend_s: float | None = None
     nested_failed = False
-    if isinstance(reply, AnswerMessage):
+    if isinstance(reply, AnswerMessage) and not is_final_status(reply.status):
+        outcome = unknown(Reason.ANSWER_INCOMPLETE, detail=f"status {reply.status}")
+    elif isinstance(reply, AnswerMessage):
         outcome = Response(reply.status, reply.headers, reply.body)
         backend_s = reply.backend_s
         nested_failed = reply.nested_failed
--- a/damaskbay/helpers/http_response.py
+++ b/damaskbay/helpers/http_response.py
@@ -7,12 +7,17 @@
 from typing import Any, BinaryIO, cast
 
 from damaskbay.const import MAX_RESPONSE_OVERHEAD_BYTES, OVERHEAD_PER_BODY_BYTE
+from damaskbay.core.http_status import is_final_status, is_interim_status
 
 
 class ResponseOverheadError(http.client.HTTPException):
     """The head, framing or trailers of a response exceed the limit."""
 
 
+class InvalidStatusError(http.client.HTTPException):
+    """The status is neither a final nor an interim one of the protocol."""
+
+
 class _DeadlineReader(io.RawIOBase):
     """Reads a socket; each read waits until the deadline at most."""
 
@@ -50,6 +55,7 @@
         self._line_bytes = 0
         self._body_bytes = 0
         self.line_truncated = False
+        self.last_line = b""
 
     def readline(self, limit: int = -1) -> bytes:
         """Read a line; one without a line feed counts as truncated."""
@@ -57,6 +63,7 @@
         if not line.endswith(b"\n"):
             self.line_truncated = True
         self._line_bytes += len(line)
+        self.last_line = line
         allowed = (
             MAX_RESPONSE_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * self._body_bytes
         )
@@ -80,7 +87,8 @@
 
     `http.client` accepts a size line or a trailer that is truncated by the end of
     the connection, so a truncated body would look complete. It also reads interim
-    responses and trailers without end. Reading ends at `deadline` of `clock`.
+    responses and trailers without end, passes on those other than 100 as well as
+    statuses that the protocol doesn't have. Reading ends at `deadline` of `clock`.
     """
 
     def __init__(
@@ -101,3 +109,18 @@
     def line_truncated(self) -> bool:
         """Return whether the connection ended inside a line."""
         return self._checked_file.line_truncated
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the next status line that isn't of an interim response, except 100."""
+        while True:
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            _, _, text = self._checked_file.last_line.partition(b" ")
+            digits = text.split(None, 1)[0]
+            if not (len(digits) == 3 and digits.isdigit()):
+                raise InvalidStatusError(f"status {digits!r}")
+            if is_final_status(status) or status == http.HTTPStatus.CONTINUE:
+                return version, status, reason
+            if not is_interim_status(status):
+                raise InvalidStatusError(f"status {status}")
+            while self.fp.readline(MAX_RESPONSE_OVERHEAD_BYTES).strip():
+                pass
