--- a/damaskbay/adapters/http1/const.py
+++ b/damaskbay/adapters/http1/const.py
@@ -5,6 +5,12 @@
 MAX_PIPELINED_REQUESTS: Final = 32
 """Requests in flight on one connection before reading pauses; bounds memory."""
 
+PARSES_IN_A_ROW: Final = 64
+"""Pieces of one read, each with a request at most, before others are read."""
+
+SCARCE_UNPARSED_BYTES: Final = 4096
+"""Bytes behind the requests in flight that may wait while memory is scarce."""
+
 MAX_BODY_PARTS: Final = 1000
 """Parts of bodies in one read above which other connections are read first."""
 
@@ -23,6 +29,17 @@
 WRITE_STALL_TIMEOUT_S: Final = 15.0
 """Seconds without write progress before a connection is aborted, to free its buffer."""
 
+SCARCE_TIMEOUT_S: Final = 2.0
+"""
+Seconds for a head, or without progress, while memory or connections are scarce.
+
+A request that takes longer to arrive is refused as not run, so that a caller which
+stops half-way doesn't keep out others.
+"""
+
+SCARCE_BYTES_PER_S: Final = 64 * 1024
+"""Least rate of a body from then on, which callers in a data center exceed by far."""
+
 CLOSE_TIMEOUT_S: Final = 0.1
 """Seconds that the close of a server waits until complete responses are sent."""
 
--- a/damaskbay/daemon/messages.py
+++ b/damaskbay/daemon/messages.py
@@ -10,7 +10,8 @@
     Request,
     Response,
 )
-from damaskbay.core.outcome import Outcome, Reason, Refusal
+from damaskbay.core.http_status import is_final_status
+from damaskbay.core.outcome import Outcome, Reason, Refusal, unknown
 from damaskbay.core.trees.const import MAX_POOLS
 from damaskbay.helpers.messages import message
 
@@ -210,7 +211,9 @@
     pools: tuple[PoolNews, ...] | None = None
     if isinstance(reply, (TreeAnswerMessage, TreeRefusalMessage)):
         pools = reply.pools[:MAX_POOLS]
-    if isinstance(reply, AnswerMessage):
+    if isinstance(reply, AnswerMessage) and not is_final_status(reply.status):
+        outcome = unknown(Reason.ANSWER_INCOMPLETE, detail=f"status {reply.status}")
+    elif isinstance(reply, AnswerMessage):
         outcome = Response(reply.status, reply.headers, reply.body)
         backend_s = reply.backend_s
         nested_failed = reply.nested_failed
--- a/tests/mesh/test_cold_server.py
+++ b/tests/mesh/test_cold_server.py
@@ -128,7 +128,7 @@
             fleet.kv.faults.status = 503
             for name, settings in (("a", BOUNDS), ("b", {})):
                 backend = Backend("one", f"i-{name}", reserve_address())
-                await fleet.add_daemon(name, backend, **settings)
+                fleet.start_daemon(name, backend, **settings)
             limits = [
                 node.daemon._gate.cold_limit.rate_per_s(monotonic_s())
                 for node in fleet.nodes.values()
