--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -42,7 +42,8 @@
     nested calls may wait in a longer queue, because refusing one wastes the work
     already done for its root call. The admission level still decreases once the
     normal length is reached, and with `nested_wait_share` once the median wait of
-    nested calls is more than this part of their usual time.
+    nested calls is more than this part of their usual time. With `deadline_first`,
+    nested calls of equal rank and depth start by the time that they have left.
 
     `unheard_calls` is the number of calls that may run until the server's first
     response, None for any number.
@@ -54,6 +55,7 @@
     nested_queue_per_slot: float | None = None
     level_headroom: float = LEVEL_HEADROOM
     nested_wait_share: float | None = None
+    deadline_first: bool = False
     limit: LimitFactory = GradientLimit
     unheard_calls: int | None = None
 
@@ -95,7 +97,7 @@
         self._rng = rng
         self._limit = options.limit(options.slots, now)
         self._slots = options.slots
-        self._queue = WaitingQueue()
+        self._queue = WaitingQueue(deadline_first=options.deadline_first)
         self._latency_by_route_and_rank: dict[tuple[str, int], LatencyEstimate] = {}
         self._level = LevelController(
             now, options.level_headroom, options.nested_wait_share
--- a/damaskbay/core/admission/level.py
+++ b/damaskbay/core/admission/level.py
@@ -100,9 +100,11 @@
         lacks_room = bool(self._refused) or has_long_waits
         if lacks_room and few_arrivals and elapsed_s < LEVEL_MAX_WINDOW_S:
             return
+        # A burst of a few calls that wait for each other is no overload.
+        has_long_waits &= self._waits >= LEVEL_MIN_WINDOW_CALLS
         if has_long_waits:
             self._full_starts_per_s = self._started / elapsed_s
-        if lacks_room:
+        if self._refused or has_long_waits:
             self._decrease(now, LEVEL_DRAIN_SHARE if has_long_waits else 1.0)
         elif self._level != OPEN_LEVEL:
             self._increase_by_waits(elapsed_s)
@@ -127,7 +129,9 @@
 
     def _level_for_starts(self, share: float) -> int:
         """Return the level that would admit a share of the starts plus headroom."""
-        target_count = share * self._started * self._headroom + 1.0
+        target_count = share * self._started * self._headroom
+        if share >= 1.0:
+            target_count += 1.0
         for rank, count in sorted(self._arrivals_by_rank.items()):
             if count > target_count:
                 share = pass_share(self._level, rank) * target_count / count
--- a/damaskbay/core/admission/queue.py
+++ b/damaskbay/core/admission/queue.py
@@ -41,6 +41,11 @@
         """Return the workspace that is charged for the call."""
         return self.item.context.workspace
 
+    @property
+    def deadline(self) -> float:
+        """Return the deadline of the call."""
+        return self.item.context.deadline
+
 
 @dataclass(slots=True)
 class _WorkspaceQueue:
@@ -64,8 +69,11 @@
             del self.by_cost[entry.item.cost]
         self.count -= 1
 
-    def next_to_start(self, *, newest: bool) -> QueueEntry:
-        by_ticket = self.by_cost[max(self.by_cost)]
+    def next_to_start(self, *, newest: bool, deadline_first: bool) -> QueueEntry:
+        cost = max(self.by_cost)
+        by_ticket = self.by_cost[cost]
+        if deadline_first and cost:
+            return min(by_ticket.values(), key=lambda entry: entry.deadline)
         return next(
             reversed(by_ticket.values()) if newest else iter(by_ticket.values())
         )
@@ -96,10 +104,10 @@
         self.by_workspace[entry.workspace].remove(entry)
         self.count -= 1
 
-    def next_to_start(self, *, newest: bool) -> QueueEntry:
+    def next_to_start(self, *, newest: bool, deadline_first: bool) -> QueueEntry:
         waiting = (item for item in self.by_workspace.values() if item.count)
         return min(waiting, key=lambda item: item.virtual_time).next_to_start(
-            newest=newest
+            newest=newest, deadline_first=deadline_first
         )
 
     def next_to_refuse(self, *, newest: bool) -> QueueEntry:
@@ -136,10 +144,13 @@
     Priority queue with weighted fair queueing among the workspaces of a rank.
 
     Within a workspace, the call with the highest cost starts first. Among equal
-    costs this is the oldest call, or the newest in a standing queue.
+    costs this is the oldest call, or the newest in a standing queue. With
+    `deadline_first`, among equal costs above 0 it is the call with the least time left:
+    a refused nested call wastes its whole tree.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, deadline_first: bool = False) -> None:
+        self._deadline_first = deadline_first
         self._by_rank: dict[int, _RankQueue] = {}
         self._by_ticket: dict[int, QueueEntry] = {}
         self._standing_since: float | None = None
@@ -185,7 +196,9 @@
     def next_to_start(self, now: float) -> QueueEntry:
         """Return the call to start next; the queue must not be empty."""
         rank = min(rank for rank, queue in self._by_rank.items() if queue.count)
-        return self._by_rank[rank].next_to_start(newest=self.is_standing(now))
+        return self._by_rank[rank].next_to_start(
+            newest=self.is_standing(now), deadline_first=self._deadline_first
+        )
 
     def next_to_refuse(self, now: float) -> QueueEntry:
         """Return the call to refuse first; the queue must not be empty."""
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -47,6 +47,7 @@
         nested_queue_per_slot=NESTED_QUEUE_PER_SLOT,
         level_headroom=1.0,
         nested_wait_share=NESTED_WAIT_SHARE,
+        deadline_first=True,
         limit=lambda count, _now: FixedLimit(count),
         unheard_calls=UNHEARD_CALLS,
     )
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -348,6 +348,9 @@
         elif workspace is None:
             depth = 1
         deadline = incoming.arrival.arrived_at + incoming.timeout_s
+        if caller is not None:
+            # Nobody waits for what a nested call returns after its caller's deadline.
+            deadline = min(deadline, caller.context.deadline)
         return CallContext(
             call_id="",
             workspace=workspace_name,
--- a/damaskbay/mesh/observing.py
+++ b/damaskbay/mesh/observing.py
@@ -82,6 +82,7 @@
         monitor = self.loop_monitor
         gauge("calls_running", "Calls at the server", lambda: parts.gate.running)
         gauge("calls_waiting", "Calls that wait", lambda: parts.gate.waiting)
+        gauge("admission_level", "1000 per rank that passes", self._admission_level)
         gauge("server_limit_per_second", "-1: none named", self._named_limit_per_s)
         gauge("server_starts_per_second", "Sent lately", self._starts_per_s)
         gauge("config_version", "In force", lambda: parts.configuration.version)
@@ -104,6 +105,9 @@
         gauge("root_calls_limit", "-1: none", self._root_calls_limit)
         gauge("settings_digest", "First 48 bits of SHA-256", self._settings_digest)
 
+    def _admission_level(self) -> float:
+        return self._parts.gate.level(self._parts.clock())
+
     def _named_limit_per_s(self) -> float:
         limit_per_s = self._parts.gate.named_limit_per_s
         return NO_LIMIT if limit_per_s is None else limit_per_s
--- a/tests/core/admission/test_controller.py
+++ b/tests/core/admission/test_controller.py
@@ -248,6 +248,27 @@
     assert starts(controller.finish(1, CallSample(0.1), 0.1)) == [2]
 
 
+def test_nested_calls_start_by_the_time_that_they_have_left() -> None:
+    """Only among equal ranks and depths; root calls start in order of arrival."""
+    options = AdmissionOptions(
+        1,
+        queue_per_slot=10.0,
+        limit=lambda slots, now: FixedLimit(slots),
+        deadline_first=True,
+    )
+    for cost, expected in ((2, [4, 3, 2]), (0, [2, 3, 4])):
+        controller = AdmissionController(options, Random(1), 0.0)
+        controller.offer(call(1, cost=cost), 0.0)
+        for ticket in (2, 3, 4):
+            waiting = call(ticket, cost=cost, deadline=100.0 - ticket)
+            assert not controller.offer(waiting, 0.0)
+        started = [1]
+        while len(started) < 4:
+            decisions = controller.finish(started[-1], CallSample(0.01), 0.01)
+            started += [decision.ticket for decision in decisions]
+        assert started[1:] == expected
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
--- a/tests/core/admission/test_level.py
+++ b/tests/core/admission/test_level.py
@@ -80,6 +80,31 @@
     assert arrivals.controller.value() == OPEN_LEVEL
 
 
+def _wait_windows(
+    controller: LevelController, waited_s: float, first: int, calls: int = 10
+) -> int:
+    """Record 20 windows in which all calls start after a wait; return the level."""
+    for number in range(first, first + 20):
+        for _ in range(calls):
+            controller.record_arrival(1)
+            controller.record_start()
+            controller.record_wait(waited_s, 0.026)
+        controller.update(WINDOW_S * (number + 1))
+    return controller.value()
+
+
+# Each of several calls of a tree waited in a queue that was not full yet.
+def test_long_waits_lower_the_level_before_calls_are_refused() -> None:
+    """Only with a share of the usual time, and only while the waits are long."""
+    earlier = LevelController(0.0, 1.0)
+    assert _wait_windows(earlier, 0.02, 0) == OPEN_LEVEL
+    controller = LevelController(0.0, 1.0, 0.25)
+    assert _wait_windows(controller, 0.005, 0) == OPEN_LEVEL
+    assert _wait_windows(controller, 0.02, 20) < 2000
+    assert _wait_windows(controller, 0.0, 40) == OPEN_LEVEL
+    assert _wait_windows(controller, 0.02, 60, calls=1) == OPEN_LEVEL
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Collect this module's functions."""
     return function_suite(globals())
--- a/tests/mesh/test_trees.py
+++ b/tests/mesh/test_trees.py
@@ -89,6 +89,33 @@
     asyncio.run(check())
 
 
+def test_the_edge_knows_a_pool_below_the_called_server() -> None:
+    """Guards against calls of a deeper pool that don't count for the root call."""
+
+    async def check() -> None:
+        async with run_fleet(a="one", b="two") as fleet:
+
+            async def nested(request: Request) -> Response | None:
+                own = dict(request.headers)["X-Request-Id"]
+                for number in range(3):
+                    await fleet.nodes["a"].request(
+                        "/open/", key=None, request_id=f"{own}.n{number}"
+                    )
+                return None
+
+            fleet.nodes["a"].backend.override_response = nested
+            answer = await fleet.nodes["b"].request("/safe/", request_id="root")
+            assert answer.status == 200
+            trees = fleet.nodes["b"].daemon._ingress._parts.trees
+            work = trees.work.by_pool("r0", asyncio.get_running_loop().time())
+            assert {pool: item.calls for pool, item in work.items()} == {
+                "one": 1.0,
+                "two": 3.0,
+            }
+
+    asyncio.run(check())
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
