--- a/bench/overload.py
+++ b/bench/overload.py
@@ -14,7 +14,7 @@
 from bench.overload_run import RunResult, RunSpec, run
 from bench.plot import MATPLOTLIB_MISSING, plot_available, plot_overload
 from damaskbay.core.admission import AimdLimit, FixedLimit, GradientLimit
-from damaskbay.core.admission.controller import LimitFactory
+from damaskbay.core.admission.options import LimitFactory
 
 DEFAULT_SEED = 7
 SYSTEMS = ("ours", "naive")
--- a/bench/overload_fleet.py
+++ b/bench/overload_fleet.py
@@ -8,7 +8,7 @@
 from bench.virtual_time import Events, FakeServer
 from damaskbay.config.objects import Access, Route
 from damaskbay.core.admission import GradientLimit
-from damaskbay.core.admission.controller import LimitFactory
+from damaskbay.core.admission.options import LimitFactory
 from damaskbay.core.call import CallContext
 from damaskbay.ports.fleet import ServerState, ServerView
 from damaskbay.ports.peer import PeerAddress
--- a/damaskbay/core/admission/__init__.py
+++ b/damaskbay/core/admission/__init__.py
@@ -2,7 +2,6 @@
 
 from damaskbay.core.admission.controller import (
     AdmissionController,
-    AdmissionOptions,
     Decision,
     RefuseDecision,
     StartDecision,
@@ -15,6 +14,7 @@
     FixedLimit,
     GradientLimit,
 )
+from damaskbay.core.admission.options import AdmissionOptions
 from damaskbay.core.admission.queue import PendingCall
 from damaskbay.core.admission.useful_limit import UsefulLimit
 
--- a/damaskbay/core/admission/controller.py
+++ b/damaskbay/core/admission/controller.py
@@ -1,26 +1,23 @@
 """Admission control for the calls to one backend server."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
-from damaskbay.core.admission.cold_limit import NO_COLD_LIMIT, ColdLimit, ColdOptions
+from damaskbay.core.admission.cold_limit import ColdLimit
 from damaskbay.core.admission.const import (
     LATENCY_QUANTILE,
-    LEVEL_HEADROOM,
     MEAN_LATENCY_GAIN,
     NESTED_LATENCY_QUANTILE,
     PROBE_INTERVAL_S,
     QUEUE_MIN_LENGTH,
-    QUEUE_PER_SLOT,
-    QUEUE_WAIT_SHARE,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_S,
 )
 from damaskbay.core.admission.latency import LatencyEstimate
 from damaskbay.core.admission.level import LevelController
-from damaskbay.core.admission.limit import CallSample, ConcurrencyLimit, GradientLimit
+from damaskbay.core.admission.limit import CallSample
 from damaskbay.core.admission.named_limit import NamedLimit
+from damaskbay.core.admission.options import AdmissionOptions
 from damaskbay.core.admission.queue import PendingCall, QueueEntry, WaitingQueue
 from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Reason, Refusal, not_run
@@ -28,37 +25,6 @@
 LOWER_RANK = 1
 """Any rank less important than 0: only a queue of rank 0 alone may be longer."""
 
-LimitFactory = Callable[[int, float], ConcurrencyLimit]
-"""Creates a limit from the slots and the current time in seconds."""
-
-
-@dataclass(frozen=True, slots=True)
-class AdmissionOptions:
-    """
-    Settings of admission control for one backend server.
-
-    `slots` is the maximum number of concurrent calls. The queue holds
-    `queue_per_slot` calls per slot. A call waits in it for at most `wait_share` of
-    the time between its arrival and its deadline. With `nested_queue_per_slot`,
-    nested calls may wait in a longer queue, because refusing one wastes the work
-    already done for its root call. The admission level still decreases once the
-    normal length is reached, and with `nested_wait_share` once the median wait of
-    nested calls is more than this part of their usual time.
-
-    `unheard_calls` is the number of calls that may run until the server's first
-    response, None for any number. `cold` is what a cold server takes.
-    """
-
-    slots: int
-    queue_per_slot: float = QUEUE_PER_SLOT
-    wait_share: float = QUEUE_WAIT_SHARE
-    nested_queue_per_slot: float | None = None
-    level_headroom: float = LEVEL_HEADROOM
-    nested_wait_share: float | None = None
-    limit: LimitFactory = GradientLimit
-    unheard_calls: int | None = None
-    cold: ColdOptions = NO_COLD_LIMIT
-
 
 @dataclass(frozen=True, slots=True)
 class StartDecision:
@@ -97,7 +63,7 @@
         self._rng = rng
         self._limit = options.limit(options.slots, now)
         self._slots = options.slots
-        self._queue = WaitingQueue()
+        self._queue = WaitingQueue(deadline_first=options.deadline_first)
         self._latency_by_route_and_rank: dict[tuple[str, int], LatencyEstimate] = {}
         self._level = LevelController(
             now, options.level_headroom, options.nested_wait_share
@@ -365,9 +331,8 @@
             self._level.record_wait(waited_s, usual_s)
 
     def _expired_refusal(self, item: PendingCall, now: float) -> Refusal | None:
-        if now >= item.context.deadline:
-            return not_run(Reason.DEADLINE_PASSED)
-        return None
+        is_late = now >= item.context.deadline
+        return not_run(Reason.DEADLINE_PASSED) if is_late else None
 
     def _overloaded_refusal(self, entry: QueueEntry, now: float) -> Refusal | None:
         """
--- a/damaskbay/mesh/gate.py
+++ b/damaskbay/mesh/gate.py
@@ -14,7 +14,7 @@
     UsefulLimit,
 )
 from damaskbay.core.admission.cold_limit import ColdLimit
-from damaskbay.core.admission.controller import LimitFactory
+from damaskbay.core.admission.options import LimitFactory
 from damaskbay.core.call import CallContext
 from damaskbay.core.outcome import Refusal
 from damaskbay.helpers.arrivals import read_arrived
@@ -52,6 +52,7 @@
         nested_queue_per_slot=NESTED_QUEUE_PER_SLOT,
         level_headroom=1.0,
         nested_wait_share=NESTED_WAIT_SHARE,
+        deadline_first=True,
         limit=limit,
         unheard_calls=UNHEARD_CALLS,
     )
