Choose servers by the expected completion of the call

The choice went by load per slot alone, so that a slow server was filled like a fast one. Each daemon also took the best of its domain by reports of different age, so that many daemons chose the same server.

The score is now the expected time until the call ends: the load ahead per slot plus one, divided by the speed of the server and its success share. The speed is learned from calls without nested calls, per route; a call that runs for unusually long counts before it ends. Two random servers of the domain and one of any are compared, and an old load report gives way to the mean of the last ones. A local server below 0.75 of the usual speed no longer goes first. The target marks results of calls without nested calls by the field retry_tokens_left, which was always 0 here.

--- a/damaskbay/core/call.py
+++ b/damaskbay/core/call.py
@@ -71,8 +71,10 @@
     `admission_level` is the target's current level (see core.admission);
     `backend_s` is the processing time of the backend server in seconds; `attempts`
     counts the sends in the whole subtree; `retry_tokens_left` are returned to the
-    parent. `load` is the number of running and waiting calls at the target per
-    slot. `nested_failed` means that the server failed after a nested call failed.
+    parent. The event-driven daemon has no such tokens; its results carry 1 for a call
+    that made no nested calls, so that `backend_s` shows the speed of the server.
+    `load` is the number of running and waiting calls at the target per slot.
+    `nested_failed` means that the server failed after a nested call failed.
     """
 
     result: Response | Refusal
--- a/damaskbay/core/routing/const.py
+++ b/damaskbay/core/routing/const.py
@@ -20,12 +20,22 @@
 REPORTED_LOAD_MAX_AGE_S = 5.0
 """Age at which reported load no longer breaks ties; its weight falls until then."""
 
+LOCAL_MIN_SPEED = 0.75
+"""Speed from which on the local server goes before the others of its pool."""
+
 REMOTE_PENALTY = 0.4
-"""Penalty on the score of a remote server, in load per slot."""
+"""Penalty on the score of a remote server, in usual times of a call."""
 
 LOAD_REPLACE_AFTER_S = 0.1
 """Age from which a fleet report may replace a load that a response reported."""
 
+LOAD_FRESH_S = 0.15
+LOAD_MEAN_S = 2.0
+"""
+Time constants in seconds: of the weight of a load against the mean of the last ones,
+and of that mean.
+"""
+
 LOAD_EXPIRY_S = 1.5
 """Age at which occupancy by reported load falls back to local calls in flight."""
 
--- a/damaskbay/core/routing/health.py
+++ b/damaskbay/core/routing/health.py
@@ -1,5 +1,6 @@
 """Health of a backend server as measured by one daemon."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
@@ -16,6 +17,8 @@
     LEVEL_EXPIRY_S,
     LEVEL_FULL_WEIGHT_S,
     LOAD_EXPIRY_S,
+    LOAD_FRESH_S,
+    LOAD_MEAN_S,
     LOAD_REPLACE_AFTER_S,
     MIN_SUCCESS_SHARE,
     MIN_WARMTH,
@@ -26,6 +29,7 @@
     SLOW_START_S,
     SUCCESS_GAIN,
 )
+from damaskbay.core.routing.speed import ServerSpeed, UsualTimes
 from damaskbay.ports.fleet import ServerView
 
 
@@ -67,19 +71,28 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteOutcome:
-    """Result of one attempt, with the level and load that the response carried."""
+    """
+    Result of one attempt, with the level and load that the response carried.
+
+    `service_s` is the time that the server worked on the call, None if it is unknown or
+    depended on nested calls.
+    """
 
     latency_s: float
     admission_level: int | None = None
     failure: FailureKind | None = None
     load: float | None = None
+    service_s: float | None = None
 
 
 class Health:
     """Calls in flight, admission level and outcomes of one server incarnation."""
 
-    def __init__(self, view: ServerView, now: float) -> None:
+    def __init__(
+        self, view: ServerView, now: float, usual_times: UsualTimes | None = None
+    ) -> None:
         self.incarnation = view.incarnation
+        self.speed = ServerSpeed(usual_times or UsualTimes(), now)
         self.in_flight = 0
         self.last_seen_at = now
         self._level = OPEN_LEVEL
@@ -92,7 +105,7 @@
         self._probe_not_before = now
         self._probe_successes = 0
         self._restored_at: float | None = None
-        self._load = view.load
+        self._load = self._mean_load = view.load
         self._load_updated_at = now
         self._in_flight_at_load_update = 0
 
@@ -141,23 +154,32 @@
         Return the calls per warm slot, including one more call.
 
         Counts the target's reported load and the calls sent since, or the calls in
-        flight from this daemon if they are more or the report has expired.
+        flight from this daemon if they are more or the report has expired. A report
+        that ages counts less than the mean of the last ones: what others have sent
+        since is unknown, and all would choose the server with the lowest old report.
         """
         warmth = self.warmth(view, now)
         slots = view.slots or 1
         per_slot = (self.in_flight + 1) / slots
-        if now - self._load_updated_at <= LOAD_EXPIRY_S:
+        age_s = now - self._load_updated_at
+        if age_s <= LOAD_EXPIRY_S:
             sent_since = self.in_flight - self._in_flight_at_load_update + 1
-            occupancy = self._load + sent_since / slots
+            load = self._mean_load
+            load += (self._load - load) * math.exp(-age_s / LOAD_FRESH_S)
+            occupancy = load + sent_since / slots
             if occupancy > per_slot:
                 per_slot = occupancy
         return per_slot / warmth
 
     def reported_score(self, view: ServerView, now: float) -> float:
-        """Return the cost of one more call by reported load; lower is better."""
-        return self.reported_occupancy(view, now) / max(
-            MIN_SUCCESS_SHARE, self._success_share
-        )
+        """
+        Return the expected time until one more call ends; lower is better.
+
+        The unit is the usual time of a call at a server of the pool.
+        """
+        own_and_wait = 1.0 + self.reported_occupancy(view, now)
+        success_share = max(MIN_SUCCESS_SHARE, self._success_share)
+        return own_and_wait / (self.speed.value(now) * success_share)
 
     def measured_score(self, view: ServerView, rank: int, now: float) -> float:
         """Return the cost of one more call by local measurement; lower is better."""
@@ -225,6 +247,9 @@
         self._probe_not_before = now
 
     def _update_load(self, load: float, now: float) -> None:
+        elapsed_s = max(0.0, now - self._load_updated_at)
+        weight = 1.0 - math.exp(-elapsed_s / LOAD_MEAN_S)
+        self._mean_load += weight * (load - self._mean_load)
         self._load = load
         self._load_updated_at = now
         self._in_flight_at_load_update = self.in_flight
--- a/damaskbay/core/routing/router.py
+++ b/damaskbay/core/routing/router.py
@@ -12,6 +12,7 @@
     EARLY_RETRY_AFTER_S,
     HEALTH_EXPIRY_S,
     LOCAL_MAX_OCCUPANCY,
+    LOCAL_MIN_SPEED,
     MAX_EJECTED_SHARE,
     MIN_PASS_SHARE,
     REMOTE_PENALTY,
@@ -19,6 +20,7 @@
 )
 from damaskbay.core.routing.demand import DemandMeter, random_retry_delay_s
 from damaskbay.core.routing.health import Health, RouteOutcome
+from damaskbay.core.routing.speed import StartedCall, UsualTimes
 from damaskbay.ports.fleet import ServerState, ServerView
 
 
@@ -51,6 +53,7 @@
         self._rng = rng
         self._health_by_instance: dict[str, Health] = {}
         self._demand = DemandMeter()
+        self._usual_times = UsualTimes()
 
     def choose(
         self,
@@ -89,18 +92,37 @@
             self._preferred_servers(usable, context, now), context, now
         )
 
-    def record_start(self, instance: str, now: float) -> None:
-        """Record a call sent to a chosen server."""
+    def record_start(
+        self, instance: str, now: float, context: CallContext | None = None
+    ) -> StartedCall | None:
+        """
+        Record a call sent to a chosen server.
+
+        With its context, the returned value is for `record_end`, and the call counts
+        for the speed of the server.
+        """
         health = self._health_by_instance.get(instance)
-        if health is not None:
-            health.record_start(now)
+        if health is None:
+            return None
+        health.record_start(now)
+        if context is None:
+            return None
+        return health.speed.record_start(context.pool, context.route, now)
 
-    def record_end(self, instance: str, outcome: RouteOutcome, now: float) -> None:
+    def record_end(
+        self,
+        instance: str,
+        outcome: RouteOutcome,
+        now: float,
+        call: StartedCall | None = None,
+    ) -> None:
         """Record the end of a call; each `record_start` needs one."""
         health = self._health_by_instance.get(instance)
         if health is None:
             return
         health.record_end(outcome, now)
+        if call is not None:
+            health.speed.record_end(call, outcome.service_s, now)
         if health.is_outlier() and not health.is_ejected():
             health.eject(now, self._rng)
 
@@ -180,7 +202,9 @@
         for view in servers:
             health = self._health_by_instance.get(view.instance)
             if health is None or health.incarnation != view.incarnation:
-                self._health_by_instance[view.instance] = Health(view, now)
+                self._health_by_instance[view.instance] = Health(
+                    view, now, self._usual_times
+                )
                 continue
             health.update(view, now)
             if health.is_ejected():
@@ -220,7 +244,10 @@
         if local_room is not None:
             return local_room
         if self._options.trust_load:
-            return health.reported_occupancy(local, now) <= LOCAL_MAX_OCCUPANCY
+            return (
+                health.reported_occupancy(local, now) <= LOCAL_MAX_OCCUPANCY
+                and health.speed.value(now) >= LOCAL_MIN_SPEED
+            )
         if health.pass_share(context.priority_rank, now) < 1.0:
             return False
         return health.measured_occupancy(local, now) <= LOCAL_MAX_OCCUPANCY
@@ -250,27 +277,32 @@
         """
         Return the better of two random servers.
 
-        With `trust_load`, the best server of the local domain replaces one of them.
+        With `trust_load` the two are of the local domain, and there is a third of any.
+        Comparing all would send the calls of many daemons to the server whose last
+        report was the lowest.
         """
         if len(servers) == 1:
             return servers[0]
-        first, second = self._draw_two(servers)
         rank = context.priority_rank
-        score = self._score(first, rank, now)
-        if self._options.trust_load:
-            local_domain = self._options.failure_domain
-            for view in servers:
-                if view.failure_domain != local_domain or view is first:
-                    continue
-                other = self._score(view, rank, now)
-                if other < score or first.failure_domain != local_domain:
-                    first, score = view, other
-        if second is not first and self._score(second, rank, now) < score:
-            return second
-        return first
+        if not self._options.trust_load:
+            first, second = self._draw_two(servers)
+            score = self._score(first, rank, now)
+            return second if self._score(second, rank, now) < score else first
+        domain = self._options.failure_domain
+        same_domain = [view for view in servers if view.failure_domain == domain]
+        drawn = self._draw_two(same_domain or servers)
+        best, lowest = drawn[0], self._score(drawn[0], rank, now)
+        for view in (drawn[1], servers[int(self._rng.random() * len(servers))]):
+            if view is not best:
+                score = self._score(view, rank, now)
+                if score < lowest:
+                    best, lowest = view, score
+        return best
 
     def _draw_two(self, servers: list[ServerView]) -> tuple[ServerView, ServerView]:
-        """Draw two different servers from a list of two or more."""
+        """Draw two different servers, or the only one twice."""
+        if len(servers) == 1:
+            return servers[0], servers[0]
         first = int(self._rng.random() * len(servers))
         second = int(self._rng.random() * (len(servers) - 1))
         return servers[first], servers[second + (second >= first)]
--- a/damaskbay/mesh/dispatch.py
+++ b/damaskbay/mesh/dispatch.py
@@ -122,14 +122,16 @@
                 replace(choice, retry_after_s=NOT_READY_RETRY_S), attempts=0
             )
         progress.excluded |= {choice.instance}
-        parts.router.record_start(choice.instance, now)
+        started = parts.router.record_start(choice.instance, now, context)
         failure: FailureKind | None = FailureKind.CANCELLED
         load: float | None = None
+        service_s: float | None = None
         may_have_run_before, progress.may_have_run = progress.may_have_run, True
         try:
             repeatable = context.idempotent and progress.attempts_made < route.retries
             result = await self._send(choice, context, request, repeatable=repeatable)
             failure, load = _failure_kind(result), result.load
+            service_s = _service_s(result)
         except asyncio.CancelledError:
             _LOGGER.info(
                 "ingress: attempt is cancelled.",
@@ -138,8 +140,8 @@
             raise
         finally:
             ended = parts.clock()
-            outcome = RouteOutcome(ended - now, None, failure, load)
-            parts.router.record_end(choice.instance, outcome, ended)
+            outcome = RouteOutcome(ended - now, None, failure, load, service_s)
+            parts.router.record_end(choice.instance, outcome, ended, started)
         final = result.result
         if isinstance(final, Refusal) and final.not_run:
             progress.may_have_run = may_have_run_before
@@ -307,6 +309,14 @@
     )
 
 
+def _service_s(result: CallResult) -> float | None:
+    """Return how long a server worked on a call that it served without others."""
+    outcome = result.result
+    if not isinstance(outcome, Response) or outcome.status >= FIRST_SERVER_ERROR:
+        return None
+    return result.backend_s if result.retry_tokens_left else None
+
+
 def _failure_kind(result: CallResult) -> FailureKind | None:
     outcome = result.result
     if isinstance(outcome, Response):
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -309,6 +309,7 @@
         return CallResult(
             outcome,
             attempts=attempts,
+            retry_tokens_left=int(call is not None and not call.has_nested),
             admission_level=level,
             served_by=parts.instance,
             backend_s=took_s,
--- a/tests/mesh/test_dispatch.py
+++ b/tests/mesh/test_dispatch.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from damaskbay.config.objects import Access, Route
-from damaskbay.core.call import CallContext, Request
-from damaskbay.core.outcome import Reason, Refusal
-from damaskbay.mesh.dispatch import Dispatcher, DispatchParts
+from damaskbay.core.call import CallContext, CallResult, Request, Response
+from damaskbay.core.outcome import Reason, Refusal, not_run
+from damaskbay.mesh.dispatch import Dispatcher, DispatchParts, _service_s
 from damaskbay.ports.fleet import ServerState, ServerView
 from damaskbay.ports.peer import PeerAddress, PeerFailure, PeerProblem
 from tests.common import function_suite
@@ -67,6 +67,20 @@
         assert end.reason is Reason.PEER_LOST, end
 
 
+# Guards against the time of nested calls or of failures taken for a server's speed.
+def test_only_calls_without_nested_calls_show_the_speed() -> None:
+    """Nothing is known of the calls of a daemon of the previous version."""
+    served, failed = Response(200), Response(500)
+    for outcome, tokens, expected_s in (
+        (served, 1, 0.2),
+        (served, 0, None),
+        (failed, 1, None),
+        (not_run(Reason.OVERLOADED), 0, None),
+    ):
+        result = CallResult(outcome, retry_tokens_left=tokens, backend_s=0.2)
+        assert _service_s(result) == expected_s, outcome
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
