--- a/damaskbay/core/call.py
+++ b/damaskbay/core/call.py
@@ -91,6 +91,8 @@
     parent. `load` is the number of running and waiting calls at the target per
     slot. `nested_failed` means that the server failed after a nested call failed.
     `pools` are news of the pools that the call needs, None from an earlier version.
+    Without nested calls `backend_s` shows the server's speed; `has_nested` is set where
+    there were some, or it is not known.
     """
 
     result: Response | Refusal
@@ -102,3 +104,4 @@
     load: float | None = None
     nested_failed: bool = False
     pools: tuple[PoolNews, ...] | None = None
+    has_nested: bool = True
--- a/damaskbay/daemon/messages.py
+++ b/damaskbay/daemon/messages.py
@@ -95,6 +95,7 @@
     """The response to a TreeCallMessage, with news of the pools that it needs."""
 
     pools: tuple[PoolNews, ...] = ()
+    has_nested: bool = True
 
 
 @message("call.tree_refusal")
@@ -185,7 +186,7 @@
             result.nested_failed,
         )
         if with_pools:
-            return TreeAnswerMessage(*answer, pools)
+            return TreeAnswerMessage(*answer, pools, result.has_nested)
         return AnswerMessage(*answer)
     refusal = (
         outcome.reason,
@@ -209,6 +210,7 @@
     backend_s: float | None = None
     nested_failed = False
     pools: tuple[PoolNews, ...] | None = None
+    has_nested = not isinstance(reply, TreeAnswerMessage) or reply.has_nested
     if isinstance(reply, (TreeAnswerMessage, TreeRefusalMessage)):
         pools = reply.pools[:MAX_POOLS]
     if isinstance(reply, AnswerMessage) and not is_final_status(reply.status):
@@ -231,4 +233,5 @@
         reply.load,
         nested_failed,
         pools,
+        has_nested,
     )
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -337,6 +337,7 @@
             load=round(parts.gate.load() + parts.processor.excess_load, 3),
             nested_failed=call is not None and call.nested_failed,
             pools=pools,
+            has_nested=call is None or call.has_nested,
         )
 
 
