--- a/damaskbay/adapters/http1/connection_server.py
+++ b/damaskbay/adapters/http1/connection_server.py
@@ -41,9 +41,12 @@
     def needs_room(self) -> bool:
         """Return whether idle connections have to make room for others."""
 
-    @property
-    def is_scarce(self) -> bool:
-        """Return whether callers that make no progress have to make room for others."""
+    def is_scarce(self, own_bytes: int) -> bool:
+        """
+        Return whether a caller that makes no progress has to make room for others.
+
+        `own_bytes` is what its incomplete request holds.
+        """
 
     @property
     def connections_left(self) -> int:
--- a/damaskbay/adapters/http1/request_parser.py
+++ b/damaskbay/adapters/http1/request_parser.py
@@ -81,6 +81,11 @@
         """Return whether a request has begun and is incomplete."""
         return self.in_headers or bool(self._partial.target)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return what the incomplete request holds."""
+        return self._partial.holding.held_bytes
+
     @property
     def body_bytes(self) -> int:
         """Return how much of a body was received."""
--- a/damaskbay/adapters/http1/server.py
+++ b/damaskbay/adapters/http1/server.py
@@ -133,10 +133,13 @@
         held = len(self.connections) - len(self._closing)
         return held > self.connection_limits.served
 
-    @property
-    def is_scarce(self) -> bool:
-        """Return whether callers that make no progress have to make room for others."""
-        return self.memory.is_scarce or self.needs_room
+    def is_scarce(self, own_bytes: int) -> bool:
+        """
+        Return whether a caller that makes no progress has to make room for others.
+
+        `own_bytes` is what its incomplete request holds.
+        """
+        return self.needs_room or self.memory.is_scarce_beside(own_bytes)
 
     @property
     def connections_left(self) -> int:
--- a/damaskbay/adapters/http1/server_connection.py
+++ b/damaskbay/adapters/http1/server_connection.py
@@ -208,7 +208,7 @@
             return
         if self._writing.count():
             self._last_active_at = now
-        is_scarce = self._server.is_scarce
+        is_scarce = self._server.is_scarce(self._parser.held_bytes)
         stall_s = SCARCE_TIMEOUT_S if is_scarce else WRITE_STALL_TIMEOUT_S
         if self._writing.is_stalled(now, stall_s):
             extra = {"unsent_bytes": self.unsent_bytes}
@@ -372,7 +372,7 @@
 
     def _extend_linger(self) -> None:
         """Keep a connection whose caller still sends a body that was rejected."""
-        if self._server.is_scarce or self._ended_at is None:
+        if self._server.is_scarce(0) or self._ended_at is None:
             return
         if self._last_active_at < self._linger_limit_at:
             self._ended_at = self._last_active_at
--- a/damaskbay/core/memory_account.py
+++ b/damaskbay/core/memory_account.py
@@ -80,6 +80,12 @@
         """Return whether callers that occupy memory for long have to make room."""
         return self.is_short or self.held_bytes > SCARCE_SHARE * self.limit_bytes
 
+    def is_scarce_beside(self, own_bytes: int) -> bool:
+        """Return the same for a holder; one that is alone keeps out nobody."""
+        others_bytes = self.held_bytes - own_bytes
+        is_alone = others_bytes <= ALONE_SHARE * self.limit_bytes
+        return self.is_short or (self.is_scarce and not is_alone)
+
     def takes(self, count: int, body_bytes: int, own_bytes: int = 0) -> bool:
         """
         Return whether so many bytes of a body, or a head, may be received.
--- a/tests/adapters/http1/test_scarce.py
+++ b/tests/adapters/http1/test_scarce.py
@@ -84,6 +84,23 @@
     asyncio.run(check())
 
 
+def test_a_large_body_that_is_alone_is_waited_for() -> None:
+    """Guards against a request within the limits that makes itself memory scarce."""
+    body = BODY.replace(b"100", b"%d" % (MEMORY_BYTES * 2 // 5), 1)
+    body += bytes(MEMORY_BYTES * 2 // 5 - 100)
+
+    async def check() -> None:
+        async with _caller(body, held_bytes=0) as (server, caller):
+            while server.memory.held_bytes < MEMORY_BYTES * 3 // 5:
+                await asyncio.sleep(0.01)
+            assert server.memory.is_scarce
+            _check_timeouts(server)
+            await asyncio.get_running_loop().sock_sendall(caller, b"x")
+            assert (await _received(caller)).startswith(b"HTTP/1.1 200")
+
+    asyncio.run(check())
+
+
 def test_a_body_that_trickles_makes_room() -> None:
     """Guards against a caller that sends a byte now and then."""
 
--- a/tests/adapters/peer_link/test_parts.py
+++ b/tests/adapters/peer_link/test_parts.py
@@ -9,7 +9,14 @@
 
 from damaskbay.adapters.peer_link.client import PeerLinks
 from damaskbay.adapters.peer_link.const import MAX_FRAME_BYTES
-from damaskbay.core.memory_account import BODY_COPIES, Holding, MemoryAccount
+from damaskbay.adapters.peer_link.parts import Payload
+from damaskbay.core.call import Request
+from damaskbay.core.memory_account import (
+    BODY_COPIES,
+    HEADER_BYTES,
+    Holding,
+    MemoryAccount,
+)
 from damaskbay.mesh.messages import ConfigReply, ConfigRequest, PeerStatus
 from damaskbay.ports.peer import PeerFailure, PeerProblem
 from tests.common import function_suite, reserve_address
@@ -168,6 +175,23 @@
     _run(check, takes_parts=False)
 
 
+# A request of 16 KB with 4,000 headers was counted as a fourteenth of what it takes.
+def test_the_headers_of_a_request_are_counted() -> None:
+    """Very many are refused if there is no memory for them; a few never are."""
+    account = MemoryAccount(1024 * 1024)
+
+    def takes(headers: int) -> bool:
+        payload = Payload(Holding(account), b"x")
+        return payload.hold_headers(Request("GET", "a", "/", (("a", ""),) * headers))
+
+    assert takes(4000)
+    assert account.held_bytes > 4000 * HEADER_BYTES
+    held_bytes = account.held_bytes
+    assert not takes(4000)
+    assert account.held_bytes == held_bytes
+    assert takes(10)
+
+
 def load_tests(*_: object) -> unittest.TestSuite:
     """Load the functions of this module."""
     return function_suite(globals())
