Let the first report after a daemon start end the assumption of a cold server

Cause: a report within 0.1 s of the daemon's start was taken for one from before a restart of the server, and left it limited until the next one. A false assumption refused calls that wait before the health check had contradicted it. Change: the assumption of a start is dated before it; the health check is asked before waiting calls are looked at. Measured: tests.mesh.test_cold_server 6 passed, its new test failed without the change. test_evacuation 6, test_server_notices 11, test_controller 13 passed. Before this change: tests.soak.test_soak 8 passed.

--- a/damaskbay/mesh/cold_server.py
+++ b/damaskbay/mesh/cold_server.py
@@ -66,8 +66,9 @@
         self._slots = 0
         self._logged_cold = False
         self._set_rate(None)
-        # An earlier daemon may have known that the server is cold.
-        self._limit.assume(clock())
+        # An earlier daemon may have known that the server is cold. No report is older
+        # than this start, so that the first one counts at once.
+        self._limit.assume(clock() - REPORT_DELAY_S)
         self._changed.set()
         self._local.on_report = self.record_report
         check.on_cold = self._record_word
@@ -115,9 +116,10 @@
             await self._changed.wait()
             self._changed.clear()
             while self._limit.rate_per_s(self._clock()) is not None:
-                self._follow_limit()
                 if self._ask_is_due():
+                    # Most assumptions end with the response, and cost no call then.
                     await self._ask_server()
+                self._follow_limit()
                 await asyncio.sleep(STEP_S)
             self._follow_limit()
 
--- a/tests/mesh/test_cold_server.py
+++ b/tests/mesh/test_cold_server.py
@@ -3,11 +3,20 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from random import Random
+from types import SimpleNamespace
+from typing import cast
 
+from damaskbay.adapters.http1.client import HttpProblem
 from damaskbay.adapters.http1.server import HttpServer
-from damaskbay.config.objects import CallerLimits
+from damaskbay.config.objects import CallerLimits, ConfigSet, HealthCheckedPool
 from damaskbay.core.call import Response
 from damaskbay.helpers.clock import monotonic_s
+from damaskbay.mesh.cold_server import ColdServer
+from damaskbay.mesh.gate import Gate
+from damaskbay.mesh.local_server import Heartbeat, LocalServer
+from damaskbay.mesh.server_check import ServerCheck
+from damaskbay.mesh.settings import MeshSettings
 from damaskbay.ports.fleet import ServerState
 from tests.common import function_suite, reserve_address
 from tests.mesh.common import Backend, Fleet, Node, run_fleet, wait_until
@@ -19,6 +28,7 @@
 """Requests that a cold server may get in a second: WARMUP_PER_S * OVERAGE + SLACK."""
 
 COLD_MS = 2000
+WARM_POOL = HealthCheckedPool("one", 8, 8, warmup_per_s=WARMUP_PER_S)
 
 
 def _run(check: Callable[[Fleet], Awaitable[None]], **nodes: str) -> None:
@@ -143,6 +153,30 @@
     _run(check)
 
 
+# A report within 0.1 s of a daemon's start left its server limited for 1.5 s.
+def test_the_first_report_after_a_daemon_start_counts() -> None:
+    """It can't be one from before a restart of the server."""
+    settings = SimpleNamespace(pool="one", cold_overage=OVERAGE, cold_slack=SLACK)
+    now, gate = 100.0, Gate(8, Random(1), 100.0)
+    check = SimpleNamespace(local=LocalServer(2.0, lambda: None), gate=gate)
+    server = ColdServer(
+        cast("MeshSettings", settings),
+        cast("ServerCheck", check),
+        lambda: None,
+        lambda: now,
+    )
+    assert gate.cold_limit.is_cold(now)
+    heartbeat = Heartbeat("i-1", ServerState.READY, 8, 1, 1000)
+    server.record_report(heartbeat, False, now)
+    assert not gate.cold_limit.is_cold(now)
+    server.config_changed(ConfigSet(1, "", pools_by_name={"one": WARM_POOL}))
+    server.record_failure(HttpProblem.NOT_SENT)
+    server.record_report(heartbeat, False, now)
+    assert gate.cold_limit.is_cold(now)
+    server.record_report(heartbeat, True, now)
+    assert not gate.cold_limit.is_cold(now)
+
+
 def test_an_unreadable_time_in_the_health_check_changes_nothing() -> None:
     """The assumption holds until the next report."""
 
