Model daemons that are both ingress and middle of trees

The model kept what a daemon learns as an ingress apart from what it learns from the nested calls of its server, which TreeNews joins.

--- a/bench/trees.py
+++ b/bench/trees.py
@@ -1,9 +1,10 @@
 """
 Model of call trees above one pool that is too small, in virtual time.
 
-Root calls of four routes begin at several daemons and call one pool several times, one
-call after the other. The servers of the pool use the admission controller. At the edge
-either whole trees are admitted, or, as before, calls by the average level of a route.
+Root calls of four routes begin at several daemons. Their servers, beside any of the
+daemons, call one pool several times, one call after the other. The servers of the pool
+use the admission controller. At the edge either whole trees are admitted, or, as
+before, calls by the average level of a route.
 """
 
 import json
@@ -33,7 +34,6 @@
 SERVERS = 6
 SLOTS = 11
 EDGES = 40
-MIDDLES = 12
 TIME_LIMIT_S = 0.8
 GAMMA_SHAPE = 4.0
 MAX_TRIES = 3
@@ -229,7 +229,10 @@
         self._rng = Random(seed)
         edge = TreeEdge if whole_trees else EarlierEdge
         self._edges = [edge(Random(number)) for number in range(EDGES)]
-        self._middles = [edge(Random(number)) for number in range(MIDDLES)]
+        # Each daemon has both; the earlier rule kept their levels apart.
+        self._middles = self._edges
+        if not whole_trees:
+            self._middles = [edge(Random(number)) for number in range(EDGES)]
         self._last_ticket = 0
         self.servers = [_Server(self, number) for number in range(SERVERS)]
         self.load_factor = 1.0
@@ -261,7 +264,7 @@
         depth = 0 if name == "direct" else 2
         deadline = now + TIME_LIMIT_S
         context = CallContext("", "w", rank, deadline, name, POOL, True, depth)
-        middle = rng.randrange(MIDDLES)
+        middle = rng.randrange(EDGES)
         root = _Root(context, route, edge, middle, route.calls)
         self.events.after(route.other_s / (route.calls + 1), self._call, root)
 
@@ -280,6 +283,12 @@
         root.tries |= {server.number}
         server.offer(root)
 
+    def _nested(self, root: _Root) -> CallContext:
+        """Return the context that the daemon in the middle records a result under."""
+        if not self.whole_trees:
+            return root.context
+        return replace(root.context, route=POOL)
+
     def ended(self, root: _Root, _server: _Server, result: CallResult) -> None:
         """Handle the result of one send; the call may be sent to another server."""
         outcome, now = result.result, self.events.now
@@ -300,7 +309,7 @@
         calls, slot_s = needed.calls + own.calls, needed.slot_s + own.slot_s
         root.needed = PoolNews(POOL, calls, slot_s, own.level, own.accepted)
         if root.context.depth:
-            self._middles[root.middle].record(root.context, result, now)
+            self._middles[root.middle].record(self._nested(root), result, now)
         if isinstance(outcome, Refusal):
             self._finish(root, unknown(outcome.reason))
             return
