Log cold phases with their cause, and only in pools with a warm-up rate

Cause: each daemon start logged the begin of a cold phase as "time is over" and its end, also without a warm-up rate. Change: the line of the begin names what began it.

--- a/damaskbay/mesh/cold_server.py
+++ b/damaskbay/mesh/cold_server.py
@@ -65,6 +65,7 @@
         self._ask_at = 0.0
         self._slots = 0
         self._logged_cold = False
+        self._cause = "daemon starts"
         self._set_rate(None)
         # An earlier daemon may have known that the server is cold. No report is older
         # than this start, so that the first one counts at once.
@@ -134,7 +135,8 @@
         now = self._clock()
         self._limit.announce(cold_s, now, as_of=as_of)
         self._changed.set()
-        self._log_change("server says so", now)
+        self._cause = "server says so"
+        self._log_change(self._cause, now)
 
     def _assume(self, why: str, now: float) -> None:
         if not self._limit.options.limits:
@@ -142,6 +144,7 @@
         self._limit.assume(now)
         self._ask = True
         self._changed.set()
+        self._cause = why
         self._log_change(why, now)
 
     def _is_limited(self) -> float:
@@ -175,8 +178,8 @@
             self._ask = True
 
     def _log_change(self, why: str, now: float) -> None:
-        """Log the begin and the end of a cold phase."""
-        is_cold = self._limit.is_cold(now) and self._limit.options.limits
+        """Log the begin and the end of a cold phase in a pool with a warm-up rate."""
+        is_cold = self._limit.is_cold(now) and bool(self._limit.options.per_s)
         if is_cold == self._logged_cold:
             return
         self._logged_cold = is_cold
@@ -186,7 +189,7 @@
             f"backend: cold phase {state}.",
             extra={
                 "server": self._local.server,
-                "why": why,
+                "why": self._cause if is_cold else why,
                 "left_s": None if self._limit.is_assumed else round(left_s, 3),
                 "warmup_per_s": self._limit.options.per_s,
                 "sent_last_s": self._limit.sent_lately(now),
