Name the reports on pools and the updates of evacuations by usual terms

Cause: names such as news and word are not the usual terms of the field. Change: PoolReport, TreeReports (core/trees/reports.py), EvacuationUpdate and others; names on the wire stay.

--- a/bench/trees.py
+++ b/bench/trees.py
@@ -23,11 +23,11 @@
     StartDecision,
 )
 from damaskbay.core.admission.level import OPEN_LEVEL, pass_share
-from damaskbay.core.call import CallContext, CallResult, PoolNews, Response
+from damaskbay.core.call import CallContext, CallResult, PoolReport, Response
 from damaskbay.core.outcome import Reason, Refusal, not_run, unknown
 from damaskbay.core.routing.const import LEVEL_EXPIRY_S, MIN_PASS_SHARE
 from damaskbay.core.trees.admission import TreeAdmission
-from damaskbay.core.trees.news import TreeNews
+from damaskbay.core.trees.reports import TreeReports
 from damaskbay.core.trees.room import AcceptedShare
 from damaskbay.mesh.gate import EXPIRE_INTERVAL_S, admission_options
 
@@ -40,7 +40,7 @@
 ATTEMPTS = 2
 RANK_WEIGHTS = {3: 0.3, 4: 0.3, 5: 0.4}
 POOL = "deep"
-_NOTHING = PoolNews(POOL)
+_NOTHING = PoolReport(POOL)
 CALM_S = 2.0
 CALM_LOAD = 0.6
 
@@ -137,12 +137,12 @@
     """The admission of whole trees."""
 
     def __init__(self, rng: Random) -> None:
-        self.news = TreeNews()
-        self._admission = TreeAdmission(self.news, rng, lambda _pool: ATTEMPTS)
+        self.reports = TreeReports()
+        self._admission = TreeAdmission(self.reports, rng, lambda _pool: ATTEMPTS)
 
     def record(self, context: CallContext, result: CallResult, now: float) -> None:
-        """Record the news of a result."""
-        self.news.record_result(context, result, now)
+        """Record the reports of a result."""
+        self.reports.record_result(context, result, now)
 
     def begins(self, route: str, rank: int, now: float) -> bool:
         """Return whether a root call begins."""
@@ -156,7 +156,7 @@
     edge: int
     middle: int
     calls_left: int
-    needed: PoolNews = _NOTHING
+    needed: PoolReport = _NOTHING
     last: CallResult | None = None
     sends: int = 0
     tries: frozenset[int] = frozenset()
@@ -215,7 +215,7 @@
         now = self._model.events.now
         level = self.controller.level(now)
         accepted = self._accepted.value(now)
-        own = PoolNews(POOL, float(attempts), took_s, level, accepted)
+        own = PoolReport(POOL, float(attempts), took_s, level, accepted)
         return CallResult(outcome, attempts, 0, level, pools=(own,))
 
 
@@ -307,7 +307,7 @@
         assert result.pools is not None
         needed, own = root.needed, result.pools[0]
         calls, slot_s = needed.calls + own.calls, needed.slot_s + own.slot_s
-        root.needed = PoolNews(POOL, calls, slot_s, own.level, own.accepted)
+        root.needed = PoolReport(POOL, calls, slot_s, own.level, own.accepted)
         if root.context.depth:
             self._middles[root.middle].record(self._nested(root), result, now)
         if isinstance(outcome, Refusal):
@@ -319,13 +319,13 @@
     def _finish(self, root: _Root, outcome: Response | Refusal) -> None:
         now, context = self.events.now, root.context
         edge, middle = self._edges[root.edge], self._middles[root.middle]
-        own = PoolNews("front", 1.0, root.route.other_s, OPEN_LEVEL, 1.0)
+        own = PoolReport("front", 1.0, root.route.other_s, OPEN_LEVEL, 1.0)
         if not context.depth:
             assert root.last is not None
             result = replace(root.last, result=outcome)
         elif isinstance(middle, TreeEdge):
             nested = (root.needed,) if root.route.calls else ()
-            pools = middle.news.pools_of(context.route, own, nested, now)
+            pools = middle.reports.pools_of(context.route, own, nested, now)
             result = CallResult(outcome, pools=pools)
         else:
             level = middle.level(context.route, now)
--- a/damaskbay/adapters/peer_link/const.py
+++ b/damaskbay/adapters/peer_link/const.py
@@ -66,7 +66,7 @@
 """Number in notes and their acknowledgements of daemons that take parts."""
 
 TREES_VERSION: Final = 2
-"""Number of daemons that read news of pools; it includes PARTS_VERSION."""
+"""Number of daemons that read reports on pools; it includes PARTS_VERSION."""
 
 LINK_VERSION: Final = TREES_VERSION
 """Number in the notes and acknowledgements of this daemon."""
--- a/damaskbay/core/call.py
+++ b/damaskbay/core/call.py
@@ -64,7 +64,7 @@
     is_nested_in_retry: bool = False
 
 
-class PoolNews(NamedTuple):
+class PoolReport(NamedTuple):
     """
     What a call and the calls below it needed at a pool, and the room there.
 
@@ -90,7 +90,7 @@
     counts the sends in the whole subtree; `retry_tokens_left` are returned to the
     parent. `load` is the number of running and waiting calls at the target per
     slot. `nested_failed` means that the server failed after a nested call failed.
-    `pools` are news of the pools that the call needs, None from an earlier version.
+    `pools` are reports on the pools that the call needs, None from an earlier version.
     Without nested calls `backend_s` shows the server's speed; `has_nested` is set where
     there were some, or it is not known.
     """
@@ -103,5 +103,5 @@
     backend_s: float | None = None
     load: float | None = None
     nested_failed: bool = False
-    pools: tuple[PoolNews, ...] | None = None
+    pools: tuple[PoolReport, ...] | None = None
     has_nested: bool = True
--- a/damaskbay/core/pressure.py
+++ b/damaskbay/core/pressure.py
@@ -20,13 +20,13 @@
 
 MIN_OVERLOADED_SHARE = 1.0 / 3.0
 """
-Share of results with news of overload from which the edge sheds.
+Share of results that report overload from which the edge sheds.
 
 Below it, one server of several is full: what it refuses is sent to another one.
 """
 
 FORGOTTEN_SHARE = 0.01
-"""Share of results with news of overload that counts as none."""
+"""Share of results that report overload that counts as none."""
 
 MAX_NAMES = 1000
 """Pools or routes with a level; beyond, all are learned again."""
@@ -69,7 +69,7 @@
 
 @dataclass(slots=True)
 class _Level:
-    """Mean level of the results with news of overload, and their share of all."""
+    """Mean level of the results that report overload, and their share of all."""
 
     value: float
     overloaded: float
@@ -83,7 +83,7 @@
     Levels of several servers are averaged, since a call may go to any of them. A server
     without overload counts as one step above the least important rank in use: with a
     higher value, an idle server would hide the overload of another one. While only few
-    of the results bring news of overload, nothing is refused. A call that
+    of the results report overload, nothing is refused. A call that
     finds no capacity counts like a level that admits none of its rank. An old level
     rises linearly until nothing is refused. Times are in seconds of one monotonic
     clock. Made for tens of thousands of results per second.
--- a/damaskbay/core/trees/admission.py
+++ b/damaskbay/core/trees/admission.py
@@ -22,7 +22,7 @@
     REFUSED_WINDOW_S,
     RETRY_AFTER_S,
 )
-from damaskbay.core.trees.news import TreeNews
+from damaskbay.core.trees.reports import TreeReports
 from damaskbay.core.trees.work import PoolWork
 
 ATTEMPTS = 1
@@ -116,11 +116,11 @@
 
     def __init__(
         self,
-        news: TreeNews,
+        reports: TreeReports,
         rng: Random,
         attempts_of: Callable[[str], int] = lambda _pool: ATTEMPTS,
     ) -> None:
-        self._news = news
+        self._reports = reports
         self._rng = rng
         self._attempts_of = attempts_of
         self._workspaces = DemandMeter()
@@ -132,8 +132,8 @@
     ) -> TreeRefusal | None:
         """Return a refusal, or None if the root call may begin."""
         rank = min(rank, HIGHEST_RANK)
-        self._news.room.record_rank(rank, now)
-        self._news.levels.record_rank(rank, now)
+        self._reports.room.record_rank(rank, now)
+        self._reports.levels.record_rank(rank, now)
         self._count(route, rank, now)
         found = self._tightest(route, rank, now)
         share = max(MIN_PASS_SHARE, found.share)
@@ -147,20 +147,20 @@
         return TreeRefusal(refusal, found.pool)
 
     def _tightest(self, route: str, rank: int, now: float) -> _Tightest:
-        level = self._news.levels.level(route, now)
+        level = self._reports.levels.level(route, now)
         share = pass_share(level, rank)
         found = _Tightest(share, "", "")
         if share < 1.0:
             found = _Tightest(share, "", f"{share:.2f} of rank {rank} may begin")
-        if self._news.room.is_ample(now):
+        if self._reports.room.is_ample(now):
             return found
-        work = self._news.work.by_pool(route, now)
+        work = self._reports.work.by_pool(route, now)
         accepted_by_pool: dict[str, float] = {}
         for pool, item in work.items():
-            accepted = self._news.room.accepted(pool, now)
+            accepted = self._reports.room.accepted(pool, now)
             if accepted < 1.0:
                 accepted_by_pool[pool] = accepted
-            share = pass_share(self._news.room.level(pool, now), rank)
+            share = pass_share(self._reports.room.level(pool, now), rank)
             if share >= 1.0:
                 continue
             share = self._share_of_route(route, rank, pool, share, now)
@@ -168,10 +168,10 @@
                 why = f"{_cost(pool, item)}, {share:.2f} of rank {rank} may begin"
                 found = _Tightest(share, pool, why)
         if accepted_by_pool:
-            return self._without_hopeless(found, work, accepted_by_pool)
+            return self._limit_by_chance(found, work, accepted_by_pool)
         return found
 
-    def _without_hopeless(
+    def _limit_by_chance(
         self,
         found: _Tightest,
         work: Mapping[str, PoolWork],
@@ -217,7 +217,7 @@
             if calls < MIN_DEMAND:
                 del counts[route]
                 continue
-            work = self._news.work.by_pool(route, now).get(pool)
+            work = self._reports.work.by_pool(route, now).get(pool)
             if work is not None and work.slot_s > 0.0:
                 demand[route] = RouteDemand(calls, work.slot_s)
         return demand
--- a/damaskbay/core/trees/news.py
+++ b/damaskbay/core/trees/reports.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from damaskbay.core.call import CallContext, CallResult, PoolNews
+from damaskbay.core.call import CallContext, CallResult, PoolReport
 from damaskbay.core.http_status import is_success
 from damaskbay.core.outcome import Reason, Refusal
 from damaskbay.core.pressure import AverageLevels
@@ -27,7 +27,7 @@
     )
 
 
-class TreeNews:
+class TreeReports:
     """
     Work by route and room by pool, from the results of root and nested calls.
 
@@ -57,10 +57,10 @@
         self.work.record(context.route, result.pools, now, completed=completed)
 
     def pools_of(
-        self, route: str, own: PoolNews, nested: Iterable[PoolNews], now: float
-    ) -> tuple[PoolNews, ...]:
+        self, route: str, own: PoolReport, nested: Iterable[PoolReport], now: float
+    ) -> tuple[PoolReport, ...]:
         """
-        Return the news to report with the result of a call of a route.
+        Return the reports to send with the result of a call of a route.
 
         `own` are those of the local pool, `nested` what nested calls needed. Pools that
         the route usually needs are reported also if this call did not reach them.
@@ -75,9 +75,9 @@
                 needed[item.pool] = self._with_room(item, now)
         for pool in self.work.by_pool(route, now):
             if pool not in needed:
-                needed[pool] = self._with_room(PoolNews(pool), now)
+                needed[pool] = self._with_room(PoolReport(pool), now)
         return tuple(needed.values())[:MAX_POOLS]
 
-    def _with_room(self, item: PoolNews, now: float) -> PoolNews:
-        level, accepted = self.room.news(item.pool, now)
+    def _with_room(self, item: PoolReport, now: float) -> PoolReport:
+        level, accepted = self.room.report(item.pool, now)
         return item._replace(level=level, accepted=accepted)
--- a/damaskbay/core/trees/room.py
+++ b/damaskbay/core/trees/room.py
@@ -64,7 +64,7 @@
     """
     The room of each pool, from the results of its servers, whichever route had them.
 
-    News expire within a second, so that recovered capacity shows. Holds at most
+    Reports expire within a second, so that recovered capacity shows. Holds at most
     MAX_ROUTES pools. Made for tens of thousands of results per second. Times are in
     seconds of one monotonic clock.
     """
@@ -87,7 +87,7 @@
         refused_rank: int | None = None,
     ) -> None:
         """
-        Record the news of a result: a level and an accepted share, None if unknown.
+        Record the report in a result: a level and an accepted share, None if unknown.
 
         `refused_rank` is the rank of a call that found no capacity in the pool.
         """
@@ -115,7 +115,7 @@
         known.updated_at = now
 
     def is_ample(self, now: float) -> bool:
-        """Return whether no pool has had news of a want of room recently."""
+        """Return whether no pool was reported to lack room recently."""
         return now >= self._short_until
 
     def level(self, pool: str, now: float) -> int:
@@ -129,7 +129,7 @@
             return 1.0
         return known.share
 
-    def news(self, pool: str, now: float) -> tuple[int | None, float | None]:
+    def report(self, pool: str, now: float) -> tuple[int | None, float | None]:
         """Return the level and the accepted share to report, None if unknown."""
         level = accepted = None
         if self._levels.is_known(pool, now):
--- a/damaskbay/core/trees/work.py
+++ b/damaskbay/core/trees/work.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from damaskbay.core.call import PoolNews
+from damaskbay.core.call import PoolReport
 from damaskbay.core.trees.const import (
     MAX_POOLS,
     MAX_ROUTES,
@@ -46,7 +46,7 @@
         return len(self._by_route)
 
     def record(
-        self, route: str, pools: Iterable[PoolNews], now: float, *, completed: bool
+        self, route: str, pools: Iterable[PoolReport], now: float, *, completed: bool
     ) -> None:
         """Record what one call of a route needed."""
         work = self._by_route.get(route)
@@ -84,7 +84,7 @@
         return work.by_pool
 
     def _record_missing(
-        self, by_pool: dict[str, PoolWork], measured: Mapping[str, PoolNews]
+        self, by_pool: dict[str, PoolWork], measured: Mapping[str, PoolReport]
     ) -> None:
         """Record that a call needed nothing at the pools that it did not reach."""
         for pool in tuple(by_pool):
--- a/damaskbay/daemon/messages.py
+++ b/damaskbay/daemon/messages.py
@@ -6,7 +6,7 @@
     CallContext,
     CallResult,
     Headers,
-    PoolNews,
+    PoolReport,
     Request,
     Response,
 )
@@ -53,7 +53,7 @@
 @message("call.tree")
 class TreeCallMessage(CallMessage, frozen=True):
     """
-    A call from a daemon that reads the news of pools in its result.
+    A call from a daemon that reads the reports on pools in its result.
 
     It is sent only to peers that announce TREES_VERSION or higher.
     """
@@ -92,17 +92,17 @@
 
 @message("call.tree_answer")
 class TreeAnswerMessage(AnswerMessage, frozen=True):
-    """The response to a TreeCallMessage, with news of the pools that it needs."""
+    """The response to a TreeCallMessage, with reports on the pools that it needs."""
 
-    pools: tuple[PoolNews, ...] = ()
+    pools: tuple[PoolReport, ...] = ()
     has_nested: bool = True
 
 
 @message("call.tree_refusal")
 class TreeRefusalMessage(RefusalMessage, frozen=True):
-    """The refusal of a TreeCallMessage, with news of the pools that it needs."""
+    """The refusal of a TreeCallMessage, with reports on the pools that it needs."""
 
-    pools: tuple[PoolNews, ...] = ()
+    pools: tuple[PoolReport, ...] = ()
 
 
 def to_call_message(
@@ -209,7 +209,7 @@
     outcome: Response | Refusal
     backend_s: float | None = None
     nested_failed = False
-    pools: tuple[PoolNews, ...] | None = None
+    pools: tuple[PoolReport, ...] | None = None
     has_nested = not isinstance(reply, TreeAnswerMessage) or reply.has_nested
     if isinstance(reply, (TreeAnswerMessage, TreeRefusalMessage)):
         pools = reply.pools[:MAX_POOLS]
--- a/damaskbay/mesh/assembly.py
+++ b/damaskbay/mesh/assembly.py
@@ -19,7 +19,7 @@
 from damaskbay.core.retry.repeats import ServerRetryBudget, ServerRetryOptions
 from damaskbay.core.routing import Router, RouterOptions
 from damaskbay.core.trees.admission import TreeAdmission
-from damaskbay.core.trees.news import TreeNews
+from damaskbay.core.trees.reports import TreeReports
 from damaskbay.helpers.clock import monotonic_s
 from damaskbay.helpers.descriptors import raise_descriptor_limit
 from damaskbay.mesh.cold_server import ColdServer
@@ -97,7 +97,7 @@
     fatal_calls: FatalCalls
     lifetime: Lifetime
     rng: Random
-    trees: TreeNews = field(default_factory=TreeNews)
+    trees: TreeReports = field(default_factory=TreeReports)
 
 
 def make_target(
--- a/damaskbay/mesh/cold_server.py
+++ b/damaskbay/mesh/cold_server.py
@@ -73,7 +73,7 @@
         self._limit.assume(clock() - REPORT_DELAY_S)
         self._changed.set()
         self._local.on_report = self.record_report
-        check.on_cold = self._record_word
+        check.on_cold = self._record_announcement
 
     def register_gauges(self, telemetry: BoundTelemetry) -> None:
         """Register the gauges of the cold phase."""
@@ -98,7 +98,7 @@
     def record_report(self, heartbeat: Heartbeat, restarted: bool, now: float) -> None:
         """Record what the server reports of its cold phase."""
         as_of = now if restarted else now - REPORT_DELAY_S
-        self._record_word(heartbeat.slow_start_left_s, as_of)
+        self._record_announcement(heartbeat.slow_start_left_s, as_of)
 
     def record_failure(self, problem: HttpProblem) -> None:
         """Record that a request to the server got no response."""
@@ -131,7 +131,7 @@
             self._limit.set_options(options)
             self._changed.set()
 
-    def _record_word(self, cold_s: float, as_of: float) -> None:
+    def _record_announcement(self, cold_s: float, as_of: float) -> None:
         """Record that the server says how long it stays cold, at `as_of` or later."""
         now = self._clock()
         self._limit.announce(cold_s, now, as_of=as_of)
--- a/damaskbay/mesh/control_plane.py
+++ b/damaskbay/mesh/control_plane.py
@@ -24,7 +24,7 @@
     ConfigRequest,
     DemandReport,
     DomainDemandRequest,
-    EvacuationNews,
+    EvacuationUpdate,
     MembersRequest,
     PooledTokenRequest,
 )
@@ -136,8 +136,8 @@
             return self.members.handle_request(message)
         if isinstance(message, PooledTokenRequest):
             return await self.tokens.handle_token_request(message)
-        if isinstance(message, EvacuationNews):
-            return self.evacuation.handle_news(message)
+        if isinstance(message, EvacuationUpdate):
+            return self.evacuation.handle_update(message)
         return NOT_HANDLED
 
     def _members_parts(self) -> MembersParts:
--- a/damaskbay/mesh/evacuation.py
+++ b/damaskbay/mesh/evacuation.py
@@ -15,7 +15,7 @@
 from damaskbay.mesh.directory import Directory
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.local_server import LocalServer
-from damaskbay.mesh.messages import EvacuationNews
+from damaskbay.mesh.messages import EvacuationUpdate
 from damaskbay.ports.peer import PeerAddress
 from damaskbay.ports.store import StoreItem, StoreSnapshot
 
@@ -114,10 +114,10 @@
         elif items:
             self._read_changes(items)
 
-    def handle_news(self, news: EvacuationNews) -> EvacuationNews:
+    def handle_update(self, update: EvacuationUpdate) -> EvacuationUpdate:
         """Take the state of a peer if it is newer; return the state that holds."""
-        self._take_news(news)
-        return self._news()
+        self._apply_update(update)
+        return self._update()
 
     async def run(self) -> None:
         """Exchange the state with random peers while it matters, until cancelled."""
@@ -172,15 +172,15 @@
             )
         return False
 
-    def _take_news(self, news: EvacuationNews) -> None:
+    def _apply_update(self, update: EvacuationUpdate) -> None:
         before = self.domains
-        state = EvacuationState(news.revision, frozenset(news.domains))
+        state = EvacuationState(update.revision, frozenset(update.domains))
         if self._known.replace(state, self._parts.clock()):
             self._changed(before, "peer")
 
-    def _news(self) -> EvacuationNews:
+    def _update(self) -> EvacuationUpdate:
         state = self._known.state
-        return EvacuationNews(state.revision, tuple(sorted(state.domains)))
+        return EvacuationUpdate(state.revision, tuple(sorted(state.domains)))
 
     def _changed(self, before: frozenset[str], source: str) -> None:
         """Log and apply a change of the domains, and tell the linked peers."""
@@ -221,9 +221,9 @@
     async def _exchange(self, peer: PeerAddress) -> bool:
         """Send the state to a peer and take its state; return whether it replied."""
         reply: Any = await self._parts.links.request(
-            peer, self._news(), timeout_s=REQUEST_TIMEOUT_S
+            peer, self._update(), timeout_s=REQUEST_TIMEOUT_S
         )
-        if not isinstance(reply, EvacuationNews):
+        if not isinstance(reply, EvacuationUpdate):
             return False
-        self._take_news(reply)
+        self._apply_update(reply)
         return True
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -19,7 +19,7 @@
 from damaskbay.core.quota.token_pool import is_pooled
 from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.core.trees.admission import TreeAdmission
-from damaskbay.core.trees.news import TreeNews
+from damaskbay.core.trees.reports import TreeReports
 from damaskbay.helpers.http_headers import HeaderFilter
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import NOT_READY_RETRY_S
@@ -59,7 +59,7 @@
     dispatcher: Dispatcher
     shares: DemandShares
     tokens: PooledTokens
-    trees: TreeNews
+    trees: TreeReports
     admission: TreeAdmission
     processor: ProcessorGate
     running: RunningCalls
--- a/damaskbay/mesh/messages.py
+++ b/damaskbay/mesh/messages.py
@@ -98,7 +98,7 @@
 
 @message("mesh.evacuation")
 @dataclass(frozen=True, slots=True)
-class EvacuationNews:
+class EvacuationUpdate:
     """
     The evacuated failure domains at a revision of the store; answered by the same.
 
--- a/damaskbay/mesh/running.py
+++ b/damaskbay/mesh/running.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from damaskbay.core.call import CallContext, CallResult, PoolNews, Response
+from damaskbay.core.call import CallContext, CallResult, PoolReport, Response
 from damaskbay.core.http_status import FIRST_SERVER_ERROR
 from damaskbay.core.pressure import AverageLevels
 from damaskbay.core.trees.const import MAX_POOLS
@@ -24,9 +24,9 @@
     context: CallContext
     nested_failed: bool = False
     has_nested: bool = False
-    needed: dict[str, PoolNews] = field(default_factory=dict)
+    needed: dict[str, PoolReport] = field(default_factory=dict)
 
-    def add_needed(self, pools: Iterable[PoolNews]) -> None:
+    def add_needed(self, pools: Iterable[PoolReport]) -> None:
         """Add what a nested call needed."""
         for item in pools:
             known = self.needed.get(item.pool)
--- a/damaskbay/mesh/target.py
+++ b/damaskbay/mesh/target.py
@@ -9,7 +9,7 @@
 
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.core.admission import CallSample
-from damaskbay.core.call import CallContext, CallResult, PoolNews, Request, Response
+from damaskbay.core.call import CallContext, CallResult, PoolReport, Request, Response
 from damaskbay.core.durations import DurationEstimates
 from damaskbay.core.fatal_calls import FatalCalls, refusal_of_fatal_call
 from damaskbay.core.http_status import is_success
@@ -19,7 +19,7 @@
 from damaskbay.core.processor_guard import ProcessorGuard
 from damaskbay.core.response_sizes import ResponseSizes
 from damaskbay.core.retry.repeats import ServerRetryBudget
-from damaskbay.core.trees.news import TreeNews
+from damaskbay.core.trees.reports import TreeReports
 from damaskbay.core.trees.room import AcceptedShare
 from damaskbay.helpers.arrivals import call_after_reading
 from damaskbay.helpers.logs import is_suppressed
@@ -51,7 +51,7 @@
     repeats: ServerRetryBudget
     memory: MemoryAccount
     fatal_calls: FatalCalls
-    trees: TreeNews
+    trees: TreeReports
     processor: ProcessorGuard
     weight_of: Callable[[str], float]
     lifetime: Lifetime
@@ -319,7 +319,7 @@
         now = parts.clock()
         own_level = parts.gate.level(now)
         level = parts.running.level(context.route, own_level, now)
-        own = PoolNews(
+        own = PoolReport(
             parts.pool,
             float(attempts),
             took_s or 0.0,
--- a/tests/core/test_pressure.py
+++ b/tests/core/test_pressure.py
@@ -94,7 +94,7 @@
 
 
 def test_one_refused_call_does_not_close_a_route() -> None:
-    """A single refusal without other news refuses less than half of its rank."""
+    """A single refusal without other reports refuses less than half of its rank."""
     levels = AverageLevels()
     levels.record_result("r", 5, CallResult(not_run(Reason.OVERLOADED)), 0.0)
     assert pass_share(levels.level("r", 0.0), 5) > 0.5
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -155,7 +155,7 @@
     _run(check, a="east", b="west")
 
 
-# A daemon that missed the news would send to the domain until the next evacuation.
+# A daemon that missed the update would send to the domain until the next evacuation.
 def test_a_daemon_that_missed_the_news_catches_up() -> None:
     """Its peers exchange the state with it, whoever of the two knows the newer one."""
 
--- a/tests/mesh/test_neighbours.py
+++ b/tests/mesh/test_neighbours.py
@@ -73,7 +73,7 @@
 
 # All links to remote servers of a pool could lead to the domain that was evacuated.
 def test_each_pool_is_reached_while_domains_are_evacuated() -> None:
-    """Links to evacuated servers stay, for their return and for news of it."""
+    """Links to evacuated servers stay, for their return and for updates about it."""
     records = _fleet(300)
     evacuated = frozenset(DOMAINS[:2])
     by_instance = {record.instance: record for record in records}
--- a/tests/mesh/test_parts.py
+++ b/tests/mesh/test_parts.py
@@ -17,7 +17,7 @@
 from damaskbay.core.call import CallContext, CallResult, Response
 from damaskbay.core.retry.repeats import ServerRetryBudget, ServerRetryOptions
 from damaskbay.core.trees.admission import TreeAdmission
-from damaskbay.core.trees.news import TreeNews
+from damaskbay.core.trees.reports import TreeReports
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.directory import NOTE_TIMEOUT_S, Directory, MemberRecord
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
@@ -255,10 +255,10 @@
     """Earlier retries would be refused again and delay admitted calls."""
 
     def longest(level: int) -> float:
-        news = TreeNews()
-        admission = TreeAdmission(news, random.Random(1))
+        reports = TreeReports()
+        admission = TreeAdmission(reports, random.Random(1))
         for step in range(40):
-            news.levels.record_level("r", level, step * 0.01)
+            reports.levels.record_level("r", level, step * 0.01)
         refused = [admission.refusal("r", 1, "w", 1.0, 0.4) for _ in range(200)]
         waits = [item.refusal.retry_after_s for item in refused if item is not None]
         return max(wait for wait in waits if wait is not None)
@@ -268,23 +268,23 @@
 
 def test_the_edge_refuses_the_least_important_first() -> None:
     """A level of 1,500 admits all of rank 0 and half of rank 1, until it expires."""
-    news = TreeNews()
-    admission = TreeAdmission(news, random.Random(1))
+    reports = TreeReports()
+    admission = TreeAdmission(reports, random.Random(1))
     assert admission.refusal("r", 2, "w", 1.0, 0.0) is None
 
     def admitted(rank: int, now: float) -> int:
-        news.levels.record_level("r", 1500, now)
+        reports.levels.record_level("r", 1500, now)
         return sum(
             admission.refusal("r", rank, "w", 1.0, now) is None for _ in range(200)
         )
 
     for step in range(40):
-        news.levels.record_level("r", 1500, step * 0.01)
+        reports.levels.record_level("r", 1500, step * 0.01)
     assert admitted(0, 0.4) == 200
     assert 60 <= admitted(1, 0.4) <= 140
     assert admitted(2, 0.4) <= 20
     assert admission.refusal("r", 2, "w", 1.0, 5.0) is None
-    news.levels.record_level("q", OPEN_LEVEL, 0.0)
+    reports.levels.record_level("q", OPEN_LEVEL, 0.0)
     assert admission.refusal("q", 99, "w", 1.0, 0.0) is None
 
 
--- a/tests/mesh/test_trees.py
+++ b/tests/mesh/test_trees.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from damaskbay.core.call import CallContext, CallResult, PoolNews, Request, Response
+from damaskbay.core.call import CallContext, CallResult, PoolReport, Request, Response
 from damaskbay.core.outcome import Reason, not_run
 from damaskbay.daemon.messages import (
     TreeCallMessage,
@@ -21,7 +21,10 @@
 
 CONTEXT = CallContext("", "w", 2, 10.0, "r", "p", True, request_id="a1")
 REQUEST = Request("GET", "h", "/")
-POOLS = (PoolNews("p", 1.0, 0.3, 1_000_000, 1.0), PoolNews("q", 8.0, 0.2, 5_300, None))
+POOLS = (
+    PoolReport("p", 1.0, 0.3, 1_000_000, 1.0),
+    PoolReport("q", 8.0, 0.2, 5_300, None),
+)
 MAX_BYTES = 1_000
 
 
