--- a/damaskbay/core/pressure.py
+++ b/damaskbay/core/pressure.py
@@ -115,7 +115,14 @@
         """
         if level is None and refused_rank is None:
             return
-        if level is not None and level < OPEN_LEVEL:
+        known = self._levels.get(name)
+        is_fresh = known is not None and now - known.updated_at < LEVEL_EXPIRY_S
+        if level == OPEN_LEVEL and refused_rank is None:
+            # By far the most common result.
+            if known is not None and is_fresh and not known.overloaded:
+                known.updated_at = now
+                return
+        elif level is not None and level < OPEN_LEVEL:
             # A server reports no level above the ranks of its own calls.
             self._ranks.record((level - 1) // LEVEL_STEPS_PER_RANK, now)
         open_level = self._ranks.highest_level
@@ -123,8 +130,7 @@
         if refused_rank is not None:
             newest = min(newest, float(refused_rank * LEVEL_STEPS_PER_RANK))
         is_low = newest < open_level
-        known = self._levels.get(name)
-        if known is None or now - known.updated_at >= LEVEL_EXPIRY_S:
+        if known is None or not is_fresh:
             if len(self._levels) >= MAX_NAMES:
                 self._levels.clear()
             # A refused call alone is less certain than a level.
--- a/damaskbay/core/trees/reports.py
+++ b/damaskbay/core/trees/reports.py
@@ -80,4 +80,4 @@
 
     def _with_room(self, item: PoolReport, now: float) -> PoolReport:
         level, accepted = self.room.report(item.pool, now)
-        return item._replace(level=level, accepted=accepted)
+        return PoolReport(item.pool, item.calls, item.slot_s, level, accepted)
