--- a/review/stand_ins_2/store.py
+++ b/review/stand_ins_2/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import itertools
 import json
 import time
@@ -23,6 +24,7 @@
         self.revision = 1
         self.lease_ends: dict[int, tuple[float, float]] = {}
         self.refuse: Callable[[Message], int | None] = lambda _request: None
+        self.era = 1
         self.port = 0
         self._numbers = itertools.count(77120)
         self._changed = asyncio.Condition()
@@ -55,6 +57,17 @@
             for lease, (ttl_s, ends_at) in self.lease_ends.items()
         }
 
+    def copy_state(self) -> tuple[Any, ...]:
+        """Return a copy of what the store holds."""
+        return copy.deepcopy((self.items, self.history, self.revision, self.lease_ends))
+
+    async def restore(self, state: tuple[Any, ...]) -> None:
+        """Come back from a copy: what was written since is gone, leases too."""
+        async with self._changed:
+            self.items, self.history, self.revision, self.lease_ends = state
+            self.era += 1
+            self._changed.notify_all()
+
     async def _expire_leases(self) -> None:
         while True:
             await asyncio.sleep(0.05)
@@ -73,6 +86,12 @@
             self._changed.notify_all()
 
     async def _serve(self, request: Message) -> Reply | None:
+        reply = await self._answer(request)
+        if reply is not None:
+            reply.headers.append(("Store-Era", str(self.era)))
+        return reply
+
+    async def _answer(self, request: Message) -> Reply | None:
         status = self.refuse(request)
         if status is not None:
             return None if status == 0 else _json(status, {})
@@ -131,12 +150,17 @@
                 if event["Revision"] > after and event["Key"].startswith(prefix)
             ]
 
+        def is_gone() -> bool:
+            return after > self.revision
+
         async with self._changed:
             try:
                 async with asyncio.timeout(int(query["WaitMs"]) / 1000):
-                    await self._changed.wait_for(events)
+                    await self._changed.wait_for(lambda: is_gone() or events())
             except TimeoutError:
                 pass
+            if is_gone():
+                return 410, {}
             return 200, {"events": events(), "StoreRevision": self.revision}
 
     async def _transact(self, body: Row) -> tuple[int, Row]:
