--- a/review/10/case.py
+++ b/review/10/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import sys
 from pathlib import Path
 
@@ -55,4 +56,4 @@
     return not broken
 
 
-main(__file__, run)
+main(__file__, run, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A server that has deregistered gets requests again after its daemon was killed."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -97,4 +98,4 @@
     machine.start()
 
 
-main(__file__, run)
+main(__file__, run, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """A server that has deregistered is used again after a restart, without a probe."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -75,4 +76,4 @@
     return not late_runs
 
 
-main(__file__, run)
+main(__file__, run, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -19,12 +19,12 @@
 
 
 class Case:
-    """The stand-ins and machines of one run; `trouble` is False with TROUBLE=0."""
+    """The stand-ins and machines of one run, with the disruption if `trouble`."""
 
-    def __init__(self, folder: Path, record: Record) -> None:
+    def __init__(self, folder: Path, record: Record, *, trouble: bool) -> None:
         self.folder = folder
         self.record = record
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.trouble = trouble
         self.store = Store()
         self.machines: list[Machine] = []
         self.backends: list[Backend] = []
@@ -57,13 +57,13 @@
             await backend.start()
 
 
-def main(script: str, run: Callable[[Case], Awaitable[bool]]) -> None:
+def main(script: str, run: Callable[[Case], Awaitable[bool]], *, trouble: bool) -> None:
     """Run a case, which returns whether the rule held; exit with its status."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     folder = Path(script).resolve().parent
     record = Record(folder / "record.txt")
     with tempfile.TemporaryDirectory() as scratch:
-        case = Case(Path(scratch), record)
+        case = Case(Path(scratch), record, trouble=trouble)
         status = NOT_RUN
         try:
             status = asyncio.run(_run(case, run))
