Tell no caller that a request which has run has not

What callers saw: a server ran a request that may run once only and failed with 503, without X-Not-Executed.

Cause: the daemon knows by X-Not-Executed and 421 what has not run, but passed any other failure on with its status, and 408, 421, 429 and 503 promise a client more than they do a daemon.

Change: on a route that isn't idempotent, such a response becomes the daemon's own 502, without the server's stamp. Failures with other statuses, and all of idempotent routes, keep status and stamp. Found on related paths: 421 with a stamp counted as not run, and was sent again although the stamp says that the server ran it; and a refusal with an unknown outcome would have kept 429.

--- a/damaskbay/core/http_status.py
+++ b/damaskbay/core/http_status.py
@@ -14,6 +14,16 @@
 LAST_FINAL_STATUS: Final = 599
 SWITCHING_PROTOCOLS: Final = int(HTTPStatus.SWITCHING_PROTOCOLS)
 
+NOT_RUN_STATUSES: Final = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+"""Statuses that tell a caller that its request has not run and never will."""
+
 _STATUS_BY_REASON: Final[Mapping[Reason, HTTPStatus]] = {
     Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
     Reason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
--- a/damaskbay/mesh/dialect.py
+++ b/damaskbay/mesh/dialect.py
@@ -9,7 +9,8 @@
     Header names of one deployment.
 
     A server sets `not_run` on the response to a call that it did not run; the
-    statuses in `not_run_statuses` mean the same without this header. It names in
+    statuses in `not_run_statuses` mean the same without this header, unless there is a
+    `stamp`, which it sets on the response to a call that it did run. It names in
     `limit` the requests per second that it takes, and sets `leaving` while it drains.
     `cold_ms` in a response of its health check says how long it stays cold.
     """
--- a/damaskbay/mesh/ingress.py
+++ b/damaskbay/mesh/ingress.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from damaskbay.adapters.http1.server import ReceivedRequest
@@ -27,7 +27,7 @@
 from damaskbay.mesh.dispatch import Dispatcher
 from damaskbay.mesh.identification import Identification
 from damaskbay.mesh.processor_gate import ProcessorGate
-from damaskbay.mesh.refusals import RefusalResponses
+from damaskbay.mesh.refusals import RefusalResponses, refusal_of_failed_run
 from damaskbay.mesh.running import RunningCall, RunningCalls
 from damaskbay.mesh.tokens import PooledTokens
 from damaskbay.mesh.weights import WeightedChoice
@@ -206,6 +206,9 @@
                 parts.processor.guard.record_duration(took_s, incoming.timeout_s)
         self._record_result(context, result, parts.clock() - arrival.arrived_at)
         parts.trees.record_result(context, result, parts.clock())
+        replaced = refusal_of_failed_run(result.result, route)
+        if replaced is not None:
+            result = replace(result, result=replaced)
         if incoming.caller is not None:
             parts.running.record_nested_end(incoming.caller, result, parts.clock())
         outcome = result.result
--- a/damaskbay/mesh/refusals.py
+++ b/damaskbay/mesh/refusals.py
@@ -6,8 +6,12 @@
 from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.config.objects import Route
 from damaskbay.core.call import Headers, Response
-from damaskbay.core.http_status import FIRST_SERVER_ERROR, status_of
-from damaskbay.core.outcome import Refusal
+from damaskbay.core.http_status import (
+    FIRST_SERVER_ERROR,
+    NOT_RUN_STATUSES,
+    status_of,
+)
+from damaskbay.core.outcome import Reason, Refusal, unknown
 from damaskbay.helpers.logs import is_suppressed
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.dialect import HeaderNames
@@ -53,7 +57,7 @@
         status = status_of(refusal)
         if refusal.not_run and status >= FIRST_SERVER_ERROR:
             status = SERVICE_UNAVAILABLE
-        elif not refusal.not_run and status == SERVICE_UNAVAILABLE:
+        elif not refusal.not_run and status in NOT_RUN_STATUSES:
             status = BAD_GATEWAY
         if not is_suppressed(_LOGGER, _REFUSED, refusal.reason.value):
             self._log(refusal, request_id, route, status)
@@ -82,3 +86,18 @@
                 "status": status,
             },
         )
+
+
+def refusal_of_failed_run(outcome: Response | Refusal, route: Route) -> Refusal | None:
+    """
+    Return the refusal that replaces a server's failure, None if it is passed on.
+
+    Callers send a request that may run once only again after some statuses, so these
+    must not come from a server that has run it.
+    """
+    if route.idempotent or not isinstance(outcome, Response):
+        return None
+    if outcome.status not in NOT_RUN_STATUSES:
+        return None
+    detail = f"server failed with status {outcome.status}"
+    return unknown(Reason.BACKEND_SERVER_FAILED, detail=detail)
--- a/damaskbay/mesh/server_calls.py
+++ b/damaskbay/mesh/server_calls.py
@@ -255,9 +255,10 @@
         dialect = self._parts.dialect
         headers, values = self._sieve.split(response.headers)
         self._notices.record_response(values, start, self._parts.clock())
-        if (
-            self._not_run_header in values
-            or response.status in dialect.not_run_statuses
+        # A server stamps what it has run, whatever the status says.
+        if self._not_run_header in values or (
+            response.status in dialect.not_run_statuses
+            and self._stamp_header not in values
         ):
             _LOGGER.info(
                 "target: server refused.",
