Let no late report make a server ready that has left

What callers saw: a server had deregistered, its daemon had stored and acknowledged that. The store went down, the daemon was killed, and a heartbeat from before came late to the next one. From then on, and with the store back, the server got requests again, also such as may run once only, and lost those that ran as it ended.

Change: the leaving of a start is final, in each order of record and report, and a record that was not read is replaced only by one that says that the server leaves. The first report that a start is ready is held back until the server confirms it in its health check, which one that is well does within milliseconds, in an outage as well. Daemons tell their linked peers of a departure and ask them after a start, so that it is known while the record can't be read, and without a health check. A departure that the store refuses is still acknowledged, with a warning in the log: without it the server would only wait and leave all the same.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -42,11 +42,12 @@
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.const import EXPIRY_INTERVAL_S, LOAD_AVERAGE_S
 from damaskbay.mesh.control_plane import NOT_HANDLED, ControlPlane, ControlPlaneParts
+from damaskbay.mesh.departures import Departures
 from damaskbay.mesh.directory import Directory, MemberRecord
 from damaskbay.mesh.gate import Gate
 from damaskbay.mesh.listeners import Listeners
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
-from damaskbay.mesh.messages import Note, PeerStatus, ServerEnd
+from damaskbay.mesh.messages import Departure, Note, PeerStatus, ServerEnd
 from damaskbay.mesh.neighbours import wanted_neighbours
 from damaskbay.mesh.observing import StatusEndpoints, StatusParts
 from damaskbay.mesh.processor_gate import ProcessorGate
@@ -54,6 +55,7 @@
 from damaskbay.mesh.registry import DRAIN_WRITE_TIMEOUT_S
 from damaskbay.mesh.running import RunningCalls
 from damaskbay.mesh.server_check import ServerCheck
+from damaskbay.mesh.server_confirmation import ConfirmationParts, ServerConfirmation
 from damaskbay.mesh.settings import (
     MeshSettings,
     SettingsHistory,
@@ -129,6 +131,16 @@
         self._server_check = ServerCheck(
             settings, platform_parts.dialect, self.configuration, self.local, self._gate
         )
+        self._departures = Departures(settings.instance, self._links)
+        self._confirmation = ServerConfirmation(
+            ConfirmationParts(
+                self.local,
+                self._server_check,
+                self._departures,
+                self._links,
+                monotonic_s,
+            )
+        )
         self._cold_server = ColdServer(
             settings, self._server_check, self._links.broadcast_note, monotonic_s
         )
@@ -231,6 +243,7 @@
             self._expire_waiting_calls,
             self._status.loop_monitor.run,
             self._cold_server.run,
+            self._confirmation.run,
             self._reserve.run,
         ):
             self._tasks.append(asyncio.create_task(keep_running(run)))
@@ -273,13 +286,21 @@
 
     async def record_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Record a heartbeat of the local server; return whether to confirm it."""
-        self.local.record_heartbeat(heartbeat, monotonic_s())
+        now = monotonic_s()
+        if self._confirmation.hold(heartbeat, now):
+            await self._confirmation.wait()
+            return True
+        self.local.record_heartbeat(heartbeat, now)
+        self._confirmation.drop_known()
         return self.local.state is ServerState.READY or await self._store_drain()
 
     async def record_deregistration(self, server: str, born_ms: int | None) -> bool:
         """Record that the local server leaves; return whether to confirm it."""
+        if born_ms is None:
+            born_ms = self._confirmation.held_born_ms(server)
         if not self.local.deregister(server, born_ms, monotonic_s()):
             return True
+        self._confirmation.drop_known()
         if self.local.state is ServerState.STARTING:
             # The stored record can't name a server whose start is unknown.
             return False
@@ -290,12 +311,21 @@
         Store that the server takes no calls; return whether to confirm its report.
 
         This daemon obeys the report in any case. The next one at this address knows
-        only the stored record, so a stopping daemon confirms only what is stored.
+        the stored record and what peers have been told, and asks the server; so a
+        stopping daemon, whose successor starts soon, confirms only what is stored.
         """
+        telling = self._departures.tell(self.local.start)
         now = monotonic_s()
         timeout_s = self._lifetime.limit(now + DRAIN_WRITE_TIMEOUT_S) - now
         stored = await self._control_plane.registration.write_now(max(0.0, timeout_s))
-        return stored or self._lifetime.plan is None
+        if stored or self._lifetime.plan is not None:
+            return stored
+        told = await telling
+        _LOGGER.warning(
+            "backend: departure is confirmed, but not stored.",
+            extra={"server": self.local.server, "peer_knows": told},
+        )
+        return True
 
     def _stored_record(self) -> MemberRecord:
         """Return the record with the server's own state, for the next daemon start."""
@@ -316,11 +346,14 @@
             self._incarnation = record.incarnation + 1
             self._server_changed()
         known = Heartbeat(record.server, record.state, record.slots, 0, record.born_ms)
+        now = monotonic_s()
         if known.state is ServerState.READY:
             restore = self._server_check.restore_ready(known)
             self._tasks.append(asyncio.get_running_loop().create_task(restore))
         else:
-            self.local.restore(known, monotonic_s())
+            self.local.restore(known, now)
+            self._confirmation.drop_known()
+        self._control_plane.registration.schedule_write()
 
     def _make_record(self) -> MemberRecord:
         settings = self.settings
@@ -388,6 +421,8 @@
         if isinstance(message, ServerEnd):
             self._fatal_calls.record_end(message.digests, monotonic_s())
             return self._make_status()
+        if isinstance(message, Departure):
+            return self._departures.handle(message)
         reply = await self._control_plane.handle_request(message)
         if reply is NOT_HANDLED:
             raise TypeError(f"no handler for message {type(message).__name__}")
--- a/damaskbay/mesh/control_plane.py
+++ b/damaskbay/mesh/control_plane.py
@@ -193,8 +193,13 @@
         )
 
     def _may_replace(self, record: MemberRecord) -> bool:
-        """Return whether nothing of an earlier record is lost that is still needed."""
-        return self.members.has_read or record.state is not ServerState.STARTING
+        """
+        Return whether nothing of an earlier record is lost that is still needed.
+
+        A record that was not read may say that the server is leaving.
+        """
+        leaves = record.state in (ServerState.DRAINING, ServerState.GONE)
+        return self.members.has_read or leaves
 
     def _watches_store(self) -> bool:
         return self.exchange.watches_store
--- a/damaskbay/mesh/local_server.py
+++ b/damaskbay/mesh/local_server.py
@@ -103,22 +103,40 @@
         """
         Restore the server's last report from an earlier start of the daemon.
 
-        A server that was draining remains draining, one that has deregistered remains
-        gone. If another server now listens at the address, it refuses calls, which name
-        the known server, until its report.
+        A server that was draining or has deregistered gets no calls any more, also if
+        a report of the same start has come before. If another server now listens at the
+        address, it refuses calls, which name the known server, until its report.
         """
-        unheard = self.state in (ServerState.STARTING, ServerState.GONE)
-        if not unheard or not known.server or known.started_ms <= self._born_ms:
+        later = known.started_ms > self._born_ms
+        same = (known.server, known.started_ms) == self.start
+        if not known.server or not (later or same):
             return
-        if known.server == self._left_unknown:
+        if known.server == self._left_unknown and later:
             self.deregister(known.server, known.started_ms, now)
+        elif known.state is not ServerState.READY:
+            self._restore_leaving((known.server, known.started_ms), now)
+        elif later and self.state in (ServerState.STARTING, ServerState.GONE):
+            self._begin_start(known.server, known.started_ms)
+            self.slots = known.slots
+            self._set_state(ServerState.READY, now)
+            self._on_change()
+
+    def _restore_leaving(self, start: ServerStart, now: float) -> None:
+        """Restore that a start was leaving at an earlier start of the daemon."""
+        if self.state is ServerState.STARTING:
+            self._restored_draining = start
             return
-        if known.state is not ServerState.READY:
-            self._restored_draining = (known.server, known.started_ms)
+        if start != self.start:
+            self._begin_start(*start)
+        elif self.state is not ServerState.READY:
             return
-        self._begin_start(known.server, known.started_ms)
-        self.slots = known.slots
-        self._set_state(ServerState.READY, now)
+        _LOGGER.warning(
+            "backend: server was leaving before its last report.",
+            extra={"server": self.server, "sequence": self._sequence},
+        )
+        # The time for which admitted calls may be sent began with the earlier report.
+        self._send_until = now
+        self._set_state(ServerState.DRAINING, now)
         self._on_change()
 
     def deregister(self, server: str, born_ms: int | None, now: float) -> bool:
--- a/damaskbay/mesh/messages.py
+++ b/damaskbay/mesh/messages.py
@@ -54,6 +54,20 @@
     digests: tuple[bytes, ...]
 
 
+@message("mesh.departure")
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """
+    The server beside a daemon leaves; answered by the last known departure there.
+
+    `server` is the one that leaves, empty if none is known, and `born_ms` its start.
+    """
+
+    instance: str
+    server: str
+    born_ms: int
+
+
 @message("mesh.members_wanted")
 @dataclass(frozen=True, slots=True)
 class MembersRequest:
--- a/damaskbay/mesh/server_check.py
+++ b/damaskbay/mesh/server_check.py
@@ -27,7 +27,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 CHECK_TIMEOUT_S = 0.5
-"""Timeout of the check, seconds; after it, the server's next report counts."""
+"""Timeout of the check, seconds."""
 
 CONFIG_WAIT_S = 1.0
 """Wait for the configuration, which is read from the store like the state, seconds."""
@@ -40,15 +40,17 @@
     """
     What a server says of itself.
 
-    `state` is STARTING if only a report of the server can tell. `limit_per_s` is the
-    limit that it names, in requests per second, None if it names none. `cold_s` is how
-    long it stays cold, None if it doesn't say; it may be `another` than the known one.
+    `state` is STARTING if the check doesn't tell; then `denies` is whether the server
+    has answered that it fails or leaves. `limit_per_s` is the limit that it names, in
+    requests per second, None if it names none. `cold_s` is how long it stays cold, None
+    if it doesn't say; it may be `another` than the known one.
     """
 
     state: ServerState
     limit_per_s: float | None = None
     cold_s: float | None = None
     another: bool = False
+    denies: bool = False
 
 
 class ServerCheck:
@@ -72,6 +74,7 @@
         self._pool = settings.pool
         self._server_header = dialect.server.lower()
         self._leaving_header = dialect.leaving.lower()
+        self._not_run_header = dialect.not_run.lower()
         self._limit_header = dialect.limit.lower()
         self._cold_header = dialect.cold_ms.lower()
         self._configuration = configuration
@@ -79,13 +82,28 @@
         self.gate = gate
         self.on_cold: Callable[[float, float], None] = lambda cold_s, as_of: None
 
+    @property
+    def is_configured(self) -> bool:
+        """Return whether it is known if the pool has a health check."""
+        return self._configuration.config is not None
+
+    @property
+    def is_possible(self) -> bool:
+        """Return whether the active configuration names a health check of the pool."""
+        return bool(self._health_path())
+
     async def restore_ready(self, known: Heartbeat) -> None:
         """
         Restore a server that was ready at an earlier daemon start, unless it denies it.
 
         The earlier daemon may have ended before it could store that the server leaves.
         """
-        checked = await self.check(known.server)
+        wait_until = monotonic_s() + CONFIG_WAIT_S
+        while not self.is_configured and monotonic_s() < wait_until:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        checked = CheckedServer(ServerState.READY)
+        if self.is_possible:
+            checked = await self.check(known.server)
         now = monotonic_s()
         if checked.state is not ServerState.STARTING:
             self.local.restore(replace(known, state=checked.state), now)
@@ -95,26 +113,26 @@
 
     async def check(self, server: str) -> CheckedServer:
         """
-        Return what the server says, READY in a pool without a health check.
+        Return what the server says; STARTING if it can't be asked.
 
         A response of another server than the expected one says nothing.
         """
-        path = await self._health_path()
+        path = self._health_path()
         if not path:
-            return CheckedServer(ServerState.READY)
+            return CheckedServer(ServerState.STARTING)
         checked, why = await self._ask(path, server)
         if checked.state is not ServerState.READY:
             _LOGGER.info(
-                "backend: stored state is not confirmed.",
+                "backend: server does not confirm that it is ready.",
                 extra={"server": server, "why": why},
             )
         return checked
 
     async def ask_cold(self) -> bool:
         """Ask whether the server is cold; return False if it is to be asked again."""
-        path = await self._health_path()
+        path = self._health_path()
         if not path:
-            return True
+            return self.is_configured
         checked, why = await self._ask(path, self.local.server)
         if checked.cold_s is None:
             _LOGGER.info(
@@ -148,10 +166,8 @@
             self.on_cold(checked.cold_s, asked_at)
         return checked, why
 
-    async def _health_path(self) -> str:
-        wait_until = monotonic_s() + CONFIG_WAIT_S
-        while self._configuration.config is None and monotonic_s() < wait_until:
-            await asyncio.sleep(POLL_INTERVAL_S)
+    def _health_path(self) -> str:
+        """Return the path of the health check, empty if none is known."""
         config = self._configuration.config
         pool = config.pools_by_name.get(self._pool) if config is not None else None
         return pool.health_path if isinstance(pool, HealthCheckedPool) else ""
@@ -167,13 +183,15 @@
         if headers.get(self._server_header) != server:
             why = "another server or none named"
             return CheckedServer(ServerState.STARTING, None, cold_s, True), why
-        state, why = ServerState.READY, ""
+        state, why, denies = ServerState.READY, "", False
         if headers.get(self._leaving_header) == LEAVING:
             state, why = ServerState.DRAINING, "server leaves"
         elif outcome.status != HTTPStatus.OK:
             state, why = ServerState.STARTING, f"status {outcome.status}"
+            # A full server rejects the check like any other request.
+            denies = self._not_run_header not in headers
         limit_per_s = parse_limit(headers.get(self._limit_header, ""))
-        return CheckedServer(state, limit_per_s, cold_s), why
+        return CheckedServer(state, limit_per_s, cold_s, denies=denies), why
 
     def _read_cold_s(self, text: str | None) -> float | None:
         """Return the seconds in a header, None without a valid one."""
--- a/tests/mesh/common.py
+++ b/tests/mesh/common.py
@@ -36,13 +36,16 @@
     A backend server; `override_response` may override its responses.
 
     Its health check says whether it is `leaving` and how long it stays cold, `cold_ms`,
-    and names its `limit`. `arrivals` are the times of all requests, in seconds.
+    and names its `limit`; it fails unless the server is `healthy`, and is rejected if
+    it `rejects_checks`. `arrivals` are the times of all requests, in seconds.
     """
 
     pool: str
     server: str
     address: PeerAddress
     leaving: bool = False
+    healthy: bool = True
+    rejects_checks: bool = False
     limit: str | None = None
     cold_ms: str | None = None
     arrivals: list[float] = field(default_factory=list)
@@ -69,13 +72,15 @@
 
     def _health(self) -> Response:
         headers: Headers = (("X-Instance-Id", self.server),)
+        if self.rejects_checks:
+            return Response(503, (*headers, ("X-Not-Executed", "1")))
         if self.limit is not None:
             headers = (*headers, ("Server-Limit", self.limit))
         if self.cold_ms is not None:
             headers = (*headers, ("X-Cold-Ms", self.cold_ms))
         if self.leaving:
             return Response(503, (*headers, ("Server-Leaving", "1")))
-        return Response(200, headers)
+        return Response(200 if self.healthy else 503, headers)
 
     def ids(self) -> list[str]:
         """Return the ids of the received requests."""
@@ -195,6 +200,27 @@
             node.run_task.result()
         return node
 
+    async def kill(self, node: Node) -> None:
+        """End a daemon at once, as a kill of its process does."""
+        tasks = {node.run_task, *node.daemon._tasks}
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+
+    async def start_again(self, node: Node) -> Node:
+        """Start a daemon for the server of a killed one; wait until it listens."""
+        settings = node.daemon.settings
+        started = self.start_daemon(
+            settings.instance,
+            node.backend,
+            callers=settings.callers,
+            control=settings.control,
+            peers=settings.peers,
+        )
+        started.sequence = node.sequence
+        await wait_until(lambda: bool(started.daemon._tasks))
+        return started
+
     def start_daemon(self, name: str, backend: Backend, **changes: Any) -> Node:
         """Start a daemon for a running server."""
         settings = _settings(name, backend, self._store_address, changes)
--- a/tests/mesh/test_local_server.py
+++ b/tests/mesh/test_local_server.py
@@ -19,18 +19,10 @@
 
 async def _restart(fleet: Fleet, node: Node) -> Node:
     """Replace a daemon by one at the same addresses."""
-    tasks = {node.run_task, *node.daemon._tasks}
-    for task in tasks:
-        task.cancel()
-    await asyncio.wait(tasks)
-    settings = node.daemon.settings
-    return await fleet.add_daemon(
-        settings.instance,
-        node.backend,
-        callers=settings.callers,
-        control=settings.control,
-        peers=settings.peers,
-    )
+    await fleet.kill(node)
+    started = await fleet.start_again(node)
+    await wait_until(lambda: started.daemon.ready)
+    return started
 
 
 async def _wait_until_registered(fleet: Fleet, node: Node) -> None:
