Trust no stored READY before the server confirms it

What callers saw: a server left while the store was down and was acknowledged, then all daemons were killed. After the outage it got requests again, though its health check said that it leaves, and lost those that ran as it ended.

Cause: a stored READY was to be confirmed by the health check, whose path comes from the configuration. Without a configuration after one second the check took the pool for one that has none, and the server for ready. After an outage the configuration is read up to 3 s later than the record.

Change: a stored READY is held back like a first report, until the server confirms it, however long the configuration takes. Otherwise the server's own report counts. That a departure is acknowledged while nothing can be stored stays as it was.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -348,8 +348,7 @@
         known = Heartbeat(record.server, record.state, record.slots, 0, record.born_ms)
         now = monotonic_s()
         if known.state is ServerState.READY:
-            restore = self._server_check.restore_ready(known)
-            self._tasks.append(asyncio.get_running_loop().create_task(restore))
+            self._confirmation.hold(known, now, stored=True)
         else:
             self.local.restore(known, now)
             self._confirmation.drop_known()
--- a/damaskbay/mesh/server_check.py
+++ b/damaskbay/mesh/server_check.py
@@ -1,10 +1,9 @@
 """Check of the local backend server, when a stored state or its start is in doubt."""
 
-import asyncio
 import logging
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from damaskbay.adapters.http1.client import (
@@ -19,7 +18,7 @@
 from damaskbay.mesh.configuration import Configuration
 from damaskbay.mesh.dialect import HeaderNames
 from damaskbay.mesh.gate import Gate
-from damaskbay.mesh.local_server import Heartbeat, LocalServer
+from damaskbay.mesh.local_server import LocalServer
 from damaskbay.mesh.server_notices import LEAVING, MAX_LOGGED_VALUE
 from damaskbay.mesh.settings import MeshSettings
 from damaskbay.ports.fleet import ServerState
@@ -29,11 +28,6 @@
 CHECK_TIMEOUT_S = 0.5
 """Timeout of the check, seconds."""
 
-CONFIG_WAIT_S = 1.0
-"""Wait for the configuration, which is read from the store like the state, seconds."""
-
-POLL_INTERVAL_S = 0.02
-
 
 @dataclass(frozen=True, slots=True)
 class CheckedServer:
@@ -92,25 +86,6 @@
         """Return whether the active configuration names a health check of the pool."""
         return bool(self._health_path())
 
-    async def restore_ready(self, known: Heartbeat) -> None:
-        """
-        Restore a server that was ready at an earlier daemon start, unless it denies it.
-
-        The earlier daemon may have ended before it could store that the server leaves.
-        """
-        wait_until = monotonic_s() + CONFIG_WAIT_S
-        while not self.is_configured and monotonic_s() < wait_until:
-            await asyncio.sleep(POLL_INTERVAL_S)
-        checked = CheckedServer(ServerState.READY)
-        if self.is_possible:
-            checked = await self.check(known.server)
-        now = monotonic_s()
-        if checked.state is not ServerState.STARTING:
-            self.local.restore(replace(known, state=checked.state), now)
-        same_start = self.local.start == (known.server, known.started_ms)
-        if checked.limit_per_s is not None and same_start:
-            self.gate.record_response(checked.limit_per_s, now)
-
     async def check(self, server: str) -> CheckedServer:
         """
         Return what the server says; STARTING if it can't be asked.
--- a/damaskbay/mesh/server_confirmation.py
+++ b/damaskbay/mesh/server_confirmation.py
@@ -45,9 +45,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Held:
-    """A report that is held back; a `fresh` one was sent since this daemon started."""
+    """
+    A report that is held back.
+
+    `stored` is one from the record of an earlier daemon, `fresh` one that was sent
+    since this daemon started.
+    """
 
     report: Heartbeat
+    stored: bool
     fresh: bool
 
     @property
@@ -88,9 +94,10 @@
             return None
         return held.report.started_ms
 
-    def hold(self, report: Heartbeat, now: float) -> bool:
+    def hold(self, report: Heartbeat, now: float, *, stored: bool = False) -> bool:
         """Hold back a report that needs confirmation; return False if it needs none."""
-        held = _Held(report, now >= self._fresh_from)
+        fresh = not stored and now >= self._fresh_from
+        held = _Held(report, stored, fresh)
         if report.state is not ServerState.READY or self._is_known(held.start):
             return False
         if report.started_ms < self._parts.local.born_ms:
@@ -134,7 +141,11 @@
         elif held.fresh or self._parts.clock() >= self._fresh_from:
             _LOGGER.warning(
                 "backend: report is not confirmed, the next one is awaited.",
-                extra={"server": held.report.server, "denied": denied},
+                extra={
+                    "server": held.report.server,
+                    "stored": held.stored,
+                    "denied": denied,
+                },
             )
             self._drop()
 
@@ -175,9 +186,13 @@
 
     def _release(self, held: _Held) -> None:
         """Let a report count, or a later one of the same start that came meanwhile."""
+        now = self._parts.clock()
         if self._held is not None and self._held.start == held.start:
             held = self._held
-        self._parts.local.record_heartbeat(held.report, self._parts.clock())
+        if held.stored:
+            self._parts.local.restore(held.report, now)
+        else:
+            self._parts.local.record_heartbeat(held.report, now)
         if self._held is held:
             self._drop()
 
--- a/tests/mesh/test_departures.py
+++ b/tests/mesh/test_departures.py
@@ -13,7 +13,7 @@
 from damaskbay.mesh import server_confirmation
 from damaskbay.mesh.local_server import Heartbeat, LocalServer
 from damaskbay.mesh.records import decode_record
-from damaskbay.platform.const import MEMBER_PREFIX
+from damaskbay.platform.const import CONFIG_PREFIX, MEMBER_PREFIX
 from damaskbay.ports.fleet import ServerState
 from tests.common import function_suite
 from tests.mesh.common import Fleet, Node, run_fleet, wait_until
@@ -162,6 +162,33 @@
         asyncio.run(run(how))
 
 
+# Guards against review/7: a stored state that counts before the health check is known.
+def test_a_stored_state_waits_for_the_configuration() -> None:
+    """The server left in an outage, and all daemons were killed."""
+
+    async def run(how: str, *, has_check: bool) -> None:
+        async with run_fleet(a="one", b="two") as fleet:
+            if not has_check:
+                await _remove_health_check(fleet)
+            node = fleet.nodes["b"]
+            fleet.kv.faults.status = 503
+            await _leave(node, how)
+            nodes = tuple(fleet.nodes.values())
+            for killed in nodes:
+                await fleet.kill(killed)
+            with _unread(fleet, CONFIG_PREFIX):
+                fleet.kv.faults.status = None
+                started = [await fleet.start_again(killed) for killed in nodes]
+                node = started[-1]
+                await wait_until(lambda: node.daemon._control_plane.members.has_read)
+                await _assert_not_ready(node)
+            await wait_until(lambda: node.daemon.ready)
+            await _assert_not_ready(node)
+
+    for how, has_check in (("gone", True), ("draining", True), ("gone", False)):
+        asyncio.run(run(how, has_check=has_check))
+
+
 # Guards against a server that is well and gets no calls after a start of its daemon.
 def test_a_server_that_is_well_is_ready_soon_after_a_start() -> None:
     """In an outage its report and a peer's configuration suffice; later its record."""
