Soak: let servers leave beside outages, kills and late reports

Unplanned seeds now let servers drain or deregister while the store is away for one machine or all, kill their daemons and send a report from before up to 3.5 s late. The servers say that they leave in their health check alone. The stream has random numbers of its own, so that the other faults of a seed stay as they were. A seeded run of four machines is part of the tests.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -146,6 +146,7 @@
         )
         self._repeats = make_retry_budget(settings, self._directory)
         self._telemetry = BoundTelemetry()
+        self._confirmation.register_gauges(self._telemetry)
         self._cold_server.register_gauges(self._telemetry)
         self._control_plane.evacuation.register_gauges(self._telemetry)
         self._fatal_calls = FatalCalls()
--- a/damaskbay/mesh/server_confirmation.py
+++ b/damaskbay/mesh/server_confirmation.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 
 from damaskbay.adapters.peer_link.client import PeerLinks
+from damaskbay.adapters.telemetry.bound import BoundTelemetry
 from damaskbay.mesh.departures import Departures
 from damaskbay.mesh.local_server import Heartbeat, LocalServer, ServerStart
 from damaskbay.mesh.server_check import ServerCheck
@@ -87,6 +88,14 @@
         self._asked_peers: set[PeerAddress] = set()
         self._check_at = 0.0
 
+    def register_gauges(self, telemetry: BoundTelemetry) -> None:
+        """Register the gauge of a report that is held back."""
+        telemetry.gauge(
+            "server_unconfirmed",
+            "1: its first report is held back",
+            lambda: float(self._held is not None),
+        )
+
     def held_born_ms(self, server: str) -> int | None:
         """Return the start of a server in a held report, None if there is none."""
         held = self._held
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -301,12 +301,20 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
-            await self._send_heartbeat()
+            if self.state != "gone":
+                await self._send_heartbeat()
             await asyncio.sleep(0.5)
 
     async def _send_heartbeat(self) -> bool:
-        self._sequence += 1
         cold_ms = self.cold_ms()
+        confirmed = await self.send_report(self.make_report())
+        if confirmed:
+            self.report_confirmed(cold_ms)
+        return confirmed
+
+    def make_report(self) -> bytes:
+        """Return the next report of the server's state."""
+        self._sequence += 1
         report = {
             "Service": self.pool,
             "Address": str(self.server_address),
@@ -314,18 +322,18 @@
             "State": self.state,
             "Slots": self._options.slots,
             "Seq": self._sequence,
-            "ColdRemaining": f"{cold_ms}ms",
+            "ColdRemaining": f"{self.cold_ms()}ms",
             "born": self._born_ms,
         }
+        return json.dumps(report).encode()
+
+    async def send_report(self, body: bytes) -> bool:
+        """Send a report; return whether the daemon confirmed it."""
         path = f"/Instances.Heartbeat/{self.server_id}"
-        body = json.dumps(report).encode()
         response = await _request(
             self._control_address, Request("POST", "c", path, (), body)
         )
-        confirmed = response is not None and response.status == 200
-        if confirmed:
-            self.report_confirmed(cold_ms)
-        return confirmed
+        return response is not None and response.status == 200
 
     def cold_ms(self) -> int:
         """Return how long the server stays cold, in milliseconds."""
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -107,9 +107,16 @@
         if await self._send_heartbeat():
             self.drain_acked_at = time.monotonic()
 
+    async def leave(self, *, drains: bool) -> float | None:
+        """Let the server leave; return when the daemon acknowledged it, if it did."""
+        self.backend.leaving = self.backend.leaves_quietly = True
+        self.state = "draining" if drains else "gone"
+        is_acked = await (self._send_heartbeat() if drains else self._deregister())
+        return time.monotonic() if is_acked else None
+
     def replace_server(self) -> None:
         """Replace the drained server with a new one that has another id."""
-        self.backend.leaving = False
+        self.backend.leaving = self.backend.leaves_quietly = False
         self.backend.limits.set_limit(None, time.monotonic())
         number = int(self.server_id.rpartition("-")[2]) + 1
         self.server_id = self.backend.server = f"i-{self.name}-{number}"
--- a/tests/soak/options.py
+++ b/tests/soak/options.py
@@ -19,7 +19,8 @@
     long at their server. `pipelines` adds callers that pipeline requests, `limits`
     servers that name limits, change and drop them, `phases` cold servers and evacuated
     failure domains, `harsh` the faults that bring memory, descriptors and signals to
-    their limits, `restores` those of the store from a snapshot.
+    their limits, `restores` those of the store from a snapshot, `departures` servers
+    that leave while the store is away and their daemons are killed.
     """
 
     seed: int
@@ -33,6 +34,7 @@
     harsh: bool = False
     restores: bool = False
     phases: bool = False
+    departures: bool = False
 
 
 def options_of(
@@ -51,4 +53,5 @@
         harsh=True,
         restores=not planned,
         phases=True,
+        departures=not planned,
     )
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -73,8 +73,8 @@
 
     `server` is its id, `slow_until` the end of a phase in which every request takes
     long. `limits` holds the limits that it names, `cold` its cold phases. While
-    `leaving`, its responses say so. `nested` holds the calls that it made over its
-    own daemon.
+    `leaving`, its responses say so, or just its health check if it `leaves_quietly`.
+    `nested` holds the calls that it made over its own daemon.
     """
 
     def __init__(
@@ -84,7 +84,7 @@
         self.slow_until = 0.0
         self.limits = LimitRecord()
         self.cold = ColdRecord()
-        self.leaving = False
+        self.leaving = self.leaves_quietly = False
         self.nested: list[SentRequest] = []
         self._options = options
         self._executions = executions
@@ -164,7 +164,8 @@
         limit = self.limits.name_limit(time.monotonic())
         if limit is not None:
             notices = ((LIMIT_HEADER, f"{limit:g}"),)
-        return (*notices, (LEAVING_HEADER, "1")) if self.leaving else notices
+        names_leaving = self.leaving and not self.leaves_quietly
+        return (*notices, (LEAVING_HEADER, "1")) if names_leaving else notices
 
     async def _execute(self, request: Request, headers: dict[str, str]) -> int:
         """Run a request and return the status: 504 at its time limit."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,7 @@
 from tests.platform.kv_stand_in import KvStandIn
 from tests.soak.callers import MachineCallers, RequestSource, send_once
 from tests.soak.daemons import DRAIN_S, MachineOptions, record_disturbance
+from tests.soak.departures import Departures
 from tests.soak.harsh import Fault, HarshFaults, HarshParts
 from tests.soak.machines import Machine
 from tests.soak.manifest import NESTED_POOL, POOLS, make_manifest
@@ -95,6 +96,13 @@
             random.Random(options.seed + 1),
             self._record_event,
         )
+        self._departures = Departures(
+            self._machines,
+            self.checker,
+            random.Random(options.seed + 2),
+            self._kill,
+            self._record_event,
+        )
         self._harsh = HarshFaults(
             HarshParts(
                 self._machines,
@@ -145,6 +153,10 @@
                     group.create_task(self._restores.run(end))
                 if self._options.phases:
                     group.create_task(self._phases.run(self._options.fault_duration_s))
+                if self._options.departures:
+                    group.create_task(
+                        self._departures.run(self._options.fault_duration_s)
+                    )
             await asyncio.sleep(SETTLE_S)
             caller_task.cancel()
             await self._check_recovery()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -90,6 +90,13 @@
 
 
 # A server got more requests than the limit it named, while daemons came and went.
+# Guards against requests to servers that have left: late reports revived them.
+def test_servers_that_leave_beside_outages_and_kills_get_nothing() -> None:
+    """Reports from before arrive late, and records can't be written or read."""
+    violations = _run_soak(SoakOptions(seed=42, machine_count=4, departures=True))
+    assert not violations, violations
+
+
 def test_servers_that_name_limits_keep_to_them_under_faults() -> None:
     """Limits begin, change and end beside restarts, freezes and lost links."""
     violations = _run_soak(SoakOptions(seed=31, fault_duration_s=16.0, limits=True))
