Use a first server without delay where no daemon was before

If the store has no record of an earlier daemon here, none can have acknowledged a departure, so the report counts once the records are read; one that the server denies still does not.

--- a/damaskbay/mesh/app.py
+++ b/damaskbay/mesh/app.py
@@ -338,9 +338,10 @@
             record, state=ServerState.DRAINING, server=server, born_ms=born_ms
         )
 
-    def _restore_server(self, record: MemberRecord) -> None:
+    def _restore_server(self, record: MemberRecord | None) -> None:
         """Restore the server's state from the record of an earlier daemon start."""
-        if record.incarnation == self._incarnation:
+        if record is None or record.incarnation == self._incarnation:
+            self._confirmation.record_first_reading(is_successor=False)
             return
         if record.incarnation > self._incarnation:
             # The wall clock has been set back since; peers ignore what seems older.
--- a/damaskbay/mesh/control_plane.py
+++ b/damaskbay/mesh/control_plane.py
@@ -44,8 +44,9 @@
     Dependencies of ControlPlane.
 
     `stored_record` returns the record to keep in the store, `on_local_record` takes
-    the one of an earlier start; `on_members_change` is called after each change, and
-    `on_evacuation_change` after each of the evacuated failure domains.
+    the one that is there at the start, None without one. `on_members_change` is called
+    after each change, and `on_evacuation_change` after each of the evacuated failure
+    domains.
     """
 
     settings: MeshSettings
@@ -57,7 +58,7 @@
     token_pool: TokenPool
     rng: Random
     stored_record: Callable[[], MemberRecord]
-    on_local_record: Callable[[MemberRecord], None]
+    on_local_record: Callable[[MemberRecord | None], None]
     on_members_change: Callable[[], None]
     on_evacuation_change: Callable[[], None]
 
--- a/damaskbay/mesh/members.py
+++ b/damaskbay/mesh/members.py
@@ -60,10 +60,11 @@
     """
     Dependencies of Members.
 
-    `watches_store` is whether this daemon watches the store for its domain. The record
-    that an earlier start of this daemon has left goes to `on_local_record`. After each
-    change, `on_listing` gets whether there is a record of this daemon, and the revision
-    up to which that is known; also as soon as a peer knows of a later epoch.
+    `watches_store` is whether this daemon watches the store for its domain. This
+    daemon's record goes to `on_local_record` as the records are read for the first
+    time, None if there is none. After each change, `on_listing` gets whether there is a
+    record of this daemon, and the revision up to which that is known; also as soon as a
+    peer knows of a later epoch.
     """
 
     instance: str
@@ -75,7 +76,7 @@
     backoff: Backoff
     watches_store: Callable[[], bool]
     on_change: Callable[[], None]
-    on_local_record: Callable[[MemberRecord], None]
+    on_local_record: Callable[[MemberRecord | None], None]
     on_listing: Callable[[bool, int], None]
     clock: Callable[[], float]
 
@@ -242,7 +243,7 @@
         }
         local = records.get(self._parts.instance)
         local_record = decode_record(local.value) if local is not None else None
-        if local_record is not None and not self.has_read:
+        if not self.has_read:
             self._parts.on_local_record(local_record)
         self._begin_epoch(reading.revision)
         self._replace(records, reading.revision)
--- a/damaskbay/mesh/server_confirmation.py
+++ b/damaskbay/mesh/server_confirmation.py
@@ -76,12 +76,14 @@
     record may lack that or not be readable yet, and a report from before may be late.
     So the report counts once the server confirms it in its health check; it is dropped
     if a peer or the record knows that the server leaves. Where the check can't tell,
-    only a report counts that was sent since this daemon started.
+    only a report counts that was sent since this daemon started, or any if the store
+    has no record of an earlier one.
     """
 
     def __init__(self, parts: ConfirmationParts) -> None:
         self._parts = parts
         self._fresh_from = parts.clock() + MAX_REPORT_DELAY_S
+        self._is_successor = True
         self._held: _Held | None = None
         self._has_held = asyncio.Event()
         self._decided = asyncio.Event()
@@ -117,6 +119,10 @@
         self._has_held.set()
         return True
 
+    def record_first_reading(self, *, is_successor: bool) -> None:
+        """Record whether the store has a record of an earlier daemon here."""
+        self._is_successor = is_successor
+
     async def wait(self) -> None:
         """Wait a short while until no report is held back."""
         with contextlib.suppress(TimeoutError):
@@ -145,9 +151,10 @@
         _, denied = await asyncio.gather(self._ask_peers(), self._ask_server(held))
         if self._held is not held or denied is None:
             return
-        if held.fresh and not denied:
+        counts = held.fresh or not self._is_successor
+        if counts and not denied:
             self._release(held)
-        elif held.fresh or self._parts.clock() >= self._fresh_from:
+        elif counts or self._parts.clock() >= self._fresh_from:
             _LOGGER.warning(
                 "backend: report is not confirmed, the next one is awaited.",
                 extra={
--- a/tests/mesh/test_late_loop.py
+++ b/tests/mesh/test_late_loop.py
@@ -28,6 +28,8 @@
             listening.settimeout(WAIT_S)
             fleet = Fleet(stack)
             await fleet.start()
+            # The server below answers no health check.
+            fleet.service = {"HealthCheckPath": ""}
             await fleet.publish()
             node = await fleet.add_daemon("a", Backend("one", "i-a", address))
             await node.send_heartbeat()
--- a/tests/mesh/test_unsent_calls.py
+++ b/tests/mesh/test_unsent_calls.py
@@ -52,6 +52,7 @@
             stack.enter_context(_server_that_accepts_nothing(address))
             fleet = Fleet(stack)
             await fleet.start()
+            fleet.service = {"HealthCheckPath": ""}
             await fleet.publish()
             node = await fleet.add_daemon("a", Backend("one", "i-a", address))
             await node.send_heartbeat()
