--- a/tests/mesh/test_stop_at_start.py
+++ b/tests/mesh/test_stop_at_start.py
@@ -36,8 +36,9 @@
         async with HttpServer(backend.address, backend.serve, CallerLimits()):
             node = fleet.start_daemon("late", backend, callers=callers)
             await wait_until(lambda: node.daemon._readiness._timeout_task is not None)
-            # It has no configuration yet, and so does not know the health check.
-            ready = Heartbeat(backend.server, ServerState.READY, 8, 1, 1_000)
+            assert await node.send_heartbeat() == 200
+            # The report waits for the configuration, which names the health check.
+            ready = Heartbeat(backend.server, ServerState.READY, 8, 2, 1_000)
             assert node.daemon.local.record_heartbeat(ready, monotonic_s())
             yield node
 
